--- /dev/null
+++ b/crates/cache/src/lib.rs
@@ -0,0 +1,1 @@
+//! Prefix chains, block index, link ledger and the placement decision.
--- /dev/null
+++ b/crates/coord/src/lib.rs
@@ -0,0 +1,1 @@
+//! Coordination parts for others to embed, free of clocks and sockets.
--- /dev/null
+++ b/crates/document/src/lib.rs
@@ -0,0 +1,1 @@
+//! The environment document: parse, validate, diagnose.
--- /dev/null
+++ b/crates/endpoint/src/lib.rs
@@ -0,0 +1,1 @@
+//! Clients of model engines, plain services and store instances.
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,1 @@
+//! The entry instance: filters for requests, controllers for state.
--- /dev/null
+++ b/crates/peer/src/lib.rs
@@ -0,0 +1,1 @@
+//! The capnp-rpc protocol between entry instances.
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Clients of the platform: object API, instance list, weight store.
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small stand-ins of outside systems, with load and measurement commands; not shipped.
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! Command line of bilberryford.
+
+fn main() {}
