Types, document, platform, endpoint and peer crates

Cause: the whole path needs its vocabulary and its interfaces first. Change: ids and quantities as newtypes, the closed table of error kinds, the environment document, traits with HTTP adapters for the outside systems, the capnp-rpc protocol between instances.

--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -1,1 +1,18 @@
-//! Coordination parts for others to embed, free of clocks and sockets.
+//! Coordination parts that other programs can embed.
+//!
+//! Every part is a state machine without input or output: no clock, no socket, no task, no lock. Time is an argument
+//! ([`TimeMs`](bilberryford_types::TimeMs) of a monotonic clock), randomness is a seeded generator, and what has to be
+//! done is returned as a value. That is what makes the parts testable in tables and embeddable in another daemon; the
+//! crate `bilberryford-node` is one embedder.
+//!
+//! One sentence rules the crate: **views steer, versions decide**. A heartbeat, a load report or anything that a peer
+//! says may be late or wrong and only steers; what must hold is enforced by a conditional update, a fencing number or
+//! an attempt id. See `docs/DESIGN.md`.
+
+mod attempt;
+mod order;
+mod ownership;
+
+pub use attempt::{Attempt, AttemptState, NotRun, Planned, Sent, Settled};
+pub use order::{OrderDecision, OrderRecord, OrderReply, OrderRequest, OrderState};
+pub use ownership::{owner, owners};
--- /dev/null
+++ b/crates/endpoint/src/http_engine.rs
@@ -0,0 +1,126 @@
+//! The adapter from [`ModelEngine`] to HTTP.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bilberryford_types::{AttemptId, TimeMs};
+use eventsource_stream::Eventsource;
+use futures::{FutureExt, StreamExt, future::BoxFuture};
+use reqwest::{RequestBuilder, Response, StatusCode};
+
+use crate::{
+    Chunk, ChunkStream, EndpointError, GenerateCall, LoadReport, ModelEngine,
+    wire::{ChunkBody, CompletionBody},
+};
+
+/// The deadline of short calls such as load reports, in milliseconds.
+const SHORT_CALL_TIMEOUT_MS: u64 = 1_000;
+
+/// A model engine over HTTP.
+#[derive(Debug, Clone)]
+pub struct HttpEngine {
+    base_url: String,
+    client: reqwest::Client,
+}
+
+impl HttpEngine {
+    /// The engine at `address`, reached through the shared `client`.
+    pub fn new(address: SocketAddr, client: reqwest::Client) -> Self {
+        Self { base_url: format!("http://{address}"), client }
+    }
+
+    fn attempt_url(&self, attempt: &AttemptId) -> String {
+        format!("{}/v1/attempts/{attempt}", self.base_url)
+    }
+}
+
+async fn send(request: RequestBuilder, timeout: TimeMs) -> Result<Response, EndpointError> {
+    let response = request
+        .timeout(Duration::from_millis(timeout.get()))
+        .send()
+        .await
+        .map_err(|error| EndpointError::from_send(&error))?;
+    match response.status() {
+        status if status.is_success() => Ok(response),
+        StatusCode::NOT_FOUND => Err(EndpointError::UnknownAttempt),
+        StatusCode::CONFLICT => Err(EndpointError::VersionGone),
+        status => Err(EndpointError::Refused { status: status.as_u16() }),
+    }
+}
+
+fn chunks(response: Response) -> ChunkStream {
+    response
+        .bytes_stream()
+        .eventsource()
+        .map(|event| {
+            let event = event.map_err(|error| EndpointError::Lost { reason: error.to_string() })?;
+            let body: ChunkBody = serde_json::from_str(&event.data)
+                .map_err(|error| EndpointError::Broken { reason: error.to_string() })?;
+            chunk(body)
+        })
+        .boxed()
+}
+
+fn chunk(body: ChunkBody) -> Result<Chunk, EndpointError> {
+    match (body.index, body.end) {
+        (Some(index), None) => Ok(Chunk::Token { attempt: body.attempt, index, text: body.text }),
+        (None, Some(end)) => Ok(Chunk::End {
+            attempt: body.attempt,
+            tokens: end.tokens,
+            cached_tokens: end.cached_tokens,
+            prompt_tokens: end.prompt_tokens,
+        }),
+        _ => Err(EndpointError::Broken { reason: "an event that is neither a token nor an end".to_owned() }),
+    }
+}
+
+impl ModelEngine for HttpEngine {
+    fn generate(&self, call: GenerateCall, timeout: TimeMs) -> BoxFuture<'_, Result<ChunkStream, EndpointError>> {
+        async move {
+            let body = CompletionBody {
+                model: call.model,
+                prompt: call.prompt.to_string(),
+                max_tokens: call.max_tokens,
+                stream: true,
+                attempt: call.attempt,
+                team: call.team,
+                weight_version: call.weight_version,
+                priority: call.priority,
+                skip_tokens: call.skip_tokens,
+                given: call.given.to_string(),
+            };
+            let request = self.client.post(format!("{}/v1/completions", self.base_url)).json(&body);
+            send(request, timeout).await.map(chunks)
+        }
+        .boxed()
+    }
+
+    fn resume<'a>(
+        &'a self,
+        attempt: &'a AttemptId,
+        from: u32,
+        timeout: TimeMs,
+    ) -> BoxFuture<'a, Result<ChunkStream, EndpointError>> {
+        async move {
+            let url = format!("{}?from={from}", self.attempt_url(attempt));
+            send(self.client.get(url), timeout).await.map(chunks)
+        }
+        .boxed()
+    }
+
+    fn cancel<'a>(&'a self, attempt: &'a AttemptId) -> BoxFuture<'a, Result<(), EndpointError>> {
+        async move {
+            let request = self.client.delete(self.attempt_url(attempt));
+            send(request, TimeMs(SHORT_CALL_TIMEOUT_MS)).await.map(drop)
+        }
+        .boxed()
+    }
+
+    fn load(&self) -> BoxFuture<'_, Result<LoadReport, EndpointError>> {
+        async move {
+            let request = self.client.get(format!("{}/load", self.base_url));
+            let response = send(request, TimeMs(SHORT_CALL_TIMEOUT_MS)).await?;
+            response.json().await.map_err(|error| EndpointError::Broken { reason: error.to_string() })
+        }
+        .boxed()
+    }
+}
--- /dev/null
+++ b/crates/peer/schema/peer.capnp
@@ -0,0 +1,78 @@
+@0xb6f1d0a94c3e2751;
+# The protocol between entry instances. `crates/peer/README.md` says how the Rust file is generated.
+
+struct Time {
+  wallMs @0 :UInt64;
+  counter @1 :UInt32;
+}
+
+struct Member {
+  instance @0 :Text;
+  incarnation @1 :UInt64;
+  address @2 :Text;
+  dataCentre @3 :Text;
+  state @4 :UInt8;
+  # The generation that the member has in force.
+  generation @5 :UInt64;
+}
+
+struct EndpointView {
+  endpoint @0 :Text;
+  # Whether someone has seen it leaving.
+  leaving @1 :Bool;
+  # How many runs the sender has in flight there.
+  inFlight @2 :UInt32;
+  # How many prompt tokens of those are not yet prefilled.
+  queuedTokens @3 :UInt32;
+}
+
+struct Heartbeat {
+  at @0 :Time;
+  sender @1 :Member;
+  members @2 :List(Member);
+  endpoints @3 :List(EndpointView);
+  # Fingerprints of requests that may not run again.
+  quarantined @4 :List(Data);
+}
+
+enum Verdict {
+  ask @0;
+  crashed @1;
+  clean @2;
+}
+
+struct PlaceRequest {
+  model @0 :Text;
+  weightVersion @1 :Text;
+  priority @2 :UInt8;
+  promptTokens @3 :UInt32;
+  maxTokens @4 :UInt32;
+  deadlineMs @5 :UInt64;
+  chain @6 :List(Data);
+  excluded @7 :List(Text);
+}
+
+struct PlaceDecision {
+  endpoint @0 :Text;
+  # The store to import from; empty for none.
+  store @1 :Text;
+  importBlocks @2 :UInt32;
+  reason @3 :Text;
+}
+
+interface Peer {
+  # Exchanges views; both sides learn.
+  heartbeat @0 (beat :Heartbeat) -> (beat :Heartbeat);
+
+  # The configuration in force when it is newer than `above`; empty otherwise.
+  configuration @1 (above :UInt64) -> (generation :UInt64, version :UInt64, body :Data);
+
+  # Asks for or reports on a request that may crash endpoints; sent to the fingerprint's owner.
+  suspect @2 (fingerprint :Data, attempt :Text, verdict :Verdict) -> (crashes :UInt32, quarantined :Bool);
+
+  # Borrows in-flight slots of a team from the instance that owns its limit.
+  borrow @3 (team :Text, borrower :Text, inUse :UInt32, want :UInt32) -> (granted :UInt32, validMs :UInt32);
+
+  # Asks the instance that decides for a cell; an empty endpoint means that it can't say.
+  place @4 (request :PlaceRequest) -> (decision :PlaceDecision);
+}
--- /dev/null
+++ b/crates/peer/src/convert.rs
@@ -0,0 +1,117 @@
+//! Conversions between the messages and their encoded form.
+//!
+//! Whatever a peer sends is checked here: a name that is no name or a list that is too long ends the call with an
+//! error, and nothing of it reaches the handler.
+
+use bilberryford_types::{Digest, Generation, HybridTime, Incarnation, Tokens};
+use capnp::Error;
+
+use crate::{EndpointView, Heartbeat, Member, MemberState, Verdict, peer_capnp};
+
+/// The most rows that a list from a peer may have.
+const MAX_ROWS: u32 = 4_096;
+
+pub(crate) fn bad(error: impl std::fmt::Display) -> Error {
+    Error::failed(format!("bad message: {error}"))
+}
+
+pub(crate) fn text<T>(reader: capnp::text::Reader<'_>) -> Result<T, Error>
+where
+    T: std::str::FromStr,
+    T::Err: std::fmt::Display,
+{
+    reader.to_str().map_err(bad)?.parse().map_err(bad)
+}
+
+pub(crate) fn digest(data: &[u8]) -> Result<Digest, Error> {
+    data.try_into().map(Digest).map_err(bad)
+}
+
+pub(crate) fn bounded(rows: u32) -> Result<u32, Error> {
+    if rows > MAX_ROWS { Err(bad("the list is too long")) } else { Ok(rows) }
+}
+
+fn read_member(reader: peer_capnp::member::Reader<'_>) -> Result<Member, Error> {
+    Ok(Member {
+        instance: text(reader.get_instance()?)?,
+        incarnation: Incarnation(reader.get_incarnation()),
+        address: text(reader.get_address()?)?,
+        data_centre: text(reader.get_data_centre()?)?,
+        state: MemberState::from_repr(reader.get_state()).ok_or_else(|| bad("unknown member state"))?,
+        generation: Generation(reader.get_generation()),
+    })
+}
+
+fn write_member(member: &Member, mut builder: peer_capnp::member::Builder<'_>) {
+    builder.set_instance(member.instance.as_str());
+    builder.set_incarnation(member.incarnation.get());
+    builder.set_address(member.address.to_string().as_str());
+    builder.set_data_centre(member.data_centre.as_str());
+    builder.set_state(member.state as u8);
+    builder.set_generation(member.generation.get());
+}
+
+pub(crate) fn read_heartbeat(reader: peer_capnp::heartbeat::Reader<'_>) -> Result<Heartbeat, Error> {
+    let at = reader.get_at()?;
+    let members = reader.get_members()?;
+    let endpoints = reader.get_endpoints()?;
+    let quarantined = reader.get_quarantined()?;
+    for rows in [members.len(), endpoints.len(), quarantined.len()] {
+        bounded(rows)?;
+    }
+    Ok(Heartbeat {
+        at: HybridTime { wall_ms: at.get_wall_ms(), counter: at.get_counter() },
+        sender: read_member(reader.get_sender()?)?,
+        members: members.iter().map(read_member).collect::<Result<_, _>>()?,
+        endpoints: endpoints.iter().map(read_endpoint).collect::<Result<_, _>>()?,
+        quarantined: quarantined.iter().map(|data| digest(data?)).collect::<Result<_, _>>()?,
+    })
+}
+
+fn read_endpoint(reader: peer_capnp::endpoint_view::Reader<'_>) -> Result<EndpointView, Error> {
+    Ok(EndpointView {
+        endpoint: text(reader.get_endpoint()?)?,
+        leaving: reader.get_leaving(),
+        in_flight: reader.get_in_flight(),
+        queued_tokens: Tokens(reader.get_queued_tokens()),
+    })
+}
+
+pub(crate) fn write_heartbeat(beat: &Heartbeat, mut builder: peer_capnp::heartbeat::Builder<'_>) {
+    let mut at = builder.reborrow().init_at();
+    at.set_wall_ms(beat.at.wall_ms);
+    at.set_counter(beat.at.counter);
+    write_member(&beat.sender, builder.reborrow().init_sender());
+    let mut members = builder.reborrow().init_members(beat.members.len() as u32);
+    for (index, member) in (0..).zip(&beat.members) {
+        write_member(member, members.reborrow().get(index));
+    }
+    let mut endpoints = builder.reborrow().init_endpoints(beat.endpoints.len() as u32);
+    for (index, view) in (0..).zip(&beat.endpoints) {
+        let mut row = endpoints.reborrow().get(index);
+        row.set_endpoint(view.endpoint.as_str());
+        row.set_leaving(view.leaving);
+        row.set_in_flight(view.in_flight);
+        row.set_queued_tokens(view.queued_tokens.get());
+    }
+    let mut quarantined = builder.init_quarantined(beat.quarantined.len() as u32);
+    for (index, digest) in (0..).zip(&beat.quarantined) {
+        quarantined.set(index, &digest.0);
+    }
+}
+
+pub(crate) const fn read_verdict(verdict: peer_capnp::Verdict) -> Verdict {
+    match verdict {
+        peer_capnp::Verdict::Ask => Verdict::Ask,
+        peer_capnp::Verdict::Crashed => Verdict::Crashed,
+        peer_capnp::Verdict::Clean => Verdict::Clean,
+    }
+}
+
+pub(crate) const fn write_verdict(verdict: Verdict) -> peer_capnp::Verdict {
+    match verdict {
+        Verdict::Ask => peer_capnp::Verdict::Ask,
+        Verdict::Crashed => peer_capnp::Verdict::Crashed,
+        Verdict::Clean => peer_capnp::Verdict::Clean,
+    }
+}
--- /dev/null
+++ b/crates/peer/src/handler.rs
@@ -0,0 +1,24 @@
+//! What an instance answers to its peers.
+
+use crate::{
+    Borrow, BorrowReply, ConfigReply, Heartbeat, PlaceReply, PlaceRequest, Suspect, SuspectReply,
+};
+use bilberryford_types::Generation;
+
+/// Answers calls of peers from memory; no method may block.
+pub trait PeerHandler: Send + Sync + 'static {
+    /// Takes a peer's views in and answers with our own.
+    fn heartbeat(&self, beat: Heartbeat) -> Heartbeat;
+
+    /// The configuration in force, when it is newer than `above`.
+    fn configuration(&self, above: Generation) -> Option<ConfigReply>;
+
+    /// Counts or answers for a request whose fingerprint this instance owns.
+    fn suspect(&self, suspect: Suspect) -> SuspectReply;
+
+    /// Lends slots of a team whose limit this instance owns.
+    fn borrow(&self, borrow: Borrow) -> BorrowReply;
+
+    /// Decides for a cell; none when this instance can't say.
+    fn place(&self, request: PlaceRequest) -> Option<PlaceReply>;
+}
--- /dev/null
+++ b/crates/platform/src/http.rs
@@ -0,0 +1,206 @@
+//! The adapter from the traits to HTTP.
+
+use std::time::Duration;
+
+use bilberryford_types::{ObjectVersion, TimeMs};
+use bytes::Bytes;
+use futures::{FutureExt, future::BoxFuture};
+use reqwest::{RequestBuilder, Response, StatusCode, header};
+
+use crate::{
+    Change, Changes, InstanceList, InstanceRecord, Object, ObjectKey, ObjectKind, ObjectStore, PlatformError,
+    Precondition,
+    wire::{InstancesBody, ListBody, entity_tag, tag_version},
+};
+
+/// Settings of [`HttpPlatform`].
+#[derive(Debug, Clone)]
+pub struct HttpPlatformConfig {
+    base_url: String,
+    timeout: TimeMs,
+}
+
+impl HttpPlatformConfig {
+    /// Settings for the platform at `base_url`, such as `http://127.0.0.1:9000`.
+    pub fn new(base_url: impl Into<String>) -> Self {
+        Self { base_url: base_url.into().trim_end_matches('/').to_owned(), timeout: TimeMs(1_000) }
+    }
+
+    /// Sets the deadline of each call.
+    pub fn timeout(mut self, timeout: TimeMs) -> Self {
+        self.timeout = timeout;
+        self
+    }
+}
+
+/// The platform over HTTP.
+#[derive(Debug, Clone)]
+pub struct HttpPlatform {
+    config: HttpPlatformConfig,
+    client: reqwest::Client,
+}
+
+impl HttpPlatform {
+    /// A client with the given settings; nothing is sent yet.
+    ///
+    /// # Errors
+    ///
+    /// [`PlatformError::Refused`] when the HTTP client can't be set up.
+    pub fn new(config: HttpPlatformConfig) -> Result<Self, PlatformError> {
+        let client = reqwest::Client::builder()
+            .connect_timeout(Duration::from_millis(config.timeout.get()))
+            .pool_idle_timeout(Duration::from_secs(10))
+            .build()
+            .map_err(|error| PlatformError::Refused { reason: error.to_string() })?;
+        Ok(Self { config, client })
+    }
+
+    fn object_url(&self, key: &ObjectKey) -> String {
+        format!("{}/objects/{key}", self.config.base_url)
+    }
+
+    async fn send(&self, request: RequestBuilder, extra_wait: TimeMs) -> Result<Response, PlatformError> {
+        let timeout = self.config.timeout.after(extra_wait);
+        let response = request
+            .timeout(Duration::from_millis(timeout.get()))
+            .send()
+            .await
+            .map_err(|error| send_error(&error))?;
+        match response.status() {
+            status if status.is_success() || status == StatusCode::NOT_FOUND => Ok(response),
+            StatusCode::PRECONDITION_FAILED => Err(PlatformError::Conflict { current: version_of(&response) }),
+            StatusCode::GONE => Err(PlatformError::Compacted),
+            StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
+                Err(PlatformError::NotTaken { reason: format!("status {}", response.status()) })
+            }
+            status if status.is_server_error() => Err(PlatformError::Unknown { reason: format!("status {status}") }),
+            status => Err(PlatformError::Refused { reason: format!("status {status}") }),
+        }
+    }
+
+    async fn list_body(&self, url: String, extra_wait: TimeMs) -> Result<ListBody, PlatformError> {
+        let response = self.send(self.client.get(url), extra_wait).await?;
+        response.json().await.map_err(|error| PlatformError::Unknown { reason: error.to_string() })
+    }
+}
+
+fn send_error(error: &reqwest::Error) -> PlatformError {
+    let reason = error.to_string();
+    if error.is_connect() { PlatformError::NotTaken { reason } } else { PlatformError::Unknown { reason } }
+}
+
+fn version_of(response: &Response) -> ObjectVersion {
+    response
+        .headers()
+        .get(header::ETAG)
+        .and_then(|tag| tag.to_str().ok())
+        .and_then(tag_version)
+        .unwrap_or(ObjectVersion::ABSENT)
+}
+
+fn with_precondition(request: RequestBuilder, precondition: Precondition) -> RequestBuilder {
+    match precondition {
+        Precondition::Absent => request.header(header::IF_NONE_MATCH, "*"),
+        Precondition::Version(version) => request.header(header::IF_MATCH, entity_tag(version)),
+    }
+}
+
+impl ObjectStore for HttpPlatform {
+    fn get<'a>(&'a self, key: &'a ObjectKey) -> BoxFuture<'a, Result<Option<Object>, PlatformError>> {
+        async move {
+            let response = self.send(self.client.get(self.object_url(key)), TimeMs(0)).await?;
+            if response.status() == StatusCode::NOT_FOUND {
+                return Ok(None);
+            }
+            let version = version_of(&response);
+            let body =
+                response.bytes().await.map_err(|error| PlatformError::Unknown { reason: error.to_string() })?;
+            Ok(Some(Object { name: key.name.clone(), version, body }))
+        }
+        .boxed()
+    }
+
+    fn put<'a>(
+        &'a self,
+        key: &'a ObjectKey,
+        precondition: Precondition,
+        body: Bytes,
+    ) -> BoxFuture<'a, Result<ObjectVersion, PlatformError>> {
+        async move {
+            let request = with_precondition(self.client.put(self.object_url(key)), precondition);
+            let response = self.send(request.body(body), TimeMs(0)).await?;
+            match response.status() {
+                StatusCode::NOT_FOUND => Err(PlatformError::Conflict { current: ObjectVersion::ABSENT }),
+                _ => Ok(version_of(&response)),
+            }
+        }
+        .boxed()
+    }
+
+    fn delete<'a>(
+        &'a self,
+        key: &'a ObjectKey,
+        version: ObjectVersion,
+    ) -> BoxFuture<'a, Result<(), PlatformError>> {
+        async move {
+            let request = self.client.delete(self.object_url(key));
+            self.send(with_precondition(request, Precondition::Version(version)), TimeMs(0)).await?;
+            Ok(())
+        }
+        .boxed()
+    }
+
+    fn list<'a>(
+        &'a self,
+        kind: ObjectKind,
+        prefix: &'a str,
+    ) -> BoxFuture<'a, Result<(ObjectVersion, Vec<Object>), PlatformError>> {
+        async move {
+            let url = format!("{}/objects/{kind}?prefix={prefix}", self.config.base_url);
+            let body = self.list_body(url, TimeMs(0)).await?;
+            let objects = body
+                .items
+                .into_iter()
+                .filter_map(|item| {
+                    let body = Bytes::from(item.body?);
+                    Some(Object { name: item.name, version: item.version, body })
+                })
+                .collect();
+            Ok((body.version, objects))
+        }
+        .boxed()
+    }
+
+    fn watch(
+        &self,
+        kind: ObjectKind,
+        after: ObjectVersion,
+        wait: TimeMs,
+    ) -> BoxFuture<'_, Result<Changes, PlatformError>> {
+        async move {
+            let base_url = &self.config.base_url;
+            let url = format!("{base_url}/watch/{kind}?after={after}&wait_ms={}", wait.get());
+            let body = self.list_body(url, wait).await?;
+            let changes = body
+                .items
+                .into_iter()
+                .map(|item| Change { name: item.name, version: item.version, body: item.body.map(Bytes::from) })
+                .collect();
+            Ok(Changes { version: body.version, changes })
+        }
+        .boxed()
+    }
+}
+
+impl InstanceList for HttpPlatform {
+    fn instances(&self) -> BoxFuture<'_, Result<Vec<InstanceRecord>, PlatformError>> {
+        async move {
+            let url = format!("{}/instances", self.config.base_url);
+            let response = self.send(self.client.get(url), TimeMs(0)).await?;
+            let body: InstancesBody =
+                response.json().await.map_err(|error| PlatformError::Unknown { reason: error.to_string() })?;
+            Ok(body.instances)
+        }
+        .boxed()
+    }
+}
