@@ -2586,15 +3604,28 @@
             }
             #[inline]
             pub fn get_beat(self) -> ::capnp::Result<crate::peer_capnp::heartbeat::Builder<'a>> {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                    self.builder.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
             }
             #[inline]
-            pub fn set_beat(&mut self, value: crate::peer_capnp::heartbeat::Reader<'_>) -> ::capnp::Result<()> {
-                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+            pub fn set_beat(
+                &mut self,
+                value: crate::peer_capnp::heartbeat::Reader<'_>,
+            ) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(
+                    self.builder.reborrow().get_pointer_field(0),
+                    value,
+                    false,
+                )
             }
             #[inline]
-            pub fn init_beat(self, ) -> crate::peer_capnp::heartbeat::Builder<'a> {
-                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+            pub fn init_beat(self) -> crate::peer_capnp::heartbeat::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(
+                    self.builder.get_pointer_field(0),
+                    0,
+                )
             }
             #[inline]
             pub fn has_beat(&self) -> bool {
@@ -2602,13 +3633,15 @@
             }
         }
 
-        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        pub struct Pipeline {
+            _typeless: ::capnp::any_pointer::Pipeline,
+        }
         impl ::capnp::capability::FromTypelessPipeline for Pipeline {
             fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
-                Self { _typeless: typeless,  }
+                Self { _typeless: typeless }
             }
         }
-        impl Pipeline  {
+        impl Pipeline {
             pub fn get_beat(&self) -> crate::peer_capnp::heartbeat::Pipeline {
                 ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
             }
@@ -2655,19 +3688,24 @@
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
-            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            pub(crate) fn get_annotation_types(
+                child_index: Option<u16>,
+                index: u32,
+            ) -> ::capnp::introspect::Type {
                 ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
             }
-            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
-            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
-                &ARENA,
-                NONUNION_MEMBERS,
-                MEMBERS_BY_DISCRIMINANT,
-                MEMBERS_BY_NAME
-            );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
-            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+                ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+                ::capnp::introspect::RawStructSchema::new(
+                    &ARENA,
+                    NONUNION_MEMBERS,
+                    MEMBERS_BY_DISCRIMINANT,
+                    MEMBERS_BY_NAME,
+                );
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0];
             pub(crate) const TYPE_ID: u64 = 0xff8a_f8b7_a14d_4893;
         }
     }
@@ -2675,59 +3713,102 @@
     pub mod configuration_params {
         #[derive(Copy, Clone)]
         pub struct Owned(());
-        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
-        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
-        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
-        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+        impl ::capnp::introspect::Introspect for Owned {
+            fn introspect() -> ::capnp::introspect::Type {
+                ::capnp::introspect::TypeVariant::Struct(
+                    ::capnp::introspect::RawBrandedStructSchema {
+                        generic: &_private::RAW_SCHEMA,
+                        field_types: _private::get_field_types,
+                        annotation_types: _private::get_annotation_types,
+                        type_id: ::core::any::TypeId::of::<Owned>(),
+                    },
+                )
+                .into()
+            }
+        }
+        impl ::capnp::traits::Owned for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::OwnedStruct for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::Pipelined for Owned {
+            type Pipeline = Pipeline;
+        }
 
-        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
-        impl <> ::core::marker::Copy for Reader<'_,>  {}
-        impl <> ::core::clone::Clone for Reader<'_,>  {
-            fn clone(&self) -> Self { *self }
+        pub struct Reader<'a> {
+            reader: ::capnp::private::layout::StructReader<'a>,
+        }
+        impl ::core::marker::Copy for Reader<'_> {}
+        impl ::core::clone::Clone for Reader<'_> {
+            fn clone(&self) -> Self {
+                *self
+            }
         }
 
-        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        impl ::capnp::traits::HasTypeId for Reader<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
         }
-        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
             fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
-                Self { reader,  }
+                Self { reader }
             }
         }
 
-        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
-            fn from(reader: Reader<'a,>) -> Self {
-                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+            fn from(reader: Reader<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(
+                    reader.reader,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
             }
         }
 
-        impl <> ::core::fmt::Debug for Reader<'_,>  {
-            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
-                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        impl ::core::fmt::Debug for Reader<'_> {
+            fn fmt(
+                &self,
+                f: &mut ::core::fmt::Formatter<'_>,
+            ) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(
+                    &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                    f,
+                )
             }
         }
 
-        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
-            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+        impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+            fn get_from_pointer(
+                reader: &::capnp::private::layout::PointerReader<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
                 ::core::result::Result::Ok(reader.get_struct(default)?.into())
             }
         }
 
-        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
             fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
                 self.reader
             }
         }
 
-        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
             fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
                 self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
             }
         }
 
-        impl <> Reader<'_,>  {
-            pub fn reborrow(&self) -> Reader<'_,> {
-                Self { .. *self }
+        impl Reader<'_> {
+            pub fn reborrow(&self) -> Reader<'_> {
+                Self { ..*self }
             }
 
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
@@ -2739,52 +3820,81 @@
             }
         }
 
-        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
-        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
+        pub struct Builder<'a> {
+            builder: ::capnp::private::layout::StructBuilder<'a>,
+        }
+        impl ::capnp::traits::HasStructSize for Builder<'_> {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+                ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
         }
-        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
         }
-        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
             fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
-                Self { builder,  }
+                Self { builder }
             }
         }
 
-        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
-            fn from(builder: Builder<'a,>) -> Self {
-                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+            fn from(builder: Builder<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(
+                    builder.builder,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
             }
         }
 
-        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
             fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
                 self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
             }
         }
 
-        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
-            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+        impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+            fn init_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                _size: u32,
+            ) -> Self {
                 builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
             }
-            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
-                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            fn get_from_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(
+                    builder
+                        .get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?
+                        .into(),
+                )
             }
         }
 
-        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
-            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+            fn set_pointer_builder(
+                mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+                value: Self,
+                canonicalize: bool,
+            ) -> ::capnp::Result<()> {
+                pointer.set_struct(&value.reader, canonicalize)
+            }
         }
 
-        impl <'a,> Builder<'a,>  {
-            pub fn into_reader(self) -> Reader<'a,> {
+        impl<'a> Builder<'a> {
+            pub fn into_reader(self) -> Reader<'a> {
                 self.builder.into_reader().into()
             }
-            pub fn reborrow(&mut self) -> Builder<'_,> {
+            pub fn reborrow(&mut self) -> Builder<'_> {
                 Builder { builder: self.builder.reborrow() }
             }
-            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            pub fn reborrow_as_reader(&self) -> Reader<'_> {
                 self.builder.as_reader().into()
             }
 
@@ -2796,19 +3906,20 @@
                 self.builder.get_data_field::<u64>(0)
             }
             #[inline]
-            pub fn set_above(&mut self, value: u64)  {
+            pub fn set_above(&mut self, value: u64) {
                 self.builder.set_data_field::<u64>(0, value);
             }
         }
 
-        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        pub struct Pipeline {
+            _typeless: ::capnp::any_pointer::Pipeline,
+        }
         impl ::capnp::capability::FromTypelessPipeline for Pipeline {
             fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
-                Self { _typeless: typeless,  }
+                Self { _typeless: typeless }
             }
         }
-        impl Pipeline  {
-        }
+        impl Pipeline {}
         mod _private {
             pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
@@ -2851,19 +3962,24 @@
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
-            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            pub(crate) fn get_annotation_types(
+                child_index: Option<u16>,
+                index: u32,
+            ) -> ::capnp::introspect::Type {
                 ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
             }
-            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
-            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
-                &ARENA,
-                NONUNION_MEMBERS,
-                MEMBERS_BY_DISCRIMINANT,
-                MEMBERS_BY_NAME
-            );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
-            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+                ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+                ::capnp::introspect::RawStructSchema::new(
+                    &ARENA,
+                    NONUNION_MEMBERS,
+                    MEMBERS_BY_DISCRIMINANT,
+                    MEMBERS_BY_NAME,
+                );
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0];
             pub(crate) const TYPE_ID: u64 = 0x89f2_6eeb_84b0_8c42;
         }
     }
@@ -2871,59 +3987,102 @@
     pub mod configuration_results {
         #[derive(Copy, Clone)]
         pub struct Owned(());
-        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
-        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
-        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
-        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+        impl ::capnp::introspect::Introspect for Owned {
+            fn introspect() -> ::capnp::introspect::Type {
+                ::capnp::introspect::TypeVariant::Struct(
+                    ::capnp::introspect::RawBrandedStructSchema {
+                        generic: &_private::RAW_SCHEMA,
+                        field_types: _private::get_field_types,
+                        annotation_types: _private::get_annotation_types,
+                        type_id: ::core::any::TypeId::of::<Owned>(),
+                    },
+                )
+                .into()
+            }
+        }
+        impl ::capnp::traits::Owned for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::OwnedStruct for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::Pipelined for Owned {
+            type Pipeline = Pipeline;
+        }
 
-        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
-        impl <> ::core::marker::Copy for Reader<'_,>  {}
-        impl <> ::core::clone::Clone for Reader<'_,>  {
-            fn clone(&self) -> Self { *self }
+        pub struct Reader<'a> {
+            reader: ::capnp::private::layout::StructReader<'a>,
+        }
+        impl ::core::marker::Copy for Reader<'_> {}
+        impl ::core::clone::Clone for Reader<'_> {
+            fn clone(&self) -> Self {
+                *self
+            }
         }
 
-        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        impl ::capnp::traits::HasTypeId for Reader<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
         }
-        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
             fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
-                Self { reader,  }
+                Self { reader }
             }
         }
 
-        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
-            fn from(reader: Reader<'a,>) -> Self {
-                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+            fn from(reader: Reader<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(
+                    reader.reader,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
             }
         }
 
-        impl <> ::core::fmt::Debug for Reader<'_,>  {
-            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
-                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        impl ::core::fmt::Debug for Reader<'_> {
+            fn fmt(
+                &self,
+                f: &mut ::core::fmt::Formatter<'_>,
+            ) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(
+                    &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                    f,
+                )
             }
         }
 
-        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
-            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+        impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+            fn get_from_pointer(
+                reader: &::capnp::private::layout::PointerReader<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
                 ::core::result::Result::Ok(reader.get_struct(default)?.into())
             }
         }
 
-        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
             fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
                 self.reader
             }
         }
 
-        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
             fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
                 self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
             }
         }
 
-        impl <'a,> Reader<'a,>  {
-            pub fn reborrow(&self) -> Reader<'_,> {
-                Self { .. *self }
+        impl<'a> Reader<'a> {
+            pub fn reborrow(&self) -> Reader<'_> {
+                Self { ..*self }
             }
 
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
@@ -2939,7 +4098,10 @@
             }
             #[inline]
             pub fn get_body(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
-                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+                ::capnp::traits::FromPointerReader::get_from_pointer(
+                    &self.reader.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
             }
             #[inline]
             pub fn has_body(&self) -> bool {
@@ -2947,52 +4109,81 @@
             }
         }
 
-        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
-        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
+        pub struct Builder<'a> {
+            builder: ::capnp::private::layout::StructBuilder<'a>,
         }
-        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        impl ::capnp::traits::HasStructSize for Builder<'_> {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+                ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
+        }
+        impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
         }
-        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
             fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
-                Self { builder,  }
+                Self { builder }
             }
         }
 
-        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
-            fn from(builder: Builder<'a,>) -> Self {
-                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+            fn from(builder: Builder<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(
+                    builder.builder,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
             }
         }
 
-        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
             fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
                 self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
             }
         }
 
-        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
-            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+        impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+            fn init_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                _size: u32,
+            ) -> Self {
                 builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
             }
-            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
-                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            fn get_from_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(
+                    builder
+                        .get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?
+                        .into(),
+                )
             }
         }
 
-        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
-            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+            fn set_pointer_builder(
+                mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+                value: Self,
+                canonicalize: bool,
+            ) -> ::capnp::Result<()> {
+                pointer.set_struct(&value.reader, canonicalize)
+            }
         }
 
-        impl <'a,> Builder<'a,>  {
-            pub fn into_reader(self) -> Reader<'a,> {
+        impl<'a> Builder<'a> {
+            pub fn into_reader(self) -> Reader<'a> {
                 self.builder.into_reader().into()
             }
-            pub fn reborrow(&mut self) -> Builder<'_,> {
+            pub fn reborrow(&mut self) -> Builder<'_> {
                 Builder { builder: self.builder.reborrow() }
             }
-            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            pub fn reborrow_as_reader(&self) -> Reader<'_> {
                 self.builder.as_reader().into()
             }
 
@@ -3004,7 +4195,7 @@
                 self.builder.get_data_field::<u64>(0)
             }
             #[inline]
-            pub fn set_generation(&mut self, value: u64)  {
+            pub fn set_generation(&mut self, value: u64) {
                 self.builder.set_data_field::<u64>(0, value);
             }
             #[inline]
@@ -3012,15 +4203,18 @@
                 self.builder.get_data_field::<u64>(1)
             }
             #[inline]
-            pub fn set_version(&mut self, value: u64)  {
+            pub fn set_version(&mut self, value: u64) {
                 self.builder.set_data_field::<u64>(1, value);
             }
             #[inline]
             pub fn get_body(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                    self.builder.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
             }
             #[inline]
-            pub fn set_body(&mut self, value: ::capnp::data::Reader<'_>)  {
+            pub fn set_body(&mut self, value: ::capnp::data::Reader<'_>) {
                 self.builder.reborrow().get_pointer_field(0).set_data(value);
             }
             #[inline]
@@ -3033,14 +4227,15 @@
             }
         }
 
-        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        pub struct Pipeline {
+            _typeless: ::capnp::any_pointer::Pipeline,
+        }
         impl ::capnp::capability::FromTypelessPipeline for Pipeline {
             fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
-                Self { _typeless: typeless,  }
+                Self { _typeless: typeless }
             }
         }
-        impl Pipeline  {
-        }
+        impl Pipeline {}
         mod _private {
             pub(crate) static ENCODED_NODE: [::capnp::Word; 64] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
@@ -3116,19 +4311,24 @@
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
-            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            pub(crate) fn get_annotation_types(
+                child_index: Option<u16>,
+                index: u32,
+            ) -> ::capnp::introspect::Type {
                 ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
             }
-            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
-            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
-                &ARENA,
-                NONUNION_MEMBERS,
-                MEMBERS_BY_DISCRIMINANT,
-                MEMBERS_BY_NAME
-            );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
-            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,0,1];
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+                ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+                ::capnp::introspect::RawStructSchema::new(
+                    &ARENA,
+                    NONUNION_MEMBERS,
+                    MEMBERS_BY_DISCRIMINANT,
+                    MEMBERS_BY_NAME,
+                );
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 0, 1];
             pub(crate) const TYPE_ID: u64 = 0xf72f_d5ef_fd66_9996;
         }
     }
@@ -3136,59 +4336,102 @@
     pub mod suspect_params {
         #[derive(Copy, Clone)]
         pub struct Owned(());
-        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
-        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
-        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
-        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+        impl ::capnp::introspect::Introspect for Owned {
+            fn introspect() -> ::capnp::introspect::Type {
+                ::capnp::introspect::TypeVariant::Struct(
+                    ::capnp::introspect::RawBrandedStructSchema {
+                        generic: &_private::RAW_SCHEMA,
+                        field_types: _private::get_field_types,
+                        annotation_types: _private::get_annotation_types,
+                        type_id: ::core::any::TypeId::of::<Owned>(),
+                    },
+                )
+                .into()
+            }
+        }
+        impl ::capnp::traits::Owned for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::OwnedStruct for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::Pipelined for Owned {
+            type Pipeline = Pipeline;
+        }
 
-        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
-        impl <> ::core::marker::Copy for Reader<'_,>  {}
-        impl <> ::core::clone::Clone for Reader<'_,>  {
-            fn clone(&self) -> Self { *self }
+        pub struct Reader<'a> {
+            reader: ::capnp::private::layout::StructReader<'a>,
+        }
+        impl ::core::marker::Copy for Reader<'_> {}
+        impl ::core::clone::Clone for Reader<'_> {
+            fn clone(&self) -> Self {
+                *self
+            }
         }
 
-        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        impl ::capnp::traits::HasTypeId for Reader<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
         }
-        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
             fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
-                Self { reader,  }
+                Self { reader }
             }
         }
 
-        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
-            fn from(reader: Reader<'a,>) -> Self {
-                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+            fn from(reader: Reader<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(
+                    reader.reader,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
             }
         }
 
-        impl <> ::core::fmt::Debug for Reader<'_,>  {
-            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
-                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        impl ::core::fmt::Debug for Reader<'_> {
+            fn fmt(
+                &self,
+                f: &mut ::core::fmt::Formatter<'_>,
+            ) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(
+                    &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                    f,
+                )
             }
         }
 
-        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
-            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+        impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+            fn get_from_pointer(
+                reader: &::capnp::private::layout::PointerReader<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
                 ::core::result::Result::Ok(reader.get_struct(default)?.into())
             }
         }
 
-        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
             fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
                 self.reader
             }
         }
 
-        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
             fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
                 self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
             }
         }
 
-        impl <'a,> Reader<'a,>  {
-            pub fn reborrow(&self) -> Reader<'_,> {
-                Self { .. *self }
+        impl<'a> Reader<'a> {
+            pub fn reborrow(&self) -> Reader<'_> {
+                Self { ..*self }
             }
 
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
@@ -3196,7 +4439,10 @@
             }
             #[inline]
             pub fn get_fingerprint(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
-                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+                ::capnp::traits::FromPointerReader::get_from_pointer(
+                    &self.reader.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
             }
             #[inline]
             pub fn has_fingerprint(&self) -> bool {
@@ -3204,64 +4450,99 @@
             }
             #[inline]
             pub fn get_attempt(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
-                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+                ::capnp::traits::FromPointerReader::get_from_pointer(
+                    &self.reader.get_pointer_field(1),
+                    ::core::option::Option::None,
+                )
             }
             #[inline]
             pub fn has_attempt(&self) -> bool {
                 !self.reader.get_pointer_field(1).is_null()
             }
             #[inline]
-            pub fn get_verdict(self) -> ::core::result::Result<crate::peer_capnp::Verdict,::capnp::NotInSchema> {
+            pub fn get_verdict(
+                self,
+            ) -> ::core::result::Result<crate::peer_capnp::Verdict, ::capnp::NotInSchema>
+            {
                 ::core::convert::TryFrom::try_from(self.reader.get_data_field::<u16>(0))
             }
         }
 
-        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
-        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 2 };
+        pub struct Builder<'a> {
+            builder: ::capnp::private::layout::StructBuilder<'a>,
+        }
+        impl ::capnp::traits::HasStructSize for Builder<'_> {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+                ::capnp::private::layout::StructSize { data: 1, pointers: 2 };
         }
-        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
         }
-        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
             fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
-                Self { builder,  }
+                Self { builder }
             }
         }
 
-        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
-            fn from(builder: Builder<'a,>) -> Self {
-                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+            fn from(builder: Builder<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(
+                    builder.builder,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
             }
         }
 
-        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
             fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
                 self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
             }
         }
 
-        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
-            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+        impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+            fn init_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                _size: u32,
+            ) -> Self {
                 builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
             }
-            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
-                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            fn get_from_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(
+                    builder
+                        .get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?
+                        .into(),
+                )
             }
         }
 
-        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
-            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+            fn set_pointer_builder(
+                mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+                value: Self,
+                canonicalize: bool,
+            ) -> ::capnp::Result<()> {
+                pointer.set_struct(&value.reader, canonicalize)
+            }
         }
 
-        impl <'a,> Builder<'a,>  {
-            pub fn into_reader(self) -> Reader<'a,> {
+        impl<'a> Builder<'a> {
+            pub fn into_reader(self) -> Reader<'a> {
                 self.builder.into_reader().into()
             }
-            pub fn reborrow(&mut self) -> Builder<'_,> {
+            pub fn reborrow(&mut self) -> Builder<'_> {
                 Builder { builder: self.builder.reborrow() }
             }
-            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            pub fn reborrow_as_reader(&self) -> Reader<'_> {
                 self.builder.as_reader().into()
             }
 
@@ -3270,10 +4551,13 @@
             }
             #[inline]
             pub fn get_fingerprint(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                    self.builder.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
             }
             #[inline]
-            pub fn set_fingerprint(&mut self, value: ::capnp::data::Reader<'_>)  {
+            pub fn set_fingerprint(&mut self, value: ::capnp::data::Reader<'_>) {
                 self.builder.reborrow().get_pointer_field(0).set_data(value);
             }
             #[inline]
@@ -3286,11 +4570,22 @@
             }
             #[inline]
             pub fn get_attempt(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                    self.builder.get_pointer_field(1),
+                    ::core::option::Option::None,
+                )
             }
             #[inline]
-            pub fn set_attempt(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
-                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false).unwrap()
+            pub fn set_attempt(
+                &mut self,
+                value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
+            ) {
+                ::capnp::traits::SetterInput::set_pointer_builder(
+                    self.builder.reborrow().get_pointer_field(1),
+                    value,
+                    false,
+                )
+                .unwrap()
             }
             #[inline]
             pub fn init_attempt(self, size: u32) -> ::capnp::text::Builder<'a> {
@@ -3301,23 +4596,27 @@
                 !self.builder.is_pointer_field_null(1)
             }
             #[inline]
-            pub fn get_verdict(self) -> ::core::result::Result<crate::peer_capnp::Verdict,::capnp::NotInSchema> {
+            pub fn get_verdict(
+                self,
+            ) -> ::core::result::Result<crate::peer_capnp::Verdict, ::capnp::NotInSchema>
+            {
                 ::core::convert::TryFrom::try_from(self.builder.get_data_field::<u16>(0))
             }
             #[inline]
-            pub fn set_verdict(&mut self, value: crate::peer_capnp::Verdict)  {
+            pub fn set_verdict(&mut self, value: crate::peer_capnp::Verdict) {
                 self.builder.set_data_field::<u16>(0, value as u16);
             }
         }
 
-        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        pub struct Pipeline {
+            _typeless: ::capnp::any_pointer::Pipeline,
+        }
         impl ::capnp::capability::FromTypelessPipeline for Pipeline {
             fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
-                Self { _typeless: typeless,  }
+                Self { _typeless: typeless }
             }
         }
-        impl Pipeline  {
-        }
+        impl Pipeline {}
         mod _private {
             pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
@@ -3388,23 +4687,31 @@
                 match index {
                     0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                     1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                    2 => <crate::peer_capnp::Verdict as ::capnp::introspect::Introspect>::introspect(),
+                    2 => {
+                        <crate::peer_capnp::Verdict as ::capnp::introspect::Introspect>::introspect(
+                        )
+                    }
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
-            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            pub(crate) fn get_annotation_types(
+                child_index: Option<u16>,
+                index: u32,
+            ) -> ::capnp::introspect::Type {
                 ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
             }
-            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
-            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
-                &ARENA,
-                NONUNION_MEMBERS,
-                MEMBERS_BY_DISCRIMINANT,
-                MEMBERS_BY_NAME
-            );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
-            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0,2];
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+                ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+                ::capnp::introspect::RawStructSchema::new(
+                    &ARENA,
+                    NONUNION_MEMBERS,
+                    MEMBERS_BY_DISCRIMINANT,
+                    MEMBERS_BY_NAME,
+                );
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0, 2];
             pub(crate) const TYPE_ID: u64 = 0x95e5_af90_9900_1ab6;
         }
     }
@@ -3412,59 +4719,102 @@
     pub mod suspect_results {
         #[derive(Copy, Clone)]
         pub struct Owned(());
-        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
-        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
-        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
-        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+        impl ::capnp::introspect::Introspect for Owned {
+            fn introspect() -> ::capnp::introspect::Type {
+                ::capnp::introspect::TypeVariant::Struct(
+                    ::capnp::introspect::RawBrandedStructSchema {
+                        generic: &_private::RAW_SCHEMA,
+                        field_types: _private::get_field_types,
+                        annotation_types: _private::get_annotation_types,
+                        type_id: ::core::any::TypeId::of::<Owned>(),
+                    },
+                )
+                .into()
+            }
+        }
+        impl ::capnp::traits::Owned for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::OwnedStruct for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::Pipelined for Owned {
+            type Pipeline = Pipeline;
+        }
 
-        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
-        impl <> ::core::marker::Copy for Reader<'_,>  {}
-        impl <> ::core::clone::Clone for Reader<'_,>  {
-            fn clone(&self) -> Self { *self }
+        pub struct Reader<'a> {
+            reader: ::capnp::private::layout::StructReader<'a>,
+        }
+        impl ::core::marker::Copy for Reader<'_> {}
+        impl ::core::clone::Clone for Reader<'_> {
+            fn clone(&self) -> Self {
+                *self
+            }
         }
 
-        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        impl ::capnp::traits::HasTypeId for Reader<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
         }
-        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
             fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
-                Self { reader,  }
+                Self { reader }
             }
         }
 
-        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
-            fn from(reader: Reader<'a,>) -> Self {
-                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+            fn from(reader: Reader<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(
+                    reader.reader,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
             }
         }
 
-        impl <> ::core::fmt::Debug for Reader<'_,>  {
-            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
-                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        impl ::core::fmt::Debug for Reader<'_> {
+            fn fmt(
+                &self,
+                f: &mut ::core::fmt::Formatter<'_>,
+            ) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(
+                    &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                    f,
+                )
             }
         }
 
-        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
-            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+        impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+            fn get_from_pointer(
+                reader: &::capnp::private::layout::PointerReader<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
                 ::core::result::Result::Ok(reader.get_struct(default)?.into())
             }
         }
 
-        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
             fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
                 self.reader
             }
         }
 
-        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
             fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
                 self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
             }
         }
 
-        impl <> Reader<'_,>  {
-            pub fn reborrow(&self) -> Reader<'_,> {
-                Self { .. *self }
+        impl Reader<'_> {
+            pub fn reborrow(&self) -> Reader<'_> {
+                Self { ..*self }
             }
 
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
@@ -3480,52 +4830,81 @@
             }
         }
 
-        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
-        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
+        pub struct Builder<'a> {
+            builder: ::capnp::private::layout::StructBuilder<'a>,
         }
-        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        impl ::capnp::traits::HasStructSize for Builder<'_> {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+                ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
+        }
+        impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
         }
-        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
             fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
-                Self { builder,  }
+                Self { builder }
             }
         }
 
-        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
-            fn from(builder: Builder<'a,>) -> Self {
-                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+            fn from(builder: Builder<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(
+                    builder.builder,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
             }
         }
 
-        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
             fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
                 self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
             }
         }
 
-        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
-            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+        impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+            fn init_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                _size: u32,
+            ) -> Self {
                 builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
             }
-            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
-                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            fn get_from_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(
+                    builder
+                        .get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?
+                        .into(),
+                )
             }
         }
 
-        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
-            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+            fn set_pointer_builder(
+                mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+                value: Self,
+                canonicalize: bool,
+            ) -> ::capnp::Result<()> {
+                pointer.set_struct(&value.reader, canonicalize)
+            }
         }
 
-        impl <'a,> Builder<'a,>  {
-            pub fn into_reader(self) -> Reader<'a,> {
+        impl<'a> Builder<'a> {
+            pub fn into_reader(self) -> Reader<'a> {
                 self.builder.into_reader().into()
             }
-            pub fn reborrow(&mut self) -> Builder<'_,> {
+            pub fn reborrow(&mut self) -> Builder<'_> {
                 Builder { builder: self.builder.reborrow() }
             }
-            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            pub fn reborrow_as_reader(&self) -> Reader<'_> {
                 self.builder.as_reader().into()
             }
 
@@ -3537,7 +4916,7 @@
                 self.builder.get_data_field::<u32>(0)
             }
             #[inline]
-            pub fn set_crashes(&mut self, value: u32)  {
+            pub fn set_crashes(&mut self, value: u32) {
                 self.builder.set_data_field::<u32>(0, value);
             }
             #[inline]
@@ -3545,19 +4924,20 @@
                 self.builder.get_bool_field(32)
             }
             #[inline]
-            pub fn set_quarantined(&mut self, value: bool)  {
+            pub fn set_quarantined(&mut self, value: bool) {
                 self.builder.set_bool_field(32, value);
             }
         }
 
-        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        pub struct Pipeline {
+            _typeless: ::capnp::any_pointer::Pipeline,
+        }
         impl ::capnp::capability::FromTypelessPipeline for Pipeline {
             fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
-                Self { _typeless: typeless,  }
+                Self { _typeless: typeless }
             }
         }
-        impl Pipeline  {
-        }
+        impl Pipeline {}
         mod _private {
             pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
@@ -3616,19 +4996,24 @@
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
-            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            pub(crate) fn get_annotation_types(
+                child_index: Option<u16>,
+                index: u32,
+            ) -> ::capnp::introspect::Type {
                 ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
             }
-            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
-            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
-                &ARENA,
-                NONUNION_MEMBERS,
-                MEMBERS_BY_DISCRIMINANT,
-                MEMBERS_BY_NAME
-            );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
-            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+                ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+                ::capnp::introspect::RawStructSchema::new(
+                    &ARENA,
+                    NONUNION_MEMBERS,
+                    MEMBERS_BY_DISCRIMINANT,
+                    MEMBERS_BY_NAME,
+                );
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 1];
             pub(crate) const TYPE_ID: u64 = 0xcf6b_1d8a_55fb_e015;
         }
     }
@@ -3636,59 +5021,102 @@
     pub mod borrow_params {
         #[derive(Copy, Clone)]
         pub struct Owned(());
-        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
-        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
-        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
-        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+        impl ::capnp::introspect::Introspect for Owned {
+            fn introspect() -> ::capnp::introspect::Type {
+                ::capnp::introspect::TypeVariant::Struct(
+                    ::capnp::introspect::RawBrandedStructSchema {
+                        generic: &_private::RAW_SCHEMA,
+                        field_types: _private::get_field_types,
+                        annotation_types: _private::get_annotation_types,
+                        type_id: ::core::any::TypeId::of::<Owned>(),
+                    },
+                )
+                .into()
+            }
+        }
+        impl ::capnp::traits::Owned for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::OwnedStruct for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::Pipelined for Owned {
+            type Pipeline = Pipeline;
+        }
 
-        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
-        impl <> ::core::marker::Copy for Reader<'_,>  {}
-        impl <> ::core::clone::Clone for Reader<'_,>  {
-            fn clone(&self) -> Self { *self }
+        pub struct Reader<'a> {
+            reader: ::capnp::private::layout::StructReader<'a>,
+        }
+        impl ::core::marker::Copy for Reader<'_> {}
+        impl ::core::clone::Clone for Reader<'_> {
+            fn clone(&self) -> Self {
+                *self
+            }
         }
 
-        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        impl ::capnp::traits::HasTypeId for Reader<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
         }
-        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
             fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
-                Self { reader,  }
+                Self { reader }
             }
         }
 
-        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
-            fn from(reader: Reader<'a,>) -> Self {
-                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+            fn from(reader: Reader<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(
+                    reader.reader,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
             }
         }
 
-        impl <> ::core::fmt::Debug for Reader<'_,>  {
-            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
-                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        impl ::core::fmt::Debug for Reader<'_> {
+            fn fmt(
+                &self,
+                f: &mut ::core::fmt::Formatter<'_>,
+            ) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(
+                    &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                    f,
+                )
             }
         }
 
-        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
-            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+        impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+            fn get_from_pointer(
+                reader: &::capnp::private::layout::PointerReader<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
                 ::core::result::Result::Ok(reader.get_struct(default)?.into())
             }
         }
 
-        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
             fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
                 self.reader
             }
         }
 
-        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
             fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
                 self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
             }
         }
 
-        impl <'a,> Reader<'a,>  {
-            pub fn reborrow(&self) -> Reader<'_,> {
-                Self { .. *self }
+        impl<'a> Reader<'a> {
+            pub fn reborrow(&self) -> Reader<'_> {
+                Self { ..*self }
             }
 
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
@@ -3696,7 +5124,10 @@
             }
             #[inline]
             pub fn get_team(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
-                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+                ::capnp::traits::FromPointerReader::get_from_pointer(
+                    &self.reader.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
             }
             #[inline]
             pub fn has_team(&self) -> bool {
@@ -3704,7 +5135,10 @@
             }
             #[inline]
             pub fn get_borrower(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
-                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+                ::capnp::traits::FromPointerReader::get_from_pointer(
+                    &self.reader.get_pointer_field(1),
+                    ::core::option::Option::None,
+                )
             }
             #[inline]
             pub fn has_borrower(&self) -> bool {
@@ -3720,52 +5154,81 @@
             }
         }
 
-        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
-        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 2 };
+        pub struct Builder<'a> {
+            builder: ::capnp::private::layout::StructBuilder<'a>,
+        }
+        impl ::capnp::traits::HasStructSize for Builder<'_> {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+                ::capnp::private::layout::StructSize { data: 1, pointers: 2 };
         }
-        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
         }
-        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
             fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
-                Self { builder,  }
+                Self { builder }
             }
         }
 
-        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
-            fn from(builder: Builder<'a,>) -> Self {
-                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+            fn from(builder: Builder<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(
+                    builder.builder,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
             }
         }
 
-        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
             fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
                 self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
             }
         }
 
-        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
-            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+        impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+            fn init_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                _size: u32,
+            ) -> Self {
                 builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
             }
-            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
-                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            fn get_from_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(
+                    builder
+                        .get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?
+                        .into(),
+                )
             }
         }
 
-        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
-            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+            fn set_pointer_builder(
+                mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+                value: Self,
+                canonicalize: bool,
+            ) -> ::capnp::Result<()> {
+                pointer.set_struct(&value.reader, canonicalize)
+            }
         }
 
-        impl <'a,> Builder<'a,>  {
-            pub fn into_reader(self) -> Reader<'a,> {
+        impl<'a> Builder<'a> {
+            pub fn into_reader(self) -> Reader<'a> {
                 self.builder.into_reader().into()
             }
-            pub fn reborrow(&mut self) -> Builder<'_,> {
+            pub fn reborrow(&mut self) -> Builder<'_> {
                 Builder { builder: self.builder.reborrow() }
             }
-            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            pub fn reborrow_as_reader(&self) -> Reader<'_> {
                 self.builder.as_reader().into()
             }
 
@@ -3774,11 +5237,22 @@
             }
             #[inline]
             pub fn get_team(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                    self.builder.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
             }
             #[inline]
-            pub fn set_team(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
-                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+            pub fn set_team(
+                &mut self,
+                value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
+            ) {
+                ::capnp::traits::SetterInput::set_pointer_builder(
+                    self.builder.reborrow().get_pointer_field(0),
+                    value,
+                    false,
+                )
+                .unwrap()
             }
             #[inline]
             pub fn init_team(self, size: u32) -> ::capnp::text::Builder<'a> {
@@ -3790,11 +5264,22 @@
             }
             #[inline]
             pub fn get_borrower(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                    self.builder.get_pointer_field(1),
+                    ::core::option::Option::None,
+                )
             }
             #[inline]
-            pub fn set_borrower(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
-                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false).unwrap()
+            pub fn set_borrower(
+                &mut self,
+                value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
+            ) {
+                ::capnp::traits::SetterInput::set_pointer_builder(
+                    self.builder.reborrow().get_pointer_field(1),
+                    value,
+                    false,
+                )
+                .unwrap()
             }
             #[inline]
             pub fn init_borrower(self, size: u32) -> ::capnp::text::Builder<'a> {
@@ -3809,7 +5294,7 @@
                 self.builder.get_data_field::<u32>(0)
             }
             #[inline]
-            pub fn set_in_use(&mut self, value: u32)  {
+            pub fn set_in_use(&mut self, value: u32) {
                 self.builder.set_data_field::<u32>(0, value);
             }
             #[inline]
@@ -3817,19 +5302,20 @@
                 self.builder.get_data_field::<u32>(1)
             }
             #[inline]
-            pub fn set_want(&mut self, value: u32)  {
+            pub fn set_want(&mut self, value: u32) {
                 self.builder.set_data_field::<u32>(1, value);
             }
         }
 
-        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        pub struct Pipeline {
+            _typeless: ::capnp::any_pointer::Pipeline,
+        }
         impl ::capnp::capability::FromTypelessPipeline for Pipeline {
             fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
-                Self { _typeless: typeless,  }
+                Self { _typeless: typeless }
             }
         }
-        impl Pipeline  {
-        }
+        impl Pipeline {}
         mod _private {
             pub(crate) static ENCODED_NODE: [::capnp::Word; 78] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
@@ -3920,19 +5406,24 @@
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
-            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            pub(crate) fn get_annotation_types(
+                child_index: Option<u16>,
+                index: u32,
+            ) -> ::capnp::introspect::Type {
                 ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
             }
-            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
-            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
-                &ARENA,
-                NONUNION_MEMBERS,
-                MEMBERS_BY_DISCRIMINANT,
-                MEMBERS_BY_NAME
-            );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
-            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,2,0,3];
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+                ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+                ::capnp::introspect::RawStructSchema::new(
+                    &ARENA,
+                    NONUNION_MEMBERS,
+                    MEMBERS_BY_DISCRIMINANT,
+                    MEMBERS_BY_NAME,
+                );
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 2, 0, 3];
             pub(crate) const TYPE_ID: u64 = 0xa198_53b8_f898_88cf;
         }
     }
@@ -3940,59 +5431,102 @@
     pub mod borrow_results {
         #[derive(Copy, Clone)]
         pub struct Owned(());
-        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
-        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
-        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
-        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+        impl ::capnp::introspect::Introspect for Owned {
+            fn introspect() -> ::capnp::introspect::Type {
+                ::capnp::introspect::TypeVariant::Struct(
+                    ::capnp::introspect::RawBrandedStructSchema {
+                        generic: &_private::RAW_SCHEMA,
+                        field_types: _private::get_field_types,
+                        annotation_types: _private::get_annotation_types,
+                        type_id: ::core::any::TypeId::of::<Owned>(),
+                    },
+                )
+                .into()
+            }
+        }
+        impl ::capnp::traits::Owned for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::OwnedStruct for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::Pipelined for Owned {
+            type Pipeline = Pipeline;
+        }
 
-        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
-        impl <> ::core::marker::Copy for Reader<'_,>  {}
-        impl <> ::core::clone::Clone for Reader<'_,>  {
-            fn clone(&self) -> Self { *self }
+        pub struct Reader<'a> {
+            reader: ::capnp::private::layout::StructReader<'a>,
+        }
+        impl ::core::marker::Copy for Reader<'_> {}
+        impl ::core::clone::Clone for Reader<'_> {
+            fn clone(&self) -> Self {
+                *self
+            }
         }
 
-        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        impl ::capnp::traits::HasTypeId for Reader<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
         }
-        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
             fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
-                Self { reader,  }
+                Self { reader }
             }
         }
 
-        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
-            fn from(reader: Reader<'a,>) -> Self {
-                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+            fn from(reader: Reader<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(
+                    reader.reader,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
             }
         }
 
-        impl <> ::core::fmt::Debug for Reader<'_,>  {
-            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
-                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        impl ::core::fmt::Debug for Reader<'_> {
+            fn fmt(
+                &self,
+                f: &mut ::core::fmt::Formatter<'_>,
+            ) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(
+                    &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                    f,
+                )
             }
         }
 
-        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
-            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+        impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+            fn get_from_pointer(
+                reader: &::capnp::private::layout::PointerReader<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
                 ::core::result::Result::Ok(reader.get_struct(default)?.into())
             }
         }
 
-        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
             fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
                 self.reader
             }
         }
 
-        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
             fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
                 self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
             }
         }
 
-        impl <> Reader<'_,>  {
-            pub fn reborrow(&self) -> Reader<'_,> {
-                Self { .. *self }
+        impl Reader<'_> {
+            pub fn reborrow(&self) -> Reader<'_> {
+                Self { ..*self }
             }
 
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
@@ -4008,52 +5542,81 @@
             }
         }
 
-        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
-        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
+        pub struct Builder<'a> {
+            builder: ::capnp::private::layout::StructBuilder<'a>,
         }
-        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        impl ::capnp::traits::HasStructSize for Builder<'_> {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+                ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
+        }
+        impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
         }
-        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
             fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
-                Self { builder,  }
+                Self { builder }
             }
         }
 
-        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
-            fn from(builder: Builder<'a,>) -> Self {
-                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+            fn from(builder: Builder<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(
+                    builder.builder,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
             }
         }
 
-        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
             fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
                 self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
             }
         }
 
-        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
-            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+        impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+            fn init_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                _size: u32,
+            ) -> Self {
                 builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
             }
-            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
-                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            fn get_from_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(
+                    builder
+                        .get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?
+                        .into(),
+                )
             }
         }
 
-        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
-            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+            fn set_pointer_builder(
+                mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+                value: Self,
+                canonicalize: bool,
+            ) -> ::capnp::Result<()> {
+                pointer.set_struct(&value.reader, canonicalize)
+            }
         }
 
-        impl <'a,> Builder<'a,>  {
-            pub fn into_reader(self) -> Reader<'a,> {
+        impl<'a> Builder<'a> {
+            pub fn into_reader(self) -> Reader<'a> {
                 self.builder.into_reader().into()
             }
-            pub fn reborrow(&mut self) -> Builder<'_,> {
+            pub fn reborrow(&mut self) -> Builder<'_> {
                 Builder { builder: self.builder.reborrow() }
             }
-            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            pub fn reborrow_as_reader(&self) -> Reader<'_> {
                 self.builder.as_reader().into()
             }
 
@@ -4065,7 +5628,7 @@
                 self.builder.get_data_field::<u32>(0)
             }
             #[inline]
-            pub fn set_granted(&mut self, value: u32)  {
+            pub fn set_granted(&mut self, value: u32) {
                 self.builder.set_data_field::<u32>(0, value);
             }
             #[inline]
@@ -4073,19 +5636,20 @@
                 self.builder.get_data_field::<u32>(1)
             }
             #[inline]
-            pub fn set_valid_ms(&mut self, value: u32)  {
+            pub fn set_valid_ms(&mut self, value: u32) {
                 self.builder.set_data_field::<u32>(1, value);
             }
         }
 
-        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        pub struct Pipeline {
+            _typeless: ::capnp::any_pointer::Pipeline,
+        }
         impl ::capnp::capability::FromTypelessPipeline for Pipeline {
             fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
-                Self { _typeless: typeless,  }
+                Self { _typeless: typeless }
             }
         }
-        impl Pipeline  {
-        }
+        impl Pipeline {}
         mod _private {
             pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
@@ -4143,19 +5707,24 @@
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
-            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            pub(crate) fn get_annotation_types(
+                child_index: Option<u16>,
+                index: u32,
+            ) -> ::capnp::introspect::Type {
                 ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
             }
-            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
-            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
-                &ARENA,
-                NONUNION_MEMBERS,
-                MEMBERS_BY_DISCRIMINANT,
-                MEMBERS_BY_NAME
-            );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
-            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+                ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+                ::capnp::introspect::RawStructSchema::new(
+                    &ARENA,
+                    NONUNION_MEMBERS,
+                    MEMBERS_BY_DISCRIMINANT,
+                    MEMBERS_BY_NAME,
+                );
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 1];
             pub(crate) const TYPE_ID: u64 = 0xa54c_b2cc_348a_17a0;
         }
     }
@@ -4163,67 +5732,115 @@
     pub mod place_params {
         #[derive(Copy, Clone)]
         pub struct Owned(());
-        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
-        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
-        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
-        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+        impl ::capnp::introspect::Introspect for Owned {
+            fn introspect() -> ::capnp::introspect::Type {
+                ::capnp::introspect::TypeVariant::Struct(
+                    ::capnp::introspect::RawBrandedStructSchema {
+                        generic: &_private::RAW_SCHEMA,
+                        field_types: _private::get_field_types,
+                        annotation_types: _private::get_annotation_types,
+                        type_id: ::core::any::TypeId::of::<Owned>(),
+                    },
+                )
+                .into()
+            }
+        }
+        impl ::capnp::traits::Owned for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::OwnedStruct for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::Pipelined for Owned {
+            type Pipeline = Pipeline;
+        }
 
-        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
-        impl <> ::core::marker::Copy for Reader<'_,>  {}
-        impl <> ::core::clone::Clone for Reader<'_,>  {
-            fn clone(&self) -> Self { *self }
+        pub struct Reader<'a> {
+            reader: ::capnp::private::layout::StructReader<'a>,
+        }
+        impl ::core::marker::Copy for Reader<'_> {}
+        impl ::core::clone::Clone for Reader<'_> {
+            fn clone(&self) -> Self {
+                *self
+            }
         }
 
-        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        impl ::capnp::traits::HasTypeId for Reader<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
         }
-        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
             fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
-                Self { reader,  }
+                Self { reader }
             }
         }
 
-        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
-            fn from(reader: Reader<'a,>) -> Self {
-                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+            fn from(reader: Reader<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(
+                    reader.reader,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
             }
         }
 
-        impl <> ::core::fmt::Debug for Reader<'_,>  {
-            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
-                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        impl ::core::fmt::Debug for Reader<'_> {
+            fn fmt(
+                &self,
+                f: &mut ::core::fmt::Formatter<'_>,
+            ) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(
+                    &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                    f,
+                )
             }
         }
 
-        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
-            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+        impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+            fn get_from_pointer(
+                reader: &::capnp::private::layout::PointerReader<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
                 ::core::result::Result::Ok(reader.get_struct(default)?.into())
             }
         }
 
-        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
             fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
                 self.reader
             }
         }
 
-        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
             fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
                 self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
             }
         }
 
-        impl <'a,> Reader<'a,>  {
-            pub fn reborrow(&self) -> Reader<'_,> {
-                Self { .. *self }
+        impl<'a> Reader<'a> {
+            pub fn reborrow(&self) -> Reader<'_> {
+                Self { ..*self }
             }
 
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_request(self) -> ::capnp::Result<crate::peer_capnp::place_request::Reader<'a>> {
-                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            pub fn get_request(
+                self,
+            ) -> ::capnp::Result<crate::peer_capnp::place_request::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(
+                    &self.reader.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
             }
             #[inline]
             pub fn has_request(&self) -> bool {
@@ -4231,52 +5848,81 @@
             }
         }
 
-        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
-        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+        pub struct Builder<'a> {
+            builder: ::capnp::private::layout::StructBuilder<'a>,
+        }
+        impl ::capnp::traits::HasStructSize for Builder<'_> {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+                ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
         }
-        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
         }
-        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
             fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
-                Self { builder,  }
+                Self { builder }
             }
         }
 
-        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
-            fn from(builder: Builder<'a,>) -> Self {
-                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+            fn from(builder: Builder<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(
+                    builder.builder,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
             }
         }
 
-        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
             fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
                 self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
             }
         }
 
-        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
-            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+        impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+            fn init_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                _size: u32,
+            ) -> Self {
                 builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
             }
-            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
-                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            fn get_from_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(
+                    builder
+                        .get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?
+                        .into(),
+                )
             }
         }
 
-        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
-            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+            fn set_pointer_builder(
+                mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+                value: Self,
+                canonicalize: bool,
+            ) -> ::capnp::Result<()> {
+                pointer.set_struct(&value.reader, canonicalize)
+            }
         }
 
-        impl <'a,> Builder<'a,>  {
-            pub fn into_reader(self) -> Reader<'a,> {
+        impl<'a> Builder<'a> {
+            pub fn into_reader(self) -> Reader<'a> {
                 self.builder.into_reader().into()
             }
-            pub fn reborrow(&mut self) -> Builder<'_,> {
+            pub fn reborrow(&mut self) -> Builder<'_> {
                 Builder { builder: self.builder.reborrow() }
             }
-            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            pub fn reborrow_as_reader(&self) -> Reader<'_> {
                 self.builder.as_reader().into()
             }
 
@@ -4284,16 +5930,31 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_request(self) -> ::capnp::Result<crate::peer_capnp::place_request::Builder<'a>> {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            pub fn get_request(
+                self,
+            ) -> ::capnp::Result<crate::peer_capnp::place_request::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                    self.builder.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
             }
             #[inline]
-            pub fn set_request(&mut self, value: crate::peer_capnp::place_request::Reader<'_>) -> ::capnp::Result<()> {
-                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+            pub fn set_request(
+                &mut self,
+                value: crate::peer_capnp::place_request::Reader<'_>,
+            ) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(
+                    self.builder.reborrow().get_pointer_field(0),
+                    value,
+                    false,
+                )
             }
             #[inline]
-            pub fn init_request(self, ) -> crate::peer_capnp::place_request::Builder<'a> {
-                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+            pub fn init_request(self) -> crate::peer_capnp::place_request::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(
+                    self.builder.get_pointer_field(0),
+                    0,
+                )
             }
             #[inline]
             pub fn has_request(&self) -> bool {
@@ -4301,13 +5962,15 @@
             }
         }
 
-        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        pub struct Pipeline {
+            _typeless: ::capnp::any_pointer::Pipeline,
+        }
         impl ::capnp::capability::FromTypelessPipeline for Pipeline {
             fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
-                Self { _typeless: typeless,  }
+                Self { _typeless: typeless }
             }
         }
-        impl Pipeline  {
+        impl Pipeline {
             pub fn get_request(&self) -> crate::peer_capnp::place_request::Pipeline {
                 ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
             }
@@ -4353,19 +6016,24 @@
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
-            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            pub(crate) fn get_annotation_types(
+                child_index: Option<u16>,
+                index: u32,
+            ) -> ::capnp::introspect::Type {
                 ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
             }
-            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
-            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
-                &ARENA,
-                NONUNION_MEMBERS,
-                MEMBERS_BY_DISCRIMINANT,
-                MEMBERS_BY_NAME
-            );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
-            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+                ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+                ::capnp::introspect::RawStructSchema::new(
+                    &ARENA,
+                    NONUNION_MEMBERS,
+                    MEMBERS_BY_DISCRIMINANT,
+                    MEMBERS_BY_NAME,
+                );
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0];
             pub(crate) const TYPE_ID: u64 = 0xaf0a_bd20_d834_b19c;
         }
     }
@@ -4373,67 +6041,115 @@
     pub mod place_results {
         #[derive(Copy, Clone)]
         pub struct Owned(());
-        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
-        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
-        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
-        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+        impl ::capnp::introspect::Introspect for Owned {
+            fn introspect() -> ::capnp::introspect::Type {
+                ::capnp::introspect::TypeVariant::Struct(
+                    ::capnp::introspect::RawBrandedStructSchema {
+                        generic: &_private::RAW_SCHEMA,
+                        field_types: _private::get_field_types,
+                        annotation_types: _private::get_annotation_types,
+                        type_id: ::core::any::TypeId::of::<Owned>(),
+                    },
+                )
+                .into()
+            }
+        }
+        impl ::capnp::traits::Owned for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::OwnedStruct for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::Pipelined for Owned {
+            type Pipeline = Pipeline;
+        }
 
-        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
-        impl <> ::core::marker::Copy for Reader<'_,>  {}
-        impl <> ::core::clone::Clone for Reader<'_,>  {
-            fn clone(&self) -> Self { *self }
+        pub struct Reader<'a> {
+            reader: ::capnp::private::layout::StructReader<'a>,
+        }
+        impl ::core::marker::Copy for Reader<'_> {}
+        impl ::core::clone::Clone for Reader<'_> {
+            fn clone(&self) -> Self {
+                *self
+            }
         }
 
-        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        impl ::capnp::traits::HasTypeId for Reader<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
         }
-        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
             fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
-                Self { reader,  }
+                Self { reader }
             }
         }
 
-        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
-            fn from(reader: Reader<'a,>) -> Self {
-                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+            fn from(reader: Reader<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(
+                    reader.reader,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
             }
         }
 
-        impl <> ::core::fmt::Debug for Reader<'_,>  {
-            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
-                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        impl ::core::fmt::Debug for Reader<'_> {
+            fn fmt(
+                &self,
+                f: &mut ::core::fmt::Formatter<'_>,
+            ) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(
+                    &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                    f,
+                )
             }
         }
 
-        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
-            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+        impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+            fn get_from_pointer(
+                reader: &::capnp::private::layout::PointerReader<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
                 ::core::result::Result::Ok(reader.get_struct(default)?.into())
             }
         }
 
-        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
             fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
                 self.reader
             }
         }
 
-        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
             fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
                 self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
             }
         }
 
-        impl <'a,> Reader<'a,>  {
-            pub fn reborrow(&self) -> Reader<'_,> {
-                Self { .. *self }
+        impl<'a> Reader<'a> {
+            pub fn reborrow(&self) -> Reader<'_> {
+                Self { ..*self }
             }
 
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_decision(self) -> ::capnp::Result<crate::peer_capnp::place_decision::Reader<'a>> {
-                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            pub fn get_decision(
+                self,
+            ) -> ::capnp::Result<crate::peer_capnp::place_decision::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(
+                    &self.reader.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
             }
             #[inline]
             pub fn has_decision(&self) -> bool {
@@ -4441,52 +6157,81 @@
             }
         }
 
-        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
-        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+        pub struct Builder<'a> {
+            builder: ::capnp::private::layout::StructBuilder<'a>,
+        }
+        impl ::capnp::traits::HasStructSize for Builder<'_> {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+                ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
         }
-        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
         }
-        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
             fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
-                Self { builder,  }
+                Self { builder }
             }
         }
 
-        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
-            fn from(builder: Builder<'a,>) -> Self {
-                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+            fn from(builder: Builder<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(
+                    builder.builder,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
             }
         }
 
-        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
             fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
                 self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
             }
         }
 
-        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
-            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+        impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+            fn init_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                _size: u32,
+            ) -> Self {
                 builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
             }
-            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
-                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            fn get_from_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(
+                    builder
+                        .get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?
+                        .into(),
+                )
             }
         }
 
-        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
-            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+            fn set_pointer_builder(
+                mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+                value: Self,
+                canonicalize: bool,
+            ) -> ::capnp::Result<()> {
+                pointer.set_struct(&value.reader, canonicalize)
+            }
         }
 
-        impl <'a,> Builder<'a,>  {
-            pub fn into_reader(self) -> Reader<'a,> {
+        impl<'a> Builder<'a> {
+            pub fn into_reader(self) -> Reader<'a> {
                 self.builder.into_reader().into()
             }
-            pub fn reborrow(&mut self) -> Builder<'_,> {
+            pub fn reborrow(&mut self) -> Builder<'_> {
                 Builder { builder: self.builder.reborrow() }
             }
-            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            pub fn reborrow_as_reader(&self) -> Reader<'_> {
                 self.builder.as_reader().into()
             }
 
@@ -4494,16 +6239,31 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_decision(self) -> ::capnp::Result<crate::peer_capnp::place_decision::Builder<'a>> {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            pub fn get_decision(
+                self,
+            ) -> ::capnp::Result<crate::peer_capnp::place_decision::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                    self.builder.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
             }
             #[inline]
-            pub fn set_decision(&mut self, value: crate::peer_capnp::place_decision::Reader<'_>) -> ::capnp::Result<()> {
-                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+            pub fn set_decision(
+                &mut self,
+                value: crate::peer_capnp::place_decision::Reader<'_>,
+            ) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(
+                    self.builder.reborrow().get_pointer_field(0),
+                    value,
+                    false,
+                )
             }
             #[inline]
-            pub fn init_decision(self, ) -> crate::peer_capnp::place_decision::Builder<'a> {
-                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+            pub fn init_decision(self) -> crate::peer_capnp::place_decision::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(
+                    self.builder.get_pointer_field(0),
+                    0,
+                )
             }
             #[inline]
             pub fn has_decision(&self) -> bool {
@@ -4511,13 +6271,15 @@
             }
         }
 
-        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        pub struct Pipeline {
+            _typeless: ::capnp::any_pointer::Pipeline,
+        }
         impl ::capnp::capability::FromTypelessPipeline for Pipeline {
             fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
-                Self { _typeless: typeless,  }
+                Self { _typeless: typeless }
             }
         }
-        impl Pipeline  {
+        impl Pipeline {
             pub fn get_decision(&self) -> crate::peer_capnp::place_decision::Pipeline {
                 ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
             }
@@ -4564,19 +6326,24 @@
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
-            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            pub(crate) fn get_annotation_types(
+                child_index: Option<u16>,
+                index: u32,
+            ) -> ::capnp::introspect::Type {
                 ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
             }
-            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
-            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
-                &ARENA,
-                NONUNION_MEMBERS,
-                MEMBERS_BY_DISCRIMINANT,
-                MEMBERS_BY_NAME
-            );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
-            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+                ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+                ::capnp::introspect::RawStructSchema::new(
+                    &ARENA,
+                    NONUNION_MEMBERS,
+                    MEMBERS_BY_DISCRIMINANT,
+                    MEMBERS_BY_NAME,
+                );
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0];
             pub(crate) const TYPE_ID: u64 = 0xdd1d_d041_b190_bd61;
         }
     }
--- a/crates/peer/src/runtime.rs
+++ b/crates/peer/src/runtime.rs
@@ -13,8 +13,8 @@
 };
 
 use crate::{
-    Borrow, BorrowReply, ConfigReply, PeerClient, PeerError, PeerHandler, PlaceReply, PlaceRequest, Suspect,
-    SuspectReply,
+    Borrow, BorrowReply, ConfigReply, PeerClient, PeerError, PeerHandler, PlaceReply, PlaceRequest,
+    Suspect, SuspectReply,
     client::{Call, CallKind, Reply},
     convert, peer_capnp,
 };
@@ -36,18 +36,22 @@
 }
 
 impl PeerRuntime {
-    /// Binds `address` and starts the thread.
+    /// Starts the thread, which serves `listener`.
     ///
     /// # Errors
     ///
-    /// The operating system's error when the address can't be bound or the thread can't be started.
-    pub fn start(address: SocketAddr, handler: Arc<dyn PeerHandler>) -> io::Result<Self> {
-        let listener = std::net::TcpListener::bind(address)?;
+    /// The operating system's error when the listener can't be used or the thread can't be started.
+    pub fn start(
+        listener: std::net::TcpListener,
+        handler: Arc<dyn PeerHandler>,
+    ) -> io::Result<Self> {
         listener.set_nonblocking(true)?;
         let address = listener.local_addr()?;
         let (calls, queue) = mpsc::channel(QUEUE_LIMIT);
         let (stop, stopped) = oneshot::channel();
-        let thread = thread::Builder::new().name("peer".to_owned()).spawn(move || run(listener, handler, queue, stopped))?;
+        let thread = thread::Builder::new()
+            .name("peer".to_owned())
+            .spawn(move || run(listener, handler, queue, stopped))?;
         Ok(Self { address, client: PeerClient::new(calls), stop: Some(stop), thread: Some(thread) })
     }
 
@@ -106,7 +110,8 @@
             continue;
         }
         let guard = connections.clone();
-        let service: peer_capnp::peer::Client = capnp_rpc::new_client(Service { handler: handler.clone() });
+        let service: peer_capnp::peer::Client =
+            capnp_rpc::new_client(Service { handler: handler.clone() });
         let system = RpcSystem::new(Box::new(network(stream, Side::Server)), Some(service.client));
         spawn_local(system.map(move |_| drop(guard)));
     }
@@ -156,7 +161,9 @@
 }
 
 async fn connect(to: SocketAddr) -> Result<Outbound, PeerError> {
-    let stream = TcpStream::connect(to).await.map_err(|error| PeerError::Connect { reason: error.to_string() })?;
+    let stream = TcpStream::connect(to)
+        .await
+        .map_err(|error| PeerError::Connect { reason: error.to_string() })?;
     let mut system = RpcSystem::new(Box::new(network(stream, Side::Client)), None);
     let peer = system.bootstrap(Side::Server);
     spawn_local(system);
@@ -191,7 +198,10 @@
             params.set_verdict(convert::write_verdict(suspect.verdict));
             let response = request.send().promise.await?;
             let results = response.get()?;
-            Reply::Suspect(SuspectReply { crashes: results.get_crashes(), quarantined: results.get_quarantined() })
+            Reply::Suspect(SuspectReply {
+                crashes: results.get_crashes(),
+                quarantined: results.get_quarantined(),
+            })
         }
         CallKind::Borrow(borrow) => {
             let mut request = peer.borrow_request();
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -8,8 +8,8 @@
 use reqwest::{RequestBuilder, Response, StatusCode, header};
 
 use crate::{
-    Change, Changes, InstanceList, InstanceRecord, Object, ObjectKey, ObjectKind, ObjectStore, PlatformError,
-    Precondition,
+    Change, Changes, InstanceList, InstanceRecord, Object, ObjectKey, ObjectKind, ObjectStore,
+    PlatformError, Precondition,
     wire::{InstancesBody, ListBody, entity_tag, tag_version},
 };
 
@@ -59,7 +59,11 @@
         format!("{}/objects/{key}", self.config.base_url)
     }
 
-    async fn send(&self, request: RequestBuilder, extra_wait: TimeMs) -> Result<Response, PlatformError> {
+    async fn send(
+        &self,
+        request: RequestBuilder,
+        extra_wait: TimeMs,
+    ) -> Result<Response, PlatformError> {
         let timeout = self.config.timeout.after(extra_wait);
         let response = request
             .timeout(Duration::from_millis(timeout.get()))
@@ -68,12 +72,16 @@
             .map_err(|error| send_error(&error))?;
         match response.status() {
             status if status.is_success() || status == StatusCode::NOT_FOUND => Ok(response),
-            StatusCode::PRECONDITION_FAILED => Err(PlatformError::Conflict { current: version_of(&response) }),
+            StatusCode::PRECONDITION_FAILED => {
+                Err(PlatformError::Conflict { current: version_of(&response) })
+            }
             StatusCode::GONE => Err(PlatformError::Compacted),
             StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
                 Err(PlatformError::NotTaken { reason: format!("status {}", response.status()) })
             }
-            status if status.is_server_error() => Err(PlatformError::Unknown { reason: format!("status {status}") }),
+            status if status.is_server_error() => {
+                Err(PlatformError::Unknown { reason: format!("status {status}") })
+            }
             status => Err(PlatformError::Refused { reason: format!("status {status}") }),
         }
     }
@@ -86,7 +94,11 @@
 
 fn send_error(error: &reqwest::Error) -> PlatformError {
     let reason = error.to_string();
-    if error.is_connect() { PlatformError::NotTaken { reason } } else { PlatformError::Unknown { reason } }
+    if error.is_connect() {
+        PlatformError::NotTaken { reason }
+    } else {
+        PlatformError::Unknown { reason }
+    }
 }
 
 fn version_of(response: &Response) -> ObjectVersion {
@@ -106,15 +118,20 @@
 }
 
 impl ObjectStore for HttpPlatform {
-    fn get<'a>(&'a self, key: &'a ObjectKey) -> BoxFuture<'a, Result<Option<Object>, PlatformError>> {
+    fn get<'a>(
+        &'a self,
+        key: &'a ObjectKey,
+    ) -> BoxFuture<'a, Result<Option<Object>, PlatformError>> {
         async move {
             let response = self.send(self.client.get(self.object_url(key)), TimeMs(0)).await?;
             if response.status() == StatusCode::NOT_FOUND {
                 return Ok(None);
             }
             let version = version_of(&response);
-            let body =
-                response.bytes().await.map_err(|error| PlatformError::Unknown { reason: error.to_string() })?;
+            let body = response
+                .bytes()
+                .await
+                .map_err(|error| PlatformError::Unknown { reason: error.to_string() })?;
             Ok(Some(Object { name: key.name.clone(), version, body }))
         }
         .boxed()
@@ -130,7 +147,9 @@
             let request = with_precondition(self.client.put(self.object_url(key)), precondition);
             let response = self.send(request.body(body), TimeMs(0)).await?;
             match response.status() {
-                StatusCode::NOT_FOUND => Err(PlatformError::Conflict { current: ObjectVersion::ABSENT }),
+                StatusCode::NOT_FOUND => {
+                    Err(PlatformError::Conflict { current: ObjectVersion::ABSENT })
+                }
                 _ => Ok(version_of(&response)),
             }
         }
@@ -144,7 +163,8 @@
     ) -> BoxFuture<'a, Result<(), PlatformError>> {
         async move {
             let request = self.client.delete(self.object_url(key));
-            self.send(with_precondition(request, Precondition::Version(version)), TimeMs(0)).await?;
+            self.send(with_precondition(request, Precondition::Version(version)), TimeMs(0))
+                .await?;
             Ok(())
         }
         .boxed()
@@ -184,7 +204,11 @@
             let changes = body
                 .items
                 .into_iter()
-                .map(|item| Change { name: item.name, version: item.version, body: item.body.map(Bytes::from) })
+                .map(|item| Change {
+                    name: item.name,
+                    version: item.version,
+                    body: item.body.map(Bytes::from),
+                })
                 .collect();
             Ok(Changes { version: body.version, changes })
         }
@@ -197,8 +221,10 @@
         async move {
             let url = format!("{}/instances", self.config.base_url);
             let response = self.send(self.client.get(url), TimeMs(0)).await?;
-            let body: InstancesBody =
-                response.json().await.map_err(|error| PlatformError::Unknown { reason: error.to_string() })?;
+            let body: InstancesBody = response
+                .json()
+                .await
+                .map_err(|error| PlatformError::Unknown { reason: error.to_string() })?;
             Ok(body.instances)
         }
         .boxed()
--- a/crates/platform/src/instances.rs
+++ b/crates/platform/src/instances.rs
@@ -9,7 +9,18 @@
 use crate::PlatformError;
 
 /// What an instance on the list is.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize, strum::Display, strum::EnumString)]
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    Hash,
+    Serialize,
+    Deserialize,
+    strum::Display,
+    strum::EnumString,
+)]
 #[serde(rename_all = "snake_case")]
 #[strum(serialize_all = "snake_case")]
 pub enum Role {
@@ -24,7 +35,18 @@
 }
 
 /// Whether an instance on the list takes new work.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize, strum::Display, strum::EnumString)]
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    Hash,
+    Serialize,
+    Deserialize,
+    strum::Display,
+    strum::EnumString,
+)]
 #[serde(rename_all = "snake_case")]
 #[strum(serialize_all = "snake_case")]
 pub enum InstanceState {
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -17,4 +17,6 @@
 
 pub use http::{HttpPlatform, HttpPlatformConfig};
 pub use instances::{InstanceList, InstanceRecord, InstanceState, Role};
-pub use object::{Change, Changes, Object, ObjectKey, ObjectKind, ObjectStore, PlatformError, Precondition};
+pub use object::{
+    Change, Changes, Object, ObjectKey, ObjectKind, ObjectStore, PlatformError, Precondition,
+};
--- a/crates/platform/src/object.rs
+++ b/crates/platform/src/object.rs
@@ -143,7 +143,10 @@
     /// # Errors
     ///
     /// Any [`PlatformError`] but a conflict.
-    fn get<'a>(&'a self, key: &'a ObjectKey) -> BoxFuture<'a, Result<Option<Object>, PlatformError>>;
+    fn get<'a>(
+        &'a self,
+        key: &'a ObjectKey,
+    ) -> BoxFuture<'a, Result<Option<Object>, PlatformError>>;
 
     /// Writes an object when `precondition` holds, and answers its new version.
     ///
--- /dev/null
+++ b/crates/standins/src/engine.rs
@@ -0,0 +1,384 @@
+//! A model engine: a continuous batch, answers that can be resumed and cancelled, a load report.
+//!
+//! The wire format is that of `bilberryford_endpoint::wire`. A prompt that holds [`CRASH_MARK`] ends the engine's life
+//! together with every run in its batch.
+
+use std::{collections::HashMap, io, net::SocketAddr, sync::Arc, time::Duration};
+
+use bilberryford_cache::prompt_tokens;
+use bilberryford_endpoint::{
+    LoadReport,
+    wire::{ChunkBody, CompletionBody, EndBody},
+};
+use bilberryford_types::{AttemptId, TimeMs, Tokens, WeightVersion};
+use futures::{StreamExt, stream};
+use parking_lot::Mutex;
+use poem::{
+    Body, EndpointExt, IntoResponse, Response, Route, get, handler,
+    http::StatusCode,
+    post,
+    web::{Data, Json, Path, Query},
+};
+use serde::{Deserialize, Serialize};
+use tokio::{
+    sync::{Semaphore, watch},
+    time::{Instant, sleep_until},
+};
+
+use crate::{
+    answer,
+    host::{Exits, Hosted, host},
+};
+
+/// A prompt with this mark crashes the engine that runs it.
+pub const CRASH_MARK: &str = "[[crash]]";
+
+/// How an engine behaves.
+#[derive(Debug, Clone)]
+pub struct EngineSpec {
+    /// Runs that generate at once.
+    pub slots: u32,
+    /// Prefill speed in tokens a second; 0 for no time at all.
+    pub prefill_tokens_per_s: u32,
+    /// Time between tokens in milliseconds.
+    pub token_gap_ms: u64,
+    /// How long a crash lasts, in milliseconds.
+    pub restart_ms: u64,
+    /// The weight versions that it has.
+    pub weight_versions: Vec<WeightVersion>,
+}
+
+impl EngineSpec {
+    /// An engine with the given weight version and moderate speed.
+    pub fn new(weight_version: WeightVersion) -> Self {
+        Self {
+            slots: 16,
+            prefill_tokens_per_s: 20_000,
+            token_gap_ms: 5,
+            restart_ms: 300,
+            weight_versions: vec![weight_version],
+        }
+    }
+}
+
+/// What can be switched on.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// Streams stop after that many tokens and stay open; 0 for never. Resumed streams go on.
+    pub silent_after_tokens: u32,
+    /// New runs are refused with 503.
+    pub refuse: bool,
+}
+
+/// What really ran.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct Book {
+    /// Runs that were started.
+    pub started: u64,
+    /// Runs that came to their end.
+    pub finished: u64,
+    /// Crashes.
+    pub crashes: u64,
+    /// Crashes by the digest of the prompt that caused them.
+    pub crashes_by_prompt: HashMap<String, u32>,
+    /// Runs whose given text did not fit the answer.
+    pub bad_continuations: u64,
+    /// Runs that asked for a weight version that was not there.
+    pub wrong_version: u64,
+}
+
+/// An engine's settings and book, which outlive a crash.
+#[derive(Debug)]
+pub struct Engine {
+    spec: EngineSpec,
+    faults: Mutex<Faults>,
+    book: Mutex<Book>,
+}
+
+impl Engine {
+    /// An engine that is not yet started.
+    pub fn new(spec: EngineSpec) -> Arc<Self> {
+        Arc::new(Self { spec, faults: Mutex::default(), book: Mutex::default() })
+    }
+
+    /// Starts it over HTTP.
+    ///
+    /// # Errors
+    ///
+    /// The operating system's error when the address can't be bound.
+    pub fn host(self: &Arc<Self>, listen: SocketAddr) -> io::Result<Hosted> {
+        let engine = self.clone();
+        let restart = Duration::from_millis(self.spec.restart_ms);
+        host(listen, restart, move |exits| routes(Arc::new(Life::new(engine.clone(), exits))))
+    }
+
+    /// Switches faults.
+    pub fn set_faults(&self, faults: Faults) {
+        *self.faults.lock() = faults;
+    }
+
+    /// What really ran.
+    pub fn book(&self) -> Book {
+        self.book.lock().clone()
+    }
+}
+
+/// One run's output so far.
+#[derive(Debug)]
+struct Output {
+    tokens: watch::Sender<u32>,
+    seed: u64,
+    first: u32,
+    total: u32,
+    prompt_tokens: Tokens,
+}
+
+/// One life of an engine, from start to crash.
+struct Life {
+    engine: Arc<Engine>,
+    exits: Exits,
+    slots: Arc<Semaphore>,
+    prefill: tokio::sync::Mutex<()>,
+    runs: Mutex<HashMap<AttemptId, Arc<Output>>>,
+    started: Instant,
+}
+
+impl Life {
+    fn new(engine: Arc<Engine>, exits: Exits) -> Self {
+        let slots = Arc::new(Semaphore::new(engine.spec.slots as usize));
+        let prefill = tokio::sync::Mutex::default();
+        Self { engine, exits, slots, prefill, runs: Mutex::default(), started: Instant::now() }
+    }
+
+    fn start(self: &Arc<Self>, body: CompletionBody) -> Result<Arc<Output>, StatusCode> {
+        if self.engine.faults.lock().refuse {
+            return Err(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        if !self.engine.spec.weight_versions.contains(&body.weight_version) {
+            self.engine.book.lock().wrong_version += 1;
+            return Err(StatusCode::CONFLICT);
+        }
+        let seed = answer::seed(&body.prompt, body.weight_version.as_str());
+        let first = body.skip_tokens.get();
+        let mut book = self.engine.book.lock();
+        book.started += 1;
+        if answer::whole(&body.prompt, body.weight_version.as_str(), first) != body.given {
+            book.bad_continuations += 1;
+        }
+        drop(book);
+        let output = Arc::new(Output {
+            tokens: watch::Sender::new(first),
+            seed,
+            first,
+            total: body.max_tokens.get(),
+            prompt_tokens: prompt_tokens(&body.prompt),
+        });
+        self.runs.lock().insert(body.attempt.clone(), output.clone());
+        tokio::spawn(self.clone().generate(body, output.clone()));
+        Ok(output)
+    }
+
+    async fn generate(self: Arc<Self>, body: CompletionBody, output: Arc<Output>) {
+        let Ok(_slot) = self.slots.acquire().await else { return };
+        self.prefill(output.prompt_tokens).await;
+        if body.prompt.contains(CRASH_MARK) {
+            let mut book = self.engine.book.lock();
+            book.crashes += 1;
+            *book
+                .crashes_by_prompt
+                .entry(blake3::hash(body.prompt.as_bytes()).to_hex().to_string())
+                .or_default() += 1;
+            drop(book);
+            self.exits.crash();
+            return;
+        }
+        let gap = Duration::from_millis(self.engine.spec.token_gap_ms);
+        let mut due = Instant::now();
+        for count in output.first + 1..=output.total {
+            due += gap;
+            if !gap.is_zero() {
+                sleep_until(due).await;
+            }
+            output.tokens.send_replace(count);
+            if !self.runs.lock().contains_key(&body.attempt) {
+                return;
+            }
+        }
+        self.engine.book.lock().finished += 1;
+    }
+
+    async fn prefill(&self, tokens: Tokens) {
+        let speed = self.engine.spec.prefill_tokens_per_s;
+        if speed == 0 {
+            return;
+        }
+        let _turn = self.prefill.lock().await;
+        sleep_until(
+            Instant::now() + Duration::from_secs_f64(f64::from(tokens.get()) / f64::from(speed)),
+        )
+        .await;
+    }
+
+    fn stream(
+        &self,
+        attempt: AttemptId,
+        output: Arc<Output>,
+        from: u32,
+        is_resumed: bool,
+    ) -> Response {
+        let silent_after = self.engine.faults.lock().silent_after_tokens;
+        let silent_at = if is_resumed || silent_after == 0 { u32::MAX } else { silent_after };
+        let reader = Reader {
+            attempt,
+            changed: output.tokens.subscribe(),
+            output,
+            next: from,
+            silent_at,
+            is_over: false,
+        };
+        let events = stream::unfold(reader, |mut reader| async move {
+            let events = reader.next_events().await?;
+            Some((Ok::<_, io::Error>(events), reader))
+        });
+        Response::builder()
+            .content_type("text/event-stream")
+            .body(Body::from_bytes_stream(events.boxed()))
+    }
+}
+
+struct Reader {
+    attempt: AttemptId,
+    output: Arc<Output>,
+    changed: watch::Receiver<u32>,
+    next: u32,
+    silent_at: u32,
+    is_over: bool,
+}
+
+impl Reader {
+    async fn next_events(&mut self) -> Option<String> {
+        if self.is_over {
+            return None;
+        }
+        let mut events = String::new();
+        let ready = *self
+            .changed
+            .wait_for(|ready| *ready > self.next || *ready >= self.output.total)
+            .await
+            .ok()?;
+        for index in self.next..ready {
+            if index >= self.silent_at {
+                if events.is_empty() {
+                    std::future::pending::<()>().await;
+                }
+                return Some(events);
+            }
+            let text = answer::token_of(self.output.seed, index);
+            self.push(
+                &mut events,
+                &ChunkBody { attempt: self.attempt.clone(), index: Some(index), text, end: None },
+            );
+            self.next = index + 1;
+        }
+        if ready >= self.output.total {
+            let end = EndBody {
+                tokens: Tokens(self.output.total),
+                cached_tokens: Tokens(0),
+                prompt_tokens: self.output.prompt_tokens,
+            };
+            let attempt = self.attempt.clone();
+            self.push(
+                &mut events,
+                &ChunkBody { attempt, index: None, text: String::new(), end: Some(end) },
+            );
+            self.is_over = true;
+        }
+        Some(events)
+    }
+
+    fn push(&self, events: &mut String, chunk: &ChunkBody) {
+        events.push_str("data: ");
+        events.push_str(&serde_json::to_string(chunk).unwrap_or_default());
+        events.push_str("\n\n");
+    }
+}
+
+fn routes(life: Arc<Life>) -> poem::endpoint::BoxEndpoint<'static, Response> {
+    Route::new()
+        .at("/v1/completions", post(completions))
+        .at("/v1/attempts/:attempt", get(resume).delete(cancel))
+        .at("/load", get(load))
+        .at("/faults", post(switch_faults))
+        .at("/book", get(show_book))
+        .data(life)
+        .map_to_response()
+        .boxed()
+}
+
+#[handler]
+fn completions(Data(life): Data<&Arc<Life>>, Json(body): Json<CompletionBody>) -> Response {
+    let attempt = body.attempt.clone();
+    let from = body.skip_tokens.get();
+    match life.start(body) {
+        Ok(output) => life.stream(attempt, output, from, false),
+        Err(status) => status.into_response(),
+    }
+}
+
+#[derive(Deserialize)]
+struct ResumeQuery {
+    #[serde(default)]
+    from: u32,
+}
+
+#[handler]
+fn resume(
+    Data(life): Data<&Arc<Life>>,
+    Path(attempt): Path<String>,
+    Query(query): Query<ResumeQuery>,
+) -> Response {
+    let Ok(attempt) = attempt.parse::<AttemptId>() else {
+        return StatusCode::NOT_FOUND.into_response();
+    };
+    let output = life.runs.lock().get(&attempt).cloned();
+    match output {
+        // An attempt that was continued from elsewhere does not have the tokens before it.
+        Some(output) if query.from >= output.first => {
+            life.stream(attempt, output, query.from, true)
+        }
+        _ => StatusCode::NOT_FOUND.into_response(),
+    }
+}
+
+#[handler]
+fn cancel(Data(life): Data<&Arc<Life>>, Path(attempt): Path<String>) -> StatusCode {
+    let known =
+        attempt.parse::<AttemptId>().ok().and_then(|attempt| life.runs.lock().remove(&attempt));
+    if known.is_some() { StatusCode::NO_CONTENT } else { StatusCode::NOT_FOUND }
+}
+
+#[handler]
+fn load(Data(life): Data<&Arc<Life>>) -> Json<LoadReport> {
+    let slots = life.engine.spec.slots;
+    let running = slots - u32::try_from(life.slots.available_permits()).unwrap_or(slots);
+    Json(LoadReport {
+        taken_ms: TimeMs(u64::try_from(life.started.elapsed().as_millis()).unwrap_or(u64::MAX)),
+        running,
+        waiting: 0,
+        slots,
+        cache_tokens: Tokens(0),
+        weight_versions: life.engine.spec.weight_versions.clone(),
+    })
+}
+
+#[handler]
+fn switch_faults(Data(life): Data<&Arc<Life>>, Json(faults): Json<Faults>) -> StatusCode {
+    life.engine.set_faults(faults);
+    StatusCode::NO_CONTENT
+}
+
+#[handler]
+fn show_book(Data(life): Data<&Arc<Life>>) -> Json<Book> {
+    Json(life.engine.book())
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,1 +1,17 @@
-//! Small stand-ins of outside systems, with load and measurement commands; not shipped.
+//! Small stand-ins of the outside systems, and the commands that load and measure bilberryford against them.
+//!
+//! Nothing here ships. Each outside system is one file: the platform ([`platform`]), a model engine ([`engine`]) and a
+//! plain service ([`service`]). A stand-in is honest about what really ran: it keeps a book
+//! that tests read, and the product's own word is never taken for it. Faults are switched over HTTP at `/faults`.
+//!
+//! A stand-in lives on a thread with a runtime of its own ([`host`]), so that a crash can drop every socket at once.
+
+pub mod answer;
+pub mod demo;
+pub mod engine;
+pub mod host;
+pub mod load;
+pub mod overhead;
+pub mod platform;
+pub mod process;
+pub mod service;
--- /dev/null
+++ b/crates/standins/src/main.rs
@@ -0,0 +1,95 @@
+//! Commands that load and measure bilberryford against stand-ins.
+
+use std::{net::SocketAddr, process::ExitCode, sync::Arc};
+
+use bilberryford_standins::{
+    demo,
+    engine::{Engine, EngineSpec},
+    host::Hosted,
+    overhead,
+    platform::Platform,
+    service::Service,
+};
+use bpaf::Bpaf;
+
+/// Stand-ins of the outside systems, and load and measurement commands.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(options)]
+enum Options {
+    /// Runs the whole path as separate processes and prints a report
+    #[bpaf(command)]
+    Demo {
+        /// End with one line of JSON
+        json: bool,
+        /// Leave everything running
+        keep: bool,
+    },
+    /// Runs one stand-in until it is ended
+    #[bpaf(command("stand-in"))]
+    StandIn {
+        /// Where to listen
+        #[bpaf(argument("ADDRESS"), fallback(([127, 0, 0, 1], 0).into()))]
+        listen: SocketAddr,
+        /// platform, engine or service
+        #[bpaf(positional("WHAT"))]
+        what: What,
+    },
+    /// Measures
+    #[bpaf(command)]
+    Measure(#[bpaf(external(measure))] Measure),
+}
+
+#[derive(Debug, Clone, Bpaf)]
+enum Measure {
+    /// What an instance adds between caller and engine
+    #[bpaf(command)]
+    Overhead {
+        /// Print one line of JSON
+        json: bool,
+    },
+}
+
+#[derive(Debug, Clone, Copy, strum::EnumString)]
+#[strum(serialize_all = "snake_case")]
+enum What {
+    Platform,
+    Engine,
+    Service,
+}
+
+fn main() -> ExitCode {
+    let runtime = match tokio::runtime::Builder::new_multi_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(error) => return fail(&error),
+    };
+    let result = match options().run() {
+        Options::Demo { json, keep } => runtime.block_on(demo::run(json, keep)),
+        Options::StandIn { listen, what } => stand_in(listen, what),
+        Options::Measure(Measure::Overhead { json }) => {
+            runtime.block_on(overhead::run(json)).map(|()| true)
+        }
+    };
+    match result {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(error) => fail(&error),
+    }
+}
+
+fn fail(error: &std::io::Error) -> ExitCode {
+    eprintln!("{error}");
+    ExitCode::FAILURE
+}
+
+fn stand_in(listen: SocketAddr, what: What) -> std::io::Result<bool> {
+    let hosted: Hosted = match what {
+        What::Platform => Arc::new(Platform::default()).host(listen)?,
+        What::Engine => Engine::new(EngineSpec::new("v1".parse().map_err(std::io::Error::other)?))
+            .host(listen)?,
+        What::Service => Arc::new(Service::default()).host(listen)?,
+    };
+    println!("listening http={}", hosted.address);
+    loop {
+        std::thread::park();
+    }
+}
--- /dev/null
+++ b/crates/standins/src/service.rs
@@ -0,0 +1,152 @@
+//! A plain service whose orders may not be repeated; it does not look for repeats itself, it only counts them.
+
+use std::{collections::HashMap, io, net::SocketAddr, sync::Arc, time::Duration};
+
+use parking_lot::Mutex;
+use poem::{
+    EndpointExt, IntoResponse, Request, Response, Route, get, handler,
+    http::StatusCode,
+    post,
+    web::{Data, Json, Path},
+};
+use serde::{Deserialize, Serialize};
+use tokio::time::sleep;
+
+use crate::host::{Exits, Hosted, host};
+
+/// What can be switched on.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// Every call takes that long, in milliseconds.
+    pub slow_ms: u64,
+    /// That many next orders run, but their answers are lost with the whole process.
+    pub crash_after_run: u32,
+    /// Orders are refused with 503.
+    pub refuse: bool,
+}
+
+/// What really ran.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct Book {
+    /// How often each order ran, by team and key.
+    pub orders: HashMap<String, u32>,
+    /// Stock look-ups.
+    pub lookups: u64,
+}
+
+/// A service's switches and book, which outlive a crash.
+#[derive(Debug, Default)]
+pub struct Service {
+    faults: Mutex<Faults>,
+    book: Mutex<Book>,
+}
+
+struct Life {
+    service: Arc<Service>,
+    exits: Exits,
+}
+
+/// What an order answers.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Receipt {
+    /// The order's key.
+    pub order: String,
+    /// Which run of it this is; anything but 1 is a doubled order.
+    pub run: u32,
+}
+
+impl Service {
+    /// Starts it over HTTP.
+    ///
+    /// # Errors
+    ///
+    /// The operating system's error when the address can't be bound.
+    pub fn host(self: &Arc<Self>, listen: SocketAddr) -> io::Result<Hosted> {
+        let service = self.clone();
+        host(listen, Duration::from_millis(200), move |exits| routes(service.clone(), exits))
+    }
+
+    /// Switches faults.
+    pub fn set_faults(&self, faults: Faults) {
+        *self.faults.lock() = faults;
+    }
+
+    /// What really ran.
+    pub fn book(&self) -> Book {
+        self.book.lock().clone()
+    }
+}
+
+/// The name of an order in the book.
+pub fn book_key(team: &str, key: &str) -> String {
+    format!("{team}/{key}")
+}
+
+fn routes(service: Arc<Service>, exits: Exits) -> poem::endpoint::BoxEndpoint<'static, Response> {
+    Route::new()
+        .at("/orders", post(order))
+        .at("/orders/:key", get(status))
+        .at("/stock/:item", get(stock))
+        .at("/faults", post(switch_faults))
+        .at("/book", get(show_book))
+        .data(Arc::new(Life { service, exits }))
+        .map_to_response()
+        .boxed()
+}
+
+fn team(request: &Request) -> &str {
+    request.header("bilberryford-team").unwrap_or("none")
+}
+
+#[handler]
+async fn order(request: &Request, Data(life): Data<&Arc<Life>>) -> Response {
+    let faults = life.service.faults.lock().clone();
+    sleep(Duration::from_millis(faults.slow_ms)).await;
+    if faults.refuse {
+        return StatusCode::SERVICE_UNAVAILABLE.into_response();
+    }
+    let Some(key) = request.header("idempotency-key") else {
+        return StatusCode::BAD_REQUEST.into_response();
+    };
+    let run = {
+        let mut book = life.service.book.lock();
+        let run = book.orders.entry(book_key(team(request), key)).or_default();
+        *run += 1;
+        *run
+    };
+    if faults.crash_after_run > 0 {
+        life.service.faults.lock().crash_after_run -= 1;
+        life.exits.crash();
+        std::future::pending::<()>().await;
+    }
+    Json(Receipt { order: key.to_owned(), run }).into_response()
+}
+
+#[handler]
+fn status(request: &Request, Data(life): Data<&Arc<Life>>, Path(key): Path<String>) -> Response {
+    let run = life.service.book.lock().orders.get(&book_key(team(request), &key)).copied();
+    match run {
+        Some(run) => Json(Receipt { order: key, run }).into_response(),
+        None => StatusCode::NOT_FOUND.into_response(),
+    }
+}
+
+#[handler]
+async fn stock(Data(life): Data<&Arc<Life>>, Path(item): Path<String>) -> String {
+    let slow_ms = life.service.faults.lock().slow_ms;
+    sleep(Duration::from_millis(slow_ms)).await;
+    life.service.book.lock().lookups += 1;
+    format!("{item}: 12\n")
+}
+
+#[handler]
+fn switch_faults(Data(life): Data<&Arc<Life>>, Json(faults): Json<Faults>) -> StatusCode {
+    life.service.set_faults(faults);
+    StatusCode::NO_CONTENT
+}
+
+#[handler]
+fn show_book(Data(life): Data<&Arc<Life>>) -> Json<Book> {
+    Json(life.service.book())
+}
--- a/crates/types/src/event.rs
+++ b/crates/types/src/event.rs
@@ -11,14 +11,17 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    AttemptId, EndpointId, ErrorKind, Generation, Incarnation, InstanceId, ObjectVersion, OrderKey, RequestId, TeamName,
+    AttemptId, EndpointId, ErrorKind, Generation, Incarnation, InstanceId, ObjectVersion, OrderKey,
+    RequestId, TeamName,
 };
 
 /// How far ahead of the local wall clock a remote time may pull this clock, in milliseconds.
 const MAX_AHEAD_MS: u64 = 60_000;
 
 /// A wall-clock time with a counter that breaks ties in the order of causes.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
 pub struct HybridTime {
     /// Milliseconds since the Unix epoch.
     pub wall_ms: u64,
@@ -59,7 +62,17 @@
 
 /// What happened.
 #[derive(
-    Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize, strum::Display, strum::EnumString, strum::IntoStaticStr,
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    Hash,
+    Serialize,
+    Deserialize,
+    strum::Display,
+    strum::EnumString,
+    strum::IntoStaticStr,
 )]
 #[serde(rename_all = "snake_case")]
 #[strum(serialize_all = "snake_case")]
@@ -168,7 +181,12 @@
 
 impl Event {
     /// An event with the given head and nothing else set.
-    pub fn new(at: HybridTime, instance: InstanceId, incarnation: Incarnation, kind: EventKind) -> Self {
+    pub fn new(
+        at: HybridTime,
+        instance: InstanceId,
+        incarnation: Incarnation,
+        kind: EventKind,
+    ) -> Self {
         Self {
             at,
             instance,
--- a/crates/types/src/kind.rs
+++ b/crates/types/src/kind.rs
@@ -6,7 +6,9 @@
 use serde::{Deserialize, Serialize};
 
 /// Whether a request reached an endpoint that may have acted on it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, strum::Display, strum::IntoStaticStr)]
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, strum::Display, strum::IntoStaticStr,
+)]
 #[serde(rename_all = "snake_case")]
 #[strum(serialize_all = "snake_case")]
 pub enum Ran {
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -18,10 +18,12 @@
 pub use digest::{Digest, DigestError};
 pub use event::{Event, EventKind, HybridClock, HybridTime};
 pub use id::{
-    AttemptId, DataCentreId, EndpointId, EnvironmentName, IdError, InstanceId, ModelName, ObjectName, OrderKey,
-    PoolName, RequestId, RunId, ServiceName, StoreId, TeamName, WeightVersion,
+    AttemptId, DataCentreId, EndpointId, EnvironmentName, IdError, InstanceId, ModelName,
+    ObjectName, OrderKey, PoolName, RequestId, RunId, ServiceName, StoreId, TeamName,
+    WeightVersion,
 };
 pub use kind::{Answer, CallerRetry, ErrorKind, OwnRetry, Ran, RetryAfter};
 pub use quantity::{
-    Bytes, BytesPerSec, Fencing, Generation, Incarnation, ObjectVersion, Priority, QuantityError, Share, TimeMs, Tokens,
+    Bytes, BytesPerSec, Fencing, Generation, Incarnation, ObjectVersion, Priority, QuantityError,
+    Share, TimeMs, Tokens,
 };
--- /dev/null
+++ b/src/commands/serve.rs
@@ -0,0 +1,215 @@
+//! `bilberryford serve`: an entry instance.
+
+use std::{io::Write, net::SocketAddr};
+
+use bilberryford_node::NodeSettings;
+use bilberryford_types::{DataCentreId, EnvironmentName, InstanceId, TimeMs};
+use bpaf::Bpaf;
+use logforth::{
+    append::Stderr,
+    layout::{JsonLayout, TextLayout},
+    record::{Level, LevelFilter},
+};
+use miette::{IntoDiagnostic, Result, WrapErr, miette};
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::settings::in_range;
+
+/// How log lines are written.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::EnumString, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub(crate) enum LogFormat {
+    /// One JSON object a line.
+    Json,
+    /// For a person.
+    Text,
+}
+
+/// Settings of `serve`.
+#[derive(Debug, Clone, Bpaf)]
+pub(crate) struct Options {
+    /// This instance's name, unique in the deployment
+    #[bpaf(long, env("BILBERRYFORD_INSTANCE"), argument("NAME"))]
+    instance: InstanceId,
+    /// The data centre that this instance is in
+    #[bpaf(long, env("BILBERRYFORD_DATA_CENTRE"), argument("NAME"))]
+    data_centre: DataCentreId,
+    /// The environment to serve
+    #[bpaf(long, env("BILBERRYFORD_ENVIRONMENT"), argument("NAME"))]
+    environment: EnvironmentName,
+    /// Where callers connect; port 0 takes a free one
+    #[bpaf(long, env("BILBERRYFORD_LISTEN"), argument("ADDRESS"), fallback(([127, 0, 0, 1], 8080).into()), display_fallback)]
+    listen: SocketAddr,
+    /// Where peers connect; port 0 takes a free one
+    #[bpaf(long, env("BILBERRYFORD_PEER_LISTEN"), argument("ADDRESS"), fallback(([127, 0, 0, 1], 8081).into()), display_fallback)]
+    peer_listen: SocketAddr,
+    /// The base URL of the platform
+    #[bpaf(long, env("BILBERRYFORD_PLATFORM_URL"), argument("URL"))]
+    platform_url: String,
+    /// The deadline of a call to the platform, in milliseconds
+    #[bpaf(
+        long,
+        env("BILBERRYFORD_PLATFORM_TIMEOUT_MS"),
+        argument("MS"),
+        fallback(1_000),
+        display_fallback
+    )]
+    platform_timeout_ms: u64,
+    /// The secret that signs run ids, the same on all instances
+    #[bpaf(long, env("BILBERRYFORD_RUN_KEY"), argument("SECRET"))]
+    run_key: String,
+    /// The largest request body, in bytes
+    #[bpaf(
+        long,
+        env("BILBERRYFORD_MAX_BODY_BYTES"),
+        argument("BYTES"),
+        fallback(4_194_304),
+        display_fallback
+    )]
+    max_body_bytes: usize,
+    /// The longest deadline that a caller may ask for, in milliseconds
+    #[bpaf(
+        long,
+        env("BILBERRYFORD_MAX_DEADLINE_MS"),
+        argument("MS"),
+        fallback(600_000),
+        display_fallback
+    )]
+    max_deadline_ms: u64,
+    /// The most requests in flight in this instance
+    #[bpaf(
+        long,
+        env("BILBERRYFORD_MAX_IN_FLIGHT"),
+        argument("COUNT"),
+        fallback(4_096),
+        display_fallback
+    )]
+    max_in_flight: u32,
+    /// How long to stay up but not ready at shutdown, so that the balancer notices, in milliseconds
+    #[bpaf(
+        long,
+        env("BILBERRYFORD_DRAIN_DELAY_MS"),
+        argument("MS"),
+        fallback(3_000),
+        display_fallback
+    )]
+    drain_delay_ms: u64,
+    /// The longest wait for running requests at shutdown, in milliseconds
+    #[bpaf(
+        long,
+        env("BILBERRYFORD_DRAIN_LIMIT_MS"),
+        argument("MS"),
+        fallback(600_000),
+        display_fallback
+    )]
+    drain_limit_ms: u64,
+    /// How many threads serve requests
+    #[bpaf(
+        long,
+        env("BILBERRYFORD_WORKER_THREADS"),
+        argument("COUNT"),
+        fallback(4),
+        display_fallback
+    )]
+    worker_threads: usize,
+    /// How log lines are written: json or text
+    #[bpaf(
+        long,
+        env("BILBERRYFORD_LOG_FORMAT"),
+        argument("FORMAT"),
+        fallback(LogFormat::Text),
+        display_fallback
+    )]
+    log_format: LogFormat,
+    /// The least severe level that is logged: error, warn, info or debug
+    #[bpaf(long, env("BILBERRYFORD_LOG_LEVEL"), argument("LEVEL"), fallback(Level::Warn))]
+    log_level: Level,
+}
+
+impl Options {
+    fn checked(self) -> Result<NodeSettings> {
+        if self.run_key.len() < 16 {
+            return Err(miette!(
+                "--run-key has {} characters, at least 16 are needed",
+                self.run_key.len()
+            ));
+        }
+        if !self.platform_url.starts_with("http://") {
+            return Err(miette!(
+                "--platform-url is {:?}, which does not start with http://",
+                self.platform_url
+            ));
+        }
+        Ok(NodeSettings {
+            instance: self.instance,
+            data_centre: self.data_centre,
+            environment: self.environment,
+            listen: self.listen,
+            peer_listen: self.peer_listen,
+            platform_url: self.platform_url,
+            platform_timeout: TimeMs(in_range(
+                "platform-timeout-ms",
+                self.platform_timeout_ms,
+                &(10..=60_000),
+            )?),
+            run_key: self.run_key,
+            max_body_bytes: in_range("max-body-bytes", self.max_body_bytes, &(1_024..=67_108_864))?,
+            max_deadline: TimeMs(in_range(
+                "max-deadline-ms",
+                self.max_deadline_ms,
+                &(1_000..=3_600_000),
+            )?),
+            max_in_flight: in_range("max-in-flight", self.max_in_flight, &(1..=65_536))?,
+            drain_delay: TimeMs(in_range("drain-delay-ms", self.drain_delay_ms, &(0..=60_000))?),
+            drain_limit: TimeMs(in_range("drain-limit-ms", self.drain_limit_ms, &(0..=3_600_000))?),
+            worker_threads: in_range("worker-threads", self.worker_threads, &(1..=64))?,
+        })
+    }
+}
+
+/// Runs until SIGTERM or SIGINT; prints its addresses as the first line of standard output.
+pub(crate) fn run(options: Options) -> Result<()> {
+    start_logs(options.log_format, options.log_level);
+    let settings = options.checked()?;
+    tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(settings.worker_threads)
+        .enable_all()
+        .build()
+        .into_diagnostic()
+        .wrap_err("the runtime can't be started")?
+        .block_on(serve(settings))
+}
+
+async fn serve(settings: NodeSettings) -> Result<()> {
+    let mut terminate = signal(SignalKind::terminate()).into_diagnostic()?;
+    let mut interrupt = signal(SignalKind::interrupt()).into_diagnostic()?;
+    let running = bilberryford_node::start(settings).await.into_diagnostic()?;
+    println!("listening http={} peer={}", running.address(), running.peer_address());
+    std::io::stdout().flush().into_diagnostic()?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    running.shut_down().await.into_diagnostic()
+}
+
+fn start_logs(format: LogFormat, level: Level) {
+    let filter = LevelFilter::MoreSevereEqual(level);
+    let builder = logforth::starter_log::builder();
+    match format {
+        LogFormat::Json => {
+            builder
+                .dispatch(|d| {
+                    d.filter(filter).append(Stderr::default().with_layout(JsonLayout::default()))
+                })
+                .apply();
+        }
+        LogFormat::Text => {
+            builder
+                .dispatch(|d| {
+                    d.filter(filter).append(Stderr::default().with_layout(TextLayout::default()))
+                })
+                .apply();
+        }
+    }
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,3 +1,27 @@
-//! Command line of bilberryford.
+//! The command line of bilberryford.
+//!
+//! Each subcommand is one file under `commands`; this file only picks one and turns its error into an exit code.
 
-fn main() {}
+mod commands;
+mod settings;
+
+use std::process::ExitCode;
+
+use commands::Command;
+
+fn main() -> ExitCode {
+    let command = commands::parse();
+    let result = match command {
+        Command::Serve(options) => commands::serve::run(options),
+        Command::Check(options) => commands::check::run(&options),
+        Command::Apply(options) => commands::apply::run(&options),
+        Command::KeyDigest(options) => commands::key_digest::run(&options),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => {
+            eprintln!("{report:?}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/tests/all/main.rs
@@ -0,0 +1,6 @@
+//! Tests with the real binary as separate processes, by theme.
+
+mod support;
+
+mod bad_input;
+mod path;
--- /dev/null
+++ b/tests/all/support.rs
@@ -0,0 +1,162 @@
+//! A small deployment: stand-ins in this process, entry instances of the real binary beside it.
+
+use std::{
+    io,
+    net::SocketAddr,
+    path::PathBuf,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use bilberryford_platform::{InstanceRecord, InstanceState, Role};
+use bilberryford_standins::{
+    engine::{Engine, EngineSpec},
+    host::Hosted,
+    load::Caller,
+    platform::Platform,
+    process::{Instance, InstanceSpec},
+    service::Service,
+};
+
+/// The document that tests apply; its keys are `demo-key-<team>`.
+pub(crate) const DOCUMENT: &str = include_str!("../../examples/demo.toml");
+/// A key of the document.
+pub(crate) const KEY: &str = "demo-key-linz-formula";
+/// How long anything may take before a test fails.
+pub(crate) const LIMIT: Duration = Duration::from_secs(20);
+
+/// Any free port of the loopback interface.
+pub(crate) fn loopback() -> SocketAddr {
+    ([127, 0, 0, 1], 0).into()
+}
+
+/// Stand-ins and instances; everything ends when it is dropped.
+pub(crate) struct Deployment {
+    pub(crate) platform: Arc<Platform>,
+    pub(crate) platform_host: Hosted,
+    pub(crate) engines: Vec<(Arc<Engine>, Hosted)>,
+    pub(crate) services: Vec<(Arc<Service>, Hosted)>,
+    pub(crate) instances: Vec<Instance>,
+    pub(crate) client: reqwest::Client,
+}
+
+impl Deployment {
+    /// Starts stand-ins and `instances` entry instances, applies the document and waits until all are ready.
+    pub(crate) async fn start(instances: usize, spec: &EngineSpec) -> io::Result<Self> {
+        let platform = Arc::new(Platform::default());
+        let platform_host = platform.host(loopback())?;
+        let engine = || {
+            let engine = Engine::new(spec.clone());
+            let host = engine.host(loopback())?;
+            io::Result::Ok((engine, host))
+        };
+        let service = || {
+            let service = Arc::new(Service::default());
+            let host = service.host(loopback())?;
+            io::Result::Ok((service, host))
+        };
+        let engines = vec![engine()?, engine()?];
+        let services = vec![service()?];
+        let client = reqwest::Client::new();
+        let mut deployment =
+            Self { platform, platform_host, engines, services, instances: Vec::new(), client };
+        for number in 1..=instances {
+            deployment.add_instance(&format!("entry-{number}"))?;
+        }
+        deployment.apply(1, DOCUMENT).await?;
+        deployment.wait_ready().await?;
+        Ok(deployment)
+    }
+
+    /// Starts one more instance and lists it.
+    pub(crate) fn add_instance(&mut self, name: &str) -> io::Result<()> {
+        let instance = Instance::start(&InstanceSpec {
+            binary: PathBuf::from(env!("CARGO_BIN_EXE_bilberryford")),
+            name: name.to_owned(),
+            data_centre: "linz-1".to_owned(),
+            environment: "trial".to_owned(),
+            platform_url: self.platform_host.url(),
+            flags: Vec::new(),
+        })?;
+        self.instances.push(instance);
+        self.publish();
+        Ok(())
+    }
+
+    /// Lists everything that is up.
+    pub(crate) fn publish(&self) {
+        let engines = self.engines.iter().enumerate().map(|(number, (_, host))| {
+            record(&format!("engine-{}", number + 1), Role::Engine, "serving", host.address)
+        });
+        let services = self.services.iter().enumerate().map(|(number, (_, host))| {
+            record(&format!("desk-{}", number + 1), Role::Service, "desk", host.address)
+        });
+        let instances = self.instances.iter().map(Instance::record);
+        self.platform.set_instances(engines.chain(services).chain(instances).collect());
+    }
+
+    /// Writes a configuration generation as `apply` would.
+    pub(crate) async fn apply(&self, generation: u64, document: &str) -> io::Result<()> {
+        let body = serde_json::json!({ "generation": generation, "document": document });
+        let url = format!("{}/objects/config/trial", self.platform_host.url());
+        let request = self.client.put(url).header("if-none-match", "*").body(body.to_string());
+        request.send().await.map_err(io::Error::other)?;
+        Ok(())
+    }
+
+    /// Waits until every instance serves a configuration and sees every endpoint.
+    pub(crate) async fn wait_ready(&self) -> io::Result<()> {
+        let expected = format!("endpoints {}\n", self.engines.len() + self.services.len());
+        for instance in &self.instances {
+            let url = format!("{}/readyz", instance.url());
+            eventually(|| async {
+                let answer = self.client.get(&url).send().await.ok()?;
+                let is_ok = answer.status().is_success();
+                (is_ok && answer.text().await.ok()?.ends_with(&expected)).then_some(())
+            })
+            .await
+            .ok_or_else(|| io::Error::other("an instance is not ready in time"))?;
+        }
+        Ok(())
+    }
+
+    /// The base URL of an instance.
+    pub(crate) fn url(&self, instance: usize) -> String {
+        self.instances[instance].url()
+    }
+
+    /// A caller of the first team.
+    pub(crate) fn caller(&self) -> Caller {
+        Caller::new(self.client.clone(), KEY, &["v1"])
+    }
+}
+
+fn record(id: &str, role: Role, pool: &str, address: SocketAddr) -> InstanceRecord {
+    InstanceRecord {
+        id: id.to_owned(),
+        role,
+        pool: pool.parse().ok(),
+        address,
+        peer_address: None,
+        data_centre: "linz-1".parse().expect("a name"),
+        state: InstanceState::Live,
+    }
+}
+
+/// An engine that costs no time.
+pub(crate) fn fast_engine() -> EngineSpec {
+    let version = "v1".parse().expect("a name");
+    EngineSpec { prefill_tokens_per_s: 0, token_gap_ms: 0, ..EngineSpec::new(version) }
+}
+
+/// Asks again until there is an answer or the limit has passed.
+pub(crate) async fn eventually<T, F: Future<Output = Option<T>>>(ask: impl Fn() -> F) -> Option<T> {
+    let until = Instant::now() + LIMIT;
+    while Instant::now() < until {
+        if let Some(answer) = ask().await {
+            return Some(answer);
+        }
+        tokio::task::yield_now().await;
+    }
+    None
+}
