--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,6 +1,6 @@
 //! The entry instance: what stands between callers and endpoints.
 //!
-//! An instance has two halves that share one [`Node`]:
+//! An instance has two halves that share one `Node`:
 //!
 //! * **Filters** carry one request from its first byte to its answer. The chains stand as lists in `filters.rs`; each
 //!   filter has one job and either passes the request on, answers it, or refuses it with a kind from the closed table.
