--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -28,6 +28,7 @@
 use crate::{
     answer,
     host::{Exits, Hosted, host},
+    run_ledger::RunLedger,
 };
 
 /// A prompt with this mark crashes the engine that runs it.
@@ -94,12 +95,19 @@
     spec: EngineSpec,
     faults: Mutex<Faults>,
     book: Mutex<Book>,
+    /// What it was given.
+    pub ledger: RunLedger,
 }
 
 impl Engine {
     /// An engine that is not yet started.
     pub fn new(spec: EngineSpec) -> Arc<Self> {
-        Arc::new(Self { spec, faults: Mutex::default(), book: Mutex::default() })
+        Arc::new(Self {
+            spec,
+            faults: Mutex::default(),
+            book: Mutex::default(),
+            ledger: RunLedger::default(),
+        })
     }
 
     /// Starts it over HTTP.
@@ -159,6 +167,7 @@
             self.engine.book.lock().wrong_version += 1;
             return Err(StatusCode::CONFLICT);
         }
+        self.engine.ledger.record(&body);
         let seed = answer::seed(&body.prompt, body.weight_version.as_str());
         let first = body.skip_tokens.get();
         let mut book = self.engine.book.lock();
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -14,4 +14,5 @@
 pub mod overhead;
 pub mod platform;
 pub mod process;
+pub mod run_ledger;
 pub mod service;
