faults: real instances under load and faults drawn from a seed, judged by the stand-ins' books

Change: both users' deployments side by side (16 entry processes, 21 engines, 7 service instances), 14 faults singly and in pairs, callers that check byte for byte, a monitor of generations. Mended on the way: the service stand-in's crash counter wrapped below zero when two orders met (seen as 222 connect_failed in one run).

--- /dev/null
+++ b/crates/standins/src/deployment.rs
@@ -0,0 +1,235 @@
+//! A whole deployment: stand-ins in this process, entry instances of the real binary beside it.
+
+use std::{
+    io,
+    net::SocketAddr,
+    path::PathBuf,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use bilberryford_platform::{InstanceRecord, InstanceState, Role};
+use tokio::time::sleep;
+
+use crate::{
+    engine::{Engine, EngineSpec},
+    host::Hosted,
+    platform::Platform,
+    process::{Instance, InstanceSpec},
+    service::Service,
+};
+
+/// How often a condition is looked at again.
+const LOOK_AGAIN: Duration = Duration::from_millis(5);
+
+/// What a deployment is made of.
+#[derive(Debug, Clone)]
+pub struct DeploymentSpec {
+    /// The `bilberryford` binary.
+    pub binary: PathBuf,
+    /// Starts the names of its instances.
+    pub name: &'static str,
+    /// The environment.
+    pub environment: &'static str,
+    /// The first document.
+    pub document: &'static str,
+    /// The pool of its engines.
+    pub engine_pool: &'static str,
+    /// The pool of its services.
+    pub service_pool: &'static str,
+    /// The data centres, used in turn.
+    pub data_centres: &'static [&'static str],
+    /// How many entry instances.
+    pub instances: usize,
+    /// How many engines.
+    pub engines: usize,
+    /// How the engines behave.
+    pub engine: EngineSpec,
+    /// How many service instances.
+    pub services: usize,
+    /// More flags for every instance.
+    pub flags: Vec<String>,
+}
+
+/// An endpoint stand-in and its place in the platform's list.
+#[derive(Debug)]
+pub struct Member<T> {
+    /// The name in the list.
+    pub id: String,
+    /// The stand-in.
+    pub what: Arc<T>,
+    /// Where it runs.
+    pub host: Hosted,
+    /// The state in the list.
+    pub state: InstanceState,
+}
+
+/// A deployment that runs; everything ends when it is dropped.
+#[derive(Debug)]
+pub struct Deployment {
+    /// What it was made from.
+    pub spec: DeploymentSpec,
+    /// The platform.
+    pub platform: Arc<Platform>,
+    /// Where the platform runs.
+    pub platform_host: Hosted,
+    /// The engines.
+    pub engines: Vec<Member<Engine>>,
+    /// The service instances.
+    pub services: Vec<Member<Service>>,
+    /// The entry instances.
+    pub instances: Vec<Instance>,
+    /// A client for callers.
+    pub client: reqwest::Client,
+    started: usize,
+}
+
+/// Any free port of the loopback interface.
+pub fn loopback() -> SocketAddr {
+    ([127, 0, 0, 1], 0).into()
+}
+
+impl Deployment {
+    /// Starts everything, writes the document as generation 1 and waits until all instances are ready.
+    ///
+    /// # Errors
+    ///
+    /// When a process can't be started or does not become ready within `limit`.
+    pub async fn start(spec: DeploymentSpec, limit: Duration) -> io::Result<Self> {
+        let platform = Arc::new(Platform::default());
+        let platform_host = platform.host(loopback())?;
+        let client = reqwest::Client::new();
+        let mut deployment = Self {
+            spec,
+            platform,
+            platform_host,
+            engines: Vec::new(),
+            services: Vec::new(),
+            instances: Vec::new(),
+            client,
+            started: 0,
+        };
+        for _ in 0..deployment.spec.engines {
+            deployment.add_engine()?;
+        }
+        for number in 0..deployment.spec.services {
+            let what = Arc::new(Service::default());
+            let host = what.host(loopback())?;
+            let id = format!("{}-{}", deployment.spec.service_pool, number + 1);
+            deployment.services.push(Member { id, what, host, state: InstanceState::Live });
+        }
+        for _ in 0..deployment.spec.instances {
+            deployment.add_instance()?;
+        }
+        deployment.publish();
+        deployment.write_first_document().await?;
+        deployment.wait_ready(limit).await?;
+        Ok(deployment)
+    }
+
+    /// Adds an engine under a new name; it is listed at the next [`Deployment::publish`].
+    ///
+    /// # Errors
+    ///
+    /// When no port can be bound.
+    pub fn add_engine(&mut self) -> io::Result<()> {
+        self.started += 1;
+        let what = Engine::new(self.spec.engine.clone());
+        let host = what.host(loopback())?;
+        let id = format!("engine-{}", self.started);
+        self.engines.push(Member { id, what, host, state: InstanceState::Live });
+        Ok(())
+    }
+
+    /// Starts one more entry instance under a new name and lists it.
+    ///
+    /// # Errors
+    ///
+    /// When the process can't be started.
+    pub fn add_instance(&mut self) -> io::Result<()> {
+        self.started += 1;
+        let data_centres = self.spec.data_centres;
+        let instance = Instance::start(&InstanceSpec {
+            binary: self.spec.binary.clone(),
+            name: format!("{}-{}", self.spec.name, self.started),
+            data_centre: data_centres[self.started % data_centres.len()].to_owned(),
+            environment: self.spec.environment.to_owned(),
+            platform_url: self.platform_host.url(),
+            flags: self.spec.flags.clone(),
+        })?;
+        self.instances.push(instance);
+        self.publish();
+        Ok(())
+    }
+
+    /// Lists everything as it is now.
+    pub fn publish(&self) {
+        let place = |number: usize| self.spec.data_centres[number % self.spec.data_centres.len()];
+        let engines = self.engines.iter().enumerate().map(|(number, member)| {
+            record(member, Role::Engine, self.spec.engine_pool, place(number))
+        });
+        let services = self.services.iter().enumerate().map(|(number, member)| {
+            record(member, Role::Service, self.spec.service_pool, place(number))
+        });
+        let instances = self.instances.iter().map(Instance::record);
+        self.platform.set_instances(engines.chain(services).chain(instances).collect());
+    }
+
+    async fn write_first_document(&self) -> io::Result<()> {
+        let body = serde_json::json!({ "generation": 1, "document": self.spec.document });
+        let url = format!("{}/objects/config/{}", self.platform_host.url(), self.spec.environment);
+        let request = self.client.put(url).header("if-none-match", "*").body(body.to_string());
+        request.send().await.map_err(io::Error::other)?;
+        Ok(())
+    }
+
+    /// What an instance says of itself at `/readyz`, when it is ready.
+    pub async fn ready_text(&self, url: &str) -> Option<String> {
+        let request = self.client.get(format!("{url}/readyz")).timeout(Duration::from_millis(500));
+        let answer = request.send().await.ok()?;
+        if !answer.status().is_success() {
+            return None;
+        }
+        answer.text().await.ok()
+    }
+
+    /// Waits until every instance serves a configuration and sees every endpoint.
+    ///
+    /// # Errors
+    ///
+    /// When one is not ready within `limit`.
+    pub async fn wait_ready(&self, limit: Duration) -> io::Result<()> {
+        let expected = format!("endpoints {}\n", self.engines.len() + self.services.len());
+        let until = Instant::now() + limit;
+        for instance in &self.instances {
+            while !self
+                .ready_text(&instance.url())
+                .await
+                .is_some_and(|text| text.ends_with(&expected))
+            {
+                if Instant::now() > until {
+                    return Err(io::Error::other(format!(
+                        "{} is not ready in time",
+                        instance.name
+                    )));
+                }
+                sleep(LOOK_AGAIN).await;
+            }
+        }
+        Ok(())
+    }
+}
+
+fn record<T>(member: &Member<T>, role: Role, pool: &str, data_centre: &str) -> InstanceRecord {
+    InstanceRecord {
+        id: member.id.clone(),
+        role,
+        pool: pool.parse().ok(),
+        address: member.host.address,
+        peer_address: None,
+        data_centre: data_centre
+            .parse()
+            .unwrap_or_else(|_| unreachable!("data centres of a spec are names")),
+        state: member.state,
+    }
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -8,7 +8,9 @@
 
 pub mod answer;
 pub mod demo;
+pub mod deployment;
 pub mod engine;
+pub mod faults;
 pub mod host;
 pub mod load;
 pub mod overhead;
--- a/crates/standins/src/load.rs
+++ b/crates/standins/src/load.rs
@@ -27,6 +27,8 @@
     },
     /// The connection was lost, or the answer ended without its end marker.
     Cut,
+    /// No connection could be made; nothing was sent.
+    Unreached,
 }
 
 /// What a caller saw of one request.
@@ -56,6 +58,11 @@
         Self { client, api_key: api_key.to_owned(), weight_versions, timeout_ms: 10_000 }
     }
 
+    /// A caller like this one with another API key.
+    pub fn as_team(&self, api_key: &str) -> Self {
+        Self { api_key: api_key.to_owned(), ..self.clone() }
+    }
+
     /// Sets how long the caller waits.
     pub fn timeout_ms(mut self, timeout_ms: u64) -> Self {
         self.timeout_ms = timeout_ms;
@@ -86,8 +93,11 @@
         let body =
             json!({ "model": model, "prompt": prompt, "max_tokens": tokens, "stream": stream });
         let request = self.headers(self.client.post(format!("{url}/v1/completions")).json(&body));
-        let Ok(response) = request.send().await else {
-            return Seen { outcome: Outcome::Cut, first_token: started.elapsed(), run: None };
+        let response = match request.send().await {
+            Ok(response) => response,
+            Err(error) => {
+                return Seen { outcome: lost(&error), first_token: started.elapsed(), run: None };
+            }
         };
         let run = header_text(&response, "bilberryford-run");
         if !response.status().is_success() {
@@ -143,6 +153,10 @@
     }
 }
 
+fn lost(error: &reqwest::Error) -> Outcome {
+    if error.is_connect() { Outcome::Unreached } else { Outcome::Cut }
+}
+
 fn header_text(response: &Response, name: &str) -> Option<String> {
     Some(response.headers().get(name)?.to_str().ok()?.to_owned())
 }
--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -1,10 +1,11 @@
 //! Commands that load and measure bilberryford against stand-ins.
 
-use std::{net::SocketAddr, process::ExitCode, sync::Arc};
+use std::{net::SocketAddr, process::ExitCode, sync::Arc, time::Duration};
 
 use bilberryford_standins::{
     demo,
     engine::{Engine, EngineSpec},
+    faults,
     host::Hosted,
     overhead,
     platform::Platform,
@@ -34,6 +35,21 @@
         #[bpaf(positional("WHAT"))]
         what: What,
     },
+    /// Runs both deployments under load and faults and checks every property
+    #[bpaf(command)]
+    Faults {
+        /// Draws faults and load
+        #[bpaf(argument("SEED"), fallback(1), display_fallback)]
+        seed: u64,
+        /// How long faults are brought about
+        #[bpaf(argument("SECONDS"), fallback(60), display_fallback)]
+        seconds: u64,
+        /// Only these faults, by name; may be given several times
+        #[bpaf(argument("FAULT"), many)]
+        only: Vec<faults::Fault>,
+        /// End with one line of JSON
+        json: bool,
+    },
     /// Measures
     #[bpaf(command)]
     Measure(#[bpaf(external(measure))] Measure),
@@ -64,6 +80,10 @@
     };
     let result = match options().run() {
         Options::Demo { json, keep } => runtime.block_on(demo::run(json, keep)),
+        Options::Faults { seed, seconds, only, json } => {
+            let span = Duration::from_secs(seconds);
+            runtime.block_on(faults::run(&faults::Options { seed, span, only, json }))
+        }
         Options::StandIn { listen, what } => stand_in(listen, what),
         Options::Measure(Measure::Overhead { json }) => {
             runtime.block_on(overhead::run(json)).map(|()| true)
--- a/crates/standins/src/service.rs
+++ b/crates/standins/src/service.rs
@@ -72,6 +72,14 @@
         *self.faults.lock() = faults;
     }
 
+    /// Whether this order's run ends in a crash.
+    fn take_crash(&self) -> bool {
+        let mut faults = self.faults.lock();
+        let rest = faults.crash_after_run.checked_sub(1);
+        faults.crash_after_run = rest.unwrap_or(0);
+        rest.is_some()
+    }
+
     /// What really ran.
     pub fn book(&self) -> Book {
         self.book.lock().clone()
@@ -115,8 +123,7 @@
         *run += 1;
         *run
     };
-    if faults.crash_after_run > 0 {
-        life.service.faults.lock().crash_after_run -= 1;
+    if life.service.take_crash() {
         life.exits.crash();
         std::future::pending::<()>().await;
     }
