--- a/crates/standins/src/demo.rs
+++ b/crates/standins/src/demo.rs
@@ -314,6 +314,8 @@
          -d '{{\"model\":\"assistant\",\"stream\":true,\"messages\":[{{\"role\":\"user\",\"content\":\"hello\"}}]}}'",
         TEAMS[0].1
     );
+    let urls: Vec<_> = deployment.instances.iter().map(Instance::url).collect();
+    println!("  bilberryford timeline --html timeline.html {}", urls.join(" "));
     println!("stop with Ctrl-C");
     tokio::signal::ctrl_c().await
 }
--- a/src/commands.rs
+++ b/src/commands.rs
@@ -4,6 +4,7 @@
 pub(crate) mod check;
 pub(crate) mod key_digest;
 pub(crate) mod serve;
+pub(crate) mod timeline;
 
 use bpaf::Bpaf;
 
@@ -20,6 +21,9 @@
     /// Makes an environment document the accepted one, unless someone else changed it first
     #[bpaf(command)]
     Apply(#[bpaf(external(apply::options))] apply::Options),
+    /// Merges the events of log files and running instances into one ordered time line
+    #[bpaf(command)]
+    Timeline(#[bpaf(external(timeline::options))] timeline::Options),
     /// Reads an API key from standard input and prints its digest for the document
     #[bpaf(command("key-digest"))]
     KeyDigest(#[bpaf(external(key_digest::options))] key_digest::Options),
--- a/src/main.rs
+++ b/src/main.rs
@@ -15,6 +15,7 @@
         Command::Serve(options) => commands::serve::run(options),
         Command::Check(options) => commands::check::run(&options),
         Command::Apply(options) => commands::apply::run(&options),
+        Command::Timeline(options) => commands::timeline::run(&options),
         Command::KeyDigest(options) => commands::key_digest::run(&options),
     };
     match result {
