measure slopes: what an instance costs as instances, endpoints, teams and changes grow

Change: real idle instances, processor time and memory from the operating system, calls and bytes from the platform stand-in's book, a least-squares line.

--- a/crates/standins/src/deployment.rs
+++ b/crates/standins/src/deployment.rs
@@ -77,6 +77,8 @@
     pub engines: Vec<Member<Engine>>,
     /// The service instances.
     pub services: Vec<Member<Service>>,
+    /// Rows of the list that stand for nothing started here.
+    pub extra_records: Vec<InstanceRecord>,
     /// The entry instances.
     pub instances: Vec<Instance>,
     /// A client for callers.
@@ -105,6 +107,7 @@
             platform_host,
             engines: Vec::new(),
             services: Vec::new(),
+            extra_records: Vec::new(),
             instances: Vec::new(),
             client,
             started: 0,
@@ -172,7 +175,9 @@
             record(member, Role::Service, self.spec.service_pool, place(number))
         });
         let instances = self.instances.iter().map(Instance::record);
-        self.platform.set_instances(engines.chain(services).chain(instances).collect());
+        self.platform.set_instances(
+            engines.chain(services).chain(instances).chain(self.extra_records.clone()).collect(),
+        );
     }
 
     async fn write_first_document(&self) -> io::Result<()> {
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -18,3 +18,4 @@
 pub mod process;
 pub mod run_ledger;
 pub mod service;
+pub mod slopes;
--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -10,6 +10,7 @@
     overhead,
     platform::Platform,
     service::Service,
+    slopes,
 };
 use bpaf::Bpaf;
 
@@ -63,6 +64,15 @@
         /// Print one line of JSON
         json: bool,
     },
+    /// What an instance costs as something grows
+    #[bpaf(command)]
+    Slopes {
+        /// Only this axis: instances, endpoints, teams or changes; may be given several times
+        #[bpaf(argument("AXIS"), many)]
+        axis: Vec<slopes::Axis>,
+        /// Print lines of JSON
+        json: bool,
+    },
 }
 
 #[derive(Debug, Clone, Copy, strum::EnumString)]
@@ -85,6 +95,9 @@
             runtime.block_on(faults::run(&faults::Options { seed, span, only, json }))
         }
         Options::StandIn { listen, what } => stand_in(listen, what),
+        Options::Measure(Measure::Slopes { axis, json }) => {
+            runtime.block_on(slopes::run(&axis, json)).map(|()| true)
+        }
         Options::Measure(Measure::Overhead { json }) => {
             runtime.block_on(overhead::run(json)).map(|()| true)
         }
--- a/crates/standins/src/overhead.rs
+++ b/crates/standins/src/overhead.rs
@@ -21,7 +21,7 @@
     engine::{Engine, EngineSpec},
     load::{Caller, Outcome},
     platform::Platform,
-    process::{Instance, InstanceSpec, find_binary},
+    process::{Instance, InstanceSpec, find_binary, resident_mb},
 };
 
 const LOOPBACK: ([u8; 4], u16) = ([127, 0, 0, 1], 0);
@@ -143,13 +143,6 @@
     Ok(())
 }
 
-fn resident_mb(id: u32) -> f64 {
-    let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
-    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-    let kb = line.and_then(|line| line.split_whitespace().next()?.parse::<f64>().ok());
-    kb.unwrap_or(f64::NAN) / 1_024.0
-}
-
 impl Bench {
     async fn wait_ready(&self) -> io::Result<()> {
         let until = Instant::now() + Duration::from_secs(20);
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -76,6 +76,15 @@
     pub conflicts: u64,
     /// Calls refused by the rate limit or an outage.
     pub refused: u64,
+    /// Bytes of bodies that went in and out.
+    pub bytes: u64,
+}
+
+impl Book {
+    /// All calls that the platform counts.
+    pub const fn calls(&self) -> u64 {
+        self.gets + self.puts + self.lists + self.watches + self.instances
+    }
 }
 
 #[derive(Debug, Clone)]
@@ -251,11 +260,26 @@
         .at("/instances", get(read_instances).put(put_instances))
         .at("/faults", post(switch_faults))
         .at("/book", get(show_book))
-        .data(platform)
+        .data(platform.clone())
         .map_to_response()
+        .around(move |app, request| count_bytes(platform.clone(), app, request))
         .boxed()
 }
 
+/// Counts the bodies of a call and its answer.
+async fn count_bytes<E: poem::Endpoint<Output = Response>>(
+    platform: Arc<Platform>,
+    app: Arc<E>,
+    request: Request,
+) -> poem::Result<Response> {
+    let taken =
+        request.header("content-length").and_then(|length| length.parse().ok()).unwrap_or(0);
+    let (parts, body) = app.call(request).await?.into_parts();
+    let body = body.into_bytes().await.map_err(poem::error::InternalServerError)?;
+    platform.state.lock().book.bytes += taken + body.len() as u64;
+    Ok(Response::from_parts(parts, body.into()))
+}
+
 #[handler]
 async fn read_object(
     Data(platform): Data<&Arc<Platform>>,
--- a/crates/standins/src/process.rs
+++ b/crates/standins/src/process.rs
@@ -135,6 +135,26 @@
     Some((http, peer))
 }
 
+/// The resident memory of a process in mebibytes.
+pub fn resident_mb(id: u32) -> f64 {
+    let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let kb = line.and_then(|line| line.split_whitespace().next()?.parse::<f64>().ok());
+    kb.unwrap_or(f64::NAN) / 1_024.0
+}
+
+/// The processor time that a process has used, in seconds.
+pub fn processor_seconds(id: u32) -> f64 {
+    let stat = std::fs::read_to_string(format!("/proc/{id}/schedstat")).unwrap_or_default();
+    let own = stat.split_whitespace().next().and_then(|ns| ns.parse::<f64>().ok()).unwrap_or(0.0);
+    let tasks = std::fs::read_dir(format!("/proc/{id}/task")).into_iter().flatten().flatten();
+    let all: f64 = tasks
+        .filter_map(|task| std::fs::read_to_string(task.path().join("schedstat")).ok())
+        .filter_map(|stat| stat.split_whitespace().next()?.parse::<f64>().ok())
+        .sum();
+    all.max(own) / 1e9
+}
+
 /// The `bilberryford` binary beside this program, built first when `cargo` is at hand.
 ///
 /// # Errors
