coord: leases with fencing numbers

Cause: orders to endpoints, the status writer and roll-outs need one actor at a time, and the platform offers only conditional updates whose answers can be lost. Ruled out: comparing wall clocks (expiry in the record), since clocks of instances differ and holders are paused. Change: a typestate lease. The holder counts from before its call, others from after they first saw the version, and every act asks for a permit that ends inside the holder's time.

--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -10,9 +10,14 @@
 //! an attempt id. See `docs/DESIGN.md`.
 
 mod attempt;
+mod lease;
 mod order;
 mod ownership;
 
 pub use attempt::{Attempt, AttemptState, NotRun, Planned, Sent, Settled};
+pub use lease::{
+    Held, Lease, LeaseHolder, LeaseObject, LeaseRecord, LeaseState, LeaseTerms, LeaseUpdate,
+    LeaseWrite, Permit, Renewal, Take, Taking, Watch, Watching,
+};
 pub use order::{OrderDecision, OrderRecord, OrderReply, OrderRequest, OrderState};
 pub use ownership::{owner, owners};
