coord: membership, departures and versioned configuration as pure state machines

Cause: members came from the platform's list alone, one silent call or a frozen list decided who is there, and the configuration compared generations only.

Change: Membership (observations with ages, suspicion by several observers, bounded maps, sampling with news first), Departures (leaving endpoints by name and address, told once) and VersionedConfig (highest generation; equal generation with other content is told as a clash).

Ruled out: wall-clock times in observations (clocks are not compared); heartbeat counters (a counter can't tell how old a suspicion is); bumping the incarnation to refute (it names a run, a later sign of life refutes as well).

--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -10,9 +10,17 @@
 //! an attempt id. See `docs/DESIGN.md`.
 
 mod attempt;
+mod config;
+mod departures;
+mod membership;
 mod order;
 mod ownership;
 
 pub use attempt::{Attempt, AttemptState, NotRun, Planned, Sent, Settled};
+pub use config::{ConfigOffer, ConfigStamp, VersionedConfig};
+pub use departures::{Departure, Departures, MAX_DEPARTURES};
+pub use membership::{
+    Liveness, MAX_MEMBERS, MemberChange, MemberRecord, Membership, Observation, QUORUM,
+};
 pub use order::{OrderDecision, OrderRecord, OrderReply, OrderRequest, OrderState};
 pub use ownership::{owner, owners};
--- /dev/null
+++ b/crates/coord/tests/config.rs
@@ -0,0 +1,52 @@
+//! The configuration in force: whatever is lost, repeated or reordered, generations never go back.
+
+use bilberryford_coord::{ConfigOffer, ConfigStamp, VersionedConfig};
+use bilberryford_types::{Digest, Generation, ObjectVersion};
+use proptest::prelude::*;
+use rstest::rstest;
+
+fn stamp(generation: u64, content: u8) -> ConfigStamp {
+    ConfigStamp {
+        generation: Generation(generation),
+        version: ObjectVersion(generation * 10),
+        digest: Digest([content; 32]),
+    }
+}
+
+#[rstest]
+#[case::higher(stamp(6, 1), ConfigOffer::Adopted)]
+#[case::lower(stamp(4, 1), ConfigOffer::Older)]
+#[case::same(stamp(5, 0), ConfigOffer::Same)]
+#[case::same_generation_other_content(stamp(5, 1), ConfigOffer::Clash)]
+fn an_offer_is_judged(#[case] offered: ConfigStamp, #[case] expected: ConfigOffer) {
+    let mut config = VersionedConfig::new();
+    assert_eq!(config.offer(stamp(5, 0), 0), ConfigOffer::Adopted);
+    assert_eq!(config.judge(&offered), expected);
+    assert_eq!(config.offer(offered, 1), expected);
+    let in_force = if expected == ConfigOffer::Adopted { 1 } else { 0 };
+    assert_eq!(config.content(), Some(&in_force));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 256, rng_seed: proptest::test_runner::RngSeed::Fixed(7), failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn generations_never_go_back_and_the_highest_wins(
+        offers in prop::collection::vec((1..20_u64, 0..3_u8), 1..60),
+    ) {
+        let mut config = VersionedConfig::new();
+        let mut last = None;
+        for (generation, content) in &offers {
+            let offered = stamp(*generation, *content);
+            config.offer(offered, *content);
+            let now = *config.stamp().unwrap();
+            if let Some(last) = last {
+                let last: ConfigStamp = last;
+                prop_assert!(now.generation > last.generation || now == last);
+            }
+            last = Some(now);
+        }
+        let highest = offers.iter().map(|(generation, _)| *generation).max();
+        prop_assert_eq!(last.map(|stamp| stamp.generation.get()), highest);
+    }
+}
