--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -10,14 +10,22 @@
 //! an attempt id. See `docs/DESIGN.md`.
 
 mod attempt;
+mod config;
+mod departures;
 mod lease;
+mod membership;
 mod order;
 mod ownership;
 
 pub use attempt::{Attempt, AttemptState, NotRun, Planned, Sent, Settled};
+pub use config::{ConfigOffer, ConfigStamp, VersionedConfig};
+pub use departures::{Departure, Departures, MAX_DEPARTURES};
 pub use lease::{
     Held, Lease, LeaseHolder, LeaseObject, LeaseRecord, LeaseState, LeaseTerms, LeaseUpdate,
     LeaseWrite, Permit, Renewal, Take, Taking, Watch, Watching,
 };
+pub use membership::{
+    Liveness, MAX_MEMBERS, MemberChange, MemberRecord, Membership, Observation, QUORUM,
+};
 pub use order::{OrderDecision, OrderRecord, OrderReply, OrderRequest, OrderState};
 pub use ownership::{owner, owners};
