Retry budgets and silence detection as pure parts; budgets wired into follow

Cause: a pool that fails as a whole got up to three times its load, and silence was a fixed 2 s. Weighed: token bucket (what it saved in good times is spent during a failure), sliding window (bound holds in every window).

--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -12,7 +12,11 @@
 mod attempt;
 mod order;
 mod ownership;
+mod retry;
+mod silence;
 
 pub use attempt::{Attempt, AttemptState, NotRun, Planned, Sent, Settled};
 pub use order::{OrderDecision, OrderRecord, OrderReply, OrderRequest, OrderState};
 pub use ownership::{owner, owners};
+pub use retry::{RetryBudget, RetryBudgets, RetryClass, backoff};
+pub use silence::SilenceDetector;
--- /dev/null
+++ b/crates/coord/tests/retry.rs
@@ -0,0 +1,83 @@
+//! Retry budgets and backoff.
+
+use bilberryford_coord::{RetryBudgets, RetryClass, backoff};
+use bilberryford_types::TimeMs;
+use proptest::prelude::*;
+use rand::{SeedableRng, rngs::StdRng};
+use rstest::rstest;
+
+fn retries_when_all_fail(first_tries: u64, gap_ms: u64, class: RetryClass) -> u64 {
+    let (team, pool) = ("linz".parse().unwrap(), "serving".parse().unwrap());
+    let mut budgets = RetryBudgets::default();
+    let mut retries = 0;
+    for number in 0..first_tries {
+        let now = TimeMs(number * gap_ms);
+        budgets.first_try(&team, &pool, now);
+        while budgets.take(&team, &pool, class, now) {
+            retries += 1;
+        }
+    }
+    retries
+}
+
+#[rstest]
+#[case::one_request(1, 0, RetryClass::Fresh, 2)]
+#[case::one_lost_run(1, 0, RetryClass::Begun, 8)]
+#[case::burst(1_000, 0, RetryClass::Fresh, 100)]
+#[case::steady(1_000, 10, RetryClass::Fresh, 100)]
+fn when_everything_fails_retries_stay_a_share(
+    #[case] first_tries: u64,
+    #[case] gap_ms: u64,
+    #[case] class: RetryClass,
+    #[case] most: u64,
+) {
+    assert_eq!(retries_when_all_fail(first_tries, gap_ms, class), most);
+}
+
+#[test]
+fn one_team_cannot_use_up_more_than_its_own_budget() {
+    let (loud, quiet) = ("loud".parse().unwrap(), "quiet".parse().unwrap());
+    let pool = "serving".parse().unwrap();
+    let now = TimeMs(5);
+    let mut budgets = RetryBudgets::default();
+    (0..100).for_each(|_| budgets.first_try(&quiet, &pool, now));
+    budgets.first_try(&loud, &pool, now);
+    let taken = (0..50).filter(|_| budgets.take(&loud, &pool, RetryClass::Fresh, now)).count();
+    assert_eq!(taken, 2);
+    assert!(budgets.take(&quiet, &pool, RetryClass::Fresh, now));
+}
+
+proptest! {
+    #[test]
+    fn in_any_window_retries_are_at_most_a_tenth_or_the_floor(
+        steps in prop::collection::vec((0_u64..400, any::<bool>()), 1..400),
+    ) {
+        let (team, pool) = ("linz".parse().unwrap(), "serving".parse().unwrap());
+        let mut budgets = RetryBudgets::default();
+        let mut now = 0;
+        let mut log = Vec::new();
+        for (gap_ms, is_first) in steps {
+            now += gap_ms;
+            if is_first {
+                budgets.first_try(&team, &pool, TimeMs(now));
+                log.push((now, true));
+            } else if budgets.take(&team, &pool, RetryClass::Fresh, TimeMs(now)) {
+                log.push((now, false));
+            }
+            let window = log.iter().copied().filter(|(at, _): &(u64, bool)| at / 1_000 + 10 > now / 1_000);
+            let (first_tries, retries): (Vec<_>, Vec<_>) = window.partition(|(_, first)| *first);
+            // First tries leave the window with the retries that they paid for, at the latest together.
+            if log.last() == Some(&(now, false)) {
+                prop_assert!(retries.len() <= (first_tries.len() / 10).max(2));
+            }
+        }
+    }
+
+    #[test]
+    fn a_delay_never_ends_past_the_deadline(retry in 0_u32..40, left in 0_u64..2_000, seed: u64) {
+        let mut rng = StdRng::seed_from_u64(seed);
+        if let Some(delay) = backoff(retry, TimeMs(left), &mut rng) {
+            prop_assert!(delay.get() < left && delay.get() <= 1_000);
+        }
+    }
+}
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -10,7 +10,7 @@
     time::{Duration, Instant},
 };
 
-use bilberryford_coord::{Attempt, Planned};
+use bilberryford_coord::{Attempt, Planned, RetryClass};
 use bilberryford_endpoint::{Chunk, ChunkStream, EndpointError, GenerateCall};
 use bilberryford_types::{
     AttemptId, ErrorKind, EventKind, ModelName, PoolName, Priority, Ran, RequestId, TeamName,
@@ -85,6 +85,7 @@
         mut endpoint: Arc<Endpoint>,
     ) -> Result<RunEnd, Refusal> {
         let mut tried = Vec::new();
+        self.node.first_try(&self.call.team, &self.call.pool);
         loop {
             let id = attempt.id().clone();
             let sent = attempt.send();
@@ -106,7 +107,9 @@
                 }
                 (_, None) => return Err(Refusal::sent(error.kind(), Ran::Maybe)),
                 (_, Some(next)) => {
-                    self.node.metrics.retries.add(1, &[]);
+                    if !self.node.take_retry(&self.call.team, &self.call.pool, RetryClass::Begun) {
+                        return Err(Refusal::sent(error.kind(), Ran::Maybe));
+                    }
                     attempt = Attempt::new(self.node.next_attempt());
                     endpoint = next;
                 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -22,6 +22,7 @@
 mod node;
 mod peering;
 mod refusal;
+mod retries;
 mod run;
 mod server;
 mod settings;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -22,6 +22,7 @@
     fleet::{EndpointClients, Fleet},
     metrics::{Metrics, MetricsError},
     peering::Members,
+    retries::Retries,
     run::Runs,
     settings::NodeSettings,
 };
@@ -42,6 +43,7 @@
     pub(crate) fleet: Fleet,
     pub(crate) members: Members,
     pub(crate) runs: Runs,
+    pub(crate) retries: Retries,
     in_force: ArcSwapOption<InForce>,
     peers: RwLock<Option<PeerClient>>,
     leaving: AtomicBool,
@@ -85,6 +87,7 @@
             fleet: Fleet::new(clients),
             members: Members::new(),
             runs: Runs::new(&settings.run_key),
+            retries: Retries::default(),
             in_force: ArcSwapOption::empty(),
             peers: RwLock::new(None),
             leaving: AtomicBool::new(false),
