--- a/crates/coord/src/attempt.rs
+++ b/crates/coord/src/attempt.rs
@@ -64,6 +64,11 @@
         NotRun { kind }
     }
 
+    /// The same request under the id of its next attempt; nothing of it has been sent yet.
+    pub fn renew(self, id: AttemptId) -> Self {
+        Self { id, state: Planned }
+    }
+
     /// Hands the request to a connection.
     pub fn send(self) -> Attempt<Sent> {
         Attempt { id: self.id, state: Sent }
--- a/crates/endpoint/src/http_engine.rs
+++ b/crates/endpoint/src/http_engine.rs
@@ -19,13 +19,16 @@
 #[derive(Debug, Clone)]
 pub struct HttpEngine {
     base_url: String,
-    client: reqwest::Client,
+    pooled: reqwest::Client,
+    fresh: reqwest::Client,
 }
 
 impl HttpEngine {
-    /// The engine at `address`, reached through the shared `client`.
-    pub fn new(address: SocketAddr, client: reqwest::Client) -> Self {
-        Self { base_url: format!("http://{address}"), client }
+    /// The engine at `address`; `pooled` may reuse connections, `fresh` opens one for each call.
+    ///
+    /// Runs are resumed and cancelled through `fresh`, since a pooled connection may be the one that went silent.
+    pub fn new(address: SocketAddr, pooled: reqwest::Client, fresh: reqwest::Client) -> Self {
+        Self { base_url: format!("http://{address}"), pooled, fresh }
     }
 
     fn attempt_url(&self, attempt: &AttemptId) -> String {
@@ -43,10 +46,17 @@
         status if status.is_success() => Ok(response),
         StatusCode::NOT_FOUND => Err(EndpointError::UnknownAttempt),
         StatusCode::CONFLICT => Err(EndpointError::VersionGone),
-        status => Err(EndpointError::Refused { status: status.as_u16() }),
+        status if is_refusal(status) => Err(EndpointError::Refused { status: status.as_u16() }),
+        // Any other status may come from an engine that failed in the middle of the run.
+        status => Err(EndpointError::Lost { reason: format!("status {status}") }),
     }
 }
 
+/// Whether the status says that the engine looked at the request and did not start it.
+fn is_refusal(status: StatusCode) -> bool {
+    status.is_client_error() || status == StatusCode::SERVICE_UNAVAILABLE
+}
+
 fn chunks(response: Response) -> ChunkStream {
     response
         .bytes_stream()
@@ -94,8 +104,14 @@
                 skip_tokens: call.skip_tokens,
                 given: call.given.to_string(),
             };
-            let request = self.client.post(format!("{}/v1/completions", self.base_url)).json(&body);
-            send(request, timeout).await.map(chunks)
+            let request = self.pooled.post(format!("{}/v1/completions", self.base_url)).json(&body);
+            match send(request, timeout).await {
+                Ok(response) => Ok(chunks(response)),
+                Err(EndpointError::UnknownAttempt) => {
+                    Err(EndpointError::Refused { status: StatusCode::NOT_FOUND.as_u16() })
+                }
+                Err(error) => Err(error),
+            }
         }
         .boxed()
     }
@@ -108,14 +124,14 @@
     ) -> BoxFuture<'a, Result<ChunkStream, EndpointError>> {
         async move {
             let url = format!("{}?from={from}", self.attempt_url(attempt));
-            send(self.client.get(url), timeout).await.map(chunks)
+            send(self.fresh.get(url), timeout).await.map(chunks)
         }
         .boxed()
     }
 
     fn cancel<'a>(&'a self, attempt: &'a AttemptId) -> BoxFuture<'a, Result<(), EndpointError>> {
         async move {
-            let request = self.client.delete(self.attempt_url(attempt));
+            let request = self.fresh.delete(self.attempt_url(attempt));
             send(request, TimeMs(SHORT_CALL_TIMEOUT_MS)).await.map(drop)
         }
         .boxed()
@@ -123,7 +139,7 @@
 
     fn load(&self) -> BoxFuture<'_, Result<LoadReport, EndpointError>> {
         async move {
-            let request = self.client.get(format!("{}/load", self.base_url));
+            let request = self.pooled.get(format!("{}/load", self.base_url));
             let response = send(request, TimeMs(SHORT_CALL_TIMEOUT_MS)).await?;
             response
                 .json()
--- a/crates/node/src/filters/dispatch.rs
+++ b/crates/node/src/filters/dispatch.rs
@@ -1,20 +1,28 @@
 //! Sends a prompt and answers with what comes.
 
-use std::sync::Arc;
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
-use bilberryford_types::{ErrorKind, Ran, RunId, TimeMs};
+use bilberryford_types::{ErrorKind, Ran, RunId, TeamName, TimeMs};
 use futures::{FutureExt, StreamExt, future::BoxFuture, stream};
 use poem::{Body, Response};
+use tokio::time::timeout;
 
 use super::{Context, Filter, Flow};
 use crate::{
-    api::{self, PromptRequest, Shape},
-    follow::{self, FollowCall},
+    api::{self, Shape},
+    follow::{self, CurrentPlace, FollowCall, Trace},
     node::Node,
     refusal::{RAN_HEADER, Refusal},
-    run::{Progress, Run, RunPlace},
+    run::{Progress, Reading, Run, RunName},
 };
 
+/// How long a whole answer may take after its first token before its headers are sent with the run's id, so that a
+/// caller that loses the connection can pick it up; in milliseconds.
+const EARLY_HEADERS_MS: u64 = 1_000;
+
 pub(crate) struct Dispatch;
 
 impl Filter for Dispatch {
@@ -39,58 +47,79 @@
     let endpoint = ctx.endpoint()?;
     let team = ctx.team()?.name.clone();
     let attempt = ctx.take_attempt()?;
-    let place = RunPlace { endpoint: endpoint.id.clone(), attempt: attempt.id().clone() };
-    let id = node.runs.id(&team, &place);
-    let run = Run::new();
-    node.runs.keep(id.clone(), run.clone());
+    let run = node.runs.begin(0);
+    let reading = run.read();
     let call = FollowCall {
-        request: ctx.request.clone(),
-        team,
+        trace: Trace { request: ctx.request.clone(), team: team.clone() },
         pool: section.pool.clone(),
         weight_version: section.weight_version.clone(),
         model: prompt.model.clone(),
         prompt: prompt.prompt.clone(),
         max_tokens: prompt.max_tokens,
         priority: ctx.priority,
-        timeout,
         received: ctx.received,
+        deadline: Instant::now() + Duration::from_millis(timeout.get()),
         _place: ctx.place.take(),
     };
-    tokio::spawn(follow::follow(node.clone(), run.clone(), attempt, endpoint, call));
-    answer(run, id, &prompt).await.map(Flow::Answer)
-}
-
-async fn answer(run: Arc<Run>, id: RunId, prompt: &PromptRequest) -> Result<Response, Refusal> {
+    let place = CurrentPlace::default();
+    tokio::spawn(follow::follow(node.clone(), run.clone(), attempt, endpoint, call, place.clone()));
+    // The status is decided by the first token, so that a failure before it is a plain refusal.
+    if let Progress::Failed(refusal) = run.after(0).await {
+        return Err(refusal);
+    }
+    let id = name_run(node, &team, &place, prompt.shape)?;
+    node.runs.keep(id.clone(), run);
     if prompt.stream {
-        // The status is decided by the first token, so that a failure before it is a plain refusal.
-        if let Progress::Failed = run.after(0).await {
-            return Err(failure(&run));
-        }
-        return Ok(streamed(run, id, prompt.shape, 0));
+        return Ok(Flow::Answer(streamed(reading, id, prompt.shape, 0)));
     }
-    whole(run, id, prompt.shape).await
+    whole(reading, id, prompt.shape).await.map(Flow::Answer)
 }
 
-/// The whole answer in one piece.
-pub(crate) async fn whole(run: Arc<Run>, id: RunId, shape: Shape) -> Result<Response, Refusal> {
-    run.over().await;
-    let Progress::End(end) = run.after(run.len()).await else {
-        return Err(failure(&run));
-    };
-    let body = api::whole_answer(shape, &id, &run.text(), end.prompt_tokens, end.tokens);
-    Ok(Response::builder()
+fn name_run(
+    node: &Node,
+    team: &TeamName,
+    place: &CurrentPlace,
+    shape: Shape,
+) -> Result<RunId, Refusal> {
+    let place = place.lock().clone();
+    place
+        .and_then(|place| node.runs.id(team, &RunName { place, shape }))
+        .ok_or_else(|| Refusal::of(ErrorKind::Internal))
+}
+
+/// The whole answer in one piece. One that takes long gets its headers early; when it then fails, its body is cut.
+pub(crate) async fn whole(reading: Reading, id: RunId, shape: Shape) -> Result<Response, Refusal> {
+    let early = Duration::from_millis(EARLY_HEADERS_MS);
+    let is_over = timeout(early, reading.run().over()).await.is_ok();
+    let response = Response::builder()
         .content_type("application/json")
         .header(RAN_HEADER, <&'static str>::from(Ran::Yes))
-        .header("bilberryford-run", id.as_str())
-        .body(body))
+        .header("bilberryford-run", id.as_str());
+    if is_over {
+        return Ok(response.body(whole_body(reading.run(), &id, shape).await?));
+    }
+    let body = stream::once(async move {
+        reading.run().over().await;
+        let body = whole_body(reading.run(), &id, shape).await;
+        body.map_err(|refusal| std::io::Error::other(refusal.kind().to_string()))
+    });
+    Ok(response.body(Body::from_bytes_stream(body.boxed())))
 }
 
-fn failure(run: &Run) -> Refusal {
-    run.take_refusal().unwrap_or_else(|| Refusal::sent(ErrorKind::EndpointLost, Ran::Maybe))
+async fn whole_body(run: &Run, id: &RunId, shape: Shape) -> Result<Vec<u8>, Refusal> {
+    match run.after(run.len()).await {
+        Progress::End(end) if run.first() == 0 => {
+            Ok(api::whole_answer(shape, id, &run.text(), end.prompt_tokens, end.tokens))
+        }
+        Progress::Failed(refusal) => Err(refusal),
+        Progress::End(_) | Progress::Tokens(_) => {
+            Err(Refusal::sent(ErrorKind::UnknownRun, Ran::Maybe))
+        }
+    }
 }
 
 struct Reader {
-    run: Arc<Run>,
+    reading: Reading,
     id: RunId,
     shape: Shape,
     from: u32,
@@ -98,9 +127,9 @@
 }
 
 /// The answer as server-sent events from the token `from` on; each event's id is the count of tokens up to it.
-pub(crate) fn streamed(run: Arc<Run>, id: RunId, shape: Shape, from: u32) -> Response {
+pub(crate) fn streamed(reading: Reading, id: RunId, shape: Shape, from: u32) -> Response {
     let run_header = id.to_string();
-    let reader = Reader { run, id, shape, from, is_over: false };
+    let reader = Reader { reading, id, shape, from, is_over: false };
     let events = stream::unfold(reader, |mut reader| async move {
         if reader.is_over {
             return None;
@@ -117,7 +146,7 @@
 
 async fn next_events(reader: &mut Reader) -> Vec<u8> {
     let mut out = Vec::new();
-    match reader.run.after(reader.from).await {
+    match reader.reading.run().after(reader.from).await {
         Progress::Tokens(tokens) => {
             for token in tokens {
                 reader.from += 1;
@@ -129,9 +158,9 @@
             event(&mut out, reader.from, b"[DONE]");
             reader.is_over = true;
         }
-        Progress::Failed => {
-            // No end marker: a caller can tell that the answer is not whole, and can pick it up by its run id.
-            out.extend_from_slice(b"event: error\ndata: {\"error\":{\"type\":\"endpoint_lost\",\"ran\":\"maybe\"}}\n\n");
+        Progress::Failed(refusal) => {
+            // No end marker: a caller can tell that the answer is not whole.
+            out = refusal.into_event();
             reader.is_over = true;
         }
     }
--- a/crates/node/src/filters/place.rs
+++ b/crates/node/src/filters/place.rs
@@ -64,6 +64,8 @@
         .pool(pool)
         .iter()
         .filter(|endpoint| !endpoint.is_leaving() && !is_excluded(endpoint))
-        .min_by_key(|endpoint| (endpoint.in_flight(), rand::random::<u32>()))
+        .min_by_key(|endpoint| {
+            (endpoint.is_suspected(node.now()), endpoint.in_flight(), rand::random::<u32>())
+        })
         .cloned()
 }
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -8,14 +8,14 @@
     net::SocketAddr,
     sync::{
         Arc,
-        atomic::{AtomicBool, AtomicU32, Ordering},
+        atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
     },
 };
 
 use arc_swap::ArcSwap;
 use bilberryford_endpoint::{HttpEngine, HttpService, ModelEngine, PlainService};
 use bilberryford_platform::{InstanceRecord, InstanceState};
-use bilberryford_types::{EndpointId, PoolName};
+use bilberryford_types::{EndpointId, PoolName, TimeMs};
 
 /// An endpoint as this instance knows it; counters live as long as the endpoint is on the list.
 pub(crate) struct Endpoint {
@@ -24,6 +24,7 @@
     pub(crate) address: SocketAddr,
     leaving: AtomicBool,
     in_flight: AtomicU32,
+    suspected_until_ms: AtomicU64,
     pub(crate) engine: Arc<dyn ModelEngine>,
     pub(crate) service: Arc<dyn PlainService>,
 }
@@ -44,6 +45,16 @@
         self.in_flight.load(Ordering::Relaxed)
     }
 
+    /// Takes note that it did not answer a new connection; it is chosen last until `until`.
+    pub(crate) fn suspect(&self, until: TimeMs) {
+        self.suspected_until_ms.fetch_max(until.get(), Ordering::Relaxed);
+    }
+
+    /// Whether it did not answer lately.
+    pub(crate) fn is_suspected(&self, now: TimeMs) -> bool {
+        self.suspected_until_ms.load(Ordering::Relaxed) > now.get()
+    }
+
     /// Counts a run until the guard is dropped.
     pub(crate) fn enter(self: &Arc<Self>) -> InFlight {
         self.in_flight.fetch_add(1, Ordering::Relaxed);
@@ -142,7 +153,8 @@
             address: record.address,
             leaving: AtomicBool::new(false),
             in_flight: AtomicU32::new(0),
-            engine: Arc::new(HttpEngine::new(record.address, pooled.clone())),
+            suspected_until_ms: AtomicU64::new(0),
+            engine: Arc::new(HttpEngine::new(record.address, pooled.clone(), fresh.clone())),
             service: Arc::new(HttpService::new(record.address, pooled, fresh)),
         }))
     }
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -1,63 +1,68 @@
-//! Follows a run to its end: dispatch, first token, lost connections, endpoints that go away.
+//! Follows a run to its end: over lost connections, endpoints that go away, and callers that do.
 //!
-//! # Invariant
-//!
-//! Tokens enter a [`Run`] in order and once: a chunk must carry the current attempt and the next index, or it is
-//! dropped. The run is whole only when the end marker's count equals the tokens that were taken.
+//! This is the only layer that retries. A retry needs the budgets of its team and its pool, is delayed with full jitter
+//! and never begins past the deadline. See `docs/design/answers.md`.
+
+mod place;
+mod stream;
 
 use std::{
     sync::Arc,
     time::{Duration, Instant},
 };
 
-use bilberryford_coord::{Attempt, Planned, RetryClass};
-use bilberryford_endpoint::{Chunk, ChunkStream, EndpointError, GenerateCall};
+use bilberryford_coord::{Attempt, Planned, RetryClass, backoff};
+use bilberryford_endpoint::{EndpointError, GenerateCall};
 use bilberryford_types::{
-    AttemptId, ErrorKind, EventKind, ModelName, PoolName, Priority, Ran, RequestId, TeamName,
-    TimeMs, Tokens, WeightVersion,
+    AttemptId, ErrorKind, EventKind, ModelName, PoolName, Priority, Ran, TimeMs, Tokens,
+    WeightVersion,
 };
-use futures::StreamExt;
-use tokio::time::timeout;
+use parking_lot::Mutex;
+use tokio::time::sleep;
+
+pub(crate) use place::{attempt_name, attempt_number, continued_places};
+pub(crate) use stream::{Failure, Intake, Trace};
 
 use crate::{
     filters::choose,
     fleet::Endpoint,
     node::{Node, Place},
     refusal::Refusal,
-    run::{Run, RunEnd},
+    run::{Run, RunEnd, RunPlace},
 };
 
-/// How long a stream may be silent before it is resumed on a new connection, in milliseconds.
-const SILENCE_MS: u64 = 2_000;
-/// How many endpoints one run may be sent to.
-const MAX_ATTEMPTS: usize = 3;
+/// How often one run may be lost or fail to connect.
+const MAX_LOSSES: usize = 3;
+/// How many endpoints are asked for one run, those that lack its weight version included.
+const MAX_ATTEMPTS: usize = 8;
+/// How often a run whose tokens the caller has already asks for a retry again, in milliseconds.
+const BUDGET_WAIT_MS: u64 = 200;
 
 /// What is followed.
 pub(crate) struct FollowCall {
-    pub(crate) request: RequestId,
-    pub(crate) team: TeamName,
+    pub(crate) trace: Trace,
     pub(crate) pool: PoolName,
+    /// Pinned when the run is dispatched, also across a swap of weights.
     pub(crate) weight_version: WeightVersion,
     pub(crate) model: ModelName,
     pub(crate) prompt: Arc<str>,
     pub(crate) max_tokens: Tokens,
     pub(crate) priority: Priority,
-    pub(crate) timeout: TimeMs,
     pub(crate) received: Instant,
+    pub(crate) deadline: Instant,
     /// Held until the run is over.
     pub(crate) _place: Option<Place>,
 }
 
-/// How a stream stopped short of its end.
-enum Stop {
-    Error(EndpointError),
-    Silent,
-}
+/// Where a run is now, for the id that is given out at the first token.
+pub(crate) type CurrentPlace = Arc<Mutex<Option<RunPlace>>>;
 
 struct Follower {
     node: Arc<Node>,
     run: Arc<Run>,
     call: FollowCall,
+    place: CurrentPlace,
+    endpoint: Mutex<Option<Arc<Endpoint>>>,
 }
 
 /// Runs the prompt and fills `run`; the run is over when this ends, whatever happens.
@@ -67,83 +72,97 @@
     attempt: Attempt<Planned>,
     endpoint: Arc<Endpoint>,
     call: FollowCall,
+    place: CurrentPlace,
 ) {
-    let limit = Duration::from_millis(call.timeout.get());
-    let follower = Follower { node, run: run.clone(), call };
-    let outcome = timeout(limit, follower.attempts(attempt, endpoint)).await;
+    let limit = call.deadline.saturating_duration_since(Instant::now());
+    let pick_up_limit = Duration::from_millis(node.settings.pick_up_limit.get());
+    let follower = Follower { node, run: run.clone(), call, place, endpoint: Mutex::default() };
+    let outcome = tokio::select! {
+        outcome = follower.attempts(attempt, endpoint) => outcome,
+        () = sleep(limit) => Err(Refusal::sent(ErrorKind::DeadlineWhileRunning, Ran::Maybe)),
+        () = run.abandoned(pick_up_limit) => Err(Refusal::sent(ErrorKind::RunCancelled, Ran::Maybe)),
+    };
     match outcome {
-        Ok(Ok(end)) => run.finish(end),
-        Ok(Err(refusal)) => run.fail(refusal),
-        Err(_) => run.fail(Refusal::of(ErrorKind::DeadlineWhileRunning)),
+        Ok(end) => run.finish(end),
+        Err(refusal) => {
+            run.fail(refusal);
+            // What another instance follows is not cancelled for lack of readers here.
+            if refusal.kind() != ErrorKind::RunCancelled || !run.is_handed_over() {
+                follower.cancel_current(refusal.kind());
+            }
+        }
     }
 }
 
 impl Follower {
+    /// # Invariant
+    ///
+    /// `proof` is there as long as no attempt of the request may have run; only it makes a "not run" refusal.
     async fn attempts(
         &self,
-        mut attempt: Attempt<Planned>,
+        planned: Attempt<Planned>,
         mut endpoint: Arc<Endpoint>,
     ) -> Result<RunEnd, Refusal> {
+        let base = planned.id().clone();
+        let mut proof = Some(planned);
         let mut tried = Vec::new();
-        self.node.first_try(&self.call.team, &self.call.pool);
+        let mut losses = 0;
+        self.node.first_try(&self.call.trace.team, &self.call.pool);
         loop {
-            let id = attempt.id().clone();
-            let sent = attempt.send();
-            let guard = endpoint.enter();
-            let result = self.attempt(&id, &endpoint).await;
-            drop(guard);
-            let error = match result {
+            let id = attempt_name(&base, tried.len());
+            let sent = proof.take().map(|proof| proof.renew(id.clone()).send());
+            let failure = match self.attempt(&id, &endpoint).await {
                 Ok(end) => return Ok(end),
-                Err(error) => error,
+                Err(failure) => failure,
             };
-            self.event(EventKind::AttemptFailed, &id, &endpoint, &error.to_string());
+            proof = sent.and_then(|sent| sent.unsent(failure.ran()).ok());
+            self.failed(&id, &endpoint, &failure);
             tried.push(endpoint);
-            let next = (tried.len() < MAX_ATTEMPTS)
-                .then(|| choose(&self.node, &self.call.pool, &tried))
-                .flatten();
-            match (sent.unsent(error.ran()), next) {
-                (Ok(unsent), None) if self.run.len() == 0 && tried.len() == 1 => {
-                    return Err(unsent.refuse(error.kind()).into());
-                }
-                (_, None) => return Err(Refusal::sent(error.kind(), Ran::Maybe)),
-                (_, Some(next)) => {
-                    if !self.node.take_retry(&self.call.team, &self.call.pool, RetryClass::Begun) {
-                        return Err(Refusal::sent(error.kind(), Ran::Maybe));
-                    }
-                    attempt = Attempt::new(self.node.next_attempt());
-                    endpoint = next;
-                }
+            losses += usize::from(failure.error != EndpointError::VersionGone);
+            if failure.is_full {
+                return Err(Refusal::sent(ErrorKind::AnswerTooLarge, Ran::Maybe));
             }
+            let can_retry = losses < MAX_LOSSES && tried.len() < MAX_ATTEMPTS;
+            let next = if can_retry { self.next(&base, &failure, &tried).await } else { None };
+            endpoint = match (next, proof.take()) {
+                (Some(next), kept) => {
+                    proof = kept;
+                    next
+                }
+                (None, Some(proof)) => return Err(proof.refuse(failure.error.kind()).into()),
+                (None, None) => return Err(Refusal::sent(failure.error.kind(), Ran::Maybe)),
+            };
         }
     }
 
-    /// One attempt at one endpoint, resumed on new connections as long as the endpoint still has it.
-    async fn attempt(
-        &self,
-        id: &AttemptId,
-        endpoint: &Arc<Endpoint>,
-    ) -> Result<RunEnd, EndpointError> {
-        self.event(EventKind::Dispatched, id, endpoint, "");
-        let left = self.time_left();
-        let mut stream = endpoint.engine.generate(self.generate_call(id), left).await?;
-        loop {
-            let before = self.run.len();
-            let stop = match self.pump(id, endpoint, &mut stream).await {
-                Ok(end) => return Ok(end),
-                Err(stop) => stop,
-            };
-            if let Stop::Error(error @ EndpointError::Broken { .. }) = stop {
-                return Err(error);
+    async fn attempt(&self, id: &AttemptId, endpoint: &Arc<Endpoint>) -> Result<RunEnd, Failure> {
+        *self.place.lock() = Some(RunPlace { endpoint: endpoint.id.clone(), attempt: id.clone() });
+        *self.endpoint.lock() = Some(endpoint.clone());
+        let _guard = endpoint.enter();
+        let trace = self.call.trace.clone();
+        let intake = Intake::new(&self.node, &self.run, endpoint, id, trace, self.call.deadline);
+        let begins = self.run.len() == 0;
+        let first_token = async {
+            if begins {
+                self.run.after(0).await;
+                self.node
+                    .metrics
+                    .first_token_s
+                    .record(self.call.received.elapsed().as_secs_f64(), &[]);
             }
-            stream = endpoint.engine.resume(id, self.run.len(), self.time_left()).await?;
-            self.event(EventKind::Resumed, id, endpoint, &format!("from token {before}"));
+            std::future::pending::<std::convert::Infallible>().await
+        };
+        tokio::select! {
+            biased;
+            never = first_token => match never {},
+            result = intake.generate(self.generate_call(id)) => result,
         }
     }
 
     fn generate_call(&self, id: &AttemptId) -> GenerateCall {
         GenerateCall {
             attempt: id.clone(),
-            team: self.call.team.clone(),
+            team: self.call.trace.team.clone(),
             model: self.call.model.clone(),
             weight_version: self.call.weight_version.clone(),
             prompt: self.call.prompt.clone(),
@@ -154,78 +173,79 @@
         }
     }
 
-    fn time_left(&self) -> TimeMs {
-        let spent = u64::try_from(self.call.received.elapsed().as_millis()).unwrap_or(u64::MAX);
-        TimeMs(self.call.timeout.get().saturating_sub(spent).max(1))
-    }
-
-    async fn pump(
+    /// The next endpoint, after the budget and the delay; none when the request is given up.
+    async fn next(
         &self,
-        id: &AttemptId,
-        endpoint: &Endpoint,
-        stream: &mut ChunkStream,
-    ) -> Result<RunEnd, Stop> {
-        loop {
-            let next = timeout(Duration::from_millis(SILENCE_MS), stream.next())
-                .await
-                .map_err(|_| Stop::Silent)?;
-            let chunk = match next {
-                Some(chunk) => chunk.map_err(Stop::Error)?,
-                None => {
-                    return Err(Stop::Error(EndpointError::Lost {
-                        reason: "no end marker".to_owned(),
-                    }));
-                }
-            };
-            match chunk {
-                Chunk::Token { attempt, index, text }
-                    if attempt == *id && index == self.run.len() =>
-                {
-                    self.take(id, endpoint, &text);
-                }
-                Chunk::End { attempt, tokens, cached_tokens, prompt_tokens } if attempt == *id => {
-                    if tokens.get() != self.run.len() {
-                        let reason = format!("{tokens} announced, {} came", self.run.len());
-                        return Err(Stop::Error(EndpointError::Broken { reason }));
-                    }
-                    self.ended(id, endpoint, cached_tokens, prompt_tokens);
-                    return Ok(RunEnd { tokens, prompt_tokens });
-                }
-                Chunk::Token { .. } | Chunk::End { .. } => {
-                    self.node.metrics.chunks_dropped.add(1, &[]);
-                    self.event(EventKind::ChunkDropped, id, endpoint, "");
-                }
+        base: &AttemptId,
+        failure: &Failure,
+        tried: &[Arc<Endpoint>],
+    ) -> Option<Arc<Endpoint>> {
+        let is_begun = failure.is_begun || self.run.len() > 0;
+        let class = if is_begun { RetryClass::Begun } else { RetryClass::Fresh };
+        while !self.node.take_retry(&self.call.trace.team, &self.call.pool, class) {
+            if self.run.len() == 0 {
+                return None;
             }
+            // The caller has a part of the answer: the rest may come late, but it is not given up.
+            sleep(Duration::from_millis(BUDGET_WAIT_MS)).await;
         }
-    }
-
-    fn take(&self, id: &AttemptId, endpoint: &Endpoint, text: &str) {
-        if self.run.len() == 0 {
-            self.node.metrics.first_token_s.record(self.call.received.elapsed().as_secs_f64(), &[]);
-            self.event(EventKind::FirstToken, id, endpoint, "");
+        let retry = u32::try_from(tried.len() - 1).unwrap_or(u32::MAX);
+        let delay = backoff(retry, self.time_left(), &mut rand::rng())?;
+        sleep(Duration::from_millis(delay.get())).await;
+        if self.run.len() > 0 {
+            let table = self.node.fleet.endpoints();
+            let places = continued_places(table.pool(&self.call.pool), base);
+            let is_new = |place: &&Arc<Endpoint>| tried.iter().all(|other| other.id != place.id);
+            let next = places.iter().find(is_new).or(places.first()).cloned();
+            self.node.events.write(EventKind::Continued, |event| {
+                event.request = Some(self.call.trace.request.clone());
+                event.endpoint = next.as_ref().map(|next| next.id.clone());
+                event.detail = format!("from token {}", self.run.len());
+            });
+            return next;
         }
-        self.run.push(text);
+        choose(&self.node, &self.call.pool, tried)
+            .or_else(|| choose(&self.node, &self.call.pool, &[]))
     }
 
-    fn ended(
-        &self,
-        id: &AttemptId,
-        endpoint: &Endpoint,
-        cached_tokens: Tokens,
-        prompt_tokens: Tokens,
-    ) {
-        self.node.metrics.prompt_tokens.add(prompt_tokens.get().into(), &[]);
-        self.node.metrics.cached_tokens.add(cached_tokens.get().into(), &[]);
-        self.event(EventKind::Answered, id, endpoint, "");
+    fn time_left(&self) -> TimeMs {
+        let left = self.call.deadline.saturating_duration_since(Instant::now()).as_millis();
+        TimeMs(u64::try_from(left).unwrap_or(u64::MAX))
     }
 
-    fn event(&self, kind: EventKind, id: &AttemptId, endpoint: &Endpoint, detail: &str) {
-        self.node.events.write(kind, |event| {
-            event.request = Some(self.call.request.clone());
+    fn failed(&self, id: &AttemptId, endpoint: &Arc<Endpoint>, failure: &Failure) {
+        self.node.events.write(EventKind::AttemptFailed, |event| {
+            event.request = Some(self.call.trace.request.clone());
             event.attempt = Some(id.clone());
-            event.team = Some(self.call.team.clone());
+            event.team = Some(self.call.trace.team.clone());
             event.endpoint = Some(endpoint.id.clone());
-            event.detail = detail.to_owned();
+            event.error = Some(failure.error.kind());
+            event.detail = failure.error.to_string();
+        });
+        *self.endpoint.lock() = None;
+        if failure.is_begun && !failure.is_crash {
+            cancel(endpoint.clone(), id.clone());
+        }
+    }
+
+    fn cancel_current(&self, kind: ErrorKind) {
+        let Some(endpoint) = self.endpoint.lock().take() else { return };
+        let Some(place) = self.place.lock().clone() else { return };
+        self.node.events.write(EventKind::Cancelled, |event| {
+            event.request = Some(self.call.trace.request.clone());
+            event.attempt = Some(place.attempt.clone());
+            event.endpoint = Some(place.endpoint.clone());
+            event.error = Some(kind);
         });
+        cancel(endpoint, place.attempt);
     }
 }
+
+/// Tells the endpoint, on a new connection and with a short deadline, that nobody needs the attempt any more.
+fn cancel(endpoint: Arc<Endpoint>, attempt: AttemptId) {
+    tokio::spawn(async move {
+        if let Err(error) = endpoint.engine.cancel(&attempt).await {
+            log::debug!("attempt {attempt} was not cancelled: {error}");
+        }
+    });
+}
--- a/crates/node/src/peering.rs
+++ b/crates/node/src/peering.rs
@@ -10,7 +10,7 @@
     Borrow, BorrowReply, ConfigReply, EndpointView, Heartbeat, Member, MemberState, PeerHandler,
     PlaceReply, PlaceRequest, Suspect, SuspectReply,
 };
-use bilberryford_types::{EventKind, Generation, InstanceId, TimeMs, Tokens};
+use bilberryford_types::{EventKind, Generation, InstanceId, RunId, TimeMs, Tokens};
 use parking_lot::RwLock;
 
 use crate::node::Node;
@@ -153,6 +153,12 @@
         SuspectReply::default()
     }
 
+    fn picked_up(&self, run: RunId) {
+        if let Some(node) = self.node() {
+            node.runs.hand_over(&run);
+        }
+    }
+
     fn borrow(&self, _borrow: Borrow) -> BorrowReply {
         BorrowReply::default()
     }
--- a/crates/node/src/refusal.rs
+++ b/crates/node/src/refusal.rs
@@ -9,7 +9,7 @@
 pub(crate) const RAN_HEADER: &str = "bilberryford-ran";
 
 /// A refusal on its way to the caller.
-#[derive(Debug)]
+#[derive(Debug, Clone, Copy)]
 pub(crate) struct Refusal {
     kind: ErrorKind,
     ran: Ran,
@@ -66,11 +66,23 @@
         }
     }
 
+    fn body(&self) -> Vec<u8> {
+        let message = self.kind.answer().message;
+        let body = Body { error: ErrorBody { kind: self.kind, message, ran: self.ran } };
+        serde_json::to_vec(&body).unwrap_or_default()
+    }
+
+    /// The event that ends a stream whose status has been sent already.
+    pub(crate) fn into_event(self) -> Vec<u8> {
+        let mut event = b"event: error\ndata: ".to_vec();
+        event.extend_from_slice(&self.body());
+        event.extend_from_slice(b"\n\n");
+        event
+    }
+
     /// The HTTP answer, with jitter on `Retry-After` so that refused callers don't come back together.
     pub(crate) fn into_response(self) -> Response {
         let answer = self.kind.answer();
-        let body =
-            Body { error: ErrorBody { kind: self.kind, message: answer.message, ran: self.ran } };
         let ran: &'static str = self.ran.into();
         let mut response = Response::builder()
             .status(
@@ -82,6 +94,6 @@
             let spread = rand::random_range(0..=span.get() / 2 + 500);
             response = response.header("retry-after", (span.get() + spread).div_ceil(1_000).max(1));
         }
-        response.body(serde_json::to_vec(&body).unwrap_or_default())
+        response.body(self.body())
     }
 }
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -1,20 +1,33 @@
 //! Runs: answers that are kept apart from the engine's stream and from the caller's connection.
 //!
 //! The engine's stream fills a [`Run`]; the caller reads from it at its own pace. A slow reader therefore holds no slot
-//! at an engine, and a caller that lost its connection picks the answer up where it stopped.
+//! at an engine, and a caller that lost its connection picks the answer up where it stopped. See
+//! `docs/design/answers.md`.
 
-use std::{collections::VecDeque, sync::Arc};
+mod id;
+mod kept;
 
-use bilberryford_types::{AttemptId, EndpointId, RunId, TeamName, Tokens};
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU32, AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use bilberryford_types::Tokens;
 use parking_lot::Mutex;
-use tokio::sync::watch;
+use tokio::{sync::watch, time::timeout};
+
+pub(crate) use id::{RunName, RunPlace};
+pub(crate) use kept::Runs;
 
 use crate::refusal::Refusal;
 
-/// How many runs are kept for callers that come back.
-const MAX_RUNS: usize = 4_096;
-/// How many hexadecimal digits of the signature a run id carries.
-const SIGNATURE_DIGITS: usize = 32;
+/// The most bytes of one answer.
+const MAX_RUN_BYTES: usize = 2 * 1024 * 1024;
+/// The most bytes of all answers that an instance holds.
+const MAX_ALL_BYTES: usize = 64 * 1024 * 1024;
 
 /// How a run ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -27,91 +40,124 @@
 #[derive(Debug)]
 pub(crate) enum Progress {
     /// These tokens came since.
-    Tokens(Vec<Arc<str>>),
+    Tokens(Vec<String>),
     /// The answer is whole and all of it was read.
     End(RunEnd),
     /// The run failed after all that was read.
-    Failed,
+    Failed(Refusal),
 }
 
+/// The answer does not fit into the bounded buffers.
+#[derive(Debug)]
+pub(crate) struct RunFull;
+
 #[derive(Debug, Default)]
 struct State {
-    tokens: Vec<Arc<str>>,
+    text: String,
+    /// Where each token ends in `text`.
+    ends: Vec<usize>,
     end: Option<RunEnd>,
-    refusal: Option<Refusal>,
-    is_over: bool,
+    failure: Option<Refusal>,
+}
+
+impl State {
+    const fn is_over(&self) -> bool {
+        self.end.is_some() || self.failure.is_some()
+    }
+
+    fn token(&self, index: usize) -> &str {
+        let start = index.checked_sub(1).map_or(0, |before| self.ends[before]);
+        &self.text[start..self.ends[index]]
+    }
 }
 
 /// The answer of one run as far as it has come.
 #[derive(Debug)]
 pub(crate) struct Run {
+    /// The index of the first token that is held; not 0 for a run that was picked up half way.
+    first: u32,
+    len: AtomicU32,
     state: Mutex<State>,
-    changed: watch::Sender<u64>,
+    changed: watch::Sender<()>,
+    readers: watch::Sender<u32>,
+    is_handed_over: AtomicBool,
+    /// The bytes of all runs of this instance.
+    all_bytes: Arc<AtomicUsize>,
 }
 
 impl Run {
-    pub(crate) fn new() -> Arc<Self> {
-        Arc::new(Self { state: Mutex::default(), changed: watch::Sender::new(0) })
+    fn new(first: u32, all_bytes: Arc<AtomicUsize>) -> Arc<Self> {
+        Arc::new(Self {
+            first,
+            len: AtomicU32::new(first),
+            state: Mutex::default(),
+            changed: watch::Sender::new(()),
+            readers: watch::Sender::new(0),
+            is_handed_over: AtomicBool::new(false),
+            all_bytes,
+        })
     }
 
     /// Adds the next token.
-    pub(crate) fn push(&self, text: &str) {
-        self.state.lock().tokens.push(text.into());
-        self.notify();
+    pub(crate) fn push(&self, text: &str) -> Result<(), RunFull> {
+        let mut state = self.state.lock();
+        let bytes = state.text.len() + text.len();
+        let all = self.all_bytes.fetch_add(text.len(), Ordering::Relaxed) + text.len();
+        if bytes > MAX_RUN_BYTES || all > MAX_ALL_BYTES {
+            self.all_bytes.fetch_sub(text.len(), Ordering::Relaxed);
+            return Err(RunFull);
+        }
+        state.text.push_str(text);
+        state.ends.push(bytes);
+        drop(state);
+        self.len.fetch_add(1, Ordering::Release);
+        self.changed.send_replace(());
+        Ok(())
     }
 
     /// Marks the answer as whole.
     pub(crate) fn finish(&self, end: RunEnd) {
-        let mut state = self.state.lock();
-        state.end = Some(end);
-        state.is_over = true;
-        drop(state);
-        self.notify();
+        self.state.lock().end = Some(end);
+        self.changed.send_replace(());
     }
 
     /// Marks the run as failed.
     pub(crate) fn fail(&self, refusal: Refusal) {
-        let mut state = self.state.lock();
-        state.refusal = Some(refusal);
-        state.is_over = true;
-        drop(state);
-        self.notify();
+        self.state.lock().failure = Some(refusal);
+        self.changed.send_replace(());
     }
 
-    fn notify(&self) {
-        self.changed.send_modify(|count| *count += 1);
+    /// How many tokens have come, those before the first that is held included.
+    pub(crate) fn len(&self) -> u32 {
+        self.len.load(Ordering::Acquire)
     }
 
-    /// How many tokens have come.
-    pub(crate) fn len(&self) -> u32 {
-        u32::try_from(self.state.lock().tokens.len()).unwrap_or(u32::MAX)
+    /// The index of the first token that is held.
+    pub(crate) const fn first(&self) -> u32 {
+        self.first
     }
 
     /// The text of all tokens so far.
     pub(crate) fn text(&self) -> String {
-        self.state.lock().tokens.iter().map(|token| &**token).collect()
-    }
-
-    /// The refusal of a run that failed; it is handed out once.
-    pub(crate) fn take_refusal(&self) -> Option<Refusal> {
-        self.state.lock().refusal.take()
+        self.state.lock().text.clone()
     }
 
     /// Whether the run is over, whole or failed.
     pub(crate) fn is_over(&self) -> bool {
-        self.state.lock().is_over
+        self.state.lock().is_over()
     }
 
     fn progress(&self, from: u32) -> Option<Progress> {
         let state = self.state.lock();
-        let rest = state.tokens.get(from as usize..).unwrap_or_default();
-        if !rest.is_empty() {
-            return Some(Progress::Tokens(rest.to_vec()));
+        let from = from.saturating_sub(self.first) as usize;
+        if from < state.ends.len() {
+            let tokens = (from..state.ends.len()).map(|index| state.token(index).to_owned());
+            return Some(Progress::Tokens(tokens.collect()));
         }
-        match (state.end, state.is_over) {
+        match (state.end, state.failure) {
             (Some(end), _) => Some(Progress::End(end)),
-            (None, true) => Some(Progress::Failed),
-            (None, false) => None,
+            (None, Some(refusal)) => Some(Progress::Failed(refusal)),
+            (None, None) => None,
         }
     }
 
@@ -134,71 +180,55 @@
             let _ = changed.changed().await;
         }
     }
-}
 
-/// Where a run can be picked up by an instance that does not keep it.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) struct RunPlace {
-    pub(crate) endpoint: EndpointId,
-    pub(crate) attempt: AttemptId,
-}
+    /// Counts a reader until the guard is dropped.
+    pub(crate) fn read(self: &Arc<Self>) -> Reading {
+        self.readers.send_modify(|count| *count += 1);
+        Reading { run: self.clone() }
+    }
 
-/// The runs that this instance keeps, and the signing of run ids.
-pub(crate) struct Runs {
-    key: [u8; 32],
-    kept: Mutex<VecDeque<(RunId, Arc<Run>)>>,
-}
+    /// Takes note that another instance follows the run for the caller.
+    pub(crate) fn hand_over(&self) {
+        self.is_handed_over.store(true, Ordering::Release);
+    }
 
-impl Runs {
-    pub(crate) fn new(key: &str) -> Self {
-        Self {
-            key: blake3::derive_key("bilberryford run ids v1", key.as_bytes()),
-            kept: Mutex::default(),
-        }
+    /// Whether another instance follows the run.
+    pub(crate) fn is_handed_over(&self) -> bool {
+        self.is_handed_over.load(Ordering::Acquire)
     }
 
-    /// The id of a run; only its team can present it, and it says where the run can be picked up.
-    pub(crate) fn id(&self, team: &TeamName, place: &RunPlace) -> RunId {
-        let RunPlace { endpoint, attempt } = place;
-        let signature = self.signature(team, place);
-        format!("run:{endpoint}:{attempt}:{signature}")
-            .parse()
-            .unwrap_or_else(|_| unreachable!("the parts are names and hexadecimal digits"))
-    }
-
-    /// Where the run is, when the id was signed for `team`.
-    pub(crate) fn place(&self, team: &TeamName, id: &RunId) -> Option<RunPlace> {
-        let mut parts = id.as_str().strip_prefix("run:")?.rsplitn(3, ':');
-        let signature = parts.next()?;
-        let attempt = parts.next()?.parse().ok()?;
-        let endpoint = parts.next()?.parse().ok()?;
-        let place = RunPlace { endpoint, attempt };
-        // Comparing two keyed digests as hashes keeps the time independent of where they differ.
-        let is_ours = blake3::hash(signature.as_bytes())
-            == blake3::hash(self.signature(team, &place).as_bytes());
-        is_ours.then_some(place)
-    }
-
-    fn signature(&self, team: &TeamName, place: &RunPlace) -> String {
-        let mut hasher = blake3::Hasher::new_keyed(&self.key);
-        for part in [team.as_str(), place.endpoint.as_str(), place.attempt.as_str()] {
-            hasher.update(&(part.len() as u64).to_le_bytes());
-            hasher.update(part.as_bytes());
+    /// Waits until nobody has read the run for `limit`.
+    pub(crate) async fn abandoned(&self, limit: Duration) {
+        let mut readers = self.readers.subscribe();
+        loop {
+            let _ = readers.wait_for(|count| *count == 0).await;
+            if timeout(limit, readers.wait_for(|count| *count > 0)).await.is_err() {
+                return;
+            }
         }
-        hasher.finalize().to_hex()[..SIGNATURE_DIGITS].to_owned()
     }
+}
 
-    /// Keeps a run for callers that come back; the oldest gives way.
-    pub(crate) fn keep(&self, id: RunId, run: Arc<Run>) {
-        let mut kept = self.kept.lock();
-        if kept.len() == MAX_RUNS {
-            kept.pop_front();
-        }
-        kept.push_back((id, run));
+impl Drop for Run {
+    fn drop(&mut self) {
+        self.all_bytes.fetch_sub(self.state.get_mut().text.len(), Ordering::Relaxed);
     }
+}
+
+/// A reader of a run.
+pub(crate) struct Reading {
+    run: Arc<Run>,
+}
+
+impl Reading {
+    /// The run that is read.
+    pub(crate) fn run(&self) -> &Run {
+        &self.run
+    }
+}
 
-    /// A run that is kept here.
-    pub(crate) fn get(&self, id: &RunId) -> Option<Arc<Run>> {
-        self.kept.lock().iter().rev().find(|(kept, _)| kept == id).map(|(_, run)| run.clone())
+impl Drop for Reading {
+    fn drop(&mut self) {
+        self.run.readers.send_modify(|count| *count -= 1);
     }
 }
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -33,6 +33,8 @@
     pub drain_delay: TimeMs,
     /// The longest wait for running requests at shutdown.
     pub drain_limit: TimeMs,
+    /// How long a run goes on that nobody reads, before it is cancelled.
+    pub pick_up_limit: TimeMs,
     /// How many threads serve requests.
     pub worker_threads: usize,
 }
--- a/crates/peer/schema/peer.capnp
+++ b/crates/peer/schema/peer.capnp
@@ -36,9 +36,16 @@
 }
 
 enum Verdict {
+  # Claims the right to run a suspect, or to run suspects at an endpoint.
   ask @0;
+  # The endpoint was lost while it ran the request beside others.
   crashed @1;
+  # It ran clean; the claim is given back.
   clean @2;
+  # The endpoint was lost while the request was its only suspect.
+  convicted @3;
+  # The claim is given back and nothing was learnt.
+  released @4;
 }
 
 struct PlaceRequest {
@@ -68,11 +75,14 @@
   configuration @1 (above :UInt64) -> (generation :UInt64, version :UInt64, body :Data);
 
   # Asks for or reports on a request that may crash endpoints; sent to the fingerprint's owner.
-  suspect @2 (fingerprint :Data, attempt :Text, verdict :Verdict) -> (crashes :UInt32, quarantined :Bool);
+  suspect @2 (fingerprint :Data, attempt :Text, verdict :Verdict, spanMs :UInt64) -> (crashes :UInt32, quarantined :Bool, granted :Bool);
 
   # Borrows in-flight slots of a team from the instance that owns its limit.
   borrow @3 (team :Text, borrower :Text, inUse :UInt32, want :UInt32) -> (granted :UInt32, validMs :UInt32);
 
   # Asks the instance that decides for a cell; an empty endpoint means that it can't say.
   place @4 (request :PlaceRequest) -> (decision :PlaceDecision);
+
+  # Tells the instance that began a run that another one follows it for the caller.
+  pickedUp @5 (run :Text) -> ();
 }
--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use bilberryford_types::{Generation, TimeMs};
+use bilberryford_types::{Generation, RunId, TimeMs};
 use tokio::sync::{mpsc, oneshot};
 
 use crate::{
@@ -45,6 +45,7 @@
     Suspect(Suspect),
     Borrow(Borrow),
     Place(Box<PlaceRequest>),
+    PickedUp(RunId),
 }
 
 #[derive(Debug)]
@@ -54,6 +55,7 @@
     Suspect(SuspectReply),
     Borrow(BorrowReply),
     Place(Option<PlaceReply>),
+    PickedUp(()),
 }
 
 #[derive(Debug)]
@@ -113,5 +115,7 @@
         borrow(borrow: Borrow => CallKind::Borrow(borrow)) -> Borrow(BorrowReply) std::convert::identity;
         /// Asks for a placement.
         place(request: PlaceRequest => CallKind::Place(Box::new(request))) -> Place(Option<PlaceReply>) std::convert::identity;
+        /// Tells the instance that began a run that this one follows it.
+        picked_up(run: RunId => CallKind::PickedUp(run)) -> PickedUp(()) std::convert::identity;
     }
 }
--- a/crates/peer/src/convert.rs
+++ b/crates/peer/src/convert.rs
@@ -108,6 +108,8 @@
         peer_capnp::Verdict::Ask => Verdict::Ask,
         peer_capnp::Verdict::Crashed => Verdict::Crashed,
         peer_capnp::Verdict::Clean => Verdict::Clean,
+        peer_capnp::Verdict::Convicted => Verdict::Convicted,
+        peer_capnp::Verdict::Released => Verdict::Released,
     }
 }
 
@@ -116,5 +118,7 @@
         Verdict::Ask => peer_capnp::Verdict::Ask,
         Verdict::Crashed => peer_capnp::Verdict::Crashed,
         Verdict::Clean => peer_capnp::Verdict::Clean,
+        Verdict::Convicted => peer_capnp::Verdict::Convicted,
+        Verdict::Released => peer_capnp::Verdict::Released,
     }
 }
--- a/crates/peer/src/handler.rs
+++ b/crates/peer/src/handler.rs
@@ -3,7 +3,7 @@
 use crate::{
     Borrow, BorrowReply, ConfigReply, Heartbeat, PlaceReply, PlaceRequest, Suspect, SuspectReply,
 };
-use bilberryford_types::Generation;
+use bilberryford_types::{Generation, RunId};
 
 /// Answers calls of peers from memory; no method may block.
 pub trait PeerHandler: Send + Sync + 'static {
@@ -16,6 +16,9 @@
     /// Counts or answers for a request whose fingerprint this instance owns.
     fn suspect(&self, suspect: Suspect) -> SuspectReply;
 
+    /// Takes note that another instance follows a run that this one began.
+    fn picked_up(&self, run: RunId);
+
     /// Lends slots of a team whose limit this instance owns.
     fn borrow(&self, borrow: Borrow) -> BorrowReply;
 
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -81,12 +81,16 @@
 /// What the sender of [`Suspect`] knows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
-    /// Nothing new; it asks.
+    /// It claims the right to run a suspect, or to run suspects at an endpoint.
     Ask,
-    /// The endpoint was lost while it ran the request.
+    /// The endpoint was lost while it ran the request beside others.
     Crashed,
-    /// The request ran clean.
+    /// It ran clean; the claim is given back.
     Clean,
+    /// The endpoint was lost while the request was its only suspect.
+    Convicted,
+    /// The claim is given back and nothing was learnt.
+    Released,
 }
 
 /// A question or report about a request that may crash endpoints.
@@ -98,6 +102,8 @@
     pub attempt: String,
     /// What the sender knows.
     pub verdict: Verdict,
+    /// How long a claim is held at the longest.
+    pub span: TimeMs,
 }
 
 /// What the fingerprint's owner says.
@@ -107,6 +113,8 @@
     pub crashes: u32,
     /// Whether the request may not run again.
     pub quarantined: bool,
+    /// Whether the claim was granted.
+    pub granted: bool,
 }
 
 /// A call for in-flight slots.
--- a/crates/peer/src/peer_capnp.rs
+++ b/crates/peer/src/peer_capnp.rs
@@ -1715,6 +1715,8 @@
     Ask = 0,
     Crashed = 1,
     Clean = 2,
+    Convicted = 3,
+    Released = 4,
 }
 
 impl ::capnp::introspect::Introspect for Verdict {
@@ -1745,6 +1747,8 @@
             0 => ::core::result::Result::Ok(Self::Ask),
             1 => ::core::result::Result::Ok(Self::Crashed),
             2 => ::core::result::Result::Ok(Self::Clean),
+            3 => ::core::result::Result::Ok(Self::Convicted),
+            4 => ::core::result::Result::Ok(Self::Released),
             n => ::core::result::Result::Err(::capnp::NotInSchema(n)),
         }
     }
@@ -1759,7 +1763,7 @@
     const TYPE_ID: u64 = 0xf607_a788_583e_b72du64;
 }
 mod verdict {
-    pub(crate) static ENCODED_NODE: [::capnp::Word; 29] = [
+    pub(crate) static ENCODED_NODE: [::capnp::Word; 39] = [
         ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
         ::capnp::word(45, 183, 62, 88, 136, 167, 7, 246),
         ::capnp::word(11, 0, 0, 0, 2, 0, 0, 0),
@@ -1769,26 +1773,36 @@
         ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
         ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(25, 0, 0, 0, 79, 0, 0, 0),
+        ::capnp::word(25, 0, 0, 0, 127, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
         ::capnp::word(110, 112, 58, 86, 101, 114, 100, 105),
         ::capnp::word(99, 116, 0, 0, 0, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-        ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
+        ::capnp::word(20, 0, 0, 0, 1, 0, 2, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(29, 0, 0, 0, 34, 0, 0, 0),
+        ::capnp::word(53, 0, 0, 0, 34, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(21, 0, 0, 0, 66, 0, 0, 0),
+        ::capnp::word(45, 0, 0, 0, 66, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
-        ::capnp::word(13, 0, 0, 0, 50, 0, 0, 0),
+        ::capnp::word(37, 0, 0, 0, 50, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(29, 0, 0, 0, 82, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(25, 0, 0, 0, 74, 0, 0, 0),
         ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ::capnp::word(97, 115, 107, 0, 0, 0, 0, 0),
         ::capnp::word(99, 114, 97, 115, 104, 101, 100, 0),
         ::capnp::word(99, 108, 101, 97, 110, 0, 0, 0),
+        ::capnp::word(99, 111, 110, 118, 105, 99, 116, 101),
+        ::capnp::word(100, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(114, 101, 108, 101, 97, 115, 101, 100),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ];
     pub(crate) fn get_annotation_types(
         child_index: Option<u16>,
@@ -2830,6 +2844,10 @@
         ::capnp::capability::Params<crate::peer_capnp::peer::place_params::Owned>;
     pub type PlaceResults =
         ::capnp::capability::Results<crate::peer_capnp::peer::place_results::Owned>;
+    pub type PickedUpParams =
+        ::capnp::capability::Params<crate::peer_capnp::peer::picked_up_params::Owned>;
+    pub type PickedUpResults =
+        ::capnp::capability::Results<crate::peer_capnp::peer::picked_up_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -2945,6 +2963,14 @@
         > {
             self.client.new_call(_private::TYPE_ID, 4, ::core::option::Option::None)
         }
+        pub fn picked_up_request(
+            &self,
+        ) -> ::capnp::capability::Request<
+            crate::peer_capnp::peer::picked_up_params::Owned,
+            crate::peer_capnp::peer::picked_up_results::Owned,
+        > {
+            self.client.new_call(_private::TYPE_ID, 5, ::core::option::Option::None)
+        }
     }
     pub trait Server: 'static {
         fn heartbeat(
@@ -2992,6 +3018,15 @@
                 "method peer::Server::place not implemented".to_string(),
             )))
         }
+        fn picked_up(
+            self: ::capnp::capability::Rc<Self>,
+            _: PickedUpParams,
+            _: PickedUpResults,
+        ) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static {
+            ::core::future::ready(Err(::capnp::Error::unimplemented(
+                "method peer::Server::picked_up not implemented".to_string(),
+            )))
+        }
     }
     pub struct ServerDispatch<_T> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -3085,6 +3120,14 @@
                     )),
                     false,
                 ),
+                5 => ::capnp::capability::DispatchCallResult::new(
+                    ::capnp::capability::Promise::from_future(<_T as Server>::picked_up(
+                        this,
+                        ::capnp::private::capability::internal_get_typed_params(params),
+                        ::capnp::private::capability::internal_get_typed_results(results),
+                    )),
+                    false,
+                ),
                 _ => ::capnp::capability::DispatchCallResult::new(
                     ::capnp::capability::Promise::err(::capnp::Error::unimplemented(
                         "Method not implemented.".to_string(),
@@ -4466,6 +4509,10 @@
             {
                 ::core::convert::TryFrom::try_from(self.reader.get_data_field::<u16>(0))
             }
+            #[inline]
+            pub fn get_span_ms(self) -> u64 {
+                self.reader.get_data_field::<u64>(1)
+            }
         }
 
         pub struct Builder<'a> {
@@ -4473,7 +4520,7 @@
         }
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-                ::capnp::private::layout::StructSize { data: 1, pointers: 2 };
+                ::capnp::private::layout::StructSize { data: 2, pointers: 2 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -4606,6 +4653,14 @@
             pub fn set_verdict(&mut self, value: crate::peer_capnp::Verdict) {
                 self.builder.set_data_field::<u16>(0, value as u16);
             }
+            #[inline]
+            pub fn get_span_ms(self) -> u64 {
+                self.builder.get_data_field::<u64>(1)
+            }
+            #[inline]
+            pub fn set_span_ms(&mut self, value: u64) {
+                self.builder.set_data_field::<u64>(1, value);
+            }
         }
 
         pub struct Pipeline {
@@ -4618,45 +4673,52 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 78] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(182, 26, 0, 153, 144, 175, 229, 149),
-                ::capnp::word(16, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 2, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
                 ::capnp::word(115, 117, 115, 112, 101, 99, 116, 36),
                 ::capnp::word(80, 97, 114, 97, 109, 115, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(69, 0, 0, 0, 98, 0, 0, 0),
+                ::capnp::word(97, 0, 0, 0, 98, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(77, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(105, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(81, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(109, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(113, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(102, 105, 110, 103, 101, 114, 112, 114),
                 ::capnp::word(105, 110, 116, 0, 0, 0, 0, 0),
                 ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
@@ -4682,6 +4744,14 @@
                 ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(115, 112, 97, 110, 77, 115, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
@@ -4691,6 +4761,7 @@
                         <crate::peer_capnp::Verdict as ::capnp::introspect::Introspect>::introspect(
                         )
                     }
+                    3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -4709,9 +4780,9 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0, 2];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0, 3, 2];
             pub(crate) const TYPE_ID: u64 = 0x95e5_af90_9900_1ab6;
         }
     }
@@ -4828,6 +4899,10 @@
             pub fn get_quarantined(self) -> bool {
                 self.reader.get_bool_field(32)
             }
+            #[inline]
+            pub fn get_granted(self) -> bool {
+                self.reader.get_bool_field(33)
+            }
         }
 
         pub struct Builder<'a> {
@@ -4927,6 +5002,14 @@
             pub fn set_quarantined(&mut self, value: bool) {
                 self.builder.set_bool_field(32, value);
             }
+            #[inline]
+            pub fn get_granted(self) -> bool {
+                self.builder.get_bool_field(33)
+            }
+            #[inline]
+            pub fn set_granted(&mut self, value: bool) {
+                self.builder.set_bool_field(33, value);
+            }
         }
 
         pub struct Pipeline {
@@ -4939,7 +5022,7 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(21, 224, 251, 85, 138, 29, 107, 207),
                 ::capnp::word(16, 0, 0, 0, 1, 0, 1, 0),
@@ -4949,28 +5032,35 @@
                 ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
                 ::capnp::word(115, 117, 115, 112, 101, 99, 116, 36),
                 ::capnp::word(82, 101, 115, 117, 108, 116, 115, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 32, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(45, 0, 0, 0, 98, 0, 0, 0),
+                ::capnp::word(73, 0, 0, 0, 98, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 33, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(81, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(99, 114, 97, 115, 104, 101, 115, 0),
                 ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4988,11 +5078,20 @@
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(103, 114, 97, 110, 116, 101, 100, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                     1 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <bool as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -5011,9 +5110,9 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 1];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 2, 1];
             pub(crate) const TYPE_ID: u64 = 0xcf6b_1d8a_55fb_e015;
         }
     }
@@ -6347,4 +6446,546 @@
             pub(crate) const TYPE_ID: u64 = 0xdd1d_d041_b190_bd61;
         }
     }
+
+    pub mod picked_up_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned {
+            fn introspect() -> ::capnp::introspect::Type {
+                ::capnp::introspect::TypeVariant::Struct(
+                    ::capnp::introspect::RawBrandedStructSchema {
+                        generic: &_private::RAW_SCHEMA,
+                        field_types: _private::get_field_types,
+                        annotation_types: _private::get_annotation_types,
+                        type_id: ::core::any::TypeId::of::<Owned>(),
+                    },
+                )
+                .into()
+            }
+        }
+        impl ::capnp::traits::Owned for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::OwnedStruct for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::Pipelined for Owned {
+            type Pipeline = Pipeline;
+        }
+
+        pub struct Reader<'a> {
+            reader: ::capnp::private::layout::StructReader<'a>,
+        }
+        impl ::core::marker::Copy for Reader<'_> {}
+        impl ::core::clone::Clone for Reader<'_> {
+            fn clone(&self) -> Self {
+                *self
+            }
+        }
+
+        impl ::capnp::traits::HasTypeId for Reader<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+            fn from(reader: Reader<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(
+                    reader.reader,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
+            }
+        }
+
+        impl ::core::fmt::Debug for Reader<'_> {
+            fn fmt(
+                &self,
+                f: &mut ::core::fmt::Formatter<'_>,
+            ) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(
+                    &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                    f,
+                )
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+            fn get_from_pointer(
+                reader: &::capnp::private::layout::PointerReader<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl<'a> Reader<'a> {
+            pub fn reborrow(&self) -> Reader<'_> {
+                Self { ..*self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_run(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(
+                    &self.reader.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn has_run(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> {
+            builder: ::capnp::private::layout::StructBuilder<'a>,
+        }
+        impl ::capnp::traits::HasStructSize for Builder<'_> {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+                ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+        }
+        impl ::capnp::traits::HasTypeId for Builder<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+            fn from(builder: Builder<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(
+                    builder.builder,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
+            }
+        }
+
+        impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+            fn init_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                _size: u32,
+            ) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(
+                    builder
+                        .get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?
+                        .into(),
+                )
+            }
+        }
+
+        impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+            fn set_pointer_builder(
+                mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+                value: Self,
+                canonicalize: bool,
+            ) -> ::capnp::Result<()> {
+                pointer.set_struct(&value.reader, canonicalize)
+            }
+        }
+
+        impl<'a> Builder<'a> {
+            pub fn into_reader(self) -> Reader<'a> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_run(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                    self.builder.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn set_run(
+                &mut self,
+                value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
+            ) {
+                ::capnp::traits::SetterInput::set_pointer_builder(
+                    self.builder.reborrow().get_pointer_field(0),
+                    value,
+                    false,
+                )
+                .unwrap()
+            }
+            #[inline]
+            pub fn init_run(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(0).init_text(size)
+            }
+            #[inline]
+            pub fn has_run(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline {
+            _typeless: ::capnp::any_pointer::Pipeline,
+        }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless }
+            }
+        }
+        impl Pipeline {}
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 32] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(176, 60, 77, 42, 111, 223, 79, 135),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
+                ::capnp::word(112, 105, 99, 107, 101, 100, 85, 112),
+                ::capnp::word(36, 80, 97, 114, 97, 109, 115, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 34, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(114, 117, 110, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(
+                child_index: Option<u16>,
+                index: u32,
+            ) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+                ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+                ::capnp::introspect::RawStructSchema::new(
+                    &ARENA,
+                    NONUNION_MEMBERS,
+                    MEMBERS_BY_DISCRIMINANT,
+                    MEMBERS_BY_NAME,
+                );
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0x874f_df6f_2a4d_3cb0;
+        }
+    }
+
+    pub mod picked_up_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned {
+            fn introspect() -> ::capnp::introspect::Type {
+                ::capnp::introspect::TypeVariant::Struct(
+                    ::capnp::introspect::RawBrandedStructSchema {
+                        generic: &_private::RAW_SCHEMA,
+                        field_types: _private::get_field_types,
+                        annotation_types: _private::get_annotation_types,
+                        type_id: ::core::any::TypeId::of::<Owned>(),
+                    },
+                )
+                .into()
+            }
+        }
+        impl ::capnp::traits::Owned for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::OwnedStruct for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::Pipelined for Owned {
+            type Pipeline = Pipeline;
+        }
+
+        pub struct Reader<'a> {
+            reader: ::capnp::private::layout::StructReader<'a>,
+        }
+        impl ::core::marker::Copy for Reader<'_> {}
+        impl ::core::clone::Clone for Reader<'_> {
+            fn clone(&self) -> Self {
+                *self
+            }
+        }
+
+        impl ::capnp::traits::HasTypeId for Reader<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+            fn from(reader: Reader<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(
+                    reader.reader,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
+            }
+        }
+
+        impl ::core::fmt::Debug for Reader<'_> {
+            fn fmt(
+                &self,
+                f: &mut ::core::fmt::Formatter<'_>,
+            ) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(
+                    &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                    f,
+                )
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+            fn get_from_pointer(
+                reader: &::capnp::private::layout::PointerReader<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl Reader<'_> {
+            pub fn reborrow(&self) -> Reader<'_> {
+                Self { ..*self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+        }
+
+        pub struct Builder<'a> {
+            builder: ::capnp::private::layout::StructBuilder<'a>,
+        }
+        impl ::capnp::traits::HasStructSize for Builder<'_> {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+                ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
+        }
+        impl ::capnp::traits::HasTypeId for Builder<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+            fn from(builder: Builder<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(
+                    builder.builder,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
+            }
+        }
+
+        impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+            fn init_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                _size: u32,
+            ) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(
+                    builder
+                        .get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?
+                        .into(),
+                )
+            }
+        }
+
+        impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+            fn set_pointer_builder(
+                mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+                value: Self,
+                canonicalize: bool,
+            ) -> ::capnp::Result<()> {
+                pointer.set_struct(&value.reader, canonicalize)
+            }
+        }
+
+        impl<'a> Builder<'a> {
+            pub fn into_reader(self) -> Reader<'a> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+        }
+
+        pub struct Pipeline {
+            _typeless: ::capnp::any_pointer::Pipeline,
+        }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless }
+            }
+        }
+        impl Pipeline {}
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 17] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(11, 70, 149, 243, 115, 105, 99, 204),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
+                ::capnp::word(112, 105, 99, 107, 101, 100, 85, 112),
+                ::capnp::word(36, 82, 101, 115, 117, 108, 116, 115),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_field_index(index)
+            }
+            pub(crate) fn get_annotation_types(
+                child_index: Option<u16>,
+                index: u32,
+            ) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+                ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+                ::capnp::introspect::RawStructSchema::new(
+                    &ARENA,
+                    NONUNION_MEMBERS,
+                    MEMBERS_BY_DISCRIMINANT,
+                    MEMBERS_BY_NAME,
+                );
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[];
+            pub(crate) const TYPE_ID: u64 = 0xcc63_6973_f395_460b;
+        }
+    }
 }
--- a/crates/peer/src/runtime.rs
+++ b/crates/peer/src/runtime.rs
@@ -196,13 +196,21 @@
             params.set_fingerprint(&suspect.fingerprint.0);
             params.set_attempt(suspect.attempt.as_str());
             params.set_verdict(convert::write_verdict(suspect.verdict));
+            params.set_span_ms(suspect.span.get());
             let response = request.send().promise.await?;
             let results = response.get()?;
             Reply::Suspect(SuspectReply {
                 crashes: results.get_crashes(),
                 quarantined: results.get_quarantined(),
+                granted: results.get_granted(),
             })
         }
+        CallKind::PickedUp(run) => {
+            let mut request = peer.picked_up_request();
+            request.get().set_run(run.as_str());
+            request.send().promise.await?;
+            Reply::PickedUp(())
+        }
         CallKind::Borrow(borrow) => {
             let mut request = peer.borrow_request();
             let mut params = request.get();
@@ -323,10 +331,21 @@
             fingerprint: convert::digest(params.get_fingerprint()?)?,
             attempt: params.get_attempt()?.to_string().map_err(convert::bad)?,
             verdict: convert::read_verdict(params.get_verdict()?),
+            span: TimeMs(params.get_span_ms()),
         });
         let mut builder = results.get();
         builder.set_crashes(reply.crashes);
         builder.set_quarantined(reply.quarantined);
+        builder.set_granted(reply.granted);
+        Ok(())
+    }
+
+    async fn picked_up(
+        self: Rc<Self>,
+        params: peer_capnp::peer::PickedUpParams,
+        _results: peer_capnp::peer::PickedUpResults,
+    ) -> Result<(), capnp::Error> {
+        self.handler.picked_up(convert::text(params.get()?.get_run()?)?);
         Ok(())
     }
 
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -3,15 +3,15 @@
 //! The wire format is that of `bilberryford_endpoint::wire`. A prompt that holds [`CRASH_MARK`] ends the engine's life
 //! together with every run in its batch.
 
+mod faults;
+mod reader;
+
 use std::{collections::HashMap, io, net::SocketAddr, sync::Arc, time::Duration};
 
 use bilberryford_cache::prompt_tokens;
-use bilberryford_endpoint::{
-    LoadReport,
-    wire::{ChunkBody, CompletionBody, EndBody},
-};
+use bilberryford_endpoint::{LoadReport, wire::CompletionBody};
 use bilberryford_types::{AttemptId, TimeMs, Tokens, WeightVersion};
-use futures::{StreamExt, stream};
+use futures::StreamExt;
 use parking_lot::Mutex;
 use poem::{
     Body, EndpointExt, IntoResponse, Response, Route, get, handler,
@@ -31,6 +31,8 @@
     run_ledger::RunLedger,
 };
 
+pub use faults::Faults;
+
 /// A prompt with this mark crashes the engine that runs it.
 pub const CRASH_MARK: &str = "[[crash]]";
 
@@ -62,16 +64,6 @@
     }
 }
 
-/// What can be switched on.
-#[derive(Debug, Clone, Default, Serialize, Deserialize)]
-#[serde(default, deny_unknown_fields)]
-pub struct Faults {
-    /// Streams stop after that many tokens and stay open; 0 for never. Resumed streams go on.
-    pub silent_after_tokens: u32,
-    /// New runs are refused with 503.
-    pub refuse: bool,
-}
-
 /// What really ran.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct Book {
@@ -79,6 +71,12 @@
     pub started: u64,
     /// Runs that came to their end.
     pub finished: u64,
+    /// Runs that were refused.
+    pub refused: u64,
+    /// Runs that were cancelled.
+    pub cancelled: u64,
+    /// Streams that were picked up on a new connection.
+    pub resumed: u64,
     /// Crashes.
     pub crashes: u64,
     /// Crashes by the digest of the prompt that caused them.
@@ -161,6 +159,7 @@
 
     fn start(self: &Arc<Self>, body: CompletionBody) -> Result<Arc<Output>, StatusCode> {
         if self.engine.faults.lock().refuse {
+            self.engine.book.lock().refused += 1;
             return Err(StatusCode::SERVICE_UNAVAILABLE);
         }
         if !self.engine.spec.weight_versions.contains(&body.weight_version) {
@@ -205,8 +204,9 @@
         let gap = Duration::from_millis(self.engine.spec.token_gap_ms);
         let mut due = Instant::now();
         for count in output.first + 1..=output.total {
-            due += gap;
-            if !gap.is_zero() {
+            let slow = Duration::from_millis(self.engine.faults.lock().slow_ms);
+            due += gap + slow;
+            if !(gap + slow).is_zero() {
                 sleep_until(due).await;
             }
             output.tokens.send_replace(count);
@@ -236,80 +236,10 @@
         from: u32,
         is_resumed: bool,
     ) -> Response {
-        let silent_after = self.engine.faults.lock().silent_after_tokens;
-        let silent_at = if is_resumed || silent_after == 0 { u32::MAX } else { silent_after };
-        let reader = Reader {
-            attempt,
-            changed: output.tokens.subscribe(),
-            output,
-            next: from,
-            silent_at,
-            is_over: false,
-        };
-        let events = stream::unfold(reader, |mut reader| async move {
-            let events = reader.next_events().await?;
-            Some((Ok::<_, io::Error>(events), reader))
-        });
+        let reader = reader::Reader::new(self.engine.clone(), attempt, output, from, is_resumed);
         Response::builder()
             .content_type("text/event-stream")
-            .body(Body::from_bytes_stream(events.boxed()))
-    }
-}
-
-struct Reader {
-    attempt: AttemptId,
-    output: Arc<Output>,
-    changed: watch::Receiver<u32>,
-    next: u32,
-    silent_at: u32,
-    is_over: bool,
-}
-
-impl Reader {
-    async fn next_events(&mut self) -> Option<String> {
-        if self.is_over {
-            return None;
-        }
-        let mut events = String::new();
-        let ready = *self
-            .changed
-            .wait_for(|ready| *ready > self.next || *ready >= self.output.total)
-            .await
-            .ok()?;
-        for index in self.next..ready {
-            if index >= self.silent_at {
-                if events.is_empty() {
-                    std::future::pending::<()>().await;
-                }
-                return Some(events);
-            }
-            let text = answer::token_of(self.output.seed, index);
-            self.push(
-                &mut events,
-                &ChunkBody { attempt: self.attempt.clone(), index: Some(index), text, end: None },
-            );
-            self.next = index + 1;
-        }
-        if ready >= self.output.total {
-            let end = EndBody {
-                tokens: Tokens(self.output.total),
-                cached_tokens: Tokens(0),
-                prompt_tokens: self.output.prompt_tokens,
-            };
-            let attempt = self.attempt.clone();
-            self.push(
-                &mut events,
-                &ChunkBody { attempt, index: None, text: String::new(), end: Some(end) },
-            );
-            self.is_over = true;
-        }
-        Some(events)
-    }
-
-    fn push(&self, events: &mut String, chunk: &ChunkBody) {
-        events.push_str("data: ");
-        events.push_str(&serde_json::to_string(chunk).unwrap_or_default());
-        events.push_str("\n\n");
+            .body(Body::from_bytes_stream(reader.events().boxed()))
     }
 }
 
@@ -326,10 +256,12 @@
 }
 
 #[handler]
-fn completions(Data(life): Data<&Arc<Life>>, Json(body): Json<CompletionBody>) -> Response {
+async fn completions(Data(life): Data<&Arc<Life>>, Json(body): Json<CompletionBody>) -> Response {
+    reader::thaw(&life.engine).await;
     let attempt = body.attempt.clone();
     let from = body.skip_tokens.get();
     match life.start(body) {
+        Ok(_) if life.engine.faults.lock().take_mute_start() => std::future::pending().await,
         Ok(output) => life.stream(attempt, output, from, false),
         Err(status) => status.into_response(),
     }
@@ -342,11 +274,12 @@
 }
 
 #[handler]
-fn resume(
+async fn resume(
     Data(life): Data<&Arc<Life>>,
     Path(attempt): Path<String>,
     Query(query): Query<ResumeQuery>,
 ) -> Response {
+    reader::thaw(&life.engine).await;
     let Ok(attempt) = attempt.parse::<AttemptId>() else {
         return StatusCode::NOT_FOUND.into_response();
     };
@@ -354,6 +287,7 @@
     match output {
         // An attempt that was continued from elsewhere does not have the tokens before it.
         Some(output) if query.from >= output.first => {
+            life.engine.book.lock().resumed += 1;
             life.stream(attempt, output, query.from, true)
         }
         _ => StatusCode::NOT_FOUND.into_response(),
@@ -364,7 +298,11 @@
 fn cancel(Data(life): Data<&Arc<Life>>, Path(attempt): Path<String>) -> StatusCode {
     let known =
         attempt.parse::<AttemptId>().ok().and_then(|attempt| life.runs.lock().remove(&attempt));
-    if known.is_some() { StatusCode::NO_CONTENT } else { StatusCode::NOT_FOUND }
+    if known.is_none() {
+        return StatusCode::NOT_FOUND;
+    }
+    life.engine.book.lock().cancelled += 1;
+    StatusCode::NO_CONTENT
 }
 
 #[handler]
--- a/crates/types/src/event.rs
+++ b/crates/types/src/event.rs
@@ -99,6 +99,8 @@
     FirstToken,
     /// A stream was resumed on a new connection.
     Resumed,
+    /// A run that nobody needs any more was cancelled.
+    Cancelled,
     /// A run was continued on another endpoint.
     Continued,
     /// A request got its whole answer.
--- a/crates/types/src/kind.rs
+++ b/crates/types/src/kind.rs
@@ -148,6 +148,10 @@
     EndpointLost: 502 Maybe IfIdempotent Yes RetryAfter::FixedMs(1_000), "the endpoint was lost while it ran the request";
     /// The endpoint answered something that can't be read or isn't whole.
     EndpointBroken: 502 Maybe IfIdempotent Yes RetryAfter::FixedMs(1_000), "the endpoint's answer was not whole";
+    /// The answer does not fit into the bounded buffers.
+    AnswerTooLarge: 502 Maybe Never No RetryAfter::None, "the answer is larger than can be held";
+    /// Nobody read the run for too long, and it was cancelled.
+    RunCancelled: 410 Maybe Never Yes RetryAfter::FixedMs(0), "the run was cancelled since nobody read it; send the prompt again";
     /// The endpoint no longer has the weight version that the run is pinned to.
     VersionGone: 503 Maybe Never Yes RetryAfter::FixedMs(0), "the run's weight version is gone; send the prompt again";
     /// The deadline passed before an endpoint was chosen.
--- a/src/commands/serve.rs
+++ b/src/commands/serve.rs
@@ -103,6 +103,15 @@
         display_fallback
     )]
     drain_limit_ms: u64,
+    /// How long a run goes on that nobody reads, before it is cancelled, in milliseconds
+    #[bpaf(
+        long,
+        env("BILBERRYFORD_PICK_UP_LIMIT_MS"),
+        argument("MS"),
+        fallback(30_000),
+        display_fallback
+    )]
+    pick_up_limit_ms: u64,
     /// How many threads serve requests
     #[bpaf(
         long,
@@ -162,6 +171,11 @@
             max_in_flight: in_range("max-in-flight", self.max_in_flight, &(1..=65_536))?,
             drain_delay: TimeMs(in_range("drain-delay-ms", self.drain_delay_ms, &(0..=60_000))?),
             drain_limit: TimeMs(in_range("drain-limit-ms", self.drain_limit_ms, &(0..=3_600_000))?),
+            pick_up_limit: TimeMs(in_range(
+                "pick-up-limit-ms",
+                self.pick_up_limit_ms,
+                &(100..=600_000),
+            )?),
             worker_threads: in_range("worker-threads", self.worker_threads, &(1..=64))?,
         })
     }
--- /dev/null
+++ b/tests/all/answers.rs
@@ -0,0 +1,329 @@
+//! Whole answers, true refusals and bounded retries, judged by the engines' books and the bytes of the answers.
+
+use std::time::{Duration, Instant};
+
+use bilberryford_standins::{
+    answer,
+    engine::{EngineSpec, Faults},
+    load::{Outcome, Seen},
+};
+use futures::StreamExt;
+use reqwest::header;
+use rstest::rstest;
+use serde_json::json;
+
+use crate::support::{Deployment, KEY, eventually, fast_engine};
+
+/// An engine with time between tokens, so that a fault can be brought about in the middle.
+fn steady_engine(token_gap_ms: u64) -> EngineSpec {
+    EngineSpec { token_gap_ms, ..fast_engine() }
+}
+
+fn set_faults(deployment: &Deployment, faults: &Faults) {
+    deployment.engines.iter().for_each(|(engine, _)| engine.set_faults(faults.clone()));
+}
+
+fn started(deployment: &Deployment) -> u64 {
+    deployment.engines.iter().map(|(engine, _)| engine.book().started).sum()
+}
+
+fn bad_continuations(deployment: &Deployment) -> u64 {
+    deployment.engines.iter().map(|(engine, _)| engine.book().bad_continuations).sum()
+}
+
+#[rstest]
+#[case::silent(Faults { silent_after_tokens: 5, ..Faults::default() })]
+#[case::cut(Faults { cut_after_tokens: 5, ..Faults::default() })]
+#[case::mute_from_the_start(Faults { mute_starts: 1, ..Faults::default() })]
+#[case::crossed(Faults { cross_chunks: true, ..Faults::default() })]
+#[case::doubled(Faults { duplicate_chunks: true, ..Faults::default() })]
+#[case::no_end_marker(Faults { no_end: 1, ..Faults::default() })]
+#[case::wrong_count(Faults { wrong_count: 1, ..Faults::default() })]
+#[case::crossed_and_cut(Faults { cross_chunks: true, cut_after_tokens: 3, ..Faults::default() })]
+#[case::silent_and_no_end(Faults { silent_after_tokens: 3, no_end: 1, ..Faults::default() })]
+#[tokio::test]
+async fn a_faulty_stream_still_gives_the_whole_answer(
+    #[case] faults: Faults,
+    #[values(true, false)] stream: bool,
+) {
+    let deployment = Deployment::start(1, &steady_engine(2)).await.unwrap();
+    set_faults(&deployment, &faults);
+    let url = deployment.url(0);
+    let seen = deployment.caller().prompt(&url, "assistant", "which tin?", 40, stream).await;
+    assert_eq!(seen.outcome, Outcome::Whole);
+    assert_eq!(started(&deployment), 1, "the run is resumed, not begun again");
+}
+
+/// Sends a prompt, and calls `act` once with the engine's number when tokens have come.
+async fn prompt_and_disturb(deployment: &Deployment, tokens: u32, act: impl Fn(usize)) -> Seen {
+    let (caller, url) = (deployment.caller(), deployment.url(0));
+    let answer = caller.prompt(&url, "assistant", "where is the lorry?", tokens, true);
+    let disturb = async {
+        let running = eventually(|| async {
+            let text = metrics(deployment, 0).await;
+            if value(&text, "bilberryford_first_token_seconds_count") < 1.0 {
+                return None;
+            }
+            deployment.engines.iter().position(|(engine, _)| engine.book().started > 0)
+        });
+        act(running.await.expect("a run begins"));
+    };
+    let (seen, ()) = tokio::join!(answer, disturb);
+    seen
+}
+
+async fn metrics(deployment: &Deployment, instance: usize) -> String {
+    let request = deployment.client.get(format!("{}/metrics", deployment.url(instance)));
+    request.send().await.unwrap().text().await.unwrap()
+}
+
+fn value(metrics: &str, name: &str) -> f64 {
+    let line = metrics.lines().find(|line| line.starts_with(name));
+    line.and_then(|line| line.rsplit(' ').next()?.parse().ok()).unwrap_or(0.0)
+}
+
+#[tokio::test]
+async fn a_run_whose_engine_crashes_goes_on_elsewhere_byte_for_byte() {
+    let deployment = Deployment::start(1, &steady_engine(10)).await.unwrap();
+    let seen = prompt_and_disturb(&deployment, 100, |engine| {
+        deployment.engines[engine].1.set_down(true);
+    })
+    .await;
+    deployment.engines.iter().for_each(|(_, host)| host.set_down(false));
+    assert_eq!(seen.outcome, Outcome::Whole);
+    assert_eq!(bad_continuations(&deployment), 0);
+    assert_eq!(started(&deployment), 2);
+}
+
+#[tokio::test]
+async fn a_run_whose_engine_freezes_goes_on_elsewhere_byte_for_byte() {
+    let deployment = Deployment::start(1, &steady_engine(10)).await.unwrap();
+    let seen = prompt_and_disturb(&deployment, 100, |engine| {
+        deployment.engines[engine].0.set_faults(Faults { frozen: true, ..Faults::default() });
+    })
+    .await;
+    assert_eq!(seen.outcome, Outcome::Whole);
+    assert_eq!(bad_continuations(&deployment), 0);
+    assert_eq!(started(&deployment), 2);
+}
+
+#[tokio::test]
+async fn a_run_stays_on_its_weight_version_when_an_engine_lacks_it() {
+    let mut deployment = Deployment::start(1, &steady_engine(10)).await.unwrap();
+    let other = EngineSpec { weight_versions: vec!["v2".parse().unwrap()], ..steady_engine(10) };
+    for _ in 0..2 {
+        deployment.add_engine(&other).unwrap();
+    }
+    deployment.wait_ready().await.unwrap();
+    let seen = prompt_and_disturb(&deployment, 100, |engine| {
+        deployment.engines[engine].1.set_down(true);
+    })
+    .await;
+    deployment.engines.iter().for_each(|(_, host)| host.set_down(false));
+    assert_eq!(seen.outcome, Outcome::Whole);
+    assert_eq!(bad_continuations(&deployment), 0);
+}
+
+#[tokio::test]
+async fn a_run_that_nobody_reads_is_cancelled() {
+    let flags = ["--pick-up-limit-ms", "200"];
+    let deployment = Deployment::start_with(1, &steady_engine(20), &flags).await.unwrap();
+    let request = begin(&deployment, 0, 2_000);
+    drop(request.await);
+    let cancelled = eventually(|| async {
+        let cancelled: u64 =
+            deployment.engines.iter().map(|(engine, _)| engine.book().cancelled).sum();
+        (cancelled == 1).then_some(())
+    });
+    cancelled.await.expect("the engine hears of it");
+}
+
+/// Begins a streamed chat and answers the response with the first bytes read.
+async fn begin(deployment: &Deployment, instance: usize, tokens: u32) -> reqwest::Response {
+    let body = json!({
+        "model": "assistant", "max_tokens": tokens, "stream": true,
+        "messages": [{ "role": "user", "content": "hello" }],
+    });
+    let mut response = deployment
+        .client
+        .post(format!("{}/v1/chat/completions", deployment.url(instance)))
+        .header(header::AUTHORIZATION, format!("Bearer {KEY}"))
+        .header("bilberryford-timeout-ms", 20_000)
+        .json(&body)
+        .send()
+        .await
+        .unwrap();
+    assert!(response.status().is_success());
+    response.chunk().await.unwrap().expect("a first event");
+    response
+}
+
+fn run_of(response: &reqwest::Response) -> String {
+    response.headers()["bilberryford-run"].to_str().unwrap().to_owned()
+}
+
+#[tokio::test]
+async fn an_answer_is_picked_up_elsewhere_after_its_instance_was_killed() {
+    let mut deployment = Deployment::start(2, &steady_engine(10)).await.unwrap();
+    let response = begin(&deployment, 0, 100).await;
+    let run = run_of(&response);
+    deployment.instances.remove(0).kill();
+    let caller = deployment.caller();
+    let rest = caller.resume(&deployment.url(0), &run, 1).await.expect("the run is found");
+    let whole = answer::whole(&answer::chat_prompt("hello"), "v1", 100);
+    assert_eq!(rest, whole[whole.len() / 100..]);
+    assert_eq!(started(&deployment), 1);
+}
+
+#[tokio::test]
+async fn an_answer_that_moved_is_picked_up_after_its_instance_was_killed() {
+    let mut deployment = Deployment::start(2, &steady_engine(10)).await.unwrap();
+    let mut response = begin(&deployment, 0, 200).await;
+    let run = run_of(&response);
+    let engine = deployment.engines.iter().position(|(engine, _)| engine.book().started > 0);
+    deployment.engines[engine.unwrap()].1.set_down(true);
+    eventually(|| async { (started(&deployment) == 2).then_some(()) }).await.expect("it moves");
+    // What was sent before the move is read from the old connection, as a caller would have.
+    let mut text = String::new();
+    while last_id(&text) < 60 {
+        let chunk = response.chunk().await.unwrap().expect("it goes on");
+        text.push_str(std::str::from_utf8(&chunk).unwrap());
+    }
+    let from = last_id(&text);
+    deployment.instances.remove(0).kill();
+    let rest = deployment.caller().resume(&deployment.url(0), &run, from).await;
+    deployment.engines.iter().for_each(|(_, host)| host.set_down(false));
+    let whole = answer::whole(&answer::chat_prompt("hello"), "v1", 200);
+    assert_eq!(rest.expect("the run is found"), whole[whole.len() / 200 * from as usize..]);
+}
+
+fn last_id(events: &str) -> u32 {
+    let mut ids = events.lines().filter_map(|line| line.strip_prefix("id: ")?.parse().ok());
+    ids.next_back().unwrap_or(0)
+}
+
+#[tokio::test]
+async fn an_answer_picked_up_elsewhere_outlives_the_first_instances_patience() {
+    let flags = ["--pick-up-limit-ms", "300"];
+    let deployment = Deployment::start_with(2, &steady_engine(10), &flags).await.unwrap();
+    let response = begin(&deployment, 0, 150).await;
+    let run = run_of(&response);
+    drop(response);
+    let rest = deployment.caller().resume(&deployment.url(1), &run, 0).await;
+    let whole = answer::whole(&answer::chat_prompt("hello"), "v1", 150);
+    assert_eq!(rest.expect("the run is found"), whole);
+}
+
+#[rstest]
+#[case::streamed("text/event-stream", "chat.completion.chunk")]
+#[case::whole("application/json", "\"chat.completion\"")]
+#[tokio::test]
+async fn a_run_is_picked_up_in_the_shape_that_it_was_asked_in(
+    #[case] accept: &str,
+    #[case] object: &str,
+) {
+    let deployment = Deployment::start(2, &fast_engine()).await.unwrap();
+    let run = run_of(&begin(&deployment, 0, 20).await);
+    for instance in 0..2 {
+        let url = format!("{}/v1/runs/{run}", deployment.url(instance));
+        let request = deployment.client.get(url).header(header::ACCEPT, accept);
+        let request = request.header(header::AUTHORIZATION, format!("Bearer {KEY}"));
+        let text = request.send().await.unwrap().text().await.unwrap();
+        assert!(text.contains(object), "{text}");
+    }
+}
+
+#[tokio::test]
+async fn a_long_whole_answer_names_its_run_before_its_end() {
+    let mut deployment = Deployment::start(2, &steady_engine(15)).await.unwrap();
+    let body = json!({ "model": "assistant", "prompt": "hello", "max_tokens": 200 });
+    let request = deployment.client.post(format!("{}/v1/completions", deployment.url(0)));
+    let request = request
+        .header(header::AUTHORIZATION, format!("Bearer {KEY}"))
+        .header("bilberryford-timeout-ms", 20_000);
+    let response = request.json(&body).send().await.unwrap();
+    let run = run_of(&response);
+    deployment.instances.remove(0).kill();
+    assert!(response.bytes().await.is_err(), "a cut body is never taken for a whole one");
+    let request = deployment.client.get(format!("{}/v1/runs/{run}", deployment.url(0)));
+    let request = request
+        .header(header::AUTHORIZATION, format!("Bearer {KEY}"))
+        .header(header::ACCEPT, "application/json");
+    let body: serde_json::Value = request.send().await.unwrap().json().await.unwrap();
+    assert_eq!(body["choices"][0]["text"], answer::whole("hello", "v1", 200));
+}
+
+#[tokio::test]
+async fn a_run_of_another_team_is_not_told_from_none() {
+    let deployment = Deployment::start(2, &fast_engine()).await.unwrap();
+    let run = run_of(&begin(&deployment, 0, 20).await);
+    let mut answers = Vec::new();
+    for (instance, run) in [(0, run.as_str()), (1, run.as_str()), (0, "run:c:1:x:y:z")] {
+        let request = deployment.client.get(format!("{}/v1/runs/{run}", deployment.url(instance)));
+        let request = request.header(header::AUTHORIZATION, "Bearer demo-key-wels-milk");
+        let response = request.send().await.unwrap();
+        answers.push((response.status(), response.text().await.unwrap()));
+    }
+    assert_eq!(answers[0].0, 404);
+    assert!(answers.iter().all(|answer| *answer == answers[0]), "{answers:?}");
+}
+
+#[tokio::test]
+async fn a_deadline_in_the_middle_ends_the_stream_with_a_typed_event() {
+    let deployment = Deployment::start(1, &steady_engine(20)).await.unwrap();
+    let body =
+        json!({ "model": "assistant", "prompt": "hello", "max_tokens": 500, "stream": true });
+    let request = deployment.client.post(format!("{}/v1/completions", deployment.url(0)));
+    let request = request
+        .header(header::AUTHORIZATION, format!("Bearer {KEY}"))
+        .header("bilberryford-timeout-ms", 500);
+    let text = request.json(&body).send().await.unwrap().text().await.unwrap();
+    let last = text.trim_end().rsplit("\n\n").next().unwrap();
+    assert!(last.starts_with("event: error\ndata: "), "{last}");
+    assert!(last.contains("\"deadline_while_running\"") && last.contains("\"maybe\""), "{last}");
+    assert!(!text.contains("[DONE]"));
+    let cancelled = eventually(|| async {
+        let cancelled: u64 =
+            deployment.engines.iter().map(|(engine, _)| engine.book().cancelled).sum();
+        (cancelled == 1).then_some(())
+    });
+    cancelled.await.expect("the engine hears of it");
+}
+
+#[rstest]
+#[case::refusing(false)]
+#[case::down(true)]
+#[tokio::test]
+async fn when_the_whole_pool_fails_refusals_are_at_once_true_and_load_stays_bounded(
+    #[case] down: bool,
+) {
+    const REQUESTS: usize = 300;
+    let deployment = Deployment::start(1, &fast_engine()).await.unwrap();
+    set_faults(&deployment, &Faults { refuse: true, ..Faults::default() });
+    deployment.engines.iter().for_each(|(_, host)| host.set_down(down));
+    let (caller, url) = (deployment.caller(), deployment.url(0));
+    let asked: Vec<_> = futures::stream::iter(0..REQUESTS)
+        .map(|number| {
+            let (caller, url) = (&caller, &url);
+            async move {
+                let begun = Instant::now();
+                let prompt = format!("prompt {number}");
+                let seen = caller.prompt(url, "assistant", &prompt, 4, true).await;
+                (seen.outcome, begun.elapsed())
+            }
+        })
+        .buffer_unordered(16)
+        .collect()
+        .await;
+    deployment.engines.iter().for_each(|(_, host)| host.set_down(false));
+    for (outcome, took) in &asked {
+        assert!(matches!(outcome, Outcome::Refused { status: 503, ran, .. } if ran == "no"));
+        assert!(*took < Duration::from_secs(4), "{took:?}");
+    }
+    assert_eq!(started(&deployment), 0);
+    let calls = value(&metrics(&deployment, 0).await, "bilberryford_retries_total");
+    let refused: u64 = deployment.engines.iter().map(|(engine, _)| engine.book().refused).sum();
+    assert!(calls <= REQUESTS as f64 * 0.1, "{calls} retries");
+    assert!(refused as f64 <= REQUESTS as f64 * 1.1, "{refused} calls of engines");
+    assert!(down || refused >= REQUESTS as u64, "{refused} calls of engines");
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -2,5 +2,6 @@
 
 mod support;
 
+mod answers;
 mod bad_input;
 mod path;
--- a/tests/all/support.rs
+++ b/tests/all/support.rs
@@ -38,11 +38,21 @@
     pub(crate) services: Vec<(Arc<Service>, Hosted)>,
     pub(crate) instances: Vec<Instance>,
     pub(crate) client: reqwest::Client,
+    flags: Vec<String>,
 }
 
 impl Deployment {
     /// Starts stand-ins and `instances` entry instances, applies the document and waits until all are ready.
     pub(crate) async fn start(instances: usize, spec: &EngineSpec) -> io::Result<Self> {
+        Self::start_with(instances, spec, &[]).await
+    }
+
+    /// Starts the same with more flags for every instance.
+    pub(crate) async fn start_with(
+        instances: usize,
+        spec: &EngineSpec,
+        flags: &[&str],
+    ) -> io::Result<Self> {
         let platform = Arc::new(Platform::default());
         let platform_host = platform.host(loopback())?;
         let engine = || {
@@ -58,8 +68,15 @@
         let engines = vec![engine()?, engine()?];
         let services = vec![service()?];
         let client = reqwest::Client::new();
-        let mut deployment =
-            Self { platform, platform_host, engines, services, instances: Vec::new(), client };
+        let mut deployment = Self {
+            platform,
+            platform_host,
+            engines,
+            services,
+            instances: Vec::new(),
+            client,
+            flags: flags.iter().map(|flag| (*flag).to_owned()).collect(),
+        };
         for number in 1..=instances {
             deployment.add_instance(&format!("entry-{number}"))?;
         }
@@ -76,13 +93,22 @@
             data_centre: "linz-1".to_owned(),
             environment: "trial".to_owned(),
             platform_url: self.platform_host.url(),
-            flags: Vec::new(),
+            flags: self.flags.clone(),
         })?;
         self.instances.push(instance);
         self.publish();
         Ok(())
     }
 
+    /// Starts one more engine and lists it.
+    pub(crate) fn add_engine(&mut self, spec: &EngineSpec) -> io::Result<()> {
+        let engine = Engine::new(spec.clone());
+        let host = engine.host(loopback())?;
+        self.engines.push((engine, host));
+        self.publish();
+        Ok(())
+    }
+
     /// Lists everything that is up.
     pub(crate) fn publish(&self) {
         let engines = self.engines.iter().enumerate().map(|(number, (_, host))| {
