--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -16,6 +16,8 @@
 mod membership;
 mod order;
 mod ownership;
+mod retry;
+mod silence;
 
 pub use attempt::{Attempt, AttemptState, NotRun, Planned, Sent, Settled};
 pub use config::{ConfigOffer, ConfigStamp, VersionedConfig};
@@ -29,3 +31,5 @@
 };
 pub use order::{OrderDecision, OrderRecord, OrderReply, OrderRequest, OrderState};
 pub use ownership::{owner, owners};
+pub use retry::{RetryBudget, RetryBudgets, RetryClass, backoff};
+pub use silence::SilenceDetector;
