--- a/crates/cache/src/index.rs
+++ b/crates/cache/src/index.rs
@@ -5,7 +5,7 @@
 
 use std::{collections::HashMap, mem};
 
-use bilberryford_types::Digest;
+use bilberryford_types::{Digest, Incarnation};
 
 /// How many engines a cell has at most; each takes one bit of [`Holders`].
 pub const MAX_ENGINES: usize = 32;
@@ -63,6 +63,8 @@
 /// What an engine says that it cached and dropped since its last event.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct CacheEvent {
+    /// How often the engine has started; a restart empties its memory.
+    pub incarnation: Incarnation,
     /// Counts the engine's events without a gap.
     pub sequence: u64,
     /// Blocks that it holds since.
@@ -71,6 +73,17 @@
     pub removed: Vec<Digest>,
 }
 
+/// All blocks that an engine holds.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct CacheSnapshot {
+    /// How often the engine has started.
+    pub incarnation: Incarnation,
+    /// The last event that is contained.
+    pub sequence: u64,
+    /// The blocks.
+    pub blocks: Vec<Digest>,
+}
+
 /// What became of an event.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Fed {
@@ -84,6 +97,7 @@
 
 #[derive(Debug, Clone, Copy, Default)]
 struct Feed {
+    incarnation: Incarnation,
     sequence: u64,
     is_doubtful: bool,
 }
@@ -126,8 +140,11 @@
 
     /// Takes an engine's event in.
     pub fn feed(&mut self, engine: EngineSlot, event: &CacheEvent) -> Fed {
+        if event.incarnation > self.feeds[engine.0 as usize].incarnation {
+            self.restarted(engine, event.incarnation);
+        }
         let feed = &mut self.feeds[engine.0 as usize];
-        if event.sequence <= feed.sequence {
+        if event.incarnation < feed.incarnation || event.sequence <= feed.sequence {
             return Fed::Old;
         }
         let is_next = event.sequence == feed.sequence + 1;
@@ -139,23 +156,24 @@
         fed
     }
 
-    /// Replaces all that is known of an engine; events up to `sequence` are contained in `blocks`.
-    pub fn snapshot(&mut self, engine: EngineSlot, sequence: u64, blocks: &[Digest]) {
-        if sequence < self.feeds[engine.0 as usize].sequence {
+    /// Replaces all that is known of an engine; the events up to its sequence are contained.
+    pub fn snapshot(&mut self, engine: EngineSlot, snapshot: &CacheSnapshot) {
+        let CacheSnapshot { incarnation, sequence, ref blocks } = *snapshot;
+        let known = self.feeds[engine.0 as usize];
+        if (incarnation, sequence) < (known.incarnation, known.sequence) {
             return;
         }
-        self.forget_engine(engine);
-        self.feeds[engine.0 as usize] = Feed { sequence, is_doubtful: false };
+        self.restarted(engine, incarnation);
+        self.feeds[engine.0 as usize].sequence = sequence;
         blocks.iter().for_each(|block| self.set_engine(block, engine, true));
     }
 
-    /// Drops all that is known of an engine, for one that restarted.
-    pub fn forget_engine(&mut self, engine: EngineSlot) {
+    fn restarted(&mut self, engine: EngineSlot, incarnation: Incarnation) {
         let mask = !(1 << engine.0);
         for holders in self.young.values_mut().chain(self.old.values_mut()) {
             holders.engines &= mask;
         }
-        self.feeds[engine.0 as usize] = Feed::default();
+        self.feeds[engine.0 as usize] = Feed { incarnation, ..Feed::default() };
     }
 
     /// Whether events of the engine are missing.
--- a/crates/cache/src/lib.rs
+++ b/crates/cache/src/lib.rs
@@ -16,7 +16,8 @@
 pub use chain::{BLOCK_TOKENS, ChainSalt, PrefixChain, prompt_tokens};
 pub use decide::{Decision, EngineView, PlaceRequest, Source, Views, Weights, decide, split_at};
 pub use index::{
-    BlockIndex, CacheEvent, EngineSlot, Fed, Holders, MAX_ENGINES, MAX_STORES, StoreSlot, Tier,
+    BlockIndex, CacheEvent, CacheSnapshot, EngineSlot, Fed, Holders, MAX_ENGINES, MAX_STORES,
+    StoreSlot, Tier,
 };
 pub use links::{ImportProgress, Link, LinkClass, LinkLedger};
 pub use load::{LoadSample, LoadView};
--- a/crates/cache/src/links.rs
+++ b/crates/cache/src/links.rs
@@ -132,6 +132,15 @@
         link.use_at_ms = now_ms;
     }
 
+    /// Notes that a piece had not come after `waited_ms` of moving, and learns from it that the link is slower.
+    pub fn slower(&mut self, (store, tier): (StoreSlot, Tier), size: Bytes, waited_ms: f64) {
+        let link = self.link_mut(store, tier);
+        let most = size.get() as f64 / waited_ms.max(0.001);
+        if most < link.bytes_per_ms {
+            link.bytes_per_ms += (most - link.bytes_per_ms) * RATE_GAIN;
+        }
+    }
+
     /// Notes that a store does not answer, or answers again.
     pub fn set_down(&mut self, store: StoreSlot, is_down: bool) {
         self.links[store.0 as usize].iter_mut().for_each(|link| link.is_down = is_down);
--- a/crates/standins/src/engine/kv.rs
+++ b/crates/standins/src/engine/kv.rs
@@ -7,8 +7,8 @@
     mem,
 };
 
-use bilberryford_cache::{CacheEvent, ImportMiss, Manifest, Owner};
-use bilberryford_types::{Digest, Generation};
+use bilberryford_cache::{CacheEvent, CacheSnapshot, ImportMiss, Manifest, Owner};
+use bilberryford_types::{Digest, Generation, Incarnation};
 
 #[derive(Debug)]
 struct Block {
@@ -33,14 +33,14 @@
 }
 
 impl KvCache {
-    /// An empty cache of `limit` blocks.
-    pub fn new(limit: usize) -> Self {
+    /// An empty cache of `limit` blocks in an engine that has started `incarnation` times.
+    pub fn new(limit: usize, incarnation: Incarnation) -> Self {
         Self {
             limit,
             blocks: HashMap::new(),
             by_use: BTreeMap::new(),
             clock: 0,
-            event: CacheEvent { sequence: 1, ..CacheEvent::default() },
+            event: CacheEvent { incarnation, sequence: 1, ..CacheEvent::default() },
         }
     }
 
@@ -111,16 +111,20 @@
         if self.event.stored.is_empty() && self.event.removed.is_empty() {
             return None;
         }
-        let next = CacheEvent { sequence: self.event.sequence + 1, ..CacheEvent::default() };
+        let CacheEvent { incarnation, sequence, .. } = self.event;
+        let next = CacheEvent { incarnation, sequence: sequence + 1, ..CacheEvent::default() };
         let mut event = mem::replace(&mut self.event, next);
         event.stored.retain(|block| self.blocks.contains_key(block));
         event.removed.retain(|block| !self.blocks.contains_key(block));
         Some(event)
     }
 
-    /// All blocks, with the sequence of the last event that they contain.
-    pub fn snapshot(&mut self) -> (u64, Vec<Digest>) {
-        drop(self.take_event());
-        (self.event.sequence - 1, self.blocks.keys().copied().collect())
+    /// All blocks; what changed since the last event is left for the next one.
+    pub fn snapshot(&self) -> CacheSnapshot {
+        CacheSnapshot {
+            incarnation: self.event.incarnation,
+            sequence: self.event.sequence - 1,
+            blocks: self.blocks.keys().copied().collect(),
+        }
     }
 }
--- a/crates/standins/src/returning/serve.rs
+++ b/crates/standins/src/returning/serve.rs
@@ -42,6 +42,7 @@
 #[derive(Debug, Default)]
 pub(super) struct Tally {
     pub(super) first_token_ms: Vec<f64>,
+    pub(super) returning_first_token_ms: Vec<f64>,
     pub(super) gaps_ms: Vec<f64>,
     pub(super) returning_blocks: u64,
     pub(super) recomputed_blocks: u64,
@@ -73,6 +74,19 @@
 /// The engine went away while a request ran there.
 struct Lost;
 
+/// An import on its way.
+struct Import {
+    engine: usize,
+    store: StoreSlot,
+    tiers: Vec<Tier>,
+    queue_ms: [f64; 2],
+    started_ms: f64,
+    /// How long it would have taken to compute everything, with the wait for the engine.
+    recompute_ms: f64,
+    /// The tokens that were neither cached nor imported when it began.
+    rest: u64,
+}
+
 struct Request<'a> {
     arrival: &'a Arrival,
     owner: Owner,
@@ -167,19 +181,26 @@
         if is_alive.is_err() {
             return Err(Lost);
         }
+        let is_import = placement.decision.is_some_and(|decision| decision.import > 0);
+        let is_late = world.now_ms() - started_ms > recompute_ms * (1.0 + CUT_OVER_SHARE);
+        self.count(request, have, is_import && is_late);
+        self.decode(request, placement.engine).await;
+        Ok(())
+    }
+
+    fn count(&self, request: &Request<'_>, have: usize, is_late: bool) {
+        let before = &request.arrival.before;
         let mut tally = self.tally.borrow_mut();
-        tally.first_token_ms.push(world.now_ms() - request.at_ms);
-        let was_imported = placement.decision.is_some_and(|decision| decision.import > 0);
-        let took_ms = world.now_ms() - started_ms;
-        let is_late = took_ms > recompute_ms * (1.0 + CUT_OVER_SHARE);
-        tally.quick_late += u64::from(class == LinkClass::Quick && was_imported && is_late);
-        let returning = (request.arrival.before.tokens / BLOCK_TOKENS.get()) as usize;
+        let first_token_ms = self.world.now_ms() - request.at_ms;
+        tally.first_token_ms.push(first_token_ms);
+        if before.tokens > 0 {
+            tally.returning_first_token_ms.push(first_token_ms);
+        }
+        tally.quick_late += u64::from(before.class == LinkClass::Quick && is_late);
+        let returning = (before.tokens / BLOCK_TOKENS.get()) as usize;
         tally.returning_blocks += returning as u64;
         tally.recomputed_blocks += returning.saturating_sub(have) as u64;
-        tally.tail_tokens += u64::from(request.arrival.before.tokens % BLOCK_TOKENS.get());
-        drop(tally);
-        self.decode(request, placement.engine).await;
-        alive().or(Ok(()))
+        tally.tail_tokens += u64::from(before.tokens % BLOCK_TOKENS.get());
     }
 
     /// Compares what the engine really holds with what was thought, and decides again when it differs.
@@ -244,71 +265,107 @@
         &self,
         request: &Request<'_>,
         placement: Placement,
-        mut have: usize,
+        have: usize,
         ticket: u64,
     ) -> usize {
         let Some(decision) = placement.decision else { return have };
-        let Source::Store { store: slot, .. } = decision.source else { return have };
-        let (world, class) = (&self.world, request.arrival.before.class);
-        let store = slot.0 as usize;
+        let Source::Store { store, .. } = decision.source else { return have };
         let blocks = &request.chain.blocks()[have..have + decision.import as usize];
-        let tiers: Vec<Tier> = {
-            let decider = self.decider(request).borrow();
-            let tier = |block| decider.views.index.holders(block).store(slot).unwrap_or(Tier::Disk);
-            blocks.iter().map(tier).collect()
-        };
+        let import = self.plan(request, placement.engine, store, blocks, have);
+        for (done, block) in blocks.iter().enumerate() {
+            if !self.import_piece(request, &import, done, block, ticket).await {
+                self.give_up(request, &import, done);
+                return have + done;
+            }
+        }
+        have + blocks.len()
+    }
+
+    /// Books an import at the link ledger and works out until when it beats recomputing.
+    fn plan(
+        &self,
+        request: &Request<'_>,
+        engine: usize,
+        store: StoreSlot,
+        blocks: &[Digest],
+        have: usize,
+    ) -> Import {
+        let world = &self.world;
+        let mut decider = self.decider(request).borrow_mut();
+        let class = request.arrival.before.class;
         let piece = world.deployment.piece;
+        let tier = |block| decider.views.index.holders(block).store(store).unwrap_or(Tier::Disk);
+        let tiers: Vec<Tier> = blocks.iter().map(tier).collect();
+        let queue_ms = [Tier::Memory, Tier::Disk]
+            .map(|tier| decider.views.links.link(store, tier).wait_ms(class, piece));
         for tier in &tiers {
-            self.decider(request).borrow_mut().views.links.start(slot, *tier, class, piece);
+            decider.views.links.start(store, *tier, class, piece);
         }
-        let recompute_ms = world.prefill_ms(u64::from(BLOCK_TOKENS.get()));
-        let mut done = 0;
-        for (block, tier) in blocks.iter().zip(&tiers) {
-            let remaining = blocks.len() - done;
-            let (wait_ms, expected_ms) = {
-                let decider = self.decider(request).borrow();
-                let link = decider.views.links.link(slot, *tier);
-                let load = &decider.views.engines[placement.engine].load;
-                (load.wait_ms(world.now()), link.transfer_ms(piece))
-            };
-            let progress = ImportProgress {
-                remaining: u32::try_from(remaining).unwrap_or(u32::MAX),
-                piece_ms: expected_ms,
-                recompute_ms,
-                engine_wait_ms: wait_ms,
-            };
-            let patience_ms = (expected_ms * PIECE_PATIENCE)
-                .max((wait_ms + recompute_ms * remaining as f64) * CUT_OVER_SHARE);
-            let started_ms = world.now_ms();
-            let moved = if progress.keeps_up() {
-                let read = self.piece(request, placement.engine, (store, class), block, ticket);
-                match timeout(Duration::from_secs_f64(patience_ms / 1_000.0), read).await {
-                    Ok(moved) => moved,
-                    Err(_) => {
-                        self.tally.borrow_mut().cut_over += 1;
-                        let mut decider = self.decider(request).borrow_mut();
-                        let seen_ms = world.now_ms() - started_ms;
-                        let now_ms = world.now_ms();
-                        decider.views.links.finish((slot, *tier), class, piece, seen_ms, now_ms);
-                        decider.views.links.start(slot, *tier, class, piece);
-                        None
-                    }
-                }
-            } else {
-                None
-            };
-            let mut decider = self.decider(request).borrow_mut();
-            let Some(moved_ms) = moved else {
-                for tier in &tiers[done..] {
-                    decider.views.links.cancel(slot, *tier, class, piece);
-                }
-                break;
-            };
-            decider.views.links.finish((slot, *tier), class, piece, moved_ms, world.now_ms());
-            done += 1;
-            have += 1;
+        let wait_ms = decider.views.engines[engine].load.wait_ms(world.now());
+        let rest =
+            u64::from(request.arrival.prompt_tokens) - have as u64 * u64::from(BLOCK_TOKENS.get());
+        let recompute_ms = wait_ms + world.prefill_ms(rest);
+        Import { engine, store, tiers, queue_ms, started_ms: world.now_ms(), recompute_ms, rest }
+    }
+
+    /// Imports the next piece unless recomputing is the better way by now.
+    async fn import_piece(
+        &self,
+        request: &Request<'_>,
+        import: &Import,
+        done: usize,
+        block: &Digest,
+        ticket: u64,
+    ) -> bool {
+        let world = &self.world;
+        let (tier, class) = (import.tiers[done], request.arrival.before.class);
+        let piece = world.deployment.piece;
+        let piece_ms = {
+            let decider = self.decider(request).borrow();
+            decider.views.links.link(import.store, tier).transfer_ms(piece)
+        };
+        let elapsed_ms = world.now_ms() - import.started_ms;
+        let queue_ms = (import.queue_ms[tier as usize] - elapsed_ms).max(0.0);
+        let block_ms = world.prefill_ms(u64::from(BLOCK_TOKENS.get()));
+        let progress = ImportProgress {
+            remaining: u32::try_from(import.tiers.len() - done).unwrap_or(u32::MAX),
+            piece_ms,
+            recompute_ms: block_ms,
+            engine_wait_ms: (import.recompute_ms - elapsed_ms).max(0.0),
+        };
+        if !progress.keeps_up() {
+            return false;
+        }
+        // What is left to compute if the import is cut over now.
+        let left_ms = world.prefill_ms(import.rest) - block_ms * done as f64;
+        let slack_ms = import.recompute_ms * (1.0 + CUT_OVER_SHARE) - left_ms - elapsed_ms;
+        let patience_ms = ((queue_ms + piece_ms) * PIECE_PATIENCE).max(slack_ms);
+        let from = (import.store.0 as usize, class);
+        let read = self.piece(request, import.engine, from, block, ticket);
+        let read = timeout(Duration::from_secs_f64(patience_ms / 1_000.0), read).await;
+        let mut decider = self.decider(request).borrow_mut();
+        let now_ms = world.now_ms();
+        match read {
+            Ok(Some(moved_ms)) => {
+                let link = (import.store, tier);
+                decider.views.links.finish(link, class, piece, moved_ms, now_ms);
+                true
+            }
+            Ok(None) => false,
+            Err(_) => {
+                decider.views.links.slower((import.store, tier), piece, patience_ms - queue_ms);
+                self.tally.borrow_mut().cut_over += 1;
+                false
+            }
+        }
+    }
+
+    fn give_up(&self, request: &Request<'_>, import: &Import, done: usize) {
+        let class = request.arrival.before.class;
+        let mut decider = self.decider(request).borrow_mut();
+        for tier in &import.tiers[done..] {
+            decider.views.links.cancel(import.store, *tier, class, self.world.deployment.piece);
         }
-        have
     }
 
     /// Reads one piece, checks it and keeps it at the engine; answers for how long it moved.
--- a/crates/standins/src/returning/views.rs
+++ b/crates/standins/src/returning/views.rs
@@ -83,8 +83,8 @@
             let mut decider = decider.borrow_mut();
             if decider.views.index.feed(slot(engine), event) == Fed::Gap && !self.world.is_cut.get()
             {
-                let (sequence, blocks) = self.world.engines[engine].kv.borrow_mut().snapshot();
-                decider.views.index.snapshot(slot(engine), sequence, &blocks);
+                let snapshot = self.world.engines[engine].kv.borrow().snapshot();
+                decider.views.index.snapshot(slot(engine), &snapshot);
             }
         }
     }
--- a/crates/standins/src/returning/world.rs
+++ b/crates/standins/src/returning/world.rs
@@ -7,7 +7,7 @@
 };
 
 use bilberryford_cache::{LinkClass, Owner, Tier};
-use bilberryford_types::{Bytes, TimeMs, WeightVersion};
+use bilberryford_types::{Bytes, Incarnation, TimeMs, WeightVersion};
 use tokio::time::{Instant, sleep};
 
 use super::{
@@ -77,7 +77,7 @@
 impl World {
     pub(super) fn new(deployment: &Deployment, workload: &Workload) -> Rc<Self> {
         let engine = |_| Engine {
-            kv: RefCell::new(KvCache::new(deployment.engine_pieces)),
+            kv: RefCell::new(KvCache::new(deployment.engine_pieces, Incarnation(0))),
             prefill: Turns::default(),
             backlog: Cell::new(0),
             quick_backlog: Cell::new(0),
@@ -188,7 +188,8 @@
                 let engine = &self.engines[0];
                 engine.life.set(engine.life.get() + 1);
                 engine.is_up.set(false);
-                *engine.kv.borrow_mut() = KvCache::new(self.deployment.engine_pieces);
+                *engine.kv.borrow_mut() =
+                    KvCache::new(self.deployment.engine_pieces, Incarnation(1));
                 pause(RESTART_MS as f64).await;
                 engine.is_up.set(true);
             }
--- a/crates/standins/src/store.rs
+++ b/crates/standins/src/store.rs
@@ -160,6 +160,6 @@
 
     /// All blocks that can be found, with their tier.
     pub fn blocks(&self) -> impl Iterator<Item = (&Digest, Tier)> {
-        self.by_block.iter().filter_map(|(block, _)| Some((block, self.find(block)?.1)))
+        self.by_block.keys().filter_map(|block| Some((block, self.find(block)?.1)))
     }
 }
