--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -5,6 +5,7 @@
 
 mod faults;
 mod reader;
+pub mod kv;
 
 use std::{collections::HashMap, io, net::SocketAddr, sync::Arc, time::Duration};
 
