--- a/crates/coord/tests/membership.rs
+++ b/crates/coord/tests/membership.rs
@@ -192,8 +192,8 @@
     fn new(size: usize, seed: u64, loss_percent: u32) -> Self {
         let mut views: Vec<_> = (0..size).map(|number| Membership::new(name(number))).collect();
         // Everyone knows one other only, as with a single seed address.
-        for number in 1..size {
-            views[number].list(record(0, 0), false, TimeMs(0));
+        for view in views.iter_mut().skip(1) {
+            view.list(record(0, 0), false, TimeMs(0));
         }
         Self {
             rng: StdRng::seed_from_u64(seed),
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -4,8 +4,8 @@
 //! together with every run in its batch.
 
 mod faults;
-mod reader;
 pub mod kv;
+mod reader;
 
 use std::{collections::HashMap, io, net::SocketAddr, sync::Arc, time::Duration};
 
