measure returning is a command again after the merge

Cause: resolving two additions to the same enum dropped one attribute, so that returning was no command.

--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -75,6 +75,7 @@
         json: bool,
     },
     /// Where returning context goes, by policy and fault
+    #[bpaf(command)]
     Returning {
         /// gebhartl or gallagher
         #[bpaf(argument("SITE"))]
