--- a/crates/coord/src/departures.rs
+++ b/crates/coord/src/departures.rs
@@ -5,9 +5,11 @@
 //! address is part of its identity: a replacement under the same name is another endpoint.
 //! See `docs/design/membership.md`.
 
-use std::{collections::HashMap, net::SocketAddr};
+use std::collections::HashMap;
 
-use bilberryford_types::{EndpointId, TimeMs};
+use bilberryford_types::TimeMs;
+
+use crate::EndpointAt;
 
 /// The most departures that are kept; the oldest makes room.
 pub const MAX_DEPARTURES: usize = 4_096;
@@ -16,24 +18,15 @@
 /// How long a departure is kept, so that a list that lags doesn't bring the endpoint back.
 const KEEP: TimeMs = TimeMs(900_000);
 
-/// An endpoint at an address.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-pub struct Departure {
-    /// The endpoint.
-    pub endpoint: EndpointId,
-    /// Its address.
-    pub address: SocketAddr,
-}
-
 /// What is known of leaving endpoints.
 #[derive(Debug, Clone, Default)]
 pub struct Departures {
-    since: HashMap<Departure, TimeMs>,
+    since: HashMap<EndpointAt, TimeMs>,
 }
 
 impl Departures {
     /// Takes a departure in; answers whether it is news.
-    pub fn note(&mut self, departure: Departure, now: TimeMs) -> bool {
+    pub fn note(&mut self, departure: EndpointAt, now: TimeMs) -> bool {
         if self.since.contains_key(&departure) {
             return false;
         }
@@ -48,12 +41,12 @@
     }
 
     /// Whether the endpoint was seen leaving.
-    pub fn contains(&self, departure: &Departure) -> bool {
+    pub fn contains(&self, departure: &EndpointAt) -> bool {
         self.since.contains_key(departure)
     }
 
     /// Up to `count` departures to tell, the latest first.
-    pub fn news(&self, count: usize, now: TimeMs) -> Vec<Departure> {
+    pub fn news(&self, count: usize, now: TimeMs) -> Vec<EndpointAt> {
         let fresh = self.since.iter().filter(|(_, since)| now.since(**since) < NEWS_SPAN);
         let mut fresh: Vec<_> = fresh.collect();
         fresh.sort_by_key(|(departure, since)| {
--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -12,13 +12,15 @@
 mod attempt;
 mod config;
 mod departures;
+mod listing;
 mod membership;
 mod order;
 mod ownership;
 
 pub use attempt::{Attempt, AttemptState, NotRun, Planned, Sent, Settled};
 pub use config::{ConfigOffer, ConfigStamp, VersionedConfig};
-pub use departures::{Departure, Departures, MAX_DEPARTURES};
+pub use departures::{Departures, MAX_DEPARTURES};
+pub use listing::{EndpointAt, Listing, MAX_LISTED};
 pub use membership::{
     Liveness, MAX_MEMBERS, MemberChange, MemberRecord, Membership, Observation, QUORUM,
 };
--- a/crates/coord/src/membership.rs
+++ b/crates/coord/src/membership.rs
@@ -197,6 +197,13 @@
         self.vote(instance, &me, now, now)
     }
 
+    /// Takes in that an instance is no member at all, whatever lists say; it is kept apart like a failed one.
+    pub fn expel(&mut self, instance: &InstanceId, now: TimeMs) {
+        if let Some(entry) = self.entries.get_mut(instance) {
+            entry.failed = Some(now.after(BASE));
+        }
+    }
+
     /// Forgets what is too old; to be called regularly.
     pub fn tick(&mut self, now: TimeMs) {
         let now = now.after(BASE);
--- a/crates/coord/tests/membership.rs
+++ b/crates/coord/tests/membership.rs
@@ -1,7 +1,7 @@
 //! The view of members: tables of single steps, and a simulated network that loses, reorders and restarts.
 
 use bilberryford_coord::{
-    Departure, Departures, Liveness, MAX_DEPARTURES, MAX_MEMBERS, MemberChange, MemberRecord,
+    Departures, EndpointAt, Liveness, MAX_DEPARTURES, MAX_MEMBERS, MemberChange, MemberRecord,
     Membership, Observation,
 };
 use bilberryford_types::{Generation, Incarnation, InstanceId, TimeMs};
@@ -158,14 +158,14 @@
     for number in 0..2 * MAX_DEPARTURES {
         let endpoint = format!("engine-{number}").parse().unwrap();
         let address = ([10, 0, 0, 1], 80).into();
-        assert!(departures.note(Departure { endpoint, address }, TimeMs(number as u64)));
+        assert!(departures.note(EndpointAt { endpoint, address }, TimeMs(number as u64)));
     }
     assert_eq!(departures.news(usize::MAX, TimeMs(0)).len(), MAX_DEPARTURES);
 }
 
 #[test]
 fn a_departure_is_news_once_and_only_at_its_address() {
-    let at = |port| Departure {
+    let at = |port| EndpointAt {
         endpoint: "engine-1".parse().unwrap(),
         address: ([10, 0, 0, 1], port).into(),
     };
@@ -192,8 +192,8 @@
     fn new(size: usize, seed: u64, loss_percent: u32) -> Self {
         let mut views: Vec<_> = (0..size).map(|number| Membership::new(name(number))).collect();
         // Everyone knows one other only, as with a single seed address.
-        for number in 1..size {
-            views[number].list(record(0, 0), false, TimeMs(0));
+        for view in views.iter_mut().skip(1) {
+            view.list(record(0, 0), false, TimeMs(0));
         }
         Self {
             rng: StdRng::seed_from_u64(seed),
--- a/crates/document/src/parse.rs
+++ b/crates/document/src/parse.rs
@@ -2,8 +2,9 @@
 
 use std::{collections::HashSet, fmt::Display, hash::Hash};
 
-use bilberryford_types::Digest;
+use bilberryford_types::{Digest, EnvironmentName};
 use miette::{NamedSource, SourceSpan};
+use serde::Deserialize;
 
 use crate::{Diagnostic, Diagnostics, Document, PoolKind, PoolSection};
 
@@ -40,6 +41,33 @@
     }
 }
 
+/// The one field that differs between environments.
+#[derive(Deserialize)]
+struct Environment {
+    environment: toml::Spanned<String>,
+}
+
+impl Document {
+    /// The text of a document with another environment's name and nothing else changed.
+    ///
+    /// # Errors
+    ///
+    /// All findings on `text` or on the result.
+    pub fn for_environment(
+        text: &str,
+        environment: &EnvironmentName,
+    ) -> Result<String, Box<Diagnostics>> {
+        Self::parse("accepted document", text)?;
+        let Ok(found) = toml::from_str::<Environment>(text) else {
+            unreachable!("a document that was parsed names its environment")
+        };
+        let mut moved = text.to_owned();
+        moved.replace_range(found.environment.span(), &format!("\"{environment}\""));
+        Self::parse("promoted document", &moved)?;
+        Ok(moved)
+    }
+}
+
 struct Check<'a> {
     text: &'a str,
     findings: Vec<Diagnostic>,
--- a/crates/endpoint/src/error.rs
+++ b/crates/endpoint/src/error.rs
@@ -17,6 +17,9 @@
         /// The HTTP status.
         status: u16,
     },
+    /// The endpoint refused before it ran anything, since it is shutting down.
+    #[error("refused, it is shutting down")]
+    Draining,
     /// The endpoint does not know the attempt that should be resumed.
     #[error("the attempt is not known there")]
     UnknownAttempt,
@@ -46,6 +49,7 @@
         match self {
             Self::Connect { .. }
             | Self::Refused { .. }
+            | Self::Draining
             | Self::UnknownAttempt
             | Self::VersionGone => Ran::No,
             Self::Lost { .. } | Self::Timeout | Self::Broken { .. } => Ran::Maybe,
@@ -56,7 +60,7 @@
     pub const fn kind(&self) -> ErrorKind {
         match self {
             Self::Connect { .. } => ErrorKind::ConnectFailed,
-            Self::Refused { .. } => ErrorKind::EndpointRefused,
+            Self::Refused { .. } | Self::Draining => ErrorKind::EndpointRefused,
             Self::UnknownAttempt => ErrorKind::UnknownRun,
             Self::VersionGone => ErrorKind::VersionGone,
             Self::Lost { .. } | Self::Timeout => ErrorKind::EndpointLost,
--- a/crates/endpoint/src/http_engine.rs
+++ b/crates/endpoint/src/http_engine.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     Chunk, ChunkStream, EndpointError, GenerateCall, LoadReport, ModelEngine,
-    wire::{ChunkBody, CompletionBody},
+    wire::{ChunkBody, CompletionBody, is_draining},
 };
 
 /// The deadline of short calls such as load reports, in milliseconds.
@@ -43,6 +43,9 @@
         status if status.is_success() => Ok(response),
         StatusCode::NOT_FOUND => Err(EndpointError::UnknownAttempt),
         StatusCode::CONFLICT => Err(EndpointError::VersionGone),
+        StatusCode::SERVICE_UNAVAILABLE if is_draining(response.headers()) => {
+            Err(EndpointError::Draining)
+        }
         status => Err(EndpointError::Refused { status: status.as_u16() }),
     }
 }
--- a/crates/endpoint/src/http_service.rs
+++ b/crates/endpoint/src/http_service.rs
@@ -4,9 +4,9 @@
 
 use bilberryford_types::TimeMs;
 use futures::{FutureExt, future::BoxFuture};
-use reqwest::{Method, header};
+use reqwest::{Method, StatusCode, header};
 
-use crate::{EndpointError, PlainService, ServiceCall, ServiceReply};
+use crate::{EndpointError, PlainService, ServiceCall, ServiceReply, wire::is_draining};
 
 /// A plain service over HTTP.
 #[derive(Debug, Clone)]
@@ -48,6 +48,11 @@
             let response =
                 request.send().await.map_err(|error| EndpointError::from_send(&error))?;
             let status = response.status().as_u16();
+            if response.status() == StatusCode::SERVICE_UNAVAILABLE
+                && is_draining(response.headers())
+            {
+                return Err(EndpointError::Draining);
+            }
             let content_type = response
                 .headers()
                 .get(header::CONTENT_TYPE)
--- a/crates/endpoint/src/wire.rs
+++ b/crates/endpoint/src/wire.rs
@@ -5,11 +5,22 @@
 //! * `DELETE /v1/attempts/<attempt>` cancels.
 //! * `GET /load` answers a [`LoadReport`](crate::LoadReport).
 //!
-//! An engine refuses with 503 (full or draining) or 409 (weight version not there) before it runs anything.
+//! An engine refuses with 503 (full) or 409 (weight version not there) before it runs anything. An engine or a service
+//! that is shutting down refuses with 503 and [`STATE_HEADER`], and gets no new work after that.
 
 use bilberryford_types::{AttemptId, ModelName, Priority, TeamName, Tokens, WeightVersion};
+use reqwest::header::HeaderMap;
 use serde::{Deserialize, Serialize};
 
+/// The header with which an endpoint says that it is shutting down; its value is [`DRAINING`].
+pub const STATE_HEADER: &str = "endpoint-state";
+/// The value of [`STATE_HEADER`] on a 503 that was sent before anything ran.
+pub const DRAINING: &str = "draining";
+
+pub(crate) fn is_draining(headers: &HeaderMap) -> bool {
+    headers.get(STATE_HEADER).is_some_and(|value| value.as_bytes() == DRAINING.as_bytes())
+}
+
 /// The body of a completion call.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct CompletionBody {
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -7,6 +7,8 @@
 use bilberryford_types::{Digest, EnvironmentName, Generation, IdError, ObjectVersion};
 use serde::{Deserialize, Serialize};
 
+use crate::accept::AcceptedChange;
+
 /// The content of the platform object that holds an environment's configuration.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ConfigObject {
@@ -14,6 +16,9 @@
     pub generation: Generation,
     /// The operator's document.
     pub document: String,
+    /// The last accepted changes, the latest first.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub history: Vec<AcceptedChange>,
 }
 
 /// The platform object that holds the configuration of `environment`.
@@ -25,11 +30,17 @@
     Ok(ObjectKey::new(ObjectKind::Config, environment.as_str().parse()?))
 }
 
+/// The digest that names the text of a document.
+pub fn document_digest(document: &str) -> Digest {
+    Digest(*blake3::hash(document.as_bytes()).as_bytes())
+}
+
 /// A configuration in force, ready for look-ups.
 #[derive(Debug)]
 pub(crate) struct InForce {
     pub(crate) generation: Generation,
     pub(crate) version: ObjectVersion,
+    pub(crate) digest: Digest,
     pub(crate) object: ConfigObject,
     pub(crate) document: Document,
     teams_by_key: HashMap<Digest, usize>,
@@ -37,18 +48,27 @@
 
 impl InForce {
     /// Reads an object's content; bad content is refused and never displaces the last good.
-    pub(crate) fn read(version: ObjectVersion, body: &[u8]) -> Result<Self, ConfigError> {
+    pub(crate) fn read(
+        environment: &EnvironmentName,
+        version: ObjectVersion,
+        body: &[u8],
+    ) -> Result<Self, ConfigError> {
         let object: ConfigObject = serde_json::from_slice(body)
             .map_err(|error| ConfigError::Envelope { reason: error.to_string() })?;
         let document = Document::parse("configuration in force", &object.document)
             .map_err(|found| ConfigError::Document { findings: found.findings.len() })?;
+        if document.environment != *environment {
+            return Err(ConfigError::Environment { found: document.environment });
+        }
+        let digest = document_digest(&object.document);
         let teams_by_key = document
             .teams
             .iter()
             .enumerate()
             .flat_map(|(index, team)| team.key_digests.iter().map(move |digest| (*digest, index)))
             .collect();
-        Ok(Self { generation: object.generation, version, object, document, teams_by_key })
+        let generation = object.generation;
+        Ok(Self { generation, version, digest, object, document, teams_by_key })
     }
 
     /// The team that an API key speaks for.
@@ -65,4 +85,6 @@
     Envelope { reason: String },
     #[error("the document has {findings} fault(s)")]
     Document { findings: usize },
+    #[error("the document is for environment {found}")]
+    Environment { found: EnvironmentName },
 }
--- a/crates/node/src/controllers.rs
+++ b/crates/node/src/controllers.rs
@@ -3,6 +3,7 @@
 mod config;
 mod endpoints;
 mod heartbeat;
+mod status;
 
 use std::{net::SocketAddr, sync::Arc};
 
@@ -16,5 +17,6 @@
     tasks.spawn(config::run(node.clone()));
     tasks.spawn(endpoints::run(node.clone(), peer_address));
     tasks.spawn(heartbeat::run(node.clone(), peer_address));
+    tasks.spawn(status::run(node.clone()));
     tasks
 }
--- a/crates/node/src/controllers/heartbeat.rs
+++ b/crates/node/src/controllers/heartbeat.rs
@@ -1,36 +1,89 @@
-//! Exchanges heartbeats with a bounded random subset of peers.
+//! Exchanges heartbeats with a few random peers, and tells news at once.
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use bilberryford_types::TimeMs;
+use bilberryford_types::{InstanceId, TimeMs};
 use rand::seq::IndexedRandom;
-use tokio::time::sleep;
+use tokio::{
+    task::JoinSet,
+    time::{Instant, sleep_until},
+};
 
 use crate::node::Node;
 
-/// How often heartbeats are sent, in milliseconds.
-const PERIOD_MS: u64 = 500;
+/// How often heartbeats are sent.
+const PERIOD: Duration = Duration::from_millis(1_000);
 /// The deadline of a heartbeat, in milliseconds.
 const TIMEOUT_MS: u64 = 400;
 /// How many peers get one each period.
-const FAN_OUT: usize = 3;
-/// How long a silent member is kept, in milliseconds.
-const EXPIRE_MS: u64 = 30_000;
+const FAN_OUT: usize = 1;
+/// How many peers are told news at once in a deployment of up to `SMALL` instances.
+const NEWS_FAN_OUT_SMALL: usize = 4;
+/// How many are told in a larger one.
+const NEWS_FAN_OUT: usize = 2;
+/// The most instances of a small deployment.
+const SMALL: usize = 16;
+/// The least time between two rounds of news, so that many changes go out together.
+const NEWS_GAP: Duration = Duration::from_millis(100);
+/// The most heartbeats that wait for an answer.
+const MAX_WAITING: usize = 16;
 
 pub(crate) async fn run(node: Arc<Node>, peer_address: SocketAddr) {
+    let mut waiting = JoinSet::new();
+    let mut next_beat = Instant::now();
+    let mut next_news = Instant::now();
     loop {
-        let addresses = node.members.addresses();
-        let chosen: Vec<_> = addresses.sample(&mut rand::rng(), FAN_OUT).cloned().collect();
-        let beats = chosen.into_iter().map(|(_, address)| beat(&node, peer_address, address));
-        futures::future::join_all(beats).await;
-        node.members.expire(node.now(), TimeMs(EXPIRE_MS));
-        sleep(Duration::from_millis(PERIOD_MS)).await;
+        tokio::select! {
+            () = sleep_until(next_beat) => {
+                next_beat = Instant::now() + PERIOD;
+                node.members.tick(node.now());
+                send(&node, peer_address, &mut waiting, FAN_OUT);
+                ask_seed(&node, peer_address, &mut waiting);
+            }
+            () = async {
+                sleep_until(next_news).await;
+                node.members.news().await;
+            } => {
+                next_news = Instant::now() + NEWS_GAP;
+                let is_small = node.members.count() <= SMALL;
+                let fan_out = if is_small { NEWS_FAN_OUT_SMALL } else { NEWS_FAN_OUT };
+                send(&node, peer_address, &mut waiting, fan_out);
+            }
+            Some(_) = waiting.join_next() => {}
+        }
     }
 }
 
-async fn beat(node: &Node, own: SocketAddr, to: SocketAddr) {
+fn send(node: &Arc<Node>, own: SocketAddr, waiting: &mut JoinSet<()>, count: usize) {
+    for (instance, address) in node.members.targets(count) {
+        if waiting.len() < MAX_WAITING {
+            waiting.spawn(beat(node.clone(), own, Some(instance), address));
+        }
+    }
+}
+
+/// Asks one of the addresses from the settings that no member has, so that peers are found without the platform.
+fn ask_seed(node: &Arc<Node>, own: SocketAddr, waiting: &mut JoinSet<()>) {
+    let known = node.members.all();
+    let is_unknown = |seed: &&SocketAddr| {
+        **seed != own && !known.iter().any(|(record, _)| record.address == **seed)
+    };
+    let seeds: Vec<_> = node.settings.peers.iter().filter(is_unknown).collect();
+    if let Some(seed) = seeds.choose(&mut rand::rng()).filter(|_| waiting.len() < MAX_WAITING) {
+        waiting.spawn(beat(node.clone(), own, None, **seed));
+    }
+}
+
+async fn beat(node: Arc<Node>, own: SocketAddr, to: Option<InstanceId>, address: SocketAddr) {
     let Some(peers) = node.peers() else { return };
-    if let Ok(reply) = peers.heartbeat(to, node.beat(own), TimeMs(TIMEOUT_MS)).await {
-        node.take_beat(&reply);
+    match peers.heartbeat(address, node.beat(own), TimeMs(TIMEOUT_MS)).await {
+        Ok(reply) => node.take_beat(reply),
+        Err(error) => {
+            log::debug!("the heartbeat to {address} failed: {error}");
+            if let Some(instance) = to {
+                let change = node.members.probe_failed(&instance, node.now());
+                node.note_change(&instance, change);
+            }
+        }
     }
 }
--- a/crates/node/src/filters/service.rs
+++ b/crates/node/src/filters/service.rs
@@ -51,6 +51,7 @@
             Ok(Flow::Answer(respond(reply)))
         }
         Err(error) => {
+            node.note_error(&endpoint, &error);
             event(node, ctx, EventKind::AttemptFailed, sent.id(), &endpoint);
             Err(match sent.unsent(error.ran()) {
                 Ok(unsent) => {
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -4,7 +4,7 @@
 //! controllers and read without locks.
 
 use std::{
-    collections::HashMap,
+    collections::{BTreeSet, HashMap},
     net::SocketAddr,
     sync::{
         Arc,
@@ -13,8 +13,9 @@
 };
 
 use arc_swap::ArcSwap;
+use bilberryford_coord::{EndpointAt, MAX_LISTED};
 use bilberryford_endpoint::{HttpEngine, HttpService, ModelEngine, PlainService};
-use bilberryford_platform::{InstanceRecord, InstanceState};
+use bilberryford_platform::InstanceRecord;
 use bilberryford_types::{EndpointId, PoolName};
 
 /// An endpoint as this instance knows it; counters live as long as the endpoint is on the list.
@@ -23,6 +24,7 @@
     pub(crate) pool: PoolName,
     pub(crate) address: SocketAddr,
     leaving: AtomicBool,
+    gone: AtomicBool,
     in_flight: AtomicU32,
     pub(crate) engine: Arc<dyn ModelEngine>,
     pub(crate) service: Arc<dyn PlainService>,
@@ -31,12 +33,22 @@
 impl Endpoint {
     /// Whether someone has seen it leaving; an endpoint never comes back from that under the same name and address.
     pub(crate) fn is_leaving(&self) -> bool {
-        self.leaving.load(Ordering::Acquire)
+        self.leaving.load(Ordering::Acquire) || self.gone.load(Ordering::Acquire)
     }
 
-    /// Marks it as leaving; answers whether that is news.
-    pub(crate) fn mark_leaving(&self) -> bool {
-        !self.leaving.swap(true, Ordering::AcqRel)
+    /// The endpoint at its address.
+    pub(crate) fn at(&self) -> EndpointAt {
+        EndpointAt { endpoint: self.id.clone(), address: self.address }
+    }
+
+    /// Notes whether the list has lost it for long; other than leaving, that can be undone.
+    fn set_gone(&self, gone: bool) {
+        self.gone.store(gone, Ordering::Release);
+    }
+
+    /// Marks it as leaving.
+    pub(crate) fn mark_leaving(&self) {
+        self.leaving.store(true, Ordering::Release);
     }
 
     /// How many runs of this instance are in flight there.
@@ -85,6 +97,11 @@
         self.by_id.values()
     }
 
+    fn add(&mut self, endpoint: Arc<Endpoint>) {
+        self.by_id.insert(endpoint.id.clone(), endpoint.clone());
+        self.by_pool.entry(endpoint.pool.clone()).or_default().push(endpoint);
+    }
+
     /// How many endpoints there are.
     pub(crate) fn len(&self) -> usize {
         self.by_id.len()
@@ -102,11 +119,12 @@
 pub(crate) struct Fleet {
     clients: EndpointClients,
     endpoints: ArcSwap<EndpointTable>,
+    listed: ArcSwap<Vec<InstanceRecord>>,
 }
 
 impl Fleet {
     pub(crate) fn new(clients: EndpointClients) -> Self {
-        Self { clients, endpoints: ArcSwap::default() }
+        Self { clients, endpoints: ArcSwap::default(), listed: ArcSwap::default() }
     }
 
     /// The endpoints as known now.
@@ -114,17 +132,47 @@
         self.endpoints.load_full()
     }
 
-    /// Replaces the endpoints by what the platform lists, keeping the counters of those that stay.
-    pub(crate) fn replace_endpoints(&self, records: &[InstanceRecord]) {
+    /// The endpoints' rows of the last reading that had any.
+    pub(crate) fn listed(&self) -> Arc<Vec<InstanceRecord>> {
+        self.listed.load_full()
+    }
+
+    /// Takes in a reading of the platform's list, keeping the counters of endpoints that stay.
+    ///
+    /// An endpoint that the list misses stays until it is gone for long, and then until its runs are over.
+    pub(crate) fn replace_endpoints(
+        &self,
+        records: &[InstanceRecord],
+        gone: &BTreeSet<EndpointAt>,
+        has_departed: impl Fn(&EndpointAt) -> bool,
+    ) {
+        let rows = records.iter().filter(|record| record.pool.is_some()).take(MAX_LISTED);
+        let rows: Vec<_> = rows.cloned().collect();
+        if !rows.is_empty() {
+            self.listed.store(Arc::new(rows));
+        }
         let old = self.endpoints();
         let mut table = EndpointTable::default();
-        for record in records {
+        for record in records.iter().take(MAX_LISTED) {
             let Some(endpoint) = self.endpoint(&old, record) else { continue };
-            if record.state == InstanceState::Leaving {
+            endpoint.set_gone(false);
+            if has_departed(&endpoint.at()) {
                 endpoint.mark_leaving();
             }
-            table.by_id.insert(endpoint.id.clone(), endpoint.clone());
-            table.by_pool.entry(endpoint.pool.clone()).or_default().push(endpoint);
+            table.add(endpoint);
+        }
+        for missing in old
+            .all()
+            .filter(|endpoint| table.get(&endpoint.id).is_none())
+            .cloned()
+            .collect::<Vec<_>>()
+        {
+            if gone.contains(&missing.at()) {
+                missing.set_gone(true);
+            }
+            if !missing.is_leaving() || missing.in_flight() > 0 {
+                table.add(missing);
+            }
         }
         self.endpoints.store(Arc::new(table));
     }
@@ -141,6 +189,7 @@
             pool,
             address: record.address,
             leaving: AtomicBool::new(false),
+            gone: AtomicBool::new(false),
             in_flight: AtomicU32::new(0),
             engine: Arc::new(HttpEngine::new(record.address, pooled.clone())),
             service: Arc::new(HttpService::new(record.address, pooled, fresh)),
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -95,6 +95,7 @@
                 Ok(end) => return Ok(end),
                 Err(error) => error,
             };
+            self.node.note_error(&endpoint, &error);
             self.event(EventKind::AttemptFailed, &id, &endpoint, &error.to_string());
             tried.push(endpoint);
             let next = (tried.len() < MAX_ATTEMPTS)
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -10,6 +10,7 @@
 //! Filters never wait for a controller, and controllers never see a request. What has to be agreed or kept goes
 //! through the platform; see `docs/DESIGN.md`.
 
+mod accept;
 mod acceptor;
 mod api;
 mod config;
@@ -18,6 +19,7 @@
 mod filters;
 mod fleet;
 mod follow;
+mod members;
 mod metrics;
 mod node;
 mod peering;
@@ -25,8 +27,15 @@
 mod run;
 mod server;
 mod settings;
+mod status;
 
+pub use accept::{
+    AcceptError, Accepted, AcceptedChange, ConfigChange, Head, PromotedFrom, accept, read_head,
+};
 pub use acceptor::NoDelayAcceptor;
-pub use config::{ConfigObject, config_key};
+pub use config::{ConfigObject, config_key, document_digest};
 pub use server::{Running, ServeError, start};
 pub use settings::NodeSettings;
+pub use status::{
+    InstanceStatus, OrderInDoubt, PoolStatus, RollOutStatus, StatusObject, StatusView, status_key,
+};
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -9,19 +9,20 @@
 };
 
 use arc_swap::ArcSwapOption;
+use bilberryford_coord::{ConfigOffer, ConfigStamp, VersionedConfig};
 use bilberryford_peer::PeerClient;
 use bilberryford_platform::{
     HttpPlatform, HttpPlatformConfig, InstanceList, ObjectStore, PlatformError,
 };
-use bilberryford_types::{AttemptId, EventKind, Incarnation, RequestId, TimeMs};
-use parking_lot::RwLock;
+use bilberryford_types::{AttemptId, EventKind, Generation, Incarnation, RequestId, TimeMs};
+use parking_lot::{Mutex, RwLock};
 
 use crate::{
     config::InForce,
     events::{EventLog, wall_ms},
     fleet::{EndpointClients, Fleet},
+    members::Members,
     metrics::{Metrics, MetricsError},
-    peering::Members,
     run::Runs,
     settings::NodeSettings,
 };
@@ -42,6 +43,7 @@
     pub(crate) fleet: Fleet,
     pub(crate) members: Members,
     pub(crate) runs: Runs,
+    config: Mutex<VersionedConfig<Arc<InForce>>>,
     in_force: ArcSwapOption<InForce>,
     peers: RwLock<Option<PeerClient>>,
     leaving: AtomicBool,
@@ -83,8 +85,9 @@
             objects: platform.clone(),
             instances: platform,
             fleet: Fleet::new(clients),
-            members: Members::new(),
+            members: Members::new(settings.instance.clone()),
             runs: Runs::new(&settings.run_key),
+            config: Mutex::new(VersionedConfig::new()),
             in_force: ArcSwapOption::empty(),
             peers: RwLock::new(None),
             leaving: AtomicBool::new(false),
@@ -105,21 +108,38 @@
         self.in_force.load_full()
     }
 
-    /// Brings `offered` into force when its generation is higher; answers whether it did.
+    /// The generation in force, 0 when there is none.
+    pub(crate) fn generation(&self) -> Generation {
+        self.in_force().map_or(Generation(0), |in_force| in_force.generation)
+    }
+
+    /// Brings `offered` into force when it is newer, and has peers told at once; answers whether it did.
     pub(crate) fn adopt(&self, offered: InForce) -> bool {
+        let InForce { generation, version, digest, .. } = offered;
         let offered = Arc::new(offered);
-        let before = self.in_force.rcu(|current| match current {
-            Some(current) if current.generation >= offered.generation => Some(current.clone()),
-            _ => Some(offered.clone()),
+        let judged = {
+            let mut config = self.config.lock();
+            let stamp = ConfigStamp { generation, version, digest };
+            let judged = config.offer(stamp, offered.clone());
+            if judged == ConfigOffer::Adopted {
+                self.in_force.store(Some(offered));
+            }
+            judged
+        };
+        let (kind, detail) = match judged {
+            ConfigOffer::Adopted => (EventKind::ConfigInForce, ""),
+            ConfigOffer::Clash => (EventKind::ConfigRefused, "other content of this generation"),
+            ConfigOffer::Same | ConfigOffer::Older => return false,
+        };
+        self.events.write(kind, |event| {
+            event.generation = Some(generation);
+            event.object_version = Some(version);
+            event.detail = detail.to_owned();
         });
-        let adopted = before.is_none_or(|before| before.generation < offered.generation);
-        if adopted {
-            self.events.write(EventKind::ConfigInForce, |event| {
-                event.generation = Some(offered.generation);
-                event.object_version = Some(offered.version);
-            });
+        if judged == ConfigOffer::Adopted {
+            self.members.tell_at_once();
         }
-        adopted
+        judged == ConfigOffer::Adopted
     }
 
     /// The handle to call peers, once the peer thread runs.
@@ -138,6 +158,7 @@
 
     pub(crate) fn leave(&self) {
         self.leaving.store(true, Ordering::Release);
+        self.members.tell_at_once();
     }
 
     /// Whether the balancer should send requests here.
--- a/crates/node/src/peering.rs
+++ b/crates/node/src/peering.rs
@@ -1,126 +1,181 @@
-//! The instance among its peers: the view of members, and answers to peers' calls.
+//! The instance among its peers: what it tells them, and what it makes of what they tell.
 
 use std::{
-    collections::HashMap,
     net::SocketAddr,
     sync::{Arc, Weak},
 };
 
+use bilberryford_coord::{EndpointAt, Liveness, MemberChange, MemberRecord, Observation};
+use bilberryford_endpoint::EndpointError;
 use bilberryford_peer::{
-    Borrow, BorrowReply, ConfigReply, EndpointView, Heartbeat, Member, MemberState, PeerHandler,
-    PlaceReply, PlaceRequest, Suspect, SuspectReply,
+    Borrow, BorrowReply, ConfigReply, EndpointRow, EndpointView, Heartbeat, Member, MemberState,
+    PeerHandler, PlaceReply, PlaceRequest, Suspect, SuspectReply,
 };
+use bilberryford_platform::{InstanceRecord, InstanceState};
 use bilberryford_types::{EventKind, Generation, InstanceId, TimeMs, Tokens};
-use parking_lot::RwLock;
 
-use crate::node::Node;
+use crate::{fleet::Endpoint, node::Node};
 
-/// The most members that are kept.
-const MAX_MEMBERS: usize = 1_024;
-/// The most endpoints that a heartbeat speaks of.
-const MAX_ENDPOINT_VIEWS: usize = 256;
+/// How many other members a heartbeat speaks of.
+const MAX_SAMPLE: usize = 4;
+/// How many leaving endpoints a heartbeat speaks of.
+const MAX_DEPARTURES: usize = 16;
+/// How many busy endpoints a heartbeat speaks of.
+const MAX_BUSY: usize = 8;
 
-/// A member with the time at which it was last heard of.
-#[derive(Debug, Clone)]
-struct Seen {
-    member: Member,
-    at: TimeMs,
-}
+impl Node {
+    /// The heartbeat to send now.
+    pub(crate) fn beat(&self, address: SocketAddr) -> Heartbeat {
+        let now = self.now();
+        Heartbeat {
+            at: self.events.now(),
+            environment: self.settings.environment.clone(),
+            sender: self.own_member(address),
+            members: self.members.sample(MAX_SAMPLE, now).into_iter().map(member).collect(),
+            endpoints: self.endpoint_views(now),
+            quarantined: Vec::new(),
+        }
+    }
 
-/// The view of peers.
-#[derive(Debug, Default)]
-pub(crate) struct Members {
-    seen: RwLock<HashMap<InstanceId, Seen>>,
-}
+    fn own_member(&self, address: SocketAddr) -> Member {
+        Member {
+            instance: self.settings.instance.clone(),
+            incarnation: self.incarnation,
+            address,
+            data_centre: self.settings.data_centre.clone(),
+            state: if self.is_leaving() { MemberState::Leaving } else { MemberState::Alive },
+            generation: self.generation(),
+            age: TimeMs(0),
+        }
+    }
 
-impl Members {
-    pub(crate) fn new() -> Self {
-        Self::default()
+    fn endpoint_views(&self, now: TimeMs) -> Vec<EndpointView> {
+        let departures = self.members.departures(MAX_DEPARTURES, now);
+        let leaving = departures.into_iter().map(|at| EndpointView {
+            endpoint: at.endpoint,
+            address: at.address,
+            leaving: true,
+            in_flight: 0,
+            queued_tokens: Tokens(0),
+        });
+        let table = self.fleet.endpoints();
+        let mut busy: Vec<_> = table
+            .all()
+            .filter(|endpoint| !endpoint.is_leaving() && endpoint.in_flight() > 0)
+            .collect();
+        busy.sort_by_key(|endpoint| std::cmp::Reverse(endpoint.in_flight()));
+        let busy = busy.into_iter().take(MAX_BUSY).map(|endpoint| EndpointView {
+            endpoint: endpoint.id.clone(),
+            address: endpoint.address,
+            leaving: false,
+            in_flight: endpoint.in_flight(),
+            queued_tokens: Tokens(0),
+        });
+        leaving.chain(busy).collect()
     }
 
-    /// Takes a member in; a lower incarnation never speaks for a higher one. Answers whether it is new.
-    pub(crate) fn observe(&self, member: Member, now: TimeMs) -> bool {
-        let mut seen = self.seen.write();
-        let known = seen.get(&member.instance);
-        if known.is_some_and(|known| known.member.incarnation > member.incarnation) {
-            return false;
+    /// Takes a peer's heartbeat in; one of another environment only shows that the sender is no peer.
+    pub(crate) fn take_beat(&self, beat: Heartbeat) {
+        let sender = &beat.sender.instance;
+        let now = self.now();
+        if beat.environment != self.settings.environment {
+            self.members.expel(sender, now);
+            return;
         }
-        let is_new = known.is_none_or(|known| known.member.incarnation < member.incarnation);
-        if known.is_none() && seen.len() >= MAX_MEMBERS {
-            return false;
+        if *sender == self.settings.instance {
+            return;
+        }
+        self.events.observe(beat.at);
+        let teller = sender.clone();
+        let is_leaving = beat.sender.state == MemberState::Leaving;
+        let change = self.members.hear(record(beat.sender), is_leaving, now);
+        self.note_change(&teller, change);
+        for told in beat.members {
+            let instance = told.instance.clone();
+            let change = self.members.learn(&teller, observation(told), now);
+            self.note_change(&instance, change);
+        }
+        for view in beat.endpoints.into_iter().filter(|view| view.leaving) {
+            let at = EndpointAt { endpoint: view.endpoint, address: view.address };
+            self.note_leaving(at, teller.as_str());
+        }
+        if !self.members.with_newer(self.generation()).is_empty() {
+            self.members.note_newer();
         }
-        seen.insert(member.instance.clone(), Seen { member, at: now });
-        is_new
     }
 
-    /// Where peers can be called.
-    pub(crate) fn addresses(&self) -> Vec<(InstanceId, SocketAddr)> {
-        self.seen
-            .read()
-            .values()
-            .map(|seen| (seen.member.instance.clone(), seen.member.address))
-            .collect()
+    /// Takes in that an endpoint is leaving, whoever saw it; peers are told at once.
+    pub(crate) fn note_leaving(&self, at: EndpointAt, source: &str) {
+        if !self.members.depart(at.clone(), self.now()) {
+            return;
+        }
+        if let Some(endpoint) = self.fleet.endpoints().get(&at.endpoint)
+            && endpoint.address == at.address
+        {
+            endpoint.mark_leaving();
+        }
+        self.events.write(EventKind::Leaving, |event| {
+            event.endpoint = Some(at.endpoint);
+            event.detail = format!("told by {source}");
+        });
     }
 
-    /// Forgets members that were not heard of for `span`.
-    pub(crate) fn expire(&self, now: TimeMs, span: TimeMs) {
-        self.seen.write().retain(|_, seen| now.since(seen.at) < span);
+    /// Takes in why a call of an endpoint failed.
+    pub(crate) fn note_error(&self, endpoint: &Endpoint, error: &EndpointError) {
+        if *error == EndpointError::Draining {
+            self.note_leaving(endpoint.at(), "itself");
+        }
     }
-}
 
-impl Node {
-    /// The heartbeat to send now.
-    pub(crate) fn beat(&self, address: SocketAddr) -> Heartbeat {
-        let state = if self.is_leaving() { MemberState::Leaving } else { MemberState::Alive };
-        let endpoints = self
-            .fleet
-            .endpoints()
-            .all()
-            .filter(|endpoint| endpoint.is_leaving() || endpoint.in_flight() > 0)
-            .take(MAX_ENDPOINT_VIEWS)
-            .map(|endpoint| EndpointView {
-                endpoint: endpoint.id.clone(),
-                leaving: endpoint.is_leaving(),
-                in_flight: endpoint.in_flight(),
-                queued_tokens: Tokens(0),
-            })
-            .collect();
-        Heartbeat {
-            at: self.events.now(),
-            sender: Member {
-                instance: self.settings.instance.clone(),
-                incarnation: self.incarnation,
-                address,
-                data_centre: self.settings.data_centre.clone(),
-                state,
-                generation: self.in_force().map_or(Generation(0), |in_force| in_force.generation),
-            },
-            members: Vec::new(),
-            endpoints,
-            quarantined: Vec::new(),
-        }
+    /// Writes the event of a change in the view of members.
+    pub(crate) fn note_change(&self, instance: &InstanceId, change: Option<MemberChange>) {
+        let kind = match change {
+            None => return,
+            Some(MemberChange::Joined | MemberChange::Recovered) => EventKind::Joined,
+            Some(MemberChange::Leaving) => EventKind::Leaving,
+            Some(MemberChange::Failed) => EventKind::Failed,
+        };
+        self.events.write(kind, |event| event.detail = format!("instance {instance}"));
     }
+}
 
-    /// Takes a peer's heartbeat in.
-    pub(crate) fn take_beat(&self, beat: &Heartbeat) {
-        self.events.observe(beat.at);
-        if beat.sender.instance != self.settings.instance
-            && self.members.observe(beat.sender.clone(), self.now())
-        {
-            self.events
-                .write(EventKind::Joined, |event| event.detail = beat.sender.instance.to_string());
-        }
-        let table = self.fleet.endpoints();
-        for view in beat.endpoints.iter().filter(|view| view.leaving) {
-            if table.get(&view.endpoint).is_some_and(|endpoint| endpoint.mark_leaving()) {
-                self.events.write(EventKind::Leaving, |event| {
-                    event.endpoint = Some(view.endpoint.clone())
-                });
-            }
-        }
+/// An endpoint's row of the list as an endpoint at an address.
+pub(crate) fn endpoint_at(record: &InstanceRecord) -> Option<EndpointAt> {
+    Some(EndpointAt { endpoint: record.id.parse().ok()?, address: record.address })
+}
+
+fn record(member: Member) -> MemberRecord {
+    MemberRecord {
+        instance: member.instance,
+        incarnation: member.incarnation,
+        address: member.address,
+        data_centre: member.data_centre,
+        generation: member.generation,
     }
 }
 
+fn observation(member: Member) -> Observation {
+    let state = match member.state {
+        MemberState::Alive => Liveness::Alive,
+        MemberState::Suspect => Liveness::Suspect,
+        MemberState::Leaving => Liveness::Leaving,
+        MemberState::Failed => Liveness::Failed,
+    };
+    let age = member.age;
+    Observation { record: record(member), state, age }
+}
+
+fn member(told: Observation) -> Member {
+    let state = match told.state {
+        Liveness::Alive => MemberState::Alive,
+        Liveness::Suspect => MemberState::Suspect,
+        Liveness::Leaving => MemberState::Leaving,
+        Liveness::Failed => MemberState::Failed,
+    };
+    let MemberRecord { instance, incarnation, address, data_centre, generation } = told.record;
+    Member { instance, incarnation, address, data_centre, state, generation, age: told.age }
+}
+
 /// Answers peers on behalf of a node.
 pub(crate) struct Handler {
     pub(crate) node: Weak<Node>,
@@ -136,7 +191,7 @@
 impl PeerHandler for Handler {
     fn heartbeat(&self, beat: Heartbeat) -> Heartbeat {
         let Some(node) = self.node() else { return beat };
-        node.take_beat(&beat);
+        node.take_beat(beat);
         node.beat(self.address)
     }
 
@@ -149,6 +204,27 @@
         })
     }
 
+    fn endpoints(&self) -> Vec<EndpointRow> {
+        let Some(node) = self.node() else { return Vec::new() };
+        let listed = node.fleet.listed();
+        let has_departed =
+            |at: Option<EndpointAt>| at.is_some_and(|at| node.members.has_departed(&at));
+        listed
+            .iter()
+            .filter_map(|record| {
+                Some(EndpointRow {
+                    endpoint: record.id.parse().ok()?,
+                    role: record.role.to_string(),
+                    pool: record.pool.clone()?,
+                    address: record.address,
+                    data_centre: record.data_centre.clone(),
+                    leaving: record.state == InstanceState::Leaving
+                        || has_departed(endpoint_at(record)),
+                })
+            })
+            .collect()
+    }
+
     fn suspect(&self, _suspect: Suspect) -> SuspectReply {
         SuspectReply::default()
     }
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -17,6 +17,8 @@
     pub listen: SocketAddr,
     /// Where peers connect.
     pub peer_listen: SocketAddr,
+    /// Where peers may be found besides the platform's list.
+    pub peers: Vec<SocketAddr>,
     /// The base URL of the platform.
     pub platform_url: String,
     /// The deadline of a call to the platform.
--- a/crates/peer/schema/peer.capnp
+++ b/crates/peer/schema/peer.capnp
@@ -14,6 +14,8 @@
   state @4 :UInt8;
   # The generation that the member has in force.
   generation @5 :UInt64;
+  # How long ago the sender found that out; 0 for the sender itself.
+  ageMs @6 :UInt32;
 }
 
 struct EndpointView {
@@ -24,6 +26,8 @@
   inFlight @2 :UInt32;
   # How many prompt tokens of those are not yet prefilled.
   queuedTokens @3 :UInt32;
+  # Its address; a replacement under the same name is another endpoint.
+  address @4 :Text;
 }
 
 struct Heartbeat {
@@ -33,6 +37,8 @@
   endpoints @3 :List(EndpointView);
   # Fingerprints of requests that may not run again.
   quarantined @4 :List(Data);
+  # Instances of other environments are no peers.
+  environment @5 :Text;
 }
 
 enum Verdict {
@@ -60,6 +66,16 @@
   reason @3 :Text;
 }
 
+# A row of the platform's list, told to an instance that can't read the list itself.
+struct EndpointRow {
+  endpoint @0 :Text;
+  role @1 :Text;
+  pool @2 :Text;
+  address @3 :Text;
+  dataCentre @4 :Text;
+  leaving @5 :Bool;
+}
+
 interface Peer {
   # Exchanges views; both sides learn.
   heartbeat @0 (beat :Heartbeat) -> (beat :Heartbeat);
@@ -75,4 +91,7 @@
 
   # Asks the instance that decides for a cell; an empty endpoint means that it can't say.
   place @4 (request :PlaceRequest) -> (decision :PlaceDecision);
+
+  # The endpoints as listed when the platform last answered.
+  endpoints @5 () -> (rows :List(EndpointRow));
 }
--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -1,12 +1,13 @@
 //! The handle with which the rest of the process calls peers.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, sync::Arc};
 
 use bilberryford_types::{Generation, TimeMs};
 use tokio::sync::{mpsc, oneshot};
 
 use crate::{
-    Borrow, BorrowReply, ConfigReply, Heartbeat, PlaceReply, PlaceRequest, Suspect, SuspectReply,
+    Borrow, BorrowReply, ConfigReply, EndpointRow, Heartbeat, PlaceReply, PlaceRequest, Suspect,
+    SuspectReply, Traffic, runtime::Counters,
 };
 
 /// Why a call of a peer failed; the peer may or may not have taken it in.
@@ -42,6 +43,7 @@
 pub(crate) enum CallKind {
     Heartbeat(Box<Heartbeat>),
     Configuration(Generation),
+    Endpoints,
     Suspect(Suspect),
     Borrow(Borrow),
     Place(Box<PlaceRequest>),
@@ -51,6 +53,7 @@
 pub(crate) enum Reply {
     Heartbeat(Box<Heartbeat>),
     Configuration(Option<ConfigReply>),
+    Endpoints(Vec<EndpointRow>),
     Suspect(SuspectReply),
     Borrow(BorrowReply),
     Place(Option<PlaceReply>),
@@ -68,6 +71,7 @@
 #[derive(Debug, Clone)]
 pub struct PeerClient {
     calls: mpsc::Sender<Call>,
+    counters: Arc<Counters>,
 }
 
 macro_rules! calls {
@@ -87,8 +91,13 @@
 }
 
 impl PeerClient {
-    pub(crate) const fn new(calls: mpsc::Sender<Call>) -> Self {
-        Self { calls }
+    pub(crate) const fn new(calls: mpsc::Sender<Call>, counters: Arc<Counters>) -> Self {
+        Self { calls, counters }
+    }
+
+    /// What was exchanged with peers so far, calls of theirs included.
+    pub fn traffic(&self) -> Traffic {
+        self.counters.read()
     }
 
     async fn call(
@@ -102,6 +111,24 @@
         answer.await.unwrap_or(Err(PeerError::Busy))
     }
 
+    /// Asks for the endpoints as the peer last read them from the platform.
+    ///
+    /// # Errors
+    ///
+    /// [`PeerError`].
+    pub async fn endpoints(
+        &self,
+        to: SocketAddr,
+        timeout: TimeMs,
+    ) -> Result<Vec<EndpointRow>, PeerError> {
+        match self.call(to, CallKind::Endpoints, timeout).await? {
+            Reply::Endpoints(rows) => Ok(rows),
+            other => {
+                Err(PeerError::Failed { reason: format!("a reply of another call: {other:?}") })
+            }
+        }
+    }
+
     calls! {
         /// Exchanges views with the peer at `to`.
         heartbeat(beat: Heartbeat => CallKind::Heartbeat(Box::new(beat))) -> Heartbeat(Heartbeat) |reply: Box<Heartbeat>| *reply;
--- a/crates/peer/src/convert.rs
+++ b/crates/peer/src/convert.rs
@@ -3,13 +3,15 @@
 //! Whatever a peer sends is checked here: a name that is no name or a list that is too long ends the call with an
 //! error, and nothing of it reaches the handler.
 
-use bilberryford_types::{Digest, Generation, HybridTime, Incarnation, Tokens};
+use bilberryford_types::{Digest, Generation, HybridTime, Incarnation, TimeMs, Tokens};
 use capnp::Error;
 
-use crate::{EndpointView, Heartbeat, Member, MemberState, Verdict, peer_capnp};
+use crate::{EndpointRow, EndpointView, Heartbeat, Member, MemberState, Verdict, peer_capnp};
 
 /// The most rows that a list from a peer may have.
 const MAX_ROWS: u32 = 4_096;
+/// The most endpoints that a peer may list.
+pub(crate) const MAX_ENDPOINT_ROWS: usize = 16_384;
 
 pub(crate) fn bad(error: impl std::fmt::Display) -> Error {
     Error::failed(format!("bad message: {error}"))
@@ -40,6 +42,7 @@
         state: MemberState::from_repr(reader.get_state())
             .ok_or_else(|| bad("unknown member state"))?,
         generation: Generation(reader.get_generation()),
+        age: TimeMs(reader.get_age_ms().into()),
     })
 }
 
@@ -50,6 +53,7 @@
     builder.set_data_centre(member.data_centre.as_str());
     builder.set_state(member.state as u8);
     builder.set_generation(member.generation.get());
+    builder.set_age_ms(u32::try_from(member.age.get()).unwrap_or(u32::MAX));
 }
 
 pub(crate) fn read_heartbeat(
@@ -64,6 +68,7 @@
     }
     Ok(Heartbeat {
         at: HybridTime { wall_ms: at.get_wall_ms(), counter: at.get_counter() },
+        environment: text(reader.get_environment()?)?,
         sender: read_member(reader.get_sender()?)?,
         members: members.iter().map(read_member).collect::<Result<_, _>>()?,
         endpoints: endpoints.iter().map(read_endpoint).collect::<Result<_, _>>()?,
@@ -74,6 +79,7 @@
 fn read_endpoint(reader: peer_capnp::endpoint_view::Reader<'_>) -> Result<EndpointView, Error> {
     Ok(EndpointView {
         endpoint: text(reader.get_endpoint()?)?,
+        address: text(reader.get_address()?)?,
         leaving: reader.get_leaving(),
         in_flight: reader.get_in_flight(),
         queued_tokens: Tokens(reader.get_queued_tokens()),
@@ -84,6 +90,7 @@
     let mut at = builder.reborrow().init_at();
     at.set_wall_ms(beat.at.wall_ms);
     at.set_counter(beat.at.counter);
+    builder.set_environment(beat.environment.as_str());
     write_member(&beat.sender, builder.reborrow().init_sender());
     let mut members = builder.reborrow().init_members(beat.members.len() as u32);
     for (index, member) in (0..).zip(&beat.members) {
@@ -93,6 +100,7 @@
     for (index, view) in (0..).zip(&beat.endpoints) {
         let mut row = endpoints.reborrow().get(index);
         row.set_endpoint(view.endpoint.as_str());
+        row.set_address(view.address.to_string().as_str());
         row.set_leaving(view.leaving);
         row.set_in_flight(view.in_flight);
         row.set_queued_tokens(view.queued_tokens.get());
@@ -118,3 +126,38 @@
         Verdict::Clean => peer_capnp::Verdict::Clean,
     }
 }
+
+pub(crate) fn read_rows(
+    rows: capnp::struct_list::Reader<'_, peer_capnp::endpoint_row::Owned>,
+) -> Result<Vec<EndpointRow>, Error> {
+    if rows.len() as usize > MAX_ENDPOINT_ROWS {
+        return Err(bad("the list is too long"));
+    }
+    rows.iter().map(read_row).collect()
+}
+
+fn read_row(reader: peer_capnp::endpoint_row::Reader<'_>) -> Result<EndpointRow, Error> {
+    Ok(EndpointRow {
+        endpoint: text(reader.get_endpoint()?)?,
+        role: text(reader.get_role()?)?,
+        pool: text(reader.get_pool()?)?,
+        address: text(reader.get_address()?)?,
+        data_centre: text(reader.get_data_centre()?)?,
+        leaving: reader.get_leaving(),
+    })
+}
+
+pub(crate) fn write_rows(
+    rows: &[EndpointRow],
+    mut builder: capnp::struct_list::Builder<'_, peer_capnp::endpoint_row::Owned>,
+) {
+    for (index, row) in (0..).zip(rows) {
+        let mut to = builder.reborrow().get(index);
+        to.set_endpoint(row.endpoint.as_str());
+        to.set_role(row.role.as_str());
+        to.set_pool(row.pool.as_str());
+        to.set_address(row.address.to_string().as_str());
+        to.set_data_centre(row.data_centre.as_str());
+        to.set_leaving(row.leaving);
+    }
+}
--- a/crates/peer/src/handler.rs
+++ b/crates/peer/src/handler.rs
@@ -1,7 +1,8 @@
 //! What an instance answers to its peers.
 
 use crate::{
-    Borrow, BorrowReply, ConfigReply, Heartbeat, PlaceReply, PlaceRequest, Suspect, SuspectReply,
+    Borrow, BorrowReply, ConfigReply, EndpointRow, Heartbeat, PlaceReply, PlaceRequest, Suspect,
+    SuspectReply,
 };
 use bilberryford_types::Generation;
 
@@ -19,6 +20,11 @@
     /// Lends slots of a team whose limit this instance owns.
     fn borrow(&self, borrow: Borrow) -> BorrowReply;
 
+    /// The endpoints as listed when the platform last answered.
+    fn endpoints(&self) -> Vec<EndpointRow> {
+        Vec::new()
+    }
+
     /// Decides for a cell; none when this instance can't say.
     fn place(&self, request: PlaceRequest) -> Option<PlaceReply>;
 }
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -25,7 +25,7 @@
 pub use client::{PeerClient, PeerError};
 pub use handler::PeerHandler;
 pub use message::{
-    Borrow, BorrowReply, ConfigReply, EndpointView, Heartbeat, Member, MemberState, PlaceReply,
-    PlaceRequest, Suspect, SuspectReply, Verdict,
+    Borrow, BorrowReply, ConfigReply, EndpointRow, EndpointView, Heartbeat, Member, MemberState,
+    PlaceReply, PlaceRequest, Suspect, SuspectReply, Verdict,
 };
-pub use runtime::PeerRuntime;
+pub use runtime::{PeerRuntime, Traffic};
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -3,8 +3,9 @@
 use std::net::SocketAddr;
 
 use bilberryford_types::{
-    DataCentreId, Digest, EndpointId, Generation, HybridTime, Incarnation, InstanceId, ModelName,
-    ObjectVersion, Priority, StoreId, TeamName, TimeMs, Tokens, WeightVersion,
+    DataCentreId, Digest, EndpointId, EnvironmentName, Generation, HybridTime, Incarnation,
+    InstanceId, ModelName, ObjectVersion, PoolName, Priority, StoreId, TeamName, TimeMs, Tokens,
+    WeightVersion,
 };
 
 /// What a member is taken to be.
@@ -37,6 +38,8 @@
     pub state: MemberState,
     /// The generation that it has in force.
     pub generation: Generation,
+    /// How long ago the sender found that out; zero for the sender itself.
+    pub age: TimeMs,
 }
 
 /// An endpoint as a peer sees it.
@@ -44,6 +47,8 @@
 pub struct EndpointView {
     /// Its name.
     pub endpoint: EndpointId,
+    /// Its address; a replacement under the same name is another endpoint.
+    pub address: SocketAddr,
     /// Whether it was seen leaving.
     pub leaving: bool,
     /// How many runs the sender has in flight there.
@@ -52,11 +57,30 @@
     pub queued_tokens: Tokens,
 }
 
+/// A row of the platform's list as a peer last read it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EndpointRow {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// What it is, in the platform's words.
+    pub role: String,
+    /// Its pool.
+    pub pool: PoolName,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Where it is.
+    pub data_centre: DataCentreId,
+    /// Whether it is leaving.
+    pub leaving: bool,
+}
+
 /// A regular exchange of views.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Heartbeat {
     /// The sender's hybrid time.
     pub at: HybridTime,
+    /// The sender's environment; instances of other environments are no peers.
+    pub environment: EnvironmentName,
     /// The sender itself.
     pub sender: Member,
     /// A bounded number of other members.
--- a/crates/peer/src/peer_capnp.rs
+++ b/crates/peer/src/peer_capnp.rs
@@ -440,6 +440,10 @@
         pub fn get_generation(self) -> u64 {
             self.reader.get_data_field::<u64>(2)
         }
+        #[inline]
+        pub fn get_age_ms(self) -> u32 {
+            self.reader.get_data_field::<u32>(3)
+        }
     }
 
     pub struct Builder<'a> {
@@ -623,6 +627,14 @@
         pub fn set_generation(&mut self, value: u64) {
             self.builder.set_data_field::<u64>(2, value);
         }
+        #[inline]
+        pub fn get_age_ms(self) -> u32 {
+            self.builder.get_data_field::<u32>(3)
+        }
+        #[inline]
+        pub fn set_age_ms(&mut self, value: u32) {
+            self.builder.set_data_field::<u32>(3, value);
+        }
     }
 
     pub struct Pipeline {
@@ -635,7 +647,7 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 111] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 126] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(42, 88, 76, 174, 83, 151, 213, 198),
             ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
@@ -645,56 +657,63 @@
             ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 143, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 77, 101, 109, 98, 101),
             ::capnp::word(114, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(181, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(189, 0, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(200, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(169, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(197, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(173, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(201, 0, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(200, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(213, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(221, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(105, 110, 115, 116, 97, 110, 99, 101),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
@@ -747,6 +766,14 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 103, 101, 77, 115, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -756,6 +783,7 @@
                 3 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 4 => <u8 as ::capnp::introspect::Introspect>::introspect(),
                 5 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                6 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -774,9 +802,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 3, 5, 1, 0, 4];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 6, 3, 5, 1, 0, 4];
         pub(crate) const TYPE_ID: u64 = 0xc6d5_9753_ae4c_582a;
     }
 }
@@ -904,6 +932,17 @@
         pub fn get_queued_tokens(self) -> u32 {
             self.reader.get_data_field::<u32>(2)
         }
+        #[inline]
+        pub fn get_address(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(1),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_address(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
     }
 
     pub struct Builder<'a> {
@@ -911,7 +950,7 @@
     }
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-            ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
+            ::capnp::private::layout::StructSize { data: 2, pointers: 2 };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -1033,6 +1072,33 @@
         pub fn set_queued_tokens(&mut self, value: u32) {
             self.builder.set_data_field::<u32>(2, value);
         }
+        #[inline]
+        pub fn get_address(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(1),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_address(
+            &mut self,
+            value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
+        ) {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(1),
+                value,
+                false,
+            )
+            .unwrap()
+        }
+        #[inline]
+        pub fn init_address(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(1).init_text(size)
+        }
+        #[inline]
+        pub fn has_address(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
     }
 
     pub struct Pipeline {
@@ -1045,52 +1111,59 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 80] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 95] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(56, 245, 206, 225, 71, 114, 80, 215),
             ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(81, 39, 62, 76, 169, 208, 241, 182),
-            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 194, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 69, 110, 100, 112, 111),
             ::capnp::word(105, 110, 116, 86, 105, 101, 119, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(133, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(137, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(117, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(145, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(144, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(128, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(153, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(101, 110, 100, 112, 111, 105, 110, 116),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
@@ -1126,6 +1199,14 @@
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 100, 100, 114, 101, 115, 115, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -1133,6 +1214,7 @@
                 1 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1151,9 +1233,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 2, 1, 3];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[4, 0, 2, 1, 3];
         pub(crate) const TYPE_ID: u64 = 0xd750_7247_e1ce_f538;
     }
 }
@@ -1320,6 +1402,17 @@
         pub fn has_quarantined(&self) -> bool {
             !self.reader.get_pointer_field(4).is_null()
         }
+        #[inline]
+        pub fn get_environment(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(5),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_environment(&self) -> bool {
+            !self.reader.get_pointer_field(5).is_null()
+        }
     }
 
     pub struct Builder<'a> {
@@ -1327,7 +1420,7 @@
     }
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-            ::capnp::private::layout::StructSize { data: 0, pointers: 5 };
+            ::capnp::private::layout::StructSize { data: 0, pointers: 6 };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -1550,6 +1643,33 @@
         pub fn has_quarantined(&self) -> bool {
             !self.builder.is_pointer_field_null(4)
         }
+        #[inline]
+        pub fn get_environment(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(5),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_environment(
+            &mut self,
+            value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
+        ) {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(5),
+                value,
+                false,
+            )
+            .unwrap()
+        }
+        #[inline]
+        pub fn init_environment(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(5).init_text(size)
+        }
+        #[inline]
+        pub fn has_environment(&self) -> bool {
+            !self.builder.is_pointer_field_null(5)
+        }
     }
 
     pub struct Pipeline {
@@ -1569,59 +1689,66 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 106] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 122] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(87, 255, 182, 39, 109, 181, 84, 163),
             ::capnp::word(11, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(81, 39, 62, 76, 169, 208, 241, 182),
-            ::capnp::word(5, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(6, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 170, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 72, 101, 97, 114, 116),
             ::capnp::word(98, 101, 97, 116, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 0, 0, 0, 26, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 26, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(157, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(161, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(156, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(181, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(208, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(177, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(205, 0, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(229, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(228, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(97, 116, 0, 0, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(73, 205, 193, 39, 110, 169, 254, 251),
@@ -1676,6 +1803,15 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 110, 118, 105, 114, 111, 110, 109),
+            ::capnp::word(101, 110, 116, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -1684,6 +1820,7 @@
                 2 => <::capnp::struct_list::Owned<crate::peer_capnp::member::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 3 => <::capnp::struct_list::Owned<crate::peer_capnp::endpoint_view::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 4 => <::capnp::data_list::Owned as ::capnp::introspect::Introspect>::introspect(),
+                5 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1702,9 +1839,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 3, 2, 4, 1];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 3, 5, 2, 4, 1];
         pub(crate) const TYPE_ID: u64 = 0xa354_b56d_27b6_ff57;
     }
 }
@@ -2808,297 +2945,1468 @@
     }
 }
 
-pub mod peer {
-    #![allow(unused_variables)]
-    pub type HeartbeatParams =
-        ::capnp::capability::Params<crate::peer_capnp::peer::heartbeat_params::Owned>;
-    pub type HeartbeatResults =
-        ::capnp::capability::Results<crate::peer_capnp::peer::heartbeat_results::Owned>;
-    pub type ConfigurationParams =
-        ::capnp::capability::Params<crate::peer_capnp::peer::configuration_params::Owned>;
-    pub type ConfigurationResults =
-        ::capnp::capability::Results<crate::peer_capnp::peer::configuration_results::Owned>;
-    pub type SuspectParams =
-        ::capnp::capability::Params<crate::peer_capnp::peer::suspect_params::Owned>;
-    pub type SuspectResults =
-        ::capnp::capability::Results<crate::peer_capnp::peer::suspect_results::Owned>;
-    pub type BorrowParams =
-        ::capnp::capability::Params<crate::peer_capnp::peer::borrow_params::Owned>;
-    pub type BorrowResults =
-        ::capnp::capability::Results<crate::peer_capnp::peer::borrow_results::Owned>;
-    pub type PlaceParams =
-        ::capnp::capability::Params<crate::peer_capnp::peer::place_params::Owned>;
-    pub type PlaceResults =
-        ::capnp::capability::Results<crate::peer_capnp::peer::place_results::Owned>;
-
-    pub struct Client {
-        pub client: ::capnp::capability::Client,
-    }
-    impl ::capnp::capability::FromClientHook for Client {
-        fn new(hook: Box<::capnp::capability::DynClientHook>) -> Self {
-            Self { client: ::capnp::capability::Client::new(hook) }
-        }
-        fn into_client_hook(self) -> Box<::capnp::capability::DynClientHook> {
-            self.client.hook
-        }
-        fn as_client_hook(&self) -> &::capnp::capability::DynClientHook {
-            &*self.client.hook
-        }
-    }
+pub mod endpoint_row {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned {
         fn introspect() -> ::capnp::introspect::Type {
-            ::capnp::introspect::TypeVariant::Capability.into()
+            ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                generic: &_private::RAW_SCHEMA,
+                field_types: _private::get_field_types,
+                annotation_types: _private::get_annotation_types,
+                type_id: ::core::any::TypeId::of::<Owned>(),
+            })
+            .into()
         }
     }
     impl ::capnp::traits::Owned for Owned {
-        type Reader<'a> = Client;
-        type Builder<'a> = Client;
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::OwnedStruct for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
     }
     impl ::capnp::traits::Pipelined for Owned {
-        type Pipeline = Client;
+        type Pipeline = Pipeline;
     }
-    impl<'a> ::capnp::traits::FromPointerReader<'a> for Client {
-        fn get_from_pointer(
-            reader: &::capnp::private::layout::PointerReader<'a>,
-            _default: ::core::option::Option<&'a [::capnp::Word]>,
-        ) -> ::capnp::Result<Self> {
-            ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(
-                reader.get_capability()?,
-            ))
-        }
+
+    pub struct Reader<'a> {
+        reader: ::capnp::private::layout::StructReader<'a>,
     }
-    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Client {
-        fn init_pointer(
-            _builder: ::capnp::private::layout::PointerBuilder<'a>,
-            _size: u32,
-        ) -> Self {
-            unimplemented!()
+    impl ::core::marker::Copy for Reader<'_> {}
+    impl ::core::clone::Clone for Reader<'_> {
+        fn clone(&self) -> Self {
+            *self
         }
-        fn get_from_pointer(
-            builder: ::capnp::private::layout::PointerBuilder<'a>,
-            _default: ::core::option::Option<&'a [::capnp::Word]>,
-        ) -> ::capnp::Result<Self> {
-            ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(
-                builder.get_capability()?,
-            ))
+    }
+
+    impl ::capnp::traits::HasTypeId for Reader<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader }
         }
     }
 
-    impl ::capnp::traits::SetterInput<Owned> for Client {
-        fn set_pointer_builder(
-            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
-            from: Self,
-            _canonicalize: bool,
-        ) -> ::capnp::Result<()> {
-            pointer.set_capability(from.client.hook);
-            ::core::result::Result::Ok(())
+    impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+        fn from(reader: Reader<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(
+                reader.reader,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
         }
     }
-    impl ::capnp::traits::HasTypeId for Client {
-        const TYPE_ID: u64 = _private::TYPE_ID;
+
+    impl ::core::fmt::Debug for Reader<'_> {
+        fn fmt(
+            &self,
+            f: &mut ::core::fmt::Formatter<'_>,
+        ) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(
+                &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                f,
+            )
+        }
     }
-    impl Clone for Client {
-        fn clone(&self) -> Self {
-            Self { client: self.client.clone() }
+
+    impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+        fn get_from_pointer(
+            reader: &::capnp::private::layout::PointerReader<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
         }
     }
-    impl Client {
-        pub fn heartbeat_request(
-            &self,
-        ) -> ::capnp::capability::Request<
-            crate::peer_capnp::peer::heartbeat_params::Owned,
-            crate::peer_capnp::peer::heartbeat_results::Owned,
-        > {
-            self.client.new_call(_private::TYPE_ID, 0, ::core::option::Option::None)
+
+    impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
         }
-        pub fn configuration_request(
-            &self,
-        ) -> ::capnp::capability::Request<
-            crate::peer_capnp::peer::configuration_params::Owned,
-            crate::peer_capnp::peer::configuration_results::Owned,
-        > {
-            self.client.new_call(_private::TYPE_ID, 1, ::core::option::Option::None)
+    }
+
+    impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
         }
-        pub fn suspect_request(
-            &self,
-        ) -> ::capnp::capability::Request<
-            crate::peer_capnp::peer::suspect_params::Owned,
-            crate::peer_capnp::peer::suspect_results::Owned,
-        > {
-            self.client.new_call(_private::TYPE_ID, 2, ::core::option::Option::None)
+    }
+
+    impl<'a> Reader<'a> {
+        pub fn reborrow(&self) -> Reader<'_> {
+            Self { ..*self }
         }
-        pub fn borrow_request(
-            &self,
-        ) -> ::capnp::capability::Request<
-            crate::peer_capnp::peer::borrow_params::Owned,
-            crate::peer_capnp::peer::borrow_results::Owned,
-        > {
-            self.client.new_call(_private::TYPE_ID, 3, ::core::option::Option::None)
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
         }
-        pub fn place_request(
-            &self,
-        ) -> ::capnp::capability::Request<
-            crate::peer_capnp::peer::place_params::Owned,
-            crate::peer_capnp::peer::place_results::Owned,
-        > {
-            self.client.new_call(_private::TYPE_ID, 4, ::core::option::Option::None)
+        #[inline]
+        pub fn get_endpoint(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
         }
-    }
-    pub trait Server: 'static {
-        fn heartbeat(
-            self: ::capnp::capability::Rc<Self>,
-            _: HeartbeatParams,
-            _: HeartbeatResults,
-        ) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static {
-            ::core::future::ready(Err(::capnp::Error::unimplemented(
-                "method peer::Server::heartbeat not implemented".to_string(),
-            )))
+        #[inline]
+        pub fn has_endpoint(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
         }
-        fn configuration(
-            self: ::capnp::capability::Rc<Self>,
-            _: ConfigurationParams,
-            _: ConfigurationResults,
-        ) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static {
-            ::core::future::ready(Err(::capnp::Error::unimplemented(
-                "method peer::Server::configuration not implemented".to_string(),
-            )))
+        #[inline]
+        pub fn get_role(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(1),
+                ::core::option::Option::None,
+            )
         }
-        fn suspect(
-            self: ::capnp::capability::Rc<Self>,
-            _: SuspectParams,
-            _: SuspectResults,
-        ) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static {
-            ::core::future::ready(Err(::capnp::Error::unimplemented(
-                "method peer::Server::suspect not implemented".to_string(),
-            )))
+        #[inline]
+        pub fn has_role(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
         }
-        fn borrow(
-            self: ::capnp::capability::Rc<Self>,
-            _: BorrowParams,
-            _: BorrowResults,
-        ) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static {
-            ::core::future::ready(Err(::capnp::Error::unimplemented(
-                "method peer::Server::borrow not implemented".to_string(),
-            )))
+        #[inline]
+        pub fn get_pool(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(2),
+                ::core::option::Option::None,
+            )
         }
-        fn place(
-            self: ::capnp::capability::Rc<Self>,
-            _: PlaceParams,
-            _: PlaceResults,
-        ) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static {
-            ::core::future::ready(Err(::capnp::Error::unimplemented(
-                "method peer::Server::place not implemented".to_string(),
-            )))
+        #[inline]
+        pub fn has_pool(&self) -> bool {
+            !self.reader.get_pointer_field(2).is_null()
+        }
+        #[inline]
+        pub fn get_address(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(3),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_address(&self) -> bool {
+            !self.reader.get_pointer_field(3).is_null()
+        }
+        #[inline]
+        pub fn get_data_centre(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(4),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_data_centre(&self) -> bool {
+            !self.reader.get_pointer_field(4).is_null()
+        }
+        #[inline]
+        pub fn get_leaving(self) -> bool {
+            self.reader.get_bool_field(0)
         }
     }
-    pub struct ServerDispatch<_T> {
-        pub server: ::capnp::capability::Rc<_T>,
+
+    pub struct Builder<'a> {
+        builder: ::capnp::private::layout::StructBuilder<'a>,
     }
-    impl<_S: Server + 'static> ::capnp::capability::FromServer<_S> for Client {
-        type Dispatch = ServerDispatch<_S>;
-        fn from_server(s: ::capnp::capability::Rc<_S>) -> ServerDispatch<_S> {
-            ServerDispatch { server: s }
+    impl ::capnp::traits::HasStructSize for Builder<'_> {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+            ::capnp::private::layout::StructSize { data: 1, pointers: 5 };
+    }
+    impl ::capnp::traits::HasTypeId for Builder<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder }
         }
     }
-    impl<_T: Server> ::core::ops::Deref for ServerDispatch<_T> {
-        type Target = _T;
-        fn deref(&self) -> &_T {
-            &self.server
+
+    impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+        fn from(builder: Builder<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(
+                builder.builder,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
         }
     }
-    impl<_T: Server> ::core::clone::Clone for ServerDispatch<_T> {
-        fn clone(&self) -> Self {
-            Self { server: self.server.clone() }
+
+    impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
         }
     }
-    impl<_T: Server> ::capnp::capability::Server for ServerDispatch<_T> {
-        fn dispatch_call(
-            self,
-            interface_id: u64,
-            method_id: u16,
-            params: ::capnp::capability::Params<::capnp::any_pointer::Owned>,
-            results: ::capnp::capability::Results<::capnp::any_pointer::Owned>,
-        ) -> ::capnp::capability::DispatchCallResult {
-            match interface_id {
-                _private::TYPE_ID => {
-                    Self::dispatch_call_internal(self.server, method_id, params, results)
-                }
-                _ => ::capnp::capability::DispatchCallResult::new(
-                    ::capnp::capability::Promise::err(::capnp::Error::unimplemented(
-                        "Method not implemented.".to_string(),
-                    )),
+
+    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(
+            builder: ::capnp::private::layout::PointerBuilder<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(
+                builder
+                    .get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?
+                    .into(),
+            )
+        }
+    }
+
+    impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+        fn set_pointer_builder(
+            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+            value: Self,
+            canonicalize: bool,
+        ) -> ::capnp::Result<()> {
+            pointer.set_struct(&value.reader, canonicalize)
+        }
+    }
+
+    impl<'a> Builder<'a> {
+        pub fn into_reader(self) -> Reader<'a> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_endpoint(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_endpoint(
+            &mut self,
+            value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
+        ) {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(0),
+                value,
+                false,
+            )
+            .unwrap()
+        }
+        #[inline]
+        pub fn init_endpoint(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_endpoint(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_role(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(1),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_role(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>) {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(1),
+                value,
+                false,
+            )
+            .unwrap()
+        }
+        #[inline]
+        pub fn init_role(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(1).init_text(size)
+        }
+        #[inline]
+        pub fn has_role(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+        #[inline]
+        pub fn get_pool(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(2),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_pool(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>) {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(2),
+                value,
+                false,
+            )
+            .unwrap()
+        }
+        #[inline]
+        pub fn init_pool(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(2).init_text(size)
+        }
+        #[inline]
+        pub fn has_pool(&self) -> bool {
+            !self.builder.is_pointer_field_null(2)
+        }
+        #[inline]
+        pub fn get_address(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(3),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_address(
+            &mut self,
+            value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
+        ) {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(3),
+                value,
+                false,
+            )
+            .unwrap()
+        }
+        #[inline]
+        pub fn init_address(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(3).init_text(size)
+        }
+        #[inline]
+        pub fn has_address(&self) -> bool {
+            !self.builder.is_pointer_field_null(3)
+        }
+        #[inline]
+        pub fn get_data_centre(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(4),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_data_centre(
+            &mut self,
+            value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
+        ) {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(4),
+                value,
+                false,
+            )
+            .unwrap()
+        }
+        #[inline]
+        pub fn init_data_centre(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(4).init_text(size)
+        }
+        #[inline]
+        pub fn has_data_centre(&self) -> bool {
+            !self.builder.is_pointer_field_null(4)
+        }
+        #[inline]
+        pub fn get_leaving(self) -> bool {
+            self.builder.get_bool_field(0)
+        }
+        #[inline]
+        pub fn set_leaving(&mut self, value: bool) {
+            self.builder.set_bool_field(0, value);
+        }
+    }
+
+    pub struct Pipeline {
+        _typeless: ::capnp::any_pointer::Pipeline,
+    }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless }
+        }
+    }
+    impl Pipeline {}
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 109] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(6, 233, 67, 167, 99, 69, 150, 154),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(81, 39, 62, 76, 169, 208, 241, 182),
+            ::capnp::word(5, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 69, 110, 100, 112, 111),
+            ::capnp::word(105, 110, 116, 82, 111, 119, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(161, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(165, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(169, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(173, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(181, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(101, 110, 100, 112, 111, 105, 110, 116),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 111, 108, 101, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 111, 111, 108, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 100, 100, 114, 101, 115, 115, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 97, 116, 97, 67, 101, 110, 116),
+            ::capnp::word(114, 101, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 101, 97, 118, 105, 110, 103, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                2 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                3 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                4 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                5 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(
+            child_index: Option<u16>,
+            index: u32,
+        ) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+            ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+            ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME,
+            );
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[3, 4, 0, 5, 2, 1];
+        pub(crate) const TYPE_ID: u64 = 0x9a96_4563_a743_e906;
+    }
+}
+
+pub mod peer {
+    #![allow(unused_variables)]
+    pub type HeartbeatParams =
+        ::capnp::capability::Params<crate::peer_capnp::peer::heartbeat_params::Owned>;
+    pub type HeartbeatResults =
+        ::capnp::capability::Results<crate::peer_capnp::peer::heartbeat_results::Owned>;
+    pub type ConfigurationParams =
+        ::capnp::capability::Params<crate::peer_capnp::peer::configuration_params::Owned>;
+    pub type ConfigurationResults =
+        ::capnp::capability::Results<crate::peer_capnp::peer::configuration_results::Owned>;
+    pub type SuspectParams =
+        ::capnp::capability::Params<crate::peer_capnp::peer::suspect_params::Owned>;
+    pub type SuspectResults =
+        ::capnp::capability::Results<crate::peer_capnp::peer::suspect_results::Owned>;
+    pub type BorrowParams =
+        ::capnp::capability::Params<crate::peer_capnp::peer::borrow_params::Owned>;
+    pub type BorrowResults =
+        ::capnp::capability::Results<crate::peer_capnp::peer::borrow_results::Owned>;
+    pub type PlaceParams =
+        ::capnp::capability::Params<crate::peer_capnp::peer::place_params::Owned>;
+    pub type PlaceResults =
+        ::capnp::capability::Results<crate::peer_capnp::peer::place_results::Owned>;
+    pub type EndpointsParams =
+        ::capnp::capability::Params<crate::peer_capnp::peer::endpoints_params::Owned>;
+    pub type EndpointsResults =
+        ::capnp::capability::Results<crate::peer_capnp::peer::endpoints_results::Owned>;
+
+    pub struct Client {
+        pub client: ::capnp::capability::Client,
+    }
+    impl ::capnp::capability::FromClientHook for Client {
+        fn new(hook: Box<::capnp::capability::DynClientHook>) -> Self {
+            Self { client: ::capnp::capability::Client::new(hook) }
+        }
+        fn into_client_hook(self) -> Box<::capnp::capability::DynClientHook> {
+            self.client.hook
+        }
+        fn as_client_hook(&self) -> &::capnp::capability::DynClientHook {
+            &*self.client.hook
+        }
+    }
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned {
+        fn introspect() -> ::capnp::introspect::Type {
+            ::capnp::introspect::TypeVariant::Capability.into()
+        }
+    }
+    impl ::capnp::traits::Owned for Owned {
+        type Reader<'a> = Client;
+        type Builder<'a> = Client;
+    }
+    impl ::capnp::traits::Pipelined for Owned {
+        type Pipeline = Client;
+    }
+    impl<'a> ::capnp::traits::FromPointerReader<'a> for Client {
+        fn get_from_pointer(
+            reader: &::capnp::private::layout::PointerReader<'a>,
+            _default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(
+                reader.get_capability()?,
+            ))
+        }
+    }
+    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Client {
+        fn init_pointer(
+            _builder: ::capnp::private::layout::PointerBuilder<'a>,
+            _size: u32,
+        ) -> Self {
+            unimplemented!()
+        }
+        fn get_from_pointer(
+            builder: ::capnp::private::layout::PointerBuilder<'a>,
+            _default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(
+                builder.get_capability()?,
+            ))
+        }
+    }
+
+    impl ::capnp::traits::SetterInput<Owned> for Client {
+        fn set_pointer_builder(
+            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+            from: Self,
+            _canonicalize: bool,
+        ) -> ::capnp::Result<()> {
+            pointer.set_capability(from.client.hook);
+            ::core::result::Result::Ok(())
+        }
+    }
+    impl ::capnp::traits::HasTypeId for Client {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl Clone for Client {
+        fn clone(&self) -> Self {
+            Self { client: self.client.clone() }
+        }
+    }
+    impl Client {
+        pub fn heartbeat_request(
+            &self,
+        ) -> ::capnp::capability::Request<
+            crate::peer_capnp::peer::heartbeat_params::Owned,
+            crate::peer_capnp::peer::heartbeat_results::Owned,
+        > {
+            self.client.new_call(_private::TYPE_ID, 0, ::core::option::Option::None)
+        }
+        pub fn configuration_request(
+            &self,
+        ) -> ::capnp::capability::Request<
+            crate::peer_capnp::peer::configuration_params::Owned,
+            crate::peer_capnp::peer::configuration_results::Owned,
+        > {
+            self.client.new_call(_private::TYPE_ID, 1, ::core::option::Option::None)
+        }
+        pub fn suspect_request(
+            &self,
+        ) -> ::capnp::capability::Request<
+            crate::peer_capnp::peer::suspect_params::Owned,
+            crate::peer_capnp::peer::suspect_results::Owned,
+        > {
+            self.client.new_call(_private::TYPE_ID, 2, ::core::option::Option::None)
+        }
+        pub fn borrow_request(
+            &self,
+        ) -> ::capnp::capability::Request<
+            crate::peer_capnp::peer::borrow_params::Owned,
+            crate::peer_capnp::peer::borrow_results::Owned,
+        > {
+            self.client.new_call(_private::TYPE_ID, 3, ::core::option::Option::None)
+        }
+        pub fn place_request(
+            &self,
+        ) -> ::capnp::capability::Request<
+            crate::peer_capnp::peer::place_params::Owned,
+            crate::peer_capnp::peer::place_results::Owned,
+        > {
+            self.client.new_call(_private::TYPE_ID, 4, ::core::option::Option::None)
+        }
+        pub fn endpoints_request(
+            &self,
+        ) -> ::capnp::capability::Request<
+            crate::peer_capnp::peer::endpoints_params::Owned,
+            crate::peer_capnp::peer::endpoints_results::Owned,
+        > {
+            self.client.new_call(_private::TYPE_ID, 5, ::core::option::Option::None)
+        }
+    }
+    pub trait Server: 'static {
+        fn heartbeat(
+            self: ::capnp::capability::Rc<Self>,
+            _: HeartbeatParams,
+            _: HeartbeatResults,
+        ) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static {
+            ::core::future::ready(Err(::capnp::Error::unimplemented(
+                "method peer::Server::heartbeat not implemented".to_string(),
+            )))
+        }
+        fn configuration(
+            self: ::capnp::capability::Rc<Self>,
+            _: ConfigurationParams,
+            _: ConfigurationResults,
+        ) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static {
+            ::core::future::ready(Err(::capnp::Error::unimplemented(
+                "method peer::Server::configuration not implemented".to_string(),
+            )))
+        }
+        fn suspect(
+            self: ::capnp::capability::Rc<Self>,
+            _: SuspectParams,
+            _: SuspectResults,
+        ) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static {
+            ::core::future::ready(Err(::capnp::Error::unimplemented(
+                "method peer::Server::suspect not implemented".to_string(),
+            )))
+        }
+        fn borrow(
+            self: ::capnp::capability::Rc<Self>,
+            _: BorrowParams,
+            _: BorrowResults,
+        ) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static {
+            ::core::future::ready(Err(::capnp::Error::unimplemented(
+                "method peer::Server::borrow not implemented".to_string(),
+            )))
+        }
+        fn place(
+            self: ::capnp::capability::Rc<Self>,
+            _: PlaceParams,
+            _: PlaceResults,
+        ) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static {
+            ::core::future::ready(Err(::capnp::Error::unimplemented(
+                "method peer::Server::place not implemented".to_string(),
+            )))
+        }
+        fn endpoints(
+            self: ::capnp::capability::Rc<Self>,
+            _: EndpointsParams,
+            _: EndpointsResults,
+        ) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static {
+            ::core::future::ready(Err(::capnp::Error::unimplemented(
+                "method peer::Server::endpoints not implemented".to_string(),
+            )))
+        }
+    }
+    pub struct ServerDispatch<_T> {
+        pub server: ::capnp::capability::Rc<_T>,
+    }
+    impl<_S: Server + 'static> ::capnp::capability::FromServer<_S> for Client {
+        type Dispatch = ServerDispatch<_S>;
+        fn from_server(s: ::capnp::capability::Rc<_S>) -> ServerDispatch<_S> {
+            ServerDispatch { server: s }
+        }
+    }
+    impl<_T: Server> ::core::ops::Deref for ServerDispatch<_T> {
+        type Target = _T;
+        fn deref(&self) -> &_T {
+            &self.server
+        }
+    }
+    impl<_T: Server> ::core::clone::Clone for ServerDispatch<_T> {
+        fn clone(&self) -> Self {
+            Self { server: self.server.clone() }
+        }
+    }
+    impl<_T: Server> ::capnp::capability::Server for ServerDispatch<_T> {
+        fn dispatch_call(
+            self,
+            interface_id: u64,
+            method_id: u16,
+            params: ::capnp::capability::Params<::capnp::any_pointer::Owned>,
+            results: ::capnp::capability::Results<::capnp::any_pointer::Owned>,
+        ) -> ::capnp::capability::DispatchCallResult {
+            match interface_id {
+                _private::TYPE_ID => {
+                    Self::dispatch_call_internal(self.server, method_id, params, results)
+                }
+                _ => ::capnp::capability::DispatchCallResult::new(
+                    ::capnp::capability::Promise::err(::capnp::Error::unimplemented(
+                        "Method not implemented.".to_string(),
+                    )),
+                    false,
+                ),
+            }
+        }
+        fn as_ptr(&self) -> usize {
+            ::capnp::capability::Rc::as_ptr(&self.server) as usize
+        }
+    }
+    impl<_T: Server> ServerDispatch<_T> {
+        pub fn dispatch_call_internal(
+            this: ::capnp::capability::Rc<_T>,
+            method_id: u16,
+            params: ::capnp::capability::Params<::capnp::any_pointer::Owned>,
+            results: ::capnp::capability::Results<::capnp::any_pointer::Owned>,
+        ) -> ::capnp::capability::DispatchCallResult {
+            match method_id {
+                0 => ::capnp::capability::DispatchCallResult::new(
+                    ::capnp::capability::Promise::from_future(<_T as Server>::heartbeat(
+                        this,
+                        ::capnp::private::capability::internal_get_typed_params(params),
+                        ::capnp::private::capability::internal_get_typed_results(results),
+                    )),
+                    false,
+                ),
+                1 => ::capnp::capability::DispatchCallResult::new(
+                    ::capnp::capability::Promise::from_future(<_T as Server>::configuration(
+                        this,
+                        ::capnp::private::capability::internal_get_typed_params(params),
+                        ::capnp::private::capability::internal_get_typed_results(results),
+                    )),
+                    false,
+                ),
+                2 => ::capnp::capability::DispatchCallResult::new(
+                    ::capnp::capability::Promise::from_future(<_T as Server>::suspect(
+                        this,
+                        ::capnp::private::capability::internal_get_typed_params(params),
+                        ::capnp::private::capability::internal_get_typed_results(results),
+                    )),
+                    false,
+                ),
+                3 => ::capnp::capability::DispatchCallResult::new(
+                    ::capnp::capability::Promise::from_future(<_T as Server>::borrow(
+                        this,
+                        ::capnp::private::capability::internal_get_typed_params(params),
+                        ::capnp::private::capability::internal_get_typed_results(results),
+                    )),
+                    false,
+                ),
+                4 => ::capnp::capability::DispatchCallResult::new(
+                    ::capnp::capability::Promise::from_future(<_T as Server>::place(
+                        this,
+                        ::capnp::private::capability::internal_get_typed_params(params),
+                        ::capnp::private::capability::internal_get_typed_results(results),
+                    )),
+                    false,
+                ),
+                5 => ::capnp::capability::DispatchCallResult::new(
+                    ::capnp::capability::Promise::from_future(<_T as Server>::endpoints(
+                        this,
+                        ::capnp::private::capability::internal_get_typed_params(params),
+                        ::capnp::private::capability::internal_get_typed_results(results),
+                    )),
+                    false,
+                ),
+                _ => ::capnp::capability::DispatchCallResult::new(
+                    ::capnp::capability::Promise::err(::capnp::Error::unimplemented(
+                        "Method not implemented.".to_string(),
+                    )),
+                    false,
+                ),
+            }
+        }
+    }
+    pub(crate) mod _private {
+        pub(crate) const TYPE_ID: u64 = 0xb444_e01e_a115_7fd0;
+    }
+
+    pub mod heartbeat_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned {
+            fn introspect() -> ::capnp::introspect::Type {
+                ::capnp::introspect::TypeVariant::Struct(
+                    ::capnp::introspect::RawBrandedStructSchema {
+                        generic: &_private::RAW_SCHEMA,
+                        field_types: _private::get_field_types,
+                        annotation_types: _private::get_annotation_types,
+                        type_id: ::core::any::TypeId::of::<Owned>(),
+                    },
+                )
+                .into()
+            }
+        }
+        impl ::capnp::traits::Owned for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::OwnedStruct for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::Pipelined for Owned {
+            type Pipeline = Pipeline;
+        }
+
+        pub struct Reader<'a> {
+            reader: ::capnp::private::layout::StructReader<'a>,
+        }
+        impl ::core::marker::Copy for Reader<'_> {}
+        impl ::core::clone::Clone for Reader<'_> {
+            fn clone(&self) -> Self {
+                *self
+            }
+        }
+
+        impl ::capnp::traits::HasTypeId for Reader<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+            fn from(reader: Reader<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(
+                    reader.reader,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
+            }
+        }
+
+        impl ::core::fmt::Debug for Reader<'_> {
+            fn fmt(
+                &self,
+                f: &mut ::core::fmt::Formatter<'_>,
+            ) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(
+                    &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                    f,
+                )
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+            fn get_from_pointer(
+                reader: &::capnp::private::layout::PointerReader<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl<'a> Reader<'a> {
+            pub fn reborrow(&self) -> Reader<'_> {
+                Self { ..*self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_beat(self) -> ::capnp::Result<crate::peer_capnp::heartbeat::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(
+                    &self.reader.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn has_beat(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> {
+            builder: ::capnp::private::layout::StructBuilder<'a>,
+        }
+        impl ::capnp::traits::HasStructSize for Builder<'_> {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+                ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+        }
+        impl ::capnp::traits::HasTypeId for Builder<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+            fn from(builder: Builder<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(
+                    builder.builder,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
+            }
+        }
+
+        impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+            fn init_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                _size: u32,
+            ) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(
+                    builder
+                        .get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?
+                        .into(),
+                )
+            }
+        }
+
+        impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+            fn set_pointer_builder(
+                mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+                value: Self,
+                canonicalize: bool,
+            ) -> ::capnp::Result<()> {
+                pointer.set_struct(&value.reader, canonicalize)
+            }
+        }
+
+        impl<'a> Builder<'a> {
+            pub fn into_reader(self) -> Reader<'a> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_beat(self) -> ::capnp::Result<crate::peer_capnp::heartbeat::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                    self.builder.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn set_beat(
+                &mut self,
+                value: crate::peer_capnp::heartbeat::Reader<'_>,
+            ) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(
+                    self.builder.reborrow().get_pointer_field(0),
+                    value,
+                    false,
+                )
+            }
+            #[inline]
+            pub fn init_beat(self) -> crate::peer_capnp::heartbeat::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(
+                    self.builder.get_pointer_field(0),
+                    0,
+                )
+            }
+            #[inline]
+            pub fn has_beat(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline {
+            _typeless: ::capnp::any_pointer::Pipeline,
+        }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless }
+            }
+        }
+        impl Pipeline {
+            pub fn get_beat(&self) -> crate::peer_capnp::heartbeat::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+            }
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(153, 160, 66, 234, 35, 58, 39, 250),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
+                ::capnp::word(104, 101, 97, 114, 116, 98, 101, 97),
+                ::capnp::word(116, 36, 80, 97, 114, 97, 109, 115),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(98, 101, 97, 116, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(87, 255, 182, 39, 109, 181, 84, 163),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <crate::peer_capnp::heartbeat::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(
+                child_index: Option<u16>,
+                index: u32,
+            ) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+                ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+                ::capnp::introspect::RawStructSchema::new(
+                    &ARENA,
+                    NONUNION_MEMBERS,
+                    MEMBERS_BY_DISCRIMINANT,
+                    MEMBERS_BY_NAME,
+                );
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xfa27_3a23_ea42_a099;
+        }
+    }
+
+    pub mod heartbeat_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned {
+            fn introspect() -> ::capnp::introspect::Type {
+                ::capnp::introspect::TypeVariant::Struct(
+                    ::capnp::introspect::RawBrandedStructSchema {
+                        generic: &_private::RAW_SCHEMA,
+                        field_types: _private::get_field_types,
+                        annotation_types: _private::get_annotation_types,
+                        type_id: ::core::any::TypeId::of::<Owned>(),
+                    },
+                )
+                .into()
+            }
+        }
+        impl ::capnp::traits::Owned for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::OwnedStruct for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::Pipelined for Owned {
+            type Pipeline = Pipeline;
+        }
+
+        pub struct Reader<'a> {
+            reader: ::capnp::private::layout::StructReader<'a>,
+        }
+        impl ::core::marker::Copy for Reader<'_> {}
+        impl ::core::clone::Clone for Reader<'_> {
+            fn clone(&self) -> Self {
+                *self
+            }
+        }
+
+        impl ::capnp::traits::HasTypeId for Reader<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+            fn from(reader: Reader<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(
+                    reader.reader,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
+            }
+        }
+
+        impl ::core::fmt::Debug for Reader<'_> {
+            fn fmt(
+                &self,
+                f: &mut ::core::fmt::Formatter<'_>,
+            ) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(
+                    &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                    f,
+                )
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+            fn get_from_pointer(
+                reader: &::capnp::private::layout::PointerReader<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl<'a> Reader<'a> {
+            pub fn reborrow(&self) -> Reader<'_> {
+                Self { ..*self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_beat(self) -> ::capnp::Result<crate::peer_capnp::heartbeat::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(
+                    &self.reader.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn has_beat(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> {
+            builder: ::capnp::private::layout::StructBuilder<'a>,
+        }
+        impl ::capnp::traits::HasStructSize for Builder<'_> {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+                ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+        }
+        impl ::capnp::traits::HasTypeId for Builder<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+            fn from(builder: Builder<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(
+                    builder.builder,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
+            }
+        }
+
+        impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+            fn init_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                _size: u32,
+            ) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(
+                    builder
+                        .get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?
+                        .into(),
+                )
+            }
+        }
+
+        impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+            fn set_pointer_builder(
+                mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+                value: Self,
+                canonicalize: bool,
+            ) -> ::capnp::Result<()> {
+                pointer.set_struct(&value.reader, canonicalize)
+            }
+        }
+
+        impl<'a> Builder<'a> {
+            pub fn into_reader(self) -> Reader<'a> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_beat(self) -> ::capnp::Result<crate::peer_capnp::heartbeat::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                    self.builder.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn set_beat(
+                &mut self,
+                value: crate::peer_capnp::heartbeat::Reader<'_>,
+            ) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(
+                    self.builder.reborrow().get_pointer_field(0),
+                    value,
                     false,
-                ),
+                )
+            }
+            #[inline]
+            pub fn init_beat(self) -> crate::peer_capnp::heartbeat::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(
+                    self.builder.get_pointer_field(0),
+                    0,
+                )
+            }
+            #[inline]
+            pub fn has_beat(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
             }
         }
-        fn as_ptr(&self) -> usize {
-            ::capnp::capability::Rc::as_ptr(&self.server) as usize
+
+        pub struct Pipeline {
+            _typeless: ::capnp::any_pointer::Pipeline,
         }
-    }
-    impl<_T: Server> ServerDispatch<_T> {
-        pub fn dispatch_call_internal(
-            this: ::capnp::capability::Rc<_T>,
-            method_id: u16,
-            params: ::capnp::capability::Params<::capnp::any_pointer::Owned>,
-            results: ::capnp::capability::Results<::capnp::any_pointer::Owned>,
-        ) -> ::capnp::capability::DispatchCallResult {
-            match method_id {
-                0 => ::capnp::capability::DispatchCallResult::new(
-                    ::capnp::capability::Promise::from_future(<_T as Server>::heartbeat(
-                        this,
-                        ::capnp::private::capability::internal_get_typed_params(params),
-                        ::capnp::private::capability::internal_get_typed_results(results),
-                    )),
-                    false,
-                ),
-                1 => ::capnp::capability::DispatchCallResult::new(
-                    ::capnp::capability::Promise::from_future(<_T as Server>::configuration(
-                        this,
-                        ::capnp::private::capability::internal_get_typed_params(params),
-                        ::capnp::private::capability::internal_get_typed_results(results),
-                    )),
-                    false,
-                ),
-                2 => ::capnp::capability::DispatchCallResult::new(
-                    ::capnp::capability::Promise::from_future(<_T as Server>::suspect(
-                        this,
-                        ::capnp::private::capability::internal_get_typed_params(params),
-                        ::capnp::private::capability::internal_get_typed_results(results),
-                    )),
-                    false,
-                ),
-                3 => ::capnp::capability::DispatchCallResult::new(
-                    ::capnp::capability::Promise::from_future(<_T as Server>::borrow(
-                        this,
-                        ::capnp::private::capability::internal_get_typed_params(params),
-                        ::capnp::private::capability::internal_get_typed_results(results),
-                    )),
-                    false,
-                ),
-                4 => ::capnp::capability::DispatchCallResult::new(
-                    ::capnp::capability::Promise::from_future(<_T as Server>::place(
-                        this,
-                        ::capnp::private::capability::internal_get_typed_params(params),
-                        ::capnp::private::capability::internal_get_typed_results(results),
-                    )),
-                    false,
-                ),
-                _ => ::capnp::capability::DispatchCallResult::new(
-                    ::capnp::capability::Promise::err(::capnp::Error::unimplemented(
-                        "Method not implemented.".to_string(),
-                    )),
-                    false,
-                ),
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless }
             }
         }
-    }
-    pub(crate) mod _private {
-        pub(crate) const TYPE_ID: u64 = 0xb444_e01e_a115_7fd0;
+        impl Pipeline {
+            pub fn get_beat(&self) -> crate::peer_capnp::heartbeat::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+            }
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(147, 72, 77, 161, 183, 248, 138, 255),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 18, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
+                ::capnp::word(104, 101, 97, 114, 116, 98, 101, 97),
+                ::capnp::word(116, 36, 82, 101, 115, 117, 108, 116),
+                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(98, 101, 97, 116, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(87, 255, 182, 39, 109, 181, 84, 163),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <crate::peer_capnp::heartbeat::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(
+                child_index: Option<u16>,
+                index: u32,
+            ) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+                ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+                ::capnp::introspect::RawStructSchema::new(
+                    &ARENA,
+                    NONUNION_MEMBERS,
+                    MEMBERS_BY_DISCRIMINANT,
+                    MEMBERS_BY_NAME,
+                );
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xff8a_f8b7_a14d_4893;
+        }
     }
 
-    pub mod heartbeat_params {
+    pub mod configuration_params {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned {
@@ -3194,7 +4502,7 @@
             }
         }
 
-        impl<'a> Reader<'a> {
+        impl Reader<'_> {
             pub fn reborrow(&self) -> Reader<'_> {
                 Self { ..*self }
             }
@@ -3203,15 +4511,8 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_beat(self) -> ::capnp::Result<crate::peer_capnp::heartbeat::Reader<'a>> {
-                ::capnp::traits::FromPointerReader::get_from_pointer(
-                    &self.reader.get_pointer_field(0),
-                    ::core::option::Option::None,
-                )
-            }
-            #[inline]
-            pub fn has_beat(&self) -> bool {
-                !self.reader.get_pointer_field(0).is_null()
+            pub fn get_above(self) -> u64 {
+                self.reader.get_data_field::<u64>(0)
             }
         }
 
@@ -3220,7 +4521,7 @@
         }
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-                ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+                ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3297,33 +4598,12 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_beat(self) -> ::capnp::Result<crate::peer_capnp::heartbeat::Builder<'a>> {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(
-                    self.builder.get_pointer_field(0),
-                    ::core::option::Option::None,
-                )
-            }
-            #[inline]
-            pub fn set_beat(
-                &mut self,
-                value: crate::peer_capnp::heartbeat::Reader<'_>,
-            ) -> ::capnp::Result<()> {
-                ::capnp::traits::SetterInput::set_pointer_builder(
-                    self.builder.reborrow().get_pointer_field(0),
-                    value,
-                    false,
-                )
-            }
-            #[inline]
-            pub fn init_beat(self) -> crate::peer_capnp::heartbeat::Builder<'a> {
-                ::capnp::traits::FromPointerBuilder::init_pointer(
-                    self.builder.get_pointer_field(0),
-                    0,
-                )
+            pub fn get_above(self) -> u64 {
+                self.builder.get_data_field::<u64>(0)
             }
             #[inline]
-            pub fn has_beat(&self) -> bool {
-                !self.builder.is_pointer_field_null(0)
+            pub fn set_above(&mut self, value: u64) {
+                self.builder.set_data_field::<u64>(0, value);
             }
         }
 
@@ -3335,20 +4615,16 @@
                 Self { _typeless: typeless }
             }
         }
-        impl Pipeline {
-            pub fn get_beat(&self) -> crate::peer_capnp::heartbeat::Pipeline {
-                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
-            }
-        }
+        impl Pipeline {}
         mod _private {
             pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(153, 160, 66, 234, 35, 58, 39, 250),
-                ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(66, 140, 176, 132, 235, 110, 242, 137),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 42, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
@@ -3356,29 +4632,29 @@
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
-                ::capnp::word(104, 101, 97, 114, 116, 98, 101, 97),
-                ::capnp::word(116, 36, 80, 97, 114, 97, 109, 115),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(99, 111, 110, 102, 105, 103, 117, 114),
+                ::capnp::word(97, 116, 105, 111, 110, 36, 80, 97),
+                ::capnp::word(114, 97, 109, 115, 0, 0, 0, 0),
                 ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
                 ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(98, 101, 97, 116, 0, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(87, 255, 182, 39, 109, 181, 84, 163),
+                ::capnp::word(97, 98, 111, 118, 101, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <crate::peer_capnp::heartbeat::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -3400,11 +4676,11 @@
             pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
             pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0xfa27_3a23_ea42_a099;
+            pub(crate) const TYPE_ID: u64 = 0x89f2_6eeb_84b0_8c42;
         }
     }
 
-    pub mod heartbeat_results {
+    pub mod configuration_results {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned {
@@ -3509,14 +4785,22 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_beat(self) -> ::capnp::Result<crate::peer_capnp::heartbeat::Reader<'a>> {
+            pub fn get_generation(self) -> u64 {
+                self.reader.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn get_version(self) -> u64 {
+                self.reader.get_data_field::<u64>(1)
+            }
+            #[inline]
+            pub fn get_body(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(
                     &self.reader.get_pointer_field(0),
                     ::core::option::Option::None,
                 )
             }
             #[inline]
-            pub fn has_beat(&self) -> bool {
+            pub fn has_body(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
         }
@@ -3526,7 +4810,7 @@
         }
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-                ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+                ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3603,32 +4887,38 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_beat(self) -> ::capnp::Result<crate::peer_capnp::heartbeat::Builder<'a>> {
+            pub fn get_generation(self) -> u64 {
+                self.builder.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn set_generation(&mut self, value: u64) {
+                self.builder.set_data_field::<u64>(0, value);
+            }
+            #[inline]
+            pub fn get_version(self) -> u64 {
+                self.builder.get_data_field::<u64>(1)
+            }
+            #[inline]
+            pub fn set_version(&mut self, value: u64) {
+                self.builder.set_data_field::<u64>(1, value);
+            }
+            #[inline]
+            pub fn get_body(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(
                     self.builder.get_pointer_field(0),
                     ::core::option::Option::None,
                 )
             }
             #[inline]
-            pub fn set_beat(
-                &mut self,
-                value: crate::peer_capnp::heartbeat::Reader<'_>,
-            ) -> ::capnp::Result<()> {
-                ::capnp::traits::SetterInput::set_pointer_builder(
-                    self.builder.reborrow().get_pointer_field(0),
-                    value,
-                    false,
-                )
+            pub fn set_body(&mut self, value: ::capnp::data::Reader<'_>) {
+                self.builder.reborrow().get_pointer_field(0).set_data(value);
             }
             #[inline]
-            pub fn init_beat(self) -> crate::peer_capnp::heartbeat::Builder<'a> {
-                ::capnp::traits::FromPointerBuilder::init_pointer(
-                    self.builder.get_pointer_field(0),
-                    0,
-                )
+            pub fn init_body(self, size: u32) -> ::capnp::data::Builder<'a> {
+                self.builder.get_pointer_field(0).init_data(size)
             }
             #[inline]
-            pub fn has_beat(&self) -> bool {
+            pub fn has_body(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
         }
@@ -3641,50 +4931,79 @@
                 Self { _typeless: typeless }
             }
         }
-        impl Pipeline {
-            pub fn get_beat(&self) -> crate::peer_capnp::heartbeat::Pipeline {
-                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
-            }
-        }
+        impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 64] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(147, 72, 77, 161, 183, 248, 138, 255),
-                ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(150, 153, 102, 253, 239, 213, 47, 247),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 2, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 18, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 50, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
-                ::capnp::word(104, 101, 97, 114, 116, 98, 101, 97),
-                ::capnp::word(116, 36, 82, 101, 115, 117, 108, 116),
-                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(99, 111, 110, 102, 105, 103, 117, 114),
+                ::capnp::word(97, 116, 105, 111, 110, 36, 82, 101),
+                ::capnp::word(115, 117, 108, 116, 115, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 90, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(98, 101, 97, 116, 0, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(87, 255, 182, 39, 109, 181, 84, 163),
+                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(77, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(81, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(103, 101, 110, 101, 114, 97, 116, 105),
+                ::capnp::word(111, 110, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(118, 101, 114, 115, 105, 111, 110, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(98, 111, 100, 121, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <crate::peer_capnp::heartbeat::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -3703,14 +5022,14 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0xff8a_f8b7_a14d_4893;
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 0, 1];
+            pub(crate) const TYPE_ID: u64 = 0xf72f_d5ef_fd66_9996;
         }
     }
 
-    pub mod configuration_params {
+    pub mod suspect_params {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned {
@@ -3806,7 +5125,7 @@
             }
         }
 
-        impl Reader<'_> {
+        impl<'a> Reader<'a> {
             pub fn reborrow(&self) -> Reader<'_> {
                 Self { ..*self }
             }
@@ -3815,8 +5134,33 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_above(self) -> u64 {
-                self.reader.get_data_field::<u64>(0)
+            pub fn get_fingerprint(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(
+                    &self.reader.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn has_fingerprint(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+            #[inline]
+            pub fn get_attempt(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(
+                    &self.reader.get_pointer_field(1),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn has_attempt(&self) -> bool {
+                !self.reader.get_pointer_field(1).is_null()
+            }
+            #[inline]
+            pub fn get_verdict(
+                self,
+            ) -> ::core::result::Result<crate::peer_capnp::Verdict, ::capnp::NotInSchema>
+            {
+                ::core::convert::TryFrom::try_from(self.reader.get_data_field::<u16>(0))
             }
         }
 
@@ -3825,7 +5169,7 @@
         }
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-                ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
+                ::capnp::private::layout::StructSize { data: 1, pointers: 2 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3902,12 +5246,61 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_above(self) -> u64 {
-                self.builder.get_data_field::<u64>(0)
+            pub fn get_fingerprint(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                    self.builder.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
             }
             #[inline]
-            pub fn set_above(&mut self, value: u64) {
-                self.builder.set_data_field::<u64>(0, value);
+            pub fn set_fingerprint(&mut self, value: ::capnp::data::Reader<'_>) {
+                self.builder.reborrow().get_pointer_field(0).set_data(value);
+            }
+            #[inline]
+            pub fn init_fingerprint(self, size: u32) -> ::capnp::data::Builder<'a> {
+                self.builder.get_pointer_field(0).init_data(size)
+            }
+            #[inline]
+            pub fn has_fingerprint(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+            #[inline]
+            pub fn get_attempt(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                    self.builder.get_pointer_field(1),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn set_attempt(
+                &mut self,
+                value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
+            ) {
+                ::capnp::traits::SetterInput::set_pointer_builder(
+                    self.builder.reborrow().get_pointer_field(1),
+                    value,
+                    false,
+                )
+                .unwrap()
+            }
+            #[inline]
+            pub fn init_attempt(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(1).init_text(size)
+            }
+            #[inline]
+            pub fn has_attempt(&self) -> bool {
+                !self.builder.is_pointer_field_null(1)
+            }
+            #[inline]
+            pub fn get_verdict(
+                self,
+            ) -> ::core::result::Result<crate::peer_capnp::Verdict, ::capnp::NotInSchema>
+            {
+                ::core::convert::TryFrom::try_from(self.builder.get_data_field::<u16>(0))
+            }
+            #[inline]
+            pub fn set_verdict(&mut self, value: crate::peer_capnp::Verdict) {
+                self.builder.set_data_field::<u16>(0, value as u16);
             }
         }
 
@@ -3921,44 +5314,79 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(66, 140, 176, 132, 235, 110, 242, 137),
+                ::capnp::word(182, 26, 0, 153, 144, 175, 229, 149),
                 ::capnp::word(16, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 42, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
-                ::capnp::word(99, 111, 110, 102, 105, 103, 117, 114),
-                ::capnp::word(97, 116, 105, 111, 110, 36, 80, 97),
-                ::capnp::word(114, 97, 109, 115, 0, 0, 0, 0),
-                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(115, 117, 115, 112, 101, 99, 116, 36),
+                ::capnp::word(80, 97, 114, 97, 109, 115, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 98, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(97, 98, 111, 118, 101, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(77, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(81, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(102, 105, 110, 103, 101, 114, 112, 114),
+                ::capnp::word(105, 110, 116, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(97, 116, 116, 101, 109, 112, 116, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(118, 101, 114, 100, 105, 99, 116, 0),
+                ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 183, 62, 88, 136, 167, 7, 246),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    2 => {
+                        <crate::peer_capnp::Verdict as ::capnp::introspect::Introspect>::introspect(
+                        )
+                    }
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -3977,14 +5405,14 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0x89f2_6eeb_84b0_8c42;
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0, 2];
+            pub(crate) const TYPE_ID: u64 = 0x95e5_af90_9900_1ab6;
         }
     }
 
-    pub mod configuration_results {
+    pub mod suspect_results {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned {
@@ -4080,7 +5508,7 @@
             }
         }
 
-        impl<'a> Reader<'a> {
+        impl Reader<'_> {
             pub fn reborrow(&self) -> Reader<'_> {
                 Self { ..*self }
             }
@@ -4089,23 +5517,12 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_generation(self) -> u64 {
-                self.reader.get_data_field::<u64>(0)
-            }
-            #[inline]
-            pub fn get_version(self) -> u64 {
-                self.reader.get_data_field::<u64>(1)
-            }
-            #[inline]
-            pub fn get_body(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
-                ::capnp::traits::FromPointerReader::get_from_pointer(
-                    &self.reader.get_pointer_field(0),
-                    ::core::option::Option::None,
-                )
+            pub fn get_crashes(self) -> u32 {
+                self.reader.get_data_field::<u32>(0)
             }
             #[inline]
-            pub fn has_body(&self) -> bool {
-                !self.reader.get_pointer_field(0).is_null()
+            pub fn get_quarantined(self) -> bool {
+                self.reader.get_bool_field(32)
             }
         }
 
@@ -4114,7 +5531,7 @@
         }
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-                ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
+                ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -4191,39 +5608,20 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_generation(self) -> u64 {
-                self.builder.get_data_field::<u64>(0)
-            }
-            #[inline]
-            pub fn set_generation(&mut self, value: u64) {
-                self.builder.set_data_field::<u64>(0, value);
-            }
-            #[inline]
-            pub fn get_version(self) -> u64 {
-                self.builder.get_data_field::<u64>(1)
-            }
-            #[inline]
-            pub fn set_version(&mut self, value: u64) {
-                self.builder.set_data_field::<u64>(1, value);
-            }
-            #[inline]
-            pub fn get_body(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(
-                    self.builder.get_pointer_field(0),
-                    ::core::option::Option::None,
-                )
+            pub fn get_crashes(self) -> u32 {
+                self.builder.get_data_field::<u32>(0)
             }
             #[inline]
-            pub fn set_body(&mut self, value: ::capnp::data::Reader<'_>) {
-                self.builder.reborrow().get_pointer_field(0).set_data(value);
+            pub fn set_crashes(&mut self, value: u32) {
+                self.builder.set_data_field::<u32>(0, value);
             }
             #[inline]
-            pub fn init_body(self, size: u32) -> ::capnp::data::Builder<'a> {
-                self.builder.get_pointer_field(0).init_data(size)
+            pub fn get_quarantined(self) -> bool {
+                self.builder.get_bool_field(32)
             }
             #[inline]
-            pub fn has_body(&self) -> bool {
-                !self.builder.is_pointer_field_null(0)
+            pub fn set_quarantined(&mut self, value: bool) {
+                self.builder.set_bool_field(32, value);
             }
         }
 
@@ -4237,77 +5635,60 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 64] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(150, 153, 102, 253, 239, 213, 47, 247),
-                ::capnp::word(16, 0, 0, 0, 1, 0, 2, 0),
+                ::capnp::word(21, 224, 251, 85, 138, 29, 107, 207),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 50, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
-                ::capnp::word(99, 111, 110, 102, 105, 103, 117, 114),
-                ::capnp::word(97, 116, 105, 111, 110, 36, 82, 101),
-                ::capnp::word(115, 117, 108, 116, 115, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(115, 117, 115, 112, 101, 99, 116, 36),
+                ::capnp::word(82, 101, 115, 117, 108, 116, 115, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(69, 0, 0, 0, 90, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 32, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(77, 0, 0, 0, 66, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(81, 0, 0, 0, 42, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(103, 101, 110, 101, 114, 97, 116, 105),
-                ::capnp::word(111, 110, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 98, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(118, 101, 114, 115, 105, 111, 110, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(99, 114, 97, 115, 104, 101, 115, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(98, 111, 100, 121, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(113, 117, 97, 114, 97, 110, 116, 105),
+                ::capnp::word(110, 101, 100, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                    2 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <bool as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -4326,14 +5707,14 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 0, 1];
-            pub(crate) const TYPE_ID: u64 = 0xf72f_d5ef_fd66_9996;
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 1];
+            pub(crate) const TYPE_ID: u64 = 0xcf6b_1d8a_55fb_e015;
         }
     }
 
-    pub mod suspect_params {
+    pub mod borrow_params {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned {
@@ -4438,33 +5819,34 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_fingerprint(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+            pub fn get_team(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(
                     &self.reader.get_pointer_field(0),
                     ::core::option::Option::None,
                 )
             }
             #[inline]
-            pub fn has_fingerprint(&self) -> bool {
+            pub fn has_team(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
             #[inline]
-            pub fn get_attempt(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            pub fn get_borrower(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(
                     &self.reader.get_pointer_field(1),
                     ::core::option::Option::None,
                 )
             }
             #[inline]
-            pub fn has_attempt(&self) -> bool {
+            pub fn has_borrower(&self) -> bool {
                 !self.reader.get_pointer_field(1).is_null()
             }
             #[inline]
-            pub fn get_verdict(
-                self,
-            ) -> ::core::result::Result<crate::peer_capnp::Verdict, ::capnp::NotInSchema>
-            {
-                ::core::convert::TryFrom::try_from(self.reader.get_data_field::<u16>(0))
+            pub fn get_in_use(self) -> u32 {
+                self.reader.get_data_field::<u32>(0)
+            }
+            #[inline]
+            pub fn get_want(self) -> u32 {
+                self.reader.get_data_field::<u32>(1)
             }
         }
 
@@ -4550,33 +5932,41 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_fingerprint(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+            pub fn get_team(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(
                     self.builder.get_pointer_field(0),
                     ::core::option::Option::None,
                 )
             }
             #[inline]
-            pub fn set_fingerprint(&mut self, value: ::capnp::data::Reader<'_>) {
-                self.builder.reborrow().get_pointer_field(0).set_data(value);
+            pub fn set_team(
+                &mut self,
+                value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
+            ) {
+                ::capnp::traits::SetterInput::set_pointer_builder(
+                    self.builder.reborrow().get_pointer_field(0),
+                    value,
+                    false,
+                )
+                .unwrap()
             }
             #[inline]
-            pub fn init_fingerprint(self, size: u32) -> ::capnp::data::Builder<'a> {
-                self.builder.get_pointer_field(0).init_data(size)
+            pub fn init_team(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(0).init_text(size)
             }
             #[inline]
-            pub fn has_fingerprint(&self) -> bool {
+            pub fn has_team(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
             #[inline]
-            pub fn get_attempt(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            pub fn get_borrower(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(
                     self.builder.get_pointer_field(1),
                     ::core::option::Option::None,
                 )
             }
             #[inline]
-            pub fn set_attempt(
+            pub fn set_borrower(
                 &mut self,
                 value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
             ) {
@@ -4588,23 +5978,28 @@
                 .unwrap()
             }
             #[inline]
-            pub fn init_attempt(self, size: u32) -> ::capnp::text::Builder<'a> {
+            pub fn init_borrower(self, size: u32) -> ::capnp::text::Builder<'a> {
                 self.builder.get_pointer_field(1).init_text(size)
             }
             #[inline]
-            pub fn has_attempt(&self) -> bool {
+            pub fn has_borrower(&self) -> bool {
                 !self.builder.is_pointer_field_null(1)
             }
             #[inline]
-            pub fn get_verdict(
-                self,
-            ) -> ::core::result::Result<crate::peer_capnp::Verdict, ::capnp::NotInSchema>
-            {
-                ::core::convert::TryFrom::try_from(self.builder.get_data_field::<u16>(0))
+            pub fn get_in_use(self) -> u32 {
+                self.builder.get_data_field::<u32>(0)
             }
             #[inline]
-            pub fn set_verdict(&mut self, value: crate::peer_capnp::Verdict) {
-                self.builder.set_data_field::<u16>(0, value as u16);
+            pub fn set_in_use(&mut self, value: u32) {
+                self.builder.set_data_field::<u32>(0, value);
+            }
+            #[inline]
+            pub fn get_want(self) -> u32 {
+                self.builder.get_data_field::<u32>(1)
+            }
+            #[inline]
+            pub fn set_want(&mut self, value: u32) {
+                self.builder.set_data_field::<u32>(1, value);
             }
         }
 
