@@ -4618,55 +6013,62 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 78] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(182, 26, 0, 153, 144, 175, 229, 149),
+                ::capnp::word(207, 136, 152, 248, 184, 83, 152, 161),
                 ::capnp::word(16, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 242, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
-                ::capnp::word(115, 117, 115, 112, 101, 99, 116, 36),
-                ::capnp::word(80, 97, 114, 97, 109, 115, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(98, 111, 114, 114, 111, 119, 36, 80),
+                ::capnp::word(97, 114, 97, 109, 115, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(69, 0, 0, 0, 98, 0, 0, 0),
+                ::capnp::word(97, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(77, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(101, 0, 0, 0, 74, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(81, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(109, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(102, 105, 110, 103, 101, 114, 112, 114),
-                ::capnp::word(105, 110, 116, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(113, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(116, 101, 97, 109, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(97, 116, 116, 101, 109, 112, 116, 0),
+                ::capnp::word(98, 111, 114, 114, 111, 119, 101, 114),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4674,23 +6076,29 @@
                 ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(118, 101, 114, 100, 105, 99, 116, 0),
-                ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(45, 183, 62, 88, 136, 167, 7, 246),
+                ::capnp::word(105, 110, 85, 115, 101, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(119, 97, 110, 116, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                     1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                    2 => {
-                        <crate::peer_capnp::Verdict as ::capnp::introspect::Introspect>::introspect(
-                        )
-                    }
+                    2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -4709,14 +6117,14 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0, 2];
-            pub(crate) const TYPE_ID: u64 = 0x95e5_af90_9900_1ab6;
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 2, 0, 3];
+            pub(crate) const TYPE_ID: u64 = 0xa198_53b8_f898_88cf;
         }
     }
 
-    pub mod suspect_results {
+    pub mod borrow_results {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned {
@@ -4821,12 +6229,12 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_crashes(self) -> u32 {
+            pub fn get_granted(self) -> u32 {
                 self.reader.get_data_field::<u32>(0)
             }
             #[inline]
-            pub fn get_quarantined(self) -> bool {
-                self.reader.get_bool_field(32)
+            pub fn get_valid_ms(self) -> u32 {
+                self.reader.get_data_field::<u32>(1)
             }
         }
 
@@ -4912,20 +6320,20 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_crashes(self) -> u32 {
+            pub fn get_granted(self) -> u32 {
                 self.builder.get_data_field::<u32>(0)
             }
             #[inline]
-            pub fn set_crashes(&mut self, value: u32) {
+            pub fn set_granted(&mut self, value: u32) {
                 self.builder.set_data_field::<u32>(0, value);
             }
             #[inline]
-            pub fn get_quarantined(self) -> bool {
-                self.builder.get_bool_field(32)
+            pub fn get_valid_ms(self) -> u32 {
+                self.builder.get_data_field::<u32>(1)
             }
             #[inline]
-            pub fn set_quarantined(&mut self, value: bool) {
-                self.builder.set_bool_field(32, value);
+            pub fn set_valid_ms(&mut self, value: u32) {
+                self.builder.set_data_field::<u32>(1, value);
             }
         }
 
@@ -4939,14 +6347,14 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(21, 224, 251, 85, 138, 29, 107, 207),
+                ::capnp::word(160, 23, 138, 52, 204, 178, 76, 165),
                 ::capnp::word(16, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
@@ -4954,8 +6362,8 @@
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
-                ::capnp::word(115, 117, 115, 112, 101, 99, 116, 36),
-                ::capnp::word(82, 101, 115, 117, 108, 116, 115, 0),
+                ::capnp::word(98, 111, 114, 114, 111, 119, 36, 82),
+                ::capnp::word(101, 115, 117, 108, 116, 115, 0, 0),
                 ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
@@ -4964,14 +6372,14 @@
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
                 ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(1, 0, 0, 0, 32, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(45, 0, 0, 0, 98, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(99, 114, 97, 115, 104, 101, 115, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(103, 114, 97, 110, 116, 101, 100, 0),
                 ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4979,20 +6387,19 @@
                 ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(113, 117, 97, 114, 97, 110, 116, 105),
-                ::capnp::word(110, 101, 100, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(118, 97, 108, 105, 100, 77, 115, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <u32 as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -5014,11 +6421,11 @@
             pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
             pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 1];
-            pub(crate) const TYPE_ID: u64 = 0xcf6b_1d8a_55fb_e015;
+            pub(crate) const TYPE_ID: u64 = 0xa54c_b2cc_348a_17a0;
         }
     }
 
-    pub mod borrow_params {
+    pub mod place_params {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned {
@@ -5123,35 +6530,18 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_team(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            pub fn get_request(
+                self,
+            ) -> ::capnp::Result<crate::peer_capnp::place_request::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(
                     &self.reader.get_pointer_field(0),
                     ::core::option::Option::None,
                 )
             }
             #[inline]
-            pub fn has_team(&self) -> bool {
+            pub fn has_request(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
-            #[inline]
-            pub fn get_borrower(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
-                ::capnp::traits::FromPointerReader::get_from_pointer(
-                    &self.reader.get_pointer_field(1),
-                    ::core::option::Option::None,
-                )
-            }
-            #[inline]
-            pub fn has_borrower(&self) -> bool {
-                !self.reader.get_pointer_field(1).is_null()
-            }
-            #[inline]
-            pub fn get_in_use(self) -> u32 {
-                self.reader.get_data_field::<u32>(0)
-            }
-            #[inline]
-            pub fn get_want(self) -> u32 {
-                self.reader.get_data_field::<u32>(1)
-            }
         }
 
         pub struct Builder<'a> {
@@ -5159,7 +6549,7 @@
         }
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-                ::capnp::private::layout::StructSize { data: 1, pointers: 2 };
+                ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -5236,74 +6626,35 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_team(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            pub fn get_request(
+                self,
+            ) -> ::capnp::Result<crate::peer_capnp::place_request::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(
                     self.builder.get_pointer_field(0),
                     ::core::option::Option::None,
                 )
             }
             #[inline]
-            pub fn set_team(
+            pub fn set_request(
                 &mut self,
-                value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
-            ) {
+                value: crate::peer_capnp::place_request::Reader<'_>,
+            ) -> ::capnp::Result<()> {
                 ::capnp::traits::SetterInput::set_pointer_builder(
                     self.builder.reborrow().get_pointer_field(0),
                     value,
                     false,
                 )
-                .unwrap()
-            }
-            #[inline]
-            pub fn init_team(self, size: u32) -> ::capnp::text::Builder<'a> {
-                self.builder.get_pointer_field(0).init_text(size)
-            }
-            #[inline]
-            pub fn has_team(&self) -> bool {
-                !self.builder.is_pointer_field_null(0)
-            }
-            #[inline]
-            pub fn get_borrower(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(
-                    self.builder.get_pointer_field(1),
-                    ::core::option::Option::None,
-                )
             }
             #[inline]
-            pub fn set_borrower(
-                &mut self,
-                value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
-            ) {
-                ::capnp::traits::SetterInput::set_pointer_builder(
-                    self.builder.reborrow().get_pointer_field(1),
-                    value,
-                    false,
+            pub fn init_request(self) -> crate::peer_capnp::place_request::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(
+                    self.builder.get_pointer_field(0),
+                    0,
                 )
-                .unwrap()
-            }
-            #[inline]
-            pub fn init_borrower(self, size: u32) -> ::capnp::text::Builder<'a> {
-                self.builder.get_pointer_field(1).init_text(size)
-            }
-            #[inline]
-            pub fn has_borrower(&self) -> bool {
-                !self.builder.is_pointer_field_null(1)
-            }
-            #[inline]
-            pub fn get_in_use(self) -> u32 {
-                self.builder.get_data_field::<u32>(0)
-            }
-            #[inline]
-            pub fn set_in_use(&mut self, value: u32) {
-                self.builder.set_data_field::<u32>(0, value);
-            }
-            #[inline]
-            pub fn get_want(self) -> u32 {
-                self.builder.get_data_field::<u32>(1)
             }
             #[inline]
-            pub fn set_want(&mut self, value: u32) {
-                self.builder.set_data_field::<u32>(1, value);
+            pub fn has_request(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
             }
         }
 
@@ -5315,94 +6666,49 @@
                 Self { _typeless: typeless }
             }
         }
-        impl Pipeline {}
+        impl Pipeline {
+            pub fn get_request(&self) -> crate::peer_capnp::place_request::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+            }
+        }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 78] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 32] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(207, 136, 152, 248, 184, 83, 152, 161),
-                ::capnp::word(16, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(156, 177, 52, 216, 32, 189, 10, 175),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 242, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 234, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
-                ::capnp::word(98, 111, 114, 114, 111, 119, 36, 80),
-                ::capnp::word(97, 114, 97, 109, 115, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(112, 108, 97, 99, 101, 36, 80, 97),
+                ::capnp::word(114, 97, 109, 115, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(97, 0, 0, 0, 42, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(101, 0, 0, 0, 74, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(109, 0, 0, 0, 50, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(113, 0, 0, 0, 42, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(116, 101, 97, 109, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(98, 111, 114, 114, 111, 119, 101, 114),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(105, 110, 85, 115, 101, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(119, 97, 110, 116, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(114, 101, 113, 117, 101, 115, 116, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(189, 179, 114, 153, 39, 210, 109, 235),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                    2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
-                    3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <crate::peer_capnp::place_request::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -5421,14 +6727,14 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 2, 0, 3];
-            pub(crate) const TYPE_ID: u64 = 0xa198_53b8_f898_88cf;
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xaf0a_bd20_d834_b19c;
         }
     }
 
-    pub mod borrow_results {
+    pub mod place_results {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned {
@@ -5524,7 +6830,7 @@
             }
         }
 
-        impl Reader<'_> {
+        impl<'a> Reader<'a> {
             pub fn reborrow(&self) -> Reader<'_> {
                 Self { ..*self }
             }
@@ -5533,12 +6839,17 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_granted(self) -> u32 {
-                self.reader.get_data_field::<u32>(0)
+            pub fn get_decision(
+                self,
+            ) -> ::capnp::Result<crate::peer_capnp::place_decision::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(
+                    &self.reader.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
             }
             #[inline]
-            pub fn get_valid_ms(self) -> u32 {
-                self.reader.get_data_field::<u32>(1)
+            pub fn has_decision(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
             }
         }
 
@@ -5547,7 +6858,7 @@
         }
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-                ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
+                ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -5624,20 +6935,35 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_granted(self) -> u32 {
-                self.builder.get_data_field::<u32>(0)
+            pub fn get_decision(
+                self,
+            ) -> ::capnp::Result<crate::peer_capnp::place_decision::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                    self.builder.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
             }
             #[inline]
-            pub fn set_granted(&mut self, value: u32) {
-                self.builder.set_data_field::<u32>(0, value);
+            pub fn set_decision(
+                &mut self,
+                value: crate::peer_capnp::place_decision::Reader<'_>,
+            ) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(
+                    self.builder.reborrow().get_pointer_field(0),
+                    value,
+                    false,
+                )
             }
             #[inline]
-            pub fn get_valid_ms(self) -> u32 {
-                self.builder.get_data_field::<u32>(1)
+            pub fn init_decision(self) -> crate::peer_capnp::place_decision::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(
+                    self.builder.get_pointer_field(0),
+                    0,
+                )
             }
             #[inline]
-            pub fn set_valid_ms(&mut self, value: u32) {
-                self.builder.set_data_field::<u32>(1, value);
+            pub fn has_decision(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
             }
         }
 
@@ -5649,61 +6975,50 @@
                 Self { _typeless: typeless }
             }
         }
-        impl Pipeline {}
+        impl Pipeline {
+            pub fn get_decision(&self) -> crate::peer_capnp::place_decision::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+            }
+        }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(160, 23, 138, 52, 204, 178, 76, 165),
-                ::capnp::word(16, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(97, 189, 144, 177, 65, 208, 29, 221),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 242, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
-                ::capnp::word(98, 111, 114, 114, 111, 119, 36, 82),
-                ::capnp::word(101, 115, 117, 108, 116, 115, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(112, 108, 97, 99, 101, 36, 82, 101),
+                ::capnp::word(115, 117, 108, 116, 115, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 66, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(45, 0, 0, 0, 66, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(103, 114, 97, 110, 116, 101, 100, 0),
-                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 74, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(118, 97, 108, 105, 100, 77, 115, 0),
-                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(24, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(100, 101, 99, 105, 115, 105, 111, 110),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(20, 176, 145, 116, 133, 201, 167, 144),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <u32 as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <crate::peer_capnp::place_decision::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -5722,14 +7037,14 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 1];
-            pub(crate) const TYPE_ID: u64 = 0xa54c_b2cc_348a_17a0;
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xdd1d_d041_b190_bd61;
         }
     }
 
-    pub mod place_params {
+    pub mod endpoints_params {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned {
@@ -5825,7 +7140,7 @@
             }
         }
 
-        impl<'a> Reader<'a> {
+        impl Reader<'_> {
             pub fn reborrow(&self) -> Reader<'_> {
                 Self { ..*self }
             }
@@ -5833,19 +7148,6 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.reader.total_size()
             }
-            #[inline]
-            pub fn get_request(
-                self,
-            ) -> ::capnp::Result<crate::peer_capnp::place_request::Reader<'a>> {
-                ::capnp::traits::FromPointerReader::get_from_pointer(
-                    &self.reader.get_pointer_field(0),
-                    ::core::option::Option::None,
-                )
-            }
-            #[inline]
-            pub fn has_request(&self) -> bool {
-                !self.reader.get_pointer_field(0).is_null()
-            }
         }
 
         pub struct Builder<'a> {
@@ -5853,7 +7155,7 @@
         }
         impl ::capnp::traits::HasStructSize for Builder<'_> {
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
-                ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+                ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -5929,37 +7231,6 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.builder.as_reader().total_size()
             }
-            #[inline]
-            pub fn get_request(
-                self,
-            ) -> ::capnp::Result<crate::peer_capnp::place_request::Builder<'a>> {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(
-                    self.builder.get_pointer_field(0),
-                    ::core::option::Option::None,
-                )
-            }
-            #[inline]
-            pub fn set_request(
-                &mut self,
-                value: crate::peer_capnp::place_request::Reader<'_>,
-            ) -> ::capnp::Result<()> {
-                ::capnp::traits::SetterInput::set_pointer_builder(
-                    self.builder.reborrow().get_pointer_field(0),
-                    value,
-                    false,
-                )
-            }
-            #[inline]
-            pub fn init_request(self) -> crate::peer_capnp::place_request::Builder<'a> {
-                ::capnp::traits::FromPointerBuilder::init_pointer(
-                    self.builder.get_pointer_field(0),
-                    0,
-                )
-            }
-            #[inline]
-            pub fn has_request(&self) -> bool {
-                !self.builder.is_pointer_field_null(0)
-            }
         }
 
         pub struct Pipeline {
@@ -5970,51 +7241,29 @@
                 Self { _typeless: typeless }
             }
         }
-        impl Pipeline {
-            pub fn get_request(&self) -> crate::peer_capnp::place_request::Pipeline {
-                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
-            }
-        }
+        impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 32] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 17] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(156, 177, 52, 216, 32, 189, 10, 175),
+                ::capnp::word(176, 60, 77, 42, 111, 223, 79, 135),
                 ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 234, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
-                ::capnp::word(112, 108, 97, 99, 101, 36, 80, 97),
-                ::capnp::word(114, 97, 109, 115, 0, 0, 0, 0),
-                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 66, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(114, 101, 113, 117, 101, 115, 116, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(189, 179, 114, 153, 39, 210, 109, 235),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(101, 110, 100, 112, 111, 105, 110, 116),
+                ::capnp::word(115, 36, 80, 97, 114, 97, 109, 115),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
-                match index {
-                    0 => <crate::peer_capnp::place_request::Owned as ::capnp::introspect::Introspect>::introspect(),
-                    _ => ::capnp::introspect::panic_invalid_field_index(index),
-                }
+                ::capnp::introspect::panic_invalid_field_index(index)
             }
             pub(crate) fn get_annotation_types(
                 child_index: Option<u16>,
@@ -6031,14 +7280,14 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0xaf0a_bd20_d834_b19c;
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[];
+            pub(crate) const TYPE_ID: u64 = 0x874f_df6f_2a4d_3cb0;
         }
     }
 
-    pub mod place_results {
+    pub mod endpoints_results {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned {
@@ -6143,16 +7392,18 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_decision(
+            pub fn get_rows(
                 self,
-            ) -> ::capnp::Result<crate::peer_capnp::place_decision::Reader<'a>> {
+            ) -> ::capnp::Result<
+                ::capnp::struct_list::Reader<'a, crate::peer_capnp::endpoint_row::Owned>,
+            > {
                 ::capnp::traits::FromPointerReader::get_from_pointer(
                     &self.reader.get_pointer_field(0),
                     ::core::option::Option::None,
                 )
             }
             #[inline]
-            pub fn has_decision(&self) -> bool {
+            pub fn has_rows(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
         }
@@ -6239,18 +7490,20 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_decision(
+            pub fn get_rows(
                 self,
-            ) -> ::capnp::Result<crate::peer_capnp::place_decision::Builder<'a>> {
+            ) -> ::capnp::Result<
+                ::capnp::struct_list::Builder<'a, crate::peer_capnp::endpoint_row::Owned>,
+            > {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(
                     self.builder.get_pointer_field(0),
                     ::core::option::Option::None,
                 )
             }
             #[inline]
-            pub fn set_decision(
+            pub fn set_rows(
                 &mut self,
-                value: crate::peer_capnp::place_decision::Reader<'_>,
+                value: ::capnp::struct_list::Reader<'_, crate::peer_capnp::endpoint_row::Owned>,
             ) -> ::capnp::Result<()> {
                 ::capnp::traits::SetterInput::set_pointer_builder(
                     self.builder.reborrow().get_pointer_field(0),
@@ -6259,14 +7512,18 @@
                 )
             }
             #[inline]
-            pub fn init_decision(self) -> crate::peer_capnp::place_decision::Builder<'a> {
+            pub fn init_rows(
+                self,
+                size: u32,
+            ) -> ::capnp::struct_list::Builder<'a, crate::peer_capnp::endpoint_row::Owned>
+            {
                 ::capnp::traits::FromPointerBuilder::init_pointer(
                     self.builder.get_pointer_field(0),
-                    0,
+                    size,
                 )
             }
             #[inline]
-            pub fn has_decision(&self) -> bool {
+            pub fn has_rows(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
         }
@@ -6279,50 +7536,50 @@
                 Self { _typeless: typeless }
             }
         }
-        impl Pipeline {
-            pub fn get_decision(&self) -> crate::peer_capnp::place_decision::Pipeline {
-                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
-            }
-        }
+        impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 37] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(97, 189, 144, 177, 65, 208, 29, 221),
+                ::capnp::word(11, 70, 149, 243, 115, 105, 99, 204),
                 ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 242, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 18, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
-                ::capnp::word(112, 108, 97, 99, 101, 36, 82, 101),
-                ::capnp::word(115, 117, 108, 116, 115, 0, 0, 0),
+                ::capnp::word(101, 110, 100, 112, 111, 105, 110, 116),
+                ::capnp::word(115, 36, 82, 101, 115, 117, 108, 116),
+                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(36, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(114, 111, 119, 115, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(24, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(100, 101, 99, 105, 115, 105, 111, 110),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(20, 176, 145, 116, 133, 201, 167, 144),
+                ::capnp::word(6, 233, 67, 167, 99, 69, 150, 154),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <crate::peer_capnp::place_decision::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <::capnp::struct_list::Owned<crate::peer_capnp::endpoint_row::Owned> as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -6344,7 +7601,7 @@
             pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
             pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0xdd1d_d041_b190_bd61;
+            pub(crate) const TYPE_ID: u64 = 0xcc63_6973_f395_460b;
         }
     }
 }
--- /dev/null
+++ b/crates/peer/src/runtime/request.rs
@@ -0,0 +1,105 @@
+//! One call of a peer: the request as written and the answer as read.
+
+use bilberryford_types::{Generation, ObjectVersion, TimeMs};
+
+use crate::{
+    BorrowReply, ConfigReply, PeerError, PlaceReply, PlaceRequest, SuspectReply,
+    client::{CallKind, Reply},
+    convert, peer_capnp,
+};
+
+pub(super) async fn perform(
+    peer: &peer_capnp::peer::Client,
+    kind: CallKind,
+) -> Result<Reply, PeerError> {
+    let reply = match kind {
+        CallKind::Heartbeat(beat) => {
+            let mut request = peer.heartbeat_request();
+            convert::write_heartbeat(&beat, request.get().init_beat());
+            let response = request.send().promise.await?;
+            Reply::Heartbeat(Box::new(convert::read_heartbeat(response.get()?.get_beat()?)?))
+        }
+        CallKind::Configuration(above) => {
+            let mut request = peer.configuration_request();
+            request.get().set_above(above.get());
+            let response = request.send().promise.await?;
+            let results = response.get()?;
+            let reply = ConfigReply {
+                generation: Generation(results.get_generation()),
+                version: ObjectVersion(results.get_version()),
+                body: results.get_body()?.to_vec(),
+            };
+            Reply::Configuration((reply.generation > above).then_some(reply))
+        }
+        CallKind::Endpoints => {
+            let response = peer.endpoints_request().send().promise.await?;
+            Reply::Endpoints(convert::read_rows(response.get()?.get_rows()?)?)
+        }
+        CallKind::Suspect(suspect) => {
+            let mut request = peer.suspect_request();
+            let mut params = request.get();
+            params.set_fingerprint(&suspect.fingerprint.0);
+            params.set_attempt(suspect.attempt.as_str());
+            params.set_verdict(convert::write_verdict(suspect.verdict));
+            let response = request.send().promise.await?;
+            let results = response.get()?;
+            Reply::Suspect(SuspectReply {
+                crashes: results.get_crashes(),
+                quarantined: results.get_quarantined(),
+            })
+        }
+        CallKind::Borrow(borrow) => {
+            let mut request = peer.borrow_request();
+            let mut params = request.get();
+            params.set_team(borrow.team.as_str());
+            params.set_borrower(borrow.borrower.as_str());
+            params.set_in_use(borrow.in_use);
+            params.set_want(borrow.want);
+            let response = request.send().promise.await?;
+            let results = response.get()?;
+            let valid = TimeMs(results.get_valid_ms().into());
+            Reply::Borrow(BorrowReply { granted: results.get_granted(), valid })
+        }
+        CallKind::Place(place) => {
+            let mut request = peer.place_request();
+            write_place(&place, request.get().init_request());
+            let response = request.send().promise.await?;
+            let decision = response.get()?.get_decision()?;
+            Reply::Place(read_decision(decision)?)
+        }
+    };
+    Ok(reply)
+}
+
+fn write_place(place: &PlaceRequest, mut builder: peer_capnp::place_request::Builder<'_>) {
+    builder.set_model(place.model.as_str());
+    builder.set_weight_version(place.weight_version.as_str());
+    builder.set_priority(place.priority as u8);
+    builder.set_prompt_tokens(place.prompt_tokens.get());
+    builder.set_max_tokens(place.max_tokens.get());
+    builder.set_deadline_ms(place.deadline.get());
+    let mut chain = builder.reborrow().init_chain(place.chain.len() as u32);
+    for (index, digest) in (0..).zip(&place.chain) {
+        chain.set(index, &digest.0);
+    }
+    let mut excluded = builder.init_excluded(place.excluded.len() as u32);
+    for (index, endpoint) in (0..).zip(&place.excluded) {
+        excluded.set(index, endpoint.as_str());
+    }
+}
+
+fn read_decision(
+    reader: peer_capnp::place_decision::Reader<'_>,
+) -> Result<Option<PlaceReply>, capnp::Error> {
+    let endpoint = reader.get_endpoint()?;
+    if endpoint.is_empty() {
+        return Ok(None);
+    }
+    let store = reader.get_store()?;
+    Ok(Some(PlaceReply {
+        endpoint: convert::text(endpoint)?,
+        store: if store.is_empty() { None } else { Some(convert::text(store)?) },
+        import_blocks: reader.get_import_blocks(),
+        reason: reader.get_reason()?.to_string().map_err(convert::bad)?,
+    }))
+}
--- /dev/null
+++ b/crates/peer/src/runtime/service.rs
@@ -0,0 +1,125 @@
+//! Answers to calls of peers, from the handler.
+
+use std::{rc::Rc, sync::Arc};
+
+use bilberryford_types::{Generation, Priority, TimeMs, Tokens};
+
+use crate::{Borrow, PeerHandler, PlaceRequest, Suspect, convert, peer_capnp};
+
+/// The server side of one connection.
+pub(super) struct Service {
+    pub(super) handler: Arc<dyn PeerHandler>,
+}
+
+impl peer_capnp::peer::Server for Service {
+    async fn heartbeat(
+        self: Rc<Self>,
+        params: peer_capnp::peer::HeartbeatParams,
+        mut results: peer_capnp::peer::HeartbeatResults,
+    ) -> Result<(), capnp::Error> {
+        let beat = convert::read_heartbeat(params.get()?.get_beat()?)?;
+        let reply = self.handler.heartbeat(beat);
+        convert::write_heartbeat(&reply, results.get().init_beat());
+        Ok(())
+    }
+
+    async fn configuration(
+        self: Rc<Self>,
+        params: peer_capnp::peer::ConfigurationParams,
+        mut results: peer_capnp::peer::ConfigurationResults,
+    ) -> Result<(), capnp::Error> {
+        let above = Generation(params.get()?.get_above());
+        if let Some(reply) = self.handler.configuration(above) {
+            let mut builder = results.get();
+            builder.set_generation(reply.generation.get());
+            builder.set_version(reply.version.get());
+            builder.set_body(&reply.body);
+        }
+        Ok(())
+    }
+
+    async fn endpoints(
+        self: Rc<Self>,
+        _: peer_capnp::peer::EndpointsParams,
+        mut results: peer_capnp::peer::EndpointsResults,
+    ) -> Result<(), capnp::Error> {
+        let rows = self.handler.endpoints();
+        let rows = &rows[..rows.len().min(convert::MAX_ENDPOINT_ROWS)];
+        convert::write_rows(rows, results.get().init_rows(rows.len() as u32));
+        Ok(())
+    }
+
+    async fn suspect(
+        self: Rc<Self>,
+        params: peer_capnp::peer::SuspectParams,
+        mut results: peer_capnp::peer::SuspectResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let reply = self.handler.suspect(Suspect {
+            fingerprint: convert::digest(params.get_fingerprint()?)?,
+            attempt: params.get_attempt()?.to_string().map_err(convert::bad)?,
+            verdict: convert::read_verdict(params.get_verdict()?),
+        });
+        let mut builder = results.get();
+        builder.set_crashes(reply.crashes);
+        builder.set_quarantined(reply.quarantined);
+        Ok(())
+    }
+
+    async fn borrow(
+        self: Rc<Self>,
+        params: peer_capnp::peer::BorrowParams,
+        mut results: peer_capnp::peer::BorrowResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let reply = self.handler.borrow(Borrow {
+            team: convert::text(params.get_team()?)?,
+            borrower: convert::text(params.get_borrower()?)?,
+            in_use: params.get_in_use(),
+            want: params.get_want(),
+        });
+        let mut builder = results.get();
+        builder.set_granted(reply.granted);
+        builder.set_valid_ms(u32::try_from(reply.valid.get()).unwrap_or(u32::MAX));
+        Ok(())
+    }
+
+    async fn place(
+        self: Rc<Self>,
+        params: peer_capnp::peer::PlaceParams,
+        mut results: peer_capnp::peer::PlaceResults,
+    ) -> Result<(), capnp::Error> {
+        let request = read_place(params.get()?.get_request()?)?;
+        if let Some(reply) = self.handler.place(request) {
+            let mut builder = results.get().init_decision();
+            builder.set_endpoint(reply.endpoint.as_str());
+            builder.set_store(reply.store.as_ref().map_or("", |store| store.as_str()));
+            builder.set_import_blocks(reply.import_blocks);
+            builder.set_reason(reply.reason.as_str());
+        }
+        Ok(())
+    }
+}
+
+fn read_place(reader: peer_capnp::place_request::Reader<'_>) -> Result<PlaceRequest, capnp::Error> {
+    let chain = reader.get_chain()?;
+    let excluded = reader.get_excluded()?;
+    convert::bounded(chain.len())?;
+    convert::bounded(excluded.len())?;
+    let priority = match reader.get_priority() {
+        0 => Priority::Batch,
+        1 => Priority::Standard,
+        2 => Priority::Interactive,
+        _ => return Err(convert::bad("unknown priority")),
+    };
+    Ok(PlaceRequest {
+        model: convert::text(reader.get_model()?)?,
+        weight_version: convert::text(reader.get_weight_version()?)?,
+        priority,
+        prompt_tokens: Tokens(reader.get_prompt_tokens()),
+        max_tokens: Tokens(reader.get_max_tokens()),
+        deadline: TimeMs(reader.get_deadline_ms()),
+        chain: chain.iter().map(|data| convert::digest(data?)).collect::<Result<_, _>>()?,
+        excluded: excluded.iter().map(|name| convert::text(name?)).collect::<Result<_, _>>()?,
+    })
+}
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -140,7 +140,12 @@
 
     /// Switches faults.
     pub fn set_faults(&self, faults: Faults) {
-        self.state.lock().faults = faults;
+        let mut state = self.state.lock();
+        if faults.list_frozen && !state.faults.list_frozen {
+            let latest = state.listed.pop_back();
+            state.listed = latest.into_iter().collect();
+        }
+        state.faults = faults;
     }
 
     /// The calls so far.
--- a/crates/standins/src/service.rs
+++ b/crates/standins/src/service.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::HashMap, io, net::SocketAddr, sync::Arc, time::Duration};
 
+use bilberryford_endpoint::wire::{DRAINING, STATE_HEADER};
 use parking_lot::Mutex;
 use poem::{
     EndpointExt, IntoResponse, Request, Response, Route, get, handler,
@@ -24,6 +25,8 @@
     pub crash_after_run: u32,
     /// Orders are refused with 503.
     pub refuse: bool,
+    /// Calls are refused with 503 and the sign that this instance is shutting down.
+    pub draining: bool,
 }
 
 /// What really ran.
@@ -114,6 +117,9 @@
     if faults.refuse {
         return StatusCode::SERVICE_UNAVAILABLE.into_response();
     }
+    if faults.draining {
+        return draining();
+    }
     let Some(key) = request.header("idempotency-key") else {
         return StatusCode::BAD_REQUEST.into_response();
     };
@@ -139,12 +145,22 @@
     }
 }
 
+fn draining() -> Response {
+    Response::builder()
+        .status(StatusCode::SERVICE_UNAVAILABLE)
+        .header(STATE_HEADER, DRAINING)
+        .finish()
+}
+
 #[handler]
-async fn stock(Data(life): Data<&Arc<Life>>, Path(item): Path<String>) -> String {
-    let slow_ms = life.service.faults.lock().slow_ms;
-    sleep(Duration::from_millis(slow_ms)).await;
+async fn stock(Data(life): Data<&Arc<Life>>, Path(item): Path<String>) -> Response {
+    let faults = life.service.faults.lock().clone();
+    sleep(Duration::from_millis(faults.slow_ms)).await;
+    if faults.draining {
+        return draining();
+    }
     life.service.book.lock().lookups += 1;
-    format!("{item}: 12\n")
+    format!("{item}: 12\n").into_response()
 }
 
 #[handler]
--- a/src/commands.rs
+++ b/src/commands.rs
@@ -3,10 +3,13 @@
 pub(crate) mod apply;
 pub(crate) mod check;
 pub(crate) mod key_digest;
+pub(crate) mod promote;
 pub(crate) mod serve;
+pub(crate) mod status;
 pub(crate) mod timeline;
 
 use bpaf::Bpaf;
+use miette::IntoDiagnostic;
 
 /// Serves language-model prompts that return after long gaps.
 #[derive(Debug, Clone, Bpaf)]
@@ -24,11 +27,28 @@
     /// Merges the events of log files and running instances into one ordered time line
     #[bpaf(command)]
     Timeline(#[bpaf(external(timeline::options))] timeline::Options),
+    /// Copies an accepted generation from one environment to another
+    #[bpaf(command)]
+    Promote(#[bpaf(external(promote::options))] promote::Options),
+    /// Shows what is accepted, what is in force and what is wrong
+    #[bpaf(command)]
+    Status(#[bpaf(external(status::options))] status::Options),
     /// Reads an API key from standard input and prints its digest for the document
     #[bpaf(command("key-digest"))]
     KeyDigest(#[bpaf(external(key_digest::options))] key_digest::Options),
 }
 
+/// Runs a command's work to its end.
+pub(crate) fn block_on<T>(work: impl Future<Output = miette::Result<T>>) -> miette::Result<T> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    runtime.into_diagnostic()?.block_on(work)
+}
+
+/// A name for a change that no other change has.
+pub(crate) fn change_name() -> String {
+    format!("{:032x}", rand::random::<u128>())
+}
+
 /// Reads the command line; help and errors end the process.
 pub(crate) fn parse() -> Command {
     command().run()
--- a/src/commands/apply.rs
+++ b/src/commands/apply.rs
@@ -2,10 +2,8 @@
 
 use std::path::PathBuf;
 
-use bilberryford_node::{ConfigObject, config_key};
-use bilberryford_platform::{
-    HttpPlatform, HttpPlatformConfig, ObjectStore, PlatformError, Precondition,
-};
+use bilberryford_node::{Accepted, ConfigChange, accept, config_key};
+use bilberryford_platform::{HttpPlatform, HttpPlatformConfig};
 use bilberryford_types::{EnvironmentName, Generation};
 use bpaf::Bpaf;
 use miette::{IntoDiagnostic, Result, miette};
@@ -39,42 +37,25 @@
             options.environment
         ));
     }
-    tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .into_diagnostic()?
-        .block_on(apply(options, text))
+    super::block_on(apply(options, text))
 }
 
 async fn apply(options: &Options, document: String) -> Result<()> {
-    let platform = HttpPlatform::new(HttpPlatformConfig::new(options.platform_url.clone()))
-        .into_diagnostic()?;
+    let config = HttpPlatformConfig::new(options.platform_url.clone());
+    let platform = HttpPlatform::new(config).into_diagnostic()?;
     let key = config_key(&options.environment).into_diagnostic()?;
-    let current = platform.get(&key).await.into_diagnostic()?;
-    let (accepted, precondition) = match &current {
-        None => (Generation(0), Precondition::Absent),
-        Some(object) => {
-            let config: ConfigObject = serde_json::from_slice(&object.body).into_diagnostic()?;
-            (config.generation, Precondition::Version(object.version))
-        }
+    let change = ConfigChange {
+        document,
+        edited: options.edited,
+        change: super::change_name(),
+        promoted_from: None,
     };
-    if let Some(edited) = options.edited.filter(|edited| *edited != accepted) {
-        return Err(conflict(edited, accepted));
+    let environment = &options.environment;
+    match accept(&platform, &key, &change).await.into_diagnostic()? {
+        Accepted::New(generation) => println!("generation {generation} of {environment} accepted"),
+        Accepted::Already(generation) => println!(
+            "generation {generation} of {environment} already has this document; nothing was written"
+        ),
     }
-    let generation = Generation(accepted.get() + 1);
-    let body = serde_json::to_vec(&ConfigObject { generation, document }).into_diagnostic()?;
-    match platform.put(&key, precondition, body.into()).await {
-        Ok(_) => {
-            println!("generation {generation} of {} accepted", options.environment);
-            Ok(())
-        }
-        Err(PlatformError::Conflict { .. }) => Err(conflict(accepted, generation)),
-        Err(error) => Err(error).into_diagnostic(),
-    }
-}
-
-fn conflict(edited: Generation, accepted: Generation) -> miette::Report {
-    miette!(
-        "generation {edited} was edited, but generation {accepted} or a later one is accepted; nothing was written"
-    )
+    Ok(())
 }
--- a/src/commands/serve.rs
+++ b/src/commands/serve.rs
@@ -1,6 +1,10 @@
 //! `bilberryford serve`: an entry instance.
 
-use std::{io::Write, net::SocketAddr};
+use std::{
+    io::Write,
+    net::{AddrParseError, SocketAddr},
+    str::FromStr,
+};
 
 use bilberryford_node::NodeSettings;
 use bilberryford_types::{DataCentreId, EnvironmentName, InstanceId, TimeMs};
@@ -10,7 +14,7 @@
     layout::{JsonLayout, TextLayout},
     record::{Level, LevelFilter},
 };
-use miette::{IntoDiagnostic, Result, WrapErr, miette};
+use miette::{IntoDiagnostic, WrapErr, miette};
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::settings::in_range;
@@ -25,6 +29,19 @@
     Text,
 }
 
+/// Addresses of peers.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct PeerList(Vec<SocketAddr>);
+
+impl FromStr for PeerList {
+    type Err = AddrParseError;
+
+    fn from_str(text: &str) -> Result<Self, AddrParseError> {
+        let addresses = text.split(',').map(str::trim).filter(|address| !address.is_empty());
+        addresses.map(str::parse).collect::<Result<_, _>>().map(Self)
+    }
+}
+
 /// Settings of `serve`.
 #[derive(Debug, Clone, Bpaf)]
 pub(crate) struct Options {
@@ -43,6 +60,9 @@
     /// Where peers connect; port 0 takes a free one
     #[bpaf(long, env("BILBERRYFORD_PEER_LISTEN"), argument("ADDRESS"), fallback(([127, 0, 0, 1], 8081).into()), display_fallback)]
     peer_listen: SocketAddr,
+    /// Where peers may be found besides the platform's list: addresses with commas between them
+    #[bpaf(long, env("BILBERRYFORD_PEERS"), argument("ADDRESSES"), fallback(PeerList::default()))]
+    peers: PeerList,
     /// The base URL of the platform
     #[bpaf(long, env("BILBERRYFORD_PLATFORM_URL"), argument("URL"))]
     platform_url: String,
@@ -127,7 +147,7 @@
 }
 
 impl Options {
-    fn checked(self) -> Result<NodeSettings> {
+    fn checked(self) -> miette::Result<NodeSettings> {
         if self.run_key.len() < 16 {
             return Err(miette!(
                 "--run-key has {} characters, at least 16 are needed",
@@ -146,6 +166,7 @@
             environment: self.environment,
             listen: self.listen,
             peer_listen: self.peer_listen,
+            peers: self.peers.0,
             platform_url: self.platform_url,
             platform_timeout: TimeMs(in_range(
                 "platform-timeout-ms",
@@ -168,7 +189,7 @@
 }
 
 /// Runs until SIGTERM or SIGINT; prints its addresses as the first line of standard output.
-pub(crate) fn run(options: Options) -> Result<()> {
+pub(crate) fn run(options: Options) -> miette::Result<()> {
     start_logs(options.log_format, options.log_level);
     let settings = options.checked()?;
     tokio::runtime::Builder::new_multi_thread()
@@ -180,7 +201,7 @@
         .block_on(serve(settings))
 }
 
-async fn serve(settings: NodeSettings) -> Result<()> {
+async fn serve(settings: NodeSettings) -> miette::Result<()> {
     let mut terminate = signal(SignalKind::terminate()).into_diagnostic()?;
     let mut interrupt = signal(SignalKind::interrupt()).into_diagnostic()?;
     let running = bilberryford_node::start(settings).await.into_diagnostic()?;
--- a/src/main.rs
+++ b/src/main.rs
@@ -16,6 +16,8 @@
         Command::Check(options) => commands::check::run(&options),
         Command::Apply(options) => commands::apply::run(&options),
         Command::Timeline(options) => commands::timeline::run(&options),
+        Command::Promote(options) => commands::promote::run(&options),
+        Command::Status(options) => commands::status::run(&options),
         Command::KeyDigest(options) => commands::key_digest::run(&options),
     };
     match result {
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -3,4 +3,6 @@
 mod support;
 
 mod bad_input;
+mod config;
+mod membership;
 mod path;
--- a/tests/all/support.rs
+++ b/tests/all/support.rs
@@ -17,6 +17,7 @@
     process::{Instance, InstanceSpec},
     service::Service,
 };
+use bilberryford_types::Event;
 
 /// The document that tests apply; its keys are `demo-key-<team>`.
 pub(crate) const DOCUMENT: &str = include_str!("../../examples/demo.toml");
@@ -70,19 +71,72 @@
 
     /// Starts one more instance and lists it.
     pub(crate) fn add_instance(&mut self, name: &str) -> io::Result<()> {
+        let platform_url = self.platform_host.url();
+        self.add_unlisted_instance(name, &platform_url, &[])?;
+        self.publish();
+        Ok(())
+    }
+
+    /// Starts one more instance with more flags; it is listed at the next change of the list.
+    pub(crate) fn add_unlisted_instance(
+        &mut self,
+        name: &str,
+        platform_url: &str,
+        flags: &[&str],
+    ) -> io::Result<()> {
         let instance = Instance::start(&InstanceSpec {
             binary: PathBuf::from(env!("CARGO_BIN_EXE_bilberryford")),
             name: name.to_owned(),
             data_centre: "linz-1".to_owned(),
             environment: "trial".to_owned(),
-            platform_url: self.platform_host.url(),
-            flags: Vec::new(),
+            platform_url: platform_url.to_owned(),
+            flags: flags.iter().map(|flag| (*flag).to_owned()).collect(),
         })?;
         self.instances.push(instance);
-        self.publish();
         Ok(())
     }
 
+    /// The events of an instance so far.
+    pub(crate) async fn events(&self, instance: usize) -> Vec<Event> {
+        let url = format!("{}/events", self.url(instance));
+        let Ok(answer) = self.client.get(url).send().await else { return Vec::new() };
+        let text = answer.text().await.unwrap_or_default();
+        text.lines().filter_map(|line| serde_json::from_str(line).ok()).collect()
+    }
+
+    /// Waits until every one of `instances` has an event that `is_it` knows, and answers how long that took.
+    pub(crate) async fn all_have(
+        &self,
+        instances: &[usize],
+        is_it: impl Fn(&Event) -> bool,
+    ) -> Option<Duration> {
+        let since = Instant::now();
+        for instance in instances {
+            eventually(|| async { self.events(*instance).await.iter().any(&is_it).then_some(()) })
+                .await?;
+        }
+        Some(since.elapsed())
+    }
+
+    /// The generation that an instance says it has in force.
+    pub(crate) async fn generation(&self, instance: usize) -> Option<u64> {
+        let url = format!("{}/readyz", self.url(instance));
+        let text = self.client.get(url).send().await.ok()?.text().await.ok()?;
+        text.strip_prefix("generation ")?.split(' ').next()?.parse().ok()
+    }
+
+    /// Waits until every one of `instances` has `generation` in force, and answers how long that took.
+    pub(crate) async fn all_at(&self, instances: &[usize], generation: u64) -> Option<Duration> {
+        let since = Instant::now();
+        for instance in instances {
+            eventually(|| async {
+                (self.generation(*instance).await? == generation).then_some(())
+            })
+            .await?;
+        }
+        Some(since.elapsed())
+    }
+
     /// Lists everything that is up.
     pub(crate) fn publish(&self) {
         let engines = self.engines.iter().enumerate().map(|(number, (_, host))| {
