--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -13,6 +13,7 @@
 mod config;
 mod departures;
 mod lease;
+mod listing;
 mod membership;
 mod order;
 mod ownership;
@@ -21,11 +22,12 @@
 
 pub use attempt::{Attempt, AttemptState, NotRun, Planned, Sent, Settled};
 pub use config::{ConfigOffer, ConfigStamp, VersionedConfig};
-pub use departures::{Departure, Departures, MAX_DEPARTURES};
+pub use departures::{Departures, MAX_DEPARTURES};
 pub use lease::{
     Held, Lease, LeaseHolder, LeaseObject, LeaseRecord, LeaseState, LeaseTerms, LeaseUpdate,
     LeaseWrite, Permit, Renewal, Take, Taking, Watch, Watching,
 };
+pub use listing::{EndpointAt, Listing, MAX_LISTED};
 pub use membership::{
     Liveness, MAX_MEMBERS, MemberChange, MemberRecord, Membership, Observation, QUORUM,
 };
--- a/crates/coord/tests/membership.rs
+++ b/crates/coord/tests/membership.rs
@@ -1,7 +1,7 @@
 //! The view of members: tables of single steps, and a simulated network that loses, reorders and restarts.
 
 use bilberryford_coord::{
-    Departure, Departures, Liveness, MAX_DEPARTURES, MAX_MEMBERS, MemberChange, MemberRecord,
+    Departures, EndpointAt, Liveness, MAX_DEPARTURES, MAX_MEMBERS, MemberChange, MemberRecord,
     Membership, Observation,
 };
 use bilberryford_types::{Generation, Incarnation, InstanceId, TimeMs};
@@ -158,14 +158,14 @@
     for number in 0..2 * MAX_DEPARTURES {
         let endpoint = format!("engine-{number}").parse().unwrap();
         let address = ([10, 0, 0, 1], 80).into();
-        assert!(departures.note(Departure { endpoint, address }, TimeMs(number as u64)));
+        assert!(departures.note(EndpointAt { endpoint, address }, TimeMs(number as u64)));
     }
     assert_eq!(departures.news(usize::MAX, TimeMs(0)).len(), MAX_DEPARTURES);
 }
 
 #[test]
 fn a_departure_is_news_once_and_only_at_its_address() {
-    let at = |port| Departure {
+    let at = |port| EndpointAt {
         endpoint: "engine-1".parse().unwrap(),
         address: ([10, 0, 0, 1], port).into(),
     };
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -117,6 +117,7 @@
             };
             proof = sent.and_then(|sent| sent.unsent(failure.ran()).ok());
             self.failed(&id, &endpoint, &failure);
+            self.node.note_error(&endpoint, &failure.error);
             tried.push(endpoint);
             losses += usize::from(failure.error != EndpointError::VersionGone);
             if failure.is_full {
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -10,7 +10,7 @@
     endpoint::make,
     error::ReadBodyError,
     get, handler,
-    http::{HeaderMap, StatusCode},
+    http::{HeaderMap, HeaderValue, StatusCode, header},
     web::Data,
 };
 use tokio::{
@@ -241,7 +241,10 @@
         }
         Err(kind) => {
             node.metrics.refused(kind);
-            Refusal::of(kind).into_response()
+            let mut response = Refusal::of(kind).into_response();
+            // What is left of the request was not read, so the connection can't carry another one.
+            response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+            response
         }
     }
 }
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -4,4 +4,6 @@
 
 mod answers;
 mod bad_input;
+mod config;
+mod membership;
 mod path;
