Chains are striped over the stores and come back over all links at once

Ruled out: computing the front while the rest is imported, which costs 30% of a long chain in recomputing.

Change: neighbouring blocks have different home stores; the decision chooses a set of links, drops those that are slower than recomputing and what is not worth its cost; holes are computed between imported blocks. Every policy gets the same striped stores and the same parallel import.

--- a/crates/cache/src/decide.rs
+++ b/crates/cache/src/decide.rs
@@ -66,31 +66,17 @@
     pub class: LinkClass,
 }
 
-/// Where returning context is brought from.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Source {
-    /// The engine's own memory or nothing.
-    Engine,
-    /// A store.
-    Store {
-        /// The store.
-        store: StoreSlot,
-        /// The slowest tier that the import reads.
-        tier: Tier,
-    },
-}
-
 /// What was decided.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Decision {
     /// The engine.
     pub engine: EngineSlot,
-    /// Where the part that is not in its memory comes from.
-    pub source: Source,
     /// How many blocks are thought to be in the engine's memory.
     pub cached: u32,
-    /// How many blocks after these are imported.
+    /// How many blocks are imported.
     pub import: u32,
+    /// The links that they come over.
+    pub links: LinkSet,
     /// How many tokens are computed.
     pub compute: Tokens,
     /// When the first token is expected, in milliseconds from now.
@@ -99,10 +85,29 @@
     pub cost_ms: f64,
 }
 
+/// A set of links to tiers of stores, as bits.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct LinkSet(u16);
+
+impl LinkSet {
+    const fn bit(store: StoreSlot, tier: Tier) -> u16 {
+        1 << (2 * store.0 + tier as u8)
+    }
+
+    /// Whether the link is in the set.
+    pub const fn has(self, store: StoreSlot, tier: Tier) -> bool {
+        self.0 & Self::bit(store, tier) != 0
+    }
+
+    const fn is_empty(self) -> bool {
+        self.0 == 0
+    }
+}
+
 impl fmt::Display for Decision {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "cached {} import {}", self.cached, self.import)?;
-        if let Source::Store { store, tier } = self.source {
+        for (store, tier) in all_links().filter(|(store, tier)| self.links.has(*store, *tier)) {
             write!(f, " from store {} {tier}", store.0)?;
         }
         let Self { compute, first_token_ms, cost_ms, .. } = self;
@@ -110,11 +115,16 @@
     }
 }
 
-/// The prefix that a store holds, and the blocks of it that are on disk.
-#[derive(Debug, Clone, Copy, Default)]
-struct Held {
-    blocks: u32,
-    first_on_disk: u32,
+/// Where one block of a request may be.
+#[derive(Debug, Clone, Copy)]
+struct Place {
+    holders: Holders,
+    from: Option<(StoreSlot, Tier)>,
+}
+
+fn all_links() -> impl Iterator<Item = (StoreSlot, Tier)> {
+    (0..MAX_STORES as u8)
+        .flat_map(|store| [Tier::Memory, Tier::Disk].map(|tier| (StoreSlot(store), tier)))
 }
 
 /// Chooses endpoint, source and split; none when no engine is usable.
@@ -124,43 +134,78 @@
     now: TimeMs,
     rng: &mut impl Rng,
 ) -> Option<Decision> {
-    let (holders, held) = look_up(views, request);
+    let places = look_up(views, request);
+    let scarcity = Scarcity::of(views, now);
     let mut best: Vec<Decision> = Vec::with_capacity(views.engines.len());
     for engine in views.engines.iter().filter(|engine| engine.is_usable) {
-        let cached = holders.iter().take_while(|holders| holders.engine(engine.slot)).count();
-        let cached = u32::try_from(cached).unwrap_or(u32::MAX);
-        best.extend(best_at(views, request, engine, cached, &held, now));
+        let held = |number: usize| places[number].holders.engine(engine.slot);
+        let candidate = Candidate::new(views, request, engine, &scarcity, now);
+        best.push(candidate.best(&places, &held));
     }
     sample(&best, rng)
 }
 
-/// Decides source and split anew at an engine that turned out to hold `cached` blocks.
+/// Decides source and split anew at an engine that turned out to hold other blocks than was thought.
 pub fn split_at(
     views: &Views,
     request: &PlaceRequest<'_>,
     engine: EngineSlot,
-    cached: u32,
+    held: &[bool],
     now: TimeMs,
 ) -> Option<Decision> {
-    let (_, held) = look_up(views, request);
     let engine = views.engines.iter().find(|view| view.slot == engine)?;
-    best_at(views, request, engine, cached, &held, now)
+    let scarcity = Scarcity::of(views, now);
+    let candidate = Candidate::new(views, request, engine, &scarcity, now);
+    let held = |number: usize| held.get(number).copied().unwrap_or_default();
+    Some(candidate.best(&look_up(views, request), &held))
 }
 
-fn look_up(views: &Views, request: &PlaceRequest<'_>) -> (Vec<Holders>, [Held; MAX_STORES]) {
-    let holders: Vec<_> =
-        request.chain.blocks().iter().map(|block| views.index.holders(block)).collect();
-    let mut held = [Held::default(); MAX_STORES];
-    for (number, held) in held.iter_mut().enumerate().take(views.links.stores()) {
-        let store = StoreSlot(u8::try_from(number).unwrap_or(u8::MAX));
-        let tiers = holders.iter().map_while(|holders| holders.store(store));
-        *held = tiers.fold(Held::default(), |held, tier| Held {
-            blocks: held.blocks + 1,
-            first_on_disk: held.first_on_disk
-                + u32::from(tier == Tier::Memory && held.first_on_disk == held.blocks),
-        });
-    }
-    (holders, held)
+/// The link over which each block of a decision comes; none for those that are cached or computed.
+pub fn import_plan(
+    views: &Views,
+    request: &PlaceRequest<'_>,
+    decision: &Decision,
+    held: &[bool],
+) -> Vec<Option<(StoreSlot, Tier)>> {
+    look_up(views, request)
+        .iter()
+        .zip(held)
+        .map(|(place, is_held)| {
+            place.from.filter(|(store, tier)| !is_held && decision.links.has(*store, *tier))
+        })
+        .collect()
+}
+
+fn look_up(views: &Views, request: &PlaceRequest<'_>) -> Vec<Place> {
+    request
+        .chain
+        .blocks()
+        .iter()
+        .map(|block| {
+            let holders = views.index.holders(block);
+            Place { holders, from: best_store(views, request, holders) }
+        })
+        .collect()
+}
+
+/// The store that hands the block out soonest.
+fn best_store(
+    views: &Views,
+    request: &PlaceRequest<'_>,
+    holders: Holders,
+) -> Option<(StoreSlot, Tier)> {
+    let piece = views.piece;
+    let soon_ms = |(store, tier): &(StoreSlot, Tier)| {
+        let link = views.links.link(*store, *tier);
+        link.wait_ms(request.class, piece) + link.transfer_ms(piece)
+    };
+    (0..views.links.stores())
+        .filter_map(|number| {
+            let store = StoreSlot(u8::try_from(number).ok()?);
+            let tier = holders.store(store)?;
+            (!views.links.link(store, tier).is_down()).then_some((store, tier))
+        })
+        .min_by(|a, b| soon_ms(a).total_cmp(&soon_ms(b)))
 }
 
 /// Draws one of those that cost nearly as little as the best, so that several deciders don't follow one another.
@@ -171,110 +216,126 @@
     near().nth(rng.random_range(0..near().count())).copied()
 }
 
-fn best_at(
-    views: &Views,
-    request: &PlaceRequest<'_>,
-    engine: &EngineView,
-    cached: u32,
-    held: &[Held; MAX_STORES],
-    now: TimeMs,
-) -> Option<Decision> {
-    let wait_ms = engine.load.wait_ms(now);
-    let local = Candidate { views, request, engine, cached, wait_ms, now };
-    let stores = held.iter().enumerate().filter(|(_, held)| held.blocks > cached);
-    stores
-        .flat_map(|(number, held)| {
-            let store = StoreSlot(u8::try_from(number).unwrap_or(u8::MAX));
-            let in_memory = held.first_on_disk.max(cached);
-            [in_memory, held.blocks].map(|until| local.import(store, until - cached, in_memory))
-        })
-        .flatten()
-        .chain([local.local()])
-        .min_by(|a, b| a.cost_ms.total_cmp(&b.cost_ms))
+/// The scarcity of each link, computed once for a decision.
+struct Scarcity([f64; 2 * MAX_STORES]);
+
+impl Scarcity {
+    fn of(views: &Views, now: TimeMs) -> Self {
+        let mut all = [0.0; 2 * MAX_STORES];
+        for (number, scarcity) in all.iter_mut().enumerate().take(2 * views.links.stores()) {
+            let (store, tier) = link_at(number);
+            *scarcity = views.links.link(store, tier).scarcity(now.get() as f64);
+        }
+        Self(all)
+    }
+}
+
+const fn link_at(number: usize) -> (StoreSlot, Tier) {
+    let tier = if number.is_multiple_of(2) { Tier::Memory } else { Tier::Disk };
+    (StoreSlot((number / 2) as u8), tier)
+}
+
+/// The part of an import that comes over one link.
+#[derive(Debug, Clone, Copy, Default)]
+struct Leg {
+    blocks: u32,
+    import_ms: f64,
 }
 
 struct Candidate<'a> {
     views: &'a Views,
     request: &'a PlaceRequest<'a>,
     engine: &'a EngineView,
-    cached: u32,
+    scarcity: &'a Scarcity,
     wait_ms: f64,
-    now: TimeMs,
+    doubt_ms: f64,
 }
 
-impl Candidate<'_> {
-    fn prefill_ms(&self, tokens: f64) -> f64 {
-        tokens / self.engine.load.tokens_per_ms()
+impl<'a> Candidate<'a> {
+    fn new(
+        views: &'a Views,
+        request: &'a PlaceRequest<'a>,
+        engine: &'a EngineView,
+        scarcity: &'a Scarcity,
+        now: TimeMs,
+    ) -> Self {
+        let wait_ms = engine.load.wait_ms(now);
+        let is_doubtful = views.index.is_doubtful(engine.slot);
+        let block_ms = f64::from(BLOCK_TOKENS.get()) / engine.load.tokens_per_ms();
+        let doubt_ms = if is_doubtful { block_ms * (1.0 - DOUBTFUL_SHARE) } else { 0.0 };
+        Self { views, request, engine, scarcity, wait_ms, doubt_ms }
     }
 
-    fn rest(&self, blocks: u32) -> u32 {
-        self.request.tokens.get().saturating_sub(blocks.saturating_mul(BLOCK_TOKENS.get()))
+    fn block_ms(&self) -> f64 {
+        f64::from(BLOCK_TOKENS.get()) / self.engine.load.tokens_per_ms()
     }
 
-    fn local(&self) -> Decision {
-        let doubted = if self.views.index.is_doubtful(self.engine.slot) {
-            f64::from(self.cached) * f64::from(BLOCK_TOKENS.get()) * (1.0 - DOUBTFUL_SHARE)
-        } else {
-            0.0
-        };
-        let compute = self.rest(self.cached);
-        let first_token_ms = self.wait_ms + self.prefill_ms(f64::from(compute) + doubted);
-        let returning = self.request.chain.blocks().len() as f64 - f64::from(self.cached);
-        let again = returning * f64::from(BLOCK_TOKENS.get()) + doubted;
-        Decision {
-            engine: self.engine.slot,
-            source: Source::Engine,
-            cached: self.cached,
-            import: 0,
-            compute: Tokens(compute),
-            first_token_ms,
-            cost_ms: first_token_ms + self.views.weights.recompute_ms * again,
+    /// The cheapest set of links: all that are fast enough, then fewer as long as that is cheaper.
+    fn best(&self, places: &[Place], held: &dyn Fn(usize) -> bool) -> Decision {
+        let mut legs = [Leg::default(); 2 * MAX_STORES];
+        let mut cached = 0;
+        for (number, place) in places.iter().enumerate() {
+            if held(number) {
+                cached += 1;
+            } else if let Some((store, tier)) = place.from {
+                legs[2 * store.0 as usize + tier as usize].blocks += 1;
+            }
+        }
+        let mut links = LinkSet::default();
+        for (number, leg) in legs.iter_mut().enumerate().filter(|(_, leg)| leg.blocks > 0) {
+            let (store, tier) = link_at(number);
+            leg.import_ms = self.leg_ms(store, tier, leg.blocks);
+            if self.is_worth_starting(leg) {
+                links.0 |= LinkSet::bit(store, tier);
+            }
         }
+        let mut best = self.cost(&legs, links, cached);
+        while !links.is_empty() {
+            let slowest = (0..legs.len())
+                .filter(|number| links.0 & (1 << number) != 0)
+                .max_by(|a, b| legs[*a].import_ms.total_cmp(&legs[*b].import_ms));
+            let Some(slowest) = slowest else { break };
+            links.0 &= !(1 << slowest);
+            let fewer = self.cost(&legs, links, cached);
+            if fewer.cost_ms < best.cost_ms {
+                best = fewer;
+            }
+        }
+        best
     }
 
     /// # Invariant
     ///
     /// An import that would end later than the engine needs to compute the same blocks is not started.
-    fn import(&self, store: StoreSlot, import: u32, in_memory: u32) -> Option<Decision> {
-        let on_disk = (self.cached + import).saturating_sub(in_memory);
-        let tier = if on_disk > 0 { Tier::Disk } else { Tier::Memory };
-        let import_ms = self.leg_ms(store, Tier::Memory, import - on_disk)?
-            + self.leg_ms(store, Tier::Disk, on_disk)?;
-        let saved = f64::from(import) * f64::from(BLOCK_TOKENS.get());
-        if import == 0 || import_ms > self.wait_ms + self.prefill_ms(saved) {
-            return None;
-        }
-        let local = self.local();
-        let compute = self.rest(self.cached + import);
-        let first_token_ms = self.wait_ms.max(import_ms) + (local.first_token_ms - self.wait_ms)
-            - self.prefill_ms(saved);
-        let weights = self.views.weights;
-        let link_ms = |tier, blocks: u32| {
-            let scarcity = self.views.links.link(store, tier).scarcity(self.now.get() as f64);
-            weights.link_ms * f64::from(blocks) * self.views.piece.get() as f64 / MIB * scarcity
-        };
-        let cost_ms = first_token_ms
-            + (local.cost_ms - local.first_token_ms - weights.recompute_ms * saved).max(0.0)
-            + link_ms(Tier::Memory, import - on_disk)
-            + link_ms(Tier::Disk, on_disk);
-        let source = Source::Store { store, tier };
-        Some(Decision {
-            source,
-            import,
-            compute: Tokens(compute),
-            first_token_ms,
-            cost_ms,
-            ..local
-        })
+    fn is_worth_starting(&self, leg: &Leg) -> bool {
+        leg.import_ms <= self.wait_ms + self.block_ms() * f64::from(leg.blocks)
     }
 
-    fn leg_ms(&self, store: StoreSlot, tier: Tier, blocks: u32) -> Option<f64> {
-        if blocks == 0 {
-            return Some(0.0);
-        }
+    fn leg_ms(&self, store: StoreSlot, tier: Tier, blocks: u32) -> f64 {
         let link = self.views.links.link(store, tier);
         let piece = self.views.piece;
         let size = Bytes(piece.get() * u64::from(blocks));
-        (!link.is_down()).then(|| link.wait_ms(self.request.class, piece) + link.transfer_ms(size))
+        link.wait_ms(self.request.class, piece) + link.transfer_ms(size)
+    }
+
+    fn cost(&self, legs: &[Leg], links: LinkSet, cached: u32) -> Decision {
+        let chosen = || legs.iter().enumerate().filter(|(number, _)| links.0 & (1 << number) != 0);
+        let import: u32 = chosen().map(|(_, leg)| leg.blocks).sum();
+        let import_ms = chosen().map(|(_, leg)| leg.import_ms).fold(0.0, f64::max);
+        let piece_mib = self.views.piece.get() as f64 / MIB;
+        let link_cost_ms: f64 = chosen()
+            .map(|(number, leg)| f64::from(leg.blocks) * piece_mib * self.scarcity.0[number])
+            .sum::<f64>()
+            * self.views.weights.link_ms;
+        let tokens = self.request.tokens.get();
+        let compute = tokens.saturating_sub((cached + import).saturating_mul(BLOCK_TOKENS.get()));
+        let prefill_ms = f64::from(compute) / self.engine.load.tokens_per_ms();
+        let first_token_ms =
+            self.wait_ms.max(import_ms) + prefill_ms + self.doubt_ms * f64::from(cached);
+        let cost_ms =
+            first_token_ms + self.views.weights.recompute_ms * f64::from(compute) + link_cost_ms;
+        let engine = self.engine.slot;
+        let compute = Tokens(compute);
+        Decision { engine, cached, import, links, compute, first_token_ms, cost_ms }
     }
 }
--- a/crates/cache/src/lib.rs
+++ b/crates/cache/src/lib.rs
@@ -14,7 +14,9 @@
 mod write_back;
 
 pub use chain::{BLOCK_TOKENS, ChainSalt, PrefixChain, prompt_tokens};
-pub use decide::{Decision, EngineView, PlaceRequest, Source, Views, Weights, decide, split_at};
+pub use decide::{
+    Decision, EngineView, LinkSet, PlaceRequest, Views, Weights, decide, import_plan, split_at,
+};
 pub use index::{
     BlockIndex, CacheEvent, CacheSnapshot, EngineSlot, Fed, Holders, MAX_ENGINES, MAX_STORES,
     StoreSlot, Tier,
--- a/crates/cache/src/write_back.rs
+++ b/crates/cache/src/write_back.rs
@@ -89,12 +89,11 @@
     }
 }
 
-/// The store of a conversation: all of its blocks go to one, so that a dead store breaks no chain of the others, and
-/// conversations are spread evenly, so that it takes only its share of the warm context with it.
-pub fn home_store(conversation: &Digest, stores: &[StoreSlot]) -> Option<StoreSlot> {
-    stores.iter().copied().max_by_key(|store| {
-        let mut key = conversation.0.to_vec();
-        key.push(store.0);
-        xxhash_rust::xxh3::xxh3_64(&key)
-    })
+/// The store of the block at `position` in a chain that begins with `first`.
+///
+/// Neighbours go to different stores, so that a chain comes back over all links at once, and a dead store takes its
+/// share of every chain instead of whole chains; what it took is recomputed between the imported blocks.
+pub fn home_store(first: &Digest, position: usize, stores: &[StoreSlot]) -> Option<StoreSlot> {
+    let start = usize::try_from(first.prefix() % stores.len().max(1) as u64).unwrap_or_default();
+    stores.get((start + position) % stores.len().max(1)).copied()
 }
--- a/crates/standins/src/engine/kv.rs
+++ b/crates/standins/src/engine/kv.rs
@@ -44,10 +44,10 @@
         }
     }
 
-    /// How many blocks of a chain are here, counted from its start; they count as used.
-    pub fn use_prefix(&mut self, chain: &[Digest]) -> usize {
-        let held = chain.iter().take_while(|block| self.blocks.contains_key(*block)).count();
-        chain[..held].iter().for_each(|block| self.touch(block));
+    /// Which blocks of a chain are here; they count as used, the first ones last.
+    pub fn use_chain(&mut self, chain: &[Digest]) -> Vec<bool> {
+        let held = chain.iter().map(|block| self.blocks.contains_key(block)).collect();
+        chain.iter().rev().for_each(|block| self.touch(block));
         held
     }
 
--- a/crates/standins/src/returning/serve.rs
+++ b/crates/standins/src/returning/serve.rs
@@ -4,7 +4,7 @@
 
 use bilberryford_cache::{
     BLOCK_TOKENS, EngineSlot, Export, ImportMiss, ImportProgress, LinkClass, Owner, PlaceRequest,
-    PrefixChain, Source, StoreSlot, Tier, WriteBack, split_at,
+    PrefixChain, StoreSlot, Tier, WriteBack, home_store, import_plan, split_at,
 };
 use bilberryford_types::{Digest, TimeMs, Tokens};
 use tokio::{task::spawn_local, time::timeout};
@@ -74,16 +74,21 @@
 /// The engine went away while a request ran there.
 struct Lost;
 
-/// An import on its way.
-struct Import {
+/// Where a block comes from.
+type From = Option<(StoreSlot, Tier)>;
+
+/// The part of an import that comes over one link.
+struct Leg {
     engine: usize,
     store: StoreSlot,
-    tiers: Vec<Tier>,
-    queue_ms: [f64; 2],
+    tier: Tier,
+    /// The places of its blocks in the chain.
+    blocks: Vec<usize>,
+    queue_ms: f64,
     started_ms: f64,
-    /// How long it would have taken to compute everything, with the wait for the engine.
+    /// How long it would take to compute its blocks with the rest, with the wait for the engine.
     recompute_ms: f64,
-    /// The tokens that were neither cached nor imported when it began.
+    /// The tokens that would be computed then.
     rest: u64,
 }
 
@@ -152,43 +157,45 @@
         let class = request.arrival.before.class;
         let blocks = request.chain.blocks();
         let ticket = world.ticket();
-        let mut have = engine.kv.borrow_mut().use_prefix(blocks);
-        blocks[..have].iter().for_each(|block| self.check(request, placement.engine, block));
-        let placement = self.correct(request, placement, have);
-        let tokens = |have: usize| {
-            u64::from(request.arrival.prompt_tokens) - have as u64 * u64::from(BLOCK_TOKENS.get())
+        let mut held = engine.kv.borrow_mut().use_chain(blocks);
+        let is_held = |(_, held): &(&Digest, &bool)| **held;
+        blocks
+            .iter()
+            .zip(&held)
+            .filter(is_held)
+            .for_each(|(block, _)| self.check(request, placement.engine, block));
+        let placement = self.correct(request, placement, &held);
+        let plan = self.plan(request, placement, &held);
+        let planned = plan.iter().flatten().count();
+        let tokens = |held: &[bool]| {
+            let count = held.iter().filter(|held| **held).count() as u64;
+            u64::from(request.arrival.prompt_tokens) - count * u64::from(BLOCK_TOKENS.get())
         };
-        let planned = placement.decision.map_or(0, |decision| decision.import as usize);
+        let work = tokens(&held) - planned as u64 * u64::from(BLOCK_TOKENS.get());
         self.decider(request).borrow_mut().dispatched(
             placement.engine,
             world.now(),
-            Tokens(u32::try_from(tokens(have + planned)).unwrap_or(u32::MAX)),
+            Tokens(u32::try_from(work).unwrap_or(u32::MAX)),
         );
         let ahead = if class == LinkClass::Quick { &engine.quick_backlog } else { &engine.backlog };
         let started_ms = world.now_ms();
-        let recompute_ms = world.prefill_ms(ahead.get() + tokens(have));
-        have = match placement.decision {
-            Some(_) => self.import_ours(request, placement, have, ticket).await,
-            None => self.import_all(request, placement.engine, have, ticket).await,
-        };
+        let recompute_ms = world.prefill_ms(ahead.get() + tokens(&held));
+        self.import(request, placement, &plan, &mut held, ticket).await;
         alive()?;
-        let work = tokens(have);
+        let work = tokens(&held);
         engine.backlog.set(engine.backlog.get() + work);
         if class == LinkClass::Quick {
             engine.quick_backlog.set(engine.quick_backlog.get() + work);
         }
-        let is_alive = self.compute(request, placement.engine, have, ticket, life).await;
-        if is_alive.is_err() {
-            return Err(Lost);
-        }
-        let is_import = placement.decision.is_some_and(|decision| decision.import > 0);
+        self.compute(request, placement.engine, &held, ticket, life).await?;
+        let is_import = placement.decision.is_some() && planned > 0;
         let is_late = world.now_ms() - started_ms > recompute_ms * (1.0 + CUT_OVER_SHARE);
-        self.count(request, have, is_import && is_late);
+        self.count(request, &held, is_import && is_late);
         self.decode(request, placement.engine).await;
         Ok(())
     }
 
-    fn count(&self, request: &Request<'_>, have: usize, is_late: bool) {
+    fn count(&self, request: &Request<'_>, held: &[bool], is_late: bool) {
         let before = &request.arrival.before;
         let mut tally = self.tally.borrow_mut();
         let first_token_ms = self.world.now_ms() - request.at_ms;
@@ -199,29 +206,33 @@
         tally.quick_late += u64::from(before.class == LinkClass::Quick && is_late);
         let returning = (before.tokens / BLOCK_TOKENS.get()) as usize;
         tally.returning_blocks += returning as u64;
-        tally.recomputed_blocks += returning.saturating_sub(have) as u64;
+        let recomputed = held.iter().take(returning).filter(|held| !**held).count();
+        tally.recomputed_blocks += recomputed as u64;
         tally.tail_tokens += u64::from(before.tokens % BLOCK_TOKENS.get());
     }
 
     /// Compares what the engine really holds with what was thought, and decides again when it differs.
-    fn correct(&self, request: &Request<'_>, placement: Placement, have: usize) -> Placement {
+    fn correct(&self, request: &Request<'_>, placement: Placement, held: &[bool]) -> Placement {
         let Some(decision) = placement.decision else { return placement };
-        if decision.cached as usize == have {
-            return placement;
-        }
         let mut decider = self.decider(request).borrow_mut();
         let slot = decision.engine;
-        for (place, block) in request.chain.blocks().iter().enumerate() {
-            decider.views.index.set_engine(block, slot, place < have);
+        let blocks = request.chain.blocks();
+        let index = &mut decider.views.index;
+        if blocks.iter().zip(held).all(|(block, held)| index.holders(block).engine(slot) == *held) {
+            return placement;
         }
-        let asked = PlaceRequest {
+        blocks.iter().zip(held).for_each(|(block, held)| index.set_engine(block, slot, *held));
+        let asked = self.asked(request);
+        let decision = split_at(&decider.views, &asked, slot, held, self.world.now());
+        Placement { decision, ..placement }
+    }
+
+    fn asked<'a>(&self, request: &'a Request<'_>) -> PlaceRequest<'a> {
+        PlaceRequest {
             chain: &request.chain,
             tokens: Tokens(request.arrival.prompt_tokens),
             class: request.arrival.before.class,
-        };
-        let have = u32::try_from(have).unwrap_or(u32::MAX);
-        let decision = split_at(&decider.views, &asked, slot, have, self.world.now());
-        Placement { decision, ..placement }
+        }
     }
 
     /// # Invariant
@@ -235,139 +246,158 @@
         self.tally.borrow_mut().wrong += u64::from(!is_right);
     }
 
-    /// What a policy without a cost model does: everything that a store has, in the order of arrival.
-    async fn import_all(
+    /// Where each block comes from: as decided, or for a policy without a cost model from any store that has it.
+    fn plan(&self, request: &Request<'_>, placement: Placement, held: &[bool]) -> Vec<From> {
+        if let Some(decision) = placement.decision {
+            let decider = self.decider(request).borrow();
+            return import_plan(&decider.views, &self.asked(request), &decision, held);
+        }
+        let find = |block: &Digest| {
+            let mut stores = self.world.stores.iter().enumerate();
+            stores.find_map(|(number, host)| {
+                let (_, tier) = host.store.borrow().find(block).filter(|_| host.is_up.get())?;
+                Some((StoreSlot(u8::try_from(number).ok()?), tier))
+            })
+        };
+        let blocks = request.chain.blocks().iter().zip(held);
+        blocks.map(|(block, is_held)| if *is_held { None } else { find(block) }).collect()
+    }
+
+    /// Imports over all links at once, over each in the order of the chain.
+    async fn import(
         &self,
         request: &Request<'_>,
-        engine: usize,
-        mut have: usize,
+        placement: Placement,
+        plan: &[From],
+        held: &mut [bool],
         ticket: u64,
-    ) -> usize {
-        let blocks = request.chain.blocks();
-        while have < blocks.len() {
-            let holds = |host: &super::world::StoreHost| {
-                host.is_up.get() && host.store.borrow().find(&blocks[have]).is_some()
+    ) {
+        let mut legs: Vec<(StoreSlot, Tier, Vec<usize>)> = Vec::new();
+        for (number, from) in plan.iter().enumerate() {
+            let Some((store, tier)) = *from else { continue };
+            match legs.iter_mut().find(|leg| (leg.0, leg.1) == (store, tier)) {
+                Some(leg) => leg.2.push(number),
+                None => legs.push((store, tier, vec![number])),
+            }
+        }
+        let legs = legs.into_iter().map(|(store, tier, blocks)| async move {
+            let leg = self.leg(request, placement, (store, tier), blocks);
+            let done = if placement.decision.is_some() {
+                self.import_ours(request, &leg, ticket).await
+            } else {
+                self.import_all(request, &leg, ticket).await
             };
-            let Some(store) = self.world.stores.iter().position(holds) else { break };
-            if self
-                .piece(request, engine, (store, LinkClass::Quick), &blocks[have], ticket)
-                .await
-                .is_none()
-            {
-                break;
+            (leg, done)
+        });
+        for (leg, done) in futures::future::join_all(legs).await {
+            leg.blocks[..done].iter().for_each(|number| held[*number] = true);
+        }
+    }
+
+    /// What a policy without a cost model does: everything, in the order of arrival, however long it takes.
+    async fn import_all(&self, request: &Request<'_>, leg: &Leg, ticket: u64) -> usize {
+        let from = (leg.store.0 as usize, LinkClass::Quick);
+        for (done, number) in leg.blocks.iter().enumerate() {
+            let block = &request.chain.blocks()[*number];
+            if self.piece(request, leg.engine, from, block, ticket).await.is_none() {
+                return done;
             }
-            have += 1;
         }
-        have
+        leg.blocks.len()
     }
 
-    async fn import_ours(
-        &self,
-        request: &Request<'_>,
-        placement: Placement,
-        have: usize,
-        ticket: u64,
-    ) -> usize {
-        let Some(decision) = placement.decision else { return have };
-        let Source::Store { store, .. } = decision.source else { return have };
-        let blocks = &request.chain.blocks()[have..have + decision.import as usize];
-        let import = self.plan(request, placement.engine, store, blocks, have);
-        for (done, block) in blocks.iter().enumerate() {
-            if !self.import_piece(request, &import, done, block, ticket).await {
-                self.give_up(request, &import, done);
-                return have + done;
+    async fn import_ours(&self, request: &Request<'_>, leg: &Leg, ticket: u64) -> usize {
+        let (class, piece) = (request.arrival.before.class, self.world.deployment.piece);
+        for _ in &leg.blocks {
+            self.decider(request).borrow_mut().views.links.start(leg.store, leg.tier, class, piece);
+        }
+        for (done, number) in leg.blocks.iter().enumerate() {
+            let block = &request.chain.blocks()[*number];
+            if !self.import_piece(request, leg, done, block, ticket).await {
+                let mut decider = self.decider(request).borrow_mut();
+                for _ in done..leg.blocks.len() {
+                    decider.views.links.cancel(leg.store, leg.tier, class, piece);
+                }
+                return done;
             }
         }
-        have + blocks.len()
+        leg.blocks.len()
     }
 
-    /// Books an import at the link ledger and works out until when it beats recomputing.
-    fn plan(
+    /// Works out until when one link's part of an import beats recomputing it.
+    fn leg(
         &self,
         request: &Request<'_>,
-        engine: usize,
-        store: StoreSlot,
-        blocks: &[Digest],
-        have: usize,
-    ) -> Import {
-        let world = &self.world;
-        let mut decider = self.decider(request).borrow_mut();
+        placement: Placement,
+        (store, tier): (StoreSlot, Tier),
+        blocks: Vec<usize>,
+    ) -> Leg {
+        let (world, engine) = (&self.world, placement.engine);
+        let decider = self.decider(request).borrow();
         let class = request.arrival.before.class;
-        let piece = world.deployment.piece;
-        let tier = |block| decider.views.index.holders(block).store(store).unwrap_or(Tier::Disk);
-        let tiers: Vec<Tier> = blocks.iter().map(tier).collect();
-        let queue_ms = [Tier::Memory, Tier::Disk]
-            .map(|tier| decider.views.links.link(store, tier).wait_ms(class, piece));
-        for tier in &tiers {
-            decider.views.links.start(store, *tier, class, piece);
-        }
+        let link = decider.views.links.link(store, tier);
+        let queue_ms = link.wait_ms(class, world.deployment.piece);
         let wait_ms = decider.views.engines[engine].load.wait_ms(world.now());
-        let rest =
-            u64::from(request.arrival.prompt_tokens) - have as u64 * u64::from(BLOCK_TOKENS.get());
+        let compute = placement.decision.map_or(0, |decision| u64::from(decision.compute.get()));
+        let own = blocks.len() as u64 * u64::from(BLOCK_TOKENS.get());
+        let rest = compute + own;
         let recompute_ms = wait_ms + world.prefill_ms(rest);
-        Import { engine, store, tiers, queue_ms, started_ms: world.now_ms(), recompute_ms, rest }
+        let started_ms = world.now_ms();
+        Leg { engine, store, tier, blocks, queue_ms, started_ms, recompute_ms, rest }
     }
 
     /// Imports the next piece unless recomputing is the better way by now.
     async fn import_piece(
         &self,
         request: &Request<'_>,
-        import: &Import,
+        leg: &Leg,
         done: usize,
         block: &Digest,
         ticket: u64,
     ) -> bool {
         let world = &self.world;
-        let (tier, class) = (import.tiers[done], request.arrival.before.class);
+        let (tier, class) = (leg.tier, request.arrival.before.class);
         let piece = world.deployment.piece;
         let piece_ms = {
             let decider = self.decider(request).borrow();
-            decider.views.links.link(import.store, tier).transfer_ms(piece)
+            decider.views.links.link(leg.store, tier).transfer_ms(piece)
         };
-        let elapsed_ms = world.now_ms() - import.started_ms;
-        let queue_ms = (import.queue_ms[tier as usize] - elapsed_ms).max(0.0);
+        let elapsed_ms = world.now_ms() - leg.started_ms;
+        let queue_ms = (leg.queue_ms - elapsed_ms).max(0.0);
         let block_ms = world.prefill_ms(u64::from(BLOCK_TOKENS.get()));
         let progress = ImportProgress {
-            remaining: u32::try_from(import.tiers.len() - done).unwrap_or(u32::MAX),
+            remaining: u32::try_from(leg.blocks.len() - done).unwrap_or(u32::MAX),
             piece_ms,
             recompute_ms: block_ms,
-            engine_wait_ms: (import.recompute_ms - elapsed_ms).max(0.0),
+            engine_wait_ms: (leg.recompute_ms - elapsed_ms).max(0.0),
         };
         if !progress.keeps_up() {
             return false;
         }
         // What is left to compute if the import is cut over now.
-        let left_ms = world.prefill_ms(import.rest) - block_ms * done as f64;
-        let slack_ms = import.recompute_ms * (1.0 + CUT_OVER_SHARE) - left_ms - elapsed_ms;
+        let left_ms = world.prefill_ms(leg.rest) - block_ms * done as f64;
+        let slack_ms = leg.recompute_ms * (1.0 + CUT_OVER_SHARE) - left_ms - elapsed_ms;
         let patience_ms = ((queue_ms + piece_ms) * PIECE_PATIENCE).max(slack_ms);
-        let from = (import.store.0 as usize, class);
-        let read = self.piece(request, import.engine, from, block, ticket);
+        let from = (leg.store.0 as usize, class);
+        let read = self.piece(request, leg.engine, from, block, ticket);
         let read = timeout(Duration::from_secs_f64(patience_ms / 1_000.0), read).await;
         let mut decider = self.decider(request).borrow_mut();
         let now_ms = world.now_ms();
         match read {
             Ok(Some(moved_ms)) => {
-                let link = (import.store, tier);
+                let link = (leg.store, tier);
                 decider.views.links.finish(link, class, piece, moved_ms, now_ms);
                 true
             }
             Ok(None) => false,
             Err(_) => {
-                decider.views.links.slower((import.store, tier), piece, patience_ms - queue_ms);
+                decider.views.links.slower((leg.store, tier), piece, patience_ms - queue_ms);
                 self.tally.borrow_mut().cut_over += 1;
                 false
             }
         }
     }
 
-    fn give_up(&self, request: &Request<'_>, import: &Import, done: usize) {
-        let class = request.arrival.before.class;
-        let mut decider = self.decider(request).borrow_mut();
-        for tier in &import.tiers[done..] {
-            decider.views.links.cancel(import.store, *tier, class, self.world.deployment.piece);
-        }
-    }
-
     /// Reads one piece, checks it and keeps it at the engine; answers for how long it moved.
     async fn piece(
         &self,
@@ -418,15 +448,17 @@
         &self,
         request: &Request<'_>,
         engine: usize,
-        have: usize,
+        held: &[bool],
         ticket: u64,
         life: u32,
     ) -> Result<(), Lost> {
         let class = request.arrival.before.class;
         let engine = &self.world.engines[engine];
         let piece = u64::from(BLOCK_TOKENS.get());
-        let mut left = u64::from(request.arrival.prompt_tokens) - have as u64 * piece;
-        let mut rest = request.chain.blocks()[have..].iter();
+        let have = held.iter().filter(|held| **held).count() as u64;
+        let mut left = u64::from(request.arrival.prompt_tokens) - have * piece;
+        let missing = request.chain.blocks().iter().zip(held).filter(|(_, held)| !**held);
+        let mut rest = missing.map(|(block, _)| block);
         let mut outcome = Ok(());
         while left > 0 {
             let chunk = left.min(piece);
@@ -471,26 +503,36 @@
         if let Some(last) = blocks.get(request.chain.blocks().len()) {
             self.world.engines[engine].kv.borrow_mut().compute(&request.owner, last);
         }
-        let held = |store: &usize| {
-            let store = self.world.stores[*store].store.borrow();
-            blocks.iter().take_while(|block| store.find(block).is_some()).count()
-        };
-        let up = (0..2).filter(|store| self.world.stores[*store].is_up.get());
-        let Some(home) =
-            up.max_by_key(|store| (held(store), (arrival.before.id + *store as u64) % 2))
-        else {
-            return;
+        let slots: Vec<StoreSlot> = (0..2_u8)
+            .filter(|store| self.world.stores[usize::from(*store)].is_up.get())
+            .map(StoreSlot)
+            .collect();
+        let is_stored = |block: &Digest| {
+            slots
+                .iter()
+                .any(|slot| self.world.stores[slot.0 as usize].store.borrow().find(block).is_some())
         };
-        let missing = blocks[held(&home)..].to_vec();
-        if missing.is_empty() {
-            return;
+        for slot in &slots {
+            let missing: Vec<_> = blocks
+                .iter()
+                .enumerate()
+                .filter(|(place, block)| {
+                    home_store(&blocks[0], *place, &slots) == Some(*slot) && !is_stored(block)
+                })
+                .map(|(_, block)| *block)
+                .collect();
+            if !missing.is_empty() {
+                let job = Job { owner: request.owner.clone(), blocks: missing };
+                self.hand_over(arrival, slot.0 as usize, job);
+            }
         }
+    }
+
+    fn hand_over(self: &Rc<Self>, arrival: &Arrival, home: usize, job: Job) {
         let popularity = 1 + u32::from(arrival.before.tokens > 0);
-        let count = u32::try_from(missing.len()).unwrap_or(u32::MAX);
-        let job = Job { owner: request.owner.clone(), blocks: missing };
+        let blocks = u32::try_from(job.blocks.len()).unwrap_or(u32::MAX);
         if self.policy == Policy::Ours {
-            let export = Export { popularity, blocks: count, job };
-            self.write_back[home].borrow_mut().push(export);
+            self.write_back[home].borrow_mut().push(Export { popularity, blocks, job });
         } else {
             let run = self.clone();
             spawn_local(async move { run.export(home, job, LinkClass::Quick).await });
--- a/crates/standins/src/returning/world.rs
+++ b/crates/standins/src/returning/world.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use bilberryford_cache::{LinkClass, Owner, Tier};
+use bilberryford_cache::{LinkClass, Owner, StoreSlot, Tier, home_store};
 use bilberryford_types::{Bytes, Incarnation, TimeMs, WeightVersion};
 use tokio::time::{Instant, sleep};
 
@@ -109,17 +109,22 @@
 
     /// Puts what was known before the first arrival into the stores, the oldest first.
     fn fill(&self, workload: &Workload) {
+        let slots = [StoreSlot(0), StoreSlot(1)];
         for known in &workload.known {
             let owner = self.owner(known.team);
-            let mut store = self.stores[(known.id % 2) as usize].store.borrow_mut();
-            let space = store.begin();
-            for block in chain(&owner, known.team, known.id, known.tokens) {
-                if store.find(&block).is_none() {
-                    store.write(space, block, computed(&block));
+            let blocks = chain(&owner, known.team, known.id, known.tokens);
+            for (slot, host) in slots.iter().zip(&self.stores) {
+                let mut store = host.store.borrow_mut();
+                let space = store.begin();
+                for (position, block) in blocks.iter().enumerate() {
+                    let home = home_store(&blocks[0], position, &slots);
+                    if home == Some(*slot) && store.find(block).is_none() {
+                        store.write(space, *block, computed(block));
+                    }
                 }
+                let manifest = store.manifest_of(space, &owner, self.deployment.piece);
+                store.publish(space, manifest);
             }
-            let manifest = store.manifest_of(space, &owner, self.deployment.piece);
-            store.publish(space, manifest);
         }
     }
 
