Long imports weigh recomputing when they fall behind; tests and a bench of the decision

Change: at a piece boundary long work adds the recompute weight to what recomputing takes, and has no patience for a single piece short of a deadline; quick work is cut over by time alone as before.

--- /dev/null
+++ b/crates/cache/benches/decide.rs
@@ -0,0 +1,66 @@
+//! How long a decision takes, today and in a full cell.
+
+use std::hint::black_box;
+
+use bilberryford_cache::{
+    BlockIndex, EngineSlot, EngineView, LinkClass, LinkLedger, LoadSample, LoadView, PlaceRequest,
+    PrefixChain, StoreSlot, Tier, Views, Weights, decide,
+};
+use bilberryford_types::{Bytes, BytesPerSec, Digest, TimeMs, Tokens};
+use criterion::{Criterion, criterion_group, criterion_main};
+use rand::{SeedableRng, rngs::StdRng};
+
+const BLOCKS: u64 = 5;
+
+fn chain(prompt: u64) -> PrefixChain {
+    let name =
+        |block: u64| Digest(*blake3::hash(&(prompt * BLOCKS + block).to_le_bytes()).as_bytes());
+    PrefixChain::from_blocks((0..BLOCKS).map(name).collect())
+}
+
+fn views(engines: u8, prompts: u64) -> Views {
+    let rates = [BytesPerSec(6_000_000_000), BytesPerSec(2_500_000_000)];
+    let mut views = Views {
+        engines: Vec::new(),
+        index: BlockIndex::new(400_000),
+        links: LinkLedger::new(&[rates, rates]),
+        weights: Weights { recompute_ms: 0.02, link_ms: 0.2 },
+        piece: Bytes(128 << 20),
+    };
+    for slot in 0..engines {
+        let mut load = LoadView::new(8.0);
+        load.report(LoadSample { taken_ms: TimeMs(0), backlog: Tokens(u32::from(slot) * 100) });
+        (1..16).for_each(|at| load.dispatched(TimeMs(at), Tokens(1_000)));
+        views.engines.push(EngineView { slot: EngineSlot(slot), is_usable: true, load });
+    }
+    for prompt in 0..prompts {
+        for (place, block) in chain(prompt).blocks().iter().enumerate() {
+            let store = StoreSlot(u8::try_from(place % 2).unwrap_or(0));
+            views.index.set_store(block, store, Some(Tier::Disk));
+        }
+    }
+    views
+}
+
+fn benches(criterion: &mut Criterion) {
+    for (name, engines, prompts) in [("today", 12, 10_000), ("cell_of_32", 32, 10_000)] {
+        let views = views(engines, prompts);
+        let chains: Vec<_> = (0..1_000).map(chain).collect();
+        let mut rng = StdRng::seed_from_u64(1);
+        let mut next = 0;
+        criterion.bench_function(name, |bencher| {
+            bencher.iter(|| {
+                next = (next + 1) % chains.len();
+                let request = PlaceRequest {
+                    chain: &chains[next],
+                    tokens: Tokens(10_500),
+                    class: LinkClass::Quick,
+                };
+                black_box(decide(&views, &request, TimeMs(20), &mut rng))
+            });
+        });
+    }
+}
+
+criterion_group!(decisions, benches);
+criterion_main!(decisions);
--- a/crates/standins/src/returning/serve.rs
+++ b/crates/standins/src/returning/serve.rs
@@ -35,6 +35,8 @@
 const PIECE_PATIENCE: f64 = 1.5;
 /// How much of the time of recomputing may be lost with an import that is cut over.
 const CUT_OVER_SHARE: f64 = 0.1;
+/// The deadline of one piece for long work, in milliseconds.
+const LONG_PATIENCE_MS: f64 = 10_000.0;
 /// How long the news of an export takes to an instance, in milliseconds.
 const STORE_EVENT_MS: f64 = 250.0;
 
@@ -368,7 +370,7 @@
         let progress = ImportProgress {
             remaining: u32::try_from(leg.blocks.len() - done).unwrap_or(u32::MAX),
             piece_ms,
-            recompute_ms: block_ms,
+            recompute_ms: block_ms + self.long_weight_ms(request),
             engine_wait_ms: (leg.recompute_ms - elapsed_ms).max(0.0),
         };
         if !progress.keeps_up() {
@@ -377,7 +379,10 @@
         // What is left to compute if the import is cut over now.
         let left_ms = world.prefill_ms(leg.rest) - block_ms * done as f64;
         let slack_ms = leg.recompute_ms * (1.0 + CUT_OVER_SHARE) - left_ms - elapsed_ms;
-        let patience_ms = ((queue_ms + piece_ms) * PIECE_PATIENCE).max(slack_ms);
+        let patience_ms = match class {
+            LinkClass::Quick => ((queue_ms + piece_ms) * PIECE_PATIENCE).max(slack_ms),
+            LinkClass::Long | LinkClass::Idle => LONG_PATIENCE_MS,
+        };
         let from = (leg.store.0 as usize, class);
         let read = self.piece(request, leg.engine, from, block, ticket);
         let read = timeout(Duration::from_secs_f64(patience_ms / 1_000.0), read).await;
@@ -398,6 +403,14 @@
         }
     }
 
+    /// What recomputing a block costs beyond its time; long work may wait for it, quick work never does.
+    fn long_weight_ms(&self, request: &Request<'_>) -> f64 {
+        if request.arrival.before.class == LinkClass::Quick {
+            return 0.0;
+        }
+        self.world.deployment.weights.recompute_ms * f64::from(BLOCK_TOKENS.get())
+    }
+
     /// Reads one piece, checks it and keeps it at the engine; answers for how long it moved.
     async fn piece(
         &self,
--- /dev/null
+++ b/crates/standins/tests/blocks.rs
@@ -0,0 +1,186 @@
+//! Contract of the store and of the engine's cache: what is freed, half written or another's is never read.
+
+use bilberryford_cache::{ChainSalt, ImportMiss, Manifest, Owner, PrefixChain};
+use bilberryford_standins::{
+    engine::kv::{KvCache, computed},
+    store::{Space, Store},
+};
+use bilberryford_types::{Bytes, Digest, Generation, Incarnation};
+use rstest::rstest;
+
+const SIZE: Bytes = Bytes(16);
+
+fn owner(team: &str, version: &str) -> Owner {
+    Owner {
+        team: team.parse().unwrap(),
+        model: "assistant".parse().unwrap(),
+        weight_version: version.parse().unwrap(),
+    }
+}
+
+fn salt(owner: &Owner) -> ChainSalt {
+    ChainSalt {
+        team: owner.team.clone(),
+        model: owner.model.clone(),
+        weight_version: owner.weight_version.clone(),
+        adapter: String::new(),
+    }
+}
+
+fn block(number: u8) -> Digest {
+    Digest([number; 32])
+}
+
+fn kv() -> KvCache {
+    KvCache::new(8, Incarnation(0))
+}
+
+fn exported(store: &mut Store, owner: &Owner, blocks: &[Digest]) -> (Space, Manifest) {
+    let space = store.begin();
+    blocks.iter().for_each(|block| store.write(space, *block, computed(block)));
+    let manifest = store.manifest_of(space, owner, SIZE);
+    store.publish(space, manifest.clone());
+    (space, manifest)
+}
+
+fn import(
+    store: &Store,
+    space: Space,
+    manifest: &Manifest,
+    owner: &Owner,
+    wanted: &Digest,
+) -> Result<(), ImportMiss> {
+    let place = manifest.pieces.iter().position(|piece| piece.block == *wanted).unwrap_or(0);
+    let bytes = store.read(space, place).unwrap_or_default();
+    kv().import(owner, wanted, manifest, bytes, store.generation(space))
+}
+
+/// What happens to a space between the read of the manifest and the read of a piece.
+#[derive(Debug, Clone, Copy)]
+enum Fault {
+    None,
+    Freed,
+    UsedAgain,
+    UsedAgainForTheSame,
+    HalfWritten,
+}
+
+#[rstest]
+#[case::whole(Fault::None, Ok(()))]
+#[case::freed(Fault::Freed, Err(ImportMiss::Digest))]
+#[case::used_again(Fault::UsedAgain, Err(ImportMiss::Digest))]
+#[case::used_again_for_the_same(Fault::UsedAgainForTheSame, Err(ImportMiss::Generation))]
+#[case::half_written(Fault::HalfWritten, Err(ImportMiss::Digest))]
+fn a_freed_or_partly_written_block_is_never_read(
+    #[case] fault: Fault,
+    #[case] expected: Result<(), ImportMiss>,
+) {
+    let owner = owner("a", "v1");
+    let mut store = Store::new(8, 8);
+    let (space, mut manifest) = exported(&mut store, &owner, &[block(1)]);
+    match fault {
+        Fault::None => {}
+        Fault::Freed => drop(store.free(space)),
+        Fault::UsedAgain => {
+            store.free(space);
+            exported(&mut store, &owner, &[block(2)]);
+        }
+        Fault::UsedAgainForTheSame => {
+            store.free(space);
+            assert_eq!(exported(&mut store, &owner, &[block(1)]).0, space);
+        }
+        Fault::HalfWritten => {
+            store.free(space);
+            let space = store.begin();
+            store.write(space, block(1), computed(&block(1))[..8].to_vec());
+            manifest.generation = store.generation(space);
+        }
+    }
+    assert_eq!(import(&store, space, &manifest, &owner, &block(1)), expected);
+}
+
+#[test]
+fn an_export_without_its_manifest_is_not_found() {
+    let mut store = Store::new(8, 8);
+    let space = store.begin();
+    store.write(space, block(1), computed(&block(1)));
+    assert_eq!(store.find(&block(1)), None);
+    assert!(store.manifest(space).is_none());
+}
+
+#[rstest]
+#[case::own("a", "v1", Ok(()))]
+#[case::other_team("b", "v1", Err(ImportMiss::Owner))]
+#[case::other_version("a", "v2", Err(ImportMiss::Owner))]
+fn an_export_of_another_is_a_miss(
+    #[case] team: &str,
+    #[case] version: &str,
+    #[case] expected: Result<(), ImportMiss>,
+) {
+    let mut store = Store::new(8, 8);
+    let (space, manifest) = exported(&mut store, &owner("a", "v1"), &[block(1)]);
+    assert_eq!(import(&store, space, &manifest, &owner(team, version), &block(1)), expected);
+}
+
+#[test]
+fn a_manifest_that_lost_a_piece_is_a_miss() {
+    let owner = owner("a", "v1");
+    let mut store = Store::new(8, 8);
+    let (space, mut manifest) = exported(&mut store, &owner, &[block(1), block(2)]);
+    manifest.pieces.pop();
+    assert_eq!(import(&store, space, &manifest, &owner, &block(1)), Err(ImportMiss::Count));
+}
+
+#[rstest]
+#[case::other_team("b", "v1", false)]
+#[case::new_request_after_a_swap("a", "v2", false)]
+#[case::continued_run("a", "v1", true)]
+fn names_keep_teams_and_versions_apart(
+    #[case] team: &str,
+    #[case] version: &str,
+    #[case] is_shared: bool,
+) {
+    let prompt = "x".repeat(8_000 * 3);
+    let before = owner("a", "v1");
+    let mut kv = kv();
+    let chain = PrefixChain::of(&salt(&before), &prompt);
+    chain.blocks().iter().for_each(|block| kv.compute(&before, block));
+    let asked = PrefixChain::of(&salt(&owner(team, version)), &prompt);
+    assert_eq!(kv.use_chain(asked.blocks()), vec![is_shared; 3]);
+}
+
+#[test]
+fn full_stores_move_the_oldest_to_disk_and_then_drop_it() {
+    let owner = owner("a", "v1");
+    let mut store = Store::new(1, 1);
+    (1..=3).for_each(|number| drop(exported(&mut store, &owner, &[block(number)])));
+    let tiers: Vec<_> = (1..=3)
+        .map(|number| store.find(&block(number)).map(|(_, tier)| tier.to_string()))
+        .collect();
+    assert_eq!(tiers, [None, Some("disk".to_owned()), Some("memory".to_owned())]);
+}
+
+#[test]
+fn the_least_recently_used_block_goes_and_events_say_so() {
+    let owner = owner("a", "v1");
+    let mut kv = KvCache::new(2, Incarnation(4));
+    kv.compute(&owner, &block(1));
+    kv.compute(&owner, &block(2));
+    drop(kv.take_event());
+    kv.use_chain(&[block(1)]);
+    kv.compute(&owner, &block(3));
+    let event = kv.take_event().expect("something changed");
+    assert_eq!((event.sequence, event.incarnation), (2, Incarnation(4)));
+    assert_eq!((event.stored, event.removed), (vec![block(3)], vec![block(2)]));
+    assert_eq!(kv.take_event(), None);
+    assert_eq!(kv.snapshot().sequence, 2);
+}
+
+#[test]
+fn generations_only_grow() {
+    let mut store = Store::new(8, 8);
+    let space = store.begin();
+    assert_eq!(store.generation(space), Generation(0));
+    store.free(space);
+    assert_eq!(store.generation(space), Generation(1));
+}
