peer: contract tests with faulty peers; measure heartbeats

Cause: the peer protocol had no tests of its own, and the cost of heartbeats was not known.

Change: contract.rs (all calls; a peer that is silent, gone, closing, answers garbage or claims a huge message; a connection that goes silent while new ones work; slow peers; lists that are too long, both ways; a restart), the command measure heartbeats with instances in one process, and a sharper set-up of one membership test (the instance has its endpoints before the news).

--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -2,7 +2,7 @@
 
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
-use bilberryford_peer::PeerRuntime;
+use bilberryford_peer::{PeerRuntime, Traffic};
 use bilberryford_types::{ErrorKind, EventKind, HybridTime};
 use bytes::Bytes;
 use poem::{
@@ -118,6 +118,11 @@
         self.peers.address()
     }
 
+    /// What was exchanged with peers so far.
+    pub fn peer_traffic(&self) -> Traffic {
+        self.peers.client().traffic()
+    }
+
     /// Stops without cutting a request: not ready first, then no new connections, then the running ones finish.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/peer/tests/contract.rs
@@ -0,0 +1,352 @@
+//! The protocol between instances: what goes through, and what a faulty peer may do to a caller.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use bilberryford_peer::{
+    Borrow, BorrowReply, ConfigReply, EndpointRow, EndpointView, Heartbeat, Member, MemberState,
+    PeerError, PeerHandler, PeerRuntime, PlaceReply, PlaceRequest, Suspect, SuspectReply, Verdict,
+};
+use bilberryford_types::{
+    Digest, Generation, HybridTime, Incarnation, ObjectVersion, Priority, TimeMs, Tokens,
+};
+use rstest::rstest;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    time::sleep,
+};
+
+/// The deadline of calls.
+const TIMEOUT: TimeMs = TimeMs(300);
+/// How much later than its deadline a call may end.
+const LATE: Duration = Duration::from_millis(700);
+
+fn member(number: usize) -> Member {
+    Member {
+        instance: format!("entry-{number}").parse().unwrap(),
+        incarnation: Incarnation(7),
+        address: ([127, 0, 0, 1], 8081).into(),
+        data_centre: "linz-1".parse().unwrap(),
+        state: MemberState::Suspect,
+        generation: Generation(3),
+        age: TimeMs(1_500),
+    }
+}
+
+fn view(number: usize) -> EndpointView {
+    EndpointView {
+        endpoint: format!("engine-{number}").parse().unwrap(),
+        address: ([127, 0, 0, 1], 9000).into(),
+        leaving: true,
+        in_flight: 4,
+        queued_tokens: Tokens(500),
+    }
+}
+
+fn beat(members: usize, endpoints: usize) -> Heartbeat {
+    Heartbeat {
+        at: HybridTime { wall_ms: 5, counter: 6 },
+        environment: "trial".parse().unwrap(),
+        sender: member(0),
+        members: (1..=members).map(member).collect(),
+        endpoints: (1..=endpoints).map(view).collect(),
+        quarantined: vec![Digest([9; 32])],
+    }
+}
+
+fn rows(count: usize) -> Vec<EndpointRow> {
+    let row = |number| EndpointRow {
+        endpoint: format!("engine-{number}").parse().unwrap(),
+        role: "engine".to_owned(),
+        pool: "serving".parse().unwrap(),
+        address: ([127, 0, 0, 1], 9000).into(),
+        data_centre: "linz-1".parse().unwrap(),
+        leaving: number == 2,
+    };
+    (1..=count).map(row).collect()
+}
+
+/// Answers with what it was made with, and counts heartbeats.
+#[derive(Default)]
+struct Peer {
+    members: usize,
+    body: Vec<u8>,
+    rows: usize,
+    beats: AtomicU64,
+}
+
+impl PeerHandler for Peer {
+    fn heartbeat(&self, beat: Heartbeat) -> Heartbeat {
+        self.beats.fetch_add(1, Ordering::Relaxed);
+        Heartbeat { members: (1..=self.members).map(member).collect(), ..beat }
+    }
+
+    fn configuration(&self, above: Generation) -> Option<ConfigReply> {
+        let body = self.body.clone();
+        let reply = ConfigReply { generation: Generation(9), version: ObjectVersion(90), body };
+        (above < Generation(9)).then_some(reply)
+    }
+
+    fn endpoints(&self) -> Vec<EndpointRow> {
+        rows(self.rows)
+    }
+
+    fn suspect(&self, suspect: Suspect) -> SuspectReply {
+        SuspectReply { crashes: 1, quarantined: suspect.verdict == Verdict::Crashed }
+    }
+
+    fn borrow(&self, borrow: Borrow) -> BorrowReply {
+        BorrowReply { granted: borrow.want - borrow.in_use, valid: TimeMs(250) }
+    }
+
+    fn place(&self, request: PlaceRequest) -> Option<PlaceReply> {
+        Some(PlaceReply {
+            endpoint: request.excluded.first()?.clone(),
+            store: None,
+            import_blocks: request.chain.len() as u32,
+            reason: "test".to_owned(),
+        })
+    }
+}
+
+fn start(peer: Peer) -> (PeerRuntime, Arc<Peer>) {
+    let listener = std::net::TcpListener::bind(("127.0.0.1", 0)).unwrap();
+    let peer = Arc::new(peer);
+    (PeerRuntime::start(listener, peer.clone()).unwrap(), peer)
+}
+
+#[tokio::test]
+async fn every_call_carries_all_that_it_says() {
+    let (callee, _) =
+        start(Peer { members: 3, body: vec![1; 900_000], rows: 3, ..Peer::default() });
+    let (caller, _) = start(Peer::default());
+    let (client, to, timeout) = (caller.client(), callee.address(), TimeMs(5_000));
+    assert_eq!(client.heartbeat(to, beat(2, 2), timeout).await, Ok(beat(3, 2)));
+    let reply = client.configuration(to, Generation(8), timeout).await.unwrap().unwrap();
+    assert_eq!(
+        (reply.generation, reply.version.get(), reply.body.len()),
+        (Generation(9), 90, 900_000)
+    );
+    assert_eq!(client.configuration(to, Generation(9), timeout).await, Ok(None));
+    assert_eq!(client.endpoints(to, timeout).await, Ok(rows(3)));
+    let suspect = Suspect {
+        fingerprint: Digest([1; 32]),
+        attempt: "a-1".to_owned(),
+        verdict: Verdict::Crashed,
+    };
+    let expected = SuspectReply { crashes: 1, quarantined: true };
+    assert_eq!(client.suspect(to, suspect, timeout).await, Ok(expected));
+    let borrow = Borrow {
+        team: "linz-formula".parse().unwrap(),
+        borrower: "entry-0".parse().unwrap(),
+        in_use: 2,
+        want: 5,
+    };
+    let expected = BorrowReply { granted: 3, valid: TimeMs(250) };
+    assert_eq!(client.borrow(to, borrow, timeout).await, Ok(expected));
+    let place = PlaceRequest {
+        model: "assistant".parse().unwrap(),
+        weight_version: "v1".parse().unwrap(),
+        priority: Priority::Interactive,
+        prompt_tokens: Tokens(10),
+        max_tokens: Tokens(20),
+        deadline: TimeMs(1_000),
+        chain: vec![Digest([2; 32]); 4],
+        excluded: vec!["engine-1".parse().unwrap()],
+    };
+    let reply = client.place(to, place, timeout).await.unwrap().unwrap();
+    assert_eq!((reply.endpoint.as_str(), reply.import_blocks), ("engine-1", 4));
+    let traffic = client.traffic();
+    assert_eq!(traffic.calls, 7);
+    assert!(traffic.received_bytes > 900_000 && traffic.sent_bytes > 0);
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Fault {
+    /// Takes the connection and says nothing.
+    Silent,
+    /// Nobody listens.
+    Gone,
+    /// Answers with bytes that are no message.
+    Garbage,
+    /// Answers with a message that claims to be huge.
+    Huge,
+    /// Closes each connection at once.
+    Closing,
+}
+
+async fn faulty(fault: Fault) -> SocketAddr {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    if fault == Fault::Gone {
+        return address;
+    }
+    tokio::spawn(async move {
+        let mut open = Vec::new();
+        while let Ok((mut stream, _)) = listener.accept().await {
+            match fault {
+                Fault::Garbage => drop(stream.write_all(&[0x5a; 4_096]).await),
+                // One segment of four thousand million words.
+                Fault::Huge => {
+                    drop(stream.write_all(&[0, 0, 0, 0, 0xff, 0xff, 0xff, 0xff, 0, 0, 0, 0]).await)
+                }
+                Fault::Closing => continue,
+                Fault::Silent | Fault::Gone => {}
+            }
+            open.push(stream);
+        }
+    });
+    address
+}
+
+#[rstest]
+#[case::silent(Fault::Silent)]
+#[case::gone(Fault::Gone)]
+#[case::garbage(Fault::Garbage)]
+#[case::huge(Fault::Huge)]
+#[case::closing(Fault::Closing)]
+#[tokio::test]
+async fn a_faulty_peer_costs_a_call_its_deadline_at_most(#[case] fault: Fault) {
+    let (caller, _) = start(Peer::default());
+    let (healthy, _) = start(Peer::default());
+    let to = faulty(fault).await;
+    for _ in 0..3 {
+        let since = Instant::now();
+        let error = caller.client().heartbeat(to, beat(1, 1), TIMEOUT).await.unwrap_err();
+        assert!(since.elapsed() < Duration::from_millis(TIMEOUT.get()) + LATE, "{error}");
+        match fault {
+            Fault::Silent => assert_eq!(error, PeerError::Timeout),
+            Fault::Gone => assert!(matches!(error, PeerError::Connect { .. }), "{error}"),
+            Fault::Garbage | Fault::Huge | Fault::Closing => {
+                assert!(matches!(error, PeerError::Failed { .. } | PeerError::Timeout), "{error}");
+            }
+        }
+    }
+    let answer = caller.client().heartbeat(healthy.address(), beat(1, 1), TimeMs(5_000)).await;
+    assert!(answer.is_ok(), "other peers are still reached");
+}
+
+/// Passes bytes on after a delay, and can make every open connection silent.
+struct Proxy {
+    address: SocketAddr,
+    delay_ms: Arc<AtomicU64>,
+    silences: Arc<AtomicU64>,
+}
+
+impl Proxy {
+    async fn start(to: SocketAddr) -> Self {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let (delay_ms, silences) = (Arc::<AtomicU64>::default(), Arc::<AtomicU64>::default());
+        let shared = (delay_ms.clone(), silences.clone());
+        tokio::spawn(async move {
+            while let Ok((inbound, _)) = listener.accept().await {
+                let outbound = TcpStream::connect(to).await.unwrap();
+                let (from, to) = (inbound.into_split(), outbound.into_split());
+                tokio::spawn(pass(from.0, to.1, shared.0.clone(), shared.1.clone()));
+                tokio::spawn(pass(to.0, from.1, shared.0.clone(), shared.1.clone()));
+            }
+        });
+        Self { address, delay_ms, silences }
+    }
+}
+
+async fn pass(
+    mut from: tokio::net::tcp::OwnedReadHalf,
+    mut to: tokio::net::tcp::OwnedWriteHalf,
+    delay_ms: Arc<AtomicU64>,
+    silences: Arc<AtomicU64>,
+) {
+    let born = silences.load(Ordering::Relaxed);
+    let mut buffer = vec![0; 65_536];
+    while let Ok(bytes @ 1..) = from.read(&mut buffer).await {
+        sleep(Duration::from_millis(delay_ms.load(Ordering::Relaxed))).await;
+        if silences.load(Ordering::Relaxed) == born && to.write_all(&buffer[..bytes]).await.is_err()
+        {
+            return;
+        }
+    }
+}
+
+#[tokio::test]
+async fn a_connection_that_went_silent_is_not_used_again() {
+    let (callee, peer) = start(Peer::default());
+    let (caller, _) = start(Peer::default());
+    let proxy = Proxy::start(callee.address()).await;
+    let client = caller.client();
+    let call = || client.heartbeat(proxy.address, beat(1, 1), TIMEOUT);
+    assert!(call().await.is_ok());
+    proxy.silences.fetch_add(1, Ordering::Relaxed);
+    assert_eq!(call().await, Err(PeerError::Timeout));
+    assert!(call().await.is_ok(), "a new connection works");
+    assert_eq!(peer.beats.load(Ordering::Relaxed), 2);
+}
+
+#[tokio::test]
+async fn a_slow_peer_is_heard_within_the_deadline_and_given_up_after_it() {
+    let (callee, _) = start(Peer::default());
+    let (caller, _) = start(Peer::default());
+    let proxy = Proxy::start(callee.address()).await;
+    let client = caller.client();
+    let call = |timeout| client.heartbeat(proxy.address, beat(1, 1), timeout);
+    proxy.delay_ms.store(100, Ordering::Relaxed);
+    assert!(call(TimeMs(5_000)).await.is_ok());
+    proxy.delay_ms.store(2_000, Ordering::Relaxed);
+    assert_eq!(call(TIMEOUT).await, Err(PeerError::Timeout));
+    proxy.delay_ms.store(0, Ordering::Relaxed);
+    assert!(call(TimeMs(5_000)).await.is_ok());
+}
+
+#[rstest]
+#[case::members(4_097, 0)]
+#[case::endpoints(0, 4_097)]
+#[tokio::test]
+async fn a_list_that_is_too_long_never_reaches_the_handler(
+    #[case] members: usize,
+    #[case] endpoints: usize,
+) {
+    let (callee, peer) = start(Peer::default());
+    let (caller, _) = start(Peer::default());
+    let long = beat(members, endpoints);
+    let answer = caller.client().heartbeat(callee.address(), long, TimeMs(5_000)).await;
+    assert!(matches!(answer, Err(PeerError::Failed { .. })), "{answer:?}");
+    assert_eq!(peer.beats.load(Ordering::Relaxed), 0);
+    let answer = caller.client().heartbeat(callee.address(), beat(1, 1), TimeMs(5_000)).await;
+    assert!(answer.is_ok(), "the peer still answers");
+}
+
+#[tokio::test]
+async fn an_answer_that_is_too_long_fails_the_call() {
+    let (callee, _) = start(Peer { members: 4_097, rows: 16_500, ..Peer::default() });
+    let (caller, _) = start(Peer::default());
+    let answer = caller.client().heartbeat(callee.address(), beat(1, 1), TimeMs(5_000)).await;
+    assert!(matches!(answer, Err(PeerError::Failed { .. })));
+    let rows = caller.client().endpoints(callee.address(), TimeMs(10_000)).await.unwrap();
+    assert_eq!(rows.len(), 16_384, "the callee keeps to the bound");
+}
+
+#[tokio::test]
+async fn a_peer_that_stops_and_comes_back_is_reached_again() {
+    let (callee, _) = start(Peer::default());
+    let (caller, _) = start(Peer::default());
+    let to = callee.address();
+    assert!(caller.client().heartbeat(to, beat(1, 1), TimeMs(5_000)).await.is_ok());
+    tokio::task::spawn_blocking(move || drop(callee)).await.unwrap();
+    assert!(caller.client().heartbeat(to, beat(1, 1), TIMEOUT).await.is_err());
+    let listener = loop {
+        // The port may be in its last state for a moment.
+        match tokio::net::TcpListener::bind(to).await {
+            Ok(listener) => break listener.into_std().unwrap(),
+            Err(_) => tokio::task::yield_now().await,
+        }
+    };
+    let _callee = PeerRuntime::start(listener, Arc::new(Peer::default())).unwrap();
+    assert!(caller.client().heartbeat(to, beat(1, 1), TimeMs(5_000)).await.is_ok());
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod deployment;
 pub mod engine;
 pub mod faults;
+pub mod heartbeats;
 pub mod host;
 pub mod load;
 pub mod overhead;
--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -5,7 +5,7 @@
 use bilberryford_standins::{
     demo,
     engine::{Engine, EngineSpec},
-    faults,
+    faults, heartbeats,
     host::Hosted,
     overhead,
     platform::Platform,
@@ -63,6 +63,19 @@
         /// Print one line of JSON
         json: bool,
     },
+    /// What instances exchange with each other and with the platform
+    #[bpaf(command)]
+    Heartbeats {
+        /// How many instances; may be given several times
+        #[bpaf(argument("COUNT"), some("at least one --members is needed"))]
+        members: Vec<usize>,
+        /// How long each measurement takes
+        #[bpaf(argument("SECONDS"), fallback(20), display_fallback)]
+        seconds: u64,
+        /// Accepted configuration changes a second
+        #[bpaf(argument("RATE"), fallback(0.0), display_fallback)]
+        changes_per_s: f64,
+    },
 }
 
 #[derive(Debug, Clone, Copy, strum::EnumString)]
@@ -85,6 +98,11 @@
             runtime.block_on(faults::run(&faults::Options { seed, span, only, json }))
         }
         Options::StandIn { listen, what } => stand_in(listen, what),
+        Options::Measure(Measure::Heartbeats { members, seconds, changes_per_s }) => {
+            let span = Duration::from_secs(seconds);
+            let options = heartbeats::Options { members, span, changes_per_s };
+            runtime.block_on(heartbeats::run(&options)).map(|()| true)
+        }
         Options::Measure(Measure::Overhead { json }) => {
             runtime.block_on(overhead::run(json)).map(|()| true)
         }
--- a/tests/all/membership.rs
+++ b/tests/all/membership.rs
@@ -137,6 +137,8 @@
     let nowhere = format!("http://{}", silent.local_addr().unwrap());
     deployment.add_unlisted_instance("entry-4", &nowhere, &["--peers", &seed]).unwrap();
     deployment.all_have(&[3], is_about(EventKind::Joined, "entry-1")).await.unwrap();
+    // It has the endpoints and the configuration from its peers.
+    deployment.wait_ready().await.unwrap();
     let row = body["instances"].as_array_mut().unwrap().iter_mut();
     row.filter(|row| row["id"] == "engine-1").for_each(|row| {
         row["state"] = serde_json::to_value(InstanceState::Leaving).unwrap();
