--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -16,6 +16,8 @@
 mod listing;
 mod membership;
 mod order;
+mod order_key;
+mod order_write;
 mod ownership;
 mod retry;
 mod silence;
@@ -31,7 +33,11 @@
 pub use membership::{
     Liveness, MAX_MEMBERS, MemberChange, MemberRecord, Membership, Observation, QUORUM,
 };
-pub use order::{OrderDecision, OrderRecord, OrderReply, OrderRequest, OrderState};
+pub use order::{KEY_TIME_SLACK_PARTS, OrderDecision, OrderRecord, OrderReply, OrderState};
+pub use order_key::{KeyAge, KeyError, key_age, parse_key};
+pub use order_write::{
+    DispatchWindow, Found, IntentStep, IntentWrite, OutcomeStep, OutcomeWrite, PutSeen,
+};
 pub use ownership::{owner, owners};
 pub use retry::{RetryBudget, RetryBudgets, RetryClass, backoff};
 pub use silence::SilenceDetector;
--- a/crates/coord/src/order.rs
+++ b/crates/coord/src/order.rs
@@ -5,22 +5,9 @@
 //! An order is dispatched only by the process that wrote its intent, only after the platform confirmed the write, and
 //! only once. A request that finds an intent of another attempt is never dispatched. See `docs/design/orders.md`.
 
-use bilberryford_types::{AttemptId, Digest, InstanceId, OrderKey, ServiceName, TeamName, TimeMs};
+use bilberryford_types::{AttemptId, Digest, InstanceId, TimeMs};
 use serde::{Deserialize, Serialize};
 
-/// A request that carries an idempotency key.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct OrderRequest {
-    /// The team.
-    pub team: TeamName,
-    /// The service.
-    pub service: ServiceName,
-    /// The key.
-    pub key: OrderKey,
-    /// A digest of method, path and body, so that a key can't be used for two orders.
-    pub digest: Digest,
-}
-
 /// What the service answered, as kept for repeats.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OrderReply {
@@ -30,6 +17,9 @@
     pub content_type: Option<String>,
     /// The body, when it is text and short enough.
     pub body: Option<String>,
+    /// The body's digest, in place of a body that is not kept.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub body_digest: Option<Digest>,
 }
 
 /// How far an order has come.
@@ -42,6 +32,9 @@
     Done {
         /// The answer.
         reply: OrderReply,
+        /// Whether the answer comes from a status read and not from the attempt itself.
+        #[serde(default)]
+        from_status: bool,
     },
     /// The service never saw it; the key may be used again.
     NotRun,
@@ -52,7 +45,7 @@
 /// The durable record of an order.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OrderRecord {
-    /// Digest of method, path and body.
+    /// Digest of service, method, path and body.
     pub digest: Digest,
     /// The attempt that wrote the intent.
     pub attempt: AttemptId,
@@ -60,6 +53,8 @@
     pub instance: InstanceId,
     /// When the intent was written, in milliseconds since the Unix epoch.
     pub written_ms: TimeMs,
+    /// How long after that the attempt may still wait for its answer, in milliseconds.
+    pub running_ms: TimeMs,
     /// How far the order has come.
     #[serde(flatten)]
     pub state: OrderState,
@@ -71,37 +66,53 @@
     /// Write an intent, and dispatch once it is durable.
     WriteIntent,
     /// Give the kept answer.
-    Replay(OrderReply),
+    Replay {
+        /// The answer.
+        reply: OrderReply,
+        /// Whether it comes from a status read.
+        from_status: bool,
+    },
+    /// It ran, but its answer was too large to keep.
+    AnswerNotKept,
     /// Someone may be running it now.
     Running,
     /// It may have run; it is never dispatched again.
     InDoubt,
     /// The key was used for another request.
     KeyReused,
+    /// The key is older than the retention.
+    KeyExpired,
 }
 
 impl OrderRecord {
-    /// What to do with `request` at `now_ms` (Unix time); an intent older than `running_for` is in doubt.
-    pub fn decide(
-        record: Option<&Self>,
-        request: &OrderRequest,
-        now_ms: TimeMs,
-        running_for: TimeMs,
-    ) -> OrderDecision {
-        let Some(record) = record else {
-            return OrderDecision::WriteIntent;
-        };
-        if record.digest != request.digest {
+    /// What to do with a request of `digest` at `now_ms` (Unix time).
+    ///
+    /// The wall clocks of instances differ. They only choose between refusals here: no clock makes a record that may
+    /// have run turn into [`OrderDecision::WriteIntent`].
+    pub fn decide(&self, digest: &Digest, now_ms: TimeMs, retention: TimeMs) -> OrderDecision {
+        if self.digest != *digest {
             return OrderDecision::KeyReused;
         }
-        match &record.state {
+        let age = now_ms.since(self.written_ms);
+        match &self.state {
             OrderState::NotRun => OrderDecision::WriteIntent,
-            OrderState::Done { reply } => OrderDecision::Replay(reply.clone()),
-            OrderState::InDoubt => OrderDecision::InDoubt,
-            OrderState::Intent if now_ms.since(record.written_ms) < running_for => {
-                OrderDecision::Running
+            _ if age >= retention => OrderDecision::KeyExpired,
+            OrderState::Done { reply, .. } if reply.body.is_none() => OrderDecision::AnswerNotKept,
+            OrderState::Done { reply, from_status } => {
+                OrderDecision::Replay { reply: reply.clone(), from_status: *from_status }
             }
+            OrderState::InDoubt => OrderDecision::InDoubt,
+            OrderState::Intent if age < self.running_ms => OrderDecision::Running,
             OrderState::Intent => OrderDecision::InDoubt,
         }
     }
+
+    /// Whether the record may be deleted: it is older than the retention and the slack for clocks.
+    pub fn is_sweepable(&self, now_ms: TimeMs, retention: TimeMs) -> bool {
+        let slack = TimeMs(retention.get() / KEY_TIME_SLACK_PARTS);
+        now_ms.since(self.written_ms) > retention.after(slack)
+    }
 }
+
+/// The part of the retention by which clocks may differ before a key's own time is refused.
+pub const KEY_TIME_SLACK_PARTS: u64 = 8;
--- /dev/null
+++ b/crates/coord/tests/order.rs
@@ -0,0 +1,408 @@
+//! Tables of the order decisions, and a model in which attempts, lost answers, late writes and pauses interleave.
+
+use bilberryford_coord::{
+    DispatchWindow, Found, IntentStep, IntentWrite, KeyAge, OrderDecision, OrderRecord, OrderReply,
+    OrderState, OutcomeStep, OutcomeWrite, PutSeen, key_age, parse_key,
+};
+use bilberryford_types::{Digest, ObjectVersion, TimeMs};
+use proptest::prelude::*;
+use rstest::rstest;
+
+const RETENTION: TimeMs = TimeMs(80_000);
+const BOUND: TimeMs = TimeMs(1_000);
+const DIGEST: Digest = Digest([1; 32]);
+
+fn record(attempt: usize, state: OrderState) -> OrderRecord {
+    OrderRecord {
+        digest: DIGEST,
+        attempt: format!("a-{attempt}").parse().unwrap(),
+        instance: "entry-1".parse().unwrap(),
+        written_ms: TimeMs(100_000),
+        running_ms: TimeMs(5_000),
+        state,
+    }
+}
+
+fn reply(body: Option<&str>) -> OrderReply {
+    let body = body.map(str::to_owned);
+    OrderReply { status: 200, content_type: None, body, body_digest: None }
+}
+
+fn done(body: Option<&str>) -> OrderState {
+    OrderState::Done { reply: reply(body), from_status: false }
+}
+
+fn kept() -> OrderDecision {
+    OrderDecision::Replay { reply: reply(Some("x")), from_status: false }
+}
+
+#[rstest]
+#[case::not_run(OrderState::NotRun, 1, 0, OrderDecision::WriteIntent)]
+#[case::not_run_and_old(OrderState::NotRun, 1, 90_000, OrderDecision::WriteIntent)]
+#[case::not_run_other_body(OrderState::NotRun, 2, 0, OrderDecision::KeyReused)]
+#[case::running(OrderState::Intent, 1, 4_999, OrderDecision::Running)]
+#[case::clock_behind(OrderState::Intent, 1, -9_000, OrderDecision::Running)]
+#[case::no_longer_running(OrderState::Intent, 1, 5_000, OrderDecision::InDoubt)]
+#[case::in_doubt(OrderState::InDoubt, 1, 0, OrderDecision::InDoubt)]
+#[case::in_doubt_and_old(OrderState::InDoubt, 1, 80_000, OrderDecision::KeyExpired)]
+#[case::intent_and_old(OrderState::Intent, 1, 80_000, OrderDecision::KeyExpired)]
+#[case::done(done(Some("x")), 1, 79_999, kept())]
+#[case::done_and_old(done(Some("x")), 1, 80_000, OrderDecision::KeyExpired)]
+#[case::done_other_body(done(Some("x")), 2, 0, OrderDecision::KeyReused)]
+#[case::done_large(done(None), 1, 0, OrderDecision::AnswerNotKept)]
+fn a_record_decides(
+    #[case] state: OrderState,
+    #[case] digest: u8,
+    #[case] age_ms: i64,
+    #[case] expected: OrderDecision,
+) {
+    let now = TimeMs(100_000_u64.checked_add_signed(age_ms).unwrap());
+    let decision = record(1, state).decide(&Digest([digest; 32]), now, RETENTION);
+    assert_eq!(decision, expected);
+}
+
+#[rstest]
+#[case::at_retention(80_000, false)]
+#[case::within_slack(90_000, false)]
+#[case::past_slack(90_001, true)]
+fn a_record_is_deleted_after_the_retention_and_the_slack(#[case] age: u64, #[case] old: bool) {
+    let record = record(1, OrderState::InDoubt);
+    assert_eq!(record.is_sweepable(TimeMs(100_000 + age), RETENTION), old);
+}
+
+#[rstest]
+#[case::bare("order-1", Some("order-1"))]
+#[case::quoted("\"order-1\"", Some("order-1"))]
+#[case::spaces(" \"order-1\" ", Some("order-1"))]
+#[case::uuid(
+    "\"8e03978e-40d5-43dd-bc93-6894a57f9324\"",
+    Some("8e03978e-40d5-43dd-bc93-6894a57f9324")
+)]
+#[case::open_quote("\"order-1", None)]
+#[case::only_a_quote("\"", None)]
+#[case::quote_inside("\"a\"b\"", None)]
+#[case::bad_escape("\"a\\b\"", None)]
+#[case::good_escape_but_no_key("\"a\\\\b\"", None)]
+#[case::parameters("\"a\";b", None)]
+#[case::empty("", None)]
+#[case::empty_string("\"\"", None)]
+#[case::dots("..", None)]
+#[case::slash("a/b", None)]
+fn a_key_is_read(#[case] value: &str, #[case] expected: Option<&str>) {
+    let key = parse_key(value).ok();
+    assert_eq!(key.as_ref().map(|key| key.as_str()), expected);
+}
+
+/// 0x17f22e279b0 is 1,645,557,742,000 ms, the example of RFC 9562.
+#[rstest]
+#[case::no_time("order-1", 0, KeyAge::Undeclared)]
+#[case::version_4("017f22e2-79b0-4cc3-98c4-dc0c0c07398f", 90_000, KeyAge::Undeclared)]
+#[case::just_made("017f22e2-79b0-7cc3-98c4-dc0c0c07398f", 0, KeyAge::Fresh)]
+#[case::kept("017f22e2-79b0-7cc3-98c4-dc0c0c07398f", 79_999, KeyAge::Fresh)]
+#[case::expired("017f22e2-79b0-7cc3-98c4-dc0c0c07398f", 80_000, KeyAge::Expired)]
+#[case::slightly_ahead("017f22e2-79b0-7cc3-98c4-dc0c0c07398f", -10_000, KeyAge::Fresh)]
+#[case::future("017f22e2-79b0-7cc3-98c4-dc0c0c07398f", -10_001, KeyAge::Future)]
+fn a_key_says_its_age(#[case] key: &str, #[case] age_ms: i64, #[case] expected: KeyAge) {
+    let now = TimeMs(1_645_557_742_000_u64.checked_add_signed(age_ms).unwrap());
+    assert_eq!(key_age(&key.parse().unwrap(), now, RETENTION), expected);
+}
+
+#[rstest]
+#[case::taken(&[PutSeen::Taken(ObjectVersion(7))], None, IntentStep::Hold(ObjectVersion(7)))]
+#[case::outage(&[PutSeen::NotTaken], None, IntentStep::GiveUp { fence: false, is_used: false })]
+#[case::lost_and_unread(&[PutSeen::Unknown], Some(Err(())), IntentStep::GiveUp { fence: true, is_used: false })]
+#[case::lost_and_not_there(&[PutSeen::Unknown], Some(Ok(None)), IntentStep::Put(ObjectVersion::ABSENT))]
+#[case::used_and_unread(&[PutSeen::Conflict], Some(Err(())), IntentStep::GiveUp { fence: false, is_used: true })]
+#[case::lost_but_ours(&[PutSeen::Unknown], Some(Ok(Some((1, OrderState::Intent)))), IntentStep::Hold(ObjectVersion(9)))]
+#[case::lost_and_fenced(&[PutSeen::Unknown], Some(Ok(Some((1, OrderState::NotRun)))), IntentStep::GiveUp { fence: false, is_used: true })]
+#[case::lost_to_another(&[PutSeen::Unknown], Some(Ok(Some((2, OrderState::Intent)))), IntentStep::Decide)]
+#[case::conflict(&[PutSeen::Conflict], Some(Ok(Some((2, OrderState::InDoubt)))), IntentStep::Decide)]
+fn an_intent_is_written(
+    #[case] puts: &[PutSeen],
+    #[case] get: Option<Result<Option<(usize, OrderState)>, ()>>,
+    #[case] expected: IntentStep,
+) {
+    let (mut write, first) = IntentWrite::new("a-1".parse().unwrap());
+    assert_eq!(first, IntentStep::Put(ObjectVersion::ABSENT));
+    let mut step = first;
+    for seen in puts {
+        step = write.on_put(*seen);
+    }
+    if let Some(get) = get {
+        assert_eq!(step, IntentStep::Get);
+        let found = get.map(|found| {
+            found.map(|(attempt, state)| Found {
+                version: ObjectVersion(9),
+                record: record(attempt, state),
+            })
+        });
+        step = write.on_get(found.as_ref().map(Option::as_ref).map_err(|_| ()));
+    }
+    assert_eq!(step, expected);
+}
+
+/// What a call of the platform meets.
+#[derive(Debug, Clone, Copy)]
+enum Fault {
+    None,
+    Outage,
+    LostAfterEffect,
+    Late,
+    Never,
+}
+
+#[derive(Debug, Clone)]
+enum Step {
+    /// Lets an attempt make its next step.
+    Go(usize, Fault),
+    /// A late write takes effect, if its precondition holds.
+    Land(usize),
+    /// Time passes: pauses of every attempt.
+    Wait(u64),
+    /// The process that holds the attempt ends.
+    Kill(usize),
+}
+
+#[derive(Debug)]
+enum Actor {
+    Intent(IntentWrite, IntentStep, Option<Found>),
+    Holding(ObjectVersion),
+    Settling(OutcomeWrite, OutcomeStep),
+    Ended,
+}
+
+/// One key on the platform, the service that runs it, and the attempts at it.
+#[derive(Debug, Default)]
+struct World {
+    version: u64,
+    object: Option<Found>,
+    late: Vec<(ObjectVersion, OrderRecord)>,
+    now: TimeMs,
+    runs: u32,
+    /// Attempts whose process told the caller "not run".
+    not_run: Vec<usize>,
+    ran_by: Vec<usize>,
+    actors: Vec<(DispatchWindow, Actor)>,
+}
+
+impl World {
+    fn current(&self) -> ObjectVersion {
+        self.object.as_ref().map_or(ObjectVersion::ABSENT, |found| found.version)
+    }
+
+    fn take(&mut self, expected: ObjectVersion, record: OrderRecord) -> PutSeen {
+        if self.current() != expected {
+            return PutSeen::Conflict;
+        }
+        self.version += 1;
+        let version = ObjectVersion(self.version);
+        self.object = Some(Found { version, record });
+        PutSeen::Taken(version)
+    }
+
+    fn put(&mut self, expected: ObjectVersion, record: OrderRecord, fault: Fault) -> PutSeen {
+        match fault {
+            Fault::None => self.take(expected, record),
+            Fault::Outage => PutSeen::NotTaken,
+            Fault::LostAfterEffect => {
+                self.take(expected, record);
+                PutSeen::Unknown
+            }
+            Fault::Late => {
+                self.late.push((expected, record));
+                PutSeen::Unknown
+            }
+            Fault::Never => PutSeen::Unknown,
+        }
+    }
+
+    fn get(&self, fault: Fault) -> Result<Option<Found>, ()> {
+        match fault {
+            Fault::None | Fault::Late => Ok(self.object.clone()),
+            _ => Err(()),
+        }
+    }
+
+    fn start(&mut self, attempt: usize) {
+        let (write, step) = IntentWrite::new(format!("a-{attempt}").parse().unwrap());
+        let window = DispatchWindow::new(self.now, BOUND);
+        self.actors.push((window, Actor::Intent(write, step, None)));
+    }
+
+    fn go(&mut self, number: usize, fault: Fault) {
+        let (window, actor) = std::mem::replace(
+            &mut self.actors[number],
+            (DispatchWindow::new(self.now, BOUND), Actor::Ended),
+        );
+        let actor = match actor {
+            Actor::Intent(write, step, found) => self.intent(number, write, step, found, fault),
+            Actor::Holding(version) => self.dispatch(number, window, version, fault),
+            Actor::Settling(outcome, step) => self.settle(outcome, step, fault),
+            Actor::Ended => Actor::Ended,
+        };
+        self.actors[number] = (window, actor);
+    }
+
+    fn intent(
+        &mut self,
+        number: usize,
+        mut write: IntentWrite,
+        step: IntentStep,
+        mut found: Option<Found>,
+        fault: Fault,
+    ) -> Actor {
+        let step = match step {
+            IntentStep::Put(expected) => {
+                let seen = self.put(expected, record(number, OrderState::Intent), fault);
+                write.on_put(seen)
+            }
+            IntentStep::Get => {
+                let seen = self.get(fault);
+                found = seen.clone().ok().flatten();
+                write.on_get(seen.as_ref().map(Option::as_ref).map_err(|_| ()))
+            }
+            IntentStep::Hold(version) => return Actor::Holding(version),
+            IntentStep::Decide => {
+                let seen = found.take().unwrap();
+                match seen.record.decide(&DIGEST, TimeMs(100_000).after(self.now), RETENTION) {
+                    OrderDecision::WriteIntent => write.restart(seen.version),
+                    _ => return Actor::Ended,
+                }
+            }
+            IntentStep::GiveUp { fence, is_used } => {
+                if !is_used {
+                    self.not_run.push(number);
+                }
+                if !fence {
+                    return Actor::Ended;
+                }
+                let outcome =
+                    OutcomeWrite::new(record(number, OrderState::NotRun), write.expected());
+                return Actor::Settling(outcome, OutcomeStep::Get);
+            }
+        };
+        Actor::Intent(write, step, found)
+    }
+
+    /// The service is reached, or can't be connected to, or is lost on the way back.
+    fn dispatch(
+        &mut self,
+        number: usize,
+        window: DispatchWindow,
+        version: ObjectVersion,
+        fault: Fault,
+    ) -> Actor {
+        let state = if !window.is_open(self.now) {
+            OrderState::InDoubt
+        } else if matches!(fault, Fault::Outage) {
+            self.not_run.push(number);
+            OrderState::NotRun
+        } else {
+            self.runs += 1;
+            self.ran_by.push(number);
+            if matches!(fault, Fault::None) { done(Some("x")) } else { OrderState::InDoubt }
+        };
+        Actor::Settling(
+            OutcomeWrite::new(record(number, state), version),
+            OutcomeStep::Put(version),
+        )
+    }
+
+    fn settle(&mut self, mut outcome: OutcomeWrite, step: OutcomeStep, fault: Fault) -> Actor {
+        let step = match step {
+            OutcomeStep::Put(expected) => {
+                let seen = self.put(expected, outcome.record.clone(), fault);
+                outcome.on_put(seen)
+            }
+            OutcomeStep::Get | OutcomeStep::Later => {
+                let seen = self.get(fault);
+                outcome.on_get(seen.as_ref().map(Option::as_ref).map_err(|_| ()))
+            }
+            OutcomeStep::Written(_) | OutcomeStep::Superseded => return Actor::Ended,
+        };
+        Actor::Settling(outcome, step)
+    }
+
+    fn apply(&mut self, step: &Step) {
+        match *step {
+            Step::Go(number, fault) => {
+                while self.actors.len() <= number {
+                    self.start(self.actors.len());
+                }
+                self.go(number, fault);
+            }
+            Step::Land(index) if !self.late.is_empty() => {
+                let (expected, record) = self.late.remove(index % self.late.len());
+                self.take(expected, record);
+            }
+            Step::Kill(number) if number < self.actors.len() => {
+                self.actors[number].1 = Actor::Ended;
+            }
+            Step::Wait(span) => self.now = self.now.after(TimeMs(span)),
+            Step::Land(_) | Step::Kill(_) => {}
+        }
+    }
+
+    /// The faults are over: late writes land, and attempts end.
+    fn calm(&mut self) {
+        while !self.late.is_empty() {
+            self.apply(&Step::Land(0));
+        }
+        for _ in 0..32 {
+            (0..self.actors.len()).for_each(|number| self.go(number, Fault::None));
+        }
+    }
+}
+
+fn fault() -> impl Strategy<Value = Fault> {
+    prop_oneof![
+        4 => Just(Fault::None),
+        1 => Just(Fault::Outage),
+        1 => Just(Fault::LostAfterEffect),
+        2 => Just(Fault::Late),
+        1 => Just(Fault::Never),
+    ]
+}
+
+fn steps(kills: bool) -> impl Strategy<Value = Vec<Step>> {
+    let kill = if kills { 1 } else { 0 };
+    let step = prop_oneof![
+        12 => (0..4_usize, fault()).prop_map(|(number, fault)| Step::Go(number, fault)),
+        3 => (0..4_usize).prop_map(Step::Land),
+        2 => (0..6_000_u64).prop_map(Step::Wait),
+        kill => (0..4_usize).prop_map(Step::Kill),
+    ];
+    prop::collection::vec(step, 1..60)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 4_000, failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(7),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn a_key_runs_at_most_once_and_a_refusal_as_not_run_is_true(steps in steps(true)) {
+        let mut world = World::default();
+        steps.iter().for_each(|step| world.apply(step));
+        world.calm();
+        prop_assert!(world.runs <= 1, "{world:?}");
+        prop_assert!(world.not_run.iter().all(|number| !world.ran_by.contains(number)), "{world:?}");
+    }
+
+    #[test]
+    fn without_a_kill_a_key_is_settled_once_the_platform_is_back(steps in steps(false)) {
+        let mut world = World::default();
+        steps.iter().for_each(|step| world.apply(step));
+        world.calm();
+        let state = world.object.as_ref().map(|found| &found.record.state);
+        prop_assert!(state != Some(&OrderState::Intent), "{world:?}");
+        if world.runs == 0 && !matches!(state, Some(OrderState::InDoubt)) {
+            // The key can still be used.
+            let next = world.actors.len();
+            world.start(next);
+            (0..16).for_each(|_| world.go(next, Fault::None));
+            prop_assert_eq!(world.runs, 1, "{:?}", world);
+        }
+    }
+}
--- a/crates/document/src/model.rs
+++ b/crates/document/src/model.rs
@@ -149,6 +149,9 @@
     /// A path where the outcome of a key can be read; `{key}` stands for the key.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub status_path: Option<String>,
+    /// Statuses by which the service says that it has not run the call; any other 5xx leaves that open.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub not_run_statuses: Vec<u16>,
 }
 
 /// A store of cache blocks; its address comes from the platform's list.
--- a/crates/document/src/parse.rs
+++ b/crates/document/src/parse.rs
@@ -93,6 +93,12 @@
                         format!("the prefix {:?} must start with '/'", route.prefix),
                     );
                 }
+                if route.not_run_statuses.iter().any(|status| !(400..600).contains(status)) {
+                    self.find(
+                        "not_run_statuses",
+                        "not_run_statuses holds only statuses from 400 to 599".to_owned(),
+                    );
+                }
             }
         }
         for team in
--- a/crates/endpoint/src/http_service.rs
+++ b/crates/endpoint/src/http_service.rs
@@ -30,7 +30,7 @@
         timeout: TimeMs,
     ) -> BoxFuture<'_, Result<ServiceReply, EndpointError>> {
         async move {
-            let client = if call.order.is_some() { &self.fresh } else { &self.pooled };
+            let client = if call.idempotent { &self.pooled } else { &self.fresh };
             let method = Method::from_bytes(call.method.as_bytes())
                 .map_err(|error| EndpointError::Connect { reason: error.to_string() })?;
             let mut request = client
@@ -58,11 +58,13 @@
                 .get(header::CONTENT_TYPE)
                 .and_then(|value| value.to_str().ok())
                 .map(str::to_owned);
+            let says_not_run =
+                response.headers().get("bilberryford-ran").is_some_and(|ran| ran == "no");
             let body = response
                 .bytes()
                 .await
                 .map_err(|error| EndpointError::Lost { reason: error.to_string() })?;
-            Ok(ServiceReply { status, content_type, body })
+            Ok(ServiceReply { status, content_type, body, says_not_run })
         }
         .boxed()
     }
--- a/crates/endpoint/src/service.rs
+++ b/crates/endpoint/src/service.rs
@@ -19,6 +19,8 @@
     pub path: String,
     /// The content type of the body.
     pub content_type: Option<String>,
+    /// Whether the call may be repeated.
+    pub idempotent: bool,
     /// The idempotency key, for calls that may not be repeated.
     pub order: Option<OrderKey>,
     /// The body.
@@ -34,11 +36,13 @@
     pub content_type: Option<String>,
     /// The body.
     pub body: Bytes,
+    /// Whether the service itself says, by `Bilberryford-Ran: no`, that it has not run the call.
+    pub says_not_run: bool,
 }
 
 /// A plain service.
 pub trait PlainService: Send + Sync {
-    /// Makes one call on a connection of its own when it carries an order key, so that an idle connection that went
+    /// Makes one call, on a connection of its own when it may not be repeated, so that an idle connection that went
     /// silent can't swallow an order.
     ///
     /// # Errors
--- a/crates/node/src/controllers.rs
+++ b/crates/node/src/controllers.rs
@@ -3,6 +3,7 @@
 mod config;
 mod endpoints;
 mod heartbeat;
+mod orders;
 mod status;
 
 use std::{net::SocketAddr, sync::Arc};
@@ -18,5 +19,7 @@
     tasks.spawn(endpoints::run(node.clone(), peer_address));
     tasks.spawn(heartbeat::run(node.clone(), peer_address));
     tasks.spawn(status::run(node.clone()));
+    tasks.spawn(orders::settle(node.clone()));
+    tasks.spawn(orders::sweep(node.clone()));
     tasks
 }
--- a/crates/node/src/filters.rs
+++ b/crates/node/src/filters.rs
@@ -6,6 +6,7 @@
 mod dispatch;
 mod identify;
 mod order;
+mod order_status;
 mod parse;
 mod place;
 mod resume;
@@ -13,7 +14,7 @@
 
 use std::sync::Arc;
 
-use bilberryford_types::EventKind;
+use bilberryford_types::{ErrorKind, EventKind};
 use futures::future::BoxFuture;
 use poem::Response;
 
@@ -65,12 +66,33 @@
 }
 
 /// Carries a request through its chain.
-pub(crate) async fn run(node: &Arc<Node>, mut ctx: Context) -> Response {
+///
+/// A call that may not be repeated is carried by a task of its own, so that a caller who hangs up between intent and
+/// outcome does not leave the order without either.
+pub(crate) async fn run(node: &Arc<Node>, ctx: Context) -> Response {
+    let is_service = matches!(ctx.target, Target::Service { .. });
+    if !is_service || ctx.method.is_safe() {
+        return carry(node, ctx).await;
+    }
+    let open = node.orders.enter();
+    let node = node.clone();
+    let task = tokio::spawn(async move {
+        let _open = open;
+        carry(&node, ctx).await
+    });
+    task.await.unwrap_or_else(|_| Refusal::of(ErrorKind::Internal).into_response())
+}
+
+async fn carry(node: &Arc<Node>, mut ctx: Context) -> Response {
     node.metrics.requests.add(1, &[]);
-    match run_chain(node, &mut ctx).await {
+    let mut response = match run_chain(node, &mut ctx).await {
         Ok(response) => response,
         Err(refusal) => refused(node, &ctx, refusal),
+    };
+    if ctx.order.is_some() {
+        order::state_retention(node, &mut response);
     }
+    response
 }
 
 async fn run_chain(node: &Arc<Node>, ctx: &mut Context) -> Result<Response, Refusal> {
--- a/crates/node/src/filters/context.rs
+++ b/crates/node/src/filters/context.rs
@@ -119,6 +119,14 @@
         self.endpoint.clone().ok_or_else(|| Refusal::of(ErrorKind::Internal))
     }
 
+    /// Whether the call may be repeated.
+    pub(crate) fn is_idempotent(&self) -> bool {
+        match &self.route {
+            Some(route) => route.idempotent,
+            None => self.method.is_safe(),
+        }
+    }
+
     /// What is left of the deadline.
     pub(crate) fn time_left(&self) -> TimeMs {
         let spent = u64::try_from(self.received.elapsed().as_millis()).unwrap_or(u64::MAX);
--- a/crates/node/src/filters/order.rs
+++ b/crates/node/src/filters/order.rs
@@ -1,27 +1,33 @@
 //! Makes an order's intent durable before anything is sent.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
-use bilberryford_coord::{OrderDecision, OrderRecord, OrderReply, OrderRequest, OrderState};
-use bilberryford_platform::{ObjectKey, ObjectKind, PlatformError, Precondition};
+use bilberryford_coord::{
+    DispatchWindow, Found, IntentStep, IntentWrite, KeyAge, OrderDecision, OrderRecord, OrderReply,
+    OrderState, OutcomeStep, OutcomeWrite, PutSeen, key_age, parse_key,
+};
+use bilberryford_platform::{ObjectKey, ObjectKind};
 use bilberryford_types::{
     Digest, ErrorKind, EventKind, ObjectVersion, OrderKey, Ran, TeamName, TimeMs,
 };
-use bytes::Bytes;
 use futures::{FutureExt, future::BoxFuture};
-use poem::{Response, http::StatusCode};
+use poem::{Response, http::HeaderValue, http::StatusCode};
+use tokio::time::timeout;
 
-use super::{Context, Filter, Flow, Target};
+use super::{Context, Filter, Flow, Target, order_status};
 use crate::{
     events::wall_ms,
     node::Node,
+    orders::{self, OrderTag, Pending, ReadError},
     refusal::{RAN_HEADER, Refusal},
 };
 
-/// How long an intent counts as running, in milliseconds.
-const RUNNING_FOR: TimeMs = TimeMs(30_000);
 /// The header with the caller's key.
 const KEY_HEADER: &str = "idempotency-key";
+/// The header that says how long the record of a key is kept.
+const RETENTION_HEADER: &str = "bilberryford-key-retention-s";
+/// The header that marks an answer that was given before, with where it comes from.
+const REPLAYED_HEADER: &str = "bilberryford-replayed";
 
 pub(crate) struct Order;
 
@@ -36,104 +42,235 @@
 }
 
 async fn order(node: &Arc<Node>, ctx: &mut Context) -> Result<Flow, Refusal> {
-    if is_idempotent(ctx) {
+    if ctx.is_idempotent() {
         return Ok(Flow::Next);
     }
-    let key = match ctx.header(KEY_HEADER).map(|value| value.trim_matches('"').parse::<OrderKey>())
-    {
-        Some(Ok(key)) => key,
-        Some(Err(_)) | None if ctx.route.as_ref().is_some_and(|route| route.single_shot) => {
-            return Ok(Flow::Next);
-        }
-        Some(Err(_)) | None => return Err(ctx.refuse(ErrorKind::KeyMissing)),
+    let Some(key) = key(ctx)? else {
+        return Ok(Flow::Next);
     };
     ctx.order = Some(key.clone());
-    let request = request(ctx, key)?;
-    let object = object_key(&request.team, &request.key)?;
-    let found = match node.objects.get(&object).await {
-        Ok(found) => found,
-        Err(_) => return Err(ctx.refuse(ErrorKind::PlatformDown)),
-    };
-    let record =
-        found.as_ref().and_then(|object| serde_json::from_slice::<OrderRecord>(&object.body).ok());
-    match OrderRecord::decide(record.as_ref(), &request, wall_ms(), RUNNING_FOR) {
-        OrderDecision::WriteIntent => {
-            write_intent(node, ctx, &request, &object, found.map(|found| found.version)).await
-        }
-        OrderDecision::Replay(reply) => Ok(Flow::Answer(replay(reply))),
-        OrderDecision::Running => Err(Refusal::sent(ErrorKind::OrderRunning, Ran::Maybe)),
-        OrderDecision::InDoubt => Err(Refusal::sent(ErrorKind::OrderInDoubt, Ran::Maybe)),
-        OrderDecision::KeyReused => Err(ctx.refuse(ErrorKind::KeyReused)),
+    match key_age(&key, wall_ms(), node.settings.order_retention) {
+        KeyAge::Undeclared | KeyAge::Fresh => {}
+        KeyAge::Expired => return Err(Refusal::of(ErrorKind::KeyExpired)),
+        KeyAge::Future => return Err(ctx.refuse(ErrorKind::KeyMalformed)),
     }
+    let team = ctx.team()?.name.clone();
+    let object = object_key(&team, &key)?;
+    let tag = OrderTag { request: ctx.request.clone(), team, key };
+    Writing::new(node, ctx, tag, object)?.run(node, ctx).await
 }
 
-fn is_idempotent(ctx: &Context) -> bool {
-    match &ctx.route {
-        Some(route) => route.idempotent,
-        None => ctx.method.is_safe(),
+fn key(ctx: &mut Context) -> Result<Option<OrderKey>, Refusal> {
+    let mut values = ctx.headers.get_all(KEY_HEADER).iter();
+    let (first, second) = (values.next(), values.next());
+    let parsed = match (first, second) {
+        (None, _) => None,
+        (Some(value), None) => Some(value.to_str().ok().and_then(|value| parse_key(value).ok())),
+        (Some(_), Some(_)) => Some(None),
+    };
+    match parsed {
+        Some(Some(key)) => Ok(Some(key)),
+        Some(None) => Err(ctx.refuse(ErrorKind::KeyMalformed)),
+        None if ctx.route.as_ref().is_some_and(|route| route.single_shot) => Ok(None),
+        None => Err(ctx.refuse(ErrorKind::KeyMissing)),
     }
 }
 
-fn request(ctx: &Context, key: OrderKey) -> Result<OrderRequest, Refusal> {
+/// Says how long keys are kept.
+pub(super) fn state_retention(node: &Node, response: &mut Response) {
+    let retention_s = node.settings.order_retention.get() / 1_000;
+    response.headers_mut().insert(RETENTION_HEADER, HeaderValue::from(retention_s));
+}
+
+fn digest(ctx: &Context) -> Result<Digest, Refusal> {
     let Target::Service { service, path } = &ctx.target else {
         return Err(Refusal::of(ErrorKind::Internal));
     };
+    let parts =
+        [service.as_str().as_bytes(), ctx.method.as_str().as_bytes(), path.as_bytes(), &ctx.body];
+    Ok(digest_of(&parts))
+}
+
+fn digest_of(parts: &[&[u8]]) -> Digest {
     let mut hasher = blake3::Hasher::new();
-    for part in [ctx.method.as_str().as_bytes(), path.as_bytes(), &ctx.body] {
+    for part in parts {
         hasher.update(&(part.len() as u64).to_le_bytes());
         hasher.update(part);
     }
-    let digest = Digest(*hasher.finalize().as_bytes());
-    Ok(OrderRequest { team: ctx.team()?.name.clone(), service: service.clone(), key, digest })
+    Digest(*hasher.finalize().as_bytes())
 }
 
+/// The name is a hash, so that records spread evenly over the parts that are swept.
 fn object_key(team: &TeamName, key: &OrderKey) -> Result<ObjectKey, Refusal> {
-    let digest = blake3::hash(key.as_str().as_bytes()).to_hex();
-    let name = format!("{team}.{digest}").parse().map_err(|_| Refusal::of(ErrorKind::Internal))?;
+    let digest = digest_of(&[team.as_str().as_bytes(), key.as_str().as_bytes()]);
+    let name = digest.to_string().parse().map_err(|_| Refusal::of(ErrorKind::Internal))?;
     Ok(ObjectKey::new(ObjectKind::Order, name))
 }
 
-async fn write_intent(
-    node: &Node,
-    ctx: &mut Context,
-    request: &OrderRequest,
-    object: &ObjectKey,
-    version: Option<ObjectVersion>,
-) -> Result<Flow, Refusal> {
-    let record = OrderRecord {
-        digest: request.digest,
-        attempt: node.next_attempt(),
-        instance: node.settings.instance.clone(),
-        written_ms: wall_ms(),
-        state: OrderState::Intent,
-    };
-    let precondition = version.map_or(Precondition::Absent, Precondition::Version);
-    match node.objects.put(object, precondition, encode(&record)).await {
-        Ok(version) => {
-            node.events.write(EventKind::OrderIntent, |event| {
-                event.request = Some(ctx.request.clone());
-                event.order = Some(request.key.clone());
-                event.object_version = Some(version);
-            });
-            ctx.intent = Some(Intent { object: object.clone(), version, record });
-            Ok(Flow::Next)
+/// The writing of one intent.
+struct Writing {
+    tag: OrderTag,
+    object: ObjectKey,
+    record: OrderRecord,
+    window: DispatchWindow,
+}
+
+impl Writing {
+    fn new(node: &Node, ctx: &Context, tag: OrderTag, object: ObjectKey) -> Result<Self, Refusal> {
+        let bound = node.settings.order_dispatch;
+        let record = OrderRecord {
+            digest: digest(ctx)?,
+            attempt: node.next_attempt(),
+            instance: node.settings.instance.clone(),
+            written_ms: wall_ms(),
+            running_ms: ctx.time_left(),
+            state: OrderState::Intent,
+        };
+        Ok(Self { tag, object, record, window: DispatchWindow::new(node.now(), bound) })
+    }
+
+    async fn run(self, node: &Arc<Node>, ctx: &mut Context) -> Result<Flow, Refusal> {
+        let (mut write, mut step) = IntentWrite::new(self.record.attempt.clone());
+        let mut found = None;
+        loop {
+            if ctx.time_left() == TimeMs(0) && !matches!(step, IntentStep::Hold(_)) {
+                step = write.give_up();
+            }
+            step = match step {
+                IntentStep::Put(expected) => {
+                    write.on_put(self.put(node, ctx.time_left(), expected).await)
+                }
+                IntentStep::Get => match self.read(node, ctx.time_left()).await {
+                    // A record stands there, so that no write of ours can land any more.
+                    Err(ReadError::Record) => return Err(in_doubt()),
+                    Err(ReadError::Platform) => write.on_get(Err(())),
+                    Ok(read) => {
+                        found = read;
+                        write.on_get(Ok(found.as_ref()))
+                    }
+                },
+                IntentStep::Hold(version) => return Ok(self.hold(node, ctx, version)),
+                IntentStep::GiveUp { fence, is_used } => {
+                    return Err(self.give_up(
+                        node,
+                        ctx,
+                        fence.then_some(write.expected()),
+                        is_used,
+                    ));
+                }
+                IntentStep::Decide => match found.take() {
+                    None => write.give_up(),
+                    Some(found) => match self.decide(node, ctx, found).await? {
+                        Decided::Restart(version) => write.restart(version),
+                        Decided::Answer(response) => return Ok(Flow::Answer(response)),
+                    },
+                },
+            };
+        }
+    }
+
+    async fn put(&self, node: &Node, left: TimeMs, expected: ObjectVersion) -> PutSeen {
+        let put = orders::put(node, &self.object, expected, &self.record);
+        timeout(Duration::from_millis(left.get()), put).await.unwrap_or(PutSeen::Unknown)
+    }
+
+    async fn read(&self, node: &Node, left: TimeMs) -> Result<Option<Found>, ReadError> {
+        let read = orders::read(node, &self.object);
+        timeout(Duration::from_millis(left.get()), read).await.unwrap_or(Err(ReadError::Platform))
+    }
+
+    fn hold(self, node: &Node, ctx: &mut Context, version: ObjectVersion) -> Flow {
+        node.events.write(EventKind::OrderIntent, |event| {
+            self.tag.fill(event, Some(version));
+            event.attempt = Some(self.record.attempt.clone());
+        });
+        let Self { tag, object, record, window } = self;
+        ctx.intent = Some(Intent { tag, object, version, record, window });
+        Flow::Next
+    }
+
+    /// Refuses as not run only when no attempt under this key is known that may have run.
+    fn give_up(
+        self,
+        node: &Node,
+        ctx: &mut Context,
+        fence: Option<ObjectVersion>,
+        is_used: bool,
+    ) -> Refusal {
+        let may_have_run = is_used || node.orders.was_dispatched(&self.object);
+        if let Some(expected) = fence {
+            let record = OrderRecord { state: OrderState::NotRun, ..self.record };
+            let outcome = OutcomeWrite::new(record, expected);
+            let Self { tag, object, .. } = self;
+            node.orders.push(Pending { tag, object, outcome, is_fence: true });
+        }
+        match ctx.time_left() {
+            _ if may_have_run => in_doubt(),
+            TimeMs(0) => ctx.refuse(ErrorKind::DeadlineBeforeRun),
+            _ => ctx.refuse(ErrorKind::PlatformDown),
+        }
+    }
+
+    async fn decide(
+        &self,
+        node: &Arc<Node>,
+        ctx: &mut Context,
+        found: Found,
+    ) -> Result<Decided, Refusal> {
+        let retention = node.settings.order_retention;
+        let decision = found.record.decide(&self.record.digest, wall_ms(), retention);
+        let refusal = match decision {
+            OrderDecision::WriteIntent => return Ok(Decided::Restart(found.version)),
+            OrderDecision::Replay { reply, from_status } => {
+                return Ok(Decided::Answer(replay(reply, from_status)));
+            }
+            OrderDecision::Running => Refusal::sent(ErrorKind::OrderRunning, Ran::Maybe),
+            OrderDecision::InDoubt => in_doubt(),
+            OrderDecision::AnswerNotKept => Refusal::sent(ErrorKind::AnswerNotKept, Ran::Yes),
+            OrderDecision::KeyReused => return Err(ctx.refuse(ErrorKind::KeyReused)),
+            OrderDecision::KeyExpired => return Err(Refusal::of(ErrorKind::KeyExpired)),
+        };
+        if refusal.kind() == ErrorKind::OrderRunning {
+            return Err(refusal);
         }
-        Err(PlatformError::Conflict { .. }) => {
-            Err(Refusal::sent(ErrorKind::OrderRunning, Ran::Maybe))
+        match order_status::read(node, ctx, &self.tag.key).await {
+            Some(reply) => Ok(Decided::Answer(self.resolved(node, found, reply).await)),
+            None => Err(refusal),
         }
-        Err(_) => Err(ctx.refuse(ErrorKind::PlatformDown)),
     }
+
+    /// Keeps the answer that a status read found; another record that stands there by now is left as it is.
+    async fn resolved(&self, node: &Node, found: Found, reply: order_status::Status) -> Response {
+        if !matches!(found.record.state, OrderState::Done { .. }) {
+            let state = OrderState::Done { reply: reply.kept, from_status: true };
+            let record = OrderRecord { state, ..found.record };
+            let outcome = OutcomeWrite::new(record, found.version);
+            let (tag, object) = (self.tag.clone(), self.object.clone());
+            let pending = Pending { tag, object, outcome, is_fence: false };
+            let step = OutcomeStep::Put(found.version);
+            // A failure is no harm: the next repeat reads the status again.
+            drop(orders::write_outcome(node, pending, step).await);
+        }
+        reply.response
+    }
+}
+
+enum Decided {
+    Restart(ObjectVersion),
+    Answer(Response),
 }
 
-fn encode(record: &OrderRecord) -> Bytes {
-    serde_json::to_vec(record).unwrap_or_default().into()
+const fn in_doubt() -> Refusal {
+    Refusal::sent(ErrorKind::OrderInDoubt, Ran::Maybe)
 }
 
-fn replay(reply: OrderReply) -> Response {
+/// An answer that is given again.
+pub(super) fn replay(reply: OrderReply, from_status: bool) -> Response {
+    let source = if from_status { "status" } else { "record" };
     let mut response = Response::builder()
         .status(StatusCode::from_u16(reply.status).unwrap_or(StatusCode::OK))
         .header(RAN_HEADER, <&'static str>::from(Ran::Yes))
-        .header("bilberryford-replayed", "true");
+        .header(REPLAYED_HEADER, source);
     if let Some(content_type) = reply.content_type {
         response = response.header("content-type", content_type);
     }
@@ -143,23 +280,32 @@
 /// An intent that this process wrote; only its holder may dispatch the order.
 #[derive(Debug)]
 pub(crate) struct Intent {
+    tag: OrderTag,
     object: ObjectKey,
     version: ObjectVersion,
     record: OrderRecord,
+    window: DispatchWindow,
 }
 
 impl Intent {
-    /// Records how the order ended; a failure leaves the intent, which turns into a doubt in time.
-    pub(crate) async fn settle(mut self, node: &Node, state: OrderState) {
-        self.record.state = state;
-        let precondition = Precondition::Version(self.version);
-        match node.objects.put(&self.object, precondition, encode(&self.record)).await {
-            Ok(version) => node
-                .events
-                .write(EventKind::OrderSettled, |event| event.object_version = Some(version)),
-            Err(error) => {
-                node.events.write(EventKind::OrderInDoubt, |event| event.detail = error.to_string())
-            }
+    /// Whether the order may be dispatched now; ask directly before the send.
+    pub(crate) fn may_dispatch(&self, node: &Node) -> bool {
+        self.window.is_open(node.now())
+    }
+
+    /// Remembers the dispatch, so that this process never calls the order "not run" afterwards.
+    pub(crate) fn note_dispatch(&self, node: &Node) {
+        node.orders.note_dispatch(&self.object);
+    }
+
+    /// Records how the order ended, at once or as soon as the platform answers again.
+    pub(crate) async fn settle(self, node: &Node, state: OrderState) {
+        let Self { tag, object, version, record, .. } = self;
+        let outcome = OutcomeWrite::new(OrderRecord { state, ..record }, version);
+        let pending = Pending { tag, object, outcome, is_fence: false };
+        let later = orders::write_outcome(node, pending, OutcomeStep::Put(version)).await;
+        if let Some(pending) = later {
+            node.orders.push(pending);
         }
     }
 }
--- a/crates/node/src/filters/service.rs
+++ b/crates/node/src/filters/service.rs
@@ -2,21 +2,21 @@
 
 use std::sync::Arc;
 
-use bilberryford_coord::{OrderReply, OrderState};
+use bilberryford_coord::{Attempt, OrderState, Planned};
 use bilberryford_endpoint::{EndpointError, ServiceCall, ServiceReply};
 use bilberryford_types::{AttemptId, ErrorKind, EventKind, Ran, TimeMs};
 use futures::{FutureExt, future::BoxFuture};
 use poem::{Response, http::StatusCode};
 
-use super::{Context, Filter, Flow, Target};
+use super::{Context, Filter, Flow, Target, choose, order_status::kept};
 use crate::{
     fleet::Endpoint,
     node::Node,
     refusal::{RAN_HEADER, Refusal},
 };
 
-/// The longest answer that is kept for repeats, in bytes.
-const MAX_KEPT_BODY_BYTES: usize = 64 * 1024;
+/// How many endpoints are tried.
+const MAX_TRIES: usize = 2;
 
 pub(crate) struct Service;
 
@@ -30,46 +30,130 @@
     }
 }
 
+/// How one try ended.
+enum Tried {
+    /// The service answered.
+    Answered(ServiceReply),
+    /// Nothing was sent.
+    Unsent(Attempt<Planned>, EndpointError),
+    /// It may have run.
+    Lost(EndpointError),
+    /// The intent is too old to be dispatched.
+    TooLate,
+}
+
 async fn call(node: &Arc<Node>, ctx: &mut Context) -> Result<Flow, Refusal> {
-    let timeout = ctx.time_left();
-    let endpoint = ctx.endpoint()?;
-    let attempt = ctx.take_attempt()?;
-    if timeout == TimeMs(0) {
-        settle(node, ctx, OrderState::NotRun).await;
-        return Err(attempt.refuse(ErrorKind::DeadlineBeforeRun).into());
+    let mut attempt = ctx.take_attempt()?;
+    let mut tried = Vec::new();
+    loop {
+        if ctx.time_left() == TimeMs(0) {
+            settle(node, ctx, OrderState::NotRun).await;
+            return Err(attempt.refuse(ErrorKind::DeadlineBeforeRun).into());
+        }
+        let endpoint = ctx.endpoint()?;
+        let outcome = try_once(node, ctx, &endpoint, attempt).await?;
+        tried.push(endpoint.clone());
+        let next = choose(node, &endpoint.pool, &tried).filter(|_| tried.len() < MAX_TRIES);
+        match (outcome, next) {
+            (Tried::Answered(reply), _) => return answered(node, ctx, reply).await,
+            (Tried::TooLate, _) => {
+                settle(node, ctx, OrderState::InDoubt).await;
+                return Err(Refusal::sent(ErrorKind::OrderInDoubt, Ran::Maybe));
+            }
+            (Tried::Unsent(unsent, _), Some(next)) => {
+                attempt = unsent;
+                ctx.endpoint = Some(next);
+            }
+            (Tried::Unsent(unsent, error), None) => {
+                settle(node, ctx, OrderState::NotRun).await;
+                return Err(unsent.refuse(error.kind()).into());
+            }
+            (Tried::Lost(_), Some(next)) if ctx.is_idempotent() => {
+                attempt = Attempt::new(node.next_attempt());
+                ctx.endpoint = Some(next);
+            }
+            (Tried::Lost(error), _) => {
+                let kind =
+                    if ctx.intent.is_some() { ErrorKind::OrderInDoubt } else { error.kind() };
+                settle(node, ctx, OrderState::InDoubt).await;
+                return Err(Refusal::sent(kind, Ran::Maybe));
+            }
+        }
     }
+}
+
+async fn try_once(
+    node: &Node,
+    ctx: &Context,
+    endpoint: &Arc<Endpoint>,
+    attempt: Attempt<Planned>,
+) -> Result<Tried, Refusal> {
     let request = service_call(ctx, attempt.id().clone())?;
-    event(node, ctx, EventKind::Dispatched, attempt.id(), &endpoint);
-    let sent = attempt.send();
     let guard = endpoint.enter();
-    let result = endpoint.service.call(request, timeout).await;
+    let call = endpoint.service.call(request, ctx.time_left());
+    // # Invariant
+    //
+    // Nothing that may wait stands between this check and the first poll of the call.
+    if ctx.intent.as_ref().is_some_and(|intent| !intent.may_dispatch(node)) {
+        return Ok(Tried::TooLate);
+    }
+    let sent = attempt.send();
+    let (result, ()) = tokio::join!(biased; call, dispatched(node, ctx, sent.id(), endpoint));
     drop(guard);
-    match result {
+    Ok(match result {
         Ok(reply) => {
-            event(node, ctx, EventKind::Answered, sent.id(), &endpoint);
-            settle(node, ctx, OrderState::Done { reply: kept(&reply) }).await;
-            Ok(Flow::Answer(respond(reply)))
+            event(node, ctx, EventKind::Answered, sent.id(), endpoint);
+            Tried::Answered(reply)
         }
         Err(error) => {
-            node.note_error(&endpoint, &error);
-            event(node, ctx, EventKind::AttemptFailed, sent.id(), &endpoint);
-            Err(match sent.unsent(error.ran()) {
-                Ok(unsent) => {
-                    settle(node, ctx, OrderState::NotRun).await;
-                    unsent.refuse(error.kind()).into()
-                }
-                Err(_) => {
-                    let is_order = ctx.intent.is_some();
-                    settle(node, ctx, OrderState::InDoubt).await;
-                    Refusal::sent(doubt_kind(is_order, &error), Ran::Maybe)
-                }
-            })
+            node.note_error(endpoint, &error);
+            event(node, ctx, EventKind::AttemptFailed, sent.id(), endpoint);
+            match sent.unsent(error.ran()) {
+                Ok(unsent) => Tried::Unsent(unsent, error),
+                Err(_) => Tried::Lost(error),
+            }
         }
+    })
+}
+
+async fn dispatched(node: &Node, ctx: &Context, attempt: &AttemptId, endpoint: &Endpoint) {
+    if let Some(intent) = &ctx.intent {
+        intent.note_dispatch(node);
     }
+    event(node, ctx, EventKind::Dispatched, attempt, endpoint);
 }
 
-const fn doubt_kind(is_order: bool, error: &EndpointError) -> ErrorKind {
-    if is_order { ErrorKind::OrderInDoubt } else { error.kind() }
+async fn answered(node: &Node, ctx: &mut Context, reply: ServiceReply) -> Result<Flow, Refusal> {
+    let ran = ran(ctx, &reply);
+    if ctx.intent.is_none() {
+        return Ok(Flow::Answer(respond(reply, ran)));
+    }
+    match ran {
+        Ran::Yes => {
+            let state = OrderState::Done { reply: kept(&reply), from_status: false };
+            settle(node, ctx, state).await;
+            Ok(Flow::Answer(respond(reply, ran)))
+        }
+        Ran::No => {
+            settle(node, ctx, OrderState::NotRun).await;
+            Err(Refusal::sent(ErrorKind::EndpointRefused, Ran::No))
+        }
+        Ran::Maybe => {
+            settle(node, ctx, OrderState::InDoubt).await;
+            Err(Refusal::sent(ErrorKind::OrderInDoubt, Ran::Maybe))
+        }
+    }
+}
+
+/// What an answer says about having run: a 5xx leaves it open, unless the service or its route says otherwise.
+fn ran(ctx: &Context, reply: &ServiceReply) -> Ran {
+    let declared =
+        ctx.route.as_ref().is_some_and(|route| route.not_run_statuses.contains(&reply.status));
+    match reply.status {
+        400.. if declared || reply.says_not_run => Ran::No,
+        500.. => Ran::Maybe,
+        _ => Ran::Yes,
+    }
 }
 
 async fn settle(node: &Node, ctx: &mut Context, state: OrderState) {
@@ -88,25 +172,16 @@
         method: ctx.method.to_string(),
         path: path.clone(),
         content_type: ctx.header("content-type").map(str::to_owned),
+        idempotent: ctx.is_idempotent(),
         order: ctx.order.clone(),
         body: ctx.body.clone(),
     })
 }
 
-fn kept(reply: &ServiceReply) -> OrderReply {
-    let body =
-        std::str::from_utf8(&reply.body).ok().filter(|body| body.len() <= MAX_KEPT_BODY_BYTES);
-    OrderReply {
-        status: reply.status,
-        content_type: reply.content_type.clone(),
-        body: body.map(str::to_owned),
-    }
-}
-
-fn respond(reply: ServiceReply) -> Response {
+fn respond(reply: ServiceReply, ran: Ran) -> Response {
     let mut response = Response::builder()
         .status(StatusCode::from_u16(reply.status).unwrap_or(StatusCode::BAD_GATEWAY))
-        .header(RAN_HEADER, <&'static str>::from(Ran::Yes));
+        .header(RAN_HEADER, <&'static str>::from(ran));
     if let Some(content_type) = reply.content_type {
         response = response.header("content-type", content_type);
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -22,6 +22,7 @@
 mod members;
 mod metrics;
 mod node;
+mod orders;
 mod peering;
 mod refusal;
 mod retries;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -23,6 +23,7 @@
     fleet::{EndpointClients, Fleet},
     members::Members,
     metrics::{Metrics, MetricsError},
+    orders::Orders,
     retries::Retries,
     run::Runs,
     settings::NodeSettings,
@@ -46,6 +47,7 @@
     pub(crate) runs: Runs,
     pub(crate) retries: Retries,
     config: Mutex<VersionedConfig<Arc<InForce>>>,
+    pub(crate) orders: Orders,
     in_force: ArcSwapOption<InForce>,
     peers: RwLock<Option<PeerClient>>,
     leaving: AtomicBool,
@@ -77,6 +79,8 @@
                 .pool_idle_timeout(Duration::from_millis(POOL_IDLE_MS))
                 .pool_max_idle_per_host(idle_connections)
                 .tcp_nodelay(true)
+                // A redirect would be a second dispatch.
+                .redirect(reqwest::redirect::Policy::none())
                 .build()
         };
         let clients = EndpointClients { pooled: client(64)?, fresh: client(0)? };
@@ -91,6 +95,7 @@
             runs: Runs::new(&settings.run_key),
             retries: Retries::default(),
             config: Mutex::new(VersionedConfig::new()),
+            orders: Orders::default(),
             in_force: ArcSwapOption::empty(),
             peers: RwLock::new(None),
             leaving: AtomicBool::new(false),
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -130,6 +130,7 @@
         sleep(Duration::from_millis(node.settings.drain_delay.get())).await;
         let _ = stop.send(());
         let result = server.await.map_err(|error| ServeError::Server(io::Error::other(error)))?;
+        node.orders.drained().await;
         drop(controllers);
         node.events.write(EventKind::Stopped, |event| {
             event.detail = format!("{} in flight", node.in_flight())
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -37,6 +37,10 @@
     pub drain_limit: TimeMs,
     /// How long a run goes on that nobody reads, before it is cancelled.
     pub pick_up_limit: TimeMs,
+    /// How long after its intent was written an order may be dispatched.
+    pub order_dispatch: TimeMs,
+    /// How long the record of an order is kept.
+    pub order_retention: TimeMs,
     /// How many threads serve requests.
     pub worker_threads: usize,
 }
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -50,6 +50,7 @@
         let client = reqwest::Client::builder()
             .connect_timeout(Duration::from_millis(config.timeout.get()))
             .pool_idle_timeout(Duration::from_secs(10))
+            .redirect(reqwest::redirect::Policy::none())
             .build()
             .map_err(|error| PlatformError::Refused { reason: error.to_string() })?;
         Ok(Self { config, client })
@@ -128,6 +129,11 @@
                 return Ok(None);
             }
             let version = version_of(&response);
+            if version == ObjectVersion::ABSENT {
+                return Err(PlatformError::Refused {
+                    reason: "no version in the answer".to_owned(),
+                });
+            }
             let body = response
                 .bytes()
                 .await
@@ -150,7 +156,12 @@
                 StatusCode::NOT_FOUND => {
                     Err(PlatformError::Conflict { current: ObjectVersion::ABSENT })
                 }
-                _ => Ok(version_of(&response)),
+                _ => match version_of(&response) {
+                    ObjectVersion::ABSENT => Err(PlatformError::Unknown {
+                        reason: "no version in the answer".to_owned(),
+                    }),
+                    version => Ok(version),
+                },
             }
         }
         .boxed()
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -45,6 +45,8 @@
     pub outage: bool,
     /// Every call waits that long first, in milliseconds.
     pub slow_ms: u64,
+    /// Writes take effect and are answered that much later, in milliseconds.
+    pub answer_slow_ms: u64,
     /// That many next writes take effect, but their answers are lost.
     pub lose_answers: u32,
     /// That many next writes are answered with 500 and take effect after `delay_ms`.
@@ -333,7 +335,10 @@
         });
         return StatusCode::INTERNAL_SERVER_ERROR.into_response();
     }
-    match platform.write(write) {
+    let written = platform.write(write);
+    let answer_slow_ms = platform.state.lock().faults.answer_slow_ms;
+    sleep(Duration::from_millis(answer_slow_ms)).await;
+    match written {
         Ok(_) if take_loss(platform) => StatusCode::INTERNAL_SERVER_ERROR.into_response(),
         Ok(version) => {
             Response::builder().header("etag", entity_tag(ObjectVersion(version))).finish()
--- a/crates/types/src/event.rs
+++ b/crates/types/src/event.rs
@@ -115,6 +115,8 @@
     OrderSettled,
     /// An order's fate is not known.
     OrderInDoubt,
+    /// A write of an intent that may still have landed can no longer take effect.
+    OrderFenced,
     /// A request was suspected of crashing an endpoint.
     Suspected,
     /// A request was quarantined.
--- a/crates/types/src/kind.rs
+++ b/crates/types/src/kind.rs
@@ -122,14 +122,18 @@
     UnknownRun: 404 Maybe Never No RetryAfter::None, "there is no such run; send the prompt again";
     /// An order without an idempotency key.
     KeyMissing: 400 No Never No RetryAfter::None, "this call needs an Idempotency-Key header";
+    /// An idempotency key that can't be read.
+    KeyMalformed: 400 No Never No RetryAfter::None, "the Idempotency-Key can't be read";
     /// An idempotency key used before with another body.
     KeyReused: 422 No Never No RetryAfter::None, "the Idempotency-Key was used with another request";
-    /// An idempotency key older than the retention.
-    KeyExpired: 410 No Never No RetryAfter::None, "the Idempotency-Key is older than the retention";
+    /// An idempotency key older than the retention; an earlier request with it may have run.
+    KeyExpired: 410 Maybe Never No RetryAfter::None, "the Idempotency-Key is older than the retention";
     /// The same order is running now.
     OrderRunning: 409 Maybe Never SameKey RetryAfter::FixedMs(1_000), "an order with this key is running";
     /// Nobody can say whether the order ran.
     OrderInDoubt: 504 Maybe Never SameKey RetryAfter::FixedMs(5_000), "the order may have run; ask again with the same key";
+    /// The order ran, but its answer was too large to keep.
+    AnswerNotKept: 410 Yes Never No RetryAfter::None, "the order ran once; its answer was too large to be kept";
     /// The team has used its share.
     TeamOverLimit: 429 No Never Yes RetryAfter::DrainRate, "the team is over its share";
     /// The system is full for this priority.
@@ -159,7 +163,7 @@
     /// The deadline passed while the request ran.
     DeadlineWhileRunning: 504 Maybe Never Yes RetryAfter::FixedMs(1_000), "the deadline passed while the request ran";
     /// The platform's object API is down and the request needs it.
-    PlatformDown: 503 No Never Yes RetryAfter::FixedMs(5_000), "orders can't be recorded now; the order was not run";
+    PlatformDown: 503 No Never SameKey RetryAfter::FixedMs(5_000), "orders can't be recorded now; try again with the same key";
     /// The instance is shutting down.
     ShuttingDown: 503 No Never Yes RetryAfter::FixedMs(0), "this instance is leaving; send the request again";
     /// A fault of bilberryford itself.
--- a/src/commands/serve.rs
+++ b/src/commands/serve.rs
@@ -132,6 +132,24 @@
         display_fallback
     )]
     pick_up_limit_ms: u64,
+    /// How long after its intent was written an order may be dispatched, in milliseconds
+    #[bpaf(
+        long,
+        env("BILBERRYFORD_ORDER_DISPATCH_MS"),
+        argument("MS"),
+        fallback(5_000),
+        display_fallback
+    )]
+    order_dispatch_ms: u64,
+    /// How long the record of an order is kept, in seconds; the same on all instances
+    #[bpaf(
+        long,
+        env("BILBERRYFORD_ORDER_RETENTION_S"),
+        argument("SECONDS"),
+        fallback(86_400),
+        display_fallback
+    )]
+    order_retention_s: u64,
     /// How many threads serve requests
     #[bpaf(
         long,
@@ -197,6 +215,14 @@
                 self.pick_up_limit_ms,
                 &(100..=600_000),
             )?),
+            order_dispatch: TimeMs(in_range(
+                "order-dispatch-ms",
+                self.order_dispatch_ms,
+                &(100..=60_000),
+            )?),
+            order_retention: TimeMs(
+                1_000 * in_range("order-retention-s", self.order_retention_s, &(1..=30 * 86_400))?,
+            ),
             worker_threads: in_range("worker-threads", self.worker_threads, &(1..=64))?,
         })
     }
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -6,4 +6,5 @@
 mod bad_input;
 mod config;
 mod membership;
+mod orders;
 mod path;
--- a/tests/all/support.rs
+++ b/tests/all/support.rs
@@ -53,6 +53,20 @@
         instances: usize,
         spec: &EngineSpec,
         flags: &[&str],
+    ) -> io::Result<Self> {
+        Self::start_all(instances, spec, flags, DOCUMENT).await
+    }
+
+    /// Starts the same with another document and fast engines.
+    pub(crate) async fn start_document(instances: usize, document: &str) -> io::Result<Self> {
+        Self::start_all(instances, &fast_engine(), &[], document).await
+    }
+
+    async fn start_all(
+        instances: usize,
+        spec: &EngineSpec,
+        flags: &[&str],
+        document: &str,
     ) -> io::Result<Self> {
         let platform = Arc::new(Platform::default());
         let platform_host = platform.host(loopback())?;
@@ -81,7 +95,7 @@
         for number in 1..=instances {
             deployment.add_instance(&format!("entry-{number}"))?;
         }
-        deployment.apply(1, DOCUMENT).await?;
+        deployment.apply(1, document).await?;
         deployment.wait_ready().await?;
         Ok(deployment)
     }
@@ -168,6 +182,15 @@
         Some(since.elapsed())
     }
 
+    /// Starts one more instance of the service, and waits until it is seen.
+    pub(crate) async fn add_service(&mut self) -> io::Result<()> {
+        let service = Arc::new(Service::default());
+        let host = service.host(loopback())?;
+        self.services.push((service, host));
+        self.publish();
+        self.wait_ready().await
+    }
+
     /// Lists everything that is up.
     pub(crate) fn publish(&self) {
         let engines = self.engines.iter().enumerate().map(|(number, (_, host))| {
