The hang-up test closes its connection for certain

Cause: the test aborted a client's future, which need not close the connection. Change: a bare TCP stream, dropped after the dispatch. With the task of its own switched off the test still passes, so the guard stays unproved.

--- a/tests/all/orders.rs
+++ b/tests/all/orders.rs
@@ -10,6 +10,7 @@
 use reqwest::{Response, header};
 use rstest::rstest;
 use serde_json::Value;
+use tokio::{io::AsyncWriteExt, net::TcpStream};
 
 use crate::support::{Deployment, KEY, eventually, fast_engine};
 
@@ -279,11 +280,14 @@
 async fn a_caller_that_hangs_up_leaves_an_order_with_its_outcome() {
     let deployment = Deployment::start(1, &fast_engine()).await.unwrap();
     service_faults(&deployment, service::Faults { slow_ms: 300, ..Default::default() });
-    let url = deployment.url(0);
-    let caller = deployment.caller();
-    let first = tokio::spawn(async move { caller.order(&url, DESK, "order-1").await });
+    let mut stream = TcpStream::connect(deployment.instances[0].address).await.unwrap();
+    let request = format!(
+        "POST /services/{DESK}/orders HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {KEY}\r\n\
+         bilberryford-timeout-ms: 5000\r\nidempotency-key: order-1\r\ncontent-length: 1\r\n\r\n1"
+    );
+    stream.write_all(request.as_bytes()).await.unwrap();
     until_dispatched(&deployment).await;
-    first.abort();
+    drop(stream);
     until_state(&deployment, "done").await;
     assert_eq!(runs(&deployment, "order-1"), 1);
 }
