--- a/crates/node/src/filters/service.rs
+++ b/crates/node/src/filters/service.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use bilberryford_coord::{Attempt, OrderState, Planned};
+use bilberryford_coord::{Attempt, OrderState, Planned, RetryClass};
 use bilberryford_endpoint::{EndpointError, ServiceCall, ServiceReply};
 use bilberryford_types::{AttemptId, ErrorKind, EventKind, Ran, TimeMs};
 use futures::{FutureExt, future::BoxFuture};
@@ -45,6 +45,7 @@
 async fn call(node: &Arc<Node>, ctx: &mut Context) -> Result<Flow, Refusal> {
     let mut attempt = ctx.take_attempt()?;
     let mut tried = Vec::new();
+    node.first_try(&ctx.team()?.name, &ctx.endpoint()?.pool);
     loop {
         if ctx.time_left() == TimeMs(0) {
             settle(node, ctx, OrderState::NotRun).await;
@@ -53,7 +54,7 @@
         let endpoint = ctx.endpoint()?;
         let outcome = try_once(node, ctx, &endpoint, attempt).await?;
         tried.push(endpoint.clone());
-        let next = choose(node, &endpoint.pool, &tried).filter(|_| tried.len() < MAX_TRIES);
+        let next = next(node, ctx, &tried, &outcome);
         match (outcome, next) {
             (Tried::Answered(reply), _) => return answered(node, ctx, reply).await,
             (Tried::TooLate, _) => {
@@ -68,7 +69,7 @@
                 settle(node, ctx, OrderState::NotRun).await;
                 return Err(unsent.refuse(error.kind()).into());
             }
-            (Tried::Lost(_), Some(next)) if ctx.is_idempotent() => {
+            (Tried::Lost(_), Some(next)) => {
                 attempt = Attempt::new(node.next_attempt());
                 ctx.endpoint = Some(next);
             }
@@ -82,6 +83,23 @@
     }
 }
 
+/// The endpoint for another try, when the outcome allows one and the budget has one.
+fn next(
+    node: &Node,
+    ctx: &Context,
+    tried: &[Arc<Endpoint>],
+    outcome: &Tried,
+) -> Option<Arc<Endpoint>> {
+    let class = match outcome {
+        Tried::Unsent(..) => RetryClass::Fresh,
+        Tried::Lost(_) if ctx.is_idempotent() => RetryClass::Begun,
+        Tried::Lost(_) | Tried::Answered(_) | Tried::TooLate => return None,
+    };
+    let (team, pool) = (&ctx.team.as_ref()?.name, &tried.first()?.pool);
+    let next = choose(node, pool, tried).filter(|_| tried.len() < MAX_TRIES)?;
+    node.take_retry(team, pool, class).then_some(next)
+}
+
 async fn try_once(
     node: &Node,
     ctx: &Context,
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod faults;
 pub mod host;
 pub mod load;
+pub mod orders;
 pub mod overhead;
 pub mod platform;
 pub mod process;
--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -7,7 +7,7 @@
     engine::{Engine, EngineSpec},
     faults,
     host::Hosted,
-    overhead,
+    orders, overhead,
     platform::Platform,
     returning::{self, Deciding, Site},
     service::Service,
@@ -65,6 +65,12 @@
         /// Print one line of JSON
         json: bool,
     },
+    /// Platform calls for each order, by layout and rate
+    #[bpaf(command)]
+    Orders {
+        /// Print one line of JSON
+        json: bool,
+    },
     /// What an instance costs as something grows
     #[bpaf(command)]
     Slopes {
@@ -114,6 +120,9 @@
         Options::Measure(Measure::Slopes { axis, json }) => {
             runtime.block_on(slopes::run(&axis, json)).map(|()| true)
         }
+        Options::Measure(Measure::Orders { json }) => {
+            runtime.block_on(orders::run(json)).map(|()| true)
+        }
         Options::Measure(Measure::Overhead { json }) => {
             runtime.block_on(overhead::run(json)).map(|()| true)
         }
--- a/crates/standins/src/service.rs
+++ b/crates/standins/src/service.rs
@@ -21,6 +21,8 @@
 pub struct Faults {
     /// Every call takes that long, in milliseconds.
     pub slow_ms: u64,
+    /// Orders run at once and are answered that much later, in milliseconds.
+    pub answer_slow_ms: u64,
     /// That many next orders run, but their answers are lost with the whole process.
     pub crash_after_run: u32,
     /// Orders are refused with 503.
@@ -129,6 +131,7 @@
         *run += 1;
         *run
     };
+    sleep(Duration::from_millis(faults.answer_slow_ms)).await;
     if life.service.take_crash() {
         life.exits.crash();
         std::future::pending::<()>().await;
--- a/tests/all/orders.rs
+++ b/tests/all/orders.rs
@@ -163,14 +163,15 @@
 #[tokio::test]
 async fn an_instance_killed_after_dispatch_leaves_the_order_to_the_status_read() {
     let mut deployment = Deployment::start(2, &fast_engine()).await.unwrap();
-    service_faults(&deployment, service::Faults { slow_ms: 400, ..Default::default() });
+    service_faults(&deployment, service::Faults { answer_slow_ms: 10_000, ..Default::default() });
     let caller = deployment.caller().timeout_ms(1_500);
     let url = deployment.url(0);
     let first = tokio::spawn({
         let caller = caller.clone();
         async move { caller.order(&url, DESK, "order-1").await }
     });
-    until_dispatched(&deployment).await;
+    let ran = eventually(|| async { (runs(&deployment, "order-1") == 1).then_some(()) });
+    assert!(ran.await.is_some(), "the service runs the order");
     deployment.instances.remove(0).kill();
     assert_eq!(first.await.unwrap(), Outcome::Cut);
     let second = caller.order(&deployment.url(0), DESK, "order-1").await;
@@ -348,11 +349,17 @@
 async fn a_look_up_is_sent_to_another_endpoint_when_the_first_is_gone() {
     let mut deployment = Deployment::start(1, &fast_engine()).await.unwrap();
     deployment.add_service().await.unwrap();
+    let url = format!("{}/services/{DESK}/stock/tins", deployment.url(0));
+    let look_up = || {
+        let request = deployment.client.get(&url).header("bilberryford-timeout-ms", 5_000);
+        request.header(header::AUTHORIZATION, format!("Bearer {KEY}")).send()
+    };
+    // The budget of retries is a tenth of first tries.
+    for _ in 0..40 {
+        assert_eq!(look_up().await.unwrap().status(), 200);
+    }
     deployment.services[0].1.set_down(true);
-    for _ in 0..6 {
-        let url = format!("{}/services/{DESK}/stock/tins", deployment.url(0));
-        let request = deployment.client.get(url).header("bilberryford-timeout-ms", 5_000);
-        let request = request.header(header::AUTHORIZATION, format!("Bearer {KEY}"));
-        assert_eq!(request.send().await.unwrap().status(), 200);
+    for _ in 0..4 {
+        assert_eq!(look_up().await.unwrap().status(), 200);
     }
 }
