--- a/crates/standins/src/orders.rs
+++ b/crates/standins/src/orders.rs
@@ -192,7 +192,7 @@
         ticks.tick().await;
         placed.spawn(place(layout.clone(), number));
     }
-    let mut took = Histogram::<u64>::new(3).map_err(io::Error::other)?;
+    let mut took = Histogram::<u64>::new_with_bounds(1, 60_000_000, 3).map_err(io::Error::other)?;
     while let Some(one) = placed.join_next().await {
         took.saturating_record(u64::try_from(one??.as_micros()).unwrap_or(u64::MAX));
     }
