--- a/crates/document/src/parse.rs
+++ b/crates/document/src/parse.rs
@@ -148,10 +148,15 @@
 
     fn routes(&mut self, service: usize, section: &ServiceSection) {
         for (index, route) in section.routes.iter().enumerate() {
+            let place =
+                |field| [Key("services"), Index(service), Key("routes"), Index(index), Key(field)];
             if !route.prefix.starts_with('/') {
                 let message = format!("the prefix {:?} must start with '/'", route.prefix);
-                let route = [Key("services"), Index(service), Key("routes"), Index(index)];
-                self.find(&[&route[..], &[Key("prefix")]].concat(), message);
+                self.find(&place("prefix"), message);
+            }
+            if route.not_run_statuses.iter().any(|status| !(400..600).contains(status)) {
+                let message = "not_run_statuses holds only statuses from 400 to 599".to_owned();
+                self.find(&place("not_run_statuses"), message);
             }
         }
     }
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -37,6 +37,44 @@
     pub drain_limit: TimeMs,
     /// How long a run goes on that nobody reads, before it is cancelled.
     pub pick_up_limit: TimeMs,
+    /// How long after its intent was written an order may be dispatched.
+    pub order_dispatch: TimeMs,
+    /// How long the record of an order is kept.
+    pub order_retention: TimeMs,
     /// How many threads serve requests.
     pub worker_threads: usize,
 }
+
+impl NodeSettings {
+    /// The settings that have no default, with the command line's defaults for the rest and free ports of the
+    /// loopback interface.
+    pub fn new(
+        instance: InstanceId,
+        data_centre: DataCentreId,
+        environment: EnvironmentName,
+        platform_url: String,
+        run_key: String,
+    ) -> Self {
+        let loopback = SocketAddr::from(([127, 0, 0, 1], 0));
+        Self {
+            instance,
+            data_centre,
+            environment,
+            listen: loopback,
+            peer_listen: loopback,
+            peers: Vec::new(),
+            platform_url,
+            platform_timeout: TimeMs(1_000),
+            run_key,
+            max_body_bytes: 4 * 1024 * 1024,
+            max_deadline: TimeMs(600_000),
+            max_in_flight: 4_096,
+            drain_delay: TimeMs(3_000),
+            drain_limit: TimeMs(600_000),
+            pick_up_limit: TimeMs(30_000),
+            order_dispatch: TimeMs(5_000),
+            order_retention: TimeMs(86_400_000),
+            worker_threads: 4,
+        }
+    }
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod heartbeats;
 pub mod host;
 pub mod load;
+pub mod orders;
 pub mod overhead;
 pub mod platform;
 pub mod process;
