Stand-ins keep their port between two lives

Ruled out: the product's connect path (the same endpoint answered before). Change: a bound socket that never listens holds the port. Measured: the tests of path, bad input and orders green.

--- a/crates/standins/src/host.rs
+++ b/crates/standins/src/host.rs
@@ -2,7 +2,7 @@
 
 use std::{
     io,
-    net::{SocketAddr, TcpListener},
+    net::SocketAddr,
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -14,7 +14,10 @@
 
 use bilberryford_node::NoDelayAcceptor;
 use poem::{EndpointExt, Server, endpoint::BoxEndpoint};
-use tokio::sync::Notify;
+use tokio::{net::TcpSocket, sync::Notify};
+
+/// How many connections may wait to be accepted.
+const BACKLOG: u32 = 1_024;
 
 /// Ends the current life of a stand-in.
 #[derive(Debug, Clone, Default)]
@@ -102,23 +105,24 @@
 }
 
 impl Life {
+    /// # Invariant
+    ///
+    /// `reserved` is bound for as long as the stand-in exists, but never listens. Between two lives connections are
+    /// refused, and no outgoing connection of this machine can take the port meanwhile.
     fn run(
         &self,
         listen: SocketAddr,
         bound: &mpsc::Sender<io::Result<SocketAddr>>,
         build: &dyn Fn(Exits) -> BoxEndpoint<'static, poem::Response>,
     ) {
-        let mut listen = listen;
+        let reserved = socket(listen).and_then(|socket| Ok((socket.local_addr()?, socket)));
+        let (address, _reserved) = match reserved {
+            Ok(reserved) => reserved,
+            Err(error) => return drop(bound.send(Err(error))),
+        };
         while !self.stop.load(Ordering::Acquire) {
-            match bind(listen) {
-                Ok(listener) => {
-                    listen = listener.local_addr().unwrap_or(listen);
-                    let _ = bound.send(Ok(listen));
-                    if let Err(error) = self.serve(listener, build(self.exits.clone())) {
-                        log::error!("a stand-in failed: {error}");
-                    }
-                }
-                Err(error) => drop(bound.send(Err(error))),
+            if let Err(error) = self.serve(address, bound, build(self.exits.clone())) {
+                log::error!("a stand-in failed: {error}");
             }
             thread::sleep(self.restart);
             while self.exits.down.load(Ordering::Acquire) {
@@ -129,14 +133,15 @@
 
     fn serve(
         &self,
-        listener: TcpListener,
+        address: SocketAddr,
+        bound: &mpsc::Sender<io::Result<SocketAddr>>,
         app: BoxEndpoint<'static, poem::Response>,
     ) -> io::Result<()> {
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
         let notify = self.exits.notify.clone();
         let result = runtime.block_on(async move {
-            let acceptor =
-                NoDelayAcceptor::from_tokio(tokio::net::TcpListener::from_std(listener)?)?;
+            let acceptor = NoDelayAcceptor::from_tokio(socket(address)?.listen(BACKLOG)?)?;
+            let _ = bound.send(Ok(address));
             let server = Server::new_with_acceptor(acceptor).run(app.map_to_response());
             tokio::select! {
                 result = server => result,
@@ -149,9 +154,11 @@
     }
 }
 
-fn bind(listen: SocketAddr) -> io::Result<TcpListener> {
-    // tokio's listener sets SO_REUSEADDR, so that a crashed stand-in can come back at once.
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    let listener = runtime.block_on(tokio::net::TcpListener::bind(listen))?.into_std()?;
-    Ok(listener)
+/// A socket bound to `address`, which several sockets of this process may be.
+fn socket(address: SocketAddr) -> io::Result<TcpSocket> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.set_reuseport(true)?;
+    socket.bind(address)?;
+    Ok(socket)
 }
