--- a/crates/peer/tests/contract.rs
+++ b/crates/peer/tests/contract.rs
@@ -99,11 +99,16 @@
     }
 
     fn suspect(&self, suspect: Suspect) -> SuspectReply {
-        let quarantined = suspect.verdict == Verdict::Crashed;
-        SuspectReply { crashes: 1, quarantined, granted: suspect.span == TimeMs(70) }
+        SuspectReply {
+            crashes: 1,
+            quarantined: suspect.verdict == Verdict::Crashed,
+            granted: suspect.span == TimeMs(700),
+        }
     }
 
-    fn picked_up(&self, _run: RunId) {}
+    fn picked_up(&self, _run: RunId) {
+        self.beats.fetch_add(1, Ordering::Relaxed);
+    }
 
     fn borrow(&self, borrow: Borrow) -> BorrowReply {
         BorrowReply { granted: borrow.want - borrow.in_use, valid: TimeMs(250) }
@@ -127,7 +132,7 @@
 
 #[tokio::test]
 async fn every_call_carries_all_that_it_says() {
-    let (callee, _) =
+    let (callee, peer) =
         start(Peer { members: 3, body: vec![1; 900_000], rows: 3, ..Peer::default() });
     let (caller, _) = start(Peer::default());
     let (client, to, timeout) = (caller.client(), callee.address(), TimeMs(5_000));
@@ -143,7 +148,7 @@
         fingerprint: Digest([1; 32]),
         attempt: "a-1".to_owned(),
         verdict: Verdict::Crashed,
-        span: TimeMs(70),
+        span: TimeMs(700),
     };
     let expected = SuspectReply { crashes: 1, quarantined: true, granted: true };
     assert_eq!(client.suspect(to, suspect, timeout).await, Ok(expected));
@@ -167,8 +172,10 @@
     };
     let reply = client.place(to, place, timeout).await.unwrap().unwrap();
     assert_eq!((reply.endpoint.as_str(), reply.import_blocks), ("engine-1", 4));
+    assert_eq!(client.picked_up(to, "r-1".parse().unwrap(), timeout).await, Ok(()));
+    assert_eq!(peer.beats.load(Ordering::Relaxed), 2);
     let traffic = client.traffic();
-    assert_eq!(traffic.calls, 7);
+    assert_eq!(traffic.calls, 8);
     assert!(traffic.received_bytes > 900_000 && traffic.sent_bytes > 0);
 }
 
--- a/tests/all/config.rs
+++ b/tests/all/config.rs
@@ -121,6 +121,18 @@
     );
 }
 
+#[tokio::test]
+async fn a_change_of_a_generation_that_is_not_accepted_any_more_is_refused() {
+    let deployment = Deployment::start(1, &fast_engine()).await.unwrap();
+    let platform = deployment.platform_host.url();
+    let first = apply(&platform, &File::new("stale-a", &document(11)), &["--edited", "1"]).await;
+    assert!(first.status.success(), "{}", said(&first));
+    let stale = apply(&platform, &File::new("stale-b", &document(12)), &["--edited", "1"]).await;
+    let expected = "generation 1 was edited, but generation 2 is accepted; nothing was written";
+    assert!(!stale.status.success() && said(&stale).contains(expected), "{}", said(&stale));
+    assert_eq!(stored(&deployment, "trial")["document"], document(11));
+}
+
 #[rstest]
 #[case::answer_lost(Faults { lose_answers: 1, ..Default::default() })]
 #[case::two_answers_lost(Faults { lose_answers: 2, ..Default::default() })]
--- a/tests/all/membership.rs
+++ b/tests/all/membership.rs
@@ -44,6 +44,13 @@
     Some(request.send().await.ok()?.status().as_u16())
 }
 
+/// A platform that takes connections and never answers, and its URL.
+async fn silent_platform() -> (tokio::net::TcpListener, String) {
+    let silent = tokio::net::TcpListener::bind(loopback()).await.unwrap();
+    let url = format!("http://{}", silent.local_addr().unwrap());
+    (silent, url)
+}
+
 #[rstest]
 #[case::list_frozen(platform::Faults { list_frozen: true, ..Default::default() })]
 #[case::platform_out(platform::Faults { outage: true, ..Default::default() })]
@@ -115,10 +122,9 @@
 #[tokio::test]
 async fn members_spread_from_one_seed_without_the_list() {
     let mut deployment = Deployment::start(4, &fast_engine()).await.unwrap();
-    deployment.platform.set_faults(platform::Faults { list_frozen: true, ..Default::default() });
     let seed = deployment.instances[0].peer_address.to_string();
-    let platform_url = deployment.platform_host.url();
-    deployment.add_unlisted_instance("entry-5", &platform_url, &["--peers", &seed]).unwrap();
+    let (_silent, nowhere) = silent_platform().await;
+    deployment.add_unlisted_instance("entry-5", &nowhere, &["--peers", &seed]).unwrap();
     deployment.all_have(&[0, 1, 2, 3], is_about(EventKind::Joined, "entry-5")).await.unwrap();
     for peer in ["entry-1", "entry-2", "entry-3", "entry-4"] {
         deployment.all_have(&[4], is_about(EventKind::Joined, peer)).await.unwrap();
@@ -133,8 +139,7 @@
         deployment.client.get(list).send().await.unwrap().json().await.unwrap();
     // This one reads from a platform that never answers.
     let seed = deployment.instances[0].peer_address.to_string();
-    let silent = tokio::net::TcpListener::bind(loopback()).await.unwrap();
-    let nowhere = format!("http://{}", silent.local_addr().unwrap());
+    let (_silent, nowhere) = silent_platform().await;
     deployment.add_unlisted_instance("entry-4", &nowhere, &["--peers", &seed]).unwrap();
     deployment.all_have(&[3], is_about(EventKind::Joined, "entry-1")).await.unwrap();
     // It has the endpoints and the configuration from its peers.
