Prompts are placed by load and by the blocks that engines hold

Cause: the place filter took the engine with the least in flight, so a returning prompt found its blocks by chance.

The engine stand-in has a prefix cache, tells events and counts cached tokens. Ruled out for now: stores and imports over HTTP, and asking one deciding instance; both are left.

Guard off: with team and weight version out of the salt, another_team_finds_nothing_of_the_same_prompt fails (cached 2) and a_new_weight_version_finds_nothing_of_the_old_one fails (no cached 0 in time).

--- a/crates/cache/src/index.rs
+++ b/crates/cache/src/index.rs
@@ -6,6 +6,7 @@
 use std::{collections::HashMap, mem};
 
 use bilberryford_types::{Digest, Incarnation};
+use serde::{Deserialize, Serialize};
 
 /// How many engines a cell has at most; each takes one bit of [`Holders`].
 pub const MAX_ENGINES: usize = 32;
@@ -61,7 +62,7 @@
 }
 
 /// What an engine says that it cached and dropped since its last event.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CacheEvent {
     /// How often the engine has started; a restart empties its memory.
     pub incarnation: Incarnation,
@@ -74,7 +75,7 @@
 }
 
 /// All blocks that an engine holds.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CacheSnapshot {
     /// How often the engine has started.
     pub incarnation: Incarnation,
@@ -176,6 +177,17 @@
         self.feeds[engine.0 as usize] = Feed { incarnation, ..Feed::default() };
     }
 
+    /// The last event of the engine that is contained, with the incarnation that it belongs to.
+    pub const fn known(&self, engine: EngineSlot) -> (Incarnation, u64) {
+        let feed = self.feeds[engine.0 as usize];
+        (feed.incarnation, feed.sequence)
+    }
+
+    /// Drops all that is known of an engine, for a slot that another engine takes.
+    pub fn forget_engine(&mut self, engine: EngineSlot) {
+        self.restarted(engine, Incarnation(0));
+    }
+
     /// Whether events of the engine are missing.
     pub const fn is_doubtful(&self, engine: EngineSlot) -> bool {
         self.feeds[engine.0 as usize].is_doubtful
--- a/crates/endpoint/src/engine.rs
+++ b/crates/endpoint/src/engine.rs
@@ -68,6 +68,9 @@
     pub running: u32,
     /// How many runs wait for a slot.
     pub waiting: u32,
+    /// How many prompt tokens wait to be computed.
+    #[serde(default)]
+    pub backlog: Tokens,
     /// How many slots the batch has.
     pub slots: u32,
     /// How many tokens the prefix cache can hold.
--- a/crates/endpoint/src/http_engine.rs
+++ b/crates/endpoint/src/http_engine.rs
@@ -6,6 +6,7 @@
 use eventsource_stream::Eventsource;
 use futures::{FutureExt, StreamExt, future::BoxFuture};
 use reqwest::{RequestBuilder, Response, StatusCode};
+use serde::de::DeserializeOwned;
 
 use crate::{
     Chunk, ChunkStream, EndpointError, GenerateCall, LoadReport, ModelEngine,
@@ -34,6 +35,16 @@
     fn attempt_url(&self, attempt: &AttemptId) -> String {
         format!("{}/v1/attempts/{attempt}", self.base_url)
     }
+
+    /// Reads one of the engine's short reports.
+    pub(crate) async fn read_json<T: DeserializeOwned>(
+        &self,
+        path: &str,
+    ) -> Result<T, EndpointError> {
+        let request = self.pooled.get(format!("{}{path}", self.base_url));
+        let response = send(request, TimeMs(SHORT_CALL_TIMEOUT_MS)).await?;
+        response.json().await.map_err(|error| EndpointError::Broken { reason: error.to_string() })
+    }
 }
 
 async fn send(request: RequestBuilder, timeout: TimeMs) -> Result<Response, EndpointError> {
@@ -141,14 +152,6 @@
     }
 
     fn load(&self) -> BoxFuture<'_, Result<LoadReport, EndpointError>> {
-        async move {
-            let request = self.pooled.get(format!("{}/load", self.base_url));
-            let response = send(request, TimeMs(SHORT_CALL_TIMEOUT_MS)).await?;
-            response
-                .json()
-                .await
-                .map_err(|error| EndpointError::Broken { reason: error.to_string() })
-        }
-        .boxed()
+        async move { self.read_json("/load").await }.boxed()
     }
 }
--- a/crates/endpoint/src/lib.rs
+++ b/crates/endpoint/src/lib.rs
@@ -6,13 +6,16 @@
 //! The errors say what is known about whether the endpoint ran the call ([`EndpointError::ran`]), because the refusals
 //! that callers get must be true. A connection that could not be made has sent nothing; anything later may have run.
 
+mod cache_feed;
 mod engine;
 mod error;
+mod http_cache_feed;
 mod http_engine;
 mod http_service;
 mod service;
 pub mod wire;
 
+pub use cache_feed::CacheFeed;
 pub use engine::{Chunk, ChunkStream, GenerateCall, LoadReport, ModelEngine};
 pub use error::EndpointError;
 pub use http_engine::HttpEngine;
--- a/crates/node/src/controllers.rs
+++ b/crates/node/src/controllers.rs
@@ -1,5 +1,6 @@
 //! Controllers: one task each, which turns what it observes into a view.
 
+mod cache;
 mod config;
 mod endpoints;
 mod heartbeat;
@@ -15,6 +16,7 @@
 /// Starts all controllers; they end when the set is dropped.
 pub(crate) fn start(node: &Arc<Node>, peer_address: SocketAddr) -> JoinSet<()> {
     let mut tasks = JoinSet::new();
+    tasks.spawn(cache::run(node.clone()));
     tasks.spawn(config::run(node.clone()));
     tasks.spawn(endpoints::run(node.clone(), peer_address));
     tasks.spawn(heartbeat::run(node.clone(), peer_address));
--- a/crates/node/src/filters/place.rs
+++ b/crates/node/src/filters/place.rs
@@ -2,7 +2,11 @@
 
 use std::sync::Arc;
 
-use bilberryford_types::{ErrorKind, PoolName};
+use bilberryford_cache::{
+    BLOCK_TOKENS, ChainSalt, Decision, LinkClass, MAX_ENGINES, PlaceRequest, PrefixChain,
+    prompt_tokens,
+};
+use bilberryford_types::{ErrorKind, EventKind, PoolName, Priority};
 use futures::{FutureExt, future::BoxFuture};
 
 use super::{Context, Filter, Flow, Target};
@@ -22,13 +26,65 @@
 
 fn place(node: &Node, ctx: &mut Context) -> Result<Flow, Refusal> {
     let pool = pool(ctx)?;
-    let Some(endpoint) = choose(node, &pool, &[]) else {
+    let (endpoint, reason) = match place_prompt(node, ctx, &pool)? {
+        Some((endpoint, decision)) => (Some(endpoint), decision.to_string()),
+        None => (choose(node, &pool, &[]), "least in flight".to_owned()),
+    };
+    let Some(endpoint) = endpoint else {
         return Err(ctx.refuse(ErrorKind::NoEndpoint));
     };
+    node.events.write(EventKind::Placed, |event| {
+        event.request = Some(ctx.request.clone());
+        event.team = ctx.team.as_ref().map(|team| team.name.clone());
+        event.endpoint = Some(endpoint.id.clone());
+        event.detail = reason;
+    });
     ctx.endpoint = Some(endpoint);
     Ok(Flow::Next)
 }
 
+/// Weighs load against what engines hold; none for a prompt that fills no block and for other calls.
+fn place_prompt(
+    node: &Node,
+    ctx: &Context,
+    pool: &PoolName,
+) -> Result<Option<(Arc<Endpoint>, Decision)>, Refusal> {
+    let Some(prompt) = &ctx.prompt else { return Ok(None) };
+    let tokens = prompt_tokens(&prompt.prompt);
+    if tokens < BLOCK_TOKENS {
+        return Ok(None);
+    }
+    let document = &ctx.in_force()?.document;
+    let Some(section) = document.models.iter().find(|section| section.name == prompt.model) else {
+        return Ok(None);
+    };
+    let salt = ChainSalt {
+        team: ctx.team()?.name.clone(),
+        model: prompt.model.clone(),
+        weight_version: section.weight_version.clone(),
+        adapter: String::new(),
+    };
+    let chain = PrefixChain::of(&salt, &prompt.prompt);
+    let class = match ctx.priority {
+        Priority::Batch => LinkClass::Long,
+        Priority::Standard | Priority::Interactive => LinkClass::Quick,
+    };
+    let table = node.fleet.endpoints();
+    let now = node.now();
+    if table.pool(pool).len() > MAX_ENGINES {
+        // A part of the pool must not get all long prompts.
+        return Ok(None);
+    }
+    let usable: Vec<_> = table
+        .pool(pool)
+        .iter()
+        .filter(|endpoint| !endpoint.is_leaving() && !endpoint.is_suspected(now))
+        .cloned()
+        .collect();
+    let request = PlaceRequest { chain: &chain, tokens, class };
+    Ok(node.placement.decide(&usable, &request, document.placement, now))
+}
+
 fn pool(ctx: &Context) -> Result<PoolName, Refusal> {
     let in_force = ctx.in_force()?;
     let document = &in_force.document;
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -14,7 +14,7 @@
 
 use arc_swap::ArcSwap;
 use bilberryford_coord::{EndpointAt, MAX_LISTED};
-use bilberryford_endpoint::{HttpEngine, HttpService, ModelEngine, PlainService};
+use bilberryford_endpoint::{CacheFeed, HttpEngine, HttpService, ModelEngine, PlainService};
 use bilberryford_platform::InstanceRecord;
 use bilberryford_types::{EndpointId, PoolName, TimeMs};
 
@@ -28,6 +28,7 @@
     in_flight: AtomicU32,
     suspected_until_ms: AtomicU64,
     pub(crate) engine: Arc<dyn ModelEngine>,
+    pub(crate) cache: Arc<dyn CacheFeed>,
     pub(crate) service: Arc<dyn PlainService>,
 }
 
@@ -195,6 +196,7 @@
             return Some(known.clone());
         }
         let EndpointClients { pooled, fresh } = self.clients.clone();
+        let engine = Arc::new(HttpEngine::new(record.address, pooled.clone(), fresh.clone()));
         Some(Arc::new(Endpoint {
             id,
             pool,
@@ -203,7 +205,8 @@
             gone: AtomicBool::new(false),
             in_flight: AtomicU32::new(0),
             suspected_until_ms: AtomicU64::new(0),
-            engine: Arc::new(HttpEngine::new(record.address, pooled.clone(), fresh.clone())),
+            cache: engine.clone(),
+            engine,
             service: Arc::new(HttpService::new(record.address, pooled, fresh)),
         }))
     }
--- a/crates/node/src/follow/stream.rs
+++ b/crates/node/src/follow/stream.rs
@@ -238,6 +238,8 @@
                 }
                 self.node.metrics.prompt_tokens.add(prompt_tokens.get().into(), &[]);
                 self.node.metrics.cached_tokens.add(cached_tokens.get().into(), &[]);
+                let recomputed = prompt_tokens.get().saturating_sub(cached_tokens.get());
+                self.node.metrics.recomputed_tokens.add(recomputed.into(), &[]);
                 self.event(EventKind::Answered, "");
                 Ok(Some(RunEnd { tokens, prompt_tokens }))
             }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -24,6 +24,7 @@
 mod node;
 mod orders;
 mod peering;
+mod placement;
 mod refusal;
 mod retries;
 mod run;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -25,6 +25,7 @@
     pub(crate) first_token_s: Histogram<f64>,
     pub(crate) prompt_tokens: Counter<u64>,
     pub(crate) cached_tokens: Counter<u64>,
+    pub(crate) recomputed_tokens: Counter<u64>,
 }
 
 /// The instruments could not be set up.
@@ -57,6 +58,7 @@
                 .build(),
             prompt_tokens: meter.u64_counter("bilberryford.prompt_tokens").build(),
             cached_tokens: meter.u64_counter("bilberryford.cached_tokens").build(),
+            recomputed_tokens: meter.u64_counter("bilberryford.recomputed_tokens").build(),
             registry,
             _provider: provider,
         })
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -3,11 +3,21 @@
 //! The wire format is that of `bilberryford_endpoint::wire`. A prompt that holds [`CRASH_MARK`] ends the engine's life
 //! together with every run in its batch.
 
+mod cache;
 mod faults;
 pub mod kv;
 mod reader;
 
-use std::{collections::HashMap, io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::HashMap,
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::Duration,
+};
 
 use bilberryford_cache::prompt_tokens;
 use bilberryford_endpoint::{LoadReport, wire::CompletionBody};
@@ -48,6 +58,8 @@
     pub token_gap_ms: u64,
     /// How long a crash lasts, in milliseconds.
     pub restart_ms: u64,
+    /// How many blocks the prefix cache holds.
+    pub cache_blocks: usize,
     /// The weight versions that it has.
     pub weight_versions: Vec<WeightVersion>,
 }
@@ -60,6 +72,7 @@
             prefill_tokens_per_s: 20_000,
             token_gap_ms: 5,
             restart_ms: 300,
+            cache_blocks: 100,
             weight_versions: vec![weight_version],
         }
     }
@@ -139,6 +152,7 @@
     first: u32,
     total: u32,
     prompt_tokens: Tokens,
+    cached_tokens: AtomicU32,
 }
 
 /// One life of an engine, from start to crash.
@@ -147,6 +161,8 @@
     exits: Exits,
     slots: Arc<Semaphore>,
     prefill: tokio::sync::Mutex<()>,
+    backlog: AtomicU32,
+    cache: cache::LifeCache,
     runs: Mutex<HashMap<AttemptId, Arc<Output>>>,
     started: Instant,
 }
@@ -155,7 +171,16 @@
     fn new(engine: Arc<Engine>, exits: Exits) -> Self {
         let slots = Arc::new(Semaphore::new(engine.spec.slots as usize));
         let prefill = tokio::sync::Mutex::default();
-        Self { engine, exits, slots, prefill, runs: Mutex::default(), started: Instant::now() }
+        Self {
+            cache: cache::LifeCache::new(engine.spec.cache_blocks),
+            engine,
+            exits,
+            slots,
+            prefill,
+            backlog: AtomicU32::new(0),
+            runs: Mutex::default(),
+            started: Instant::now(),
+        }
     }
 
     fn start(self: &Arc<Self>, body: CompletionBody) -> Result<Arc<Output>, StatusCode> {
@@ -182,6 +207,7 @@
             first,
             total: body.max_tokens.get(),
             prompt_tokens: prompt_tokens(&body.prompt),
+            cached_tokens: AtomicU32::new(0),
         });
         self.runs.lock().insert(body.attempt.clone(), output.clone());
         tokio::spawn(self.clone().generate(body, output.clone()));
@@ -190,7 +216,10 @@
 
     async fn generate(self: Arc<Self>, body: CompletionBody, output: Arc<Output>) {
         let Ok(_slot) = self.slots.acquire().await else { return };
-        self.prefill(output.prompt_tokens).await;
+        let cached = self.cache.find(&body);
+        output.cached_tokens.store(cached.get(), Ordering::Release);
+        self.prefill(Tokens(output.prompt_tokens.get().saturating_sub(cached.get()))).await;
+        self.cache.keep(&body);
         if body.prompt.contains(CRASH_MARK) {
             let mut book = self.engine.book.lock();
             book.crashes += 1;
@@ -223,11 +252,13 @@
         if speed == 0 {
             return;
         }
+        self.backlog.fetch_add(tokens.get(), Ordering::Relaxed);
         let _turn = self.prefill.lock().await;
         sleep_until(
             Instant::now() + Duration::from_secs_f64(f64::from(tokens.get()) / f64::from(speed)),
         )
         .await;
+        self.backlog.fetch_sub(tokens.get(), Ordering::Relaxed);
     }
 
     fn stream(
@@ -249,6 +280,8 @@
         .at("/v1/completions", post(completions))
         .at("/v1/attempts/:attempt", get(resume).delete(cancel))
         .at("/load", get(load))
+        .at("/cache/events", get(cache::cache_events))
+        .at("/cache/snapshot", get(cache::cache_snapshot))
         .at("/faults", post(switch_faults))
         .at("/book", get(show_book))
         .data(life)
@@ -314,6 +347,7 @@
         taken_ms: TimeMs(u64::try_from(life.started.elapsed().as_millis()).unwrap_or(u64::MAX)),
         running,
         waiting: 0,
+        backlog: Tokens(life.backlog.load(Ordering::Relaxed)),
         slots,
         cache_tokens: Tokens(0),
         weight_versions: life.engine.spec.weight_versions.clone(),
--- a/crates/standins/src/engine/faults.rs
+++ b/crates/standins/src/engine/faults.rs
@@ -24,6 +24,8 @@
     pub wrong_count: u32,
     /// Every token takes that much longer, in milliseconds.
     pub slow_ms: u64,
+    /// Cache events are not told.
+    pub lose_cache_events: bool,
     /// New runs are refused with 503.
     pub refuse: bool,
 }
--- a/crates/standins/src/engine/reader.rs
+++ b/crates/standins/src/engine/reader.rs
@@ -1,6 +1,10 @@
 //! One connection's view of a run's output, with the faults of streams.
 
-use std::{io, sync::Arc, time::Duration};
+use std::{
+    io,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use bilberryford_endpoint::wire::{ChunkBody, EndBody};
 use bilberryford_types::{AttemptId, Tokens};
@@ -105,7 +109,7 @@
         }
         let end = EndBody {
             tokens: Tokens(self.output.total + u32::from(faults.take_wrong_count())),
-            cached_tokens: Tokens(0),
+            cached_tokens: Tokens(self.output.cached_tokens.load(Ordering::Acquire)),
             prompt_tokens: self.output.prompt_tokens,
         };
         let attempt = self.attempt.clone();
