Requests that crash endpoints are suspected, tried alone and quarantined

Ruled out: counting crashes alone (convicts whoever shared the batch), asking the owner for every prompt (a hop for each first token), a vote of several owners (a replicated store of our own). Change: a crash makes a suspect, told to all peers before the caller hears of it and again until they answer; a suspect runs under two claims at rendezvous owners, on its fingerprint and on the endpoint; a crash under them convicts, a clean run acquits; convictions go to peers, into heartbeats and to a platform object. A process that was paused waits for a second before it takes prompts, so that it hears what it missed. An owner that can't be asked grants nothing.

--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -19,6 +19,7 @@
 mod order_key;
 mod order_write;
 mod ownership;
+mod quarantine;
 mod retry;
 mod silence;
 
@@ -39,5 +40,6 @@
     DispatchWindow, Found, IntentStep, IntentWrite, OutcomeStep, OutcomeWrite, PutSeen,
 };
 pub use ownership::{owner, owners};
+pub use quarantine::{ClaimReply, QUARANTINE_MS, Quarantine, Source, Standing};
 pub use retry::{RetryBudget, RetryBudgets, RetryClass, backoff};
 pub use silence::SilenceDetector;
--- a/crates/coord/src/retry.rs
+++ b/crates/coord/src/retry.rs
@@ -6,8 +6,8 @@
 //!
 //! # Invariant
 //!
-//! In any window, the retries of a key never exceed the greater of the share of its first tries and a small floor. The
-//! floor lets a quiet instance retry at all.
+//! In any window, the retries of a key never exceed the greater of the share of its first tries and the sum of two small
+//! floors, one for each class. The floors let a quiet instance retry at all.
 
 use std::{collections::HashMap, hash::Hash};
 
@@ -44,7 +44,8 @@
 struct Slot {
     number: u64,
     first_tries: u32,
-    retries: u32,
+    fresh: u32,
+    begun: u32,
 }
 
 /// The budget of one team or pool.
@@ -74,24 +75,31 @@
         slot.first_tries = slot.first_tries.saturating_add(1);
     }
 
-    /// Whether one more retry fits.
+    /// Whether one more retry fits: into the share, or else into the floor of its class.
     pub fn allows(&self, now: TimeMs, class: RetryClass) -> bool {
-        let first_tries: u32 =
-            self.recent(now).fold(0, |sum, slot| sum.saturating_add(slot.first_tries));
-        let retries: u32 = self.recent(now).map(|slot| slot.retries).sum();
-        let floor = match class {
-            RetryClass::Fresh => FLOOR_FRESH,
-            RetryClass::Begun => FLOOR_BEGUN,
+        let sum =
+            |count: fn(&Slot) -> u32| self.recent(now).map(count).fold(0_u32, u32::saturating_add);
+        let fresh = sum(|slot| slot.fresh);
+        let begun = sum(|slot| slot.begun);
+        let share = sum(|slot| slot.first_tries) / (100 / RETRY_PERCENT);
+        let is_in_floor = match class {
+            RetryClass::Fresh => fresh < FLOOR_FRESH,
+            RetryClass::Begun => begun < FLOOR_BEGUN,
         };
-        retries < floor.max(first_tries / (100 / RETRY_PERCENT))
+        let total = fresh + begun;
+        total < share || (is_in_floor && total < FLOOR_FRESH + FLOOR_BEGUN)
     }
 
-    fn retry(&mut self, now: TimeMs) {
-        self.slot(now).retries += 1;
+    fn retry(&mut self, now: TimeMs, class: RetryClass) {
+        let slot = self.slot(now);
+        match class {
+            RetryClass::Fresh => slot.fresh += 1,
+            RetryClass::Begun => slot.begun += 1,
+        }
     }
 
     fn is_idle(&self, now: TimeMs) -> bool {
-        self.recent(now).all(|slot| slot.first_tries == 0 && slot.retries == 0)
+        self.recent(now).all(|slot| slot.first_tries == 0 && slot.fresh + slot.begun == 0)
     }
 }
 
@@ -148,8 +156,8 @@
         let (Some(team), Some(pool)) = (team, pool) else { return false };
         let is_allowed = team.allows(now, class) && pool.allows(now, class);
         if is_allowed {
-            team.retry(now);
-            pool.retry(now);
+            team.retry(now, class);
+            pool.retry(now, class);
         }
         is_allowed
     }
--- /dev/null
+++ b/crates/coord/tests/quarantine.rs
@@ -0,0 +1,128 @@
+//! Suspects, claims and the quarantine.
+
+use bilberryford_coord::{ClaimReply, Quarantine, Source, Standing};
+use bilberryford_types::{Digest, TimeMs};
+use proptest::prelude::*;
+use rstest::rstest;
+
+const KEY: Digest = Digest([7; 32]);
+const SPAN: TimeMs = TimeMs(1_000);
+
+#[derive(Debug, Clone, Copy)]
+enum Step {
+    Claim(&'static str),
+    Suspect,
+    Quarantine,
+    Release(&'static str),
+    Acquit(&'static str),
+    Wait(u64),
+}
+use Step::{Acquit, Claim, Release, Suspect, Wait};
+
+fn after(steps: &[Step]) -> (Quarantine, TimeMs) {
+    let mut table = Quarantine::default();
+    let mut now = TimeMs(1);
+    for step in steps {
+        match step {
+            Claim(attempt) => _ = table.claim(KEY, attempt, SPAN, now),
+            Suspect => _ = table.suspect(KEY, now),
+            Step::Quarantine => _ = table.quarantine(KEY, TimeMs(u64::MAX), Source::Seen, now),
+            Release(attempt) => table.release(&KEY, attempt),
+            Acquit(attempt) => table.acquit(KEY, attempt, now),
+            Wait(span_ms) => now = now.after(TimeMs(*span_ms)),
+        }
+    }
+    (table, now)
+}
+
+#[rstest]
+#[case::unknown(&[], Standing::Clear, ClaimReply::Granted)]
+#[case::one_crash(&[Suspect], Standing::Suspect, ClaimReply::Granted)]
+#[case::many_crashes_beside_others(&[Suspect, Suspect, Suspect], Standing::Suspect, ClaimReply::Granted)]
+#[case::claimed(&[Suspect, Claim("a")], Standing::Suspect, ClaimReply::Busy)]
+#[case::claim_ran_out(&[Suspect, Claim("a"), Wait(1_000)], Standing::Suspect, ClaimReply::Granted)]
+#[case::released(&[Suspect, Claim("a"), Release("a")], Standing::Suspect, ClaimReply::Granted)]
+#[case::released_by_another(&[Suspect, Claim("a"), Release("b")], Standing::Suspect, ClaimReply::Busy)]
+#[case::acquitted(&[Suspect, Claim("a"), Acquit("a")], Standing::Clear, ClaimReply::Acquitted)]
+#[case::suspected_again(&[Suspect, Claim("a"), Acquit("a"), Suspect], Standing::Suspect, ClaimReply::Granted)]
+#[case::acquittal_is_forgotten(&[Suspect, Claim("a"), Acquit("a"), Wait(600_000)], Standing::Clear, ClaimReply::Granted)]
+#[case::acquitted_by_another(&[Suspect, Claim("a"), Acquit("b")], Standing::Suspect, ClaimReply::Busy)]
+#[case::convicted(&[Suspect, Claim("a"), Step::Quarantine], Standing::Quarantined, ClaimReply::Quarantined)]
+#[case::no_acquittal_after(&[Step::Quarantine, Acquit("a")], Standing::Quarantined, ClaimReply::Quarantined)]
+#[case::no_new_suspicion_after(&[Step::Quarantine, Suspect], Standing::Quarantined, ClaimReply::Quarantined)]
+#[case::quarantine_ends(&[Step::Quarantine, Wait(86_400_000)], Standing::Clear, ClaimReply::Granted)]
+#[case::suspicion_ends(&[Suspect, Wait(600_000)], Standing::Clear, ClaimReply::Granted)]
+fn what_is_known_and_what_may_be_claimed(
+    #[case] steps: &[Step],
+    #[case] standing: Standing,
+    #[case] claim: ClaimReply,
+) {
+    let (mut table, now) = after(steps);
+    assert_eq!(table.standing(&KEY, now), standing);
+    assert_eq!(table.claim(KEY, "z", SPAN, now), claim);
+}
+
+fn step() -> impl Strategy<Value = (u8, u8, u8, u64)> {
+    (0_u8..5, 0_u8..4, 0_u8..3, 0_u64..700)
+}
+
+proptest! {
+    #[test]
+    fn a_key_has_one_holder_at_a_time_and_none_in_quarantine(
+        steps in prop::collection::vec(step(), 1..200),
+    ) {
+        let mut table = Quarantine::default();
+        let mut now = TimeMs(0);
+        let mut holders: std::collections::HashMap<u8, (u8, TimeMs)> = Default::default();
+        let mut convicted = std::collections::HashSet::new();
+        for (what, key, attempt, gap_ms) in steps {
+            now = now.after(TimeMs(gap_ms));
+            let digest = Digest([key; 32]);
+            let name = attempt.to_string();
+            match what {
+                0 => {
+                    let reply = table.claim(digest, &name, SPAN, now);
+                    let other = holders.get(&key).filter(|(holder, until)| *holder != attempt && *until > now);
+                    prop_assert_eq!(reply == ClaimReply::Quarantined, convicted.contains(&key));
+                    prop_assert!(reply != ClaimReply::Granted || other.is_none());
+                    if reply == ClaimReply::Granted {
+                        holders.insert(key, (attempt, now.after(SPAN)));
+                    }
+                }
+                1 => _ = table.suspect(digest, now),
+                2 => {
+                    table.release(&digest, &name);
+                    holders.retain(|other, (holder, _)| *other != key || *holder != attempt);
+                }
+                3 => {
+                    table.acquit(digest, &name, now);
+                    holders.retain(|other, (holder, _)| *other != key || *holder != attempt);
+                }
+                _ if attempt == 0 => {
+                    table.quarantine(digest, TimeMs(u64::MAX), Source::Seen, now);
+                    convicted.insert(key);
+                }
+                _ => {}
+            }
+        }
+    }
+}
+
+#[test]
+fn the_table_is_bounded_and_keeps_the_quarantined() {
+    let mut table = Quarantine::default();
+    table.quarantine(KEY, TimeMs(u64::MAX), Source::Seen, TimeMs(0));
+    let key = |number: u32| {
+        let mut bytes = [0; 32];
+        bytes[..4].copy_from_slice(&number.to_le_bytes());
+        Digest(bytes)
+    };
+    for number in 0..16_500 {
+        table.suspect(key(number), TimeMs(1));
+    }
+    assert_eq!(table.quarantined(10, TimeMs(1)), vec![KEY]);
+    table.quarantine(key(16_500), TimeMs(u64::MAX), Source::Heard, TimeMs(1));
+    assert_eq!(table.quarantined(10, TimeMs(1)), vec![KEY], "what was only heard is not passed on");
+    assert_eq!(table.standing(&key(0), TimeMs(1)), Standing::Clear, "the oldest gave way");
+    assert_eq!(table.standing(&key(16_499), TimeMs(1)), Standing::Suspect);
+}
--- a/crates/node/src/controllers.rs
+++ b/crates/node/src/controllers.rs
@@ -4,12 +4,15 @@
 mod endpoints;
 mod heartbeat;
 mod orders;
+mod quarantine;
 mod status;
 
 use std::{net::SocketAddr, sync::Arc};
 
 use tokio::task::JoinSet;
 
+pub(crate) use quarantine::MAX_UNWRITTEN;
+
 use crate::node::Node;
 
 /// Starts all controllers; they end when the set is dropped.
@@ -21,5 +24,6 @@
     tasks.spawn(status::run(node.clone()));
     tasks.spawn(orders::settle(node.clone()));
     tasks.spawn(orders::sweep(node.clone()));
+    tasks.spawn(quarantine::run(node.clone()));
     tasks
 }
--- a/crates/node/src/filters.rs
+++ b/crates/node/src/filters.rs
@@ -9,6 +9,7 @@
 mod order_status;
 mod parse;
 mod place;
+mod quarantine;
 mod resume;
 mod service;
 
@@ -20,6 +21,7 @@
 
 pub(crate) use context::{Context, Target};
 pub(crate) use place::choose;
+pub(crate) use quarantine::CLAIM_MARGIN_MS;
 
 use crate::{node::Node, refusal::Refusal};
 
@@ -28,6 +30,7 @@
     &identify::Identify,
     &parse::Parse,
     &deadline::Deadline,
+    &quarantine::Quarantine,
     &admission::Admission,
     &place::Place,
     &dispatch::Dispatch,
--- a/crates/node/src/filters/context.rs
+++ b/crates/node/src/filters/context.rs
@@ -4,7 +4,9 @@
 
 use bilberryford_coord::{Attempt, Planned};
 use bilberryford_document::{RouteSection, TeamSection};
-use bilberryford_types::{ErrorKind, OrderKey, Priority, RequestId, RunId, ServiceName, TimeMs};
+use bilberryford_types::{
+    AttemptId, Digest, ErrorKind, OrderKey, Priority, RequestId, RunId, ServiceName, TimeMs,
+};
 use bytes::Bytes;
 use poem::http::{HeaderMap, Method};
 
@@ -14,6 +16,7 @@
     config::InForce,
     fleet::Endpoint,
     node::{Node, Place},
+    quarantine::ClaimGuard,
     refusal::Refusal,
 };
 
@@ -54,6 +57,8 @@
     pub(crate) place: Option<Place>,
     pub(crate) endpoint: Option<Arc<Endpoint>>,
     pub(crate) intent: Option<Intent>,
+    pub(crate) fingerprint: Option<Digest>,
+    pub(crate) claim: Option<ClaimGuard>,
     attempt: Option<Attempt<Planned>>,
 }
 
@@ -82,6 +87,8 @@
             place: None,
             endpoint: None,
             intent: None,
+            fingerprint: None,
+            claim: None,
             attempt: Some(Attempt::new(node.next_attempt())),
         }
     }
@@ -99,6 +106,12 @@
         }
     }
 
+    /// The id of the attempt, as long as nothing was sent.
+    pub(crate) fn attempt_id(&self) -> Result<AttemptId, Refusal> {
+        let attempt = self.attempt.as_ref().ok_or_else(|| Refusal::of(ErrorKind::Internal))?;
+        Ok(attempt.id().clone())
+    }
+
     /// Takes the attempt to send it.
     pub(crate) fn take_attempt(&mut self) -> Result<Attempt<Planned>, Refusal> {
         self.attempt.take().ok_or_else(|| Refusal::of(ErrorKind::Internal))
--- a/crates/node/src/filters/dispatch.rs
+++ b/crates/node/src/filters/dispatch.rs
@@ -13,7 +13,7 @@
 use super::{Context, Filter, Flow};
 use crate::{
     api::{self, Shape},
-    follow::{self, CurrentPlace, FollowCall, Trace},
+    follow::{self, CurrentPlace, FollowCall, Start, Trace},
     node::Node,
     refusal::{RAN_HEADER, Refusal},
     run::{Progress, Reading, Run, RunName},
@@ -59,10 +59,12 @@
         priority: ctx.priority,
         received: ctx.received,
         deadline: Instant::now() + Duration::from_millis(timeout.get()),
+        fingerprint: ctx.fingerprint.ok_or_else(|| Refusal::of(ErrorKind::Internal))?,
         _place: ctx.place.take(),
     };
     let place = CurrentPlace::default();
-    tokio::spawn(follow::follow(node.clone(), run.clone(), attempt, endpoint, call, place.clone()));
+    let start = Start { attempt, endpoint, claim: ctx.claim.take() };
+    tokio::spawn(follow::follow(node.clone(), run.clone(), start, call, place.clone()));
     // The status is decided by the first token, so that a failure before it is a plain refusal.
     if let Progress::Failed(refusal) = run.after(0).await {
         return Err(refusal);
--- /dev/null
+++ b/crates/node/src/filters/quarantine.rs
@@ -0,0 +1,53 @@
+//! Refuses requests that crash endpoints, before they are admitted.
+
+use std::sync::Arc;
+
+use bilberryford_coord::{ClaimReply, Standing};
+use bilberryford_types::{ErrorKind, TimeMs};
+use futures::{FutureExt, future::BoxFuture};
+
+use super::{Context, Filter, Flow};
+use crate::{node::Node, quarantine::fingerprint, refusal::Refusal};
+
+/// How much longer than the deadline a claim is held when its holder is gone, in milliseconds.
+pub(crate) const CLAIM_MARGIN_MS: u64 = 2_000;
+
+pub(crate) struct Quarantine;
+
+impl Filter for Quarantine {
+    fn apply<'a>(
+        &'a self,
+        node: &'a Arc<Node>,
+        ctx: &'a mut Context,
+    ) -> BoxFuture<'a, Result<Flow, Refusal>> {
+        check(node, ctx).boxed()
+    }
+}
+
+async fn check(node: &Arc<Node>, ctx: &mut Context) -> Result<Flow, Refusal> {
+    node.pauses.settled(node.now(), ctx.time_left()).await;
+    let team = ctx.team()?.name.clone();
+    let prompt = ctx.prompt.as_ref().ok_or_else(|| Refusal::of(ErrorKind::Internal))?;
+    let fingerprint = fingerprint(&team, &prompt.model, &ctx.body);
+    ctx.fingerprint = Some(fingerprint);
+    match node.standing(&fingerprint) {
+        Standing::Clear => Ok(Flow::Next),
+        Standing::Quarantined => Err(ctx.refuse(ErrorKind::Quarantined)),
+        Standing::Suspect => {
+            let attempt = ctx.attempt_id()?;
+            let span = ctx.time_left().after(TimeMs(CLAIM_MARGIN_MS));
+            match node.claim_suspect(fingerprint, &attempt, span).await {
+                Ok(claim) => {
+                    ctx.claim = Some(claim);
+                    Ok(Flow::Next)
+                }
+                Err(ClaimReply::Acquitted) => {
+                    node.acquit_here(fingerprint, &attempt);
+                    Ok(Flow::Next)
+                }
+                Err(ClaimReply::Quarantined) => Err(ctx.refuse(ErrorKind::Quarantined)),
+                Err(_) => Err(ctx.refuse(ErrorKind::SuspectRunning)),
+            }
+        }
+    }
+}
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -5,6 +5,7 @@
 
 mod place;
 mod stream;
+mod suspect;
 
 use std::{
     sync::Arc,
@@ -14,7 +15,7 @@
 use bilberryford_coord::{Attempt, Planned, RetryClass, backoff};
 use bilberryford_endpoint::{EndpointError, GenerateCall};
 use bilberryford_types::{
-    AttemptId, ErrorKind, EventKind, ModelName, PoolName, Priority, Ran, TimeMs, Tokens,
+    AttemptId, Digest, ErrorKind, EventKind, ModelName, PoolName, Priority, Ran, TimeMs, Tokens,
     WeightVersion,
 };
 use parking_lot::Mutex;
@@ -27,6 +28,7 @@
     filters::choose,
     fleet::Endpoint,
     node::{Node, Place},
+    quarantine::ClaimGuard,
     refusal::Refusal,
     run::{Run, RunEnd, RunPlace},
 };
@@ -50,10 +52,20 @@
     pub(crate) priority: Priority,
     pub(crate) received: Instant,
     pub(crate) deadline: Instant,
+    /// Identifies the request should it crash endpoints.
+    pub(crate) fingerprint: Digest,
     /// Held until the run is over.
     pub(crate) _place: Option<Place>,
 }
 
+/// What a run begins with.
+pub(crate) struct Start {
+    pub(crate) attempt: Attempt<Planned>,
+    pub(crate) endpoint: Arc<Endpoint>,
+    /// The claim on the request, when it is a suspect.
+    pub(crate) claim: Option<ClaimGuard>,
+}
+
 /// Where a run is now, for the id that is given out at the first token.
 pub(crate) type CurrentPlace = Arc<Mutex<Option<RunPlace>>>;
 
@@ -69,8 +81,7 @@
 pub(crate) async fn follow(
     node: Arc<Node>,
     run: Arc<Run>,
-    attempt: Attempt<Planned>,
-    endpoint: Arc<Endpoint>,
+    start: Start,
     call: FollowCall,
     place: CurrentPlace,
 ) {
@@ -78,7 +89,7 @@
     let pick_up_limit = Duration::from_millis(node.settings.pick_up_limit.get());
     let follower = Follower { node, run: run.clone(), call, place, endpoint: Mutex::default() };
     let outcome = tokio::select! {
-        outcome = follower.attempts(attempt, endpoint) => outcome,
+        outcome = follower.attempts(start) => outcome,
         () = sleep(limit) => Err(Refusal::sent(ErrorKind::DeadlineWhileRunning, Ran::Maybe)),
         () = run.abandoned(pick_up_limit) => Err(Refusal::sent(ErrorKind::RunCancelled, Ran::Maybe)),
     };
@@ -98,41 +109,41 @@
     /// # Invariant
     ///
     /// `proof` is there as long as no attempt of the request may have run; only it makes a "not run" refusal.
-    async fn attempts(
-        &self,
-        planned: Attempt<Planned>,
-        mut endpoint: Arc<Endpoint>,
-    ) -> Result<RunEnd, Refusal> {
+    async fn attempts(&self, start: Start) -> Result<RunEnd, Refusal> {
+        let Start { attempt: planned, mut endpoint, mut claim } = start;
         let base = planned.id().clone();
         let mut proof = Some(planned);
         let mut tried = Vec::new();
         let mut losses = 0;
         self.node.first_try(&self.call.trace.team, &self.call.pool);
         loop {
+            let alone = match &claim {
+                Some(_) => Some(self.claim_place(&base, &mut endpoint, &tried).await),
+                None => None,
+            };
             let id = attempt_name(&base, tried.len());
             let sent = proof.take().map(|proof| proof.renew(id.clone()).send());
             let failure = match self.attempt(&id, &endpoint).await {
-                Ok(end) => return Ok(end),
+                Ok(end) => {
+                    claim.into_iter().for_each(ClaimGuard::acquit);
+                    return Ok(end);
+                }
                 Err(failure) => failure,
             };
             proof = sent.and_then(|sent| sent.unsent(failure.ran()).ok());
             self.failed(&id, &endpoint, &failure);
             self.node.note_error(&endpoint, &failure.error);
-            tried.push(endpoint);
+            if failure.is_crash {
+                self.after_crash(&base, alone.is_some(), &mut claim).await?;
+            }
+            tried.push(endpoint.clone());
             losses += usize::from(failure.error != EndpointError::VersionGone);
             if failure.is_full {
                 return Err(Refusal::sent(ErrorKind::AnswerTooLarge, Ran::Maybe));
             }
             let can_retry = losses < MAX_LOSSES && tried.len() < MAX_ATTEMPTS;
             let next = if can_retry { self.next(&base, &failure, &tried).await } else { None };
-            endpoint = match (next, proof.take()) {
-                (Some(next), kept) => {
-                    proof = kept;
-                    next
-                }
-                (None, Some(proof)) => return Err(proof.refuse(failure.error.kind()).into()),
-                (None, None) => return Err(Refusal::sent(failure.error.kind(), Ran::Maybe)),
-            };
+            endpoint = next.ok_or_else(|| give_up(proof.take(), failure.error.kind()))?;
         }
     }
 
@@ -242,6 +253,13 @@
     }
 }
 
+fn give_up(proof: Option<Attempt<Planned>>, kind: ErrorKind) -> Refusal {
+    match proof {
+        Some(proof) => proof.refuse(kind).into(),
+        None => Refusal::sent(kind, Ran::Maybe),
+    }
+}
+
 /// Tells the endpoint, on a new connection and with a short deadline, that nobody needs the attempt any more.
 fn cancel(endpoint: Arc<Endpoint>, attempt: AttemptId) {
     tokio::spawn(async move {
--- a/crates/node/src/follow/stream.rs
+++ b/crates/node/src/follow/stream.rs
@@ -127,7 +127,12 @@
                 self.has_answered = true;
                 stream
             }
-            Ok(Err(error)) if error.ran() == Ran::No => return Err(Failure::not_begun(error)),
+            Ok(Err(error)) if error.ran() == Ran::No => {
+                if matches!(error, EndpointError::Connect { .. }) {
+                    self.suspect_endpoint();
+                }
+                return Err(Failure::not_begun(error));
+            }
             Ok(Err(error)) => self.reconnect(Stop::Lost(error.to_string())).await?,
             Err(_) => self.reconnect(Stop::Silent).await?,
         };
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -14,7 +14,9 @@
 use bilberryford_platform::{
     HttpPlatform, HttpPlatformConfig, InstanceList, ObjectStore, PlatformError,
 };
-use bilberryford_types::{AttemptId, EventKind, Generation, Incarnation, RequestId, TimeMs};
+use bilberryford_types::{
+    AttemptId, Digest, EventKind, Generation, Incarnation, RequestId, TimeMs,
+};
 use parking_lot::{Mutex, RwLock};
 
 use crate::{
@@ -24,6 +26,8 @@
     members::Members,
     metrics::{Metrics, MetricsError},
     orders::Orders,
+    pause::Pauses,
+    quarantine,
     retries::Retries,
     run::Runs,
     settings::NodeSettings,
@@ -48,6 +52,9 @@
     pub(crate) retries: Retries,
     config: Mutex<VersionedConfig<Arc<InForce>>>,
     pub(crate) orders: Orders,
+    pub(crate) pauses: Pauses,
+    pub(crate) quarantine: quarantine::Table,
+    pub(crate) convictions: Mutex<Vec<Digest>>,
     in_force: ArcSwapOption<InForce>,
     peers: RwLock<Option<PeerClient>>,
     leaving: AtomicBool,
@@ -96,6 +103,9 @@
             retries: Retries::default(),
             config: Mutex::new(VersionedConfig::new()),
             orders: Orders::default(),
+            pauses: Pauses::default(),
+            quarantine: quarantine::Table::default(),
+            convictions: Mutex::default(),
             in_force: ArcSwapOption::empty(),
             peers: RwLock::new(None),
             leaving: AtomicBool::new(false),
--- a/crates/node/src/peering.rs
+++ b/crates/node/src/peering.rs
@@ -14,7 +14,7 @@
 use bilberryford_platform::{InstanceRecord, InstanceState};
 use bilberryford_types::{EventKind, Generation, InstanceId, RunId, TimeMs, Tokens};
 
-use crate::{fleet::Endpoint, node::Node};
+use crate::{fleet::Endpoint, node::Node, quarantine::GOSSIP_LIMIT};
 
 /// How many other members a heartbeat speaks of.
 const MAX_SAMPLE: usize = 4;
@@ -33,7 +33,7 @@
             sender: self.own_member(address),
             members: self.members.sample(MAX_SAMPLE, now).into_iter().map(member).collect(),
             endpoints: self.endpoint_views(now),
-            quarantined: Vec::new(),
+            quarantined: self.quarantine.lock().quarantined(GOSSIP_LIMIT, now),
         }
     }
 
@@ -86,6 +86,7 @@
             return;
         }
         self.events.observe(beat.at);
+        self.take_quarantined(&beat.quarantined, None, sender.as_str());
         let teller = sender.clone();
         let is_leaving = beat.sender.state == MemberState::Leaving;
         let change = self.members.hear(record(beat.sender), is_leaving, now);
@@ -225,8 +226,8 @@
             .collect()
     }
 
-    fn suspect(&self, _suspect: Suspect) -> SuspectReply {
-        SuspectReply::default()
+    fn suspect(&self, suspect: Suspect) -> SuspectReply {
+        self.node().map(|node| node.take_suspect(&suspect)).unwrap_or_default()
     }
 
     fn picked_up(&self, run: RunId) {
--- a/crates/types/src/kind.rs
+++ b/crates/types/src/kind.rs
@@ -140,6 +140,8 @@
     Overloaded: 503 No Never Yes RetryAfter::DrainRate, "the system is full; the request was not run";
     /// The request was seen to crash endpoints.
     Quarantined: 422 No Never No RetryAfter::None, "this request was stopped because it made endpoints fail";
+    /// The request is suspected of crashing endpoints and runs elsewhere, or its owner can't be asked.
+    SuspectRunning: 503 No Never Yes RetryAfter::FixedMs(2_000), "this request is being tried alone after an endpoint failed";
     /// No configuration is in force yet.
     NotReady: 503 No Never Yes RetryAfter::FixedMs(1_000), "the instance is not ready";
     /// No endpoint is up for the model or service.
--- a/tests/all/answers.rs
+++ b/tests/all/answers.rs
@@ -301,6 +301,14 @@
     let deployment = Deployment::start(1, &fast_engine()).await.unwrap();
     set_faults(&deployment, &Faults { refuse: true, ..Faults::default() });
     deployment.engines.iter().for_each(|(_, host)| host.set_down(down));
+    for (_, host) in deployment.engines.iter().filter(|_| down) {
+        // A connection that is cut while the engine goes down would rightly be answered with 'maybe'.
+        let is_down = eventually(|| async {
+            let error = deployment.client.get(host.url()).send().await.err()?;
+            error.is_connect().then_some(())
+        });
+        is_down.await.expect("it goes down");
+    }
     let (caller, url) = (deployment.caller(), deployment.url(0));
     let asked: Vec<_> = futures::stream::iter(0..REQUESTS)
         .map(|number| {
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -8,3 +8,4 @@
 mod membership;
 mod orders;
 mod path;
+mod poison;
