--- a/crates/node/src/filters/dispatch.rs
+++ b/crates/node/src/filters/dispatch.rs
@@ -89,7 +89,8 @@
         .ok_or_else(|| Refusal::of(ErrorKind::Internal))
 }
 
-/// The whole answer in one piece. One that takes long gets its headers early; when it then fails, its body is cut.
+/// The whole answer in one piece. One that takes long gets its headers early; when it then fails, its body
+/// is the refusal's, without choices.
 pub(crate) async fn whole(reading: Reading, id: RunId, shape: Shape) -> Result<Response, Refusal> {
     let early = Duration::from_millis(EARLY_HEADERS_MS);
     let is_over = timeout(early, reading.run().over()).await.is_ok();
@@ -103,7 +104,7 @@
     let body = stream::once(async move {
         reading.run().over().await;
         let body = whole_body(reading.run(), &id, shape).await;
-        body.map_err(|refusal| std::io::Error::other(refusal.kind().to_string()))
+        Ok::<_, std::io::Error>(body.unwrap_or_else(|refusal| refusal.body()))
     });
     Ok(response.body(Body::from_bytes_stream(body.boxed())))
 }
--- a/crates/node/src/refusal.rs
+++ b/crates/node/src/refusal.rs
@@ -66,7 +66,8 @@
         }
     }
 
-    fn body(&self) -> Vec<u8> {
+    /// The body of the refusal.
+    pub(crate) fn body(&self) -> Vec<u8> {
         let message = self.kind.answer().message;
         let body = Body { error: ErrorBody { kind: self.kind, message, ran: self.ran } };
         serde_json::to_vec(&body).unwrap_or_default()
--- a/tests/all/answers.rs
+++ b/tests/all/answers.rs
@@ -253,6 +253,21 @@
     assert_eq!(body["choices"][0]["text"], answer::whole("hello", "v1", 200));
 }
 
+#[tokio::test]
+async fn a_long_whole_answer_that_fails_ends_with_the_typed_error() {
+    let deployment = Deployment::start(1, &steady_engine(20)).await.unwrap();
+    let body = json!({ "model": "assistant", "prompt": "hello", "max_tokens": 500 });
+    let request = deployment.client.post(format!("{}/v1/completions", deployment.url(0)));
+    let request = request
+        .header(header::AUTHORIZATION, format!("Bearer {KEY}"))
+        .header("bilberryford-timeout-ms", 2_500);
+    let response = request.json(&body).send().await.unwrap();
+    assert!(response.status().is_success());
+    let body: serde_json::Value = response.json().await.unwrap();
+    assert_eq!(body["error"]["type"], "deadline_while_running");
+    assert!(body["choices"].is_null());
+}
+
 #[tokio::test]
 async fn a_run_of_another_team_is_not_told_from_none() {
     let deployment = Deployment::start(2, &fast_engine()).await.unwrap();
