--- a/crates/node/src/filters/dispatch.rs
+++ b/crates/node/src/filters/dispatch.rs
@@ -13,7 +13,7 @@
 use super::{Context, Filter, Flow};
 use crate::{
     api::{self, Shape},
-    follow::{self, CurrentPlace, FollowCall, Trace},
+    follow::{self, CurrentPlace, FollowCall, Start, Trace},
     node::Node,
     refusal::{RAN_HEADER, Refusal},
     run::{Progress, Reading, Run, RunName},
@@ -59,10 +59,12 @@
         priority: ctx.priority,
         received: ctx.received,
         deadline: Instant::now() + Duration::from_millis(timeout.get()),
+        fingerprint: ctx.fingerprint.ok_or_else(|| Refusal::of(ErrorKind::Internal))?,
         _place: ctx.place.take(),
     };
     let place = CurrentPlace::default();
-    tokio::spawn(follow::follow(node.clone(), run.clone(), attempt, endpoint, call, place.clone()));
+    let start = Start { attempt, endpoint, claim: ctx.claim.take() };
+    tokio::spawn(follow::follow(node.clone(), run.clone(), start, call, place.clone()));
     // The status is decided by the first token, so that a failure before it is a plain refusal.
     if let Progress::Failed(refusal) = run.after(0).await {
         return Err(refusal);
@@ -87,7 +89,8 @@
         .ok_or_else(|| Refusal::of(ErrorKind::Internal))
 }
 
-/// The whole answer in one piece. One that takes long gets its headers early; when it then fails, its body is cut.
+/// The whole answer in one piece. One that takes long gets its headers early; when it then fails, its body
+/// is the refusal's, without choices.
 pub(crate) async fn whole(reading: Reading, id: RunId, shape: Shape) -> Result<Response, Refusal> {
     let early = Duration::from_millis(EARLY_HEADERS_MS);
     let is_over = timeout(early, reading.run().over()).await.is_ok();
@@ -101,7 +104,7 @@
     let body = stream::once(async move {
         reading.run().over().await;
         let body = whole_body(reading.run(), &id, shape).await;
-        body.map_err(|refusal| std::io::Error::other(refusal.kind().to_string()))
+        Ok::<_, std::io::Error>(body.unwrap_or_else(|refusal| refusal.body()))
     });
     Ok(response.body(Body::from_bytes_stream(body.boxed())))
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -14,7 +14,9 @@
 use bilberryford_platform::{
     HttpPlatform, HttpPlatformConfig, InstanceList, ObjectStore, PlatformError,
 };
-use bilberryford_types::{AttemptId, EventKind, Generation, Incarnation, RequestId, TimeMs};
+use bilberryford_types::{
+    AttemptId, Digest, EventKind, Generation, Incarnation, RequestId, TimeMs,
+};
 use parking_lot::{Mutex, RwLock};
 
 use crate::{
@@ -24,7 +26,9 @@
     members::Members,
     metrics::{Metrics, MetricsError},
     orders::Orders,
+    pause::Pauses,
     placement::Placement,
+    quarantine,
     retries::Retries,
     run::Runs,
     settings::NodeSettings,
@@ -50,6 +54,9 @@
     config: Mutex<VersionedConfig<Arc<InForce>>>,
     pub(crate) orders: Orders,
     pub(crate) placement: Placement,
+    pub(crate) pauses: Pauses,
+    pub(crate) quarantine: quarantine::Table,
+    pub(crate) convictions: Mutex<Vec<Digest>>,
     in_force: ArcSwapOption<InForce>,
     peers: RwLock<Option<PeerClient>>,
     leaving: AtomicBool,
@@ -99,6 +106,9 @@
             config: Mutex::new(VersionedConfig::new()),
             orders: Orders::default(),
             placement: Placement::default(),
+            pauses: Pauses::default(),
+            quarantine: quarantine::Table::default(),
+            convictions: Mutex::default(),
             in_force: ArcSwapOption::empty(),
             peers: RwLock::new(None),
             leaving: AtomicBool::new(false),
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -8,4 +8,5 @@
 mod membership;
 mod orders;
 mod path;
+mod poison;
 mod returning;
