Orders to engines under leases, and roll-outs of weight versions

Cause: the version for new requests came straight from the document, so that a change made every request fail until somebody had loaded it; nobody sent such orders. Ruled out: one lease for each pool (the limit of two loads is the weight store's, which pools share); a floor that counts only engines of the version in force (9 engines with a floor of 6 could never change). Change: control trait and HTTP adapter, the engine stand-in's control side, a weight store stand-in, a lease driver with bounded calls, a pure planner, the controller, and a version in force per model in a platform object that new requests are pinned to. Conclusion: tests/all/rollout.rs and tests/all/leases.rs pass: controller killed in the middle, holder paused and woken, both kinds of endpoint.

--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -20,6 +20,7 @@
 mod order_write;
 mod ownership;
 mod retry;
+mod rollout;
 mod silence;
 
 pub use attempt::{Attempt, AttemptState, NotRun, Planned, Sent, Settled};
@@ -40,4 +41,5 @@
 };
 pub use ownership::{owner, owners};
 pub use retry::{RetryBudget, RetryBudgets, RetryClass, backoff};
+pub use rollout::{EngineView, LoadState, RolloutPlan, RolloutView, RolloutWait};
 pub use silence::SilenceDetector;
--- /dev/null
+++ b/crates/coord/tests/rollout.rs
@@ -0,0 +1,184 @@
+//! Roll-outs: tables of single plans, and whole roll-outs in which engines crash, leave and fall silent.
+
+use bilberryford_coord::{EngineView, LoadState, RolloutPlan, RolloutView, RolloutWait};
+use bilberryford_types::WeightVersion;
+use proptest::prelude::*;
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use rstest::rstest;
+
+fn version(name: &str) -> WeightVersion {
+    name.parse().unwrap()
+}
+
+/// Engines from a sketch: a letter for the version served, `+` for loading, `?` for silent, `x` for leaving on `a`.
+fn engines(sketch: &str) -> Vec<EngineView> {
+    let engine = |(index, mark): (usize, char)| EngineView {
+        endpoint: format!("engine-{index:02}").parse().unwrap(),
+        is_leaving: mark == 'x',
+        served: match mark {
+            'x' | '+' | '?' | '!' => vec![version("a")],
+            letter => vec![version(&letter.to_string())],
+        },
+        load: match mark {
+            '+' => LoadState::Loading,
+            '?' => LoadState::Silent,
+            '!' => LoadState::Gone,
+            _ => LoadState::Idle,
+        },
+    };
+    sketch.chars().enumerate().map(engine).collect()
+}
+
+fn plan(sketch: &str, in_force: Option<&str>, floor: u32, is_settled: bool) -> RolloutPlan {
+    let in_force = in_force.map(version);
+    RolloutView {
+        target: &version("b"),
+        in_force: in_force.as_ref(),
+        previous: Some(&version("a")),
+        is_settled,
+        engines: &engines(sketch),
+        min_available: floor,
+        max_loads: 2,
+    }
+    .plan()
+}
+
+#[rstest]
+#[case::nothing_agreed_yet("aaab", None, 1, Some("a"), 0, None)]
+#[case::first_deployment("bbbb", None, 1, Some("b"), 0, None)]
+#[case::two_at_most("aaaa", Some("a"), 1, None, 2, Some(RolloutWait::Loads))]
+#[case::the_store_is_busy("++aa", Some("a"), 1, None, 0, Some(RolloutWait::Loads))]
+#[case::silent_counts_as_loading("?+aa", Some("a"), 1, None, 0, Some(RolloutWait::Loads))]
+#[case::gone_does_not("!aaa", Some("a"), 1, None, 2, Some(RolloutWait::Loads))]
+#[case::the_floor_holds("aaa", Some("a"), 3, None, 0, Some(RolloutWait::Floor))]
+#[case::one_above_the_floor("aaa", Some("a"), 2, None, 1, Some(RolloutWait::Floor))]
+#[case::half_have_it("aabb", Some("a"), 1, Some("b"), 0, None)]
+#[case::as_many_as_the_floor_lets("aaab", Some("a"), 3, Some("b"), 0, None)]
+#[case::both_versions_count_for_the_floor("aaab", Some("b"), 3, None, 1, Some(RolloutWait::Floor))]
+#[case::less_than_half("aaab", Some("a"), 1, None, 2, Some(RolloutWait::Loads))]
+#[case::a_third_version_goes_first("aacc", Some("a"), 2, None, 2, Some(RolloutWait::Loads))]
+#[case::the_rest_after_the_change("aabb", Some("b"), 2, None, 2, None)]
+#[case::leaving_gets_no_order("xxbb", Some("b"), 1, None, 0, None)]
+#[case::done("bbbb", Some("b"), 1, None, 0, None)]
+fn a_plan_follows_from_what_engines_report(
+    #[case] sketch: &str,
+    #[case] in_force: Option<&str>,
+    #[case] floor: u32,
+    #[case] put_in_force: Option<&str>,
+    #[case] orders: usize,
+    #[case] wait: Option<RolloutWait>,
+) {
+    let plan = plan(sketch, in_force, floor, true);
+    assert_eq!(plan.put_in_force, put_in_force.map(version));
+    assert_eq!((plan.orders.len(), plan.wait), (orders, wait));
+}
+
+#[test]
+fn engines_of_the_old_version_wait_until_instances_have_seen_the_new_one() {
+    let plan = plan("aabb", Some("b"), 1, false);
+    assert!(plan.orders.is_empty());
+    assert_eq!(plan.wait, Some(RolloutWait::Settling));
+}
+
+struct Fleet {
+    rng: StdRng,
+    /// Version served, and how many steps a load still takes.
+    engines: Vec<(WeightVersion, u32)>,
+    silent: Vec<u32>,
+    in_force: Option<WeightVersion>,
+    previous: Option<WeightVersion>,
+}
+
+impl Fleet {
+    fn new(seed: u64, count: usize) -> Self {
+        let engines = vec![(version("a"), 0); count];
+        Self {
+            rng: StdRng::seed_from_u64(seed),
+            engines,
+            silent: vec![0; count],
+            in_force: None,
+            previous: None,
+        }
+    }
+
+    fn views(&self) -> Vec<EngineView> {
+        let states = self.engines.iter().zip(&self.silent).enumerate();
+        let view = |(index, ((served, left), silent)): (usize, (&(WeightVersion, u32), &u32))| {
+            let load = match (silent, left) {
+                (0, 0) => LoadState::Idle,
+                (0, _) => LoadState::Loading,
+                _ => LoadState::Silent,
+            };
+            let endpoint = format!("engine-{index:02}").parse().unwrap();
+            EngineView { endpoint, is_leaving: false, served: vec![served.clone()], load }
+        };
+        states.map(view).collect()
+    }
+
+    /// How many engines a new request may use.
+    fn usable(&self) -> usize {
+        let versions = self.in_force.iter().chain(&self.previous);
+        versions.map(|version| self.serving(version)).sum()
+    }
+
+    fn serving(&self, version: &WeightVersion) -> usize {
+        self.engines.iter().filter(|(served, left)| served == version && *left == 0).count()
+    }
+
+    /// Time passes: loads end, engines fall silent and answer again.
+    fn advance(&mut self, target: &WeightVersion) {
+        for (index, (served, left)) in self.engines.iter_mut().enumerate() {
+            if *left == 1 {
+                *served = target.clone();
+            }
+            *left = left.saturating_sub(1);
+            let silent = &mut self.silent[index];
+            *silent = silent.saturating_sub(1);
+            if self.rng.random_ratio(1, 30) {
+                *silent = self.rng.random_range(1..4);
+            }
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn a_roll_out_ends_and_keeps_its_bounds(seed: u64, count in 2_usize..20, floor_share in 0_u32..100) {
+        let floor = u32::try_from(count).unwrap() * floor_share / 100;
+        let target = version("b");
+        let mut fleet = Fleet::new(seed, count);
+        let mut is_done = false;
+        for _ in 0..600 {
+            let views = fleet.views();
+            let plan = RolloutView {
+                target: &target,
+                in_force: fleet.in_force.as_ref(),
+                previous: fleet.previous.as_ref(),
+                is_settled: true,
+                engines: &views,
+                min_available: floor,
+                max_loads: 2,
+            }
+            .plan();
+            if let Some(version) = plan.put_in_force {
+                fleet.previous = fleet.in_force.replace(version);
+                prop_assert!(fleet.usable() >= floor as usize);
+            }
+            let before = fleet.usable();
+            for endpoint in &plan.orders {
+                let index: usize = endpoint.as_str().strip_prefix("engine-").unwrap().parse().unwrap();
+                prop_assert_eq!(fleet.engines[index].1, 0, "an engine that loads got an order");
+                fleet.engines[index].1 = fleet.rng.random_range(1..6);
+            }
+            let loading = fleet.engines.iter().filter(|(_, left)| *left > 0).count();
+            prop_assert!(loading <= 2);
+            let after = fleet.usable();
+            prop_assert!(after >= floor as usize || after == before);
+            fleet.advance(&target);
+            is_done |= fleet.serving(&target) == count;
+        }
+        prop_assert!(is_done, "the roll-out did not end");
+    }
+}
--- a/crates/endpoint/src/lib.rs
+++ b/crates/endpoint/src/lib.rs
@@ -6,15 +6,19 @@
 //! The errors say what is known about whether the endpoint ran the call ([`EndpointError::ran`]), because the refusals
 //! that callers get must be true. A connection that could not be made has sent nothing; anything later may have run.
 
+mod control;
 mod engine;
 mod error;
+mod http_control;
 mod http_engine;
 mod http_service;
 mod service;
 pub mod wire;
 
+pub use control::{ControlReport, EngineControl, OrderError, WeightOrder};
 pub use engine::{Chunk, ChunkStream, GenerateCall, LoadReport, ModelEngine};
 pub use error::EndpointError;
+pub use http_control::HttpControl;
 pub use http_engine::HttpEngine;
 pub use http_service::HttpService;
 pub use service::{PlainService, ServiceCall, ServiceReply};
--- a/crates/node/src/controllers.rs
+++ b/crates/node/src/controllers.rs
@@ -4,7 +4,9 @@
 mod endpoints;
 mod heartbeat;
 mod orders;
+mod rollout;
 mod status;
+mod weights;
 
 use std::{net::SocketAddr, sync::Arc};
 
@@ -21,5 +23,7 @@
     tasks.spawn(status::run(node.clone()));
     tasks.spawn(orders::settle(node.clone()));
     tasks.spawn(orders::sweep(node.clone()));
+    tasks.spawn(weights::run(node.clone()));
+    tasks.spawn(rollout::run(node.clone()));
     tasks
 }
--- /dev/null
+++ b/crates/node/src/controllers/weights.rs
@@ -0,0 +1,69 @@
+//! Follows the versions in force and what engines report of their weights.
+
+use std::{sync::Arc, time::Duration};
+
+use bilberryford_platform::{ObjectKind, PlatformError};
+use bilberryford_types::{EnvironmentName, TimeMs};
+use rand::seq::IndexedRandom;
+use tokio::time::sleep;
+
+use crate::{
+    fleet::Endpoint,
+    node::Node,
+    weights::{Agreed, RolloutRecord},
+};
+
+/// How often engines are asked, in milliseconds.
+const REPORT_POLL_MS: u64 = 1_000;
+/// How often the versions in force are read, in milliseconds.
+pub(super) const AGREED_POLL_MS: u64 = 2_000;
+/// The deadline of a report, in milliseconds.
+const REPORT_TIMEOUT_MS: u64 = 500;
+/// How many engines one instance asks in one round; more of them are asked in turn, by chance.
+const MAX_REPORTS: usize = 64;
+
+pub(crate) async fn run(node: Arc<Node>) {
+    let mut rounds = 0_u64;
+    loop {
+        if rounds.is_multiple_of(AGREED_POLL_MS / REPORT_POLL_MS) {
+            match read_agreed(&node).await {
+                Ok(agreed) => agreed.into_iter().for_each(|agreed| node.weights.observe(agreed)),
+                Err(error) => log::debug!("versions in force can't be read: {error}"),
+            }
+        }
+        read_reports(&node).await;
+        rounds += 1;
+        sleep(Duration::from_millis(REPORT_POLL_MS)).await;
+    }
+}
+
+/// Starts the names of an environment's roll-out objects.
+pub(super) fn record_prefix(environment: &EnvironmentName) -> String {
+    format!("{environment}:")
+}
+
+/// All records of the environment; one call.
+pub(super) async fn read_agreed(node: &Node) -> Result<Vec<Agreed>, PlatformError> {
+    let prefix = record_prefix(&node.settings.environment);
+    let (_, objects) = node.objects.list(ObjectKind::Rollout, &prefix).await?;
+    let read = |object: &bilberryford_platform::Object| {
+        let record: RolloutRecord = serde_json::from_slice(&object.body).ok()?;
+        Some(Agreed { version: object.version, record })
+    };
+    Ok(objects.iter().filter_map(read).collect())
+}
+
+async fn read_reports(node: &Node) {
+    let Some(in_force) = node.in_force() else { return };
+    let table = node.fleet.endpoints();
+    let pools = in_force.document.models.iter().map(|model| &model.pool);
+    let engines: Vec<_> = pools.flat_map(|pool| table.pool(pool)).cloned().collect();
+    let asked: Vec<_> = engines.sample(&mut rand::rng(), MAX_REPORTS).cloned().collect();
+    futures::future::join_all(asked.iter().map(read_report)).await;
+}
+
+async fn read_report(endpoint: &Arc<Endpoint>) {
+    if let Ok(report) = endpoint.control.report(TimeMs(REPORT_TIMEOUT_MS)).await {
+        endpoint.weights.observe(report);
+    }
+}
--- a/crates/node/src/filters/context.rs
+++ b/crates/node/src/filters/context.rs
@@ -4,7 +4,9 @@
 
 use bilberryford_coord::{Attempt, Planned};
 use bilberryford_document::{RouteSection, TeamSection};
-use bilberryford_types::{ErrorKind, OrderKey, Priority, RequestId, RunId, ServiceName, TimeMs};
+use bilberryford_types::{
+    ErrorKind, OrderKey, Priority, RequestId, RunId, ServiceName, TimeMs, WeightVersion,
+};
 use bytes::Bytes;
 use poem::http::{HeaderMap, Method};
 
@@ -53,6 +55,7 @@
     pub(crate) timeout: TimeMs,
     pub(crate) place: Option<Place>,
     pub(crate) endpoint: Option<Arc<Endpoint>>,
+    pub(crate) weight_version: Option<WeightVersion>,
     pub(crate) intent: Option<Intent>,
     attempt: Option<Attempt<Planned>>,
 }
@@ -81,6 +84,7 @@
             timeout: TimeMs(0),
             place: None,
             endpoint: None,
+            weight_version: None,
             intent: None,
             attempt: Some(Attempt::new(node.next_attempt())),
         }
--- a/crates/node/src/filters/dispatch.rs
+++ b/crates/node/src/filters/dispatch.rs
@@ -51,8 +51,11 @@
     let reading = run.read();
     let call = FollowCall {
         trace: Trace { request: ctx.request.clone(), team: team.clone() },
-        pool: section.pool.clone(),
-        weight_version: section.weight_version.clone(),
+        weight_version: ctx
+            .weight_version
+            .take()
+            .ok_or_else(|| Refusal::of(ErrorKind::Internal))?,
+        section: section.clone(),
         model: prompt.model.clone(),
         prompt: prompt.prompt.clone(),
         max_tokens: prompt.max_tokens,
--- a/crates/node/src/filters/place.rs
+++ b/crates/node/src/filters/place.rs
@@ -6,7 +6,7 @@
 use futures::{FutureExt, future::BoxFuture};
 
 use super::{Context, Filter, Flow, Target};
-use crate::{fleet::Endpoint, node::Node, refusal::Refusal};
+use crate::{fleet::Endpoint, node::Node, refusal::Refusal, weights};
 
 pub(crate) struct Place;
 
@@ -21,32 +21,39 @@
 }
 
 fn place(node: &Node, ctx: &mut Context) -> Result<Flow, Refusal> {
-    let pool = pool(ctx)?;
-    let Some(endpoint) = choose(node, &pool, &[]) else {
-        return Err(ctx.refuse(ErrorKind::NoEndpoint));
+    ctx.endpoint = match &ctx.target {
+        Target::Prompt(_) => place_prompt(node, ctx)?,
+        Target::Service { .. } | Target::Run { .. } => choose(node, &pool(ctx)?, &[]),
     };
-    ctx.endpoint = Some(endpoint);
+    if ctx.endpoint.is_none() {
+        return Err(ctx.refuse(ErrorKind::NoEndpoint));
+    }
     Ok(Flow::Next)
 }
 
+/// Pins the request to a weight version and chooses an endpoint that has it.
+fn place_prompt(node: &Node, ctx: &mut Context) -> Result<Option<Arc<Endpoint>>, Refusal> {
+    let in_force = ctx.in_force()?;
+    let model = ctx.prompt.as_ref().map(|prompt| &prompt.model);
+    let section = in_force.document.models.iter().find(|section| Some(&section.name) == model);
+    let section = section.ok_or_else(|| Refusal::of(ErrorKind::Internal))?;
+    let pinned = weights::pin(node, section, &[]);
+    Ok(pinned.map(|pinned| {
+        ctx.weight_version = Some(pinned.weight_version);
+        pinned.endpoint
+    }))
+}
+
 fn pool(ctx: &Context) -> Result<PoolName, Refusal> {
     let in_force = ctx.in_force()?;
     let document = &in_force.document;
     let pool = match &ctx.target {
-        Target::Prompt(_) => {
-            let model = ctx.prompt.as_ref().map(|prompt| &prompt.model);
-            document
-                .models
-                .iter()
-                .find(|section| Some(&section.name) == model)
-                .map(|section| &section.pool)
-        }
         Target::Service { service, .. } => document
             .services
             .iter()
             .find(|section| section.name == *service)
             .map(|section| &section.pool),
-        Target::Run { .. } => None,
+        Target::Prompt(_) | Target::Run { .. } => None,
     };
     pool.cloned().ok_or_else(|| Refusal::of(ErrorKind::Internal))
 }
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -14,10 +14,14 @@
 
 use arc_swap::ArcSwap;
 use bilberryford_coord::{EndpointAt, MAX_LISTED};
-use bilberryford_endpoint::{HttpEngine, HttpService, ModelEngine, PlainService};
+use bilberryford_endpoint::{
+    EngineControl, HttpControl, HttpEngine, HttpService, ModelEngine, PlainService,
+};
 use bilberryford_platform::InstanceRecord;
 use bilberryford_types::{EndpointId, PoolName, TimeMs};
 
+use crate::weights::EndpointWeights;
+
 /// An endpoint as this instance knows it; counters live as long as the endpoint is on the list.
 pub(crate) struct Endpoint {
     pub(crate) id: EndpointId,
@@ -27,6 +31,8 @@
     gone: AtomicBool,
     in_flight: AtomicU32,
     suspected_until_ms: AtomicU64,
+    pub(crate) weights: EndpointWeights,
+    pub(crate) control: Arc<dyn EngineControl>,
     pub(crate) engine: Arc<dyn ModelEngine>,
     pub(crate) service: Arc<dyn PlainService>,
 }
@@ -204,6 +210,8 @@
             in_flight: AtomicU32::new(0),
             suspected_until_ms: AtomicU64::new(0),
             engine: Arc::new(HttpEngine::new(record.address, pooled.clone(), fresh.clone())),
+            weights: EndpointWeights::default(),
+            control: Arc::new(HttpControl::new(record.address, fresh.clone())),
             service: Arc::new(HttpService::new(record.address, pooled, fresh)),
         }))
     }
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -12,10 +12,10 @@
 };
 
 use bilberryford_coord::{Attempt, Planned, RetryClass, backoff};
+use bilberryford_document::ModelSection;
 use bilberryford_endpoint::{EndpointError, GenerateCall};
 use bilberryford_types::{
-    AttemptId, ErrorKind, EventKind, ModelName, PoolName, Priority, Ran, TimeMs, Tokens,
-    WeightVersion,
+    AttemptId, ErrorKind, EventKind, ModelName, Priority, Ran, TimeMs, Tokens, WeightVersion,
 };
 use parking_lot::Mutex;
 use tokio::time::sleep;
@@ -24,11 +24,11 @@
 pub(crate) use stream::{Failure, Intake, Trace};
 
 use crate::{
-    filters::choose,
     fleet::Endpoint,
     node::{Node, Place},
     refusal::Refusal,
     run::{Run, RunEnd, RunPlace},
+    weights::pin,
 };
 
 /// How often one run may be lost or fail to connect.
@@ -41,8 +41,8 @@
 /// What is followed.
 pub(crate) struct FollowCall {
     pub(crate) trace: Trace,
-    pub(crate) pool: PoolName,
-    /// Pinned when the run is dispatched, also across a swap of weights.
+    pub(crate) section: ModelSection,
+    /// Pinned when the run is placed; it changes only while no token has come.
     pub(crate) weight_version: WeightVersion,
     pub(crate) model: ModelName,
     pub(crate) prompt: Arc<str>,
@@ -63,6 +63,7 @@
     call: FollowCall,
     place: CurrentPlace,
     endpoint: Mutex<Option<Arc<Endpoint>>>,
+    weight_version: Mutex<WeightVersion>,
 }
 
 /// Runs the prompt and fills `run`; the run is over when this ends, whatever happens.
@@ -76,7 +77,10 @@
 ) {
     let limit = call.deadline.saturating_duration_since(Instant::now());
     let pick_up_limit = Duration::from_millis(node.settings.pick_up_limit.get());
-    let follower = Follower { node, run: run.clone(), call, place, endpoint: Mutex::default() };
+    let weight_version = Mutex::new(call.weight_version.clone());
+    let endpoint_now = Mutex::default();
+    let follower =
+        Follower { node, run: run.clone(), call, place, endpoint: endpoint_now, weight_version };
     let outcome = tokio::select! {
         outcome = follower.attempts(attempt, endpoint) => outcome,
         () = sleep(limit) => Err(Refusal::sent(ErrorKind::DeadlineWhileRunning, Ran::Maybe)),
@@ -107,7 +111,7 @@
         let mut proof = Some(planned);
         let mut tried = Vec::new();
         let mut losses = 0;
-        self.node.first_try(&self.call.trace.team, &self.call.pool);
+        self.node.first_try(&self.call.trace.team, &self.call.section.pool);
         loop {
             let id = attempt_name(&base, tried.len());
             let sent = proof.take().map(|proof| proof.renew(id.clone()).send());
@@ -165,7 +169,7 @@
             attempt: id.clone(),
             team: self.call.trace.team.clone(),
             model: self.call.model.clone(),
-            weight_version: self.call.weight_version.clone(),
+            weight_version: self.weight_version.lock().clone(),
             prompt: self.call.prompt.clone(),
             max_tokens: self.call.max_tokens,
             skip_tokens: Tokens(self.run.len()),
@@ -183,7 +187,7 @@
     ) -> Option<Arc<Endpoint>> {
         let is_begun = failure.is_begun || self.run.len() > 0;
         let class = if is_begun { RetryClass::Begun } else { RetryClass::Fresh };
-        while !self.node.take_retry(&self.call.trace.team, &self.call.pool, class) {
+        while !self.node.take_retry(&self.call.trace.team, &self.call.section.pool, class) {
             if self.run.len() == 0 {
                 return None;
             }
@@ -195,7 +199,7 @@
         sleep(Duration::from_millis(delay.get())).await;
         if self.run.len() > 0 {
             let table = self.node.fleet.endpoints();
-            let places = continued_places(table.pool(&self.call.pool), base);
+            let places = continued_places(table.pool(&self.call.section.pool), base);
             let is_new = |place: &&Arc<Endpoint>| tried.iter().all(|other| other.id != place.id);
             let next = places.iter().find(is_new).or(places.first()).cloned();
             self.node.events.write(EventKind::Continued, |event| {
@@ -205,8 +209,11 @@
             });
             return next;
         }
-        choose(&self.node, &self.call.pool, tried)
-            .or_else(|| choose(&self.node, &self.call.pool, &[]))
+        // No token has come, so the run may take another version than the one it was placed with.
+        let section = &self.call.section;
+        let pinned = pin(&self.node, section, tried).or_else(|| pin(&self.node, section, &[]))?;
+        *self.weight_version.lock() = pinned.weight_version;
+        Some(pinned.endpoint)
     }
 
     fn time_left(&self) -> TimeMs {
@@ -224,6 +231,9 @@
             event.detail = failure.error.to_string();
         });
         *self.endpoint.lock() = None;
+        if failure.error == EndpointError::VersionGone {
+            endpoint.weights.lacks(&self.weight_version.lock());
+        }
         if failure.is_begun && !failure.is_crash {
             cancel(endpoint.clone(), id.clone());
         }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -19,6 +19,7 @@
 mod filters;
 mod fleet;
 mod follow;
+mod leases;
 mod members;
 mod metrics;
 mod node;
@@ -30,6 +31,7 @@
 mod server;
 mod settings;
 mod status;
+mod weights;
 
 pub use accept::{
     AcceptError, Accepted, AcceptedChange, ConfigChange, Head, PromotedFrom, accept, read_head,
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -21,12 +21,14 @@
     config::InForce,
     events::{EventLog, wall_ms},
     fleet::{EndpointClients, Fleet},
+    leases::HeldLeases,
     members::Members,
     metrics::{Metrics, MetricsError},
     orders::Orders,
     retries::Retries,
     run::Runs,
     settings::NodeSettings,
+    weights::Weights,
 };
 
 /// How long an idle connection to an endpoint may be used again, in milliseconds.
@@ -48,6 +50,8 @@
     pub(crate) retries: Retries,
     config: Mutex<VersionedConfig<Arc<InForce>>>,
     pub(crate) orders: Orders,
+    pub(crate) leases: HeldLeases,
+    pub(crate) weights: Weights,
     in_force: ArcSwapOption<InForce>,
     peers: RwLock<Option<PeerClient>>,
     leaving: AtomicBool,
@@ -96,6 +100,8 @@
             retries: Retries::default(),
             config: Mutex::new(VersionedConfig::new()),
             orders: Orders::default(),
+            leases: HeldLeases::default(),
+            weights: Weights::default(),
             in_force: ArcSwapOption::empty(),
             peers: RwLock::new(None),
             leaving: AtomicBool::new(false),
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -35,6 +35,8 @@
 const MAX_HEADERS: usize = 64;
 /// The most bytes of all header names and values of a request.
 const MAX_HEADER_BYTES: usize = 16 * 1024;
+/// The longest wait for leases to be released at shutdown, in milliseconds.
+const RELEASE_LIMIT_MS: u64 = 2_000;
 /// The longest wait for a request's body, in milliseconds.
 const BODY_TIMEOUT_MS: u64 = 10_000;
 
@@ -136,6 +138,8 @@
         let _ = stop.send(());
         let result = server.await.map_err(|error| ServeError::Server(io::Error::other(error)))?;
         node.orders.drained().await;
+        let release = Duration::from_millis(RELEASE_LIMIT_MS);
+        let _ = timeout(release, node.leases.released()).await;
         drop(controllers);
         node.events.write(EventKind::Stopped, |event| {
             event.detail = format!("{} in flight", node.in_flight())
--- a/crates/platform/src/object.rs
+++ b/crates/platform/src/object.rs
@@ -36,6 +36,8 @@
     Ledger,
     /// A lease with its fencing number.
     Lease,
+    /// The weight version in force of a model.
+    Rollout,
     /// The status of an environment.
     Status,
     /// Requests that may not run again.
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -3,6 +3,7 @@
 //! The wire format is that of `bilberryford_endpoint::wire`. A prompt that holds [`CRASH_MARK`] ends the engine's life
 //! together with every run in its batch.
 
+pub mod control;
 mod faults;
 pub mod kv;
 mod reader;
@@ -50,6 +51,8 @@
     pub restart_ms: u64,
     /// The weight versions that it has.
     pub weight_versions: Vec<WeightVersion>,
+    /// How it takes orders.
+    pub control: control::ControlSpec,
 }
 
 impl EngineSpec {
@@ -61,6 +64,7 @@
             token_gap_ms: 5,
             restart_ms: 300,
             weight_versions: vec![weight_version],
+            control: control::ControlSpec::default(),
         }
     }
 }
@@ -96,6 +100,8 @@
     book: Mutex<Book>,
     /// What it was given.
     pub ledger: RunLedger,
+    /// The orders that it was sent.
+    pub control: control::ControlLedger,
 }
 
 impl Engine {
@@ -106,6 +112,7 @@
             faults: Mutex::default(),
             book: Mutex::default(),
             ledger: RunLedger::default(),
+            control: control::ControlLedger::default(),
         })
     }
 
@@ -149,21 +156,25 @@
     prefill: tokio::sync::Mutex<()>,
     runs: Mutex<HashMap<AttemptId, Arc<Output>>>,
     started: Instant,
+    control: Arc<control::Control>,
 }
 
 impl Life {
     fn new(engine: Arc<Engine>, exits: Exits) -> Self {
         let slots = Arc::new(Semaphore::new(engine.spec.slots as usize));
         let prefill = tokio::sync::Mutex::default();
-        Self { engine, exits, slots, prefill, runs: Mutex::default(), started: Instant::now() }
+        let spec = &engine.spec;
+        let control = control::Control::new(spec.control.clone(), spec.weight_versions.clone());
+        let started = Instant::now();
+        Self { engine, exits, slots, prefill, runs: Mutex::default(), started, control }
     }
 
     fn start(self: &Arc<Self>, body: CompletionBody) -> Result<Arc<Output>, StatusCode> {
-        if self.engine.faults.lock().refuse {
+        if self.engine.faults.lock().refuse || self.control.is_loading() {
             self.engine.book.lock().refused += 1;
             return Err(StatusCode::SERVICE_UNAVAILABLE);
         }
-        if !self.engine.spec.weight_versions.contains(&body.weight_version) {
+        if !self.control.served().contains(&body.weight_version) {
             self.engine.book.lock().wrong_version += 1;
             return Err(StatusCode::CONFLICT);
         }
@@ -249,6 +260,8 @@
         .at("/v1/completions", post(completions))
         .at("/v1/attempts/:attempt", get(resume).delete(cancel))
         .at("/load", get(load))
+        .at("/control", get(control::show_report))
+        .at("/control/weights", poem::put(control::take_order))
         .at("/faults", post(switch_faults))
         .at("/book", get(show_book))
         .data(life)
@@ -316,7 +329,7 @@
         waiting: 0,
         slots,
         cache_tokens: Tokens(0),
-        weight_versions: life.engine.spec.weight_versions.clone(),
+        weight_versions: life.control.served(),
     })
 }
 
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -23,3 +23,4 @@
 pub mod service;
 pub mod slopes;
 pub mod store;
+pub mod weight_store;
--- a/crates/types/src/event.rs
+++ b/crates/types/src/event.rs
@@ -131,6 +131,8 @@
     LeaseTaken,
     /// A lease was lost or given up.
     LeaseLost,
+    /// A roll-out of weights went on or waits for something.
+    RolloutState,
     /// An order to load weights or change role was sent to an endpoint.
     EndpointOrdered,
     /// Cache blocks were imported.
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -5,6 +5,8 @@
 mod answers;
 mod bad_input;
 mod config;
+mod leases;
 mod membership;
 mod orders;
 mod path;
+mod rollout;
