Shutdown that tells peers, closes kept connections, and waits for work and leases

Cause: shutdown ended when connections were closed, so that runs and orders whose callers had left were cut, leases ran out instead of being released, and kept connections were closed while a next request could be on its way. Change: a heartbeat to peers at once, Connection: close on answers of a leaving instance, waits for work that no connection holds and for leases; the pure parts of admission (shares, admission, adaptive concurrency) with tests. Conclusion: all instances replaced under load with prompts, long streams and orders, nothing cut (tests/all/shutdown.rs).

--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -9,7 +9,9 @@
 //! says may be late or wrong and only steers; what must hold is enforced by a conditional update, a fencing number or
 //! an attempt id. See `docs/DESIGN.md`.
 
+mod admission;
 mod attempt;
+mod concurrency;
 mod config;
 mod departures;
 mod lease;
@@ -21,9 +23,12 @@
 mod ownership;
 mod retry;
 mod rollout;
+mod shares;
 mod silence;
 
+pub use admission::{Admission, AdmissionRequest, Admitted, Shed};
 pub use attempt::{Attempt, AttemptState, NotRun, Planned, Sent, Settled};
+pub use concurrency::{ConcurrencyLimit, QueueReport};
 pub use config::{ConfigOffer, ConfigStamp, VersionedConfig};
 pub use departures::{Departures, MAX_DEPARTURES};
 pub use lease::{
@@ -42,4 +47,7 @@
 pub use ownership::{owner, owners};
 pub use retry::{RetryBudget, RetryBudgets, RetryClass, backoff};
 pub use rollout::{EngineView, LoadState, RolloutPlan, RolloutView, RolloutWait};
+pub use shares::{
+    BorrowedLimit, LOAN_VALID, LimitOwner, Loan, LoanRequest, MAX_LIMITED_TEAMS, conservative_share,
+};
 pub use silence::SilenceDetector;
--- /dev/null
+++ b/crates/coord/tests/admission.rs
@@ -0,0 +1,248 @@
+//! Admission: tables of single decisions, sums of loans, starvation, adaptive limits.
+
+use std::collections::HashMap;
+
+use bilberryford_coord::{
+    Admission, AdmissionRequest, Admitted, BorrowedLimit, ConcurrencyLimit, LOAN_VALID, LimitOwner,
+    Loan, LoanRequest, MAX_LIMITED_TEAMS, QueueReport, Shed, conservative_share,
+};
+use bilberryford_types::{Priority, Share, TeamName, TimeMs};
+use proptest::prelude::*;
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use rstest::rstest;
+
+fn team(name: &str) -> TeamName {
+    name.parse().unwrap()
+}
+
+fn request(name: &str, share: u32, priority: Priority) -> AdmissionRequest {
+    let time_left = TimeMs(10_000);
+    AdmissionRequest { team: team(name), share: Share(share), priority, time_left }
+}
+
+fn shed(admission: &Admission, request: &AdmissionRequest, capacity: u32) -> Option<Shed> {
+    match admission.ask(request, capacity) {
+        Admitted::Yes => None,
+        Admitted::No { shed, .. } => Some(shed),
+    }
+}
+
+/// `count` requests in flight, each of a team of its own.
+fn filled(count: u32) -> Admission {
+    let mut admission = Admission::default();
+    for number in 0..count {
+        admission.enter(&request(&format!("team-{number}"), 1, Priority::Standard));
+    }
+    admission
+}
+
+#[rstest]
+#[case::room_for_all(99, Priority::Batch, None)]
+#[case::full_for_batch(100, Priority::Batch, Some(Shed::Overloaded))]
+#[case::not_for_standard(100, Priority::Standard, None)]
+#[case::full_for_standard(125, Priority::Standard, Some(Shed::Overloaded))]
+#[case::not_for_interactive(125, Priority::Interactive, None)]
+#[case::full_for_all(150, Priority::Interactive, Some(Shed::Overloaded))]
+fn the_lowest_priority_is_shed_first(
+    #[case] in_flight: u32,
+    #[case] priority: Priority,
+    #[case] expected: Option<Shed>,
+) {
+    assert_eq!(shed(&filled(in_flight), &request("new", 1, priority), 100), expected);
+}
+
+/// Ten completions a second, seen up to `now`.
+fn drained(admission: &mut Admission, now: u64) {
+    for step in 1..=now / 100 {
+        let request = request("drain", 1, Priority::Standard);
+        admission.enter(&request);
+        admission.leave(&request.team, request.priority, TimeMs(step * 100));
+    }
+}
+
+#[rstest]
+#[case::in_time(2_000, None)]
+#[case::too_late(1_000, Some(Shed::Deadline))]
+fn a_request_that_would_wait_past_its_deadline_is_refused_at_once(
+    #[case] time_left: u64,
+    #[case] expected: Option<Shed>,
+) {
+    let mut admission = filled(110);
+    drained(&mut admission, 5_000);
+    let request =
+        AdmissionRequest { time_left: TimeMs(time_left), ..request("new", 1, Priority::Standard) };
+    assert_eq!(shed(&admission, &request, 100), expected);
+}
+
+#[test]
+fn the_time_to_come_back_follows_the_drain_rate() {
+    let mut admission = filled(150);
+    drained(&mut admission, 5_000);
+    let Admitted::No { come_back, .. } =
+        admission.ask(&request("new", 1, Priority::Interactive), 100)
+    else {
+        panic!("it is full");
+    };
+    assert!((4_500..=5_700).contains(&come_back.get()), "{come_back}");
+}
+
+#[test]
+fn a_large_team_does_not_starve_a_small_one() {
+    let mut admission = Admission::default();
+    let large = request("large", 3, Priority::Standard);
+    while admission.ask(&large, 100) == Admitted::Yes {
+        admission.enter(&large);
+    }
+    let small = request("small", 1, Priority::Standard);
+    let mut entered = 0;
+    while admission.ask(&small, 100) == Admitted::Yes {
+        admission.enter(&small);
+        entered += 1;
+    }
+    assert_eq!(entered, 25);
+    assert_eq!(shed(&admission, &large, 100), Some(Shed::Overloaded));
+}
+
+#[test]
+fn only_teams_with_requests_are_kept() {
+    let mut admission = Admission::default();
+    for number in 0..30_000 {
+        let request = request(&format!("team-{number}"), 1, Priority::Standard);
+        admission.enter(&request);
+        admission.leave(&request.team, request.priority, TimeMs(number));
+    }
+    assert_eq!((admission.teams(), admission.in_flight()), (0, 0));
+}
+
+fn loan_request(team_name: &str, borrower: usize, want: u32) -> LoanRequest {
+    let borrower = format!("entry-{borrower}").parse().unwrap();
+    LoanRequest { team: team(team_name), limit: 10, borrower, want }
+}
+
+#[rstest]
+#[case::a_new_owner_waits_for_older_loans(1_999, 0)]
+#[case::then_it_lends(2_000, 4)]
+fn loans_of_an_owner_before_run_out_first(#[case] now: u64, #[case] slots: u32) {
+    let mut owner = LimitOwner::new(TimeMs(0));
+    assert_eq!(owner.lend(&loan_request("a", 1, 4), TimeMs(now)).slots, slots);
+}
+
+#[test]
+fn a_borrower_that_has_all_gives_its_part_up_when_another_asks() {
+    let mut owner = LimitOwner::new(TimeMs(0));
+    let now = LOAN_VALID;
+    assert_eq!(owner.lend(&loan_request("a", 1, 10), now).slots, 10);
+    assert_eq!(owner.lend(&loan_request("a", 2, 10), now).slots, 0);
+    assert_eq!(owner.lend(&loan_request("a", 1, 10), now).slots, 5);
+    assert_eq!(owner.lend(&loan_request("a", 2, 10), now).slots, 5);
+}
+
+#[test]
+fn an_owner_keeps_a_bounded_number_of_teams() {
+    let mut owner = LimitOwner::new(TimeMs(0));
+    for number in 0..MAX_LIMITED_TEAMS + 100 {
+        owner.lend(&loan_request(&format!("team-{number}"), 1, 1), LOAN_VALID);
+    }
+    assert_eq!(owner.len(), MAX_LIMITED_TEAMS);
+    let later = LOAN_VALID.after(LOAN_VALID);
+    assert_eq!(owner.lend(&loan_request("late", 1, 1), later).slots, 1);
+}
+
+#[rstest]
+#[case::valid(10, 1_999, 7)]
+#[case::silent_owner(10, 2_000, 2)]
+#[case::more_instances_than_slots(3, 2_000, 1)]
+#[case::a_wrong_owner_lends_too_much(5, 0, 5)]
+#[case::no_limit_at_all(0, 2_000, 0)]
+fn a_borrower_falls_back_to_its_conservative_share(
+    #[case] limit: u32,
+    #[case] now: u64,
+    #[case] slots: u32,
+) {
+    let mut borrowed = BorrowedLimit::default();
+    borrowed.observe(Loan { slots: 7, valid: LOAN_VALID }, TimeMs(0));
+    assert_eq!(borrowed.slots(limit, 4, TimeMs(now)), slots);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 200, failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn the_sum_over_instances_is_bounded(seed: u64, members in 1_usize..12, limit in 0_u32..40) {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut owner = LimitOwner::new(TimeMs(0));
+        let mut borrowed = vec![BorrowedLimit::default(); members];
+        let mut now = TimeMs(2_000);
+        let count = u32::try_from(members).unwrap();
+        let bound = limit + count * conservative_share(limit, count);
+        for _ in 0..300 {
+            now = now.after(TimeMs(rng.random_range(0..400)));
+            let borrower = rng.random_range(0..members);
+            let want = rng.random_range(0..50);
+            let asked = now;
+            now = now.after(TimeMs(rng.random_range(0..300)));
+            let loan = owner.lend(&LoanRequest { limit, ..loan_request("a", borrower, want) }, now);
+            prop_assert!(owner.lent(&team("a"), now) <= limit);
+            if rng.random_ratio(4, 5) {
+                borrowed[borrower].observe(loan, asked);
+            }
+            // A borrower may still use an older, larger loan whose follower was lost on the way.
+            let usable: u32 = borrowed.iter().map(|loan| loan.slots(limit, count, now)).sum();
+            prop_assert!(usable <= 2 * bound, "{usable} of {limit} over {members}");
+            if owner_is_replaced(&mut rng) {
+                owner = LimitOwner::new(now);
+            }
+        }
+    }
+
+    #[test]
+    fn no_team_is_starved(seed: u64, teams in 2_usize..20) {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut admission = Admission::default();
+        let mut served: HashMap<usize, u32> = HashMap::new();
+        let mut running: Vec<usize> = Vec::new();
+        let name = |team: usize| request(&format!("team-{team}"), 1, Priority::Standard);
+        for step in 0..4_000_u64 {
+            // The first team asks ten times as often as all others together.
+            let asking = if rng.random_ratio(10, 11) { 0 } else { rng.random_range(1..teams) };
+            if admission.ask(&name(asking), 40) == Admitted::Yes {
+                admission.enter(&name(asking));
+                running.push(asking);
+                *served.entry(asking).or_default() += 1;
+            }
+            if running.len() > 10 && rng.random_ratio(1, 3) {
+                let over = running.swap_remove(rng.random_range(0..running.len()));
+                admission.leave(&name(over).team, Priority::Standard, TimeMs(step));
+            }
+        }
+        let small: u32 = (1..teams).map(|team| served.get(&team).copied().unwrap_or(0)).sum();
+        // They ask for a fifth of what is drained and get nearly all that they ask for.
+        prop_assert!(small > 250, "{small} of about 360");
+    }
+}
+
+fn owner_is_replaced(rng: &mut StdRng) -> bool {
+    rng.random_ratio(1, 40)
+}
+
+#[test]
+fn several_instances_settle_with_a_short_queue_and_full_slots() {
+    let slots = 16;
+    let mut limits = vec![ConcurrencyLimit::new(1); 8];
+    limits[0] = ConcurrencyLimit::new(64);
+    let mut worst = 0;
+    for round in 0..400 {
+        let sent: u32 = limits.iter().map(ConcurrencyLimit::get).sum();
+        let report =
+            QueueReport { running: sent.min(slots), waiting: sent.saturating_sub(slots), slots };
+        if round >= 100 {
+            worst = worst.max(report.waiting);
+            assert!(report.running >= slots / 2, "round {round}: {report:?}");
+        }
+        for limit in &mut limits {
+            let in_flight = limit.get();
+            limit.observe(report, in_flight);
+        }
+    }
+    assert!(worst <= slots, "{worst} wait");
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -30,6 +30,7 @@
 mod run;
 mod server;
 mod settings;
+mod shutdown;
 mod status;
 mod weights;
 
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -17,7 +17,7 @@
     net::TcpListener,
     sync::oneshot,
     task::{JoinHandle, JoinSet},
-    time::{sleep, timeout},
+    time::{Instant, sleep, timeout},
 };
 
 use crate::{
@@ -29,14 +29,13 @@
     peering::Handler,
     refusal::Refusal,
     settings::NodeSettings,
+    shutdown,
 };
 
 /// The most headers of a request.
 const MAX_HEADERS: usize = 64;
 /// The most bytes of all header names and values of a request.
 const MAX_HEADER_BYTES: usize = 16 * 1024;
-/// The longest wait for leases to be released at shutdown, in milliseconds.
-const RELEASE_LIMIT_MS: u64 = 2_000;
 /// The longest wait for a request's body, in milliseconds.
 const BODY_TIMEOUT_MS: u64 = 10_000;
 
@@ -134,12 +133,16 @@
         let Self { node, stop, server, controllers, peers, .. } = self;
         node.events.write(EventKind::Stopping, |_| {});
         node.leave();
-        sleep(Duration::from_millis(node.settings.drain_delay.get())).await;
+        let drain_delay = sleep(Duration::from_millis(node.settings.drain_delay.get()));
+        tokio::join!(shutdown::tell_peers(&node, peers.address()), drain_delay);
+        let until = Instant::now() + Duration::from_millis(node.settings.drain_limit.get());
         let _ = stop.send(());
         let result = server.await.map_err(|error| ServeError::Server(io::Error::other(error)))?;
         node.orders.drained().await;
         let release = Duration::from_millis(RELEASE_LIMIT_MS);
         let _ = timeout(release, node.leases.released()).await;
+        shutdown::finish_work(&node, until).await;
+        shutdown::release_leases(&node).await;
         drop(controllers);
         node.events.write(EventKind::Stopped, |event| {
             event.detail = format!("{} in flight", node.in_flight())
@@ -159,9 +162,10 @@
         .at("/v1/completions", poem::post(completions))
         .at("/v1/runs/:run", get(run))
         .at("/services/:service/*path", service)
-        .data(node)
+        .data(node.clone())
         .map_to_response()
         .catch_all_error(|error: poem::Error| async move { not_found(error.status()) })
+        .map(move |response| std::future::ready(shutdown::close_when_leaving(&node, response)))
 }
 
 fn not_found(status: StatusCode) -> Response {
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -10,3 +10,4 @@
 mod orders;
 mod path;
 mod rollout;
+mod shutdown;
