Admission by priority, share and wait; limits lent by their owner; Retry-After from the drain rate

Cause: an instance let in all that fitted its own bound, so that a large team kept the others out, a team's limit over all instances was not kept, and overload was a queue at the engines. Ruled out: a ceiling on all that is in flight for each priority (batch work that came before the capacity was known, or before it shrank, then kept interactive requests out: seen in the first run of tests/all/admission.rs). Change: the admission filter asks the pure parts; capacity follows the queues that engines report; loans are asked for by the peer call borrow; a refusal can carry when to come back. The engine stand-in reports how many runs wait. Conclusion: tests/all/admission.rs passes.

--- a/crates/coord/src/admission.rs
+++ b/crates/coord/src/admission.rs
@@ -18,14 +18,8 @@
 /// How many priorities there are.
 const PRIORITIES: usize = 3;
 
-/// The most requests in flight that a priority may bring about, in percent of the capacity.
-const fn ceiling_percent(priority: Priority) -> u64 {
-    match priority {
-        Priority::Batch => 100,
-        Priority::Standard => 125,
-        Priority::Interactive => 150,
-    }
-}
+/// How far a team that has less than its part may go beyond the capacity, in percent of it.
+const UNDER_SHARE_PERCENT: u64 = 150;
 
 /// A request that wants to be let in.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -111,30 +105,41 @@
 
 impl Admission {
     /// Decides on a request, with room for `capacity` requests before the endpoints' queues grow too long.
+    ///
+    /// Endpoints honour priorities, so a request counts what is of its priority and above; the lowest counts all and
+    /// is refused first. A team that has its part stops at the capacity, and one that has less may go beyond it, so
+    /// that a large team that came first doesn't keep a small one out.
     pub fn ask(&self, request: &AdmissionRequest, capacity: u32) -> Admitted {
         let total = self.in_flight();
         if total < capacity {
             return Admitted::Yes;
         }
-        let no = |shed, excess: u32| Admitted::No { shed, come_back: self.come_back(excess) };
-        let ceiling = u64::from(capacity) * ceiling_percent(request.priority) / 100;
         let excess = total.saturating_sub(capacity).saturating_add(1);
-        if u64::from(total) >= ceiling {
-            return no(Shed::Overloaded, excess);
+        let no = |shed| Admitted::No { shed, come_back: self.come_back(excess) };
+        let ahead = self.ahead(request.priority);
+        if self.is_over_share(request, capacity) && ahead >= capacity {
+            return no(self.shed_over_share(request));
         }
-        if self.is_over_share(request, capacity) {
-            return no(Shed::TeamOverShare, excess);
+        if u64::from(ahead) >= u64::from(capacity) * UNDER_SHARE_PERCENT / 100 {
+            return no(Shed::Overloaded);
         }
-        match self.wait(request.priority, capacity) {
-            Some(wait) if wait >= request.time_left => no(Shed::Deadline, excess),
+        match self.drain.wait(ahead.saturating_add(1).saturating_sub(capacity)) {
+            Some(wait) if wait >= request.time_left => no(Shed::Deadline),
             _ => Admitted::Yes,
         }
     }
 
-    /// The wait of a request behind all of its priority and above, since endpoints honour priorities.
-    fn wait(&self, priority: Priority, capacity: u32) -> Option<TimeMs> {
-        let ahead: u32 = self.by_priority[priority as usize..].iter().sum();
-        self.drain.wait(ahead.saturating_add(1).saturating_sub(capacity))
+    /// What runs before a request of `priority`.
+    fn ahead(&self, priority: Priority) -> u32 {
+        self.by_priority[priority as usize..].iter().sum()
+    }
+
+    /// A team that is alone has all of the capacity, so it is the system that is full.
+    fn shed_over_share(&self, request: &AdmissionRequest) -> Shed {
+        match self.teams.len() {
+            1 if self.teams.contains_key(&request.team) => Shed::Overloaded,
+            _ => Shed::TeamOverShare,
+        }
     }
 
     fn come_back(&self, excess: u32) -> TimeMs {
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -4,7 +4,7 @@
 
 use bilberryford_document::{Document, TeamSection, key_digest};
 use bilberryford_platform::{ObjectKey, ObjectKind};
-use bilberryford_types::{Digest, EnvironmentName, Generation, IdError, ObjectVersion};
+use bilberryford_types::{Digest, EnvironmentName, Generation, IdError, ObjectVersion, TeamName};
 use serde::{Deserialize, Serialize};
 
 use crate::accept::AcceptedChange;
@@ -71,6 +71,12 @@
         Ok(Self { generation, version, digest, object, document, teams_by_key })
     }
 
+    /// The most requests that a team may have in flight over all instances.
+    pub(crate) fn team_limit(&self, name: &TeamName) -> Option<u32> {
+        let team = self.document.teams.iter().find(|team| team.name == *name)?;
+        Some(team.max_in_flight)
+    }
+
     /// The team that an API key speaks for.
     pub(crate) fn team_of_key(&self, api_key: &str) -> Option<&TeamSection> {
         let index = self.teams_by_key.get(&key_digest(api_key))?;
--- a/crates/node/src/controllers.rs
+++ b/crates/node/src/controllers.rs
@@ -4,6 +4,7 @@
 mod endpoints;
 mod heartbeat;
 mod orders;
+mod loans;
 mod rollout;
 mod status;
 mod weights;
@@ -23,6 +24,7 @@
     tasks.spawn(status::run(node.clone()));
     tasks.spawn(orders::settle(node.clone()));
     tasks.spawn(orders::sweep(node.clone()));
+    tasks.spawn(loans::run(node.clone()));
     tasks.spawn(weights::run(node.clone()));
     tasks.spawn(rollout::run(node.clone()));
     tasks
--- a/crates/node/src/controllers/weights.rs
+++ b/crates/node/src/controllers/weights.rs
@@ -1,7 +1,9 @@
-//! Follows the versions in force and what engines report of their weights.
+//! Follows the versions in force and what engines report of their weights and queues.
 
 use std::{sync::Arc, time::Duration};
 
+use bilberryford_coord::QueueReport;
+use bilberryford_endpoint::LoadReport;
 use bilberryford_platform::{ObjectKind, PlatformError};
 use bilberryford_types::{EnvironmentName, TimeMs};
 use rand::seq::IndexedRandom;
@@ -59,11 +61,18 @@
     let pools = in_force.document.models.iter().map(|model| &model.pool);
     let engines: Vec<_> = pools.flat_map(|pool| table.pool(pool)).cloned().collect();
     let asked: Vec<_> = engines.sample(&mut rand::rng(), MAX_REPORTS).cloned().collect();
-    futures::future::join_all(asked.iter().map(read_report)).await;
+    let members = node.member_count();
+    let reads = asked.iter().map(|endpoint| read_report(endpoint, members));
+    futures::future::join_all(reads).await;
 }
 
-async fn read_report(endpoint: &Arc<Endpoint>) {
-    if let Ok(report) = endpoint.control.report(TimeMs(REPORT_TIMEOUT_MS)).await {
+async fn read_report(endpoint: &Arc<Endpoint>, members: u32) {
+    let (report, load) =
+        tokio::join!(endpoint.control.report(TimeMs(REPORT_TIMEOUT_MS)), endpoint.engine.load());
+    if let Ok(report) = report {
         endpoint.weights.observe(report);
     }
+    if let Ok(LoadReport { running, waiting, slots, .. }) = load {
+        endpoint.observe_queue(QueueReport { running, waiting, slots }, members);
+    }
 }
--- a/crates/node/src/filters/admission.rs
+++ b/crates/node/src/filters/admission.rs
@@ -2,11 +2,12 @@
 
 use std::sync::Arc;
 
-use bilberryford_types::{ErrorKind, EventKind};
+use bilberryford_coord::AdmissionRequest;
+use bilberryford_types::{ErrorKind, EventKind, PoolName};
 use futures::{FutureExt, future::BoxFuture};
 
-use super::{Context, Filter, Flow};
-use crate::{node::Node, refusal::Refusal};
+use super::{Context, Filter, Flow, Target, place::pool};
+use crate::{admission::Ask, node::Node, refusal::Refusal};
 
 pub(crate) struct Admission;
 
@@ -21,9 +22,26 @@
 }
 
 fn admit(node: &Arc<Node>, ctx: &mut Context) -> Result<Flow, Refusal> {
-    let Some(place) = node.enter() else {
+    let Some(mut place) = node.enter() else {
         return Err(ctx.refuse(ErrorKind::Overloaded));
     };
+    let pool = pool(ctx)?;
+    let team = ctx.team()?;
+    let ask = Ask {
+        pool: &pool,
+        request: AdmissionRequest {
+            team: team.name.clone(),
+            share: team.share,
+            priority: ctx.priority,
+            time_left: ctx.time_left(),
+        },
+        limit: team.max_in_flight,
+        capacity: capacity(node, ctx, &pool),
+    };
+    match node.admissions.enter(node, &ask) {
+        Ok(ticket) => place.keep(ticket),
+        Err(refused) => return Err(ctx.refuse(refused.kind).come_back_in(refused.come_back)),
+    }
     ctx.place = Some(place);
     node.events.write(EventKind::Accepted, |event| {
         event.request = Some(ctx.request.clone());
@@ -31,3 +49,16 @@
     });
     Ok(Flow::Next)
 }
+
+/// What the pool can take from this instance; plain services report no queue and are bounded by the instance.
+fn capacity(node: &Node, ctx: &Context, pool: &PoolName) -> u32 {
+    if let Target::Service { .. } = ctx.target {
+        return node.settings.max_in_flight;
+    }
+    let table = node.fleet.endpoints();
+    let members = table.pool(pool).iter().filter(|endpoint| !endpoint.is_leaving());
+    let capacity = members.fold(0_u32, |sum, endpoint| {
+        sum.saturating_add(endpoint.capacity().unwrap_or(node.settings.max_in_flight))
+    });
+    capacity.clamp(1, node.settings.max_in_flight)
+}
--- a/crates/node/src/filters/place.rs
+++ b/crates/node/src/filters/place.rs
@@ -44,7 +44,8 @@
     }))
 }
 
-fn pool(ctx: &Context) -> Result<PoolName, Refusal> {
+/// The pool that the request is for.
+pub(super) fn pool(ctx: &Context) -> Result<PoolName, Refusal> {
     let in_force = ctx.in_force()?;
     let document = &in_force.document;
     let pool = match &ctx.target {
@@ -53,7 +54,12 @@
             .iter()
             .find(|section| section.name == *service)
             .map(|section| &section.pool),
-        Target::Prompt(_) | Target::Run { .. } => None,
+        Target::Prompt(_) => {
+            let model = ctx.prompt.as_ref().map(|prompt| &prompt.model);
+            let models = &document.models;
+            models.iter().find(|section| Some(&section.name) == model).map(|section| &section.pool)
+        }
+        Target::Run { .. } => None,
     };
     pool.cloned().ok_or_else(|| Refusal::of(ErrorKind::Internal))
 }
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -13,12 +13,14 @@
 };
 
 use arc_swap::ArcSwap;
+use bilberryford_coord::{ConcurrencyLimit, QueueReport};
 use bilberryford_coord::{EndpointAt, MAX_LISTED};
 use bilberryford_endpoint::{
     EngineControl, HttpControl, HttpEngine, HttpService, ModelEngine, PlainService,
 };
 use bilberryford_platform::InstanceRecord;
 use bilberryford_types::{EndpointId, PoolName, TimeMs};
+use parking_lot::Mutex;
 
 use crate::weights::EndpointWeights;
 
@@ -31,6 +33,7 @@
     gone: AtomicBool,
     in_flight: AtomicU32,
     suspected_until_ms: AtomicU64,
+    concurrency: Mutex<Option<ConcurrencyLimit>>,
     pub(crate) weights: EndpointWeights,
     pub(crate) control: Arc<dyn EngineControl>,
     pub(crate) engine: Arc<dyn ModelEngine>,
@@ -73,6 +76,19 @@
         self.suspected_until_ms.load(Ordering::Relaxed) > now.get()
     }
 
+    /// How many runs this instance should keep there; none before the first report.
+    pub(crate) fn capacity(&self) -> Option<u32> {
+        self.concurrency.lock().map(|limit| limit.get())
+    }
+
+    /// Takes in what the endpoint reports of its queue, as one of `members` instances in front of it.
+    pub(crate) fn observe_queue(&self, report: QueueReport, members: u32) {
+        let mut limit = self.concurrency.lock();
+        let part = report.slots.saturating_mul(2) / members.max(1);
+        let limit = limit.get_or_insert_with(|| ConcurrencyLimit::new(part.max(report.slots)));
+        limit.observe(report, self.in_flight());
+    }
+
     /// Counts a run until the guard is dropped.
     pub(crate) fn enter(self: &Arc<Self>) -> InFlight {
         self.in_flight.fetch_add(1, Ordering::Relaxed);
@@ -210,6 +226,7 @@
             in_flight: AtomicU32::new(0),
             suspected_until_ms: AtomicU64::new(0),
             engine: Arc::new(HttpEngine::new(record.address, pooled.clone(), fresh.clone())),
+            concurrency: Mutex::default(),
             weights: EndpointWeights::default(),
             control: Arc::new(HttpControl::new(record.address, fresh.clone())),
             service: Arc::new(HttpService::new(record.address, pooled, fresh)),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,6 +12,7 @@
 
 mod accept;
 mod acceptor;
+mod admission;
 mod api;
 mod config;
 mod controllers;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -18,6 +18,7 @@
 use parking_lot::{Mutex, RwLock};
 
 use crate::{
+    admission::{Admissions, Ticket},
     config::InForce,
     events::{EventLog, wall_ms},
     fleet::{EndpointClients, Fleet},
@@ -51,6 +52,7 @@
     config: Mutex<VersionedConfig<Arc<InForce>>>,
     pub(crate) orders: Orders,
     pub(crate) leases: HeldLeases,
+    pub(crate) admissions: Admissions,
     pub(crate) weights: Weights,
     in_force: ArcSwapOption<InForce>,
     peers: RwLock<Option<PeerClient>>,
@@ -101,6 +103,7 @@
             config: Mutex::new(VersionedConfig::new()),
             orders: Orders::default(),
             leases: HeldLeases::default(),
+            admissions: Admissions::new(TimeMs(0)),
             weights: Weights::default(),
             in_force: ArcSwapOption::empty(),
             peers: RwLock::new(None),
@@ -204,7 +207,7 @@
         let limit = self.settings.max_in_flight;
         let taken = self.in_flight.fetch_add(1, Ordering::Relaxed);
         self.metrics.in_flight.add(1, &[]);
-        let place = Place { node: self.clone() };
+        let place = Place { node: self.clone(), ticket: None };
         (taken < limit).then_some(place)
     }
 
@@ -217,6 +220,14 @@
 /// A place in the instance, given back when it is dropped.
 pub(crate) struct Place {
     node: Arc<Node>,
+    ticket: Option<Ticket>,
+}
+
+impl Place {
+    /// Keeps the ticket as long as the place.
+    pub(crate) fn keep(&mut self, ticket: Ticket) {
+        self.ticket = Some(ticket);
+    }
 }
 
 impl Drop for Place {
--- a/crates/node/src/peering.rs
+++ b/crates/node/src/peering.rs
@@ -235,8 +235,8 @@
         }
     }
 
-    fn borrow(&self, _borrow: Borrow) -> BorrowReply {
-        BorrowReply::default()
+    fn borrow(&self, borrow: Borrow) -> BorrowReply {
+        self.node().map_or_else(BorrowReply::default, |node| node.lend(borrow))
     }
 
     fn place(&self, _request: PlaceRequest) -> Option<PlaceReply> {
--- a/crates/node/src/refusal.rs
+++ b/crates/node/src/refusal.rs
@@ -46,6 +46,12 @@
         Self { kind, ran: kind.answer().ran, retry_after: None }
     }
 
+    /// Says when to come back, before jitter, where the kind leaves it to the one who refuses.
+    pub(crate) const fn come_back_in(mut self, span: TimeMs) -> Self {
+        self.retry_after = Some(span);
+        self
+    }
+
     /// The kind.
     pub(crate) const fn kind(&self) -> ErrorKind {
         self.kind
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -8,7 +8,16 @@
 pub mod kv;
 mod reader;
 
-use std::{collections::HashMap, io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::HashMap,
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::Duration,
+};
 
 use bilberryford_cache::prompt_tokens;
 use bilberryford_endpoint::{LoadReport, wire::CompletionBody};
@@ -157,6 +166,7 @@
     runs: Mutex<HashMap<AttemptId, Arc<Output>>>,
     started: Instant,
     control: Arc<control::Control>,
+    waiting: AtomicU32,
 }
 
 impl Life {
@@ -166,7 +176,16 @@
         let spec = &engine.spec;
         let control = control::Control::new(spec.control.clone(), spec.weight_versions.clone());
         let started = Instant::now();
-        Self { engine, exits, slots, prefill, runs: Mutex::default(), started, control }
+        Self {
+            engine,
+            exits,
+            slots,
+            prefill,
+            runs: Mutex::default(),
+            started,
+            control,
+            waiting: AtomicU32::new(0),
+        }
     }
 
     fn start(self: &Arc<Self>, body: CompletionBody) -> Result<Arc<Output>, StatusCode> {
@@ -200,7 +219,10 @@
     }
 
     async fn generate(self: Arc<Self>, body: CompletionBody, output: Arc<Output>) {
-        let Ok(_slot) = self.slots.acquire().await else { return };
+        self.waiting.fetch_add(1, Ordering::Relaxed);
+        let slot = self.slots.acquire().await;
+        self.waiting.fetch_sub(1, Ordering::Relaxed);
+        let Ok(_slot) = slot else { return };
         self.prefill(output.prompt_tokens).await;
         if body.prompt.contains(CRASH_MARK) {
             let mut book = self.engine.book.lock();
@@ -326,7 +348,7 @@
     Json(LoadReport {
         taken_ms: TimeMs(u64::try_from(life.started.elapsed().as_millis()).unwrap_or(u64::MAX)),
         running,
-        waiting: 0,
+        waiting: life.waiting.load(Ordering::Relaxed),
         slots,
         cache_tokens: Tokens(0),
         weight_versions: life.control.served(),
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+mod admission;
 mod answers;
 mod bad_input;
 mod config;
