--- a/crates/standins/src/engine/control.rs
+++ b/crates/standins/src/engine/control.rs
@@ -43,6 +43,8 @@
     pub late_ms: u64,
     /// That many next orders take effect, but their answers are lost.
     pub lose_answers: u32,
+    /// Reports are answered that much later, in milliseconds.
+    pub slow_reports_ms: u64,
 }
 
 /// Orders as they arrived.
@@ -183,6 +185,9 @@
 }
 
 #[handler]
-pub(super) fn show_report(Data(life): Data<&Arc<Life>>) -> Json<ControlReport> {
-    Json(life.control.report())
+pub(super) async fn show_report(Data(life): Data<&Arc<Life>>) -> Json<ControlReport> {
+    let report = life.control.report();
+    let slow_ms = life.engine.control.state.lock().1.slow_reports_ms;
+    sleep(Duration::from_millis(slow_ms)).await;
+    Json(report)
 }
--- a/tests/all/leases.rs
+++ b/tests/all/leases.rs
@@ -1,11 +1,15 @@
 //! A holder of a lease that is paused and wakes up, before endpoints that check fencing numbers and others.
 
+use bilberryford_standins::engine::control::ControlFaults;
 use bilberryford_types::Fencing;
 use nix::sys::signal::Signal;
 use rstest::rstest;
 
 use crate::rollout::{Rollout, document};
 
+/// Less than the deadline of a report, and more than half of a controller's step.
+const SLOW_REPORT_MS: u64 = 400;
+
 #[rstest]
 #[case::numbers_are_checked(true)]
 #[case::numbers_are_ignored(false)]
@@ -15,6 +19,10 @@
     let (holder, fencing) = rollout.until_held(0).await;
     rollout.change(2, &document("v2", 1, checks_fencing)).await;
     rollout.until_serving("v2", 1).await;
+    // The holder is mostly stopped between what it read and what it orders.
+    let slow = ControlFaults { slow_reports_ms: SLOW_REPORT_MS, ..ControlFaults::default() };
+    rollout.deployment.engines[0].what.control.set_faults(slow);
+    rollout.until_reported(0).await;
     rollout.deployment.instances[holder].signal(Signal::SIGSTOP);
     let (next, _) = rollout.until_held(fencing).await;
     assert_ne!(next, holder);
--- a/tests/all/rollout.rs
+++ b/tests/all/rollout.rs
@@ -103,6 +103,11 @@
         }
     }
 
+    /// Waits until an engine has answered a report.
+    pub(crate) async fn until_reported(&self, engine: usize) {
+        self.report(engine).await.expect("the engine answers");
+    }
+
     pub(crate) async fn until_held(&self, above: u64) -> (usize, u64) {
         let until = Instant::now() + ROLLOUT_LIMIT;
         loop {
