An instance is ready only when it can pin requests; a late view of versions costs no request

The time line showed the first refusal 0.3 s after an instance had started: it had neither read the version in force nor asked an engine, and took the document's. Ruled out: endpoints marked as leaving by the refusals of an engine that loads. Change: readiness waits for one read of the versions in force and one round of reports (3 s at most); reading the versions no longer waits for slow engines, and a refused version makes it look at once; with no engine for the agreed version the one that engines report is taken; the first new placement after a refused version is no retry. Tests: the platform stand-in's write faults can be bound to a kind, since leases are written all the time and used up the faults that tests/all/config.rs meant for the configuration; the balancer of tests/all/shutdown.rs looks ten times a second instead of always, so that an instance that stays ready while it leaves is hit by requests, and its long streams outlast the drain delay.

--- a/crates/node/src/controllers.rs
+++ b/crates/node/src/controllers.rs
@@ -25,7 +25,8 @@
     tasks.spawn(orders::settle(node.clone()));
     tasks.spawn(orders::sweep(node.clone()));
     tasks.spawn(loans::run(node.clone()));
-    tasks.spawn(weights::run(node.clone()));
+    tasks.spawn(weights::follow_agreed(node.clone()));
+    tasks.spawn(weights::follow_reports(node.clone()));
     tasks.spawn(rollout::run(node.clone()));
     tasks
 }
--- a/crates/node/src/controllers/weights.rs
+++ b/crates/node/src/controllers/weights.rs
@@ -7,7 +7,7 @@
 use bilberryford_platform::{ObjectKind, PlatformError};
 use bilberryford_types::{EnvironmentName, TimeMs};
 use rand::seq::IndexedRandom;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::{
     fleet::Endpoint,
@@ -24,18 +24,43 @@
 /// How many engines one instance asks in one round; more of them are asked in turn, by chance.
 const MAX_REPORTS: usize = 64;
 
-pub(crate) async fn run(node: Arc<Node>) {
-    let mut rounds = 0_u64;
+/// How often engines are looked for at the start, in milliseconds.
+const START_POLL_MS: u64 = 50;
+/// How long an instance waits at the start for what it can't read, in milliseconds.
+const START_WAIT_MS: u64 = 3_000;
+/// The shortest time between two reads of the versions in force, in milliseconds.
+const AGREED_MIN_MS: u64 = 250;
+
+/// Follows the versions in force; engines that refuse a version make it look at once.
+pub(crate) async fn follow_agreed(node: Arc<Node>) {
     loop {
-        if rounds.is_multiple_of(AGREED_POLL_MS / REPORT_POLL_MS) {
-            match read_agreed(&node).await {
-                Ok(agreed) => agreed.into_iter().for_each(|agreed| node.weights.observe(agreed)),
-                Err(error) => log::debug!("versions in force can't be read: {error}"),
+        match read_agreed(&node).await {
+            Ok(agreed) => {
+                agreed.into_iter().for_each(|agreed| node.weights.observe(agreed));
+                node.weights.note_agreed();
+            }
+            Err(error) => {
+                log::debug!("versions in force can't be read: {error}");
+                if node.now() > TimeMs(START_WAIT_MS) {
+                    node.weights.note_agreed();
+                }
             }
         }
-        read_reports(&node).await;
-        rounds += 1;
-        sleep(Duration::from_millis(REPORT_POLL_MS)).await;
+        sleep(Duration::from_millis(AGREED_MIN_MS)).await;
+        let rest = Duration::from_millis(AGREED_POLL_MS - AGREED_MIN_MS);
+        let _ = timeout(rest, node.weights.refused.notified()).await;
+    }
+}
+
+/// Follows what engines report; slow ones don't delay what is agreed.
+pub(crate) async fn follow_reports(node: Arc<Node>) {
+    loop {
+        let asked = read_reports(&node).await;
+        if asked > 0 || node.now() > TimeMs(START_WAIT_MS) {
+            node.weights.note_reports();
+        }
+        let pause = if node.weights.is_known() { REPORT_POLL_MS } else { START_POLL_MS };
+        sleep(Duration::from_millis(pause)).await;
     }
 }
 
@@ -55,8 +80,9 @@
     Ok(objects.iter().filter_map(read).collect())
 }
 
-async fn read_reports(node: &Node) {
-    let Some(in_force) = node.in_force() else { return };
+/// Asks engines and answers how many were asked.
+async fn read_reports(node: &Node) -> usize {
+    let Some(in_force) = node.in_force() else { return 0 };
     let table = node.fleet.endpoints();
     let pools = in_force.document.models.iter().map(|model| &model.pool);
     let engines: Vec<_> = pools.flat_map(|pool| table.pool(pool)).cloned().collect();
@@ -64,6 +90,7 @@
     let members = node.member_count();
     let reads = asked.iter().map(|endpoint| read_report(endpoint, members));
     futures::future::join_all(reads).await;
+    asked.len()
 }
 
 async fn read_report(endpoint: &Arc<Endpoint>, members: u32) {
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -185,6 +185,10 @@
         failure: &Failure,
         tried: &[Arc<Endpoint>],
     ) -> Option<Arc<Endpoint>> {
+        if tried.len() == 1 && self.run.len() == 0 && failure.error == EndpointError::VersionGone {
+            // Placed on a late view of versions: nothing failed there, so the first new placement is no retry.
+            return self.pin_again(tried);
+        }
         let is_begun = failure.is_begun || self.run.len() > 0;
         let class = if is_begun { RetryClass::Begun } else { RetryClass::Fresh };
         while !self.node.take_retry(&self.call.trace.team, &self.call.section.pool, class) {
@@ -209,7 +213,11 @@
             });
             return next;
         }
-        // No token has come, so the run may take another version than the one it was placed with.
+        self.pin_again(tried)
+    }
+
+    /// Places the run anew. No token has come, so it may take another version than the one it was placed with.
+    fn pin_again(&self, tried: &[Arc<Endpoint>]) -> Option<Arc<Endpoint>> {
         let section = &self.call.section;
         let pinned = pin(&self.node, section, tried).or_else(|| pin(&self.node, section, &[]))?;
         *self.weight_version.lock() = pinned.weight_version;
@@ -233,6 +241,7 @@
         *self.endpoint.lock() = None;
         if failure.error == EndpointError::VersionGone {
             endpoint.weights.lacks(&self.weight_version.lock());
+            self.node.weights.refused.notify_one();
         }
         if failure.is_begun && !failure.is_crash {
             cancel(endpoint.clone(), id.clone());
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -180,7 +180,7 @@
 
     /// Whether the balancer should send requests here.
     pub(crate) fn is_ready(&self) -> bool {
-        !self.is_leaving() && self.in_force.load().is_some()
+        !self.is_leaving() && self.in_force.load().is_some() && self.weights.is_known()
     }
 
     /// A new request id.
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -177,7 +177,8 @@
 #[handler]
 fn readyz(Data(node): Data<&Arc<Node>>) -> Response {
     let (status, text) = match node.in_force() {
-        Some(_) if !node.is_ready() => (StatusCode::SERVICE_UNAVAILABLE, "leaving\n".to_owned()),
+        Some(_) if node.is_leaving() => (StatusCode::SERVICE_UNAVAILABLE, "leaving\n".to_owned()),
+        Some(_) if !node.is_ready() => (StatusCode::SERVICE_UNAVAILABLE, "starting\n".to_owned()),
         None => (StatusCode::SERVICE_UNAVAILABLE, "no configuration\n".to_owned()),
         Some(in_force) => {
             let endpoints = node.fleet.endpoints().len();
--- a/crates/node/src/weights.rs
+++ b/crates/node/src/weights.rs
@@ -5,13 +5,20 @@
 //! Until an instance has seen a change it pins new requests to the version before, which is safe: a request is pinned
 //! once, and an engine refuses a version that it does not serve. See `docs/design/endpoint-orders.md`.
 
-use std::{collections::HashMap, sync::Arc};
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use bilberryford_document::ModelSection;
 use bilberryford_endpoint::ControlReport;
 use bilberryford_types::{Fencing, ModelName, ObjectVersion, PoolName, WeightVersion};
 use serde::{Deserialize, Serialize};
+use tokio::sync::Notify;
 
 use crate::{filters::choose, fleet::Endpoint, node::Node};
 
@@ -39,6 +46,10 @@
 #[derive(Debug, Default)]
 pub(crate) struct Weights {
     agreed: ArcSwap<HashMap<ModelName, Arc<Agreed>>>,
+    /// Rings when an engine refused a version, since the one in force may have changed.
+    pub(crate) refused: Notify,
+    has_agreed: AtomicBool,
+    has_reports: AtomicBool,
 }
 
 impl Weights {
@@ -56,6 +67,21 @@
         });
     }
 
+    /// Notes that the versions in force were read once, or can't be read.
+    pub(crate) fn note_agreed(&self) {
+        self.has_agreed.store(true, Ordering::Release);
+    }
+
+    /// Notes that engines were asked once, or can't be.
+    pub(crate) fn note_reports(&self) {
+        self.has_reports.store(true, Ordering::Release);
+    }
+
+    /// Whether a request can be pinned on more than a guess; an instance is not ready before.
+    pub(crate) fn is_known(&self) -> bool {
+        self.has_agreed.load(Ordering::Acquire) && self.has_reports.load(Ordering::Acquire)
+    }
+
     /// What is agreed for a model.
     pub(crate) fn agreed(&self, model: &ModelName) -> Option<Arc<Agreed>> {
         self.agreed.load().get(model).cloned()
@@ -77,7 +103,8 @@
     /// Takes in that the engine refused a version.
     pub(crate) fn lacks(&self, version: &WeightVersion) {
         self.report.rcu(|report| {
-            let mut report = ControlReport::clone(report.as_ref()?);
+            let none = ControlReport { weight_versions: Vec::new(), loading: None, fencing: None };
+            let mut report = report.as_ref().map_or(none, |report| ControlReport::clone(report));
             report.weight_versions.retain(|served| served != version);
             Some(Arc::new(report))
         });
@@ -112,7 +139,9 @@
     let members = table.pool(&model.pool).iter().filter(|endpoint| !endpoint.is_leaving());
     let serving = members.filter(|endpoint| endpoint.weights.may_serve(&in_force)).count();
     let previous = previous.filter(|_| serving < model.min_available as usize);
-    let candidates = [Some(in_force.clone()), previous];
+    // With nobody to serve it, what is agreed has changed unseen: engines know better.
+    let reported = if serving == 0 { most_served(node, &model.pool) } else { None };
+    let candidates = [Some(in_force.clone()), previous, reported];
     let found = candidates
         .into_iter()
         .flatten()
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -49,6 +49,8 @@
     pub answer_slow_ms: u64,
     /// That many next writes take effect, but their answers are lost.
     pub lose_answers: u32,
+    /// `lose_answers` and `delay_writes` hold for writes of this kind only; empty for all kinds.
+    pub only_kind: String,
     /// That many next writes are answered with 500 and take effect after `delay_ms`.
     pub delay_writes: u32,
     /// See `delay_writes`, in milliseconds.
@@ -327,7 +329,8 @@
     };
     let body = (request.method() == Method::PUT).then_some(body);
     let write = Write { kind, name, expected, body };
-    if let Some(delay) = take_delay(platform) {
+    let kind = write.kind.clone();
+    if let Some(delay) = take_delay(platform, &kind) {
         let platform = platform.clone();
         tokio::spawn(async move {
             sleep(delay).await;
@@ -340,6 +343,8 @@
     sleep(Duration::from_millis(answer_slow_ms)).await;
     match written {
         Ok(_) if take_loss(platform) => StatusCode::INTERNAL_SERVER_ERROR.into_response(),
+    match platform.write(write) {
+        Ok(_) if take_loss(platform, &kind) => StatusCode::INTERNAL_SERVER_ERROR.into_response(),
         Ok(version) => {
             Response::builder().header("etag", entity_tag(ObjectVersion(version))).finish()
         }
@@ -350,15 +355,27 @@
     }
 }
 
-fn take_delay(platform: &Platform) -> Option<Duration> {
+impl Faults {
+    fn holds_for(&self, kind: &str) -> bool {
+        self.only_kind.is_empty() || self.only_kind == kind
+    }
+}
+
+fn take_delay(platform: &Platform, kind: &str) -> Option<Duration> {
     let mut state = platform.state.lock();
+    if !state.faults.holds_for(kind) {
+        return None;
+    }
     let delay = Duration::from_millis(state.faults.delay_ms);
     state.faults.delay_writes = state.faults.delay_writes.checked_sub(1)?;
     Some(delay)
 }
 
-fn take_loss(platform: &Platform) -> bool {
+fn take_loss(platform: &Platform, kind: &str) -> bool {
     let mut state = platform.state.lock();
+    if !state.faults.holds_for(kind) {
+        return false;
+    }
     match state.faults.lose_answers.checked_sub(1) {
         Some(rest) => {
             state.faults.lose_answers = rest;
--- a/crates/standins/src/process.rs
+++ b/crates/standins/src/process.rs
@@ -45,6 +45,18 @@
     child: Child,
 }
 
+impl InstanceSpec {
+    /// A short drain delay, where the flags don't give one.
+    fn drain_delay(&self) -> &'static [&'static str] {
+        let flag = "--drain-delay-ms";
+        if self.flags.iter().any(|given| given == flag) {
+            &[]
+        } else {
+            &["--drain-delay-ms", "300"]
+        }
+    }
+}
+
 impl Instance {
     /// Starts one and waits for the line with its addresses.
     ///
@@ -56,7 +68,8 @@
             .args(["serve", "--instance", &spec.name, "--data-centre", &spec.data_centre])
             .args(["--environment", &spec.environment, "--platform-url", &spec.platform_url])
             .args(["--listen", "127.0.0.1:0", "--peer-listen", "127.0.0.1:0"])
-            .args(["--run-key", "a key for stand-ins only", "--drain-delay-ms", "300"])
+            .args(["--run-key", "a key for stand-ins only"])
+            .args(spec.drain_delay())
             .args(&spec.flags)
             .stdout(Stdio::piped())
             .spawn()?;
--- a/tests/all/config.rs
+++ b/tests/all/config.rs
@@ -131,7 +131,9 @@
 async fn a_lost_answer_is_read_back_and_the_operator_is_told_the_truth(#[case] faults: Faults) {
     let deployment = Deployment::start(1, &fast_engine()).await.unwrap();
     let platform = deployment.platform_host.url();
-    deployment.platform.set_faults(faults.clone());
+    // Leases and the status are written all the time and would use the faults up.
+    let only_kind = "config".to_owned();
+    deployment.platform.set_faults(Faults { only_kind, ..faults.clone() });
     let file = File::new(
         &format!("lost-{faults:?}").replace([' ', '{', '}', ':', ','], ""),
         &document(30),
--- a/tests/all/shutdown.rs
+++ b/tests/all/shutdown.rs
@@ -15,6 +15,14 @@
 /// How long one instance may take to stop.
 const STOP_LIMIT: Duration = Duration::from_secs(20);
 
+/// How often the balancer looks.
+const BALANCER_POLL: Duration = Duration::from_millis(100);
+/// How long an instance stays up for the balancer to notice, in milliseconds.
+const DRAIN_DELAY_MS: &str = "1500";
+
+/// The tokens of a stream that lasts longer than the drain delay, at 2 ms each.
+const LONG_TOKENS: u32 = 1_200;
+
 /// What the balancer and the callers share.
 #[derive(Default)]
 struct Shared {
@@ -50,7 +58,7 @@
             }
         }
         *shared.ready.write().unwrap() = ready;
-        tokio::task::yield_now().await;
+        tokio::time::sleep(BALANCER_POLL).await;
     }
 }
 
@@ -65,10 +73,9 @@
         shared.done.fetch_add(1, Ordering::AcqRel);
         outcomes.push(match (number + count) % 4 {
             0 => caller.order(&url, "desk", &format!("order-{number}-{count}")).await,
-            // Longer than the drain delay, so that streams are under way when connections are refused.
             1 => {
                 caller
-                    .prompt(&url, "assistant", &format!("{number} {count}"), 300, true)
+                    .prompt(&url, "assistant", &format!("{number} {count}"), LONG_TOKENS, true)
                     .await
                     .outcome
             }
@@ -86,7 +93,8 @@
 #[tokio::test]
 async fn replacing_every_instance_under_load_cuts_no_request() {
     let spec = bilberryford_standins::engine::EngineSpec { token_gap_ms: 2, ..fast_engine() };
-    let mut deployment = Deployment::start(3, &spec).await.unwrap();
+    let mut deployment =
+        Deployment::start_with(3, &spec, &["--drain-delay-ms", DRAIN_DELAY_MS]).await.unwrap();
     let shared = Arc::new(Shared::default());
     *shared.known.write().unwrap() = (0..3).map(|instance| deployment.url(instance)).collect();
     let balancer = tokio::spawn(balance(deployment.client.clone(), shared.clone()));
