--- a/crates/node/src/controllers.rs
+++ b/crates/node/src/controllers.rs
@@ -3,8 +3,8 @@
 mod config;
 mod endpoints;
 mod heartbeat;
-mod orders;
 mod loans;
+mod orders;
 mod rollout;
 mod status;
 mod weights;
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -138,10 +138,8 @@
         let until = Instant::now() + Duration::from_millis(node.settings.drain_limit.get());
         let _ = stop.send(());
         let result = server.await.map_err(|error| ServeError::Server(io::Error::other(error)))?;
-        node.orders.drained().await;
-        let release = Duration::from_millis(RELEASE_LIMIT_MS);
-        let _ = timeout(release, node.leases.released()).await;
         shutdown::finish_work(&node, until).await;
+        node.orders.drained().await;
         shutdown::release_leases(&node).await;
         drop(controllers);
         node.events.write(EventKind::Stopped, |event| {
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -342,8 +342,6 @@
     let answer_slow_ms = platform.state.lock().faults.answer_slow_ms;
     sleep(Duration::from_millis(answer_slow_ms)).await;
     match written {
-        Ok(_) if take_loss(platform) => StatusCode::INTERNAL_SERVER_ERROR.into_response(),
-    match platform.write(write) {
         Ok(_) if take_loss(platform, &kind) => StatusCode::INTERNAL_SERVER_ERROR.into_response(),
         Ok(version) => {
             Response::builder().header("etag", entity_tag(ObjectVersion(version))).finish()
