--- a/crates/node/src/controllers.rs
+++ b/crates/node/src/controllers.rs
@@ -4,9 +4,12 @@
 mod config;
 mod endpoints;
 mod heartbeat;
+mod loans;
 mod orders;
 mod quarantine;
+mod rollout;
 mod status;
+mod weights;
 
 use std::{net::SocketAddr, sync::Arc};
 
@@ -27,5 +30,9 @@
     tasks.spawn(orders::settle(node.clone()));
     tasks.spawn(orders::sweep(node.clone()));
     tasks.spawn(quarantine::run(node.clone()));
+    tasks.spawn(loans::run(node.clone()));
+    tasks.spawn(weights::follow_agreed(node.clone()));
+    tasks.spawn(weights::follow_reports(node.clone()));
+    tasks.spawn(rollout::run(node.clone()));
     tasks
 }
--- a/crates/node/src/filters/context.rs
+++ b/crates/node/src/filters/context.rs
@@ -6,6 +6,7 @@
 use bilberryford_document::{RouteSection, TeamSection};
 use bilberryford_types::{
     AttemptId, Digest, ErrorKind, OrderKey, Priority, RequestId, RunId, ServiceName, TimeMs,
+    WeightVersion,
 };
 use bytes::Bytes;
 use poem::http::{HeaderMap, Method};
@@ -56,6 +57,7 @@
     pub(crate) timeout: TimeMs,
     pub(crate) place: Option<Place>,
     pub(crate) endpoint: Option<Arc<Endpoint>>,
+    pub(crate) weight_version: Option<WeightVersion>,
     pub(crate) intent: Option<Intent>,
     pub(crate) fingerprint: Option<Digest>,
     pub(crate) claim: Option<ClaimGuard>,
@@ -86,6 +88,7 @@
             timeout: TimeMs(0),
             place: None,
             endpoint: None,
+            weight_version: None,
             intent: None,
             fingerprint: None,
             claim: None,
--- a/crates/node/src/filters/place.rs
+++ b/crates/node/src/filters/place.rs
@@ -6,11 +6,11 @@
     BLOCK_TOKENS, ChainSalt, Decision, LinkClass, MAX_ENGINES, PlaceRequest, PrefixChain,
     prompt_tokens,
 };
-use bilberryford_types::{ErrorKind, EventKind, PoolName, Priority};
+use bilberryford_types::{ErrorKind, EventKind, PoolName, Priority, WeightVersion};
 use futures::{FutureExt, future::BoxFuture};
 
 use super::{Context, Filter, Flow, Target};
-use crate::{fleet::Endpoint, node::Node, refusal::Refusal};
+use crate::{fleet::Endpoint, node::Node, refusal::Refusal, weights};
 
 pub(crate) struct Place;
 
@@ -25,10 +25,9 @@
 }
 
 fn place(node: &Node, ctx: &mut Context) -> Result<Flow, Refusal> {
-    let pool = pool(ctx)?;
-    let (endpoint, reason) = match place_prompt(node, ctx, &pool)? {
-        Some((endpoint, decision)) => (Some(endpoint), decision.to_string()),
-        None => (choose(node, &pool, &[]), "least in flight".to_owned()),
+    let (endpoint, reason) = match &ctx.target {
+        Target::Prompt(_) => place_prompt(node, ctx)?,
+        Target::Service { .. } | Target::Run { .. } => (choose(node, &pool(ctx)?, &[]), None),
     };
     let Some(endpoint) = endpoint else {
         return Err(ctx.refuse(ErrorKind::NoEndpoint));
@@ -37,17 +36,36 @@
         event.request = Some(ctx.request.clone());
         event.team = ctx.team.as_ref().map(|team| team.name.clone());
         event.endpoint = Some(endpoint.id.clone());
-        event.detail = reason;
+        event.detail = reason.unwrap_or_else(|| "least in flight".to_owned());
     });
     ctx.endpoint = Some(endpoint);
     Ok(Flow::Next)
 }
 
+/// An endpoint with the reason for it, where there is one besides its load.
+type Chosen = (Option<Arc<Endpoint>>, Option<String>);
+
+/// Pins the request to a weight version and chooses an endpoint that has it.
+fn place_prompt(node: &Node, ctx: &mut Context) -> Result<Chosen, Refusal> {
+    let in_force = ctx.in_force()?;
+    let model = ctx.prompt.as_ref().map(|prompt| &prompt.model);
+    let section = in_force.document.models.iter().find(|section| Some(&section.name) == model);
+    let section = section.ok_or_else(|| Refusal::of(ErrorKind::Internal))?;
+    let Some(pinned) = weights::pin(node, section, &[]) else { return Ok((None, None)) };
+    ctx.weight_version = Some(pinned.weight_version.clone());
+    let weighed = weigh(node, ctx, &section.pool, &pinned.weight_version)?;
+    Ok(match weighed {
+        Some((endpoint, decision)) => (Some(endpoint), Some(decision.to_string())),
+        None => (Some(pinned.endpoint), None),
+    })
+}
+
 /// Weighs load against what engines hold; none for a prompt that fills no block and for other calls.
-fn place_prompt(
+fn weigh(
     node: &Node,
     ctx: &Context,
     pool: &PoolName,
+    weight_version: &WeightVersion,
 ) -> Result<Option<(Arc<Endpoint>, Decision)>, Refusal> {
     let Some(prompt) = &ctx.prompt else { return Ok(None) };
     let tokens = prompt_tokens(&prompt.prompt);
@@ -55,13 +73,10 @@
         return Ok(None);
     }
     let document = &ctx.in_force()?.document;
-    let Some(section) = document.models.iter().find(|section| section.name == prompt.model) else {
-        return Ok(None);
-    };
     let salt = ChainSalt {
         team: ctx.team()?.name.clone(),
         model: prompt.model.clone(),
-        weight_version: section.weight_version.clone(),
+        weight_version: weight_version.clone(),
         adapter: String::new(),
     };
     let chain = PrefixChain::of(&salt, &prompt.prompt);
@@ -79,29 +94,28 @@
         .pool(pool)
         .iter()
         .filter(|endpoint| !endpoint.is_leaving() && !endpoint.is_suspected(now))
+        .filter(|endpoint| endpoint.weights.may_serve(weight_version))
         .cloned()
         .collect();
     let request = PlaceRequest { chain: &chain, tokens, class };
     Ok(node.placement.decide(&usable, &request, document.placement, now))
 }
 
-fn pool(ctx: &Context) -> Result<PoolName, Refusal> {
+/// The pool that the request is for.
+pub(super) fn pool(ctx: &Context) -> Result<PoolName, Refusal> {
     let in_force = ctx.in_force()?;
     let document = &in_force.document;
     let pool = match &ctx.target {
-        Target::Prompt(_) => {
-            let model = ctx.prompt.as_ref().map(|prompt| &prompt.model);
-            document
-                .models
-                .iter()
-                .find(|section| Some(&section.name) == model)
-                .map(|section| &section.pool)
-        }
         Target::Service { service, .. } => document
             .services
             .iter()
             .find(|section| section.name == *service)
             .map(|section| &section.pool),
+        Target::Prompt(_) => {
+            let model = ctx.prompt.as_ref().map(|prompt| &prompt.model);
+            let models = &document.models;
+            models.iter().find(|section| Some(&section.name) == model).map(|section| &section.pool)
+        }
         Target::Run { .. } => None,
     };
     pool.cloned().ok_or_else(|| Refusal::of(ErrorKind::Internal))
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -13,9 +13,10 @@
 };
 
 use bilberryford_coord::{Attempt, Planned, RetryClass, backoff};
+use bilberryford_document::ModelSection;
 use bilberryford_endpoint::{EndpointError, GenerateCall};
 use bilberryford_types::{
-    AttemptId, Digest, ErrorKind, EventKind, ModelName, PoolName, Priority, Ran, TimeMs, Tokens,
+    AttemptId, Digest, ErrorKind, EventKind, ModelName, Priority, Ran, TimeMs, Tokens,
     WeightVersion,
 };
 use parking_lot::Mutex;
@@ -25,12 +26,12 @@
 pub(crate) use stream::{Failure, Intake, Trace};
 
 use crate::{
-    filters::choose,
     fleet::Endpoint,
     node::{Node, Place},
     quarantine::ClaimGuard,
     refusal::Refusal,
     run::{Run, RunEnd, RunPlace},
+    weights::pin,
 };
 
 /// How often one run may be lost or fail to connect.
@@ -43,8 +44,8 @@
 /// What is followed.
 pub(crate) struct FollowCall {
     pub(crate) trace: Trace,
-    pub(crate) pool: PoolName,
-    /// Pinned when the run is dispatched, also across a swap of weights.
+    pub(crate) section: ModelSection,
+    /// Pinned when the run is placed; it changes only while no token has come.
     pub(crate) weight_version: WeightVersion,
     pub(crate) model: ModelName,
     pub(crate) prompt: Arc<str>,
@@ -75,6 +76,7 @@
     call: FollowCall,
     place: CurrentPlace,
     endpoint: Mutex<Option<Arc<Endpoint>>>,
+    weight_version: Mutex<WeightVersion>,
 }
 
 /// Runs the prompt and fills `run`; the run is over when this ends, whatever happens.
@@ -87,7 +89,10 @@
 ) {
     let limit = call.deadline.saturating_duration_since(Instant::now());
     let pick_up_limit = Duration::from_millis(node.settings.pick_up_limit.get());
-    let follower = Follower { node, run: run.clone(), call, place, endpoint: Mutex::default() };
+    let weight_version = Mutex::new(call.weight_version.clone());
+    let endpoint_now = Mutex::default();
+    let follower =
+        Follower { node, run: run.clone(), call, place, endpoint: endpoint_now, weight_version };
     let outcome = tokio::select! {
         outcome = follower.attempts(start) => outcome,
         () = sleep(limit) => Err(Refusal::sent(ErrorKind::DeadlineWhileRunning, Ran::Maybe)),
@@ -115,7 +120,7 @@
         let mut proof = Some(planned);
         let mut tried = Vec::new();
         let mut losses = 0;
-        self.node.first_try(&self.call.trace.team, &self.call.pool);
+        self.node.first_try(&self.call.trace.team, &self.call.section.pool);
         loop {
             let alone = match &claim {
                 Some(_) => Some(self.claim_place(&base, &mut endpoint, &tried).await),
@@ -176,7 +181,7 @@
             attempt: id.clone(),
             team: self.call.trace.team.clone(),
             model: self.call.model.clone(),
-            weight_version: self.call.weight_version.clone(),
+            weight_version: self.weight_version.lock().clone(),
             prompt: self.call.prompt.clone(),
             max_tokens: self.call.max_tokens,
             skip_tokens: Tokens(self.run.len()),
@@ -192,9 +197,13 @@
         failure: &Failure,
         tried: &[Arc<Endpoint>],
     ) -> Option<Arc<Endpoint>> {
+        if tried.len() == 1 && self.run.len() == 0 && failure.error == EndpointError::VersionGone {
+            // Placed on a late view of versions: nothing failed there, so the first new placement is no retry.
+            return self.pin_again(tried);
+        }
         let is_begun = failure.is_begun || self.run.len() > 0;
         let class = if is_begun { RetryClass::Begun } else { RetryClass::Fresh };
-        while !self.node.take_retry(&self.call.trace.team, &self.call.pool, class) {
+        while !self.node.take_retry(&self.call.trace.team, &self.call.section.pool, class) {
             if self.run.len() == 0 {
                 return None;
             }
@@ -206,7 +215,7 @@
         sleep(Duration::from_millis(delay.get())).await;
         if self.run.len() > 0 {
             let table = self.node.fleet.endpoints();
-            let places = continued_places(table.pool(&self.call.pool), base);
+            let places = continued_places(table.pool(&self.call.section.pool), base);
             let is_new = |place: &&Arc<Endpoint>| tried.iter().all(|other| other.id != place.id);
             let next = places.iter().find(is_new).or(places.first()).cloned();
             self.node.events.write(EventKind::Continued, |event| {
@@ -216,8 +225,15 @@
             });
             return next;
         }
-        choose(&self.node, &self.call.pool, tried)
-            .or_else(|| choose(&self.node, &self.call.pool, &[]))
+        self.pin_again(tried)
+    }
+
+    /// Places the run anew. No token has come, so it may take another version than the one it was placed with.
+    fn pin_again(&self, tried: &[Arc<Endpoint>]) -> Option<Arc<Endpoint>> {
+        let section = &self.call.section;
+        let pinned = pin(&self.node, section, tried).or_else(|| pin(&self.node, section, &[]))?;
+        *self.weight_version.lock() = pinned.weight_version;
+        Some(pinned.endpoint)
     }
 
     fn time_left(&self) -> TimeMs {
@@ -235,6 +251,10 @@
             event.detail = failure.error.to_string();
         });
         *self.endpoint.lock() = None;
+        if failure.error == EndpointError::VersionGone {
+            endpoint.weights.lacks(&self.weight_version.lock());
+            self.node.weights.refused.notify_one();
+        }
         if failure.is_begun && !failure.is_crash {
             cancel(endpoint.clone(), id.clone());
         }
--- a/crates/node/src/follow/suspect.rs
+++ b/crates/node/src/follow/suspect.rs
@@ -77,7 +77,7 @@
     ) -> Vec<Arc<Endpoint>> {
         let table = self.node.fleet.endpoints();
         let now = self.node.now();
-        let mut places = continued_places(table.pool(&self.call.pool), base);
+        let mut places = continued_places(table.pool(&self.call.section.pool), base);
         places.retain(|place| place.id != chosen.id);
         places.insert(0, chosen.clone());
         places.retain(|place| !place.is_suspected(now));
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,6 +12,7 @@
 
 mod accept;
 mod acceptor;
+mod admission;
 mod api;
 mod config;
 mod controllers;
@@ -19,6 +20,7 @@
 mod filters;
 mod fleet;
 mod follow;
+mod leases;
 mod members;
 mod metrics;
 mod node;
@@ -32,7 +34,9 @@
 mod run;
 mod server;
 mod settings;
+mod shutdown;
 mod status;
+mod weights;
 
 pub use accept::{
     AcceptError, Accepted, AcceptedChange, ConfigChange, Head, PromotedFrom, accept, read_head,
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -20,9 +20,11 @@
 use parking_lot::{Mutex, RwLock};
 
 use crate::{
+    admission::{Admissions, Ticket},
     config::InForce,
     events::{EventLog, wall_ms},
     fleet::{EndpointClients, Fleet},
+    leases::HeldLeases,
     members::Members,
     metrics::{Metrics, MetricsError},
     orders::Orders,
@@ -32,6 +34,7 @@
     retries::Retries,
     run::Runs,
     settings::NodeSettings,
+    weights::Weights,
 };
 
 /// How long an idle connection to an endpoint may be used again, in milliseconds.
@@ -57,6 +60,9 @@
     pub(crate) pauses: Pauses,
     pub(crate) quarantine: quarantine::Table,
     pub(crate) convictions: Mutex<Vec<Digest>>,
+    pub(crate) leases: HeldLeases,
+    pub(crate) admissions: Admissions,
+    pub(crate) weights: Weights,
     in_force: ArcSwapOption<InForce>,
     peers: RwLock<Option<PeerClient>>,
     leaving: AtomicBool,
@@ -109,6 +115,9 @@
             pauses: Pauses::default(),
             quarantine: quarantine::Table::default(),
             convictions: Mutex::default(),
+            leases: HeldLeases::default(),
+            admissions: Admissions::new(TimeMs(0)),
+            weights: Weights::default(),
             in_force: ArcSwapOption::empty(),
             peers: RwLock::new(None),
             leaving: AtomicBool::new(false),
@@ -184,7 +193,7 @@
 
     /// Whether the balancer should send requests here.
     pub(crate) fn is_ready(&self) -> bool {
-        !self.is_leaving() && self.in_force.load().is_some()
+        !self.is_leaving() && self.in_force.load().is_some() && self.weights.is_known()
     }
 
     /// A new request id.
@@ -211,7 +220,7 @@
         let limit = self.settings.max_in_flight;
         let taken = self.in_flight.fetch_add(1, Ordering::Relaxed);
         self.metrics.in_flight.add(1, &[]);
-        let place = Place { node: self.clone() };
+        let place = Place { node: self.clone(), ticket: None };
         (taken < limit).then_some(place)
     }
 
@@ -224,6 +233,14 @@
 /// A place in the instance, given back when it is dropped.
 pub(crate) struct Place {
     node: Arc<Node>,
+    ticket: Option<Ticket>,
+}
+
+impl Place {
+    /// Keeps the ticket as long as the place.
+    pub(crate) fn keep(&mut self, ticket: Ticket) {
+        self.ticket = Some(ticket);
+    }
 }
 
 impl Drop for Place {
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -17,7 +17,7 @@
     net::TcpListener,
     sync::oneshot,
     task::{JoinHandle, JoinSet},
-    time::{sleep, timeout},
+    time::{Instant, sleep, timeout},
 };
 
 use crate::{
@@ -29,6 +29,7 @@
     peering::Handler,
     refusal::Refusal,
     settings::NodeSettings,
+    shutdown,
 };
 
 /// The most headers of a request.
@@ -132,10 +133,14 @@
         let Self { node, stop, server, controllers, peers, .. } = self;
         node.events.write(EventKind::Stopping, |_| {});
         node.leave();
-        sleep(Duration::from_millis(node.settings.drain_delay.get())).await;
+        let drain_delay = sleep(Duration::from_millis(node.settings.drain_delay.get()));
+        tokio::join!(shutdown::tell_peers(&node, peers.address()), drain_delay);
+        let until = Instant::now() + Duration::from_millis(node.settings.drain_limit.get());
         let _ = stop.send(());
         let result = server.await.map_err(|error| ServeError::Server(io::Error::other(error)))?;
+        shutdown::finish_work(&node, until).await;
         node.orders.drained().await;
+        shutdown::release_leases(&node).await;
         drop(controllers);
         node.events.write(EventKind::Stopped, |event| {
             event.detail = format!("{} in flight", node.in_flight())
@@ -155,9 +160,10 @@
         .at("/v1/completions", poem::post(completions))
         .at("/v1/runs/:run", get(run))
         .at("/services/:service/*path", service)
-        .data(node)
+        .data(node.clone())
         .map_to_response()
         .catch_all_error(|error: poem::Error| async move { not_found(error.status()) })
+        .map(move |response| std::future::ready(shutdown::close_when_leaving(&node, response)))
 }
 
 fn not_found(status: StatusCode) -> Response {
@@ -169,7 +175,8 @@
 #[handler]
 fn readyz(Data(node): Data<&Arc<Node>>) -> Response {
     let (status, text) = match node.in_force() {
-        Some(_) if !node.is_ready() => (StatusCode::SERVICE_UNAVAILABLE, "leaving\n".to_owned()),
+        Some(_) if node.is_leaving() => (StatusCode::SERVICE_UNAVAILABLE, "leaving\n".to_owned()),
+        Some(_) if !node.is_ready() => (StatusCode::SERVICE_UNAVAILABLE, "starting\n".to_owned()),
         None => (StatusCode::SERVICE_UNAVAILABLE, "no configuration\n".to_owned()),
         Some(in_force) => {
             let endpoints = node.fleet.endpoints().len();
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -4,6 +4,7 @@
 //! together with every run in its batch.
 
 mod cache;
+pub mod control;
 mod faults;
 pub mod kv;
 mod reader;
@@ -62,6 +63,8 @@
     pub cache_blocks: usize,
     /// The weight versions that it has.
     pub weight_versions: Vec<WeightVersion>,
+    /// How it takes orders.
+    pub control: control::ControlSpec,
 }
 
 impl EngineSpec {
@@ -74,6 +77,7 @@
             restart_ms: 300,
             cache_blocks: 100,
             weight_versions: vec![weight_version],
+            control: control::ControlSpec::default(),
         }
     }
 }
@@ -109,6 +113,8 @@
     book: Mutex<Book>,
     /// What it was given.
     pub ledger: RunLedger,
+    /// The orders that it was sent.
+    pub control: control::ControlLedger,
 }
 
 impl Engine {
@@ -119,6 +125,7 @@
             faults: Mutex::default(),
             book: Mutex::default(),
             ledger: RunLedger::default(),
+            control: control::ControlLedger::default(),
         })
     }
 
@@ -165,30 +172,37 @@
     cache: cache::LifeCache,
     runs: Mutex<HashMap<AttemptId, Arc<Output>>>,
     started: Instant,
+    control: Arc<control::Control>,
+    waiting: AtomicU32,
 }
 
 impl Life {
     fn new(engine: Arc<Engine>, exits: Exits) -> Self {
         let slots = Arc::new(Semaphore::new(engine.spec.slots as usize));
         let prefill = tokio::sync::Mutex::default();
+        let spec = &engine.spec;
+        let control = control::Control::new(spec.control.clone(), spec.weight_versions.clone());
+        let started = Instant::now();
         Self {
             cache: cache::LifeCache::new(engine.spec.cache_blocks),
             engine,
             exits,
             slots,
             prefill,
-            backlog: AtomicU32::new(0),
             runs: Mutex::default(),
-            started: Instant::now(),
+            started,
+            control,
+            waiting: AtomicU32::new(0),
+            backlog: AtomicU32::new(0),
         }
     }
 
     fn start(self: &Arc<Self>, body: CompletionBody) -> Result<Arc<Output>, StatusCode> {
-        if self.engine.faults.lock().refuse {
+        if self.engine.faults.lock().refuse || self.control.is_loading() {
             self.engine.book.lock().refused += 1;
             return Err(StatusCode::SERVICE_UNAVAILABLE);
         }
-        if !self.engine.spec.weight_versions.contains(&body.weight_version) {
+        if !self.control.served().contains(&body.weight_version) {
             self.engine.book.lock().wrong_version += 1;
             return Err(StatusCode::CONFLICT);
         }
@@ -215,7 +229,10 @@
     }
 
     async fn generate(self: Arc<Self>, body: CompletionBody, output: Arc<Output>) {
-        let Ok(_slot) = self.slots.acquire().await else { return };
+        self.waiting.fetch_add(1, Ordering::Relaxed);
+        let slot = self.slots.acquire().await;
+        self.waiting.fetch_sub(1, Ordering::Relaxed);
+        let Ok(_slot) = slot else { return };
         let cached = self.cache.find(&body);
         output.cached_tokens.store(cached.get(), Ordering::Release);
         self.prefill(Tokens(output.prompt_tokens.get().saturating_sub(cached.get()))).await;
@@ -282,6 +299,8 @@
         .at("/load", get(load))
         .at("/cache/events", get(cache::cache_events))
         .at("/cache/snapshot", get(cache::cache_snapshot))
+        .at("/control", get(control::show_report))
+        .at("/control/weights", poem::put(control::take_order))
         .at("/faults", post(switch_faults))
         .at("/book", get(show_book))
         .data(life)
@@ -346,11 +365,11 @@
     Json(LoadReport {
         taken_ms: TimeMs(u64::try_from(life.started.elapsed().as_millis()).unwrap_or(u64::MAX)),
         running,
-        waiting: 0,
+        waiting: life.waiting.load(Ordering::Relaxed),
         backlog: Tokens(life.backlog.load(Ordering::Relaxed)),
         slots,
         cache_tokens: Tokens(0),
-        weight_versions: life.engine.spec.weight_versions.clone(),
+        weight_versions: life.control.served(),
     })
 }
 
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -2,11 +2,15 @@
 
 mod support;
 
+mod admission;
 mod answers;
 mod bad_input;
 mod config;
+mod leases;
 mod membership;
 mod orders;
 mod path;
 mod poison;
 mod returning;
+mod rollout;
+mod shutdown;
