--- a/crates/document/tests/check.rs
+++ b/crates/document/tests/check.rs
@@ -110,6 +110,13 @@
     "\"orders\"",
     "must start with '/'"
 )]
+#[case::status_that_is_no_refusal(
+    "status_path = \"/orders/{key}\"",
+    "status_path = \"/orders/{key}\"\nnot_run_statuses = [200]",
+    52,
+    "[200]",
+    "from 400 to 599"
+)]
 #[case::negative_weight(
     "link_weight_ms = 0.2",
     "link_weight_ms = -0.2",
