Heartbeats: news carries nothing else, and the period is 2 s above 16 instances

Cause: measured, an instance among 32 exchanged 1,443 B/s in each direction when nothing happened and 5,018 B/s at one change of the configuration a second, of 4 KB/s for all control.

Change: news told at once, and the answer to it, carry the sender and leaving endpoints only; a sender that is not known yet still gets a full answer. The period is 2 s above 16 instances.

Ruled out: fewer observations in each heartbeat (members and suspicions would spread more slowly).

--- a/crates/node/src/controllers/heartbeat.rs
+++ b/crates/node/src/controllers/heartbeat.rs
@@ -9,10 +9,12 @@
     time::{Instant, sleep_until},
 };
 
-use crate::node::Node;
+use crate::{node::Node, peering::BeatKind};
 
-/// How often heartbeats are sent.
-const PERIOD: Duration = Duration::from_millis(1_000);
+/// How often heartbeats are sent in a deployment of up to `SMALL` instances.
+const PERIOD_SMALL: Duration = Duration::from_millis(1_000);
+/// How often in a larger one.
+const PERIOD: Duration = Duration::from_millis(2_000);
 /// The deadline of a heartbeat, in milliseconds.
 const TIMEOUT_MS: u64 = 400;
 /// How many peers get one each period.
@@ -35,9 +37,10 @@
     loop {
         tokio::select! {
             () = sleep_until(next_beat) => {
-                next_beat = Instant::now() + PERIOD;
+                let is_small = node.members.count() <= SMALL;
+                next_beat = Instant::now() + if is_small { PERIOD_SMALL } else { PERIOD };
                 node.members.tick(node.now());
-                send(&node, peer_address, &mut waiting, FAN_OUT);
+                send(&node, peer_address, &mut waiting, FAN_OUT, BeatKind::Regular);
                 ask_seed(&node, peer_address, &mut waiting);
             }
             () = async {
@@ -47,17 +50,23 @@
                 next_news = Instant::now() + NEWS_GAP;
                 let is_small = node.members.count() <= SMALL;
                 let fan_out = if is_small { NEWS_FAN_OUT_SMALL } else { NEWS_FAN_OUT };
-                send(&node, peer_address, &mut waiting, fan_out);
+                send(&node, peer_address, &mut waiting, fan_out, BeatKind::News);
             }
             Some(_) = waiting.join_next() => {}
         }
     }
 }
 
-fn send(node: &Arc<Node>, own: SocketAddr, waiting: &mut JoinSet<()>, count: usize) {
+fn send(
+    node: &Arc<Node>,
+    own: SocketAddr,
+    waiting: &mut JoinSet<()>,
+    count: usize,
+    kind: BeatKind,
+) {
     for (instance, address) in node.members.targets(count) {
         if waiting.len() < MAX_WAITING {
-            waiting.spawn(beat(node.clone(), own, Some(instance), address));
+            waiting.spawn(beat(node.clone(), own, kind, Some(instance), address));
         }
     }
 }
@@ -70,13 +79,19 @@
     };
     let seeds: Vec<_> = node.settings.peers.iter().filter(is_unknown).collect();
     if let Some(seed) = seeds.choose(&mut rand::rng()).filter(|_| waiting.len() < MAX_WAITING) {
-        waiting.spawn(beat(node.clone(), own, None, **seed));
+        waiting.spawn(beat(node.clone(), own, BeatKind::Regular, None, **seed));
     }
 }
 
-async fn beat(node: Arc<Node>, own: SocketAddr, to: Option<InstanceId>, address: SocketAddr) {
+async fn beat(
+    node: Arc<Node>,
+    own: SocketAddr,
+    kind: BeatKind,
+    to: Option<InstanceId>,
+    address: SocketAddr,
+) {
     let Some(peers) = node.peers() else { return };
-    match peers.heartbeat(address, node.beat(own), TimeMs(TIMEOUT_MS)).await {
+    match peers.heartbeat(address, node.beat(own, kind), TimeMs(TIMEOUT_MS)).await {
         Ok(reply) => node.take_beat(reply),
         Err(error) => {
             log::debug!("the heartbeat to {address} failed: {error}");
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -105,6 +105,11 @@
         views.membership.members().map(|(record, state)| (record.clone(), state)).collect()
     }
 
+    /// Whether an instance is among the members.
+    pub(crate) fn knows(&self, instance: &InstanceId) -> bool {
+        self.views.lock().membership.members().any(|(record, _)| record.instance == *instance)
+    }
+
     /// How many members serve, this one included.
     pub(crate) fn count(&self) -> usize {
         self.addresses().len() + 1
--- a/crates/node/src/peering.rs
+++ b/crates/node/src/peering.rs
@@ -23,16 +23,29 @@
 /// How many busy endpoints a heartbeat speaks of.
 const MAX_BUSY: usize = 8;
 
+/// How much a heartbeat tells.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum BeatKind {
+    /// The sender, other members and endpoints.
+    Regular,
+    /// The sender, leaving endpoints and quarantined requests only, so that news told at once costs little.
+    News,
+}
+
 impl Node {
     /// The heartbeat to send now.
-    pub(crate) fn beat(&self, address: SocketAddr) -> Heartbeat {
+    pub(crate) fn beat(&self, address: SocketAddr, kind: BeatKind) -> Heartbeat {
         let now = self.now();
+        let (max_sample, max_busy) = match kind {
+            BeatKind::Regular => (MAX_SAMPLE, MAX_BUSY),
+            BeatKind::News => (0, 0),
+        };
         Heartbeat {
             at: self.events.now(),
             environment: self.settings.environment.clone(),
             sender: self.own_member(address),
-            members: self.members.sample(MAX_SAMPLE, now).into_iter().map(member).collect(),
-            endpoints: self.endpoint_views(now),
+            members: self.members.sample(max_sample, now).into_iter().map(member).collect(),
+            endpoints: self.endpoint_views(now, max_busy),
             quarantined: self.quarantine.lock().quarantined(GOSSIP_LIMIT, now),
         }
     }
@@ -49,7 +62,7 @@
         }
     }
 
-    fn endpoint_views(&self, now: TimeMs) -> Vec<EndpointView> {
+    fn endpoint_views(&self, now: TimeMs, max_busy: usize) -> Vec<EndpointView> {
         let departures = self.members.departures(MAX_DEPARTURES, now);
         let leaving = departures.into_iter().map(|at| EndpointView {
             endpoint: at.endpoint,
@@ -64,7 +77,7 @@
             .filter(|endpoint| !endpoint.is_leaving() && endpoint.in_flight() > 0)
             .collect();
         busy.sort_by_key(|endpoint| std::cmp::Reverse(endpoint.in_flight()));
-        let busy = busy.into_iter().take(MAX_BUSY).map(|endpoint| EndpointView {
+        let busy = busy.into_iter().take(max_busy).map(|endpoint| EndpointView {
             endpoint: endpoint.id.clone(),
             address: endpoint.address,
             leaving: false,
@@ -192,8 +205,10 @@
 impl PeerHandler for Handler {
     fn heartbeat(&self, beat: Heartbeat) -> Heartbeat {
         let Some(node) = self.node() else { return beat };
+        // News is answered in kind; a sender that is new here wants to know the others.
+        let is_news = beat.members.is_empty() && node.members.knows(&beat.sender.instance);
         node.take_beat(beat);
-        node.beat(self.address)
+        node.beat(self.address, if is_news { BeatKind::News } else { BeatKind::Regular })
     }
 
     fn configuration(&self, above: Generation) -> Option<ConfigReply> {
