--- a/crates/standins/src/returning.rs
+++ b/crates/standins/src/returning.rs
@@ -3,6 +3,8 @@
 //! Real decision code and real fakes of engines and stores run in one thread; only time is simulated. What a baseline
 //! may do, and what the sizes stand for, is said in `docs/design/placement.md`.
 
+mod export;
+mod import;
 mod policy;
 mod serve;
 mod turns;
--- /dev/null
+++ b/crates/standins/src/returning/export.rs
@@ -0,0 +1,123 @@
+//! Exports after an answer, and the news of them.
+
+use std::rc::Rc;
+
+use bilberryford_cache::{Export, LinkClass, Owner, StoreSlot, Tier, home_store};
+use bilberryford_types::Digest;
+use tokio::task::spawn_local;
+
+use super::{
+    Policy,
+    serve::{Request, Run},
+    workload::{Arrival, chain},
+    world::pause,
+};
+use crate::engine::kv::computed;
+
+/// How long the news of an export takes to an instance, in milliseconds.
+const STORE_EVENT_MS: f64 = 250.0;
+
+/// A job of the write-back: a chain, its owner and the instance that saw the answer.
+#[derive(Debug, Clone)]
+pub(super) struct Job {
+    owner: Owner,
+    blocks: Vec<Digest>,
+}
+
+impl Run {
+    /// Hands the context of an answered request to the write-back.
+    pub(super) fn write_back(self: &Rc<Self>, request: &Request<'_>, engine: usize) {
+        let arrival = request.arrival;
+        let tokens = arrival.prompt_tokens + arrival.answer_tokens;
+        let blocks = chain(&request.owner, arrival.before.team, arrival.before.id, tokens);
+        if let Some(last) = blocks.get(request.chain.blocks().len()) {
+            self.world.engines[engine].kv.borrow_mut().compute(&request.owner, last);
+        }
+        let slots: Vec<StoreSlot> = (0..2_u8)
+            .filter(|store| self.world.stores[usize::from(*store)].is_up.get())
+            .map(StoreSlot)
+            .collect();
+        let is_stored = |block: &Digest| {
+            slots
+                .iter()
+                .any(|slot| self.world.stores[slot.0 as usize].store.borrow().find(block).is_some())
+        };
+        for slot in &slots {
+            let missing: Vec<_> = blocks
+                .iter()
+                .enumerate()
+                .filter(|(place, block)| {
+                    home_store(&blocks[0], *place, &slots) == Some(*slot) && !is_stored(block)
+                })
+                .map(|(_, block)| *block)
+                .collect();
+            if !missing.is_empty() {
+                let job = Job { owner: request.owner.clone(), blocks: missing };
+                self.hand_over(arrival, slot.0 as usize, job);
+            }
+        }
+    }
+
+    fn hand_over(self: &Rc<Self>, arrival: &Arrival, home: usize, job: Job) {
+        let popularity = 1 + u32::from(arrival.before.tokens > 0);
+        let blocks = u32::try_from(job.blocks.len()).unwrap_or(u32::MAX);
+        if self.policy == Policy::Ours {
+            self.write_back[home].borrow_mut().push(Export { popularity, blocks, job });
+        } else {
+            let run = self.clone();
+            spawn_local(async move { run.export(home, job, LinkClass::Quick).await });
+        }
+    }
+
+    /// Writes the most worthy exports of a store, one after the other, whenever its link is idle.
+    pub(super) async fn write_back_loop(self: Rc<Self>, store: usize) {
+        loop {
+            let next = self.write_back[store].borrow_mut().pop();
+            match next {
+                Some(export) => self.export(store, export.job, LinkClass::Idle).await,
+                None => pause(50.0).await,
+            }
+        }
+    }
+
+    async fn export(self: &Rc<Self>, store: usize, job: Job, class: LinkClass) {
+        let (world, host) = (&self.world, &self.world.stores[store]);
+        let space = host.store.borrow_mut().begin();
+        for block in &job.blocks {
+            if !host.is_up.get() {
+                host.store.borrow_mut().free(space);
+                return;
+            }
+            world.transfer(store, Tier::Memory, class, world.ticket()).await;
+            host.store.borrow_mut().write(space, *block, computed(block));
+        }
+        let manifest = host.store.borrow().manifest_of(space, &job.owner, world.deployment.piece);
+        let moved = host.store.borrow_mut().publish(space, manifest);
+        let run = self.clone();
+        spawn_local(async move {
+            pause(STORE_EVENT_MS).await;
+            run.tell(store, &job.blocks, &moved);
+        });
+    }
+
+    fn tell(&self, store: usize, stored: &[Digest], moved: &[(Digest, Option<Tier>)]) {
+        let slot = StoreSlot(u8::try_from(store).unwrap_or(u8::MAX));
+        for decider in &self.deciders {
+            let index = &mut decider.borrow_mut().views.index;
+            stored.iter().for_each(|block| index.set_store(block, slot, Some(Tier::Memory)));
+            moved.iter().for_each(|(block, tier)| index.set_store(block, slot, *tier));
+        }
+    }
+
+    /// Tells every instance what the stores hold at the start.
+    pub(super) fn tell_all(&self) {
+        for (store, host) in self.world.stores.iter().enumerate() {
+            let slot = StoreSlot(u8::try_from(store).unwrap_or(u8::MAX));
+            let store = host.store.borrow();
+            for decider in &self.deciders {
+                let index = &mut decider.borrow_mut().views.index;
+                store.blocks().for_each(|(block, tier)| index.set_store(block, slot, Some(tier)));
+            }
+        }
+    }
+}
