--- a/crates/node/src/filters/place.rs
+++ b/crates/node/src/filters/place.rs
@@ -2,7 +2,11 @@
 
 use std::sync::Arc;
 
-use bilberryford_types::{ErrorKind, PoolName};
+use bilberryford_cache::{
+    BLOCK_TOKENS, ChainSalt, Decision, LinkClass, MAX_ENGINES, PlaceRequest, PrefixChain,
+    prompt_tokens,
+};
+use bilberryford_types::{ErrorKind, EventKind, PoolName, Priority, WeightVersion};
 use futures::{FutureExt, future::BoxFuture};
 
 use super::{Context, Filter, Flow, Target};
@@ -21,27 +25,88 @@
 }
 
 fn place(node: &Node, ctx: &mut Context) -> Result<Flow, Refusal> {
-    ctx.endpoint = match &ctx.target {
-        Target::Prompt(_) => place_prompt(node, ctx)?,
-        Target::Service { .. } | Target::Run { .. } => choose(node, &pool(ctx)?, &[]),
+    let pool = pool(ctx)?;
+    let (endpoint, reason) = match &ctx.target {
+        Target::Prompt(_) => place_prompt(node, ctx, &pool)?,
+        Target::Service { .. } | Target::Run { .. } => least_in_flight(choose(node, &pool, &[])),
     };
-    if ctx.endpoint.is_none() {
+    let Some(endpoint) = endpoint else {
         return Err(ctx.refuse(ErrorKind::NoEndpoint));
-    }
+    };
+    node.events.write(EventKind::Placed, |event| {
+        event.request = Some(ctx.request.clone());
+        event.team = ctx.team.as_ref().map(|team| team.name.clone());
+        event.endpoint = Some(endpoint.id.clone());
+        event.detail = reason;
+    });
+    ctx.endpoint = Some(endpoint);
     Ok(Flow::Next)
 }
 
+fn least_in_flight(endpoint: Option<Arc<Endpoint>>) -> (Option<Arc<Endpoint>>, String) {
+    (endpoint, "least in flight".to_owned())
+}
+
 /// Pins the request to a weight version and chooses an endpoint that has it.
-fn place_prompt(node: &Node, ctx: &mut Context) -> Result<Option<Arc<Endpoint>>, Refusal> {
+fn place_prompt(
+    node: &Node,
+    ctx: &mut Context,
+    pool: &PoolName,
+) -> Result<(Option<Arc<Endpoint>>, String), Refusal> {
     let in_force = ctx.in_force()?;
     let model = ctx.prompt.as_ref().map(|prompt| &prompt.model);
     let section = in_force.document.models.iter().find(|section| Some(&section.name) == model);
     let section = section.ok_or_else(|| Refusal::of(ErrorKind::Internal))?;
-    let pinned = weights::pin(node, section, &[]);
-    Ok(pinned.map(|pinned| {
-        ctx.weight_version = Some(pinned.weight_version);
-        pinned.endpoint
-    }))
+    let Some(pinned) = weights::pin(node, section, &[]) else {
+        return Ok(least_in_flight(None));
+    };
+    let decided = decide(node, ctx, pool, &pinned.weight_version)?;
+    ctx.weight_version = Some(pinned.weight_version);
+    Ok(match decided {
+        Some((endpoint, decision)) => (Some(endpoint), decision.to_string()),
+        None => least_in_flight(Some(pinned.endpoint)),
+    })
+}
+
+/// Weighs load against what engines hold; none for a prompt that fills no block and for other calls.
+fn decide(
+    node: &Node,
+    ctx: &Context,
+    pool: &PoolName,
+    weight_version: &WeightVersion,
+) -> Result<Option<(Arc<Endpoint>, Decision)>, Refusal> {
+    let Some(prompt) = &ctx.prompt else { return Ok(None) };
+    let tokens = prompt_tokens(&prompt.prompt);
+    if tokens < BLOCK_TOKENS {
+        return Ok(None);
+    }
+    let document = &ctx.in_force()?.document;
+    let salt = ChainSalt {
+        team: ctx.team()?.name.clone(),
+        model: prompt.model.clone(),
+        weight_version: weight_version.clone(),
+        adapter: String::new(),
+    };
+    let chain = PrefixChain::of(&salt, &prompt.prompt);
+    let class = match ctx.priority {
+        Priority::Batch => LinkClass::Long,
+        Priority::Standard | Priority::Interactive => LinkClass::Quick,
+    };
+    let table = node.fleet.endpoints();
+    let now = node.now();
+    if table.pool(pool).len() > MAX_ENGINES {
+        // A part of the pool must not get all long prompts.
+        return Ok(None);
+    }
+    let usable: Vec<_> = table
+        .pool(pool)
+        .iter()
+        .filter(|endpoint| !endpoint.is_leaving() && !endpoint.is_suspected(now))
+        .filter(|endpoint| endpoint.weights.may_serve(weight_version))
+        .cloned()
+        .collect();
+    let request = PlaceRequest { chain: &chain, tokens, class };
+    Ok(node.placement.decide(&usable, &request, document.placement, now))
 }
 
 /// The pool that the request is for.
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -16,7 +16,7 @@
 use bilberryford_coord::{ConcurrencyLimit, QueueReport};
 use bilberryford_coord::{EndpointAt, MAX_LISTED};
 use bilberryford_endpoint::{
-    EngineControl, HttpControl, HttpEngine, HttpService, ModelEngine, PlainService,
+    CacheFeed, EngineControl, HttpControl, HttpEngine, HttpService, ModelEngine, PlainService,
 };
 use bilberryford_platform::InstanceRecord;
 use bilberryford_types::{EndpointId, PoolName, TimeMs};
@@ -37,6 +37,7 @@
     pub(crate) weights: EndpointWeights,
     pub(crate) control: Arc<dyn EngineControl>,
     pub(crate) engine: Arc<dyn ModelEngine>,
+    pub(crate) cache: Arc<dyn CacheFeed>,
     pub(crate) service: Arc<dyn PlainService>,
 }
 
@@ -217,6 +218,7 @@
             return Some(known.clone());
         }
         let EndpointClients { pooled, fresh } = self.clients.clone();
+        let engine = Arc::new(HttpEngine::new(record.address, pooled.clone(), fresh.clone()));
         Some(Arc::new(Endpoint {
             id,
             pool,
@@ -225,10 +227,11 @@
             gone: AtomicBool::new(false),
             in_flight: AtomicU32::new(0),
             suspected_until_ms: AtomicU64::new(0),
-            engine: Arc::new(HttpEngine::new(record.address, pooled.clone(), fresh.clone())),
             concurrency: Mutex::default(),
             weights: EndpointWeights::default(),
             control: Arc::new(HttpControl::new(record.address, fresh.clone())),
+            cache: engine.clone(),
+            engine,
             service: Arc::new(HttpService::new(record.address, pooled, fresh)),
         }))
     }
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -3,6 +3,7 @@
 //! The wire format is that of `bilberryford_endpoint::wire`. A prompt that holds [`CRASH_MARK`] ends the engine's life
 //! together with every run in its batch.
 
+mod cache;
 pub mod control;
 mod faults;
 pub mod kv;
@@ -58,6 +59,8 @@
     pub token_gap_ms: u64,
     /// How long a crash lasts, in milliseconds.
     pub restart_ms: u64,
+    /// How many blocks the prefix cache holds.
+    pub cache_blocks: usize,
     /// The weight versions that it has.
     pub weight_versions: Vec<WeightVersion>,
     /// How it takes orders.
@@ -72,6 +75,7 @@
             prefill_tokens_per_s: 20_000,
             token_gap_ms: 5,
             restart_ms: 300,
+            cache_blocks: 100,
             weight_versions: vec![weight_version],
             control: control::ControlSpec::default(),
         }
@@ -155,6 +159,7 @@
     first: u32,
     total: u32,
     prompt_tokens: Tokens,
+    cached_tokens: AtomicU32,
 }
 
 /// One life of an engine, from start to crash.
@@ -163,6 +168,8 @@
     exits: Exits,
     slots: Arc<Semaphore>,
     prefill: tokio::sync::Mutex<()>,
+    backlog: AtomicU32,
+    cache: cache::LifeCache,
     runs: Mutex<HashMap<AttemptId, Arc<Output>>>,
     started: Instant,
     control: Arc<control::Control>,
@@ -177,10 +184,12 @@
         let control = control::Control::new(spec.control.clone(), spec.weight_versions.clone());
         let started = Instant::now();
         Self {
+            cache: cache::LifeCache::new(engine.spec.cache_blocks),
             engine,
             exits,
             slots,
             prefill,
+            backlog: AtomicU32::new(0),
             runs: Mutex::default(),
             started,
             control,
@@ -212,6 +221,7 @@
             first,
             total: body.max_tokens.get(),
             prompt_tokens: prompt_tokens(&body.prompt),
+            cached_tokens: AtomicU32::new(0),
         });
         self.runs.lock().insert(body.attempt.clone(), output.clone());
         tokio::spawn(self.clone().generate(body, output.clone()));
@@ -223,7 +233,10 @@
         let slot = self.slots.acquire().await;
         self.waiting.fetch_sub(1, Ordering::Relaxed);
         let Ok(_slot) = slot else { return };
-        self.prefill(output.prompt_tokens).await;
+        let cached = self.cache.find(&body);
+        output.cached_tokens.store(cached.get(), Ordering::Release);
+        self.prefill(Tokens(output.prompt_tokens.get().saturating_sub(cached.get()))).await;
+        self.cache.keep(&body);
         if body.prompt.contains(CRASH_MARK) {
             let mut book = self.engine.book.lock();
             book.crashes += 1;
@@ -256,11 +269,13 @@
         if speed == 0 {
             return;
         }
+        self.backlog.fetch_add(tokens.get(), Ordering::Relaxed);
         let _turn = self.prefill.lock().await;
         sleep_until(
             Instant::now() + Duration::from_secs_f64(f64::from(tokens.get()) / f64::from(speed)),
         )
         .await;
+        self.backlog.fetch_sub(tokens.get(), Ordering::Relaxed);
     }
 
     fn stream(
@@ -284,6 +299,8 @@
         .at("/load", get(load))
         .at("/control", get(control::show_report))
         .at("/control/weights", poem::put(control::take_order))
+        .at("/cache/events", get(cache::cache_events))
+        .at("/cache/snapshot", get(cache::cache_snapshot))
         .at("/faults", post(switch_faults))
         .at("/book", get(show_book))
         .data(life)
@@ -349,6 +366,7 @@
         taken_ms: TimeMs(u64::try_from(life.started.elapsed().as_millis()).unwrap_or(u64::MAX)),
         running,
         waiting: life.waiting.load(Ordering::Relaxed),
+        backlog: Tokens(life.backlog.load(Ordering::Relaxed)),
         slots,
         cache_tokens: Tokens(0),
         weight_versions: life.control.served(),
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -10,5 +10,6 @@
 mod membership;
 mod orders;
 mod path;
+mod returning;
 mod rollout;
 mod shutdown;
