faults: weight swaps, stale versions and loads at once

Change: an operator asks for the next version at any moment; callers check which version answered against what the platform held; the weight store's book gives the most loads at once.

--- a/crates/standins/src/faults.rs
+++ b/crates/standins/src/faults.rs
@@ -21,8 +21,9 @@
 
 use crate::{
     deployment::{Deployment, DeploymentSpec},
-    engine::EngineSpec,
+    engine::{EngineSpec, control::ControlSpec},
     process::find_binary,
+    weight_store::WeightStore,
 };
 use callers::{Balancer, Tally};
 use monitor::Monitor;
@@ -31,6 +32,8 @@
 
 /// How long a deployment may take to become ready.
 const READY_LIMIT: Duration = Duration::from_secs(30);
+/// How long new weights take an engine, in milliseconds.
+const LOAD_MS: u64 = 1_000;
 /// How long callers may go on after the last fault.
 const SETTLE: Duration = Duration::from_secs(3);
 /// The longest time until an accepted configuration is in force everywhere, in seconds.
@@ -39,6 +42,8 @@
 const LEAVING_LIMIT_S: f64 = 3.0;
 /// The most endpoints that one request may crash.
 const POISON_LIMIT: u32 = 2;
+/// The most engines that may load weights at once from one weight store.
+const LOADS_LIMIT: u32 = 2;
 
 /// What was counted.
 #[derive(Debug, Default, Serialize)]
@@ -75,6 +80,8 @@
     pub leaving_max_s: f64,
     /// The most endpoints that one request crashed.
     pub poison_crashes_max: u32,
+    /// The most engines that loaded weights at once.
+    pub loads_max: u32,
     /// Faults that were brought about.
     pub faults: u64,
     /// Broken properties.
@@ -97,6 +104,7 @@
             self.config_max_s > CONFIG_LIMIT_S,
             self.leaving_max_s > LEAVING_LIMIT_S,
             self.poison_crashes_max > POISON_LIMIT,
+            self.loads_max > LOADS_LIMIT,
         ];
         self.violations =
             counts.iter().sum::<u64>() + limits.iter().filter(|broken| **broken).count() as u64;
@@ -119,6 +127,7 @@
         self.config_max_s = self.config_max_s.max(other.config_max_s);
         self.leaving_max_s = self.leaving_max_s.max(other.leaving_max_s);
         self.poison_crashes_max = self.poison_crashes_max.max(other.poison_crashes_max);
+        self.loads_max = self.loads_max.max(other.loads_max);
         self.faults += other.faults;
     }
 }
@@ -163,6 +172,7 @@
         engine_pool: "review",
         service_pool: "booking",
         data_centres: &["thurles", "ennis", "tuam", "cashel"],
+        engine: engine_spec()?,
         engines: 9,
         services: 4,
         ..gebhartl.clone()
@@ -181,7 +191,9 @@
 
 fn engine_spec() -> io::Result<EngineSpec> {
     let version = "v1".parse().map_err(io::Error::other)?;
+    let control = ControlSpec { weight_store: WeightStore::new(LOAD_MS), ..ControlSpec::default() };
     Ok(EngineSpec {
+        control,
         slots: 16,
         prefill_tokens_per_s: 50_000,
         token_gap_ms: 10,
@@ -196,7 +208,7 @@
     let stop = Arc::new(AtomicBool::new(false));
     let tally = Arc::new(Tally::default());
     let mut callers = callers::start(&deployment, &balancer, &tally, &stop, seed);
-    let monitor = Monitor::start(&deployment, balancer.clone(), stop.clone());
+    let monitor = Monitor::start(&deployment, &balancer, &tally, &stop);
     let mut schedule = Schedule::new(seed, options.only.clone());
     let faults = schedule.run(&mut deployment, &balancer, &tally, &monitor, options.span).await?;
     schedule::mend(&deployment);
--- a/crates/standins/src/faults/books.rs
+++ b/crates/standins/src/faults/books.rs
@@ -14,11 +14,13 @@
         cut: tally.cut.load(Ordering::Relaxed),
         crossed: tally.crossed.load(Ordering::Relaxed),
         cut_by_shutdown: tally.cut_by_shutdown.load(Ordering::Relaxed),
+        stale_version: tally.stale_version.load(Ordering::Relaxed),
         cross_team: tally.foreign_runs.load(Ordering::Relaxed),
         ..Report::default()
     };
     engines(&mut report, deployment, tally);
     orders(&mut report, deployment, tally);
+    report.loads_max = deployment.spec.engine.control.weight_store.book().max_running;
     let mut refusals: Vec<_> = tally.refusals.lock().clone().into_iter().collect();
     refusals.sort();
     eprintln!("{}: refusals by kind {refusals:?}", deployment.spec.name);
--- a/crates/standins/src/faults/callers.rs
+++ b/crates/standins/src/faults/callers.rs
@@ -6,7 +6,7 @@
         Arc,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use parking_lot::{Mutex, RwLock};
@@ -26,6 +26,11 @@
 const ORDER_TRIES: usize = 4;
 /// How long callers think between requests, at the most.
 const THINK_MAX_MS: u64 = 60;
+/// The weight versions that a run may come to.
+const VERSIONS: [&str; 12] =
+    ["v1", "v2", "v3", "v4", "v5", "v6", "v7", "v8", "v9", "v10", "v11", "v12"];
+/// How long an instance may take to see which version is in force.
+const AGREED_LAG: Duration = Duration::from_secs(5);
 /// The teams whose callers send load, by their place in the document.
 const TEAM_MARK: &str = "name = \"";
 
@@ -83,6 +88,30 @@
     pub(super) whole: bool,
 }
 
+/// The versions that new requests might take, as the platform held them over time.
+#[derive(Debug, Default)]
+pub(super) struct VersionLog(Mutex<Vec<(Instant, Vec<String>)>>);
+
+impl VersionLog {
+    /// Notes what the platform holds now.
+    pub(super) fn note(&self, versions: Vec<String>) {
+        let mut log = self.0.lock();
+        if log.last().is_none_or(|(_, last)| *last != versions) {
+            log.push((Instant::now(), versions));
+        }
+    }
+
+    /// Whether a request that was sent at `sent` may have been started under `version`.
+    fn allows(&self, version: &str, sent: Instant) -> bool {
+        let log = self.0.lock();
+        let Some(since) = sent.checked_sub(AGREED_LAG) else { return true };
+        // The entry in force at `since` and all later ones count.
+        let first = log.iter().rposition(|(at, _)| *at <= since).unwrap_or(0);
+        let mut later = log[first..].iter();
+        log.is_empty() || later.any(|(_, versions)| versions.iter().any(|one| one == version))
+    }
+}
+
 /// What all callers saw.
 #[derive(Debug, Default)]
 pub(super) struct Tally {
@@ -93,6 +122,8 @@
     pub(super) crossed: AtomicU64,
     pub(super) cut_by_shutdown: AtomicU64,
     pub(super) foreign_runs: AtomicU64,
+    pub(super) stale_version: AtomicU64,
+    pub(super) versions: VersionLog,
     pub(super) orders: Mutex<HashMap<String, OrderFate>>,
     pub(super) not_run_prompts: Mutex<Vec<String>>,
     pub(super) refusals: Mutex<HashMap<String, u64>>,
@@ -141,7 +172,7 @@
         let team =
             if number < CALLERS / 2 { &teams[number % 3] } else { &teams[number % teams.len()] };
         let caller = CallerTask {
-            caller: Caller::new(deployment.client.clone(), &format!("key-{team}"), &["v1", "v2"]),
+            caller: Caller::new(deployment.client.clone(), &format!("key-{team}"), &VERSIONS),
             team: team.clone(),
             stranger: stranger(&teams, team),
             name: format!("{team}-{number}"),
@@ -169,8 +200,8 @@
 ) {
     let teams = teams(deployment.spec.document);
     let team = &teams[0];
-    let caller = Caller::new(deployment.client.clone(), &format!("key-{team}"), &["v1", "v2"])
-        .timeout_ms(5_000);
+    let caller =
+        Caller::new(deployment.client.clone(), &format!("key-{team}"), &VERSIONS).timeout_ms(5_000);
     let mut rng = StdRng::seed_from_u64(seed);
     let prompt = marked_prompt(team, &format!("{CRASH_MARK} {name}"));
     for _ in 0..6 {
@@ -216,7 +247,12 @@
         let prompt = marked_prompt(&self.team, conversation);
         let tokens = self.rng.random_range(4..40);
         let stream = self.rng.random_bool(0.5);
+        let started = Instant::now();
         let seen = self.caller.prompt(&target.url, "assistant", &prompt, tokens, stream).await;
+        let version = seen.weight_version.as_ref();
+        if version.is_some_and(|version| !self.tally.versions.allows(version, started)) {
+            self.tally.stale_version.fetch_add(1, Ordering::Relaxed);
+        }
         if seen.outcome == Outcome::Unreached {
             return;
         }
--- a/crates/standins/src/faults/monitor.rs
+++ b/crates/standins/src/faults/monitor.rs
@@ -10,13 +10,14 @@
 };
 
 use parking_lot::Mutex;
+use serde_json::Value;
 use tokio::{task::JoinHandle, time::sleep};
 
 use super::{
     Report,
-    callers::{Balancer, Target},
+    callers::{Balancer, Tally, Target},
 };
-use crate::deployment::Deployment;
+use crate::{deployment::Deployment, platform::Platform};
 
 /// How often every instance is asked.
 const PERIOD: Duration = Duration::from_millis(50);
@@ -44,6 +45,7 @@
 pub(super) struct Monitor {
     shared: Arc<Shared>,
     task: JoinHandle<()>,
+    versions: JoinHandle<()>,
 }
 
 #[derive(Debug, Default)]
@@ -56,13 +58,16 @@
 impl Monitor {
     pub(super) fn start(
         deployment: &Deployment,
-        balancer: Arc<Balancer>,
-        stop: Arc<AtomicBool>,
+        balancer: &Arc<Balancer>,
+        tally: &Arc<Tally>,
+        stop: &Arc<AtomicBool>,
     ) -> Self {
         let shared = Arc::new(Shared::default());
         let client = deployment.client.clone();
-        let task = tokio::spawn(watch(shared.clone(), client, balancer, stop));
-        Self { shared, task }
+        let task = tokio::spawn(watch(shared.clone(), client, balancer.clone(), stop.clone()));
+        let platform = deployment.platform.clone();
+        let versions = tokio::spawn(note_versions(platform, tally.clone(), stop.clone()));
+        Self { shared, task, versions }
     }
 
     /// Notes that a generation was accepted now.
@@ -82,6 +87,7 @@
 
     pub(super) async fn finish(self, report: &mut Report) {
         let _ = self.task.await;
+        let _ = self.versions.await;
         let state = self.shared.state.lock();
         let unfinished =
             state.spreading.iter().map(|spreading| spreading.waited).max().unwrap_or_default();
@@ -109,6 +115,24 @@
     }
 }
 
+/// Keeps a log of the versions that new requests may take.
+async fn note_versions(platform: Arc<Platform>, tally: Arc<Tally>, stop: Arc<AtomicBool>) {
+    while !stop.load(Ordering::Acquire) {
+        let named: Vec<String> = platform.objects("rollout").iter().flat_map(versions_of).collect();
+        if !named.is_empty() {
+            tally.versions.note(named);
+        }
+        sleep(PERIOD).await;
+    }
+}
+
+/// The versions that the record of a roll-out names.
+fn versions_of((_, body): &(String, String)) -> Vec<String> {
+    let record: Value = serde_json::from_str(body).unwrap_or_default();
+    let names = [&record["in_force"], &record["previous"]];
+    names.into_iter().filter_map(|name| name.as_str().map(str::to_owned)).collect()
+}
+
 async fn ask(client: &reqwest::Client, url: &str) -> Option<u64> {
     let answer = client.get(format!("{url}/readyz")).timeout(ASK_TIMEOUT).send().await.ok()?;
     let text = answer.text().await.ok()?;
--- a/crates/standins/src/faults/schedule.rs
+++ b/crates/standins/src/faults/schedule.rs
@@ -24,6 +24,8 @@
 const STOP_LIMIT: Duration = Duration::from_secs(30);
 /// How long the balancer takes to see that an instance is not ready.
 const BALANCER_LAG: Duration = Duration::from_millis(150);
+/// The last weight version that callers know.
+const LAST_VERSION: u32 = 12;
 /// How long a new instance may take to become ready.
 const READY_LIMIT: Duration = Duration::from_secs(10);
 
@@ -61,6 +63,8 @@
     OperatorsRace,
     /// A caller sends a request that crashes engines.
     Poison,
+    /// An operator asks for another weight version.
+    WeightSwap,
 }
 
 /// Draws and brings about.
@@ -72,6 +76,8 @@
     platform: platform::Faults,
     frozen: Vec<usize>,
     count: u64,
+    /// The weight version that operators ask for.
+    version: u32,
 }
 
 /// Switches off what may still be on.
@@ -95,6 +101,7 @@
             platform: platform::Faults::default(),
             frozen: Vec::new(),
             count: 0,
+            version: 1,
         }
     }
 
@@ -159,7 +166,8 @@
                 }
             }
             Fault::LeavingEngine => self.leave(deployment)?,
-            Fault::OperatorsRace => race(deployment, monitor, self.count).await?,
+            Fault::OperatorsRace => self.race(deployment, monitor).await?,
+            Fault::WeightSwap => self.swap(deployment, monitor).await?,
             Fault::Poison => {
                 let name = format!("poison {} of seed {}", self.count, self.seed);
                 callers::send_poison(deployment, balancer, &name, self.rng.random()).await;
@@ -271,6 +279,40 @@
         Ok(())
     }
 
+    /// The document that an operator edits now.
+    fn document(&self, deployment: &Deployment, comment: &str) -> String {
+        let version = format!("weight_version = \"v{}\"", self.version);
+        let text = deployment.spec.document.replace("weight_version = \"v1\"", &version);
+        format!("{text}\n# {comment}\n")
+    }
+
+    /// Two operators apply different changes of the same generation.
+    async fn race(&self, deployment: &Deployment, monitor: &Monitor) -> io::Result<()> {
+        let before = accepted(deployment);
+        let first = self.document(deployment, &format!("change {} of operator one", self.count));
+        let second = self.document(deployment, &format!("change {} of operator two", self.count));
+        let (one, two) =
+            tokio::join!(apply(deployment, before, &first), apply(deployment, before, &second));
+        if one? && two? {
+            monitor.both_won();
+        }
+        note_accepted(deployment, monitor, before);
+        Ok(())
+    }
+
+    /// An operator asks for the next weight version.
+    async fn swap(&mut self, deployment: &Deployment, monitor: &Monitor) -> io::Result<()> {
+        if self.version == LAST_VERSION {
+            return Ok(());
+        }
+        self.version += 1;
+        let before = accepted(deployment);
+        let text = self.document(deployment, &format!("swap {}", self.count));
+        apply(deployment, before, &text).await?;
+        note_accepted(deployment, monitor, before);
+        Ok(())
+    }
+
     /// One engine begins to leave; another has come before.
     fn leave(&mut self, deployment: &mut Deployment) -> io::Result<()> {
         deployment.add_engine()?;
@@ -302,25 +344,14 @@
     Ok(())
 }
 
-/// Two operators apply different changes of the same generation.
-async fn race(deployment: &Deployment, monitor: &Monitor, number: u64) -> io::Result<()> {
-    let before = accepted(deployment);
-    let first = format!("# change {number} of operator one");
-    let second = format!("# change {number} of operator two");
-    let (one, two) =
-        tokio::join!(apply(deployment, before, &first), apply(deployment, before, &second));
-    if one? && two? {
-        monitor.both_won();
-    }
+fn note_accepted(deployment: &Deployment, monitor: &Monitor, before: u64) {
     let after = accepted(deployment);
     if after > before {
         monitor.accepted(after);
     }
-    Ok(())
 }
 
-async fn apply(deployment: &Deployment, edited: u64, comment: &str) -> io::Result<bool> {
-    let text = format!("{}\n{comment}\n", deployment.spec.document);
+async fn apply(deployment: &Deployment, edited: u64, text: &str) -> io::Result<bool> {
     let name = format!(
         "bilberryford-{}-{}.toml",
         std::process::id(),
--- a/crates/standins/src/load.rs
+++ b/crates/standins/src/load.rs
@@ -40,6 +40,14 @@
     pub first_token: Duration,
     /// The run's name, where the answer had one.
     pub run: Option<String>,
+    /// The weight version that gave a whole answer.
+    pub weight_version: Option<String>,
+}
+
+impl Seen {
+    fn without_answer(outcome: Outcome, started: Instant, run: Option<String>) -> Self {
+        Self { outcome, first_token: started.elapsed(), run, weight_version: None }
+    }
 }
 
 /// A caller of one team.
@@ -76,8 +84,10 @@
             .timeout(Duration::from_millis(self.timeout_ms + 5_000))
     }
 
-    fn is_answer(&self, prompt: &str, tokens: u32, text: &str) -> bool {
-        self.weight_versions.iter().any(|version| answer::whole(prompt, version, tokens) == text)
+    /// The weight version whose answer `text` is.
+    fn version_of(&self, prompt: &str, tokens: u32, text: &str) -> Option<&String> {
+        let mut versions = self.weight_versions.iter();
+        versions.find(|version| answer::whole(prompt, version, tokens) == text)
     }
 
     /// Sends a prompt to the instance at `url` and checks the answer.
@@ -96,13 +106,13 @@
         let response = match request.send().await {
             Ok(response) => response,
             Err(error) => {
-                return Seen { outcome: lost(&error), first_token: started.elapsed(), run: None };
+                return Seen::without_answer(lost(&error), started, None);
             }
         };
         let run = header_text(&response, "bilberryford-run");
         if !response.status().is_success() {
             let outcome = refusal(response).await;
-            return Seen { outcome, first_token: started.elapsed(), run };
+            return Seen::without_answer(outcome, started, run);
         }
         let mut first_token = None;
         let text = if stream {
@@ -113,12 +123,13 @@
         } else {
             read_whole(response).await
         };
-        let outcome = match text {
-            None => Outcome::Cut,
-            Some(text) if self.is_answer(prompt, tokens, &text) => Outcome::Whole,
-            Some(_) => Outcome::Crossed,
+        let Some(text) = text else {
+            return Seen::without_answer(Outcome::Cut, started, run);
         };
-        Seen { outcome, first_token: first_token.unwrap_or_else(|| started.elapsed()), run }
+        let weight_version = self.version_of(prompt, tokens, &text).cloned();
+        let outcome = if weight_version.is_some() { Outcome::Whole } else { Outcome::Crossed };
+        let first_token = first_token.unwrap_or_else(|| started.elapsed());
+        Seen { outcome, first_token, run, weight_version }
     }
 
     /// Places an order at the instance at `url`; whole means that the receipt names the order.
