measure overhead on the shared deployment, with processor time; slopes of known prompts

Cause: the bench built its own deployment, a twin of the shared one, and CAPACITY needs processor time for a request and a token. Change: one deployment, two engines' speeds, the index of prompts as an axis.

--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -74,7 +74,7 @@
     /// What an instance costs as something grows
     #[bpaf(command)]
     Slopes {
-        /// Only this axis: instances, endpoints, teams or changes; may be given several times
+        /// Only this axis: instances, endpoints, teams, changes or prompts; may be given several times
         #[bpaf(argument("AXIS"), many)]
         axis: Vec<slopes::Axis>,
         /// Print lines of JSON
--- a/crates/standins/src/overhead.rs
+++ b/crates/standins/src/overhead.rs
@@ -2,29 +2,25 @@
 
 use std::{
     io,
-    net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
 
 use bilberryford_endpoint::wire::CompletionBody;
-use bilberryford_platform::{InstanceRecord, InstanceState, Role};
 use bilberryford_types::{Priority, Tokens};
 use eventsource_stream::Eventsource;
 use futures::StreamExt;
 use hdrhistogram::Histogram;
 use serde::Serialize;
-use serde_json::json;
-use tokio::{sync::Mutex, task::JoinSet, time::sleep};
+use tokio::{sync::Mutex, task::JoinSet};
 
 use crate::{
-    engine::{Engine, EngineSpec},
+    deployment::{Deployment, DeploymentSpec},
+    engine::EngineSpec,
     load::{Caller, Outcome},
-    platform::Platform,
-    process::{Instance, InstanceSpec, find_binary, resident_mb},
+    process::{Instance, find_binary, processor_seconds, resident_mb},
 };
 
-const LOOPBACK: ([u8; 4], u16) = ([127, 0, 0, 1], 0);
 /// The rate at which latency is measured.
 const PACED_RATE_PER_S: u64 = 500;
 /// How long latency is measured.
@@ -34,6 +30,15 @@
 /// How long the rate is measured.
 const PRESS_TIME_S: u64 = 5;
 
+/// The length of a short answer in tokens.
+const SHORT_TOKENS: u32 = 2;
+/// The length of a long answer in tokens.
+const LONG_TOKENS: u32 = 200;
+/// The time between the tokens of a long answer, in milliseconds.
+const LONG_GAP_MS: u64 = 10;
+/// How long an instance may take to become ready.
+const READY_LIMIT: Duration = Duration::from_secs(20);
+
 /// What was measured.
 #[derive(Debug, Serialize)]
 pub struct Report {
@@ -51,6 +56,10 @@
     pub added_p99_ms: f64,
     /// Short requests a second through one instance under pressure.
     pub requests_per_s: f64,
+    /// Processor time of the instance for a short request.
+    pub processor_us_per_request: f64,
+    /// Processor time of the instance for a token of a long streamed answer.
+    pub processor_us_per_token: f64,
     /// Requests that were not answered whole.
     pub not_whole: u64,
     /// Resident memory of an idle instance.
@@ -58,9 +67,7 @@
 }
 
 struct Bench {
-    engine_url: String,
-    instance: Instance,
-    client: reqwest::Client,
+    deployment: Deployment,
 }
 
 /// Measures and prints.
@@ -69,33 +76,14 @@
 ///
 /// When a process can't be started.
 pub async fn run(json: bool) -> io::Result<()> {
-    let platform = Arc::new(Platform::default());
-    let platform_host = platform.host(SocketAddr::from(LOOPBACK))?;
-    let version = "v1".parse().map_err(io::Error::other)?;
-    let spec = EngineSpec {
-        slots: 4_096,
-        prefill_tokens_per_s: 0,
-        token_gap_ms: 0,
-        ..EngineSpec::new(version)
-    };
-    let engine = Engine::new(spec);
-    let engine_host = engine.host(SocketAddr::from(LOOPBACK))?;
-    let instance = Instance::start(&InstanceSpec {
-        binary: find_binary()?,
-        name: "entry-1".to_owned(),
-        data_centre: "linz-1".to_owned(),
-        environment: "trial".to_owned(),
-        platform_url: platform_host.url(),
-        flags: Vec::new(),
-    })?;
-    platform.set_instances(vec![engine_record(engine_host.address)?]);
-    put_document(&platform_host.url()).await?;
-    let bench = Bench { engine_url: engine_host.url(), instance, client: reqwest::Client::new() };
-    bench.wait_ready().await?;
-    let idle_memory_mb = resident_mb(bench.instance.id());
-    let (direct, through, mut not_whole) = bench.paced().await;
-    let (requests_per_s, lost) = bench.pressed().await;
-    not_whole += lost;
+    let bench = Bench::start(0).await?;
+    let idle_memory_mb = resident_mb(bench.instance().id());
+    let (direct, through, not_whole) = bench.paced().await;
+    let short = bench.pressed(SHORT_TOKENS, false).await;
+    bench.stop();
+    let bench = Bench::start(LONG_GAP_MS).await?;
+    let long = bench.pressed(LONG_TOKENS, true).await;
+    bench.stop();
     let ms = |histogram: &Histogram<u64>, quantile| {
         histogram.value_at_quantile(quantile) as f64 / 1_000.0
     };
@@ -106,11 +94,12 @@
         through_p99_ms: ms(&through, 0.99),
         added_p50_ms: ms(&through, 0.5) - ms(&direct, 0.5),
         added_p99_ms: ms(&through, 0.99) - ms(&direct, 0.99),
-        requests_per_s,
-        not_whole,
+        requests_per_s: short.requests_per_s,
+        processor_us_per_request: short.processor_us,
+        processor_us_per_token: long.processor_us / f64::from(LONG_TOKENS),
+        not_whole: not_whole + short.lost + long.lost,
         idle_memory_mb,
     };
-    bench.instance.stop(Duration::from_secs(5));
     if json {
         println!("{}", serde_json::to_string(&report)?);
     } else {
@@ -119,43 +108,53 @@
     Ok(())
 }
 
-fn engine_record(address: SocketAddr) -> io::Result<InstanceRecord> {
-    Ok(InstanceRecord {
-        id: "engine-1".to_owned(),
-        role: Role::Engine,
-        pool: Some("serving".parse().map_err(io::Error::other)?),
-        address,
-        peer_address: None,
-        data_centre: "linz-1".parse().map_err(io::Error::other)?,
-        state: InstanceState::Live,
-    })
-}
-
-async fn put_document(platform_url: &str) -> io::Result<()> {
-    let body = json!({ "generation": 1, "document": include_str!("../../../examples/demo.toml") });
-    let request = reqwest::Client::new().put(format!("{platform_url}/objects/config/trial"));
-    request
-        .header("if-none-match", "*")
-        .body(body.to_string())
-        .send()
-        .await
-        .map_err(io::Error::other)?;
-    Ok(())
+/// What callers got who sent one request after the other.
+#[derive(Debug, Clone, Copy)]
+struct Pressed {
+    requests_per_s: f64,
+    lost: u64,
+    /// Processor time of the instance for each request.
+    processor_us: f64,
 }
 
 impl Bench {
-    async fn wait_ready(&self) -> io::Result<()> {
-        let until = Instant::now() + Duration::from_secs(20);
-        while Instant::now() < until {
-            let answer = self.client.get(format!("{}/readyz", self.instance.url())).send().await;
-            if let Ok(answer) = answer
-                && answer.text().await.is_ok_and(|text| text.ends_with("endpoints 1\n"))
-            {
-                return Ok(());
-            }
-            sleep(Duration::from_millis(20)).await;
+    async fn start(token_gap_ms: u64) -> io::Result<Self> {
+        let version = "v1".parse().map_err(io::Error::other)?;
+        let engine = EngineSpec {
+            slots: 4_096,
+            prefill_tokens_per_s: 0,
+            token_gap_ms,
+            ..EngineSpec::new(version)
+        };
+        let spec = DeploymentSpec {
+            binary: find_binary()?,
+            name: "entry",
+            environment: "trial",
+            document: include_str!("../../../examples/demo.toml"),
+            engine_pool: "serving",
+            service_pool: "desk",
+            data_centres: &["linz-1"],
+            instances: 1,
+            engines: 1,
+            engine,
+            services: 0,
+            flags: Vec::new(),
+        };
+        Ok(Self { deployment: Deployment::start(spec, READY_LIMIT).await? })
+    }
+
+    fn instance(&self) -> &Instance {
+        &self.deployment.instances[0]
+    }
+
+    fn engine_url(&self) -> String {
+        self.deployment.engines[0].host.url()
+    }
+
+    fn stop(mut self) {
+        for instance in self.deployment.instances.drain(..) {
+            instance.stop(Duration::from_secs(5));
         }
-        Err(io::Error::other("the instance is not ready in time"))
     }
 
     /// Alternates between the two paths at a fixed rate.
@@ -165,14 +164,14 @@
                 .unwrap_or_else(|_| unreachable!("valid bounds"))
         };
         let results = Arc::new(Mutex::new((empty(), empty(), 0_u64)));
-        let caller = Caller::new(self.client.clone(), "demo-key-linz-formula", &["v1"]);
+        let caller = self.caller();
         let mut tasks = JoinSet::new();
         let mut ticks = tokio::time::interval(Duration::from_micros(1_000_000 / PACED_RATE_PER_S));
         for number in 0..PACED_RATE_PER_S * PACED_TIME_S {
             ticks.tick().await;
             let results = results.clone();
-            let (client, engine_url) = (self.client.clone(), self.engine_url.clone());
-            let (caller, url) = (caller.clone(), self.instance.url());
+            let (client, engine_url) = (self.deployment.client.clone(), self.engine_url());
+            let (caller, url) = (caller.clone(), self.instance().url());
             tasks.spawn(async move {
                 let prompt = format!("a short question, number {number}");
                 if number % 2 == 0 {
@@ -197,19 +196,20 @@
         (results.0.clone(), results.1.clone(), results.2)
     }
 
-    /// As many short requests as one instance takes.
-    async fn pressed(&self) -> (f64, u64) {
-        let until = Instant::now() + Duration::from_secs(PRESS_TIME_S);
+    /// As many requests as one instance takes from a fixed number of callers.
+    async fn pressed(&self, tokens: u32, stream: bool) -> Pressed {
         let started = Instant::now();
+        let until = started + Duration::from_secs(PRESS_TIME_S);
+        let processor_s = processor_seconds(self.instance().id());
         let mut tasks = JoinSet::new();
         for number in 0..PRESSING_CALLERS {
-            let caller = Caller::new(self.client.clone(), "demo-key-linz-formula", &["v1"]);
-            let url = self.instance.url();
+            let caller = self.caller();
+            let url = self.instance().url();
             tasks.spawn(async move {
                 let (mut whole, mut lost) = (0_u64, 0_u64);
                 while Instant::now() < until {
-                    let prompt = format!("a short question of caller {number}");
-                    match caller.prompt(&url, "assistant", &prompt, 2, false).await.outcome {
+                    let prompt = format!("a question of caller {number}");
+                    match caller.prompt(&url, "assistant", &prompt, tokens, stream).await.outcome {
                         Outcome::Whole => whole += 1,
                         _ => lost += 1,
                     }
@@ -222,7 +222,16 @@
             whole += part.0;
             lost += part.1;
         }
-        (whole as f64 / started.elapsed().as_secs_f64(), lost)
+        let spent_s = processor_seconds(self.instance().id()) - processor_s;
+        Pressed {
+            requests_per_s: whole as f64 / started.elapsed().as_secs_f64(),
+            lost,
+            processor_us: spent_s * 1e6 / whole as f64,
+        }
+    }
+
+    fn caller(&self) -> Caller {
+        Caller::new(self.deployment.client.clone(), "demo-key-linz-formula", &["v1"])
     }
 }
 
--- a/crates/standins/src/slopes.rs
+++ b/crates/standins/src/slopes.rs
@@ -4,6 +4,7 @@
 //! time and memory come from the operating system, calls and bytes from the platform stand-in's book.
 
 mod fit;
+mod prompts;
 mod sample;
 
 use std::{io, time::Duration};
@@ -51,6 +52,8 @@
     Teams,
     /// Configuration changes, each second.
     Changes,
+    /// Prompts that may return, in the index of blocks.
+    Prompts,
 }
 
 impl Axis {
@@ -60,6 +63,8 @@
             Self::Endpoints => &[8, 64, 256, 512],
             Self::Teams => &[10, 300, 1_000, 3_000],
             Self::Changes => &[0, 1, 2, 4],
+            // These are measured without processes, see `prompts`.
+            Self::Prompts => &[],
         }
     }
 }
@@ -88,6 +93,12 @@
 pub async fn run(axes: &[Axis], json: bool) -> io::Result<()> {
     let all = <Axis as strum::VariantArray>::VARIANTS;
     for axis in if axes.is_empty() { all } else { axes } {
+        if *axis == Axis::Prompts {
+            let (points, slope) = prompts::measure();
+            points.iter().try_for_each(|point| print(point, json))?;
+            print(&slope, json)?;
+            continue;
+        }
         let mut points = Vec::new();
         for value in axis.points() {
             let sample = measure(*axis, *value).await?;
