An unchanged list of instances is not sent again

Cause: measure slopes showed 277 bytes a second for each endpoint on the list at each instance (two reads a second of the whole list). Ruled out: reading it less often, since a leaving endpoint must be known within seconds. Change: the list carries an entity tag, a conditional read of an unchanged one is answered with 304 (RFC 9110).

--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -5,7 +5,11 @@
 use bilberryford_types::{ObjectVersion, TimeMs};
 use bytes::Bytes;
 use futures::{FutureExt, future::BoxFuture};
-use reqwest::{RequestBuilder, Response, StatusCode, header};
+use parking_lot::Mutex;
+use reqwest::{
+    RequestBuilder, Response, StatusCode,
+    header::{self, HeaderValue},
+};
 
 use crate::{
     Change, Changes, InstanceList, InstanceRecord, Object, ObjectKey, ObjectKind, ObjectStore,
@@ -34,10 +38,18 @@
 }
 
 /// The platform over HTTP.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 pub struct HttpPlatform {
     config: HttpPlatformConfig,
     client: reqwest::Client,
+    listed: Mutex<Option<Listed>>,
+}
+
+/// The list of instances as last read, so that an unchanged one is not sent again.
+#[derive(Debug, Clone)]
+struct Listed {
+    entity_tag: HeaderValue,
+    instances: Vec<InstanceRecord>,
 }
 
 impl HttpPlatform {
@@ -53,7 +65,7 @@
             .redirect(reqwest::redirect::Policy::none())
             .build()
             .map_err(|error| PlatformError::Refused { reason: error.to_string() })?;
-        Ok(Self { config, client })
+        Ok(Self { config, client, listed: Mutex::default() })
     }
 
     fn object_url(&self, key: &ObjectKey) -> String {
@@ -72,7 +84,8 @@
             .await
             .map_err(|error| send_error(&error))?;
         match response.status() {
-            status if status.is_success() || status == StatusCode::NOT_FOUND => Ok(response),
+            status if status.is_success() => Ok(response),
+            StatusCode::NOT_FOUND | StatusCode::NOT_MODIFIED => Ok(response),
             StatusCode::PRECONDITION_FAILED => {
                 Err(PlatformError::Conflict { current: version_of(&response) })
             }
@@ -230,13 +243,24 @@
 impl InstanceList for HttpPlatform {
     fn instances(&self) -> BoxFuture<'_, Result<Vec<InstanceRecord>, PlatformError>> {
         async move {
-            let url = format!("{}/instances", self.config.base_url);
-            let response = self.send(self.client.get(url), TimeMs(0)).await?;
+            let mut request = self.client.get(format!("{}/instances", self.config.base_url));
+            let listed = self.listed.lock().clone();
+            if let Some(listed) = &listed {
+                request = request.header(header::IF_NONE_MATCH, listed.entity_tag.clone());
+            }
+            let response = self.send(request, TimeMs(0)).await?;
+            if response.status() == StatusCode::NOT_MODIFIED {
+                return Ok(listed.map(|listed| listed.instances).unwrap_or_default());
+            }
+            let entity_tag = response.headers().get(header::ETAG).cloned();
             let body: InstancesBody = response
                 .json()
                 .await
                 .map_err(|error| PlatformError::Unknown { reason: error.to_string() })?;
-            Ok(body.instances)
+            let instances = body.instances;
+            let kept = |entity_tag| Listed { entity_tag, instances: instances.clone() };
+            *self.listed.lock() = entity_tag.map(kept);
+            Ok(instances)
         }
         .boxed()
     }
--- a/crates/platform/src/wire.rs
+++ b/crates/platform/src/wire.rs
@@ -4,7 +4,7 @@
 //!   is the version.
 //! * `GET /objects/<kind>?prefix=<prefix>` answers a [`ListBody`].
 //! * `GET /watch/<kind>?after=<version>&wait_ms=<span>` answers a [`ListBody`] of changes, or 410 when they are gone.
-//! * `GET /instances` answers an [`InstancesBody`].
+//! * `GET /instances` answers an [`InstancesBody`] with an entity tag; with `If-None-Match` an unchanged list is 304.
 
 use bilberryford_types::{ObjectName, ObjectVersion};
 use serde::{Deserialize, Serialize};
--- a/crates/standins/src/platform/routes.rs
+++ b/crates/standins/src/platform/routes.rs
@@ -191,12 +191,18 @@
 }
 
 #[handler]
-async fn read_instances(Data(platform): Data<&Arc<Platform>>) -> Response {
+async fn read_instances(request: &Request, Data(platform): Data<&Arc<Platform>>) -> Response {
     match platform.admit(|book| book.instances += 1) {
         Ok(wait) => sleep(wait).await,
         Err(status) => return status.into_response(),
     }
-    Json(InstancesBody { instances: platform.listed() }).into_response()
+    let body = InstancesBody { instances: platform.listed() };
+    let body = serde_json::to_vec(&body).unwrap_or_default();
+    let tag = format!("\"{}\"", blake3::hash(&body).to_hex());
+    if request.header("if-none-match") == Some(tag.as_str()) {
+        return StatusCode::NOT_MODIFIED.into_response();
+    }
+    Response::builder().content_type("application/json").header("etag", tag).body(body)
 }
 
 #[handler]
