--- a/crates/node/src/accept.rs
+++ b/crates/node/src/accept.rs
@@ -91,6 +91,12 @@
         /// Its size as stored.
         bytes: usize,
     },
+    /// The platform did not answer a read; nothing was tried.
+    #[error("the platform can't be read ({reason}); nothing was written")]
+    NotRead {
+        /// What was seen last.
+        reason: String,
+    },
     /// The platform took nothing.
     #[error("the platform did not take the change ({reason}); nothing was written")]
     NotTaken {
@@ -135,7 +141,7 @@
 ///
 /// # Errors
 ///
-/// [`AcceptError::NotTaken`] when the platform does not answer, [`AcceptError::Unreadable`] for bad content.
+/// [`AcceptError::NotRead`] when the platform does not answer, [`AcceptError::Unreadable`] for bad content.
 pub async fn read_head(store: &dyn ObjectStore, key: &ObjectKey) -> Result<Head, AcceptError> {
     let mut wait = FIRST_WAIT;
     for last in (0..TRIES).map(|attempt| attempt + 1 == TRIES) {
@@ -147,7 +153,7 @@
                 return Ok(Head { version: object.version, config: Some(config) });
             }
             Err(error) if last => {
-                return Err(AcceptError::NotTaken { reason: error.to_string() });
+                return Err(AcceptError::NotRead { reason: error.to_string() });
             }
             Err(_) => sleep(wait).await,
         }
--- a/tests/all/command_line.rs
+++ b/tests/all/command_line.rs
@@ -79,3 +79,16 @@
     std::fs::remove_file(&path).unwrap();
     assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
 }
+
+#[rstest]
+#[case::status(&["status", "--environment", "trial"])]
+#[case::promote(&["promote", "--generation", "1", "--replaces", "0"])]
+fn a_platform_that_is_out_is_named_as_such(#[case] arguments: &[&str]) {
+    let listener = std::net::TcpListener::bind(("127.0.0.1", 0)).unwrap();
+    let url = format!("http://{}", listener.local_addr().unwrap());
+    drop(listener);
+    let output = run(&[arguments, &["--platform-url", &url]].concat());
+    let text = String::from_utf8(output.stderr).unwrap();
+    assert!(!output.status.success());
+    assert!(text.contains("the platform can't be read"), "{text}");
+}
