--- a/crates/node/src/leases.rs
+++ b/crates/node/src/leases.rs
@@ -2,7 +2,7 @@
 //!
 //! Cost: a holder makes one write each [`LeaseTerms::renew_every`] (1.5 s), two calls when an answer was lost; each of
 //! the [`CANDIDATES`] instances that stand ready reads once a second, every other instance once in ten. With ten
-//! leases and 380 instances that is 7 writes and 400 reads a second. See `docs/design/endpoint-orders.md`.
+//! leases and 380 instances that is 7 writes and 410 reads a second. See `docs/design/endpoint-orders.md`.
 
 use std::sync::Arc;
 
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! Nothing here does input or output, reads a clock or starts a task. The crate holds three things:
 //!
-//! * **Names and quantities** : newtypes for ids, sizes, rates and times, so that a team can't
+//! * **Names and quantities**: newtypes for ids, sizes, rates and times, so that a team can't
 //!   be passed where an endpoint is meant and a count of tokens can't be taken for a count of bytes.
 //! * **Errors**: one closed list of error kinds, and one table that says for each kind what the caller is
 //!   told, whether the request ran, and who may try again. See `docs/design/errors.md`.
