--- a/crates/standins/src/demo.rs
+++ b/crates/standins/src/demo.rs
@@ -58,7 +58,9 @@
         match outcome {
             Outcome::Whole => self.whole += 1,
             Outcome::Refused { .. } => self.refused += 1,
-            Outcome::Crossed | Outcome::Cut | Outcome::Unreached => self.lost += 1,
+            Outcome::Crossed | Outcome::Cut | Outcome::Ended { .. } | Outcome::Unreached => {
+                self.lost += 1
+            }
         }
     }
 
--- a/crates/standins/src/faults.rs
+++ b/crates/standins/src/faults.rs
@@ -56,6 +56,8 @@
     pub refused: u64,
     /// Connections lost under a request, by kills and crashes.
     pub cut: u64,
+    /// Answers that began and ended with a typed error.
+    pub ended: u64,
     /// Answers to something else.
     pub crossed: u64,
     /// Different orders.
@@ -115,6 +117,7 @@
         self.whole += other.whole;
         self.refused += other.refused;
         self.cut += other.cut;
+        self.ended += other.ended;
         self.crossed += other.crossed;
         self.orders += other.orders;
         self.doubled += other.doubled;
--- a/crates/standins/src/faults/books.rs
+++ b/crates/standins/src/faults/books.rs
@@ -12,6 +12,7 @@
         whole: tally.whole.load(Ordering::Relaxed),
         refused: tally.refused.load(Ordering::Relaxed),
         cut: tally.cut.load(Ordering::Relaxed),
+        ended: tally.ended.load(Ordering::Relaxed),
         crossed: tally.crossed.load(Ordering::Relaxed),
         cut_by_shutdown: tally.cut_by_shutdown.load(Ordering::Relaxed),
         stale_version: tally.stale_version.load(Ordering::Relaxed),
--- a/crates/standins/src/faults/callers.rs
+++ b/crates/standins/src/faults/callers.rs
@@ -119,6 +119,7 @@
     pub(super) whole: AtomicU64,
     pub(super) refused: AtomicU64,
     pub(super) cut: AtomicU64,
+    pub(super) ended: AtomicU64,
     pub(super) crossed: AtomicU64,
     pub(super) cut_by_shutdown: AtomicU64,
     pub(super) foreign_runs: AtomicU64,
@@ -139,12 +140,17 @@
                 *self.refusals.lock().entry(kind.clone()).or_default() += 1;
                 &self.refused
             }
+            Outcome::Ended { kind } => {
+                *self.refusals.lock().entry(format!("ended with {kind}")).or_default() += 1;
+                &self.ended
+            }
             Outcome::Cut | Outcome::Unreached => &self.cut,
         };
         counter.fetch_add(1, Ordering::Relaxed);
         let is_shutdown =
             target.draining.load(Ordering::Acquire) && !target.hurt.load(Ordering::Acquire);
         if *outcome == Outcome::Cut && is_shutdown {
+            eprintln!("cut at {}, which was shutting down", target.url);
             self.cut_by_shutdown.fetch_add(1, Ordering::Relaxed);
         }
     }
--- a/crates/standins/src/load.rs
+++ b/crates/standins/src/load.rs
@@ -27,6 +27,11 @@
     },
     /// The connection was lost, or the answer ended without its end marker.
     Cut,
+    /// The answer began and ended with a typed error.
+    Ended {
+        /// The kind of error.
+        kind: String,
+    },
     /// No connection could be made; nothing was sent.
     Unreached,
 }
@@ -121,10 +126,14 @@
             })
             .await
         } else {
-            read_whole(response).await
+            read_whole(response).await.ok_or(Short::Cut)
         };
-        let Some(text) = text else {
-            return Seen::without_answer(Outcome::Cut, started, run);
+        let text = match text {
+            Ok(text) => text,
+            Err(Short::Cut) => return Seen::without_answer(Outcome::Cut, started, run),
+            Err(Short::Ended(kind)) => {
+                return Seen::without_answer(Outcome::Ended { kind }, started, run);
+            }
         };
         let weight_version = self.version_of(prompt, tokens, &text).cloned();
         let outcome = if weight_version.is_some() { Outcome::Whole } else { Outcome::Crossed };
@@ -160,7 +169,7 @@
         if !response.status().is_success() {
             return None;
         }
-        read_stream(response, &mut |_| {}).await
+        read_stream(response, &mut |_| {}).await.ok()
     }
 }
 
@@ -187,25 +196,37 @@
     Some(text.to_owned())
 }
 
+/// How a stream stopped short of its end marker.
+enum Short {
+    /// It ended with a typed error event.
+    Ended(String),
+    /// Its connection was lost, or it can't be read.
+    Cut,
+}
+
 /// The text of a stream that ended with its end marker.
 async fn read_stream(
     response: Response,
     on_token: &mut (dyn FnMut(&str) + Send),
-) -> Option<String> {
+) -> Result<String, Short> {
     let mut events = response.bytes_stream().eventsource();
     let mut text = String::new();
     while let Some(event) = events.next().await {
-        let event = event.ok()?;
+        let event = event.map_err(|_| Short::Cut)?;
         if event.data == "[DONE]" {
-            return Some(text);
+            return Ok(text);
+        }
+        let body: Value = serde_json::from_str(&event.data).map_err(|_| Short::Cut)?;
+        if let Some(kind) = body["error"]["type"].as_str() {
+            return Err(Short::Ended(kind.to_owned()));
         }
-        let body: Value = serde_json::from_str(&event.data).ok()?;
         let choice = &body["choices"][0];
-        let part = choice["text"].as_str().or_else(|| choice["delta"]["content"].as_str())?;
+        let part = choice["text"].as_str().or_else(|| choice["delta"]["content"].as_str());
+        let part = part.ok_or(Short::Cut)?;
         if !part.is_empty() {
             on_token(part);
             text.push_str(part);
         }
     }
-    None
+    Err(Short::Cut)
 }
