Cells of a pool by halved ranges of hashes

Cause: one deciding instance for a cell measured better than each instance alone, but nothing says which endpoints form a cell, which cell a prompt belongs to and who decides for it.

Ruled out: cells that are kept and handed on (instances would have to agree on them); rendezvous of endpoints over a fixed number of cells (bounds no size).

Change: `Cells`, a function of the pool's list. Within a data centre a range of name hashes is halved while it holds more than 32 endpoints, and leaves its name to its first half. A prompt's cell is by weighted rendezvous over its first block; without a block, the less loaded of two cells drawn by size. The deciding instance is by rendezvous over live members, those of the cell's data centre first. The entry instance does not use it yet.

--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -11,6 +11,7 @@
 
 mod admission;
 mod attempt;
+mod cell;
 mod concurrency;
 mod config;
 mod departures;
@@ -29,6 +30,7 @@
 
 pub use admission::{Admission, AdmissionRequest, Admitted, Shed};
 pub use attempt::{Attempt, AttemptState, NotRun, Planned, Sent, Settled};
+pub use cell::{Cell, CellId, Cells, MAX_CELL};
 pub use concurrency::{ConcurrencyLimit, QueueReport};
 pub use config::{ConfigOffer, ConfigStamp, VersionedConfig};
 pub use departures::{Departures, MAX_DEPARTURES};
