--- a/crates/coord/tests/cell.rs
+++ b/crates/coord/tests/cell.rs
@@ -76,8 +76,19 @@
     assert_eq!(cell_of(&cells).len(), 1);
 }
 
+#[test]
+fn a_cell_that_is_halved_keeps_its_first_half_and_gets_it_back_when_joined() {
+    let listed = |count| (0..count).map(|number| (endpoint(number), site(0)));
+    let full = Cells::of(&pool(), listed(32));
+    let halved = Cells::of(&pool(), listed(33));
+    let moved = moved(&full, &halved);
+    println!("{moved} of 32 moved");
+    assert!((8..=24).contains(&moved), "{moved} moved");
+    assert_eq!(full.all()[0].id(), halved.all()[0].id());
+}
+
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 64, failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: 64, rng_seed: proptest::test_runner::RngSeed::Fixed(7), failure_persistence: None, ..ProptestConfig::default() })]
 
     #[test]
     fn every_endpoint_is_in_just_one_cell_of_its_site_and_of_bounded_size(
