Show state, orders, retries and control cost on /metrics

Cause: /metrics had neither generation, members, endpoints, orders, quarantine nor the cost of control; and the time to the first token was lost for answers that ended before the task beside the stream ran. Change: values that are read at the scrape (observed.rs), platform bytes counted in the platform client, retries by class, orders by outcome, known labels from 0; the first token is timed where it is taken in. No instrument for link bytes: nothing imports yet.

--- a/crates/coord/src/retry.rs
+++ b/crates/coord/src/retry.rs
@@ -32,7 +32,8 @@
 const BACKOFF_MAX_MS: u64 = 1_000;
 
 /// What is tried again.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
 pub enum RetryClass {
     /// No endpoint had begun the request.
     Fresh,
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -158,22 +158,7 @@
         let _guard = endpoint.enter();
         let trace = self.call.trace.clone();
         let intake = Intake::new(&self.node, &self.run, endpoint, id, trace, self.call.deadline);
-        let begins = self.run.len() == 0;
-        let first_token = async {
-            if begins {
-                self.run.after(0).await;
-                self.node
-                    .metrics
-                    .first_token_s
-                    .record(self.call.received.elapsed().as_secs_f64(), &[]);
-            }
-            std::future::pending::<std::convert::Infallible>().await
-        };
-        tokio::select! {
-            biased;
-            never = first_token => match never {},
-            result = intake.generate(self.generate_call(id)) => result,
-        }
+        intake.received(self.call.received).generate(self.generate_call(id)).await
     }
 
     fn generate_call(&self, id: &AttemptId) -> GenerateCall {
--- a/crates/node/src/follow/stream.rs
+++ b/crates/node/src/follow/stream.rs
@@ -85,6 +85,7 @@
     attempt: &'a AttemptId,
     trace: Trace,
     deadline: Instant,
+    received: Option<Instant>,
     silence: SilenceDetector,
     idle_resumes: u32,
     wrong_ends: u32,
@@ -108,6 +109,7 @@
             attempt,
             trace,
             deadline,
+            received: None,
             silence,
             idle_resumes: 0,
             wrong_ends: 0,
@@ -115,6 +117,12 @@
         }
     }
 
+    /// Has the time to the first token counted from when the request was received.
+    pub(crate) const fn received(mut self, at: Instant) -> Self {
+        self.received = Some(at);
+        self
+    }
+
     /// Sends the prompt and takes the answer in.
     pub(crate) async fn generate(mut self, call: GenerateCall) -> Result<RunEnd, Failure> {
         self.silence =
@@ -259,6 +267,10 @@
         if self.run.len() == self.run.first() {
             self.event(EventKind::FirstToken, "");
         }
+        // Here and not in a task beside it: a fast answer ends before such a task runs.
+        if let Some(received) = self.received.filter(|_| self.run.len() == 0) {
+            self.node.metrics.first_token_s.record(received.elapsed().as_secs_f64(), &[]);
+        }
         self.run.push(text).map_err(|_| Stop::Full)?;
         self.silence.progress(self.node.now());
         Ok(())
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -25,6 +25,7 @@
 mod members;
 mod metrics;
 mod node;
+mod observed;
 mod orders;
 mod pause;
 mod peering;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Instruments of the instance, through OpenTelemetry.
 
+use bilberryford_coord::{OrderState, RetryClass};
 use bilberryford_types::ErrorKind;
 use opentelemetry::{
     KeyValue,
@@ -8,6 +9,8 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 
+use crate::observed::Observed;
+
 /// Bounds of the first-token histogram, in seconds.
 const FIRST_TOKEN_BOUNDS_S: [f64; 12] =
     [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 1.5, 2.5, 5.0, 10.0];
@@ -26,6 +29,8 @@
     pub(crate) prompt_tokens: Counter<u64>,
     pub(crate) cached_tokens: Counter<u64>,
     pub(crate) recomputed_tokens: Counter<u64>,
+    pub(crate) orders: Counter<u64>,
+    pub(crate) observed: Observed,
 }
 
 /// The instruments could not be set up.
@@ -35,6 +40,11 @@
     reason: String,
 }
 
+fn label(class: RetryClass) -> KeyValue {
+    let class: &'static str = class.into();
+    KeyValue::new("class", class)
+}
+
 impl Metrics {
     pub(crate) fn new() -> Result<Self, MetricsError> {
         let registry = Registry::new();
@@ -45,7 +55,7 @@
             .map_err(|error| MetricsError { reason: error.to_string() })?;
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
         let meter = provider.meter("bilberryford");
-        Ok(Self {
+        let metrics = Self {
             requests: meter.u64_counter("bilberryford.requests").build(),
             refusals: meter.u64_counter("bilberryford.refusals").build(),
             retries: meter.u64_counter("bilberryford.retries").build(),
@@ -59,9 +69,48 @@
             prompt_tokens: meter.u64_counter("bilberryford.prompt_tokens").build(),
             cached_tokens: meter.u64_counter("bilberryford.cached_tokens").build(),
             recomputed_tokens: meter.u64_counter("bilberryford.recomputed_tokens").build(),
+            orders: meter.u64_counter("bilberryford.orders").build(),
+            observed: Observed::new(&meter),
             registry,
             _provider: provider,
-        })
+        };
+        metrics.start_at_zero();
+        Ok(metrics)
+    }
+
+    /// What has not happened yet is shown as 0, so that a rate can be told from its first event on.
+    fn start_at_zero(&self) {
+        let plain = [
+            &self.requests,
+            &self.chunks_dropped,
+            &self.prompt_tokens,
+            &self.cached_tokens,
+            &self.recomputed_tokens,
+        ];
+        plain.into_iter().for_each(|counter| counter.add(0, &[]));
+        self.in_flight.add(0, &[]);
+        for class in [RetryClass::Fresh, RetryClass::Begun] {
+            self.retries.add(0, &[label(class)]);
+        }
+        for outcome in ["done", "not_run", "in_doubt"] {
+            self.orders.add(0, &[KeyValue::new("outcome", outcome)]);
+        }
+    }
+
+    /// Counts a retry by its class.
+    pub(crate) fn retried(&self, class: RetryClass) {
+        self.retries.add(1, &[label(class)]);
+    }
+
+    /// Counts an order by its durable outcome.
+    pub(crate) fn settled(&self, state: &OrderState) {
+        let outcome = match state {
+            OrderState::Done { .. } => "done",
+            OrderState::NotRun => "not_run",
+            OrderState::InDoubt => "in_doubt",
+            OrderState::Intent => return,
+        };
+        self.orders.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
     /// Counts a refusal by its kind.
--- /dev/null
+++ b/crates/node/src/observed.rs
@@ -0,0 +1,171 @@
+//! Values that are read when somebody asks for the metrics, instead of being kept up to date.
+
+use std::{
+    fs,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+};
+
+use bilberryford_coord::Liveness;
+use opentelemetry::{
+    KeyValue,
+    metrics::{Gauge, Meter},
+};
+
+use crate::node::Node;
+
+/// Where the kernel tells what this process used.
+const PROCESS_STAT: &str = "/proc/self/stat";
+/// How many fields of it stand between the name of the program and the user time.
+const FIELDS_BEFORE_TIMES: usize = 11;
+/// The kernel's unit of these times, in ticks a second.
+const TICKS_PER_S: f64 = 100.0;
+/// What a member can be taken to be.
+const MEMBER_STATES: [Liveness; 4] =
+    [Liveness::Alive, Liveness::Suspect, Liveness::Leaving, Liveness::Failed];
+
+/// Sums that grow, as read last.
+#[derive(Debug, Default)]
+struct Sums {
+    peer_sent_bytes: AtomicU64,
+    peer_received_bytes: AtomicU64,
+    platform_sent_bytes: AtomicU64,
+    platform_received_bytes: AtomicU64,
+    platform_calls: AtomicU64,
+}
+
+/// The instruments of these values.
+#[derive(Debug)]
+pub(crate) struct Observed {
+    sums: Arc<Sums>,
+    generation: Gauge<u64>,
+    members: Gauge<u64>,
+    endpoints: Gauge<u64>,
+    orders_in_doubt: Gauge<u64>,
+    quarantined: Gauge<u64>,
+}
+
+impl Observed {
+    pub(crate) fn new(meter: &Meter) -> Self {
+        let sums = Arc::new(Sums::default());
+        control_io(meter, sums.clone());
+        let calls = sums.clone();
+        meter
+            .u64_observable_counter("bilberryford.platform.calls")
+            .with_callback(move |calls_seen| {
+                calls_seen.observe(calls.platform_calls.load(Ordering::Relaxed), &[]);
+            })
+            .build();
+        cpu_time(meter);
+        Self {
+            sums,
+            generation: meter.u64_gauge("bilberryford.generation").build(),
+            members: meter.u64_gauge("bilberryford.members").build(),
+            endpoints: meter.u64_gauge("bilberryford.endpoints").build(),
+            orders_in_doubt: meter.u64_gauge("bilberryford.orders_in_doubt").build(),
+            quarantined: meter.u64_gauge("bilberryford.quarantined").build(),
+        }
+    }
+}
+
+fn control_io(meter: &Meter, sums: Arc<Sums>) {
+    let labels = |with: &'static str, direction: &'static str| {
+        [KeyValue::new("with", with), KeyValue::new("network.io.direction", direction)]
+    };
+    meter
+        .u64_observable_counter("bilberryford.control.io")
+        .with_unit("By")
+        .with_callback(move |io| {
+            let value = |sum: &AtomicU64| sum.load(Ordering::Relaxed);
+            io.observe(value(&sums.peer_sent_bytes), &labels("peer", "transmit"));
+            io.observe(value(&sums.peer_received_bytes), &labels("peer", "receive"));
+            io.observe(value(&sums.platform_sent_bytes), &labels("platform", "transmit"));
+            io.observe(value(&sums.platform_received_bytes), &labels("platform", "receive"));
+        })
+        .build();
+}
+
+fn cpu_time(meter: &Meter) {
+    meter
+        .f64_observable_counter("process.cpu.time")
+        .with_unit("s")
+        .with_callback(|time| {
+            if let Some(cpu) = CpuTime::read() {
+                time.observe(cpu.user_s, &[KeyValue::new("cpu.mode", "user")]);
+                time.observe(cpu.system_s, &[KeyValue::new("cpu.mode", "system")]);
+            }
+        })
+        .build();
+}
+
+/// What all threads of this process used so far.
+struct CpuTime {
+    user_s: f64,
+    system_s: f64,
+}
+
+impl CpuTime {
+    fn read() -> Option<Self> {
+        let stat = fs::read_to_string(PROCESS_STAT).ok()?;
+        // The name of the program may hold spaces, so fields are counted from its end.
+        let (_, fields) = stat.rsplit_once(')')?;
+        let mut times = fields.split_whitespace().skip(FIELDS_BEFORE_TIMES);
+        let mut next_s = || Some(times.next()?.parse::<f64>().ok()? / TICKS_PER_S);
+        Some(Self { user_s: next_s()?, system_s: next_s()? })
+    }
+}
+
+impl Node {
+    /// Reads everything anew and answers all metrics in the text format.
+    pub(crate) fn metrics_text(&self) -> String {
+        let observed = &self.metrics.observed;
+        observed.generation.record(self.generation().0, &[]);
+        observed.orders_in_doubt.record(self.orders_in_doubt().len() as u64, &[]);
+        observed.quarantined.record(self.quarantined_count(), &[]);
+        self.observe_members();
+        self.observe_endpoints();
+        self.observe_traffic();
+        self.metrics.text()
+    }
+
+    fn observe_members(&self) {
+        let members = self.members.all();
+        let own = if self.is_leaving() { Liveness::Leaving } else { Liveness::Alive };
+        for state in MEMBER_STATES {
+            let others = members.iter().filter(|(_, other)| *other == state).count();
+            let count = others + usize::from(own == state);
+            let label = KeyValue::new("state", state.to_string());
+            self.metrics.observed.members.record(count as u64, &[label]);
+        }
+    }
+
+    fn observe_endpoints(&self) {
+        let now = self.now();
+        let (mut live, mut suspect, mut leaving) = (0, 0, 0);
+        for endpoint in self.fleet.endpoints().all() {
+            match endpoint.is_leaving() {
+                true => leaving += 1,
+                false if endpoint.is_suspected(now) => suspect += 1,
+                false => live += 1,
+            }
+        }
+        for (state, count) in [("live", live), ("suspect", suspect), ("leaving", leaving)] {
+            self.metrics.observed.endpoints.record(count, &[KeyValue::new("state", state)]);
+        }
+    }
+
+    fn observe_traffic(&self) {
+        let sums = &self.metrics.observed.sums;
+        if let Some(peers) = self.peers() {
+            let traffic = peers.traffic();
+            sums.peer_sent_bytes.store(traffic.sent_bytes, Ordering::Relaxed);
+            sums.peer_received_bytes.store(traffic.received_bytes, Ordering::Relaxed);
+        }
+        let traffic = self.platform.traffic();
+        sums.platform_sent_bytes.store(traffic.sent_bytes, Ordering::Relaxed);
+        sums.platform_received_bytes.store(traffic.received_bytes, Ordering::Relaxed);
+        sums.platform_calls.store(traffic.calls, Ordering::Relaxed);
+    }
+}
--- a/crates/node/src/orders.rs
+++ b/crates/node/src/orders.rs
@@ -220,6 +220,9 @@
         OrderState::InDoubt => EventKind::OrderInDoubt,
         _ => EventKind::OrderSettled,
     };
+    if !pending.is_fence {
+        node.metrics.settled(&pending.outcome.record.state);
+    }
     match kind {
         EventKind::OrderInDoubt => node.note_doubt(&pending.tag),
         _ => node.orders.doubts.settle(&pending.tag.team, &pending.tag.key),
--- a/crates/node/src/retries.rs
+++ b/crates/node/src/retries.rs
@@ -15,7 +15,7 @@
     pub(crate) fn take_retry(&self, team: &TeamName, pool: &PoolName, class: RetryClass) -> bool {
         let is_taken = self.retries.lock().take(team, pool, class, self.now());
         if is_taken {
-            self.metrics.retries.add(1, &[]);
+            self.metrics.retried(class);
         }
         is_taken
     }
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -188,7 +188,7 @@
 
 #[handler]
 fn metrics(Data(node): Data<&Arc<Node>>) -> String {
-    node.metrics.text()
+    node.metrics_text()
 }
 
 #[handler]
--- a/crates/node/src/status.rs
+++ b/crates/node/src/status.rs
@@ -161,7 +161,8 @@
         })
     }
 
-    fn orders_in_doubt(&self) -> Vec<OrderInDoubt> {
+    /// Orders whose fate this instance does not know.
+    pub(crate) fn orders_in_doubt(&self) -> Vec<OrderInDoubt> {
         let now = self.now();
         let retention = self.settings.order_retention;
         let mut orders = self.orders.doubts.rows(now, retention);
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -10,10 +10,12 @@
     RequestBuilder, Response, StatusCode,
     header::{self, HeaderValue},
 };
+use serde::de::DeserializeOwned;
 
 use crate::{
     Change, Changes, InstanceList, InstanceRecord, Object, ObjectKey, ObjectKind, ObjectStore,
-    PlatformError, Precondition,
+    PlatformError, PlatformTraffic, Precondition,
+    traffic::TrafficCounters,
     wire::{InstancesBody, ListBody, entity_tag, tag_version},
 };
 
@@ -43,6 +45,7 @@
     config: HttpPlatformConfig,
     client: reqwest::Client,
     listed: Mutex<Option<Listed>>,
+    traffic: TrafficCounters,
 }
 
 /// The list of instances as last read, so that an unchanged one is not sent again.
@@ -65,7 +68,12 @@
             .redirect(reqwest::redirect::Policy::none())
             .build()
             .map_err(|error| PlatformError::Refused { reason: error.to_string() })?;
-        Ok(Self { config, client, listed: Mutex::default() })
+        Ok(Self { config, client, listed: Mutex::default(), traffic: TrafficCounters::default() })
+    }
+
+    /// What was exchanged so far.
+    pub fn traffic(&self) -> PlatformTraffic {
+        self.traffic.read()
     }
 
     fn object_url(&self, key: &ObjectKey) -> String {
@@ -78,11 +86,13 @@
         extra_wait: TimeMs,
     ) -> Result<Response, PlatformError> {
         let timeout = self.config.timeout.after(extra_wait);
-        let response = request
+        let request = request
             .timeout(Duration::from_millis(timeout.get()))
-            .send()
-            .await
-            .map_err(|error| send_error(&error))?;
+            .build()
+            .map_err(|error| PlatformError::Refused { reason: error.to_string() })?;
+        self.traffic.sent(&request);
+        let response = self.client.execute(request).await.map_err(|error| send_error(&error))?;
+        self.traffic.answered(&response);
         match response.status() {
             status if status.is_success() => Ok(response),
             StatusCode::NOT_FOUND | StatusCode::NOT_MODIFIED => Ok(response),
@@ -102,7 +112,20 @@
 
     async fn list_body(&self, url: String, extra_wait: TimeMs) -> Result<ListBody, PlatformError> {
         let response = self.send(self.client.get(url), extra_wait).await?;
-        response.json().await.map_err(|error| PlatformError::Unknown { reason: error.to_string() })
+        self.json(response).await
+    }
+
+    async fn bytes(&self, response: Response) -> Result<Bytes, PlatformError> {
+        let unknown = |error: reqwest::Error| PlatformError::Unknown { reason: error.to_string() };
+        let body = response.bytes().await.map_err(unknown)?;
+        self.traffic.received(body.len());
+        Ok(body)
+    }
+
+    async fn json<T: DeserializeOwned>(&self, response: Response) -> Result<T, PlatformError> {
+        let body = self.bytes(response).await?;
+        serde_json::from_slice(&body)
+            .map_err(|error| PlatformError::Unknown { reason: error.to_string() })
     }
 }
 
@@ -147,10 +170,7 @@
                     reason: "no version in the answer".to_owned(),
                 });
             }
-            let body = response
-                .bytes()
-                .await
-                .map_err(|error| PlatformError::Unknown { reason: error.to_string() })?;
+            let body = self.bytes(response).await?;
             Ok(Some(Object { name: key.name.clone(), version, body }))
         }
         .boxed()
@@ -253,10 +273,7 @@
                 return Ok(listed.map(|listed| listed.instances).unwrap_or_default());
             }
             let entity_tag = response.headers().get(header::ETAG).cloned();
-            let body: InstancesBody = response
-                .json()
-                .await
-                .map_err(|error| PlatformError::Unknown { reason: error.to_string() })?;
+            let body: InstancesBody = self.json(response).await?;
             let instances = body.instances;
             let kept = |entity_tag| Listed { entity_tag, instances: instances.clone() };
             *self.listed.lock() = entity_tag.map(kept);
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -13,6 +13,7 @@
 mod http;
 mod instances;
 mod object;
+mod traffic;
 pub mod wire;
 
 pub use http::{HttpPlatform, HttpPlatformConfig};
@@ -20,3 +21,4 @@
 pub use object::{
     Change, Changes, Object, ObjectKey, ObjectKind, ObjectStore, PlatformError, Precondition,
 };
+pub use traffic::PlatformTraffic;
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -9,6 +9,7 @@
 mod config;
 mod leases;
 mod membership;
+mod metrics;
 mod orders;
 mod path;
 mod poison;
