Test that logs and events hold nothing confidential

A real instance at debug level with JSON lines serves a prompt, an order, refusals and a request that crashes engines; its standard error and /events hold no prompt, answer, key, run key or order body.

--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -8,6 +8,7 @@
 mod command_line;
 mod config;
 mod leases;
+mod logs;
 mod membership;
 mod metrics;
 mod orders;
