Faults of the orders' tests hold for orders only

Cause: a_given_up_intent_is_fenced… and an_intent_that_lands_late… failed now and then: the stand-in delays the next write whichever it is, and a lease or status write took the fault in place of the order's; the second also took its count of conflicts after the late write could have come. Ruled out: the fence itself (the order ran once in every failed run). Change: the switch names the kind; the count is taken before the order. No assertion is changed.

--- a/tests/all/orders.rs
+++ b/tests/all/orders.rs
@@ -41,8 +41,10 @@
     assert!(seen.is_some(), "the record is not {state}: {:?}", states(deployment));
 }
 
+/// Faults of writes hold for orders only: a lease or a status written meanwhile must not use them up.
 fn platform_faults(deployment: &Deployment, faults: platform::Faults) {
-    deployment.platform.set_faults(faults);
+    let only_kind = "order".to_owned();
+    deployment.platform.set_faults(platform::Faults { only_kind, ..faults });
 }
 
 fn service_faults(deployment: &Deployment, faults: service::Faults) {
@@ -117,8 +119,8 @@
     let faults = platform::Faults { delay_writes: 1, delay_ms: 300, ..Default::default() };
     platform_faults(&deployment, faults);
     let caller = deployment.caller();
-    assert_eq!(caller.order(&deployment.url(0), DESK, "order-1").await, Outcome::Whole);
     let conflicts = deployment.platform.book().conflicts;
+    assert_eq!(caller.order(&deployment.url(0), DESK, "order-1").await, Outcome::Whole);
     let landed =
         eventually(|| async { (deployment.platform.book().conflicts > conflicts).then_some(()) });
     assert!(landed.await.is_some(), "the late write was not taken");
