--- a/crates/coord/src/quarantine.rs
+++ b/crates/coord/src/quarantine.rs
@@ -118,6 +118,16 @@
         entry.standing
     }
 
+    /// Takes over that a peer suspects `key`; what is known here already, an acquittal too, stays.
+    pub fn hear_suspect(&mut self, key: Digest, now: TimeMs) {
+        let is_known = self.by_key.get(&key).is_some_and(|entry| {
+            entry.until > now && (entry.is_acquitted || entry.standing != Standing::Clear)
+        });
+        if !is_known {
+            self.suspect(key, now);
+        }
+    }
+
     /// Puts `key` into quarantine; answers whether that is news.
     pub fn quarantine(&mut self, key: Digest, span: TimeMs, source: Source, now: TimeMs) -> bool {
         let entry = self.entry(key, now);
@@ -168,6 +178,12 @@
         self.by_key.values().filter(is_in).count()
     }
 
+    /// Up to `limit` keys of a standing, the latest first, for an instance that has just started.
+    pub fn keys(&self, standing: Standing, limit: usize, now: TimeMs) -> Vec<Digest> {
+        let is_such = |key: &&Digest| self.standing(key, now) == standing;
+        self.oldest_first.values().rev().filter(is_such).take(limit).copied().collect()
+    }
+
     fn remove(&mut self, key: &Digest) {
         if let Some(entry) = self.by_key.remove(key) {
             self.oldest_first.remove(&entry.number);
--- a/crates/coord/tests/quarantine.rs
+++ b/crates/coord/tests/quarantine.rs
@@ -62,6 +62,20 @@
     assert_eq!(table.claim(KEY, "z", SPAN, now), claim);
 }
 
+#[rstest]
+#[case::unknown(&[], Standing::Suspect)]
+#[case::forgotten(&[Suspect, Wait(600_000)], Standing::Suspect)]
+#[case::claimed_for_another(&[Claim("a")], Standing::Suspect)]
+#[case::acquitted(&[Suspect, Claim("a"), Acquit("a")], Standing::Clear)]
+#[case::acquittal_is_forgotten(&[Suspect, Claim("a"), Acquit("a"), Wait(600_000)], Standing::Suspect)]
+#[case::convicted(&[Step::Quarantine], Standing::Quarantined)]
+fn what_a_peer_suspects_is_taken_over(#[case] steps: &[Step], #[case] standing: Standing) {
+    let (mut table, now) = after(steps);
+    table.hear_suspect(KEY, now);
+    assert_eq!(table.standing(&KEY, now), standing);
+    assert_eq!(table.keys(standing, 1, now).len(), usize::from(standing != Standing::Clear));
+}
+
 fn step() -> impl Strategy<Value = (u8, u8, u8, u64)> {
     (0_u8..5, 0_u8..4, 0_u8..3, 0_u64..700)
 }
--- a/crates/node/src/controllers.rs
+++ b/crates/node/src/controllers.rs
@@ -4,6 +4,7 @@
 mod config;
 mod endpoints;
 mod heartbeat;
+mod introduction;
 mod loans;
 mod orders;
 mod quarantine;
--- a/crates/node/src/controllers/endpoints.rs
+++ b/crates/node/src/controllers/endpoints.rs
@@ -9,6 +9,7 @@
 use rand::seq::IndexedRandom;
 use tokio::time::sleep;
 
+use super::introduction::introduce;
 use crate::{node::Node, peering::endpoint_at};
 
 /// The least time between two readings of the list, in milliseconds.
@@ -24,7 +25,7 @@
 pub(crate) async fn run(node: Arc<Node>, peer_address: SocketAddr) {
     loop {
         match node.instances.instances().await {
-            Ok(records) => take(&node, peer_address, &records),
+            Ok(records) => take_first(&node, peer_address, &records).await,
             Err(error) => {
                 log::debug!("the list of instances can't be read: {error}");
                 if node.fleet.endpoints().len() == 0 {
@@ -38,6 +39,18 @@
     }
 }
 
+/// # Invariant
+///
+/// While no endpoint is known, nothing can run here. So the first ones are taken in only after the peers know this
+/// instance and it knows what they suspect.
+async fn take_first(node: &Arc<Node>, own: SocketAddr, records: &[InstanceRecord]) {
+    if node.fleet.endpoints().len() == 0 && records.iter().any(|record| record.pool.is_some()) {
+        take_members(node, own, records);
+        introduce(node, own).await;
+    }
+    take(node, own, records);
+}
+
 fn take(node: &Node, own: SocketAddr, records: &[InstanceRecord]) {
     let endpoints = records.iter().filter(|record| record.pool.is_some());
     let rows = endpoints.clone().filter_map(endpoint_at);
@@ -47,6 +60,10 @@
         .filter_map(endpoint_at)
         .for_each(|at| node.note_leaving(at, "the list"));
     node.fleet.replace_endpoints(records, &gone, |at| node.members.has_departed(at));
+    take_members(node, own, records);
+}
+
+fn take_members(node: &Node, own: SocketAddr, records: &[InstanceRecord]) {
     records
         .iter()
         .filter(|record| record.role == Role::Entry && record.peer_address != Some(own))
@@ -57,7 +74,7 @@
 }
 
 /// Asks a few peers for the endpoints; used when there is neither a list nor an earlier reading.
-async fn from_peers(node: &Node, own: SocketAddr) {
+async fn from_peers(node: &Arc<Node>, own: SocketAddr) {
     let Some(peers) = node.peers() else { return };
     let addresses = node.members.addresses();
     let chosen: Vec<_> = addresses.sample(&mut rand::rng(), MAX_ASKED).collect();
@@ -65,7 +82,7 @@
         let rows = peers.endpoints(*address, PEER_TIMEOUT).await.unwrap_or_default();
         let records: Vec<_> = rows.into_iter().filter_map(listed).collect();
         if !records.is_empty() {
-            take(node, own, &records);
+            take_first(node, own, &records).await;
             return;
         }
     }
--- a/crates/node/src/controllers/heartbeat.rs
+++ b/crates/node/src/controllers/heartbeat.rs
@@ -83,7 +83,8 @@
     }
 }
 
-async fn beat(
+/// Exchanges heartbeats with one peer.
+pub(super) async fn beat(
     node: Arc<Node>,
     own: SocketAddr,
     kind: BeatKind,
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -8,7 +8,11 @@
 mod suspect;
 
 use std::{
-    sync::Arc,
+    pin::pin,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -77,6 +81,10 @@
     place: CurrentPlace,
     endpoint: Mutex<Option<Arc<Endpoint>>>,
     weight_version: Mutex<WeightVersion>,
+    /// Whether the endpoint has answered the current attempt.
+    has_answered: AtomicBool,
+    /// Whether the current attempt runs under both claims.
+    is_alone: AtomicBool,
 }
 
 /// Runs the prompt and fills `run`; the run is over when this ends, whatever happens.
@@ -91,10 +99,20 @@
     let pick_up_limit = Duration::from_millis(node.settings.pick_up_limit.get());
     let weight_version = Mutex::new(call.weight_version.clone());
     let endpoint_now = Mutex::default();
-    let follower =
-        Follower { node, run: run.clone(), call, place, endpoint: endpoint_now, weight_version };
+    let follower = Follower {
+        node,
+        run: run.clone(),
+        call,
+        place,
+        endpoint: endpoint_now,
+        weight_version,
+        has_answered: AtomicBool::new(false),
+        is_alone: AtomicBool::new(false),
+    };
+    // Not dropped before the current attempt is resolved, since it holds the claims.
+    let mut attempts = pin!(follower.attempts(start));
     let outcome = tokio::select! {
-        outcome = follower.attempts(start) => outcome,
+        outcome = &mut attempts => outcome,
         () = sleep(limit) => Err(Refusal::sent(ErrorKind::DeadlineWhileRunning, Ran::Maybe)),
         () = run.abandoned(pick_up_limit) => Err(Refusal::sent(ErrorKind::RunCancelled, Ran::Maybe)),
     };
@@ -104,7 +122,7 @@
             run.fail(refusal);
             // What another instance follows is not cancelled for lack of readers here.
             if refusal.kind() != ErrorKind::RunCancelled || !run.is_handed_over() {
-                follower.cancel_current(refusal.kind());
+                follower.cancel_current(refusal.kind()).await;
             }
         }
     }
@@ -126,6 +144,7 @@
                 Some(_) => Some(self.claim_place(&base, &mut endpoint, &tried).await),
                 None => None,
             };
+            self.is_alone.store(alone.is_some(), Ordering::Release);
             let id = attempt_name(&base, tried.len());
             let sent = proof.take().map(|proof| proof.renew(id.clone()).send());
             let failure = match self.attempt(&id, &endpoint).await {
@@ -154,11 +173,16 @@
 
     async fn attempt(&self, id: &AttemptId, endpoint: &Arc<Endpoint>) -> Result<RunEnd, Failure> {
         *self.place.lock() = Some(RunPlace { endpoint: endpoint.id.clone(), attempt: id.clone() });
+        self.has_answered.store(false, Ordering::Release);
         *self.endpoint.lock() = Some(endpoint.clone());
         let _guard = endpoint.enter();
         let trace = self.call.trace.clone();
         let intake = Intake::new(&self.node, &self.run, endpoint, id, trace, self.call.deadline);
-        intake.received(self.call.received).generate(self.generate_call(id)).await
+        intake
+            .with_flag(&self.has_answered)
+            .received(self.call.received)
+            .generate(self.generate_call(id))
+            .await
     }
 
     fn generate_call(&self, id: &AttemptId) -> GenerateCall {
@@ -245,7 +269,7 @@
         }
     }
 
-    fn cancel_current(&self, kind: ErrorKind) {
+    async fn cancel_current(&self, kind: ErrorKind) {
         let Some(endpoint) = self.endpoint.lock().take() else { return };
         let Some(place) = self.place.lock().clone() else { return };
         self.node.events.write(EventKind::Cancelled, |event| {
@@ -254,7 +278,7 @@
             event.endpoint = Some(place.endpoint.clone());
             event.error = Some(kind);
         });
-        cancel(endpoint, place.attempt);
+        self.resolve(&endpoint, &place.attempt).await;
     }
 }
 
--- a/crates/node/src/follow/stream.rs
+++ b/crates/node/src/follow/stream.rs
@@ -6,7 +6,10 @@
 //! run is whole only when the end marker's count equals the tokens that were taken.
 
 use std::{
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -90,6 +93,8 @@
     idle_resumes: u32,
     wrong_ends: u32,
     has_answered: bool,
+    /// Set as soon as the endpoint has answered, for whoever ends the attempt early.
+    answered: Option<&'a AtomicBool>,
 }
 
 impl<'a> Intake<'a> {
@@ -114,6 +119,7 @@
             idle_resumes: 0,
             wrong_ends: 0,
             has_answered: false,
+            answered: None,
         }
     }
 
@@ -123,6 +129,17 @@
         self
     }
 
+    /// Has `flag` set when the endpoint answers.
+    pub(crate) const fn with_flag(mut self, flag: &'a AtomicBool) -> Self {
+        self.answered = Some(flag);
+        self
+    }
+
+    fn note_answer(&mut self) {
+        self.has_answered = true;
+        self.answered.into_iter().for_each(|flag| flag.store(true, Ordering::Release));
+    }
+
     /// Sends the prompt and takes the answer in.
     pub(crate) async fn generate(mut self, call: GenerateCall) -> Result<RunEnd, Failure> {
         self.silence =
@@ -132,7 +149,7 @@
         let opened = timeout(patience, self.endpoint.engine.generate(call, self.time_left())).await;
         let stream = match opened {
             Ok(Ok(stream)) => {
-                self.has_answered = true;
+                self.note_answer();
                 stream
             }
             Ok(Err(error)) if error.ran() == Ran::No => {
@@ -149,7 +166,7 @@
 
     /// Picks the run up and takes the rest of the answer in.
     pub(crate) async fn follow(mut self, stream: ChunkStream) -> Result<RunEnd, Failure> {
-        self.has_answered = true;
+        self.note_answer();
         self.take_all(stream).await
     }
 
@@ -188,7 +205,7 @@
         let probe = self.endpoint.engine.resume(self.attempt, from, self.time_left());
         match timeout(Duration::from_millis(PROBE_TIMEOUT_MS), probe).await {
             Ok(Ok(stream)) => {
-                self.has_answered = true;
+                self.note_answer();
                 self.silence.resumed(self.node.now());
                 self.event(EventKind::Resumed, &format!("from token {from}: {reason}"));
                 Ok(stream)
--- a/crates/node/src/follow/suspect.rs
+++ b/crates/node/src/follow/suspect.rs
@@ -5,9 +5,13 @@
 //! A suspect is sent only under a claim on its fingerprint and one on the endpoint, so that a crash then convicts it
 //! and nothing that shared the batch. See `docs/design/poison.md`.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use bilberryford_coord::ClaimReply;
+use bilberryford_endpoint::EndpointError;
 use bilberryford_types::{AttemptId, ErrorKind, Ran, TimeMs};
 use tokio::time::sleep;
 
@@ -48,6 +52,21 @@
         Ok(())
     }
 
+    /// Cancels an attempt that the deadline or its caller ended, and takes note when the endpoint has crashed under it.
+    ///
+    /// # Invariant
+    ///
+    /// The claims are held meanwhile: a claim that is given back without the crash would let the suspect run again.
+    pub(super) async fn resolve(&self, endpoint: &Arc<Endpoint>, attempt: &AttemptId) {
+        let Err(error) = endpoint.engine.cancel(attempt).await else { return };
+        log::debug!("attempt {attempt} was not cancelled: {error}");
+        let is_gone = matches!(error, EndpointError::Connect { .. });
+        if is_gone && self.has_answered.load(Ordering::Acquire) {
+            let was_alone = self.is_alone.load(Ordering::Acquire);
+            self.node.report_crash(self.call.fingerprint, attempt, was_alone).await;
+        }
+    }
+
     /// Waits for an endpoint without another suspect and moves the run there.
     pub(super) async fn claim_place(
         &self,
--- a/crates/node/src/peering.rs
+++ b/crates/node/src/peering.rs
@@ -9,7 +9,7 @@
 use bilberryford_endpoint::EndpointError;
 use bilberryford_peer::{
     Borrow, BorrowReply, ConfigReply, EndpointRow, EndpointView, Heartbeat, Member, MemberState,
-    PeerHandler, PlaceReply, PlaceRequest, Suspect, SuspectReply,
+    PeerHandler, PlaceReply, PlaceRequest, Standings, Suspect, SuspectReply,
 };
 use bilberryford_platform::{InstanceRecord, InstanceState};
 use bilberryford_types::{EventKind, Generation, InstanceId, RunId, TimeMs, Tokens};
@@ -241,6 +241,10 @@
             .collect()
     }
 
+    fn standings(&self) -> Standings {
+        self.node().map(|node| node.standings()).unwrap_or_default()
+    }
+
     fn suspect(&self, suspect: Suspect) -> SuspectReply {
         self.node().map(|node| node.take_suspect(&suspect)).unwrap_or_default()
     }
--- a/crates/node/src/quarantine.rs
+++ b/crates/node/src/quarantine.rs
@@ -6,7 +6,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bilberryford_coord::{ClaimReply, Quarantine, Source, Standing, owner};
-use bilberryford_peer::{PeerClient, Suspect, SuspectReply, Verdict};
+use bilberryford_peer::{PeerClient, Standings, Suspect, SuspectReply, Verdict};
 use bilberryford_types::{
     AttemptId, Digest, EndpointId, EventKind, InstanceId, ModelName, TeamName, TimeMs,
 };
@@ -27,6 +27,8 @@
 const GIVE_BACK_LIMIT: u32 = 20;
 /// How many quarantined fingerprints a heartbeat carries.
 pub(crate) const GOSSIP_LIMIT: usize = 64;
+/// How many keys of each standing an instance is told that has just started.
+const STANDINGS_LIMIT: usize = 1_024;
 /// How long a quarantine that came by gossip is kept, in milliseconds; the platform's record has the true span.
 const GOSSIP_SPAN: TimeMs = TimeMs(3_600_000);
 
@@ -90,6 +92,17 @@
     told.is_err().then_some(address)
 }
 
+/// Tells peers once, and goes on in the background with those that did not answer.
+async fn tell_all(peers: PeerClient, addresses: Vec<SocketAddr>, suspect: Suspect) {
+    let told = stream::iter(addresses)
+        .map(|address| tell(peers.clone(), address, suspect.clone()))
+        .buffer_unordered(TELL_AT_ONCE);
+    let silent: Vec<_> = told.filter_map(std::future::ready).collect().await;
+    if !silent.is_empty() {
+        tokio::spawn(tell_again(peers, silent, suspect));
+    }
+}
+
 /// Tells peers that did not answer, until they do; an instance that was paused waits for this, see `pause.rs`.
 async fn tell_again(peers: PeerClient, mut silent: Vec<SocketAddr>, suspect: Suspect) {
     for _ in 0..TELL_AGAIN_LIMIT {
@@ -177,13 +190,11 @@
         });
         let Some(peers) = self.peers() else { return };
         // A member that is taken for failed may only be paused; it has to hear of this too.
-        let told = stream::iter(self.members.all())
-            .map(|(member, _)| tell(peers.clone(), member.address, suspect.clone()))
-            .buffer_unordered(TELL_AT_ONCE);
-        let silent: Vec<_> = told.filter_map(std::future::ready).collect().await;
-        if !silent.is_empty() {
-            tokio::spawn(tell_again(peers, silent, suspect));
-        }
+        let addresses: Vec<_> =
+            self.members.all().into_iter().map(|(member, _)| member.address).collect();
+        let first = tokio::spawn(tell_all(peers, addresses, suspect));
+        // The run may end here at its deadline; its peers are told all the same.
+        drop(first.await);
     }
 
     /// Answers a peer, or this instance itself, from the table.
@@ -248,6 +259,27 @@
         }
     }
 
+    /// What an instance that has just started has to know.
+    pub(crate) fn standings(&self) -> Standings {
+        let now = self.now();
+        let table = self.quarantine.lock();
+        Standings {
+            suspected: table.keys(Standing::Suspect, STANDINGS_LIMIT, now),
+            quarantined: table.keys(Standing::Quarantined, STANDINGS_LIMIT, now),
+        }
+    }
+
+    /// Takes over what a peer knows, at the start of this instance.
+    pub(crate) fn take_standings(&self, standings: &Standings, from: &str) {
+        let now = self.now();
+        let mut table = self.quarantine.lock();
+        standings.suspected.iter().for_each(|key| table.hear_suspect(*key, now));
+        drop(table);
+        for keys in standings.quarantined.chunks(GOSSIP_LIMIT) {
+            self.take_quarantined(keys, None, from);
+        }
+    }
+
     /// Asks the owner of the key; none when it does not answer.
     async fn ask_owner(&self, suspect: Suspect) -> Option<SuspectReply> {
         let Some((address, peers)) = self.owner_of(&suspect.fingerprint).zip(self.peers()) else {
--- a/crates/peer/schema/peer.capnp
+++ b/crates/peer/schema/peer.capnp
@@ -104,4 +104,7 @@
 
   # The endpoints as listed when the platform last answered.
   endpoints @6 () -> (rows :List(EndpointRow));
+
+  # What an instance that has just started has to know of requests that crash endpoints.
+  standings @7 () -> (suspected :List(Data), quarantined :List(Data));
 }
--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -6,8 +6,8 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::{
-    Borrow, BorrowReply, ConfigReply, EndpointRow, Heartbeat, PlaceReply, PlaceRequest, Suspect,
-    SuspectReply, Traffic, runtime::Counters,
+    Borrow, BorrowReply, ConfigReply, EndpointRow, Heartbeat, PlaceReply, PlaceRequest, Standings,
+    Suspect, SuspectReply, Traffic, runtime::Counters,
 };
 
 /// Why a call of a peer failed; the peer may or may not have taken it in.
@@ -44,6 +44,7 @@
     Heartbeat(Box<Heartbeat>),
     Configuration(Generation),
     Endpoints,
+    Standings,
     Suspect(Suspect),
     Borrow(Borrow),
     Place(Box<PlaceRequest>),
@@ -55,6 +56,7 @@
     Heartbeat(Box<Heartbeat>),
     Configuration(Option<ConfigReply>),
     Endpoints(Vec<EndpointRow>),
+    Standings(Standings),
     Suspect(SuspectReply),
     Borrow(BorrowReply),
     Place(Option<PlaceReply>),
@@ -131,6 +133,20 @@
         }
     }
 
+    /// Asks what the peer knows of requests that crash endpoints.
+    ///
+    /// # Errors
+    ///
+    /// [`PeerError`].
+    pub async fn standings(&self, to: SocketAddr, timeout: TimeMs) -> Result<Standings, PeerError> {
+        match self.call(to, CallKind::Standings, timeout).await? {
+            Reply::Standings(standings) => Ok(standings),
+            other => {
+                Err(PeerError::Failed { reason: format!("a reply of another call: {other:?}") })
+            }
+        }
+    }
+
     calls! {
         /// Exchanges views with the peer at `to`.
         heartbeat(beat: Heartbeat => CallKind::Heartbeat(Box::new(beat))) -> Heartbeat(Heartbeat) |reply: Box<Heartbeat>| *reply;
--- a/crates/peer/src/convert.rs
+++ b/crates/peer/src/convert.rs
@@ -10,6 +10,8 @@
 
 /// The most rows that a list from a peer may have.
 const MAX_ROWS: u32 = 4_096;
+/// The most rows that a list from a peer may have, as a length.
+pub(crate) const MAX_DIGESTS: usize = MAX_ROWS as usize;
 /// The most endpoints that a peer may list.
 pub(crate) const MAX_ENDPOINT_ROWS: usize = 16_384;
 
@@ -29,6 +31,17 @@
     data.try_into().map(Digest).map_err(bad)
 }
 
+pub(crate) fn read_digests(reader: capnp::data_list::Reader<'_>) -> Result<Vec<Digest>, Error> {
+    bounded(reader.len())?;
+    reader.iter().map(|data| digest(data?)).collect()
+}
+
+pub(crate) fn write_digests(digests: &[Digest], mut builder: capnp::data_list::Builder<'_>) {
+    for (index, digest) in (0..).zip(digests) {
+        builder.set(index, &digest.0);
+    }
+}
+
 pub(crate) fn bounded(rows: u32) -> Result<u32, Error> {
     if rows > MAX_ROWS { Err(bad("the list is too long")) } else { Ok(rows) }
 }
--- a/crates/peer/src/handler.rs
+++ b/crates/peer/src/handler.rs
@@ -1,8 +1,8 @@
 //! What an instance answers to its peers.
 
 use crate::{
-    Borrow, BorrowReply, ConfigReply, EndpointRow, Heartbeat, PlaceReply, PlaceRequest, Suspect,
-    SuspectReply,
+    Borrow, BorrowReply, ConfigReply, EndpointRow, Heartbeat, PlaceReply, PlaceRequest, Standings,
+    Suspect, SuspectReply,
 };
 use bilberryford_types::{Generation, RunId};
 
@@ -17,6 +17,9 @@
     /// Counts or answers for a request whose fingerprint this instance owns.
     fn suspect(&self, suspect: Suspect) -> SuspectReply;
 
+    /// What is known here of requests that crash endpoints, for an instance that has just started.
+    fn standings(&self) -> Standings;
+
     /// Takes note that another instance follows a run that this one began.
     fn picked_up(&self, run: RunId);
 
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -26,6 +26,6 @@
 pub use handler::PeerHandler;
 pub use message::{
     Borrow, BorrowReply, ConfigReply, EndpointRow, EndpointView, Heartbeat, Member, MemberState,
-    PlaceReply, PlaceRequest, Suspect, SuspectReply, Verdict,
+    PlaceReply, PlaceRequest, Standings, Suspect, SuspectReply, Verdict,
 };
 pub use runtime::{PeerRuntime, Traffic};
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -141,6 +141,15 @@
     pub granted: bool,
 }
 
+/// What an instance knows of requests that crash endpoints.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Standings {
+    /// Fingerprints that may run under claims only.
+    pub suspected: Vec<Digest>,
+    /// Fingerprints that may not run again.
+    pub quarantined: Vec<Digest>,
+}
+
 /// A call for in-flight slots.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Borrow {
--- a/crates/peer/src/peer_capnp.rs
+++ b/crates/peer/src/peer_capnp.rs
@@ -3519,6 +3519,10 @@
         ::capnp::capability::Params<crate::peer_capnp::peer::endpoints_params::Owned>;
     pub type EndpointsResults =
         ::capnp::capability::Results<crate::peer_capnp::peer::endpoints_results::Owned>;
+    pub type StandingsParams =
+        ::capnp::capability::Params<crate::peer_capnp::peer::standings_params::Owned>;
+    pub type StandingsResults =
+        ::capnp::capability::Results<crate::peer_capnp::peer::standings_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -3650,6 +3654,14 @@
         > {
             self.client.new_call(_private::TYPE_ID, 6, ::core::option::Option::None)
         }
+        pub fn standings_request(
+            &self,
+        ) -> ::capnp::capability::Request<
+            crate::peer_capnp::peer::standings_params::Owned,
+            crate::peer_capnp::peer::standings_results::Owned,
+        > {
+            self.client.new_call(_private::TYPE_ID, 7, ::core::option::Option::None)
+        }
     }
     pub trait Server: 'static {
         fn heartbeat(
@@ -3715,6 +3727,15 @@
                 "method peer::Server::endpoints not implemented".to_string(),
             )))
         }
+        fn standings(
+            self: ::capnp::capability::Rc<Self>,
+            _: StandingsParams,
+            _: StandingsResults,
+        ) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static {
+            ::core::future::ready(Err(::capnp::Error::unimplemented(
+                "method peer::Server::standings not implemented".to_string(),
+            )))
+        }
     }
     pub struct ServerDispatch<_T> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -3824,6 +3845,14 @@
                     )),
                     false,
                 ),
+                7 => ::capnp::capability::DispatchCallResult::new(
+                    ::capnp::capability::Promise::from_future(<_T as Server>::standings(
+                        this,
+                        ::capnp::private::capability::internal_get_typed_params(params),
+                        ::capnp::private::capability::internal_get_typed_results(results),
+                    )),
+                    false,
+                ),
                 _ => ::capnp::capability::DispatchCallResult::new(
                     ::capnp::capability::Promise::err(::capnp::Error::unimplemented(
                         "Method not implemented.".to_string(),
@@ -8245,4 +8274,619 @@
             pub(crate) const TYPE_ID: u64 = 0xa30c_693f_5b4b_bae8;
         }
     }
+
+    pub mod standings_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned {
+            fn introspect() -> ::capnp::introspect::Type {
+                ::capnp::introspect::TypeVariant::Struct(
+                    ::capnp::introspect::RawBrandedStructSchema {
+                        generic: &_private::RAW_SCHEMA,
+                        field_types: _private::get_field_types,
+                        annotation_types: _private::get_annotation_types,
+                        type_id: ::core::any::TypeId::of::<Owned>(),
+                    },
+                )
+                .into()
+            }
+        }
+        impl ::capnp::traits::Owned for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::OwnedStruct for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::Pipelined for Owned {
+            type Pipeline = Pipeline;
+        }
+
+        pub struct Reader<'a> {
+            reader: ::capnp::private::layout::StructReader<'a>,
+        }
+        impl ::core::marker::Copy for Reader<'_> {}
+        impl ::core::clone::Clone for Reader<'_> {
+            fn clone(&self) -> Self {
+                *self
+            }
+        }
+
+        impl ::capnp::traits::HasTypeId for Reader<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+            fn from(reader: Reader<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(
+                    reader.reader,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
+            }
+        }
+
+        impl ::core::fmt::Debug for Reader<'_> {
+            fn fmt(
+                &self,
+                f: &mut ::core::fmt::Formatter<'_>,
+            ) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(
+                    &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                    f,
+                )
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+            fn get_from_pointer(
+                reader: &::capnp::private::layout::PointerReader<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl Reader<'_> {
+            pub fn reborrow(&self) -> Reader<'_> {
+                Self { ..*self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+        }
+
+        pub struct Builder<'a> {
+            builder: ::capnp::private::layout::StructBuilder<'a>,
+        }
+        impl ::capnp::traits::HasStructSize for Builder<'_> {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+                ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
+        }
+        impl ::capnp::traits::HasTypeId for Builder<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+            fn from(builder: Builder<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(
+                    builder.builder,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
+            }
+        }
+
+        impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+            fn init_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                _size: u32,
+            ) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(
+                    builder
+                        .get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?
+                        .into(),
+                )
+            }
+        }
+
+        impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+            fn set_pointer_builder(
+                mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+                value: Self,
+                canonicalize: bool,
+            ) -> ::capnp::Result<()> {
+                pointer.set_struct(&value.reader, canonicalize)
+            }
+        }
+
+        impl<'a> Builder<'a> {
+            pub fn into_reader(self) -> Reader<'a> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+        }
+
+        pub struct Pipeline {
+            _typeless: ::capnp::any_pointer::Pipeline,
+        }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless }
+            }
+        }
+        impl Pipeline {}
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 17] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(133, 59, 103, 245, 86, 158, 251, 153),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
+                ::capnp::word(115, 116, 97, 110, 100, 105, 110, 103),
+                ::capnp::word(115, 36, 80, 97, 114, 97, 109, 115),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_field_index(index)
+            }
+            pub(crate) fn get_annotation_types(
+                child_index: Option<u16>,
+                index: u32,
+            ) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+                ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+                ::capnp::introspect::RawStructSchema::new(
+                    &ARENA,
+                    NONUNION_MEMBERS,
+                    MEMBERS_BY_DISCRIMINANT,
+                    MEMBERS_BY_NAME,
+                );
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[];
+            pub(crate) const TYPE_ID: u64 = 0x99fb_9e56_f567_3b85;
+        }
+    }
+
+    pub mod standings_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned {
+            fn introspect() -> ::capnp::introspect::Type {
+                ::capnp::introspect::TypeVariant::Struct(
+                    ::capnp::introspect::RawBrandedStructSchema {
+                        generic: &_private::RAW_SCHEMA,
+                        field_types: _private::get_field_types,
+                        annotation_types: _private::get_annotation_types,
+                        type_id: ::core::any::TypeId::of::<Owned>(),
+                    },
+                )
+                .into()
+            }
+        }
+        impl ::capnp::traits::Owned for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::OwnedStruct for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::Pipelined for Owned {
+            type Pipeline = Pipeline;
+        }
+
+        pub struct Reader<'a> {
+            reader: ::capnp::private::layout::StructReader<'a>,
+        }
+        impl ::core::marker::Copy for Reader<'_> {}
+        impl ::core::clone::Clone for Reader<'_> {
+            fn clone(&self) -> Self {
+                *self
+            }
+        }
+
+        impl ::capnp::traits::HasTypeId for Reader<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+            fn from(reader: Reader<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(
+                    reader.reader,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
+            }
+        }
+
+        impl ::core::fmt::Debug for Reader<'_> {
+            fn fmt(
+                &self,
+                f: &mut ::core::fmt::Formatter<'_>,
+            ) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(
+                    &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                    f,
+                )
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+            fn get_from_pointer(
+                reader: &::capnp::private::layout::PointerReader<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl<'a> Reader<'a> {
+            pub fn reborrow(&self) -> Reader<'_> {
+                Self { ..*self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_suspected(self) -> ::capnp::Result<::capnp::data_list::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(
+                    &self.reader.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn has_suspected(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+            #[inline]
+            pub fn get_quarantined(self) -> ::capnp::Result<::capnp::data_list::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(
+                    &self.reader.get_pointer_field(1),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn has_quarantined(&self) -> bool {
+                !self.reader.get_pointer_field(1).is_null()
+            }
+        }
+
+        pub struct Builder<'a> {
+            builder: ::capnp::private::layout::StructBuilder<'a>,
+        }
+        impl ::capnp::traits::HasStructSize for Builder<'_> {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+                ::capnp::private::layout::StructSize { data: 0, pointers: 2 };
+        }
+        impl ::capnp::traits::HasTypeId for Builder<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+            fn from(builder: Builder<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(
+                    builder.builder,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
+            }
+        }
+
+        impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+            fn init_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                _size: u32,
+            ) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(
+                    builder
+                        .get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?
+                        .into(),
+                )
+            }
+        }
+
+        impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+            fn set_pointer_builder(
+                mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+                value: Self,
+                canonicalize: bool,
+            ) -> ::capnp::Result<()> {
+                pointer.set_struct(&value.reader, canonicalize)
+            }
+        }
+
+        impl<'a> Builder<'a> {
+            pub fn into_reader(self) -> Reader<'a> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_suspected(self) -> ::capnp::Result<::capnp::data_list::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                    self.builder.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn set_suspected(
+                &mut self,
+                value: ::capnp::data_list::Reader<'_>,
+            ) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(
+                    self.builder.reborrow().get_pointer_field(0),
+                    value,
+                    false,
+                )
+            }
+            #[inline]
+            pub fn init_suspected(self, size: u32) -> ::capnp::data_list::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(
+                    self.builder.get_pointer_field(0),
+                    size,
+                )
+            }
+            #[inline]
+            pub fn has_suspected(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+            #[inline]
+            pub fn get_quarantined(self) -> ::capnp::Result<::capnp::data_list::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                    self.builder.get_pointer_field(1),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn set_quarantined(
+                &mut self,
+                value: ::capnp::data_list::Reader<'_>,
+            ) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(
+                    self.builder.reborrow().get_pointer_field(1),
+                    value,
+                    false,
+                )
+            }
+            #[inline]
+            pub fn init_quarantined(self, size: u32) -> ::capnp::data_list::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(
+                    self.builder.get_pointer_field(1),
+                    size,
+                )
+            }
+            #[inline]
+            pub fn has_quarantined(&self) -> bool {
+                !self.builder.is_pointer_field_null(1)
+            }
+        }
+
+        pub struct Pipeline {
+            _typeless: ::capnp::any_pointer::Pipeline,
+        }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless }
+            }
+        }
+        impl Pipeline {}
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 58] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(153, 126, 143, 203, 43, 0, 33, 201),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 18, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
+                ::capnp::word(115, 116, 97, 110, 100, 105, 110, 103),
+                ::capnp::word(115, 36, 82, 101, 115, 117, 108, 116),
+                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 82, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(68, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(65, 0, 0, 0, 98, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(92, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(115, 117, 115, 112, 101, 99, 116, 101),
+                ::capnp::word(100, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(113, 117, 97, 114, 97, 110, 116, 105),
+                ::capnp::word(110, 101, 100, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => {
+                        <::capnp::data_list::Owned as ::capnp::introspect::Introspect>::introspect()
+                    }
+                    1 => {
+                        <::capnp::data_list::Owned as ::capnp::introspect::Introspect>::introspect()
+                    }
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(
+                child_index: Option<u16>,
+                index: u32,
+            ) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+                ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+                ::capnp::introspect::RawStructSchema::new(
+                    &ARENA,
+                    NONUNION_MEMBERS,
+                    MEMBERS_BY_DISCRIMINANT,
+                    MEMBERS_BY_NAME,
+                );
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0];
+            pub(crate) const TYPE_ID: u64 = 0xc921_002b_cb8f_7e99;
+        }
+    }
 }
--- a/crates/peer/src/runtime/request.rs
+++ b/crates/peer/src/runtime/request.rs
@@ -3,7 +3,7 @@
 use bilberryford_types::{Generation, ObjectVersion, TimeMs};
 
 use crate::{
-    BorrowReply, ConfigReply, PeerError, PlaceReply, PlaceRequest, SuspectReply,
+    BorrowReply, ConfigReply, PeerError, PlaceReply, PlaceRequest, Standings, SuspectReply,
     client::{CallKind, Reply},
     convert, peer_capnp,
 };
@@ -35,6 +35,14 @@
             let response = peer.endpoints_request().send().promise.await?;
             Reply::Endpoints(convert::read_rows(response.get()?.get_rows()?)?)
         }
+        CallKind::Standings => {
+            let response = peer.standings_request().send().promise.await?;
+            let results = response.get()?;
+            Reply::Standings(Standings {
+                suspected: convert::read_digests(results.get_suspected()?)?,
+                quarantined: convert::read_digests(results.get_quarantined()?)?,
+            })
+        }
         CallKind::Suspect(suspect) => {
             let mut request = peer.suspect_request();
             let mut params = request.get();
--- a/crates/peer/src/runtime/service.rs
+++ b/crates/peer/src/runtime/service.rs
@@ -2,7 +2,7 @@
 
 use std::{rc::Rc, sync::Arc};
 
-use bilberryford_types::{Generation, Priority, TimeMs, Tokens};
+use bilberryford_types::{Digest, Generation, Priority, TimeMs, Tokens};
 
 use crate::{Borrow, PeerHandler, PlaceRequest, Suspect, convert, peer_capnp};
 
@@ -49,6 +49,23 @@
         Ok(())
     }
 
+    async fn standings(
+        self: Rc<Self>,
+        _: peer_capnp::peer::StandingsParams,
+        mut results: peer_capnp::peer::StandingsResults,
+    ) -> Result<(), capnp::Error> {
+        let standings = self.handler.standings();
+        let within = |digests: &[Digest]| digests.len().min(convert::MAX_DIGESTS);
+        let suspected = &standings.suspected[..within(&standings.suspected)];
+        let quarantined = &standings.quarantined[..within(&standings.quarantined)];
+        let mut builder = results.get();
+        let list = builder.reborrow().init_suspected(suspected.len() as u32);
+        convert::write_digests(suspected, list);
+        let list = builder.init_quarantined(quarantined.len() as u32);
+        convert::write_digests(quarantined, list);
+        Ok(())
+    }
+
     async fn suspect(
         self: Rc<Self>,
         params: peer_capnp::peer::SuspectParams,
--- a/crates/peer/tests/contract.rs
+++ b/crates/peer/tests/contract.rs
@@ -11,7 +11,8 @@
 
 use bilberryford_peer::{
     Borrow, BorrowReply, ConfigReply, EndpointRow, EndpointView, Heartbeat, Member, MemberState,
-    PeerError, PeerHandler, PeerRuntime, PlaceReply, PlaceRequest, Suspect, SuspectReply, Verdict,
+    PeerError, PeerHandler, PeerRuntime, PlaceReply, PlaceRequest, Standings, Suspect,
+    SuspectReply, Verdict,
 };
 use bilberryford_types::{
     Digest, Generation, HybridTime, Incarnation, ObjectVersion, Priority, RunId, TimeMs, Tokens,
@@ -98,6 +99,13 @@
         rows(self.rows)
     }
 
+    fn standings(&self) -> Standings {
+        Standings {
+            suspected: vec![Digest([3; 32]); self.rows],
+            quarantined: vec![Digest([4; 32])],
+        }
+    }
+
     fn suspect(&self, suspect: Suspect) -> SuspectReply {
         SuspectReply {
             crashes: 1,
@@ -144,6 +152,9 @@
     );
     assert_eq!(client.configuration(to, Generation(9), timeout).await, Ok(None));
     assert_eq!(client.endpoints(to, timeout).await, Ok(rows(3)));
+    let standings =
+        Standings { suspected: vec![Digest([3; 32]); 3], quarantined: vec![Digest([4; 32])] };
+    assert_eq!(client.standings(to, timeout).await, Ok(standings));
     let suspect = Suspect {
         fingerprint: Digest([1; 32]),
         attempt: "a-1".to_owned(),
--- a/tests/all/poison.rs
+++ b/tests/all/poison.rs
@@ -6,6 +6,7 @@
     engine::{CRASH_MARK, EngineSpec},
     load::{Outcome, Seen},
 };
+use bilberryford_types::{Event, EventKind};
 use futures::{StreamExt, future::join_all};
 use nix::sys::signal::Signal;
 use rstest::rstest;
@@ -137,6 +138,53 @@
     assert!(crashes(&deployment) <= 2, "{} crashes", crashes(&deployment));
 }
 
+/// A peer crashes an endpoint while the instance that the request goes to next is not yet among its members.
+#[tokio::test]
+async fn an_instance_that_starts_after_the_first_crash_does_not_let_a_third_happen() {
+    let mut deployment = Deployment::start(2, &engine()).await.unwrap();
+    // The peer that does not answer keeps the run from going on before its deadline.
+    deployment.instances[1].signal(Signal::SIGSTOP);
+    let caller = deployment.caller().timeout_ms(300);
+    let seen = caller.prompt(&deployment.url(0), "assistant", &poison(), 20, true).await;
+    assert!(matches!(seen.outcome, Outcome::Refused { .. }), "{seen:?}");
+    assert_eq!(crashes(&deployment), 1);
+    deployment.add_instance("entry-new").unwrap();
+    deployment.wait_ready_at(&[0, 2]).await.unwrap();
+    let convicted = eventually(|| async {
+        let seen = send(&deployment, 2, &poison()).await;
+        assert!(matches!(seen.outcome, Outcome::Refused { .. }), "{seen:?}");
+        is_quarantined(&seen).then_some(())
+    });
+    convicted.await.expect("the second crash convicts it");
+    assert_eq!(crashes(&deployment), 2);
+}
+
+/// The endpoint crashes while its instance is frozen, and the deadline passes before the instance can see that.
+#[tokio::test]
+async fn a_crash_that_coincides_with_the_deadline_is_not_lost() {
+    let spec = EngineSpec { prefill_tokens_per_s: 10, restart_ms: 8_000, ..fast_engine() };
+    let deployment = Deployment::start(1, &spec).await.unwrap();
+    let caller = deployment.caller().timeout_ms(2_000);
+    let (url, poison, begun) = (deployment.url(0), poison(), Instant::now());
+    let first = caller.prompt(&url, "assistant", &poison, 20, true);
+    let freeze = async {
+        // The event of the dispatch is written before the connection is made, and the prefill takes far longer.
+        let is_sent = |event: &Event| event.kind == EventKind::Dispatched;
+        deployment.all_have(&[0], is_sent).await.expect("it is sent");
+        while begun.elapsed() < Duration::from_millis(400) {
+            deployment.events(0).await;
+        }
+        deployment.instances[0].signal(Signal::SIGSTOP);
+        eventually(|| async { (crashes(&deployment) == 1).then_some(()) }).await.expect("a crash");
+        tokio::time::sleep_until((begun + Duration::from_millis(2_100)).into()).await;
+        deployment.instances[0].signal(Signal::SIGCONT);
+    };
+    let (seen, ()) = tokio::join!(first, freeze);
+    assert!(!matches!(seen.outcome, Outcome::Whole), "{seen:?}");
+    let is_noted = |event: &Event| event.kind == EventKind::Suspected;
+    deployment.all_have(&[0], is_noted).await.expect("the crash is noted");
+}
+
 #[tokio::test]
 async fn the_quarantine_outlives_all_instances() {
     let mut deployment = Deployment::start(2, &engine()).await.unwrap();
--- a/tests/all/support.rs
+++ b/tests/all/support.rs
@@ -214,8 +214,13 @@
 
     /// Waits until every instance serves a configuration and sees every endpoint.
     pub(crate) async fn wait_ready(&self) -> io::Result<()> {
+        self.wait_ready_at(&(0..self.instances.len()).collect::<Vec<_>>()).await
+    }
+
+    /// Waits for the same at some instances.
+    pub(crate) async fn wait_ready_at(&self, instances: &[usize]) -> io::Result<()> {
         let expected = format!("endpoints {}\n", self.engines.len() + self.services.len());
-        for instance in &self.instances {
+        for instance in instances.iter().map(|number| &self.instances[*number]) {
             let url = format!("{}/readyz", instance.url());
             eventually(|| async {
                 let answer = self.client.get(&url).send().await.ok()?;
