A claimed run that was cancelled keeps its claims while the endpoint is watched

Ruled out: the claim's owner being frozen. Change: after the cancel the endpoint is looked at every 50 ms for 2 s, and a refused connection or a restarted clock convicts; the caller has its answer before that; a claim's margin covers the watch.

--- a/crates/node/src/filters/quarantine.rs
+++ b/crates/node/src/filters/quarantine.rs
@@ -10,7 +10,7 @@
 use crate::{node::Node, quarantine::fingerprint, refusal::Refusal};
 
 /// How much longer than the deadline a claim is held when its holder is gone, in milliseconds.
-pub(crate) const CLAIM_MARGIN_MS: u64 = 2_000;
+pub(crate) const CLAIM_MARGIN_MS: u64 = 4_000;
 
 pub(crate) struct Quarantine;
 
--- a/crates/node/src/follow/suspect.rs
+++ b/crates/node/src/follow/suspect.rs
@@ -18,6 +18,10 @@
 use super::{Follower, continued_places};
 use crate::{filters::CLAIM_MARGIN_MS, fleet::Endpoint, quarantine::ClaimGuard, refusal::Refusal};
 
+/// How long an endpoint is watched after a claimed run on it was cancelled, in milliseconds.
+const WATCH_MS: u64 = 2_000;
+/// How often it is looked at meanwhile, in milliseconds.
+const WATCH_STEP_MS: u64 = 50;
 /// How often a claim that another run holds is asked for again, in milliseconds.
 const CLAIM_WAIT_MS: u64 = 100;
 
@@ -58,11 +62,12 @@
     ///
     /// The claims are held meanwhile: a claim that is given back without the crash would let the suspect run again.
     pub(super) async fn resolve(&self, endpoint: &Arc<Endpoint>, attempt: &AttemptId) {
-        let Err(error) = endpoint.engine.cancel(attempt).await else { return };
-        log::debug!("attempt {attempt} was not cancelled: {error}");
-        let is_gone = matches!(error, EndpointError::Connect { .. });
+        let cancelled = endpoint.engine.cancel(attempt).await;
+        let was_alone = self.is_alone.load(Ordering::Acquire);
+        // What was cancelled may still crash the endpoint a little later, so a claimed run keeps its claims meanwhile.
+        let is_gone = matches!(cancelled, Err(EndpointError::Connect { .. }))
+            || was_alone && restarts(endpoint).await;
         if is_gone && self.has_answered.load(Ordering::Acquire) {
-            let was_alone = self.is_alone.load(Ordering::Acquire);
             self.node.report_crash(self.call.fingerprint, attempt, was_alone).await;
         }
     }
@@ -104,3 +109,18 @@
         places
     }
 }
+
+/// Whether the endpoint goes away or starts anew while it is watched.
+async fn restarts(endpoint: &Endpoint) -> bool {
+    let mut taken = TimeMs(0);
+    for _ in 0..WATCH_MS / WATCH_STEP_MS {
+        match endpoint.engine.load().await {
+            Err(EndpointError::Connect { .. }) => return true,
+            Err(_) => {}
+            Ok(report) if report.taken_ms < taken => return true,
+            Ok(report) => taken = report.taken_ms,
+        }
+        sleep(Duration::from_millis(WATCH_STEP_MS)).await;
+    }
+    false
+}
