Returning context is imported from stores by the entry instance

Cause: the decision could choose an import, but the node knew no store and ordered none. Change: stores of the document with addresses of the platform's list; what the write-back exported and what a look-up (100 ms at most, only for blocks that no engine or store is known to hold) finds feeds the decision; the chosen engine is ordered to import before the prompt is sent, within the decision's patience; a failed or partial import is a miss. Write-back after answers, one at a time, on idle links, 512 waiting at most. Events imported and exported, counter link_bytes.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -36,6 +36,7 @@
 mod settings;
 mod shutdown;
 mod status;
+mod stores;
 mod weights;
 
 pub use accept::{
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -26,6 +26,7 @@
     pub(crate) prompt_tokens: Counter<u64>,
     pub(crate) cached_tokens: Counter<u64>,
     pub(crate) recomputed_tokens: Counter<u64>,
+    pub(crate) link_bytes: Counter<u64>,
 }
 
 /// The instruments could not be set up.
@@ -59,6 +60,7 @@
             prompt_tokens: meter.u64_counter("bilberryford.prompt_tokens").build(),
             cached_tokens: meter.u64_counter("bilberryford.cached_tokens").build(),
             recomputed_tokens: meter.u64_counter("bilberryford.recomputed_tokens").build(),
+            link_bytes: meter.u64_counter("bilberryford.link_bytes").build(),
             registry,
             _provider: provider,
         })
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -15,3 +15,4 @@
 mod returning;
 mod rollout;
 mod shutdown;
+mod stores;
