Stores of cache blocks over HTTP, and engines that move blocks by order

Cause: the decision and the fakes knew stores, but no store or engine could be reached over HTTP. Change: the wire format, traits and adapters for stores (look-up, usage) and for an engine's import and export; a store stand-in with tiers, links, faults and a book; an engine stand-in that reads and writes pieces itself. A bad block that a run uses also changes its answer. The engine counts held blocks that are not next to the prefix, as docs/design/placement.md chose. Guard: the checks of an import are the engine's.

--- a/crates/endpoint/src/lib.rs
+++ b/crates/endpoint/src/lib.rs
@@ -14,7 +14,10 @@
 mod http_control;
 mod http_engine;
 mod http_service;
+mod http_store;
+pub mod kv_wire;
 mod service;
+mod store;
 pub mod wire;
 
 pub use cache_feed::CacheFeed;
@@ -24,4 +27,6 @@
 pub use http_control::HttpControl;
 pub use http_engine::HttpEngine;
 pub use http_service::HttpService;
+pub use http_store::{HttpKvTransfer, HttpStore};
 pub use service::{PlainService, ServiceCall, ServiceReply};
+pub use store::{KvTransfer, StoreClient};
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -3,11 +3,13 @@
 //! The wire format is that of `bilberryford_endpoint::wire`. A prompt that holds [`CRASH_MARK`] ends the engine's life
 //! together with every run in its batch.
 
+mod book;
 mod cache;
 pub mod control;
 mod faults;
 pub mod kv;
 mod reader;
+mod transfer;
 
 use std::{
     collections::HashMap,
@@ -15,7 +17,7 @@
     net::SocketAddr,
     sync::{
         Arc,
-        atomic::{AtomicU32, Ordering},
+        atomic::{AtomicU32, AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -31,7 +33,7 @@
     post,
     web::{Data, Json, Path, Query},
 };
-use serde::{Deserialize, Serialize};
+use serde::Deserialize;
 use tokio::{
     sync::{Semaphore, watch},
     time::{Instant, sleep_until},
@@ -43,6 +45,7 @@
     run_ledger::RunLedger,
 };
 
+pub use book::Book;
 pub use faults::Faults;
 
 /// A prompt with this mark crashes the engine that runs it.
@@ -82,29 +85,6 @@
     }
 }
 
-/// What really ran.
-#[derive(Debug, Clone, Default, Serialize, Deserialize)]
-pub struct Book {
-    /// Runs that were started.
-    pub started: u64,
-    /// Runs that came to their end.
-    pub finished: u64,
-    /// Runs that were refused.
-    pub refused: u64,
-    /// Runs that were cancelled.
-    pub cancelled: u64,
-    /// Streams that were picked up on a new connection.
-    pub resumed: u64,
-    /// Crashes.
-    pub crashes: u64,
-    /// Crashes by the digest of the prompt that caused them.
-    pub crashes_by_prompt: HashMap<String, u32>,
-    /// Runs whose given text did not fit the answer.
-    pub bad_continuations: u64,
-    /// Runs that asked for a weight version that was not there.
-    pub wrong_version: u64,
-}
-
 /// An engine's settings and book, which outlive a crash.
 #[derive(Debug)]
 pub struct Engine {
@@ -155,7 +135,7 @@
 #[derive(Debug)]
 struct Output {
     tokens: watch::Sender<u32>,
-    seed: u64,
+    seed: AtomicU64,
     first: u32,
     total: u32,
     prompt_tokens: Tokens,
@@ -170,6 +150,7 @@
     prefill: tokio::sync::Mutex<()>,
     backlog: AtomicU32,
     cache: cache::LifeCache,
+    client: reqwest::Client,
     runs: Mutex<HashMap<AttemptId, Arc<Output>>>,
     started: Instant,
     control: Arc<control::Control>,
@@ -185,6 +166,7 @@
         let started = Instant::now();
         Self {
             cache: cache::LifeCache::new(engine.spec.cache_blocks),
+            client: reqwest::Client::new(),
             engine,
             exits,
             slots,
@@ -217,7 +199,7 @@
         drop(book);
         let output = Arc::new(Output {
             tokens: watch::Sender::new(first),
-            seed,
+            seed: AtomicU64::new(seed),
             first,
             total: body.max_tokens.get(),
             prompt_tokens: prompt_tokens(&body.prompt),
@@ -233,7 +215,13 @@
         let slot = self.slots.acquire().await;
         self.waiting.fetch_sub(1, Ordering::Relaxed);
         let Ok(_slot) = slot else { return };
-        let cached = self.cache.find(&body);
+        let found = self.cache.find(&body);
+        if found.bad_blocks > 0 {
+            // What is computed on bad blocks is a bad answer.
+            output.seed.fetch_xor(1, Ordering::AcqRel);
+        }
+        self.engine.book.lock().found(found);
+        let cached = found.tokens();
         output.cached_tokens.store(cached.get(), Ordering::Release);
         self.prefill(Tokens(output.prompt_tokens.get().saturating_sub(cached.get()))).await;
         self.cache.keep(&body);
@@ -299,6 +287,8 @@
         .at("/load", get(load))
         .at("/cache/events", get(cache::cache_events))
         .at("/cache/snapshot", get(cache::cache_snapshot))
+        .at("/kv/import", post(transfer::take_import))
+        .at("/kv/export", post(transfer::take_export))
         .at("/control", get(control::show_report))
         .at("/control/weights", poem::put(control::take_order))
         .at("/faults", post(switch_faults))
--- a/crates/standins/src/engine/cache.rs
+++ b/crates/standins/src/engine/cache.rs
@@ -8,9 +8,11 @@
     },
 };
 
-use bilberryford_cache::{BLOCK_TOKENS, CacheEvent, CacheSnapshot, ChainSalt, Owner, PrefixChain};
+use bilberryford_cache::{
+    BLOCK_TOKENS, CacheEvent, CacheSnapshot, ChainSalt, Manifest, Owner, PrefixChain,
+};
 use bilberryford_endpoint::wire::CompletionBody;
-use bilberryford_types::{Incarnation, Tokens};
+use bilberryford_types::{Digest, Generation, Incarnation, Tokens};
 use parking_lot::Mutex;
 use poem::{
     handler,
@@ -18,7 +20,10 @@
 };
 use serde::Deserialize;
 
-use super::{Life, kv::KvCache};
+use super::{
+    Life,
+    kv::{KvCache, computed},
+};
 
 /// How many events an engine still tells.
 const KEPT_EVENTS: usize = 64;
@@ -45,29 +50,52 @@
         Self { state: Mutex::new(State { kv, events: VecDeque::new() }) }
     }
 
-    /// How many tokens of a prompt need not be computed.
-    pub(super) fn find(&self, body: &CompletionBody) -> Tokens {
+    /// What of a prompt need not be computed; a block need not be next to the cached prefix.
+    pub(super) fn find(&self, body: &CompletionBody) -> Found {
+        let chain = chain(body);
+        let owner = owner(body);
+        let mut state = self.state.lock();
+        state.kv.use_chain(chain.blocks());
+        let held: Vec<_> = chain
+            .blocks()
+            .iter()
+            .filter_map(|block| state.kv.get(block).map(|held| (block, held)))
+            .collect();
+        let is_bad = |(block, (whose, bytes)): &&(&Digest, (&Owner, &[u8]))| {
+            **whose != owner || *bytes != computed(block)
+        };
+        let blocks = u32::try_from(held.len()).unwrap_or(0);
+        Found { blocks, bad_blocks: held.iter().filter(is_bad).count() as u64 }
+    }
+
+    /// Keeps a block that was read from a store; answers whether it was kept.
+    pub(super) fn import(&self, owner: &Owner, read: &ReadPiece<'_>, is_checked: bool) -> bool {
+        let ReadPiece { block, manifest, bytes, after } = *read;
         let mut state = self.state.lock();
-        let held = state.kv.use_chain(chain(body).blocks());
-        let blocks = held.iter().take_while(|held| **held).count();
-        Tokens(u32::try_from(blocks).unwrap_or(0) * BLOCK_TOKENS.get())
+        if !is_checked {
+            state.kv.import_unchecked(&manifest.owner, block, bytes);
+        } else if state.kv.import(owner, block, manifest, bytes, after).is_err() {
+            return false;
+        }
+        state.tell();
+        true
+    }
+
+    /// Those of `blocks` that are here and the owner's, with their bytes.
+    pub(super) fn held(&self, owner: &Owner, blocks: &[Digest]) -> Vec<(Digest, Vec<u8>)> {
+        let state = self.state.lock();
+        let held = blocks.iter().filter_map(|block| Some((*block, state.kv.get(block)?)));
+        held.filter(|(_, (whose, _))| *whose == owner)
+            .map(|(block, (_, bytes))| (block, bytes.to_vec()))
+            .collect()
     }
 
     /// Keeps the blocks of a prompt that was computed.
     pub(super) fn keep(&self, body: &CompletionBody) {
-        let owner = Owner {
-            team: body.team.clone(),
-            model: body.model.clone(),
-            weight_version: body.weight_version.clone(),
-        };
+        let owner = owner(body);
         let mut state = self.state.lock();
         chain(body).blocks().iter().for_each(|block| state.kv.compute(&owner, block));
-        if let Some(event) = state.kv.take_event() {
-            state.events.push_back(event);
-        }
-        if state.events.len() > KEPT_EVENTS {
-            state.events.pop_front();
-        }
+        state.tell();
     }
 
     fn events(&self, known: Incarnation, after: u64) -> Vec<CacheEvent> {
@@ -81,6 +109,50 @@
     }
 }
 
+/// A piece as it was read from a store.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct ReadPiece<'a> {
+    pub(super) block: &'a Digest,
+    pub(super) manifest: &'a Manifest,
+    pub(super) bytes: &'a [u8],
+    /// The generation of the space after the read.
+    pub(super) after: Generation,
+}
+
+/// What an engine finds of a prompt.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Found {
+    /// Blocks that need not be computed.
+    pub(super) blocks: u32,
+    /// Those of them that are not what the engine would have computed itself.
+    pub(super) bad_blocks: u64,
+}
+
+impl Found {
+    pub(super) const fn tokens(self) -> Tokens {
+        Tokens(self.blocks * BLOCK_TOKENS.get())
+    }
+}
+
+impl State {
+    fn tell(&mut self) {
+        if let Some(event) = self.kv.take_event() {
+            self.events.push_back(event);
+        }
+        if self.events.len() > KEPT_EVENTS {
+            self.events.pop_front();
+        }
+    }
+}
+
+fn owner(body: &CompletionBody) -> Owner {
+    Owner {
+        team: body.team.clone(),
+        model: body.model.clone(),
+        weight_version: body.weight_version.clone(),
+    }
+}
+
 fn chain(body: &CompletionBody) -> PrefixChain {
     let salt = ChainSalt {
         team: body.team.clone(),
--- a/crates/standins/src/engine/faults.rs
+++ b/crates/standins/src/engine/faults.rs
@@ -26,6 +26,8 @@
     pub slow_ms: u64,
     /// Cache events are not told.
     pub lose_cache_events: bool,
+    /// What is read from a store is kept without any check.
+    pub skip_import_checks: bool,
     /// New runs are refused with 503.
     pub refuse: bool,
 }
--- a/crates/standins/src/engine/kv.rs
+++ b/crates/standins/src/engine/kv.rs
@@ -76,10 +76,15 @@
     ) -> Result<(), ImportMiss> {
         let piece = manifest.piece(owner, block)?;
         manifest.verify(piece, bytes, generation_after)?;
-        self.insert(owner, block, bytes.to_vec());
+        self.import_unchecked(owner, block, bytes);
         Ok(())
     }
 
+    /// Keeps whatever was read, as an engine without the checks would.
+    pub fn import_unchecked(&mut self, owner: &Owner, block: &Digest, bytes: &[u8]) {
+        self.insert(owner, block, bytes.to_vec());
+    }
+
     fn insert(&mut self, owner: &Owner, block: &Digest, bytes: Vec<u8>) {
         if self.blocks.contains_key(block) {
             self.touch(block);
--- a/crates/standins/src/store.rs
+++ b/crates/standins/src/store.rs
@@ -3,11 +3,15 @@
 //! The store promises little: a reader may find a space freed, used again or half written. What is read is safe only by
 //! the checks of [`bilberryford_cache::Manifest`].
 
+mod serve;
+
 use std::collections::{BTreeMap, HashMap};
 
 use bilberryford_cache::{Manifest, Owner, Piece, Tier, piece_digest};
 use bilberryford_types::{Bytes, Digest, Generation};
 
+pub use serve::{StoreBook, StoreFaults, StoreService, StoreSpec};
+
 /// The place of an export in its store; places are used again.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct Space(pub usize);
@@ -57,7 +61,9 @@
 
     /// Writes one piece.
     pub fn write(&mut self, space: Space, block: Digest, bytes: Vec<u8>) {
-        self.spaces[space.0].pieces.push((block, bytes));
+        if let Some(export) = self.spaces.get_mut(space.0) {
+            export.pieces.push((block, bytes));
+        }
     }
 
     /// The manifest of what was written so far; the writer hands it back to [`Store::publish`].
--- /dev/null
+++ b/crates/standins/tests/stores.rs
@@ -0,0 +1,227 @@
+//! Contract of `StoreClient` and `KvTransfer`, held against the stand-ins of store and engine with their faults.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use bilberryford_cache::{ChainSalt, Owner, PrefixChain};
+use bilberryford_endpoint::{
+    EndpointError, GenerateCall, HttpEngine, HttpKvTransfer, HttpStore, KvTransfer, ModelEngine,
+    StoreClient,
+    kv_wire::{ExportOrder, ImportOrder, StoredExport, TierName},
+};
+use bilberryford_standins::{
+    engine::{Engine, EngineSpec, Faults},
+    host::Hosted,
+    store::{StoreFaults, StoreService, StoreSpec},
+};
+use bilberryford_types::{Bytes, Digest, Priority, TimeMs, Tokens};
+use futures::StreamExt;
+use rstest::rstest;
+
+const LIMIT: TimeMs = TimeMs(5_000);
+const PATIENCE: TimeMs = TimeMs(2_000);
+
+fn loopback() -> SocketAddr {
+    ([127, 0, 0, 1], 0).into()
+}
+
+fn client() -> reqwest::Client {
+    reqwest::Client::builder().pool_max_idle_per_host(0).build().unwrap()
+}
+
+fn prompt() -> String {
+    "x".repeat(2 * 8_000 + 100)
+}
+
+fn owner() -> Owner {
+    Owner {
+        team: "linz".parse().unwrap(),
+        model: "assistant".parse().unwrap(),
+        weight_version: "v1".parse().unwrap(),
+    }
+}
+
+fn chain() -> Vec<Digest> {
+    let Owner { team, model, weight_version } = owner();
+    let salt = ChainSalt { team, model, weight_version, adapter: String::new() };
+    PrefixChain::of(&salt, &prompt()).blocks().to_vec()
+}
+
+struct EngineHost {
+    engine: Arc<Engine>,
+    host: Hosted,
+}
+
+impl EngineHost {
+    fn start() -> Self {
+        let version = "v1".parse().unwrap();
+        let spec =
+            EngineSpec { prefill_tokens_per_s: 0, token_gap_ms: 0, ..EngineSpec::new(version) };
+        let engine = Engine::new(spec);
+        let host = engine.host(loopback()).unwrap();
+        Self { engine, host }
+    }
+
+    fn transfer(&self) -> HttpKvTransfer {
+        HttpKvTransfer::new(self.host.address, client())
+    }
+
+    async fn run(&self) {
+        let http = HttpEngine::new(self.host.address, client(), client());
+        let call = GenerateCall {
+            attempt: "a-1".parse().unwrap(),
+            team: owner().team,
+            model: owner().model,
+            weight_version: owner().weight_version,
+            prompt: prompt().into(),
+            max_tokens: Tokens(2),
+            skip_tokens: Tokens(0),
+            given: "".into(),
+            priority: Priority::Standard,
+        };
+        let stream = http.generate(call, LIMIT).await.unwrap();
+        assert_eq!(stream.count().await, 3);
+    }
+}
+
+/// A store with the chain's two blocks, exported by one engine, and another engine that has none.
+struct Setup {
+    store: Arc<StoreService>,
+    store_host: Hosted,
+    other: EngineHost,
+    found: Vec<StoredExport>,
+}
+
+impl Setup {
+    async fn start(spec: StoreSpec) -> Self {
+        let store = StoreService::new(spec);
+        let store_host = store.host(loopback()).unwrap();
+        let first = EngineHost::start();
+        first.run().await;
+        let address = store_host.address;
+        let order = ExportOrder { owner: owner(), store: address, blocks: chain() };
+        let report = first.transfer().export(&order, LIMIT).await.unwrap();
+        assert_eq!(report.written, Bytes(32));
+        let found = HttpStore::new(address, client()).look_up(&chain(), LIMIT).await.unwrap();
+        Self { store, store_host, other: EngineHost::start(), found }
+    }
+
+    fn order(&self) -> ImportOrder {
+        ImportOrder {
+            owner: owner(),
+            store: self.store_host.address,
+            blocks: chain(),
+            exports: self.found.clone(),
+            patience_ms: PATIENCE,
+        }
+    }
+}
+
+#[tokio::test]
+async fn blocks_move_between_engines_through_a_store() {
+    let setup = Setup::start(StoreSpec::default()).await;
+    let [export] = &setup.found[..] else { panic!("one export") };
+    assert_eq!((export.manifest.count, export.tier), (2, TierName::Memory));
+    let report = setup.other.transfer().import(&setup.order(), LIMIT).await.unwrap();
+    assert_eq!((report.imported, report.memory, report.disk), (chain(), Bytes(32), Bytes(0)));
+    setup.other.run().await;
+    let book = setup.other.engine.book();
+    assert_eq!((book.imported_blocks, book.cached_blocks, book.bad_blocks_used), (2, 2, 0));
+    assert_eq!(setup.store.book().read_bytes, [32, 0]);
+}
+
+#[tokio::test]
+async fn a_store_without_room_in_memory_serves_from_disk() {
+    let spec = StoreSpec { memory_pieces: 1, ..StoreSpec::default() };
+    let setup = Setup::start(spec).await;
+    let report = setup.other.transfer().import(&setup.order(), LIMIT).await.unwrap();
+    assert_eq!((report.memory, report.disk), (Bytes(0), Bytes(32)));
+    let store = HttpStore::new(setup.store_host.address, client());
+    assert_eq!(store.usage(LIMIT).await.unwrap().disk_pieces, 2);
+}
+
+fn freed() -> StoreFaults {
+    StoreFaults { free_before_read: true, ..StoreFaults::default() }
+}
+
+fn half() -> StoreFaults {
+    StoreFaults { half_pieces: true, ..StoreFaults::default() }
+}
+
+fn moved() -> StoreFaults {
+    StoreFaults { generation_moves: true, ..StoreFaults::default() }
+}
+
+fn other_team() -> StoreFaults {
+    StoreFaults { team: "wels".parse().ok(), ..StoreFaults::default() }
+}
+
+fn other_version() -> StoreFaults {
+    StoreFaults { weight_version: "v2".parse().ok(), ..StoreFaults::default() }
+}
+
+fn no_pieces() -> StoreFaults {
+    StoreFaults { no_pieces: true, ..StoreFaults::default() }
+}
+
+/// With the engine's checks nothing bad is kept; without them the book tells that it was, so the fault is real.
+#[rstest]
+#[case::freed(freed(), true)]
+#[case::partly_written(half(), true)]
+#[case::generation_moved(moved(), true)]
+#[case::other_team(other_team(), true)]
+#[case::other_version(other_version(), true)]
+#[case::no_pieces(no_pieces(), false)]
+#[tokio::test]
+async fn a_bad_piece_is_a_miss(
+    #[case] faults: StoreFaults,
+    #[case] is_kept_unchecked: bool,
+    #[values(false, true)] skip_import_checks: bool,
+) {
+    let mut setup = Setup::start(StoreSpec::default()).await;
+    setup.store.set_faults(faults);
+    setup.other.engine.set_faults(Faults { skip_import_checks, ..Faults::default() });
+    let store = HttpStore::new(setup.store_host.address, client());
+    setup.found = store.look_up(&chain(), LIMIT).await.unwrap();
+    let report = setup.other.transfer().import(&setup.order(), LIMIT).await.unwrap();
+    let book = setup.other.engine.book();
+    let is_bad = is_kept_unchecked && skip_import_checks;
+    assert_eq!(book.bad_imports > 0, is_bad, "{book:?}");
+    assert_eq!(report.imported.is_empty(), !is_bad, "{report:?}");
+}
+
+#[tokio::test]
+async fn a_dead_store_is_a_miss_and_an_error_to_who_looks_up() {
+    let setup = Setup::start(StoreSpec::default()).await;
+    setup.store_host.set_down(true);
+    let store = HttpStore::new(setup.store_host.address, client());
+    let until = Instant::now() + Duration::from_millis(LIMIT.get());
+    while !matches!(store.look_up(&chain(), LIMIT).await, Err(EndpointError::Connect { .. })) {
+        assert!(Instant::now() < until, "the store is still up");
+    }
+    let report = setup.other.transfer().import(&setup.order(), LIMIT).await.unwrap();
+    assert_eq!(report.imported, Vec::new());
+}
+
+#[tokio::test]
+async fn a_full_store_takes_no_export() {
+    let setup = Setup::start(StoreSpec::default()).await;
+    setup.store.set_faults(StoreFaults { full: true, ..StoreFaults::default() });
+    setup.other.run().await;
+    let order = ExportOrder { owner: owner(), store: setup.store_host.address, blocks: chain() };
+    let failed = setup.other.transfer().export(&order, LIMIT).await;
+    assert!(matches!(failed, Err(EndpointError::Lost { .. })), "{failed:?}");
+    assert_eq!(setup.store.book().exports, 1);
+}
+
+#[tokio::test]
+async fn an_import_that_outlasts_its_patience_stops() {
+    let setup = Setup::start(StoreSpec::default()).await;
+    setup.store.set_faults(StoreFaults { slow_ms: 60_000, ..StoreFaults::default() });
+    let order = ImportOrder { patience_ms: TimeMs(50), ..setup.order() };
+    let report = setup.other.transfer().import(&order, LIMIT).await.unwrap();
+    assert_eq!(report.imported, Vec::new());
+}
