Returning context is imported from stores by the entry instance

Cause: the decision could choose an import, but the node knew no store and ordered none. Change: stores of the document with addresses of the platform's list; what the write-back exported and what a look-up (100 ms at most, only for blocks that no engine or store is known to hold) finds feeds the decision; the chosen engine is ordered to import before the prompt is sent, within the decision's patience; a failed or partial import is a miss. Write-back after answers, one at a time, on idle links, 512 waiting at most. Events imported and exported, counter link_bytes.

--- a/crates/node/src/controllers.rs
+++ b/crates/node/src/controllers.rs
@@ -1,6 +1,7 @@
 //! Controllers: one task each, which turns what it observes into a view.
 
 mod cache;
+mod cache_write_back;
 mod config;
 mod endpoints;
 mod heartbeat;
@@ -24,6 +25,7 @@
 pub(crate) fn start(node: &Arc<Node>, peer_address: SocketAddr) -> JoinSet<()> {
     let mut tasks = JoinSet::new();
     tasks.spawn(cache::run(node.clone()));
+    tasks.spawn(cache_write_back::run(node.clone()));
     tasks.spawn(config::run(node.clone()));
     tasks.spawn(endpoints::run(node.clone(), peer_address));
     tasks.spawn(heartbeat::run(node.clone(), peer_address));
--- a/crates/node/src/controllers/endpoints.rs
+++ b/crates/node/src/controllers/endpoints.rs
@@ -60,6 +60,9 @@
         .filter_map(endpoint_at)
         .for_each(|at| node.note_leaving(at, "the list"));
     node.fleet.replace_endpoints(records, &gone, |at| node.members.has_departed(at));
+    if let Some(in_force) = node.in_force() {
+        node.stores.replace(&in_force.document, records);
+    }
     take_members(node, own, records);
 }
 
--- a/crates/node/src/filters/context.rs
+++ b/crates/node/src/filters/context.rs
@@ -19,6 +19,7 @@
     node::{Node, Place},
     quarantine::ClaimGuard,
     refusal::Refusal,
+    stores::ImportPlan,
 };
 
 /// What the request is for.
@@ -61,6 +62,7 @@
     pub(crate) intent: Option<Intent>,
     pub(crate) fingerprint: Option<Digest>,
     pub(crate) claim: Option<ClaimGuard>,
+    pub(crate) import: Option<ImportPlan>,
     attempt: Option<Attempt<Planned>>,
 }
 
@@ -92,6 +94,7 @@
             intent: None,
             fingerprint: None,
             claim: None,
+            import: None,
             attempt: Some(Attempt::new(node.next_attempt())),
         }
     }
--- a/crates/node/src/filters/dispatch.rs
+++ b/crates/node/src/filters/dispatch.rs
@@ -63,6 +63,7 @@
         received: ctx.received,
         deadline: Instant::now() + Duration::from_millis(timeout.get()),
         fingerprint: ctx.fingerprint.ok_or_else(|| Refusal::of(ErrorKind::Internal))?,
+        import: ctx.import.take(),
         _place: ctx.place.take(),
     };
     let place = CurrentPlace::default();
--- a/crates/node/src/filters/place.rs
+++ b/crates/node/src/filters/place.rs
@@ -3,14 +3,14 @@
 use std::sync::Arc;
 
 use bilberryford_cache::{
-    BLOCK_TOKENS, ChainSalt, Decision, LinkClass, MAX_ENGINES, PlaceRequest, PrefixChain,
+    BLOCK_TOKENS, ChainSalt, Decision, LinkClass, MAX_ENGINES, Owner, PlaceRequest, PrefixChain,
     prompt_tokens,
 };
 use bilberryford_types::{ErrorKind, EventKind, PoolName, Priority, WeightVersion};
 use futures::{FutureExt, future::BoxFuture};
 
 use super::{Context, Filter, Flow, Target};
-use crate::{fleet::Endpoint, node::Node, refusal::Refusal, weights};
+use crate::{fleet::Endpoint, node::Node, refusal::Refusal, stores, weights};
 
 pub(crate) struct Place;
 
@@ -20,13 +20,13 @@
         node: &'a Arc<Node>,
         ctx: &'a mut Context,
     ) -> BoxFuture<'a, Result<Flow, Refusal>> {
-        std::future::ready(place(node, ctx)).boxed()
+        place(node, ctx).boxed()
     }
 }
 
-fn place(node: &Node, ctx: &mut Context) -> Result<Flow, Refusal> {
+async fn place(node: &Node, ctx: &mut Context) -> Result<Flow, Refusal> {
     let (endpoint, reason) = match &ctx.target {
-        Target::Prompt(_) => place_prompt(node, ctx)?,
+        Target::Prompt(_) => place_prompt(node, ctx).await?,
         Target::Service { .. } | Target::Run { .. } => (choose(node, &pool(ctx)?, &[]), None),
     };
     let Some(endpoint) = endpoint else {
@@ -46,20 +46,41 @@
 type Chosen = (Option<Arc<Endpoint>>, Option<String>);
 
 /// Pins the request to a weight version and chooses an endpoint that has it.
-fn place_prompt(node: &Node, ctx: &mut Context) -> Result<Chosen, Refusal> {
+async fn place_prompt(node: &Node, ctx: &mut Context) -> Result<Chosen, Refusal> {
     let in_force = ctx.in_force()?;
     let model = ctx.prompt.as_ref().map(|prompt| &prompt.model);
     let section = in_force.document.models.iter().find(|section| Some(&section.name) == model);
     let section = section.ok_or_else(|| Refusal::of(ErrorKind::Internal))?;
     let Some(pinned) = weights::pin(node, section, &[]) else { return Ok((None, None)) };
     ctx.weight_version = Some(pinned.weight_version.clone());
+    let owner = owner(ctx, &pinned.weight_version)?;
+    let prompt = ctx.prompt.as_ref().map_or_else(|| "".into(), |prompt| prompt.prompt.clone());
+    stores::look_up(node, &section.pool, &owner, &prompt).await;
     let weighed = weigh(node, ctx, &section.pool, &pinned.weight_version)?;
     Ok(match weighed {
-        Some((endpoint, decision)) => (Some(endpoint), Some(decision.to_string())),
+        Some((endpoint, decision)) => {
+            let wanted = (&decision, link_class(ctx.priority));
+            ctx.import = stores::plan(node, &endpoint, &owner, &prompt, wanted);
+            (Some(endpoint), Some(decision.to_string()))
+        }
         None => (Some(pinned.endpoint), None),
     })
 }
 
+fn link_class(priority: Priority) -> LinkClass {
+    match priority {
+        Priority::Batch => LinkClass::Long,
+        Priority::Standard | Priority::Interactive => LinkClass::Quick,
+    }
+}
+
+/// Whose blocks the prompt's are.
+fn owner(ctx: &Context, weight_version: &WeightVersion) -> Result<Owner, Refusal> {
+    let prompt = ctx.prompt.as_ref().ok_or_else(|| Refusal::of(ErrorKind::Internal))?;
+    let (team, model) = (ctx.team()?.name.clone(), prompt.model.clone());
+    Ok(Owner { team, model, weight_version: weight_version.clone() })
+}
+
 /// Weighs load against what engines hold; none for a prompt that fills no block and for other calls.
 fn weigh(
     node: &Node,
@@ -80,10 +101,7 @@
         adapter: String::new(),
     };
     let chain = PrefixChain::of(&salt, &prompt.prompt);
-    let class = match ctx.priority {
-        Priority::Batch => LinkClass::Long,
-        Priority::Standard | Priority::Interactive => LinkClass::Quick,
-    };
+    let class = link_class(ctx.priority);
     let table = node.fleet.endpoints();
     let now = node.now();
     if table.pool(pool).len() > MAX_ENGINES {
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -16,7 +16,8 @@
 use bilberryford_coord::{ConcurrencyLimit, QueueReport};
 use bilberryford_coord::{EndpointAt, MAX_LISTED};
 use bilberryford_endpoint::{
-    CacheFeed, EngineControl, HttpControl, HttpEngine, HttpService, ModelEngine, PlainService,
+    CacheFeed, EngineControl, HttpControl, HttpEngine, HttpKvTransfer, HttpService, KvTransfer,
+    ModelEngine, PlainService,
 };
 use bilberryford_platform::InstanceRecord;
 use bilberryford_types::{EndpointId, PoolName, TimeMs};
@@ -38,6 +39,7 @@
     pub(crate) control: Arc<dyn EngineControl>,
     pub(crate) engine: Arc<dyn ModelEngine>,
     pub(crate) cache: Arc<dyn CacheFeed>,
+    pub(crate) transfer: Arc<dyn KvTransfer>,
     pub(crate) service: Arc<dyn PlainService>,
 }
 
@@ -229,6 +231,7 @@
             suspected_until_ms: AtomicU64::new(0),
             cache: engine.clone(),
             engine,
+            transfer: Arc::new(HttpKvTransfer::new(record.address, pooled.clone())),
             concurrency: Mutex::default(),
             weights: EndpointWeights::default(),
             control: Arc::new(HttpControl::new(record.address, fresh.clone())),
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -16,6 +16,7 @@
     time::{Duration, Instant},
 };
 
+use bilberryford_cache::Owner;
 use bilberryford_coord::{Attempt, Planned, RetryClass, backoff};
 use bilberryford_document::ModelSection;
 use bilberryford_endpoint::{EndpointError, GenerateCall};
@@ -35,6 +36,7 @@
     quarantine::ClaimGuard,
     refusal::Refusal,
     run::{Run, RunEnd, RunPlace},
+    stores::{self, ImportPlan, WriteBackJob},
     weights::pin,
 };
 
@@ -59,6 +61,8 @@
     pub(crate) deadline: Instant,
     /// Identifies the request should it crash endpoints.
     pub(crate) fingerprint: Digest,
+    /// What the chosen endpoint imports before the prompt is sent.
+    pub(crate) import: Option<ImportPlan>,
     /// Held until the run is over.
     pub(crate) _place: Option<Place>,
 }
@@ -150,6 +154,7 @@
             let failure = match self.attempt(&id, &endpoint).await {
                 Ok(end) => {
                     claim.into_iter().for_each(ClaimGuard::acquit);
+                    self.write_back(endpoint);
                     return Ok(end);
                 }
                 Err(failure) => failure,
@@ -176,6 +181,9 @@
         self.has_answered.store(false, Ordering::Release);
         *self.endpoint.lock() = Some(endpoint.clone());
         let _guard = endpoint.enter();
+        if let Some(plan) = self.call.import.as_ref().filter(|_| self.run.len() == 0) {
+            stores::import(&self.node, endpoint, plan, &self.call.trace).await;
+        }
         let trace = self.call.trace.clone();
         let intake = Intake::new(&self.node, &self.run, endpoint, id, trace, self.call.deadline);
         intake
@@ -185,6 +193,19 @@
             .await
     }
 
+    /// Has what the endpoint computed written back to the stores.
+    fn write_back(&self, endpoint: Arc<Endpoint>) {
+        let owner = Owner {
+            team: self.call.trace.team.clone(),
+            model: self.call.model.clone(),
+            weight_version: self.weight_version.lock().clone(),
+        };
+        if !self.node.stores.table().stores.is_empty() {
+            let chain = stores::chain_of(&owner, &self.call.prompt);
+            self.node.stores.write_back(WriteBackJob { owner, chain, endpoint });
+        }
+    }
+
     fn generate_call(&self, id: &AttemptId) -> GenerateCall {
         GenerateCall {
             attempt: id.clone(),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -38,6 +38,7 @@
 mod settings;
 mod shutdown;
 mod status;
+mod stores;
 mod weights;
 
 pub use accept::{
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -31,6 +31,7 @@
     pub(crate) recomputed_tokens: Counter<u64>,
     pub(crate) orders: Counter<u64>,
     pub(crate) observed: Observed,
+    pub(crate) link_bytes: Counter<u64>,
 }
 
 /// The instruments could not be set up.
@@ -71,6 +72,7 @@
             recomputed_tokens: meter.u64_counter("bilberryford.recomputed_tokens").build(),
             orders: meter.u64_counter("bilberryford.orders").build(),
             observed: Observed::new(&meter),
+            link_bytes: meter.u64_counter("bilberryford.link_bytes").build(),
             registry,
             _provider: provider,
         };
--- a/crates/node/src/placement.rs
+++ b/crates/node/src/placement.rs
@@ -3,6 +3,8 @@
 //! A cell has at most [`MAX_ENGINES`] engines; a larger pool is placed by load alone. Everything here steers only: an
 //! engine that lost its blocks computes them again. See `docs/design/placement.md`.
 
+mod links;
+
 use std::{collections::HashMap, sync::Arc};
 
 use bilberryford_cache::{
@@ -10,7 +12,7 @@
     LoadSample, LoadView, MAX_ENGINES, PlaceRequest, Views, Weights, decide,
 };
 use bilberryford_document::PlacementSection;
-use bilberryford_types::{Bytes, EndpointId, Incarnation, PoolName, TimeMs};
+use bilberryford_types::{Bytes, BytesPerSec, EndpointId, Incarnation, PoolName, TimeMs};
 use parking_lot::Mutex;
 
 use crate::fleet::Endpoint;
@@ -18,7 +20,7 @@
 /// How many blocks a cell knows of at most.
 const INDEX_BLOCKS: usize = 100_000;
 /// The prompt tokens that an engine is taken to compute in a millisecond.
-const PREFILL_TOKENS_PER_MS: f64 = 8.0;
+pub(crate) const PREFILL_TOKENS_PER_MS: f64 = 8.0;
 /// The size of one piece, in bytes.
 const PIECE_BYTES: u64 = 128 << 20;
 
@@ -26,6 +28,7 @@
 struct Cell {
     views: Views,
     names: Vec<EndpointId>,
+    rates: Vec<[BytesPerSec; 2]>,
 }
 
 impl Cell {
@@ -37,7 +40,7 @@
             weights: Weights { recompute_ms: 0.0, link_ms: 0.0 },
             piece: Bytes(PIECE_BYTES),
         };
-        Self { views, names: Vec::new() }
+        Self { views, names: Vec::new(), rates: Vec::new() }
     }
 
     fn place_of(&self, id: &EndpointId) -> Option<usize> {
@@ -73,7 +76,7 @@
 /// All cells.
 #[derive(Default)]
 pub(crate) struct Placement {
-    cells: Mutex<HashMap<PoolName, Cell>>,
+    cells: Arc<Mutex<HashMap<PoolName, Cell>>>,
 }
 
 impl Placement {
@@ -127,7 +130,7 @@
         now: TimeMs,
     ) -> Option<(Arc<Endpoint>, Decision)> {
         let mut cells = self.cells.lock();
-        let Cell { views, names } = cells.get_mut(&usable.first()?.pool)?;
+        let Cell { views, names, .. } = cells.get_mut(&usable.first()?.pool)?;
         let of_name = |name: &EndpointId| usable.iter().find(|endpoint| endpoint.id == *name);
         for (engine, name) in views.engines.iter_mut().zip(&*names) {
             engine.is_usable = of_name(name).is_some();
--- a/crates/standins/src/engine/faults.rs
+++ b/crates/standins/src/engine/faults.rs
@@ -28,6 +28,8 @@
     pub lose_cache_events: bool,
     /// What is read from a store is kept without any check.
     pub skip_import_checks: bool,
+    /// Orders to import are never answered.
+    pub mute_imports: bool,
     /// New runs are refused with 503.
     pub refuse: bool,
 }
--- a/crates/standins/src/engine/transfer.rs
+++ b/crates/standins/src/engine/transfer.rs
@@ -24,6 +24,9 @@
     Data(life): Data<&Arc<Life>>,
     Json(order): Json<ImportOrder>,
 ) -> Json<ImportReport> {
+    if life.engine.faults.lock().mute_imports {
+        std::future::pending::<()>().await;
+    }
     let until = Instant::now() + Duration::from_millis(order.patience_ms.get());
     let mut report = ImportReport::default();
     for block in &order.blocks {
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -18,3 +18,4 @@
 mod rollout;
 mod shutdown;
 mod status;
+mod stores;
--- a/tests/all/support.rs
+++ b/tests/all/support.rs
@@ -16,6 +16,7 @@
     platform::Platform,
     process::{Instance, InstanceSpec},
     service::Service,
+    store::{StoreService, StoreSpec},
 };
 use bilberryford_types::Event;
 
@@ -37,6 +38,7 @@
     pub(crate) platform_host: Hosted,
     pub(crate) engines: Vec<(Arc<Engine>, Hosted)>,
     pub(crate) services: Vec<(Arc<Service>, Hosted)>,
+    pub(crate) stores: Vec<(Arc<StoreService>, Hosted)>,
     pub(crate) instances: Vec<Instance>,
     pub(crate) client: reqwest::Client,
     flags: Vec<String>,
@@ -62,6 +64,22 @@
         Self::start_all(instances, &fast_engine(), &[], document).await
     }
 
+    /// Starts the same with two stores, which the document names `store-1` and `store-2`.
+    pub(crate) async fn start_stores(
+        instances: usize,
+        spec: &EngineSpec,
+        document: &str,
+    ) -> io::Result<Self> {
+        let mut deployment = Self::start_all(instances, spec, &[], document).await?;
+        for _ in 0..2 {
+            let store = StoreService::new(StoreSpec::default());
+            let host = store.host(loopback())?;
+            deployment.stores.push((store, host));
+        }
+        deployment.publish();
+        Ok(deployment)
+    }
+
     async fn start_all(
         instances: usize,
         spec: &EngineSpec,
@@ -88,6 +106,7 @@
             platform_host,
             engines,
             services,
+            stores: Vec::new(),
             instances: Vec::new(),
             client,
             flags: flags.iter().map(|flag| (*flag).to_owned()).collect(),
@@ -199,8 +218,12 @@
         let services = self.services.iter().enumerate().map(|(number, (_, host))| {
             record(&format!("desk-{}", number + 1), Role::Service, "desk", host.address)
         });
+        let stores = self.stores.iter().enumerate().map(|(number, (_, host))| {
+            record(&format!("store-{}", number + 1), Role::Store, "", host.address)
+        });
         let instances = self.instances.iter().map(Instance::record);
-        self.platform.set_instances(engines.chain(services).chain(instances).collect());
+        let all = engines.chain(services).chain(stores).chain(instances);
+        self.platform.set_instances(all.collect());
     }
 
     /// Writes a configuration generation as `apply` would.
