The deadline ends a run, never the transport's timeout

Cause: the transport's timeout was the time left, so that at the deadline it raced the deadline itself: a run ended as endpoint_lost where deadline_while_running was due (two tests of answers, once each in about ten whole runs), and such a timeout could be taken for a lost connection of a suspect. Change: the transport's timeout outlasts the deadline by 2 s.

--- a/crates/node/src/follow/stream.rs
+++ b/crates/node/src/follow/stream.rs
@@ -25,6 +25,8 @@
     run::{Run, RunEnd},
 };
 
+/// How long after a run's deadline its connection gives up by itself, in milliseconds.
+const TRANSPORT_MARGIN_MS: u64 = 2_000;
 /// How long an endpoint may take to answer a new connection, in milliseconds.
 const PROBE_TIMEOUT_MS: u64 = 1_000;
 /// How often a stream is resumed without a new token in between.
@@ -146,7 +148,8 @@
             SilenceDetector::new(self.node.now(), bilberryford_cache::prompt_tokens(&call.prompt));
         self.event(EventKind::Dispatched, "");
         let patience = Duration::from_millis(self.silence.bound().get());
-        let opened = timeout(patience, self.endpoint.engine.generate(call, self.time_left())).await;
+        let opened =
+            timeout(patience, self.endpoint.engine.generate(call, self.transport_timeout())).await;
         let stream = match opened {
             Ok(Ok(stream)) => {
                 self.note_answer();
@@ -202,7 +205,7 @@
             return Err(Failure::lost(EndpointError::Broken { reason }));
         }
         let from = self.run.len();
-        let probe = self.endpoint.engine.resume(self.attempt, from, self.time_left());
+        let probe = self.endpoint.engine.resume(self.attempt, from, self.transport_timeout());
         match timeout(Duration::from_millis(PROBE_TIMEOUT_MS), probe).await {
             Ok(Ok(stream)) => {
                 self.note_answer();
@@ -298,9 +301,11 @@
         self.event(EventKind::ChunkDropped, "");
     }
 
-    fn time_left(&self) -> TimeMs {
+    /// How long the transport may take. It outlasts the deadline, so that the deadline ends a run and never a timeout
+    /// that looks like a lost connection.
+    fn transport_timeout(&self) -> TimeMs {
         let left = self.deadline.saturating_duration_since(Instant::now()).as_millis();
-        TimeMs(u64::try_from(left).unwrap_or(u64::MAX).max(1))
+        TimeMs(u64::try_from(left).unwrap_or(u64::MAX)).after(TimeMs(TRANSPORT_MARGIN_MS))
     }
 
     fn event(&self, kind: EventKind, detail: &str) {
