Callers are served by an accept loop of our own, so that a cut answer never looks whole

Ruled out: the endpoint's framing (the relay saw the cut), a close-delimited answer (streams are chunked). Change: hyper's http1 server directly; a failed body ends the connection. Conclusion: the framework's loop does not fit; the readiness routes stay on it.

--- a/crates/gateway/src/answers.rs
+++ b/crates/gateway/src/answers.rs
@@ -1,13 +1,23 @@
 //! Answers of the gateway itself: the table of error kinds, with the time to come back.
 
 use bilberryford_types::{ErrorKind, RetryAfter, TimeMs};
-use poem::{
-    Response,
-    http::{HeaderValue, StatusCode, header},
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody};
+use hyper::{
+    Response, StatusCode,
+    header::{self, HeaderValue},
 };
 
 use crate::translation::Translation;
 
+/// The body of an answer; an error ends the connection, so that a cut answer never looks whole.
+pub(crate) type AnswerBody = UnsyncBoxBody<Bytes, std::io::Error>;
+
+/// A body that is whole.
+pub(crate) fn whole(body: impl Into<Bytes>) -> AnswerBody {
+    Full::new(body.into()).map_err(|never| match never {}).boxed_unsync()
+}
+
 /// An answer that no endpoint gave.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct OwnAnswer {
@@ -37,14 +47,14 @@
         self,
         translation: &dyn Translation,
         request_id: Option<&str>,
-    ) -> Response {
+    ) -> Response<AnswerBody> {
         let answer = self.kind.answer();
         let status =
             StatusCode::from_u16(answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
-        let mut response = Response::builder()
-            .status(status)
-            .content_type("text/plain")
-            .body(answer.message);
+        let mut response = Response::new(whole(answer.message));
+        *response.status_mut() = status;
+        let text = HeaderValue::from_static("text/plain; charset=utf-8");
+        response.headers_mut().insert(header::CONTENT_TYPE, text);
         if let Some(wait_ms) = self.wait_ms() {
             let seconds = format!("{}.{:03}", wait_ms.get() / 1_000, wait_ms.get() % 1_000);
             if let Ok(value) = HeaderValue::from_str(&seconds) {
--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -4,12 +4,13 @@
 
 use bilberryford_types::TimeMs;
 use bytes::Bytes;
-use futures::{Stream, stream};
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use futures::stream;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Frame, Incoming};
 use tokio::time::timeout;
 
 use crate::{
+    answers::AnswerBody,
     connections::Connection,
     forward::InFlight,
     gateway::Gateway,
@@ -88,16 +89,16 @@
     }
 }
 
-/// The answer's body as a stream that ends with an error when the answer is not whole.
-pub(crate) fn relay(relay: Relay) -> impl Stream<Item = io::Result<Bytes>> + Send {
-    stream::unfold(Some(relay), |relay| async move {
+/// The answer's body, which ends with an error when the answer is not whole.
+pub(crate) fn relay(relay: Relay) -> AnswerBody {
+    let items = stream::unfold(Some(relay), |relay| async move {
         let mut relay = relay?;
         let item = relay.next().await?;
         let is_last = item.is_err();
-        Some((item, (!is_last).then_some(relay)))
-    })
+        Some((item.map(Frame::data), (!is_last).then_some(relay)))
+    });
+    StreamBody::new(items).boxed_unsync()
 }
-
 /// Keeps the judgement of a whole answer in one place.
 pub(crate) fn succeeded(health: &mut EndpointHealth, _now_ms: TimeMs) {
     health.succeeded();
--- a/crates/gateway/src/filters/identify.rs
+++ b/crates/gateway/src/filters/identify.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use bilberryford_types::{ErrorKind, PoolName, TimeMs};
-use poem::{Request, http::header};
+use hyper::{Request, body::Incoming, header};
 
 use crate::{
     answers::OwnAnswer,
@@ -28,7 +28,7 @@
 pub(crate) fn identify(
     gateway: &Gateway,
     deployment: Option<&Deployment>,
-    request: &Request,
+    request: &Request<Incoming>,
     line: &mut RequestLine,
 ) -> Result<Identified, OwnAnswer> {
     let facts = gateway.translation.read_request(request.headers()).map_err(|error| {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -10,15 +10,16 @@
 use bilberryford_types::{EndpointId, ErrorKind, PoolName, TimeMs, Tokens};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::{Body as _, Incoming};
-use poem::{
-    Body, Response,
-    http::{HeaderMap, HeaderName, Method, Uri, header},
+use hyper::{
+    HeaderMap, Method, Response, Uri,
+    body::{Body as _, Incoming},
+    header::{self, HeaderName},
+    http::response::Parts,
 };
 use tokio::time::timeout;
 
 use crate::{
-    answers::OwnAnswer,
+    answers::{AnswerBody, OwnAnswer, whole},
     body::{Relay, relay, succeeded},
     connections::{Connection, connect},
     deployment::{Repeatable, Route, Team},
@@ -142,7 +143,7 @@
 /// How one send ended.
 enum Sent {
     /// The head of an answer to this request.
-    Answer(hyper::Response<Incoming>, AnswerFacts, Connection),
+    Answer(Response<Incoming>, AnswerFacts, Connection),
     /// No byte was written.
     Unsent,
     /// The endpoint states that it did not run it.
@@ -173,7 +174,7 @@
     }
 
     /// Forwards until there is an answer, or nothing more can be tried.
-    pub(crate) async fn run(mut self) -> Result<Response, (OwnAnswer, RequestLine)> {
+    pub(crate) async fn run(mut self) -> Result<Response<AnswerBody>, (OwnAnswer, RequestLine)> {
         let mut progress = Progress::default();
         loop {
             match self.attempt(&mut progress).await {
@@ -185,7 +186,7 @@
     }
 
     /// One attempt: an answer, nothing yet, or the final answer.
-    async fn attempt(&mut self, progress: &mut Progress) -> Result<Option<Response>, OwnAnswer> {
+    async fn attempt(&mut self, progress: &mut Progress) -> Result<Option<Response<AnswerBody>>, OwnAnswer> {
         if self.left_ms() < LEAST_LEFT_MS {
             let kind = match progress.runs {
                 0 => ErrorKind::DeadlineBeforeRun,
@@ -327,7 +328,7 @@
         }
     }
 
-    fn unsent(&mut self, progress: &Progress) -> Result<Option<Response>, OwnAnswer> {
+    fn unsent(&mut self, progress: &Progress) -> Result<Option<Response<AnswerBody>>, OwnAnswer> {
         if progress.unsent < MAX_UNSENT {
             return Ok(None);
         }
@@ -340,7 +341,7 @@
             && progress.offers < MAX_OFFERS
     }
 
-    fn lost(&mut self, progress: &Progress) -> Result<Option<Response>, OwnAnswer> {
+    fn lost(&mut self, progress: &Progress) -> Result<Option<Response<AnswerBody>>, OwnAnswer> {
         if self.may_repeat(progress) {
             return Ok(None);
         }
@@ -358,7 +359,7 @@
         candidate: &Candidate,
         facts: &AnswerFacts,
         connection: Connection,
-    ) -> Result<Option<Response>, OwnAnswer> {
+    ) -> Result<Option<Response<AnswerBody>>, OwnAnswer> {
         progress.offers += 1;
         drop(connection);
         self.line.notes.push(if facts.is_misdirected { "misdirected" } else { "refused" });
@@ -422,7 +423,7 @@
         }
     }
 
-    fn read_head(&self, response: hyper::Response<Incoming>, mut connection: Connection) -> Sent {
+    fn read_head(&self, response: Response<Incoming>, mut connection: Connection) -> Sent {
         let facts = self.gateway.translation.read_answer(response.status(), response.headers());
         let is_other = facts.request_id.is_some() && facts.request_id != self.facts.request_id;
         if is_other {
@@ -476,10 +477,10 @@
     async fn answer(
         &mut self,
         progress: &Progress,
-        response: hyper::Response<Incoming>,
+        response: Response<Incoming>,
         connection: Connection,
         in_flight: InFlight,
-    ) -> Result<Option<Response>, OwnAnswer> {
+    ) -> Result<Option<Response<AnswerBody>>, OwnAnswer> {
         let (mut head, incoming) = response.into_parts();
         remove_hop_by_hop(&mut head.headers);
         let is_small = incoming.size_hint().upper().is_some_and(|bytes| bytes <= MAX_BUFFERED);
@@ -497,17 +498,17 @@
             line,
             is_over: false,
         };
-        Ok(Some(response_of(head, Body::from_bytes_stream(relay(passing)))))
+        Ok(Some(Response::from_parts(head, relay(passing))))
     }
 
     async fn whole_answer(
         &mut self,
         progress: &Progress,
-        head: poem::http::response::Parts,
+        head: Parts,
         incoming: Incoming,
         connection: Connection,
         in_flight: InFlight,
-    ) -> Result<Option<Response>, OwnAnswer> {
+    ) -> Result<Option<Response<AnswerBody>>, OwnAnswer> {
         let left = Duration::from_millis(self.left_ms().get());
         let reading = Limited::new(incoming, MAX_BUFFERED as usize).collect();
         let body = match timeout(left, reading).await {
@@ -528,16 +529,10 @@
         self.line.first_byte_ms = Some(now_ms);
         self.gateway.request_log.write(&self.line, "answered", false, now_ms);
         self.gateway.metrics.outcome("answered", Some(now_ms.since(self.line.started_ms).get()));
-        Ok(Some(response_of(head, Body::from_bytes(body))))
+        Ok(Some(Response::from_parts(head, whole(body))))
     }
 }
 
-fn response_of(head: poem::http::response::Parts, body: Body) -> Response {
-    let mut response = Response::builder().status(head.status).body(body);
-    *response.headers_mut() = head.headers;
-    response
-}
-
 /// How long the endpoint keeps an idle connection, from the standard `Keep-Alive` header.
 fn kept_idle_ms(headers: &HeaderMap) -> Option<TimeMs> {
     let value = headers.get("keep-alive")?.to_str().ok()?;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod answers;
 mod body;
+mod callers;
 mod clock;
 mod connections;
 mod controllers;
--- a/crates/gateway/src/translation.rs
+++ b/crates/gateway/src/translation.rs
@@ -6,7 +6,7 @@
 
 use bilberryford_types::{EndpointId, Fencing, ModelName, TeamName, TimeMs, Tokens};
 use futures::future::BoxFuture;
-use poem::http::{HeaderMap, StatusCode};
+use hyper::{HeaderMap, StatusCode};
 
 use crate::{deployment::Deployment, endpoints::EndpointRecord};
 
