--- a/crates/gateway/src/controllers.rs
+++ b/crates/gateway/src/controllers.rs
@@ -4,6 +4,7 @@
 mod endpoints;
 mod follow;
 mod housekeeping;
+mod stores;
 mod weight_orders;
 mod weights;
 
@@ -21,6 +22,7 @@
     tasks.spawn(follow::follow(gateway.clone(), endpoints::EndpointSink));
     tasks.spawn(follow::follow(gateway.clone(), weights::WeightSink));
     tasks.spawn(weight_orders::run(gateway.clone()));
+    tasks.spawn(stores::run(gateway.clone()));
     tasks.spawn(housekeeping::run(gateway.clone()));
     tasks
 }
--- a/crates/gateway/src/controllers/weight_orders.rs
+++ b/crates/gateway/src/controllers/weight_orders.rs
@@ -44,8 +44,14 @@
     me: LeaseHolder,
     terms: LeaseTerms,
     key: ObjectKey,
-    ordered_ms: HashMap<EndpointId, TimeMs>,
-    loaded: HashMap<EndpointId, (TimeMs, u64)>,
+    ordered_ms: HashMap<(EndpointId, TimeMs), TimeMs>,
+    /// The newest version that a life of an engine reported, and when.
+    loaded: HashMap<(EndpointId, TimeMs), (TimeMs, u64)>,
+}
+
+/// An engine's life: what was learned of one says nothing about the next.
+fn life(record: &EndpointRecord) -> (EndpointId, TimeMs) {
+    (record.id.clone(), record.born_ms)
 }
 
 pub(super) async fn run(gateway: Arc<Gateway>) {
@@ -93,7 +99,7 @@
         let now_ms = self.now();
         let lacks = |record: &EndpointRecord, model: &ModelName, newest: u64| {
             let is_listed_old = record.weight_version(model).is_some_and(|version| version < newest);
-            let is_loaded = self.loaded.get(&record.id).is_some_and(|(at_ms, version)| {
+            let is_loaded = self.loaded.get(&life(record)).is_some_and(|(at_ms, version)| {
                 now_ms.since(*at_ms) < RECENT_ORDER_MS && *version >= newest
             });
             is_listed_old && !is_loaded
@@ -253,7 +259,7 @@
         let reports = join_all(engines.iter().map(|record| {
             let is_loaded = self
                 .loaded
-                .get(&record.id)
+                .get(&life(record))
                 .is_some_and(|(_, version)| *version >= target.version);
             let listed = record.weight_version(&target.model);
             let needs_report = !is_loaded && listed.is_some_and(|version| version < target.version);
@@ -270,13 +276,13 @@
         let mut views = Vec::new();
         for (record, report) in engines.iter().zip(reports) {
             let listed = record.weight_version(&target.model);
-            let loaded = self.loaded.get(&record.id).map(|(_, version)| *version);
+            let loaded = self.loaded.get(&life(record)).map(|(_, version)| *version);
             let reported = report.as_ref().and_then(|report| {
                 report.models.iter().find(|(model, _)| *model == target.model).map(|(_, v)| *v)
             });
             let needed_report = loaded.max(listed).is_none_or(|version| version < target.version);
             if let Some(version) = reported.filter(|version| *version >= target.version) {
-                self.loaded.insert(record.id.clone(), (now_ms, version));
+                self.loaded.insert(life(record), (now_ms, version));
                 self.show_weights(&record.id, version);
             }
             views.push(EngineWeights {
@@ -284,7 +290,7 @@
                 version: if needed_report { reported } else { loaded.max(listed) },
                 is_busy: report.as_ref().is_some_and(|report| report.is_busy),
                 accepted_orders: report.as_ref().map_or(0, |report| report.accepted_orders),
-                ordered_ms: self.ordered_ms.get(&record.id).copied(),
+                ordered_ms: self.ordered_ms.get(&life(record)).copied(),
             });
         }
         let plan = plan_weights(&views, target.version, now_ms);
@@ -312,7 +318,7 @@
         let is_fenced = self.gateway.settings.bounds.are_orders_fenced;
         let Some(permit) = lease.permit(self.now(), is_fenced) else { return true };
         let holder = self.gateway.settings.instance.as_str();
-        self.ordered_ms.insert(record.id.clone(), self.now());
+        self.ordered_ms.insert(life(record), self.now());
         let orders = self.gateway.orders.clone();
         let reply = orders
             .load_weights(
@@ -333,7 +339,7 @@
         );
         match reply {
             OrderReply::AlreadyHolds => {
-                self.loaded.insert(record.id.clone(), (self.now(), target.version));
+                self.loaded.insert(life(record), (self.now(), target.version));
                 true
             }
             OrderReply::Fenced => false,
--- a/crates/gateway/src/deployment.rs
+++ b/crates/gateway/src/deployment.rs
@@ -2,7 +2,7 @@
 //!
 //! A deployment is immutable. A newer version replaces it as a whole, so that one request never sees two versions.
 
-use std::{collections::HashMap, sync::Arc};
+use std::{collections::HashMap, net::SocketAddr, sync::Arc};
 
 use bilberryford_types::{Bytes, Generation, ModelName, PoolName, TeamName, TimeMs};
 
@@ -93,6 +93,17 @@
     pub models: Vec<ModelName>,
 }
 
+/// A store of cached prompt parts, which engines save to and fetch from by order of each request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StoreTraits {
+    /// Where it is.
+    pub address: SocketAddr,
+    /// How many tokens it holds.
+    pub capacity_tokens: u64,
+    /// Whether it drops nothing on its own, so that a part stays until it is freed.
+    pub is_managed: bool,
+}
+
 /// One service.
 #[derive(Debug, Clone)]
 pub struct Service {
@@ -102,6 +113,8 @@
     pub max_connections: u32,
     /// For services of model engines.
     pub engine: Option<EngineTraits>,
+    /// For stores of cached prompt parts.
+    pub store: Option<StoreTraits>,
 }
 
 /// One team.
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -5,7 +5,7 @@
 //! A request that is not idempotent is sent again only when no byte of it was written, or when the endpoint stated that
 //! it did not run it. An answer that promises "not run" is given only while that holds for every send.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bilberryford_types::{EndpointId, ErrorKind, PoolName, TimeMs, Tokens};
 use bytes::Bytes;
@@ -21,13 +21,14 @@
 use crate::{
     answers::{AnswerBody, OwnAnswer, whole},
     body::{Relay, relay, succeeded},
+    cache_index::{PartPlan, plan_parts},
     connections::{Connection, connect},
     deployment::{Repeatable, Route, Team},
     filters::authorize,
     gateway::Gateway,
     placement::{Candidate, PlacementRequest, Reason, place},
     request_log::RequestLine,
-    translation::{AnswerFacts, CallerFacts, ForwardFacts},
+    translation::{AnswerFacts, CallerFacts, ForwardFacts, PartSource},
 };
 
 /// The least time left for which a send is worth it, in milliseconds: a round trip within a region.
@@ -262,7 +263,7 @@
     fn choose(
         &mut self,
         progress: &Progress,
-    ) -> Result<(Candidate, Option<std::net::SocketAddr>, Reason), OwnAnswer> {
+    ) -> Result<(Candidate, Option<SocketAddr>, Reason), OwnAnswer> {
         let model = self.facts.prompt.as_ref().map(|prompt| &prompt.model);
         let candidates = self.gateway.candidates(&self.service, model);
         let min_weight_version =
@@ -396,11 +397,12 @@
         &mut self,
         mut connection: Connection,
         candidate: &Candidate,
-        fetch_from: Option<std::net::SocketAddr>,
+        fetch_from: Option<SocketAddr>,
         progress: &Progress,
     ) -> Sent {
         let left_ms = self.left_ms();
-        let request = self.request(candidate, fetch_from, left_ms);
+        let plan = self.part_plan(candidate, fetch_from);
+        let request = self.request(candidate, &plan, left_ms);
         let could_repeat = self.route.is_idempotent()
             && progress.runs + 1 < self.route.max_attempts
             && progress.offers + 1 < MAX_OFFERS;
@@ -442,7 +444,7 @@
     fn request(
         &self,
         candidate: &Candidate,
-        fetch_from: Option<std::net::SocketAddr>,
+        plan: &PartPlan,
         time_left_ms: TimeMs,
     ) -> hyper::Request<Full<Bytes>> {
         let mut headers = self.headers.clone();
@@ -455,7 +457,8 @@
             rank: self.facts.prompt.is_some().then_some(rank),
             cache_scope: scope.as_deref(),
             weight_version: candidate.weight_version,
-            fetch_from,
+            fetch: &plan.fetch,
+            save: &plan.save,
         };
         self.gateway.translation.prepare_forward(&mut headers, &facts);
         let mut request = hyper::Request::new(Full::new(self.body.clone()));
@@ -474,6 +477,21 @@
         Some(format!("{}/{version}/{team}", prompt.model))
     }
 
+    /// Where the prompt's shared parts come from: a store that has them, or else the engine that is first for them.
+    fn part_plan(&self, candidate: &Candidate, fetch_from: Option<SocketAddr>) -> PartPlan {
+        let (Some(prompt), Some(scope)) = (&self.facts.prompt, self.cache_scope(candidate)) else {
+            return PartPlan::default();
+        };
+        let now_ms = self.gateway.clock.now();
+        let mut stores = self.gateway.stores.lock();
+        let mut plan = plan_parts(&mut stores, &scope, &prompt.parts, now_ms);
+        if let Some(address) = fetch_from.filter(|_| plan.fetch.is_empty()) {
+            let source = PartSource { address, tokens: None };
+            plan.fetch = vec![Some(source); prompt.parts.len()];
+        }
+        plan
+    }
+
     async fn answer(
         &mut self,
         progress: &Progress,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -14,6 +14,7 @@
 use parking_lot::Mutex;
 
 use crate::{
+    cache_index::StoreView,
     clock::Clock,
     connections::Connections,
     deployment::Deployment,
@@ -26,7 +27,7 @@
     request_log::RequestLog,
     rollout::NamedWeights,
     settings::GatewaySettings,
-    translation::{TranslateOrders, Translation},
+    translation::{TranslateCaches, TranslateOrders, Translation},
 };
 
 /// How long after a version was named engines with it are preferred, in milliseconds.
@@ -45,6 +46,8 @@
 /// What this instance has with one endpoint.
 #[derive(Debug, Default)]
 pub(crate) struct LocalState {
+    /// Which life of the endpoint this is about.
+    pub(crate) born_ms: TimeMs,
     pub(crate) health: EndpointHealth,
     pub(crate) in_flight: u32,
     pub(crate) waiting_tokens: u64,
@@ -52,6 +55,15 @@
     pub(crate) shown_weights: Option<u64>,
 }
 
+impl LocalState {
+    /// The endpoint began another life: what the earlier one showed is void, and what is in flight ends by itself.
+    fn restarted(&mut self, born_ms: TimeMs) {
+        self.born_ms = born_ms;
+        self.health = EndpointHealth::default();
+        self.shown_weights = None;
+    }
+}
+
 /// The gateway's state.
 pub struct Gateway {
     pub(crate) settings: GatewaySettings,
@@ -59,6 +71,8 @@
     pub(crate) translation: Arc<dyn Translation>,
     pub(crate) store: Arc<dyn ObjectStore>,
     pub(crate) orders: Arc<dyn TranslateOrders>,
+    pub(crate) caches: Arc<dyn TranslateCaches>,
+    pub(crate) stores: Mutex<Vec<StoreView>>,
     pub(crate) deployment: ArcSwapOption<Deployment>,
     pub(crate) keys: Mutex<KeyValidity>,
     pub(crate) endpoints: Mutex<EndpointTable>,
@@ -82,6 +96,7 @@
         translation: Arc<dyn Translation>,
         store: Arc<dyn ObjectStore>,
         orders: Arc<dyn TranslateOrders>,
+        caches: Arc<dyn TranslateCaches>,
     ) -> Result<Self, SetupError> {
         Ok(Self {
             keys: Mutex::new(KeyValidity::new(settings.bounds.revoke_ms)),
@@ -90,6 +105,8 @@
             translation,
             store,
             orders,
+            caches,
+            stores: Mutex::default(),
             deployment: ArcSwapOption::empty(),
             endpoints: Mutex::default(),
             local: Mutex::default(),
@@ -151,6 +168,9 @@
             .ready(service)
             .map(|record| {
                 let state = local.entry(record.id.clone()).or_default();
+                if state.born_ms != record.born_ms {
+                    state.restarted(record.born_ms);
+                }
                 let listed = model.and_then(|model| record.weight_version(model));
                 Candidate {
                     id: record.id.clone(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod answers;
 mod body;
+mod cache_index;
 mod callers;
 mod clock;
 mod connections;
@@ -28,9 +29,10 @@
 mod settings;
 mod translation;
 
+pub use cache_index::{PartPlan, StoreView, plan_parts};
 pub use clock::Clock;
 pub use deployment::{
-    CallerLimits, Deployment, EngineTraits, Repeatable, Route, RouteTarget, Service, Team,
+    CallerLimits, Deployment, EngineTraits, Repeatable, Route, RouteTarget, Service, StoreTraits, Team,
 };
 pub use endpoints::{EndpointRecord, EndpointState, EndpointTable, ServedModel};
 pub use gateway::{Gateway, SetupError};
@@ -42,6 +44,6 @@
 pub use server::{ServeError, serve};
 pub use settings::{Bounds, GatewaySettings};
 pub use translation::{
-    AnswerFacts, CallerFacts, DecodeError, EngineReport, ForwardFacts, OrderReply, PromptFacts,
-    PromptPart, TranslateOrders, Translation, WeightTarget,
+    AnswerFacts, CacheChange, CacheChanges, CacheContent, CallerFacts, DecodeError, EngineReport, ForwardFacts, OrderReply, PartKey, PartSource,
+    PromptFacts, PromptPart, TranslateCaches, TranslateOrders, Translation, WeightTarget,
 };
--- a/crates/gateway/src/translation.rs
+++ b/crates/gateway/src/translation.rs
@@ -60,8 +60,19 @@
     pub cache_scope: Option<&'a str>,
     /// The weight version that the engine must have.
     pub weight_version: Option<u64>,
-    /// Another engine that may have the prompt's parts in its memory.
-    pub fetch_from: Option<SocketAddr>,
+    /// Where the engine gets cached parts from; one entry for each part of the prompt, or none at all.
+    pub fetch: &'a [Option<PartSource>],
+    /// The stores that the engine saves parts to once they are read; one entry for each part, or none at all.
+    pub save: &'a [Option<SocketAddr>],
+}
+
+/// Where a cached part is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PartSource {
+    /// The store or engine.
+    pub address: SocketAddr,
+    /// How many tokens of it are complete there; none for whatever an engine has.
+    pub tokens: Option<Tokens>,
 }
 
 /// What the head of an endpoint's answer says.
@@ -136,6 +147,72 @@
     fn decode_weights(&self, body: &[u8]) -> Result<WeightTarget, DecodeError>;
 }
 
+/// A cached part, as a store or engine names it.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct PartKey {
+    /// The scope within which it is found.
+    pub scope: String,
+    /// What names its content.
+    pub id: String,
+}
+
+/// One change of what a store holds.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CacheChange {
+    /// Which part.
+    pub key: PartKey,
+    /// Its tokens, all complete; none when it is gone.
+    pub tokens: Option<Tokens>,
+}
+
+/// The changes since an earlier call.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct CacheChanges {
+    /// Which life of the store they are of.
+    pub epoch: u64,
+    /// Where to go on.
+    pub next: u64,
+    /// Whether some are missing.
+    pub has_gap: bool,
+    /// The changes, oldest first.
+    pub changes: Vec<CacheChange>,
+}
+
+/// All that a store holds.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct CacheContent {
+    /// Which life of the store it is of.
+    pub epoch: u64,
+    /// Where to go on.
+    pub next: u64,
+    /// The complete parts.
+    pub parts: Vec<(PartKey, Tokens)>,
+    /// Space that is taken by parts that are not complete.
+    pub incomplete_tokens: u64,
+}
+
+/// Follows what stores hold.
+pub trait TranslateCaches: Send + Sync {
+    /// Waits up to `wait_ms` for changes after `since`; none when the store gave no readable answer.
+    fn changes(
+        &self,
+        address: SocketAddr,
+        since: u64,
+        wait_ms: TimeMs,
+    ) -> BoxFuture<'_, Option<CacheChanges>>;
+
+    /// All that the store holds; none when it gave no readable answer.
+    fn content(&self, address: SocketAddr) -> BoxFuture<'_, Option<CacheContent>>;
+
+    /// Frees parts of the given life of the store; answers whether it did.
+    fn free<'a>(
+        &'a self,
+        address: SocketAddr,
+        epoch: u64,
+        parts: &'a [PartKey],
+    ) -> BoxFuture<'a, bool>;
+}
+
 /// What an engine reports of itself.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct EngineReport {
--- a/src/commands/gateway.rs
+++ b/src/commands/gateway.rs
@@ -2,7 +2,7 @@
 
 use std::{path::PathBuf, sync::Arc};
 
-use bilberryford_adapter::{EngineClient, PlatformTranslation, StoreClient, read_settings};
+use bilberryford_adapter::{CacheClient, EngineClient, PlatformTranslation, StoreClient, read_settings};
 use bilberryford_gateway::{Gateway, serve};
 use bpaf::Bpaf;
 use miette::{IntoDiagnostic, WrapErr};
@@ -28,11 +28,13 @@
     let settings = read_settings(&options.settings).into_diagnostic()?;
     let store = StoreClient::new(settings.store_address).into_diagnostic()?;
     let engines = EngineClient::new().into_diagnostic()?;
+    let caches = CacheClient::new().into_diagnostic()?;
     let gateway = Gateway::new(
         settings.gateway,
         Arc::new(PlatformTranslation),
         Arc::new(store),
         Arc::new(engines),
+        Arc::new(caches),
     )
     .into_diagnostic()
     .wrap_err("the gateway can't be set up")?;
