--- a/crates/gateway/src/controllers.rs
+++ b/crates/gateway/src/controllers.rs
@@ -4,6 +4,7 @@
 mod endpoints;
 mod follow;
 mod housekeeping;
+mod peers;
 mod stores;
 mod weight_orders;
 mod weights;
@@ -22,6 +23,10 @@
     tasks.spawn(follow::follow(gateway.clone(), endpoints::EndpointSink));
     tasks.spawn(follow::follow(gateway.clone(), weights::WeightSink));
     tasks.spawn(weight_orders::run(gateway.clone()));
+    let addresses = peers::PeerAddresses::default();
+    tasks.spawn(peers::register(gateway.clone()));
+    tasks.spawn(follow::follow(gateway.clone(), peers::PeerSink(addresses.clone())));
+    tasks.spawn(peers::exchange(gateway.clone(), addresses));
     tasks.spawn(stores::run(gateway.clone()));
     tasks.spawn(housekeeping::run(gateway.clone()));
     tasks
--- /dev/null
+++ b/crates/gateway/src/controllers/peers.rs
@@ -0,0 +1,164 @@
+//! Finds the other instances in the store, and exchanges loads with them over UDP.
+//!
+//! An instance writes its address once, at its start. Messages are small, sent without waiting for an answer, and the
+//! pause between them grows with the number of peers, so that an instance's share of them stays bounded.
+
+use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
+
+use bilberryford_platform::{
+    Change, Object, ObjectKey, ObjectKind, PlatformError, Precondition,
+};
+use bilberryford_types::{ObjectName, TimeMs};
+use bytes::Bytes;
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+use tokio::{net::UdpSocket, time::sleep};
+
+use super::follow::{Pauses, Sink};
+use crate::{
+    gateway::Gateway,
+    peer_loads::{EndpointTag, LoadMessage, MAX_TOLD},
+};
+
+/// The pause between messages to few peers, in milliseconds: short against the wait in a queue.
+const TELL_EVERY_MS: u64 = 100;
+/// How many peers an instance tells of its load at that pace.
+const PEERS_AT_PACE: u64 = 10;
+/// The largest message, in bytes: one datagram without fragments.
+const MAX_MESSAGE_BYTES: usize = 1_400;
+
+/// What the store keeps of an instance.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+struct InstanceBody {
+    peer_address: SocketAddr,
+}
+
+/// The addresses of peers, as the store lists them.
+pub(super) type PeerAddresses = Arc<Mutex<HashMap<ObjectName, SocketAddr>>>;
+
+pub(super) struct PeerSink(pub(super) PeerAddresses);
+
+impl PeerSink {
+    fn take(&self, name: &ObjectName, body: &[u8]) {
+        match serde_json::from_slice::<InstanceBody>(body) {
+            Ok(body) => {
+                self.0.lock().insert(name.clone(), body.peer_address);
+            }
+            Err(error) => log::warn!(peer:% = name, error:% = error; "peer left out"),
+        }
+    }
+}
+
+impl Sink for PeerSink {
+    const KIND: ObjectKind = ObjectKind::Instance;
+    const WAIT_MS: TimeMs = TimeMs(10_000);
+
+    fn listed(&self, _gateway: &Gateway, objects: Vec<Object>, _started_ms: TimeMs) {
+        self.0.lock().clear();
+        for object in objects {
+            self.take(&object.name, &object.body);
+        }
+    }
+
+    fn changed(&self, _gateway: &Gateway, change: Change) {
+        match change.body {
+            Some(body) => self.take(&change.name, &body),
+            None => {
+                self.0.lock().remove(&change.name);
+            }
+        }
+    }
+}
+
+/// Writes this instance's address to the store, again until it is taken.
+pub(super) async fn register(gateway: Arc<Gateway>) {
+    let settings = &gateway.settings;
+    let Ok(name) = settings.instance.as_str().parse() else { return };
+    let key = ObjectKey::new(ObjectKind::Instance, name);
+    let body = InstanceBody { peer_address: settings.peer_listen };
+    let Ok(body) = serde_json::to_vec(&body).map(Bytes::from) else { return };
+    let mut precondition = Precondition::Absent;
+    let mut pauses = Pauses::default();
+    loop {
+        gateway.metrics.store_calls.add(1, &[]);
+        match gateway.store.put(&key, precondition, body.clone()).await {
+            Ok(_) => return,
+            Err(PlatformError::Conflict { current }) => {
+                precondition = Precondition::Version(current);
+                pauses.after_failure().await;
+            }
+            Err(error) => {
+                log::debug!(error:% = error; "instance not written to the store");
+                pauses.after_failure().await;
+            }
+        }
+    }
+}
+
+/// Tells peers of this instance's load, and hears theirs.
+pub(super) async fn exchange(gateway: Arc<Gateway>, addresses: PeerAddresses) {
+    let socket = match UdpSocket::bind(gateway.settings.peer_listen).await {
+        Ok(socket) => Arc::new(socket),
+        Err(error) => {
+            log::error!(error:% = error; "the address for peers can't be bound; loads are not shared");
+            return;
+        }
+    };
+    tokio::join!(hear(&gateway, &socket), tell(&gateway, &socket, &addresses));
+}
+
+async fn hear(gateway: &Gateway, socket: &UdpSocket) {
+    let mut buffer = [0u8; MAX_MESSAGE_BYTES];
+    loop {
+        match socket.recv_from(&mut buffer).await {
+            Ok((length, from)) => match postcard::from_bytes::<LoadMessage>(&buffer[..length]) {
+                Ok(message) => gateway.peers.lock().hear(message, gateway.clock.now()),
+                Err(error) => log::debug!(from:% = from, error:% = error; "message left out"),
+            },
+            Err(error) => {
+                // A peer's closed port shows as an error of the socket.
+                log::debug!(error:% = error; "no message");
+                sleep(Duration::from_millis(TELL_EVERY_MS)).await;
+            }
+        }
+    }
+}
+
+fn message(gateway: &Gateway, incarnation: u64, sequence: u64) -> LoadMessage {
+    let now_ms = gateway.clock.now();
+    let mut endpoints: Vec<(EndpointTag, _)> = gateway
+        .local
+        .lock()
+        .iter()
+        .map(|(id, state)| (EndpointTag::new(id.as_str(), state.born_ms), state.told(now_ms)))
+        .filter(|(_, load)| load.in_flight > 0 || load.slowness_percent > 0 || load.is_loading)
+        .collect();
+    endpoints.sort_by_key(|(_, load)| std::cmp::Reverse((load.is_loading, load.in_flight)));
+    endpoints.truncate(MAX_TOLD);
+    let instance = gateway.settings.instance.to_string();
+    LoadMessage { instance, incarnation, sequence, endpoints }
+}
+
+async fn tell(gateway: &Gateway, socket: &UdpSocket, addresses: &PeerAddresses) {
+    let incarnation = rand::random();
+    let mut sequence = 0;
+    loop {
+        let own = gateway.settings.peer_listen;
+        let peers: Vec<_> = addresses.lock().values().copied().filter(|at| *at != own).collect();
+        sequence += 1;
+        match postcard::to_stdvec(&message(gateway, incarnation, sequence)) {
+            Ok(bytes) if bytes.len() <= MAX_MESSAGE_BYTES => {
+                for peer in &peers {
+                    if let Err(error) = socket.send_to(&bytes, peer).await {
+                        log::debug!(peer:% = peer, error:% = error; "message not sent");
+                    }
+                }
+            }
+            Ok(bytes) => log::warn!(bytes = bytes.len(); "message too large to send"),
+            Err(error) => log::error!(error:% = error; "message can't be written"),
+        }
+        gateway.peers.lock().expire(gateway.clock.now());
+        let pause_ms = TELL_EVERY_MS * (peers.len() as u64).div_ceil(PEERS_AT_PACE).max(1);
+        sleep(Duration::from_millis(pause_ms)).await;
+    }
+}
--- a/crates/gateway/src/controllers/weight_orders.rs
+++ b/crates/gateway/src/controllers/weight_orders.rs
@@ -36,6 +36,8 @@
 const MARGIN_MS: TimeMs = TimeMs(300);
 /// The deadline of one order, in milliseconds.
 const ORDER_MS: TimeMs = TimeMs(400);
+/// How long an engine is passed by after an order unless it reports the end before, in milliseconds.
+const LOADING_MS: TimeMs = TimeMs(2_500);
 /// How long an engine that listed older weights after an order is not believed, in milliseconds: lists lag.
 const RECENT_ORDER_MS: TimeMs = TimeMs(6_000);
 
@@ -305,7 +307,9 @@
 
     fn show_weights(&self, endpoint: &EndpointId, version: u64) {
         let mut local = self.gateway.local.lock();
-        local.entry(endpoint.clone()).or_default().shown_weights = Some(version);
+        let state = local.entry(endpoint.clone()).or_default();
+        state.shown_weights = Some(version);
+        state.loading_until_ms = None;
     }
 
     async fn give_order(
@@ -337,6 +341,11 @@
             reply:% = reply;
             "weights ordered"
         );
+        if matches!(reply, OrderReply::Accepted | OrderReply::Unknown) {
+            let until_ms = self.now().after(LOADING_MS);
+            let mut local = self.gateway.local.lock();
+            local.entry(record.id.clone()).or_default().loading_until_ms = Some(until_ms);
+        }
         match reply {
             OrderReply::AlreadyHolds => {
                 self.loaded.insert(life(record), (self.now(), target.version));
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -7,7 +7,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use bilberryford_types::{EndpointId, ErrorKind, PoolName, TimeMs, Tokens};
+use bilberryford_types::{EndpointId, ErrorKind, PoolName, TimeMs};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
@@ -26,9 +26,11 @@
     deployment::{Repeatable, Route, Team},
     filters::authorize,
     gateway::Gateway,
-    placement::{Candidate, PlacementRequest, Reason, place},
+    placement::{Candidate, PlacementRequest, Reason, SharedPart, place},
     request_log::RequestLine,
-    translation::{AnswerFacts, CallerFacts, ForwardFacts, PartSource},
+    translation::{
+        AnswerFacts, CallerFacts, ForwardFacts, PartKey, PartSource, PromptPart,
+    },
 };
 
 /// The least time left for which a send is worth it, in milliseconds: a round trip within a region.
@@ -82,11 +84,20 @@
     gateway: Arc<Gateway>,
     endpoint: EndpointId,
     waiting_tokens: u64,
+    /// What was to be read before the first token when the request came, the queue included.
+    queue_tokens: u64,
+    began_ms: TimeMs,
     is_trial: bool,
 }
 
 impl InFlight {
-    fn new(gateway: &Arc<Gateway>, endpoint: &EndpointId, waiting_tokens: u64, is_trial: bool) -> Self {
+    fn new(
+        gateway: &Arc<Gateway>,
+        candidate: &Candidate,
+        waiting_tokens: u64,
+        is_trial: bool,
+    ) -> Self {
+        let endpoint = &candidate.id;
         let mut local = gateway.local.lock();
         let state = local.entry(endpoint.clone()).or_default();
         state.in_flight += 1;
@@ -96,15 +107,32 @@
         }
         drop(local);
         gateway.metrics.in_flight.add(1, &[]);
-        Self { gateway: gateway.clone(), endpoint: endpoint.clone(), waiting_tokens, is_trial }
+        Self {
+            gateway: gateway.clone(),
+            endpoint: endpoint.clone(),
+            waiting_tokens,
+            queue_tokens: candidate.waiting_tokens + waiting_tokens,
+            began_ms: gateway.clock.now(),
+            is_trial,
+        }
     }
 
     pub(crate) fn endpoint(&self) -> &EndpointId {
         &self.endpoint
     }
 
-    /// The prompt was read.
+    /// The first token came.
     pub(crate) fn first_byte(&mut self) {
+        if self.waiting_tokens > 0 {
+            let now_ms = self.gateway.clock.now();
+            if let Some(state) = self.gateway.local.lock().get_mut(&self.endpoint) {
+                state.slowness.sample(self.queue_tokens, now_ms.since(self.began_ms), now_ms);
+            }
+        }
+        self.no_longer_waiting();
+    }
+
+    fn no_longer_waiting(&mut self) {
         let waiting_tokens = std::mem::take(&mut self.waiting_tokens);
         if let Some(state) = self.gateway.local.lock().get_mut(&self.endpoint) {
             state.waiting_tokens = state.waiting_tokens.saturating_sub(waiting_tokens);
@@ -114,7 +142,7 @@
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        self.first_byte();
+        self.no_longer_waiting();
         if let Some(state) = self.gateway.local.lock().get_mut(&self.endpoint) {
             state.in_flight = state.in_flight.saturating_sub(1);
             if self.is_trial {
@@ -141,6 +169,14 @@
     headers.remove("proxy-connection");
 }
 
+/// Where a request goes.
+struct Chosen {
+    candidate: Candidate,
+    fetch_from: Option<SocketAddr>,
+    reason: Reason,
+    work_tokens: u64,
+}
+
 /// How one send ended.
 enum Sent {
     /// The head of an answer to this request.
@@ -200,14 +236,9 @@
             Err(answer) if progress.runs == 0 => return Err(answer),
             Err(_) => return Err(OwnAnswer::new(ErrorKind::EndpointLost)),
         };
-        let (candidate, fetch_from, reason) = self.choose(progress)?;
+        let Chosen { candidate, fetch_from, reason, work_tokens } = self.choose(progress)?;
         let is_trial = reason == Reason::Trial;
-        let mut in_flight = InFlight::new(
-            &self.gateway,
-            &candidate.id,
-            self.waiting_tokens(reason),
-            is_trial,
-        );
+        let mut in_flight = InFlight::new(&self.gateway, &candidate, work_tokens, is_trial);
         self.line.endpoint = Some(candidate.id.clone());
         self.line.placed = reason.into();
         let Some(connection) = self.connection(&candidate, progress).await else {
@@ -263,16 +294,23 @@
     fn choose(
         &mut self,
         progress: &Progress,
-    ) -> Result<(Candidate, Option<SocketAddr>, Reason), OwnAnswer> {
+    ) -> Result<Chosen, OwnAnswer> {
         let model = self.facts.prompt.as_ref().map(|prompt| &prompt.model);
         let candidates = self.gateway.candidates(&self.service, model);
         let min_weight_version =
             model.and_then(|model| self.gateway.min_weights(model, &candidates));
         let parts = self.facts.prompt.as_ref().map_or(&[][..], |prompt| &prompt.parts);
-        let shared_part = parts.len().checked_sub(2).map(|last| parts[last].id.as_str());
+        let own_tokens = self.facts.prompt.as_ref().map(|prompt| {
+            u64::from(parts.last().map_or(prompt.input_tokens, |part| part.tokens).get())
+        });
+        let shared = parts.len().checked_sub(2).map(|last| SharedPart {
+            id: &parts[last].id,
+            tokens: parts[..=last].iter().map(|part| u64::from(part.tokens.get())).sum(),
+            stored_tokens: self.stored_tokens(&candidates, &parts[..=last]),
+        });
         let request = PlacementRequest {
-            shared_part,
-            is_prompt: model.is_some(),
+            shared,
+            own_tokens,
             min_weight_version,
             tried: &progress.tried,
             draw: rand::random(),
@@ -286,18 +324,28 @@
             };
             return Err(OwnAnswer::after(progress.kind(kind), NO_ENDPOINT_RETRY_MS));
         };
-        let fetch_from = choice.fetch_from.map(|index| candidates[index].address);
-        Ok((candidates[index].clone(), fetch_from, choice.reason))
+        Ok(Chosen {
+            candidate: candidates[index].clone(),
+            fetch_from: choice.fetch_from.map(|index| candidates[index].address),
+            reason: choice.reason,
+            work_tokens: choice.work_tokens,
+        })
     }
 
-    /// The prompt tokens that an engine has to read, as far as can be told.
-    fn waiting_tokens(&self, reason: Reason) -> u64 {
-        let Some(prompt) = &self.facts.prompt else { return 0 };
-        let own = prompt.parts.last().map_or(Tokens(0), |part| part.tokens);
-        match reason {
-            Reason::Affinity | Reason::Spill => u64::from(own.get()),
-            _ => u64::from(prompt.input_tokens.get()),
-        }
+    /// How many tokens of the shared parts a store has, under the newest weights of the candidates.
+    fn stored_tokens(&self, candidates: &[Candidate], parts: &[PromptPart]) -> u64 {
+        let newest = candidates.iter().max_by_key(|candidate| candidate.weight_version);
+        let Some(scope) = newest.and_then(|candidate| self.cache_scope(candidate)) else { return 0 };
+        let now_ms = self.gateway.clock.now();
+        let stores = self.gateway.stores.lock();
+        parts
+            .iter()
+            .filter_map(|part| {
+                let key = PartKey { scope: scope.clone(), id: part.id.clone() };
+                stores.iter().find_map(|store| store.holds(&key, now_ms))
+            })
+            .map(|tokens| u64::from(tokens.get()))
+            .sum()
     }
 
     async fn connection(&mut self, candidate: &Candidate, progress: &mut Progress) -> Option<Connection> {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -22,11 +22,13 @@
     health::{EndpointHealth, Standing},
     key_validity::KeyValidity,
     metrics::{Metrics, MetricsError},
+    peer_loads::{EndpointLoad, EndpointTag, PeerLoads},
     placement::Candidate,
     repeats::{RepeatBudget, RepeatLimits},
     request_log::RequestLog,
     rollout::NamedWeights,
     settings::GatewaySettings,
+    slowness::Slowness,
     translation::{TranslateCaches, TranslateOrders, Translation},
 };
 
@@ -53,6 +55,9 @@
     pub(crate) waiting_tokens: u64,
     /// A version that the endpoint showed by refusing an older one, until the list says so too.
     pub(crate) shown_weights: Option<u64>,
+    pub(crate) slowness: Slowness,
+    /// Until when an order of this instance to load weights is believed to be under way.
+    pub(crate) loading_until_ms: Option<TimeMs>,
 }
 
 impl LocalState {
@@ -61,6 +66,22 @@
         self.born_ms = born_ms;
         self.health = EndpointHealth::default();
         self.shown_weights = None;
+        self.slowness = Slowness::default();
+        self.loading_until_ms = None;
+    }
+
+    fn is_loading(&self, now_ms: TimeMs) -> bool {
+        self.loading_until_ms.is_some_and(|until_ms| now_ms < until_ms)
+    }
+
+    /// What other instances are told.
+    pub(crate) fn told(&self, now_ms: TimeMs) -> EndpointLoad {
+        EndpointLoad {
+            in_flight: self.in_flight,
+            waiting_tokens: u32::try_from(self.waiting_tokens).unwrap_or(u32::MAX),
+            slowness_percent: self.slowness.percent(now_ms).unwrap_or(0),
+            is_loading: self.is_loading(now_ms),
+        }
     }
 }
 
@@ -77,6 +98,7 @@
     pub(crate) keys: Mutex<KeyValidity>,
     pub(crate) endpoints: Mutex<EndpointTable>,
     pub(crate) local: Mutex<HashMap<EndpointId, LocalState>>,
+    pub(crate) peers: Mutex<PeerLoads>,
     pub(crate) weights: Mutex<HashMap<ModelName, NamedWeights>>,
     pub(crate) connections: Connections,
     budgets: Mutex<HashMap<PoolName, RepeatBudget>>,
@@ -110,6 +132,7 @@
             deployment: ArcSwapOption::empty(),
             endpoints: Mutex::default(),
             local: Mutex::default(),
+            peers: Mutex::default(),
             weights: Mutex::default(),
             connections: Connections::default(),
             budgets: Mutex::default(),
@@ -141,7 +164,7 @@
             ratio_per_mille: bounds.repeat_ratio_per_mille,
             window_ms: bounds.repeat_window_ms,
             slack: bounds.repeat_slack,
-            instances: bounds.instances_sharing_slack(),
+            instances: self.peers.lock().live(self.clock.now()),
         }
     }
 
@@ -164,6 +187,7 @@
         let now_ms = self.clock.now();
         let endpoints = self.endpoints.lock();
         let mut local = self.local.lock();
+        let peers = self.peers.lock();
         endpoints
             .ready(service)
             .map(|record| {
@@ -172,13 +196,21 @@
                     state.restarted(record.born_ms);
                 }
                 let listed = model.and_then(|model| record.weight_version(model));
+                let load = peers.load(EndpointTag::new(record.id.as_str(), record.born_ms), now_ms);
+                let is_loading = model.is_some() && (load.is_loading || state.is_loading(now_ms));
+                let standing = state.health.standing(now_ms);
+                let own = state.slowness.percent(now_ms);
                 Candidate {
                     id: record.id.clone(),
                     address: record.address,
                     is_local: record.data_centre == self.settings.data_centre,
-                    standing: state.health.standing(now_ms),
-                    in_flight: state.in_flight,
-                    waiting_tokens: state.waiting_tokens,
+                    standing: if is_loading { Standing::Broken } else { standing },
+                    in_flight: state.in_flight.saturating_add(load.in_flight),
+                    waiting_tokens: state.waiting_tokens + load.waiting_tokens,
+                    slowness_percent: match (own, load.slowness_percent) {
+                        (Some(own), Some(theirs)) => Some((own + theirs) / 2),
+                        (own, theirs) => own.or(theirs),
+                    },
                     weight_version: listed.max(state.shown_weights.filter(|_| listed.is_some())),
                 }
             })
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,12 +21,14 @@
 mod health;
 mod key_validity;
 mod metrics;
+mod peer_loads;
 mod placement;
 mod repeats;
 mod request_log;
 mod rollout;
 mod server;
 mod settings;
+mod slowness;
 mod translation;
 
 pub use cache_index::{PartPlan, StoreView, plan_parts};
@@ -38,11 +40,13 @@
 pub use gateway::{Gateway, SetupError};
 pub use health::{EndpointHealth, Standing};
 pub use key_validity::KeyValidity;
-pub use placement::{Candidate, Choice, PlacementRequest, Reason, place};
+pub use peer_loads::{EndpointLoad, EndpointTag, LoadMessage, PeerLoad, PeerLoads};
+pub use placement::{Candidate, Choice, PlacementRequest, Reason, SharedPart, place};
 pub use repeats::{RepeatBudget, RepeatLimits};
 pub use rollout::{EngineWeights, NamedWeights, WeightOrder, WeightPlan, plan_weights};
 pub use server::{ServeError, serve};
 pub use settings::{Bounds, GatewaySettings};
+pub use slowness::Slowness;
 pub use translation::{
     AnswerFacts, CacheChange, CacheChanges, CacheContent, CallerFacts, DecodeError, EngineReport, ForwardFacts, OrderReply, PartKey, PartSource,
     PromptFacts, PromptPart, TranslateCaches, TranslateOrders, Translation, WeightTarget,
--- /dev/null
+++ b/crates/gateway/src/peer_loads.rs
@@ -0,0 +1,130 @@
+//! What the other instances have in flight, and what they learned of endpoints.
+//!
+//! The load pattern it answers: many instances with a few requests each, none of which sees a queue grow. Each tells the
+//! others, several times a second, what it has at each endpoint; the sum steers placement. A message that is lost or
+//! late only makes the view older: views steer, versions decide.
+
+use std::collections::HashMap;
+
+use bilberryford_types::TimeMs;
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// How long what a peer said is used, in milliseconds: a few of its messages may be lost.
+const USED_FOR_MS: TimeMs = TimeMs(1_200);
+/// How long a peer counts as live after its last message, in milliseconds.
+const LIVE_FOR_MS: TimeMs = TimeMs(3_000);
+/// The most endpoints that one message tells of, so that it fits into one datagram.
+pub(crate) const MAX_TOLD: usize = 96;
+
+/// A short name of an endpoint's life, for messages.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct EndpointTag(u32);
+
+impl EndpointTag {
+    /// The tag of the endpoint `id`, born at `born_ms`.
+    pub fn new(id: &str, born_ms: TimeMs) -> Self {
+        let hash = xxh3_64(id.as_bytes()) ^ born_ms.get().wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        // The low half is as uniform as the whole.
+        Self(hash as u32)
+    }
+}
+
+/// What one instance has at one endpoint.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+pub struct EndpointLoad {
+    /// Its requests there.
+    pub in_flight: u32,
+    /// The prompt tokens that the endpoint has yet to read for them.
+    pub waiting_tokens: u32,
+    /// How much slower than usual first tokens came, in hundredths; zero when it has not seen any.
+    pub slowness_percent: u32,
+    /// Whether it ordered the endpoint to load weights and has not seen the end.
+    pub is_loading: bool,
+}
+
+/// One message.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct LoadMessage {
+    /// Who says it.
+    pub instance: String,
+    /// Which run of it.
+    pub incarnation: u64,
+    /// Counts the messages of that run.
+    pub sequence: u64,
+    /// Its endpoints, the busy ones first.
+    pub endpoints: Vec<(EndpointTag, EndpointLoad)>,
+}
+
+#[derive(Debug, Clone)]
+struct Peer {
+    incarnation: u64,
+    sequence: u64,
+    heard_ms: TimeMs,
+    endpoints: HashMap<EndpointTag, EndpointLoad>,
+}
+
+/// The sum over peers for one endpoint.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct PeerLoad {
+    /// Their requests there.
+    pub in_flight: u32,
+    /// The prompt tokens yet to be read for them.
+    pub waiting_tokens: u64,
+    /// The mean of what they saw, in hundredths; none when no one saw any.
+    pub slowness_percent: Option<u32>,
+    /// Whether one of them ordered it to load weights.
+    pub is_loading: bool,
+}
+
+/// The view of all peers.
+#[derive(Debug, Clone, Default)]
+pub struct PeerLoads {
+    peers: HashMap<String, Peer>,
+}
+
+impl PeerLoads {
+    /// Takes in a message; an older one than the last of the same run is left out.
+    pub fn hear(&mut self, message: LoadMessage, now_ms: TimeMs) {
+        let is_newer = self.peers.get(&message.instance).is_none_or(|peer| {
+            peer.incarnation != message.incarnation || peer.sequence < message.sequence
+        });
+        if is_newer {
+            let peer = Peer {
+                incarnation: message.incarnation,
+                sequence: message.sequence,
+                heard_ms: now_ms,
+                endpoints: message.endpoints.into_iter().collect(),
+            };
+            self.peers.insert(message.instance, peer);
+        }
+    }
+
+    /// Drops peers that are silent.
+    pub fn expire(&mut self, now_ms: TimeMs) {
+        self.peers.retain(|_, peer| now_ms.since(peer.heard_ms) < LIVE_FOR_MS);
+    }
+
+    /// How many instances are live, this one included.
+    pub fn live(&self, now_ms: TimeMs) -> u64 {
+        let live = |peer: &&Peer| now_ms.since(peer.heard_ms) < LIVE_FOR_MS;
+        1 + self.peers.values().filter(live).count() as u64
+    }
+
+    /// What the peers have at one endpoint.
+    pub fn load(&self, endpoint: EndpointTag, now_ms: TimeMs) -> PeerLoad {
+        let mut sum = PeerLoad::default();
+        let mut slowness = (0u32, 0u32);
+        let fresh = self.peers.values().filter(|peer| now_ms.since(peer.heard_ms) < USED_FOR_MS);
+        for load in fresh.filter_map(|peer| peer.endpoints.get(&endpoint)) {
+            sum.in_flight = sum.in_flight.saturating_add(load.in_flight);
+            sum.waiting_tokens += u64::from(load.waiting_tokens);
+            sum.is_loading |= load.is_loading;
+            if load.slowness_percent > 0 {
+                slowness = (slowness.0.saturating_add(load.slowness_percent), slowness.1 + 1);
+            }
+        }
+        sum.slowness_percent = slowness.0.checked_div(slowness.1);
+        sum
+    }
+}
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -1,12 +1,11 @@
 //! Chooses the endpoint for a request, or says why there is none.
 //!
 //! The load patterns it answers:
-//! - Many requests share long prompt parts. Rendezvous hashing over the last shared part sends them to the same engine
-//!   from every instance, without a message between instances.
-//! - One part is hot, or an engine is behind. When the engine that the hash names has more waiting prompt tokens than
-//!   the least loaded one by a bound, the next in the order of the hash takes the request and fetches the parts from
-//!   the first, which costs milliseconds where reading them again costs hundreds.
-//! - Plain calls. The endpoint with the fewest of this instance's own requests, the own data centre first.
+//! - Many requests share long prompt parts, which engines keep in a memory that is too small for all of them. Rendezvous
+//!   hashing over the last shared part gives every engine its own parts, alike on every instance.
+//! - One part is hot, or an engine is behind or slower than others. The engine with the lowest predicted first token
+//!   wins, and being first for the part is worth only what reading or fetching the part would cost.
+//! - Plain calls. The endpoint with the fewest requests, the own data centre first.
 
 use std::net::SocketAddr;
 
@@ -15,13 +14,16 @@
 
 use crate::health::Standing;
 
-/// How many prompt tokens an engine may be behind the least loaded one before a request goes elsewhere: about a tenth
-/// of a second of reading at 50 tokens a millisecond.
-const AFFINITY_SLACK_TOKENS: u64 = 6_000;
 /// What one running request counts in the load of an engine, in tokens: its share of the batch's steps.
-const RUNNING_TOKENS: u64 = 400;
-/// How many engines a shared part is kept on, before the least loaded one takes a request.
-const AFFINITY_WIDTH: usize = 3;
+const RUNNING_TOKENS: u64 = 250;
+/// What a shared part costs on the engine that is first for it, in hundredths of its tokens: it may have been dropped.
+const HOME_PERCENT: u64 = 15;
+/// What a part costs that is fetched from a store, in hundredths of its tokens: the transfer against the reading.
+const FETCHED_PERCENT: u64 = 35;
+/// What a part costs that is fetched from the memory of the engine that is first for it.
+const FROM_HOME_PERCENT: u64 = 60;
+/// The slowness of an endpoint without a sample, in hundredths.
+const USUAL_PERCENT: u64 = 100;
 
 /// An endpoint as this instance sees it.
 #[derive(Debug, Clone)]
@@ -34,27 +36,42 @@
     pub is_local: bool,
     /// Its circuit.
     pub standing: Standing,
-    /// The requests of this instance that it has now.
+    /// The requests that all instances have there, as far as is known.
     pub in_flight: u32,
-    /// The prompt tokens of this instance that it has yet to read.
+    /// The prompt tokens that it has yet to read for them.
     pub waiting_tokens: u64,
+    /// How much slower than usual it is, in hundredths; none without a sample.
+    pub slowness_percent: Option<u32>,
     /// Its weights, when the request names a model.
     pub weight_version: Option<u64>,
 }
 
 impl Candidate {
-    fn load_tokens(&self) -> u64 {
-        self.waiting_tokens + u64::from(self.in_flight) * RUNNING_TOKENS
+    /// The predicted time to a first token that needs `tokens` more, in tokens of an engine of usual speed.
+    fn cost(&self, tokens: u64) -> u64 {
+        let load = self.waiting_tokens + u64::from(self.in_flight) * RUNNING_TOKENS + tokens;
+        load * self.slowness_percent.map_or(USUAL_PERCENT, u64::from) / USUAL_PERCENT
     }
 }
 
+/// The part of a prompt that requests share, as it bears on the choice.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SharedPart<'a> {
+    /// What names the longest shared part.
+    pub id: &'a str,
+    /// The tokens of all shared parts.
+    pub tokens: u64,
+    /// How many of them a store has.
+    pub stored_tokens: u64,
+}
+
 /// What is to be placed.
 #[derive(Debug, Clone, Copy)]
 pub struct PlacementRequest<'a> {
-    /// What names the longest prompt part that is shared with others.
-    pub shared_part: Option<&'a str>,
-    /// Whether engines are chosen, by the tokens that they have to read.
-    pub is_prompt: bool,
+    /// For prompts that share parts with others.
+    pub shared: Option<SharedPart<'a>>,
+    /// For prompts, the tokens that no other request has.
+    pub own_tokens: Option<u64>,
     /// The lowest weight version that may be used.
     pub min_weight_version: Option<u64>,
     /// Endpoints that have had this request.
@@ -67,9 +84,9 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
 pub enum Reason {
-    /// It is first for the request's shared part.
+    /// It is first for the request's shared part, and soon enough.
     Affinity,
-    /// Those before it for the shared part are behind.
+    /// Another one is first for the shared part, but later.
     Spill,
     /// It has the least to do.
     LeastLoaded,
@@ -94,15 +111,17 @@
     pub reason: Reason,
     /// The candidate whose memory may hold the shared parts.
     pub fetch_from: Option<usize>,
+    /// The tokens that the endpoint is predicted to read or fetch for the request.
+    pub work_tokens: u64,
 }
 
 impl Choice {
     const fn none(reason: Reason) -> Self {
-        Self { index: None, reason, fetch_from: None }
+        Self { index: None, reason, fetch_from: None, work_tokens: 0 }
     }
 
     const fn of(index: usize, reason: Reason) -> Self {
-        Self { index: Some(index), reason, fetch_from: None }
+        Self { index: Some(index), reason, fetch_from: None, work_tokens: 0 }
     }
 }
 
@@ -130,20 +149,21 @@
     let standing = |wanted: Standing| {
         untried.iter().copied().filter(move |&index| candidates[index].standing == wanted)
     };
+    let all_tokens =
+        request.own_tokens.unwrap_or(0) + request.shared.map_or(0, |shared| shared.tokens);
     if request.tried.is_empty()
         && let Some(index) = standing(Standing::Trial).next()
     {
-        return Choice::of(index, Reason::Trial);
+        return Choice { work_tokens: all_tokens, ..Choice::of(index, Reason::Trial) };
     }
     let sound: Vec<usize> = standing(Standing::Sound).collect();
     if sound.is_empty() {
         let next = untried[(request.draw % untried.len() as u64) as usize];
-        return Choice::of(next, Reason::AllBroken);
+        return Choice { work_tokens: all_tokens, ..Choice::of(next, Reason::AllBroken) };
     }
-    if request.is_prompt {
-        place_prompt(candidates, &sound, request)
-    } else {
-        place_call(candidates, &sound, request)
+    match request.own_tokens {
+        Some(own_tokens) => place_prompt(candidates, &sound, request, own_tokens),
+        None => place_call(candidates, &sound, request),
     }
 }
 
@@ -165,38 +185,46 @@
     best.map_or(Choice::none(Reason::NoEndpoint), |index| Choice::of(index, Reason::LeastLoaded))
 }
 
+/// The engine that is first for a part.
+fn home(candidates: &[Candidate], sound: &[usize], part: &str) -> Option<usize> {
+    let seed = xxh3_64_with_seed(part.as_bytes(), 0);
+    sound.iter().copied().max_by_key(|&index| tie_break(&candidates[index], seed))
+}
+
 fn place_prompt(
     candidates: &[Candidate],
     sound: &[usize],
     request: &PlacementRequest<'_>,
+    own_tokens: u64,
 ) -> Choice {
-    let least = sound.iter().copied().min_by_key(|&index| {
+    let home = request.shared.and_then(|shared| home(candidates, sound, shared.id));
+    let work = |index: usize| {
+        let Some(shared) = request.shared else { return own_tokens };
+        let unstored = shared.tokens.saturating_sub(shared.stored_tokens);
+        let percent = |tokens: u64, percent: u64| tokens * percent / 100;
+        let shared_work = if home == Some(index) {
+            percent(shared.stored_tokens, HOME_PERCENT) + unstored
+        } else if shared.stored_tokens > 0 {
+            percent(shared.stored_tokens, FETCHED_PERCENT) + unstored
+        } else {
+            // An engine that is not first reads the part that the first one may be reading, too.
+            percent(unstored, 100 + FROM_HOME_PERCENT)
+        };
+        own_tokens + shared_work
+    };
+    let best = sound.iter().copied().min_by_key(|&index| {
         let candidate = &candidates[index];
-        (candidate.load_tokens(), tie_break(candidate, request.draw))
+        (candidate.cost(work(index)), tie_break(candidate, request.draw))
     });
-    let Some(least) = least else { return Choice::none(Reason::NoEndpoint) };
-    let Some(part) = request.shared_part else {
-        return Choice::of(least, Reason::LeastLoaded);
+    let Some(index) = best else { return Choice::none(Reason::NoEndpoint) };
+    let work_tokens = work(index);
+    let Some(home) = home else {
+        return Choice { work_tokens, ..Choice::of(index, Reason::LeastLoaded) };
     };
-    let mut ranked = sound.to_vec();
-    ranked.sort_by_key(|&index| {
-        std::cmp::Reverse(xxh3_64_with_seed(
-            candidates[index].id.as_str().as_bytes(),
-            xxh3_64_with_seed(part.as_bytes(), 0),
-        ))
-    });
-    let home = ranked[0];
-    let bound = candidates[least].load_tokens() + AFFINITY_SLACK_TOKENS;
-    let near = ranked
-        .iter()
-        .copied()
-        .take(AFFINITY_WIDTH)
-        .find(|&index| candidates[index].load_tokens() <= bound);
-    let index = near.unwrap_or(least);
     if index == home {
-        return Choice::of(home, Reason::Affinity);
+        return Choice { work_tokens, ..Choice::of(index, Reason::Affinity) };
     }
     let is_same_version = candidates[home].weight_version == candidates[index].weight_version;
     let fetch_from = is_same_version.then_some(home);
-    Choice { index: Some(index), reason: Reason::Spill, fetch_from }
+    Choice { index: Some(index), reason: Reason::Spill, fetch_from, work_tokens }
 }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -38,19 +38,10 @@
     pub listen: SocketAddr,
     /// Where the balancer asks whether the instance is ready, and where metrics are.
     pub ready_listen: SocketAddr,
+    /// Where other instances send what they have in flight, over UDP.
+    pub peer_listen: SocketAddr,
     /// The path of the balancer's question.
     pub ready_path: &'static str,
     /// The bounds.
     pub bounds: Bounds,
 }
-
-/// The fewest instances that the slack is dealt out to; more of them than this take their part of it from the part that
-/// is left unused.
-const FEWEST_SHARING_SLACK: u64 = 12;
-
-impl Bounds {
-    /// Over how many instances the slack of repeats is dealt out.
-    pub(crate) const fn instances_sharing_slack(&self) -> u64 {
-        FEWEST_SHARING_SLACK
-    }
-}
--- a/crates/platform/src/object.rs
+++ b/crates/platform/src/object.rs
@@ -38,6 +38,8 @@
     Lease,
     /// An endpoint's entry in the list, which the endpoint itself writes.
     Endpoint,
+    /// An instance of bilberryford, with the address at which its peers reach it.
+    Instance,
     /// A weight version that operators named for a model.
     WeightVersion,
     /// The weight version in force of a model.
