--- a/crates/gateway/src/cache_index.rs
+++ b/crates/gateway/src/cache_index.rs
@@ -1,22 +1,22 @@
-//! What the stores of cached prompt parts hold, and where a request's parts come from and go to.
+//! What stores and engines hold of prompts, and where a request's parts come from and go to.
 //!
 //! The load pattern it answers: more shared parts are in use than the engines' memories hold, so that engines read the
 //! same parts again and again. Every part that an engine reads is saved to one store, which all instances choose alike
-//! by weighted rendezvous hashing, and later requests fetch it wherever they run.
+//! by weighted rendezvous hashing; later requests find it in an engine's memory or fetch it from where it is nearest.
 //!
 //! # Invariant
 //!
-//! A part is fetched only while the store's own events, heard within [`FRESH_MS`], say that it is complete, and never
-//! more tokens than they say. A store that restarts is forgotten as a whole.
+//! A part is fetched from a store only while the store's own events, heard within [`FRESH_MS`], say that it is complete,
+//! and never more tokens than they say. A holder that restarts is forgotten as a whole.
 
 use std::{collections::HashMap, net::SocketAddr};
 
-use bilberryford_types::{TimeMs, Tokens};
+use bilberryford_types::{Bytes, BytesPerSec, DataCentreId, TimeMs, Tokens};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::translation::{CacheChanges, CacheContent, PartKey, PartSource, PromptPart};
 
-/// How long what a store said is used, in milliseconds: one wait for events and a little more.
+/// How long what a holder said is used, in milliseconds: one wait for events and a little more.
 pub(crate) const FRESH_MS: TimeMs = TimeMs(1_600);
 /// How long a save is believed to be under way, in milliseconds: a prompt is read and sent within it.
 const SAVING_MS: TimeMs = TimeMs(4_000);
@@ -24,6 +24,34 @@
 const BLOCK_TOKENS: u64 = 16;
 /// The least tokens of a part that is worth a save: shorter ones are read faster than fetched.
 const LEAST_SAVED_TOKENS: u32 = 64;
+/// How much longer a transfer between data centres takes.
+const BETWEEN_DATA_CENTRES: f64 = 2.0;
+
+/// What holds parts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HolderKind {
+    /// A store, which engines save to.
+    Store,
+    /// An engine's own memory.
+    Engine,
+}
+
+/// What is known of a holder beforehand.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HolderTraits {
+    /// What it is.
+    pub kind: HolderKind,
+    /// Where it is.
+    pub address: SocketAddr,
+    /// Its data centre, if known.
+    pub data_centre: Option<DataCentreId>,
+    /// How many tokens it holds.
+    pub capacity_tokens: u64,
+    /// How fast its link is.
+    pub link: BytesPerSec,
+    /// What each transfer waits besides.
+    pub first_byte_ms: TimeMs,
+}
 
 #[derive(Debug, Clone, Default)]
 struct Contents {
@@ -34,11 +62,10 @@
     heard_ms: TimeMs,
 }
 
-/// One store.
+/// One holder.
 #[derive(Debug, Clone)]
-pub struct StoreView {
-    address: SocketAddr,
-    capacity_tokens: u64,
+pub struct HolderView {
+    traits: HolderTraits,
     contents: Option<Contents>,
     saving: HashMap<PartKey, TimeMs>,
 }
@@ -47,23 +74,28 @@
     u64::from(tokens.get()).div_ceil(BLOCK_TOKENS) * BLOCK_TOKENS
 }
 
-impl StoreView {
-    /// A store of which nothing is known.
-    pub fn new(address: SocketAddr, capacity_tokens: u64) -> Self {
-        Self { address, capacity_tokens, contents: None, saving: HashMap::new() }
+impl HolderView {
+    /// A holder of which nothing is known.
+    pub fn new(traits: HolderTraits) -> Self {
+        Self { traits, contents: None, saving: HashMap::new() }
     }
 
     /// Where it is.
     pub const fn address(&self) -> SocketAddr {
-        self.address
+        self.traits.address
+    }
+
+    /// What is known of it beforehand.
+    pub const fn traits(&self) -> &HolderTraits {
+        &self.traits
     }
 
-    /// The life and the place from which changes are wanted; none when all content is.
-    pub fn position(&self) -> Option<(u64, u64)> {
-        self.contents.as_ref().map(|contents| (contents.epoch, contents.next))
+    /// The place from which changes are wanted; none when all content is.
+    pub fn position(&self) -> Option<u64> {
+        self.contents.as_ref().map(|contents| contents.next)
     }
 
-    /// The store can't be heard: nothing is fetched from it until it is.
+    /// The holder can't be heard: nothing is fetched from it until it is.
     pub fn forget(&mut self) {
         self.contents = None;
         self.saving.clear();
@@ -82,13 +114,16 @@
         });
     }
 
-    /// Takes in changes, heard at `heard_ms`; answers whether all content has to be asked for.
-    pub fn apply(&mut self, changes: CacheChanges, heard_ms: TimeMs) -> bool {
-        let Some(contents) = self.contents.as_mut() else { return true };
-        if changes.epoch != contents.epoch || changes.has_gap {
-            self.forget();
-            return true;
+    /// Takes in changes, heard at `heard_ms`; without a gap, those since the start are all content.
+    pub fn apply(&mut self, changes: CacheChanges, heard_ms: TimeMs) {
+        let is_other_life =
+            self.contents.as_ref().is_some_and(|contents| contents.epoch != changes.epoch);
+        if changes.has_gap || is_other_life {
+            return self.forget();
         }
+        let contents = self
+            .contents
+            .get_or_insert_with(|| Contents { epoch: changes.epoch, ..Contents::default() });
         for change in changes.changes {
             self.saving.remove(&change.key);
             let before = match change.tokens {
@@ -100,7 +135,6 @@
         }
         contents.next = changes.next;
         contents.heard_ms = heard_ms;
-        false
     }
 
     fn fresh(&self, now_ms: TimeMs) -> Option<&Contents> {
@@ -118,7 +152,7 @@
 
     fn has_room(&self, tokens: Tokens, now_ms: TimeMs) -> bool {
         let Some(contents) = self.fresh(now_ms) else { return false };
-        contents.used_tokens + space(tokens) <= self.capacity_tokens
+        contents.used_tokens + space(tokens) <= self.traits.capacity_tokens
     }
 
     /// A save was ordered.
@@ -127,13 +161,25 @@
         self.saving.insert(key, now_ms);
     }
 
-    /// The parts whose scope is not in `used`, with the life that they are of.
-    pub fn outside(&self, is_used: impl Fn(&str) -> bool, now_ms: TimeMs) -> Option<(u64, Vec<PartKey>)> {
+    /// The parts whose scope is not in use, with the life that they are of.
+    pub fn outside(
+        &self,
+        is_used: impl Fn(&str) -> bool,
+        now_ms: TimeMs,
+    ) -> Option<(u64, Vec<PartKey>)> {
         let contents = self.fresh(now_ms)?;
         let parts: Vec<_> =
             contents.parts.keys().filter(|key| !is_used(&key.scope)).cloned().collect();
         (!parts.is_empty()).then_some((contents.epoch, parts))
     }
+
+    /// How long a transfer of `size` to `data_centre` takes when nothing else is on the link.
+    fn transfer_ms(&self, size: Bytes, data_centre: Option<&DataCentreId>) -> f64 {
+        let is_between = self.traits.data_centre.is_none() || self.traits.data_centre.as_ref() != data_centre;
+        let factor = if is_between { BETWEEN_DATA_CENTRES } else { 1.0 };
+        let rate = (self.traits.link.get() as f64).max(1.0);
+        self.traits.first_byte_ms.get() as f64 + size.get() as f64 * 1_000.0 / rate * factor
+    }
 }
 
 /// Where a prompt's parts come from and go to; both have one entry for each part, or none at all.
@@ -143,47 +189,120 @@
     pub fetch: Vec<Option<PartSource>>,
     /// Stores for parts that none has.
     pub save: Vec<Option<SocketAddr>>,
-    /// The tokens that are fetched.
-    pub fetched_tokens: u64,
+}
+
+/// What is known of a prompt's shared parts for one engine.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct PrefixFacts {
+    /// The tokens that the engine has in its memory.
+    pub cached_tokens: u64,
+    /// The tokens that it can fetch.
+    pub fetchable_tokens: u64,
+    /// How long fetching them takes.
+    pub fetch_ms: f64,
 }
 
 /// Weighted rendezvous hashing: the greatest score wins, and a store's share is that of its capacity.
-fn score(store: &StoreView, part: &str) -> f64 {
-    let hash = xxh3_64_with_seed(store.address.to_string().as_bytes(), xxh3_64_with_seed(part.as_bytes(), 1));
+fn score(store: &HolderView, part: &str) -> f64 {
+    let seed = xxh3_64_with_seed(part.as_bytes(), 1);
+    let hash = xxh3_64_with_seed(store.address().to_string().as_bytes(), seed);
     // A uniform number in (0, 1]; its logarithm turns the capacity into a share.
     let uniform = ((hash >> 11) as f64 + 1.0) / (1u64 << 53) as f64;
-    -(store.capacity_tokens as f64) / uniform.ln().min(-f64::MIN_POSITIVE)
+    -(store.traits.capacity_tokens as f64) / uniform.ln().min(-f64::MIN_POSITIVE)
+}
+
+/// The shared parts of a prompt; the last part is its own.
+pub fn shared_parts(parts: &[PromptPart]) -> &[PromptPart] {
+    &parts[..parts.len().saturating_sub(1)]
+}
+
+/// An engine that a prompt may go to.
+#[derive(Debug, Clone, Copy)]
+pub struct Reader<'a> {
+    /// Where it is.
+    pub address: SocketAddr,
+    /// Its data centre.
+    pub data_centre: Option<&'a DataCentreId>,
+    /// The size of one cached token.
+    pub token_bytes: Bytes,
+}
+
+/// The nearest holder of a part that `reader` can fetch it from.
+fn nearest<'a>(
+    holders: &'a [HolderView],
+    key: &PartKey,
+    part: &PromptPart,
+    reader: &Reader<'_>,
+    now_ms: TimeMs,
+) -> Option<(&'a HolderView, Tokens, f64)> {
+    holders
+        .iter()
+        .filter(|holder| holder.address() != reader.address)
+        .filter_map(|holder| {
+            let tokens = holder.holds(key, now_ms)?.min(part.tokens);
+            let size = Bytes(u64::from(tokens.get()) * reader.token_bytes.get());
+            Some((holder, tokens, holder.transfer_ms(size, reader.data_centre)))
+        })
+        .min_by(|a, b| a.2.total_cmp(&b.2))
+}
+
+/// What `reader` has and can get of a prompt's shared parts, up to the first that it has to read.
+pub fn prefix_facts(
+    holders: &[HolderView],
+    scope: &str,
+    parts: &[PromptPart],
+    reader: &Reader<'_>,
+    now_ms: TimeMs,
+) -> PrefixFacts {
+    let own = holders.iter().find(|holder| holder.address() == reader.address);
+    let mut facts = PrefixFacts::default();
+    let mut is_cached = true;
+    for part in shared_parts(parts) {
+        let key = PartKey { scope: scope.to_owned(), id: part.id.clone() };
+        let held = own.and_then(|own| own.holds(&key, now_ms)).filter(|tokens| *tokens >= part.tokens);
+        if let Some(tokens) = held.filter(|_| is_cached) {
+            facts.cached_tokens += u64::from(tokens.get());
+            continue;
+        }
+        is_cached = false;
+        let Some((_, tokens, fetch_ms)) = nearest(holders, &key, part, reader, now_ms) else { break };
+        facts.fetchable_tokens += u64::from(tokens.get());
+        facts.fetch_ms += fetch_ms;
+    }
+    facts
 }
 
-/// Plans a request's parts; the last one is its own and is neither fetched nor saved.
+/// Plans a request's parts at the engine that was chosen; the last part is neither fetched nor saved.
 pub fn plan_parts(
-    stores: &mut [StoreView],
+    holders: &mut [HolderView],
     scope: &str,
     parts: &[PromptPart],
+    reader: &Reader<'_>,
     now_ms: TimeMs,
 ) -> PartPlan {
-    let shared = parts.len().saturating_sub(1);
     let mut plan = PartPlan::default();
-    for part in &parts[..shared] {
+    for part in shared_parts(parts) {
         let key = PartKey { scope: scope.to_owned(), id: part.id.clone() };
-        let source = stores.iter().find_map(|store| {
-            let tokens = store.holds(&key, now_ms)?.min(part.tokens);
-            Some(PartSource { address: store.address, tokens: Some(tokens) })
+        let source = nearest(holders, &key, part, reader, now_ms).map(|(holder, tokens, _)| {
+            // An engine drops parts at any time, and gives what it has then.
+            let tokens = (holder.traits.kind == HolderKind::Store).then_some(tokens);
+            PartSource { address: holder.address(), tokens }
+        });
+        let is_store = |holder: &&mut HolderView| holder.traits.kind == HolderKind::Store;
+        let is_kept = holders.iter().any(|holder| {
+            holder.traits.kind == HolderKind::Store
+                && (holder.holds(&key, now_ms).is_some() || holder.is_saving(&key, now_ms))
         });
         let mut target = None;
-        match source.and_then(|source| source.tokens) {
-            Some(tokens) => plan.fetched_tokens += u64::from(tokens.get()),
-            None if part.tokens.get() < LEAST_SAVED_TOKENS => {}
-            None if stores.iter().any(|store| store.is_saving(&key, now_ms)) => {}
-            None => {
-                let best = stores
-                    .iter_mut()
-                    .filter(|store| store.has_room(part.tokens, now_ms))
-                    .max_by(|a, b| score(a, &part.id).total_cmp(&score(b, &part.id)));
-                if let Some(store) = best {
-                    store.note_saving(key, now_ms);
-                    target = Some(store.address);
-                }
+        if !is_kept && part.tokens.get() >= LEAST_SAVED_TOKENS {
+            let best = holders
+                .iter_mut()
+                .filter(is_store)
+                .filter(|store| store.has_room(part.tokens, now_ms))
+                .max_by(|a, b| score(a, &part.id).total_cmp(&score(b, &part.id)));
+            if let Some(store) = best {
+                store.note_saving(key, now_ms);
+                target = Some(store.address());
             }
         }
         plan.fetch.push(source);
--- a/crates/gateway/src/controllers.rs
+++ b/crates/gateway/src/controllers.rs
@@ -1,11 +1,11 @@
 //! The controllers: tasks that keep the gateway's state in step with the store and the engines.
 
+mod caches;
 mod config;
 mod endpoints;
 mod follow;
 mod housekeeping;
 mod peers;
-mod stores;
 mod weight_orders;
 mod weights;
 
@@ -27,7 +27,7 @@
     tasks.spawn(peers::register(gateway.clone()));
     tasks.spawn(follow::follow(gateway.clone(), peers::PeerSink(addresses.clone())));
     tasks.spawn(peers::exchange(gateway.clone(), addresses));
-    tasks.spawn(stores::run(gateway.clone()));
+    tasks.spawn(caches::run(gateway.clone()));
     tasks.spawn(housekeeping::run(gateway.clone()));
     tasks
 }
--- a/crates/gateway/src/deployment.rs
+++ b/crates/gateway/src/deployment.rs
@@ -4,7 +4,7 @@
 
 use std::{collections::HashMap, net::SocketAddr, sync::Arc};
 
-use bilberryford_types::{Bytes, Generation, ModelName, PoolName, TeamName, TimeMs};
+use bilberryford_types::{Bytes, BytesPerSec, DataCentreId, Generation, ModelName, PoolName, TeamName, TimeMs};
 
 /// What may be repeated of a request once an endpoint may have begun it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display, strum::EnumString)]
@@ -89,6 +89,10 @@
     pub slots: u32,
     /// How many tokens its memory holds.
     pub kv_capacity_tokens: u64,
+    /// The size of one cached token.
+    pub token_bytes: Bytes,
+    /// How fast its link carries cached tokens.
+    pub link: BytesPerSec,
     /// The models that the service has.
     pub models: Vec<ModelName>,
 }
@@ -98,8 +102,14 @@
 pub struct StoreTraits {
     /// Where it is.
     pub address: SocketAddr,
+    /// Its data centre.
+    pub data_centre: Option<DataCentreId>,
     /// How many tokens it holds.
     pub capacity_tokens: u64,
+    /// How fast its link carries cached tokens.
+    pub link: BytesPerSec,
+    /// What every transfer waits besides.
+    pub first_byte_ms: TimeMs,
     /// Whether it drops nothing on its own, so that a part stays until it is freed.
     pub is_managed: bool,
 }
@@ -226,6 +236,11 @@
         self.services.get(name)
     }
 
+    /// The size of one cached token, where the deployment has engines.
+    pub fn token_bytes(&self) -> Option<Bytes> {
+        self.services().find_map(|service| service.engine.as_ref().map(|engine| engine.token_bytes))
+    }
+
     /// All services.
     pub fn services(&self) -> impl Iterator<Item = &Service> {
         self.services.values()
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -5,7 +5,7 @@
 //! A request that is not idempotent is sent again only when no byte of it was written, or when the endpoint stated that
 //! it did not run it. An answer that promises "not run" is given only while that holds for every send.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use bilberryford_types::{EndpointId, ErrorKind, PoolName, TimeMs};
 use bytes::Bytes;
@@ -21,16 +21,14 @@
 use crate::{
     answers::{AnswerBody, OwnAnswer, whole},
     body::{Relay, relay, succeeded},
-    cache_index::{PartPlan, plan_parts},
+    cache_index::{PartPlan, Reader, plan_parts, shared_parts},
     connections::{Connection, connect},
     deployment::{Repeatable, Route, Team},
     filters::authorize,
     gateway::Gateway,
-    placement::{Candidate, PlacementRequest, Reason, SharedPart, place},
+    placement::{Candidate, PlacementRequest, PromptShape, Reason, place},
     request_log::RequestLine,
-    translation::{
-        AnswerFacts, CallerFacts, ForwardFacts, PartKey, PartSource, PromptPart,
-    },
+    translation::{AnswerFacts, CallerFacts, ForwardFacts},
 };
 
 /// The least time left for which a send is worth it, in milliseconds: a round trip within a region.
@@ -172,7 +170,6 @@
 /// Where a request goes.
 struct Chosen {
     candidate: Candidate,
-    fetch_from: Option<SocketAddr>,
     reason: Reason,
     work_tokens: u64,
 }
@@ -236,7 +233,7 @@
             Err(answer) if progress.runs == 0 => return Err(answer),
             Err(_) => return Err(OwnAnswer::new(ErrorKind::EndpointLost)),
         };
-        let Chosen { candidate, fetch_from, reason, work_tokens } = self.choose(progress)?;
+        let Chosen { candidate, reason, work_tokens } = self.choose(progress)?;
         let is_trial = reason == Reason::Trial;
         let mut in_flight = InFlight::new(&self.gateway, &candidate, work_tokens, is_trial);
         self.line.endpoint = Some(candidate.id.clone());
@@ -252,7 +249,7 @@
         if progress.offers == 0 {
             self.gateway.count_first_send(&self.service);
         }
-        match self.send(connection, &candidate, fetch_from, progress).await {
+        match self.send(connection, &candidate, progress).await {
             Sent::Unsent => {
                 progress.unsent += 1;
                 self.unsent(progress)
@@ -296,21 +293,17 @@
         progress: &Progress,
     ) -> Result<Chosen, OwnAnswer> {
         let model = self.facts.prompt.as_ref().map(|prompt| &prompt.model);
-        let candidates = self.gateway.candidates(&self.service, model);
+        let mut candidates = self.gateway.candidates(&self.service, model);
         let min_weight_version =
             model.and_then(|model| self.gateway.min_weights(model, &candidates));
         let parts = self.facts.prompt.as_ref().map_or(&[][..], |prompt| &prompt.parts);
-        let own_tokens = self.facts.prompt.as_ref().map(|prompt| {
-            u64::from(parts.last().map_or(prompt.input_tokens, |part| part.tokens).get())
-        });
-        let shared = parts.len().checked_sub(2).map(|last| SharedPart {
-            id: &parts[last].id,
-            tokens: parts[..=last].iter().map(|part| u64::from(part.tokens.get())).sum(),
-            stored_tokens: self.stored_tokens(&candidates, &parts[..=last]),
+        self.gateway.fill_prefixes(&mut candidates, parts, |at| self.cache_scope(at));
+        let prompt = self.facts.prompt.as_ref().map(|prompt| PromptShape {
+            tokens: u64::from(prompt.input_tokens.get()),
+            shared_part: shared_parts(parts).last().map(|part| part.id.as_str()),
         });
         let request = PlacementRequest {
-            shared,
-            own_tokens,
+            prompt,
             min_weight_version,
             tried: &progress.tried,
             draw: rand::random(),
@@ -326,28 +319,11 @@
         };
         Ok(Chosen {
             candidate: candidates[index].clone(),
-            fetch_from: choice.fetch_from.map(|index| candidates[index].address),
             reason: choice.reason,
             work_tokens: choice.work_tokens,
         })
     }
 
-    /// How many tokens of the shared parts a store has, under the newest weights of the candidates.
-    fn stored_tokens(&self, candidates: &[Candidate], parts: &[PromptPart]) -> u64 {
-        let newest = candidates.iter().max_by_key(|candidate| candidate.weight_version);
-        let Some(scope) = newest.and_then(|candidate| self.cache_scope(candidate)) else { return 0 };
-        let now_ms = self.gateway.clock.now();
-        let stores = self.gateway.stores.lock();
-        parts
-            .iter()
-            .filter_map(|part| {
-                let key = PartKey { scope: scope.clone(), id: part.id.clone() };
-                stores.iter().find_map(|store| store.holds(&key, now_ms))
-            })
-            .map(|tokens| u64::from(tokens.get()))
-            .sum()
-    }
-
     async fn connection(&mut self, candidate: &Candidate, progress: &mut Progress) -> Option<Connection> {
         let max_idle_ms = match self.route.repeatable {
             Repeatable::Never => FRESH_IDLE_MS,
@@ -445,11 +421,10 @@
         &mut self,
         mut connection: Connection,
         candidate: &Candidate,
-        fetch_from: Option<SocketAddr>,
         progress: &Progress,
     ) -> Sent {
         let left_ms = self.left_ms();
-        let plan = self.part_plan(candidate, fetch_from);
+        let plan = self.part_plan(candidate);
         let request = self.request(candidate, &plan, left_ms);
         let could_repeat = self.route.is_idempotent()
             && progress.runs + 1 < self.route.max_attempts
@@ -525,19 +500,18 @@
         Some(format!("{}/{version}/{team}", prompt.model))
     }
 
-    /// Where the prompt's shared parts come from: a store that has them, or else the engine that is first for them.
-    fn part_plan(&self, candidate: &Candidate, fetch_from: Option<SocketAddr>) -> PartPlan {
+    /// Where the prompt's shared parts come from, and where those go that no store has.
+    fn part_plan(&self, candidate: &Candidate) -> PartPlan {
         let (Some(prompt), Some(scope)) = (&self.facts.prompt, self.cache_scope(candidate)) else {
             return PartPlan::default();
         };
+        let token_bytes = self.gateway.token_bytes();
         let now_ms = self.gateway.clock.now();
-        let mut stores = self.gateway.stores.lock();
-        let mut plan = plan_parts(&mut stores, &scope, &prompt.parts, now_ms);
-        if let Some(address) = fetch_from.filter(|_| plan.fetch.is_empty()) {
-            let source = PartSource { address, tokens: None };
-            plan.fetch = vec![Some(source); prompt.parts.len()];
-        }
-        plan
+        let endpoints = self.gateway.endpoints.lock();
+        let data_centre = endpoints.get(&candidate.id).map(|record| &record.data_centre);
+        let reader = Reader { address: candidate.address, data_centre, token_bytes };
+        let mut holders = self.gateway.holders.lock();
+        plan_parts(&mut holders, &scope, &prompt.parts, &reader, now_ms)
     }
 
     async fn answer(
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -10,11 +10,11 @@
 
 use arc_swap::ArcSwapOption;
 use bilberryford_platform::ObjectStore;
-use bilberryford_types::{EndpointId, ErrorKind, ModelName, PoolName, TimeMs};
+use bilberryford_types::{Bytes, EndpointId, ErrorKind, ModelName, PoolName, TimeMs};
 use parking_lot::Mutex;
 
 use crate::{
-    cache_index::StoreView,
+    cache_index::{HolderView, PrefixFacts, Reader, prefix_facts},
     clock::Clock,
     connections::Connections,
     deployment::Deployment,
@@ -29,7 +29,7 @@
     rollout::NamedWeights,
     settings::GatewaySettings,
     slowness::Slowness,
-    translation::{TranslateCaches, TranslateOrders, Translation},
+    translation::{PromptPart, TranslateCaches, TranslateOrders, Translation},
 };
 
 /// How long after a version was named engines with it are preferred, in milliseconds.
@@ -93,7 +93,7 @@
     pub(crate) store: Arc<dyn ObjectStore>,
     pub(crate) orders: Arc<dyn TranslateOrders>,
     pub(crate) caches: Arc<dyn TranslateCaches>,
-    pub(crate) stores: Mutex<Vec<StoreView>>,
+    pub(crate) holders: Mutex<Vec<HolderView>>,
     pub(crate) deployment: ArcSwapOption<Deployment>,
     pub(crate) keys: Mutex<KeyValidity>,
     pub(crate) endpoints: Mutex<EndpointTable>,
@@ -128,7 +128,7 @@
             store,
             orders,
             caches,
-            stores: Mutex::default(),
+            holders: Mutex::default(),
             deployment: ArcSwapOption::empty(),
             endpoints: Mutex::default(),
             local: Mutex::default(),
@@ -212,11 +212,37 @@
                         (own, theirs) => own.or(theirs),
                     },
                     weight_version: listed.max(state.shown_weights.filter(|_| listed.is_some())),
+                    prefix: PrefixFacts::default(),
                 }
             })
             .collect()
     }
 
+    /// Fills in what each candidate has and can get of a prompt's shared parts.
+    pub(crate) fn fill_prefixes(
+        &self,
+        candidates: &mut [Candidate],
+        parts: &[PromptPart],
+        scope: impl Fn(&Candidate) -> Option<String>,
+    ) {
+        let token_bytes = self.token_bytes();
+        let now_ms = self.clock.now();
+        let endpoints = self.endpoints.lock();
+        let holders = self.holders.lock();
+        for candidate in candidates {
+            let Some(scope) = scope(candidate) else { continue };
+            let data_centre = endpoints.get(&candidate.id).map(|record| &record.data_centre);
+            let reader = Reader { address: candidate.address, data_centre, token_bytes };
+            candidate.prefix = prefix_facts(&holders, &scope, parts, &reader, now_ms);
+        }
+    }
+
+    /// The size of one cached token.
+    pub(crate) fn token_bytes(&self) -> Bytes {
+        let deployment = self.deployment.load();
+        deployment.as_ref().and_then(|deployment| deployment.token_bytes()).unwrap_or_default()
+    }
+
     /// The lowest weight version for a request that begins now, given what the candidates have.
     pub(crate) fn min_weights(&self, model: &ModelName, candidates: &[Candidate]) -> Option<u64> {
         let now_ms = self.clock.now();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,7 +31,9 @@
 mod slowness;
 mod translation;
 
-pub use cache_index::{PartPlan, StoreView, plan_parts};
+pub use cache_index::{
+    HolderKind, HolderTraits, HolderView, PartPlan, PrefixFacts, Reader, plan_parts, prefix_facts,
+};
 pub use clock::Clock;
 pub use deployment::{
     CallerLimits, Deployment, EngineTraits, Repeatable, Route, RouteTarget, Service, StoreTraits, Team,
@@ -41,7 +43,7 @@
 pub use health::{EndpointHealth, Standing};
 pub use key_validity::KeyValidity;
 pub use peer_loads::{EndpointLoad, EndpointTag, LoadMessage, PeerLoad, PeerLoads};
-pub use placement::{Candidate, Choice, PlacementRequest, Reason, SharedPart, place};
+pub use placement::{Candidate, Choice, PlacementRequest, PromptShape, Reason, place};
 pub use repeats::{RepeatBudget, RepeatLimits};
 pub use rollout::{EngineWeights, NamedWeights, WeightOrder, WeightPlan, plan_weights};
 pub use server::{ServeError, serve};
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -12,16 +12,14 @@
 use bilberryford_types::EndpointId;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::health::Standing;
+use crate::{cache_index::PrefixFacts, health::Standing};
 
 /// What one running request counts in the load of an engine, in tokens: its share of the batch's steps.
 const RUNNING_TOKENS: u64 = 250;
-/// What a shared part costs on the engine that is first for it, in hundredths of its tokens: it may have been dropped.
-const HOME_PERCENT: u64 = 15;
-/// What a part costs that is fetched from a store, in hundredths of its tokens: the transfer against the reading.
-const FETCHED_PERCENT: u64 = 35;
-/// What a part costs that is fetched from the memory of the engine that is first for it.
-const FROM_HOME_PERCENT: u64 = 60;
+/// What being first for the shared part is worth, in tokens: it keeps requests for a part together while nobody has it.
+const HOME_TOKENS: u64 = 1_500;
+/// What a millisecond of a transfer costs, in tokens that could be read meanwhile.
+const TOKENS_PER_FETCH_MS: f64 = 40.0;
 /// The slowness of an endpoint without a sample, in hundredths.
 const USUAL_PERCENT: u64 = 100;
 
@@ -44,6 +42,8 @@
     pub slowness_percent: Option<u32>,
     /// Its weights, when the request names a model.
     pub weight_version: Option<u64>,
+    /// What it has and can get of the prompt's shared parts.
+    pub prefix: PrefixFacts,
 }
 
 impl Candidate {
@@ -54,24 +54,20 @@
     }
 }
 
-/// The part of a prompt that requests share, as it bears on the choice.
+/// A prompt, as it bears on the choice.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct SharedPart<'a> {
-    /// What names the longest shared part.
-    pub id: &'a str,
-    /// The tokens of all shared parts.
+pub struct PromptShape<'a> {
+    /// All its tokens.
     pub tokens: u64,
-    /// How many of them a store has.
-    pub stored_tokens: u64,
+    /// What names the longest part that it shares with others.
+    pub shared_part: Option<&'a str>,
 }
 
 /// What is to be placed.
 #[derive(Debug, Clone, Copy)]
 pub struct PlacementRequest<'a> {
-    /// For prompts that share parts with others.
-    pub shared: Option<SharedPart<'a>>,
-    /// For prompts, the tokens that no other request has.
-    pub own_tokens: Option<u64>,
+    /// For prompts.
+    pub prompt: Option<PromptShape<'a>>,
     /// The lowest weight version that may be used.
     pub min_weight_version: Option<u64>,
     /// Endpoints that have had this request.
@@ -86,6 +82,8 @@
 pub enum Reason {
     /// It is first for the request's shared part, and soon enough.
     Affinity,
+    /// It has parts of the prompt in its memory.
+    Cached,
     /// Another one is first for the shared part, but later.
     Spill,
     /// It has the least to do.
@@ -109,19 +107,17 @@
     pub index: Option<usize>,
     /// Why.
     pub reason: Reason,
-    /// The candidate whose memory may hold the shared parts.
-    pub fetch_from: Option<usize>,
-    /// The tokens that the endpoint is predicted to read or fetch for the request.
+    /// What the endpoint is predicted to read or fetch for the request, in tokens read.
     pub work_tokens: u64,
 }
 
 impl Choice {
     const fn none(reason: Reason) -> Self {
-        Self { index: None, reason, fetch_from: None, work_tokens: 0 }
+        Self { index: None, reason, work_tokens: 0 }
     }
 
     const fn of(index: usize, reason: Reason) -> Self {
-        Self { index: Some(index), reason, fetch_from: None, work_tokens: 0 }
+        Self { index: Some(index), reason, work_tokens: 0 }
     }
 }
 
@@ -149,8 +145,7 @@
     let standing = |wanted: Standing| {
         untried.iter().copied().filter(move |&index| candidates[index].standing == wanted)
     };
-    let all_tokens =
-        request.own_tokens.unwrap_or(0) + request.shared.map_or(0, |shared| shared.tokens);
+    let all_tokens = request.prompt.map_or(0, |prompt| prompt.tokens);
     if request.tried.is_empty()
         && let Some(index) = standing(Standing::Trial).next()
     {
@@ -161,8 +156,8 @@
         let next = untried[(request.draw % untried.len() as u64) as usize];
         return Choice { work_tokens: all_tokens, ..Choice::of(next, Reason::AllBroken) };
     }
-    match request.own_tokens {
-        Some(own_tokens) => place_prompt(candidates, &sound, request, own_tokens),
+    match request.prompt {
+        Some(prompt) => place_prompt(candidates, &sound, request, &prompt),
         None => place_call(candidates, &sound, request),
     }
 }
@@ -195,36 +190,27 @@
     candidates: &[Candidate],
     sound: &[usize],
     request: &PlacementRequest<'_>,
-    own_tokens: u64,
+    prompt: &PromptShape<'_>,
 ) -> Choice {
-    let home = request.shared.and_then(|shared| home(candidates, sound, shared.id));
+    let home = prompt.shared_part.and_then(|part| home(candidates, sound, part));
     let work = |index: usize| {
-        let Some(shared) = request.shared else { return own_tokens };
-        let unstored = shared.tokens.saturating_sub(shared.stored_tokens);
-        let percent = |tokens: u64, percent: u64| tokens * percent / 100;
-        let shared_work = if home == Some(index) {
-            percent(shared.stored_tokens, HOME_PERCENT) + unstored
-        } else if shared.stored_tokens > 0 {
-            percent(shared.stored_tokens, FETCHED_PERCENT) + unstored
-        } else {
-            // An engine that is not first reads the part that the first one may be reading, too.
-            percent(unstored, 100 + FROM_HOME_PERCENT)
-        };
-        own_tokens + shared_work
+        let prefix = &candidates[index].prefix;
+        let got = prefix.cached_tokens + prefix.fetchable_tokens;
+        // The cast saturates, and a transfer's time is never negative.
+        let fetch = (prefix.fetch_ms * TOKENS_PER_FETCH_MS) as u64;
+        prompt.tokens.saturating_sub(got) + fetch
     };
     let best = sound.iter().copied().min_by_key(|&index| {
         let candidate = &candidates[index];
-        (candidate.cost(work(index)), tie_break(candidate, request.draw))
+        let away = if home.is_some() && home != Some(index) { HOME_TOKENS } else { 0 };
+        (candidate.cost(work(index) + away), tie_break(candidate, request.draw))
     });
     let Some(index) = best else { return Choice::none(Reason::NoEndpoint) };
-    let work_tokens = work(index);
-    let Some(home) = home else {
-        return Choice { work_tokens, ..Choice::of(index, Reason::LeastLoaded) };
+    let reason = match home {
+        None => Reason::LeastLoaded,
+        Some(home) if home == index => Reason::Affinity,
+        Some(_) if candidates[index].prefix.cached_tokens > 0 => Reason::Cached,
+        Some(_) => Reason::Spill,
     };
-    if index == home {
-        return Choice { work_tokens, ..Choice::of(index, Reason::Affinity) };
-    }
-    let is_same_version = candidates[home].weight_version == candidates[index].weight_version;
-    let fetch_from = is_same_version.then_some(home);
-    Choice { index: Some(index), reason: Reason::Spill, fetch_from, work_tokens }
+    Choice { work_tokens: work(index), ..Choice::of(index, reason) }
 }
