--- a/crates/gateway/src/cache_index.rs
+++ b/crates/gateway/src/cache_index.rs
@@ -14,7 +14,10 @@
 use bilberryford_types::{Bytes, BytesPerSec, DataCentreId, TimeMs, Tokens};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::translation::{CacheChanges, CacheContent, PartKey, PartSource, PromptPart};
+use crate::{
+    slowness::Slowness,
+    translation::{CacheChanges, CacheContent, PartKey, PartSource, PromptPart},
+};
 
 /// How long what a holder said is used, in milliseconds: one wait for events and a little more.
 pub(crate) const FRESH_MS: TimeMs = TimeMs(1_600);
@@ -24,6 +27,10 @@
 const BLOCK_TOKENS: u64 = 16;
 /// The least tokens of a part that is worth a save: shorter ones are read faster than fetched.
 const LEAST_SAVED_TOKENS: u32 = 64;
+/// What a millisecond of a transfer costs, in tokens that an engine could read meanwhile.
+pub(crate) const TOKENS_PER_FETCH_MS: f64 = 40.0;
+/// How many times the reading a fetch may cost: it leaves the engine free to read for others.
+const WORTH_FETCHING: f64 = 1.5;
 /// How much longer a transfer between data centres takes.
 const BETWEEN_DATA_CENTRES: f64 = 2.0;
 
@@ -62,10 +69,22 @@
     heard_ms: TimeMs,
 }
 
+/// What is being fetched from a holder, and how slow that is.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct HolderLoad {
+    /// The tokens that are on their way from it to engines.
+    pub fetching_tokens: u64,
+    /// How much slower than usual its transfers are, in hundredths; none without a sample.
+    pub slowness_percent: Option<u32>,
+}
+
 /// One holder.
 #[derive(Debug, Clone)]
 pub struct HolderView {
     traits: HolderTraits,
+    own: HolderLoad,
+    slowness: Slowness,
+    peers: HolderLoad,
     contents: Option<Contents>,
     saving: HashMap<PartKey, TimeMs>,
 }
@@ -77,7 +96,14 @@
 impl HolderView {
     /// A holder of which nothing is known.
     pub fn new(traits: HolderTraits) -> Self {
-        Self { traits, contents: None, saving: HashMap::new() }
+        Self {
+            traits,
+            own: HolderLoad::default(),
+            slowness: Slowness::default(),
+            peers: HolderLoad::default(),
+            contents: None,
+            saving: HashMap::new(),
+        }
     }
 
     /// Where it is.
@@ -173,22 +199,74 @@
         (!parts.is_empty()).then_some((contents.epoch, parts))
     }
 
-    /// How long a transfer of `size` to `data_centre` takes when nothing else is on the link.
-    fn transfer_ms(&self, size: Bytes, data_centre: Option<&DataCentreId>) -> f64 {
-        let is_between = self.traits.data_centre.is_none() || self.traits.data_centre.as_ref() != data_centre;
+    /// A fetch of `tokens` by a request of this instance begins.
+    pub fn fetch_begins(&mut self, tokens: u64) {
+        self.own.fetching_tokens += tokens;
+    }
+
+    /// It is over.
+    pub fn fetch_ended(&mut self, tokens: u64) {
+        self.own.fetching_tokens = self.own.fetching_tokens.saturating_sub(tokens);
+    }
+
+    /// A fetch that should have taken `usual_ms` took `took_ms`.
+    pub fn sample(&mut self, usual_ms: f64, took_ms: f64, now_ms: TimeMs) {
+        self.slowness.sample_ratio(took_ms / usual_ms.max(1.0), now_ms);
+        self.own.slowness_percent = self.slowness.percent(now_ms);
+    }
+
+    /// What this instance fetches from it, for other instances.
+    pub fn own_load(&mut self, now_ms: TimeMs) -> HolderLoad {
+        self.own.slowness_percent = self.slowness.percent(now_ms);
+        self.own
+    }
+
+    /// What the other instances fetch from it.
+    pub fn set_peers(&mut self, peers: HolderLoad) {
+        self.peers = peers;
+    }
+
+    fn slowness(&self) -> f64 {
+        let percent = match (self.own.slowness_percent, self.peers.slowness_percent) {
+            (Some(own), Some(theirs)) => (own + theirs) / 2,
+            (own, theirs) => own.or(theirs).unwrap_or(100),
+        };
+        f64::from(percent) / 100.0
+    }
+
+    /// How long a transfer of `tokens` to `reader` takes behind those that are on their way.
+    fn transfer_ms(&self, tokens: Tokens, reader: &Reader<'_>) -> f64 {
+        let is_between = self.traits.data_centre.is_none()
+            || self.traits.data_centre.as_ref() != reader.data_centre;
         let factor = if is_between { BETWEEN_DATA_CENTRES } else { 1.0 };
-        let rate = (self.traits.link.get() as f64).max(1.0);
-        self.traits.first_byte_ms.get() as f64 + size.get() as f64 * 1_000.0 / rate * factor
+        let per_token_ms =
+            reader.token_bytes.get() as f64 * 1_000.0 / (self.traits.link.get() as f64).max(1.0);
+        let before = (self.own.fetching_tokens + self.peers.fetching_tokens) as f64 * per_token_ms;
+        let own = f64::from(tokens.get()) * per_token_ms * factor;
+        (self.traits.first_byte_ms.get() as f64 + before + own) * self.slowness()
     }
 }
 
 /// Where a prompt's parts come from and go to; both have one entry for each part, or none at all.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct PartPlan {
     /// Sources of complete parts.
     pub fetch: Vec<Option<PartSource>>,
     /// Stores for parts that none has.
     pub save: Vec<Option<SocketAddr>>,
+    /// The tokens that are fetched, and how long that should take, by source.
+    pub transfers: Vec<Transfer>,
+}
+
+/// A transfer that a request brings about.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Transfer {
+    /// From where.
+    pub address: SocketAddr,
+    /// How much.
+    pub tokens: u64,
+    /// How long it takes at usual speed.
+    pub usual_ms: f64,
 }
 
 /// What is known of a prompt's shared parts for one engine.
@@ -212,7 +290,7 @@
 }
 
 /// The shared parts of a prompt; the last part is its own.
-pub fn shared_parts(parts: &[PromptPart]) -> &[PromptPart] {
+pub(crate) fn shared_parts(parts: &[PromptPart]) -> &[PromptPart] {
     &parts[..parts.len().saturating_sub(1)]
 }
 
@@ -240,8 +318,10 @@
         .filter(|holder| holder.address() != reader.address)
         .filter_map(|holder| {
             let tokens = holder.holds(key, now_ms)?.min(part.tokens);
-            let size = Bytes(u64::from(tokens.get()) * reader.token_bytes.get());
-            Some((holder, tokens, holder.transfer_ms(size, reader.data_centre)))
+            Some((holder, tokens, holder.transfer_ms(tokens, reader)))
+        })
+        .filter(|(_, tokens, fetch_ms)| {
+            *fetch_ms * TOKENS_PER_FETCH_MS <= f64::from(tokens.get()) * WORTH_FETCHING
         })
         .min_by(|a, b| a.2.total_cmp(&b.2))
 }
@@ -281,9 +361,20 @@
     now_ms: TimeMs,
 ) -> PartPlan {
     let mut plan = PartPlan::default();
+    let own = holders.iter().position(|holder| holder.address() == reader.address);
     for part in shared_parts(parts) {
         let key = PartKey { scope: scope.to_owned(), id: part.id.clone() };
-        let source = nearest(holders, &key, part, reader, now_ms).map(|(holder, tokens, _)| {
+        let is_cached = own.is_some_and(|own| {
+            holders[own].holds(&key, now_ms).is_some_and(|tokens| tokens >= part.tokens)
+        });
+        let source = nearest(holders, &key, part, reader, now_ms).map(|(holder, tokens, fetch_ms)| {
+            if !is_cached {
+                plan.transfers.push(Transfer {
+                    address: holder.address(),
+                    tokens: u64::from(tokens.get()),
+                    usual_ms: fetch_ms / holder.slowness(),
+                });
+            }
             // An engine drops parts at any time, and gives what it has then.
             let tokens = (holder.traits.kind == HolderKind::Store).then_some(tokens);
             PartSource { address: holder.address(), tokens }
--- a/crates/gateway/src/controllers/peers.rs
+++ b/crates/gateway/src/controllers/peers.rs
@@ -16,8 +16,9 @@
 
 use super::follow::{Pauses, Sink};
 use crate::{
+    cache_index::{HolderLoad, HolderView},
     gateway::Gateway,
-    peer_loads::{EndpointTag, LoadMessage, MAX_TOLD},
+    peer_loads::{EndpointLoad, EndpointTag, LoadMessage, MAX_TOLD},
 };
 
 /// The pause between messages to few peers, in milliseconds: short against the wait in a queue.
@@ -124,6 +125,24 @@
     }
 }
 
+/// A holder of parts in messages; its address can't be the id of an endpoint.
+fn holder_tag(holder: &HolderView) -> EndpointTag {
+    EndpointTag::new(&holder.address().to_string(), TimeMs(0))
+}
+
+/// Takes what the peers said of holders into the views that plans are made from.
+fn update_holders(gateway: &Gateway) {
+    let now_ms = gateway.clock.now();
+    let peers = gateway.peers.lock();
+    for holder in gateway.holders.lock().iter_mut() {
+        let load = peers.load(holder_tag(holder), now_ms);
+        holder.set_peers(HolderLoad {
+            fetching_tokens: load.waiting_tokens,
+            slowness_percent: load.slowness_percent,
+        });
+    }
+}
+
 fn message(gateway: &Gateway, incarnation: u64, sequence: u64) -> LoadMessage {
     let now_ms = gateway.clock.now();
     let mut endpoints: Vec<(EndpointTag, _)> = gateway
@@ -133,6 +152,15 @@
         .map(|(id, state)| (EndpointTag::new(id.as_str(), state.born_ms), state.told(now_ms)))
         .filter(|(_, load)| load.in_flight > 0 || load.slowness_percent > 0 || load.is_loading)
         .collect();
+    endpoints.extend(gateway.holders.lock().iter_mut().filter_map(|holder| {
+        let load = holder.own_load(now_ms);
+        let is_told = load.fetching_tokens > 0 || load.slowness_percent.is_some();
+        is_told.then_some((holder_tag(holder), EndpointLoad {
+            waiting_tokens: u32::try_from(load.fetching_tokens).unwrap_or(u32::MAX),
+            slowness_percent: load.slowness_percent.unwrap_or(0),
+            ..EndpointLoad::default()
+        }))
+    }));
     endpoints.sort_by_key(|(_, load)| std::cmp::Reverse((load.is_loading, load.in_flight)));
     endpoints.truncate(MAX_TOLD);
     let instance = gateway.settings.instance.to_string();
@@ -158,6 +186,7 @@
             Err(error) => log::error!(error:% = error; "message can't be written"),
         }
         gateway.peers.lock().expire(gateway.clock.now());
+        update_holders(gateway);
         let pause_ms = TELL_EVERY_MS * (peers.len() as u64).div_ceil(PEERS_AT_PACE).max(1);
         sleep(Duration::from_millis(pause_ms)).await;
     }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -21,13 +21,14 @@
 use crate::{
     answers::{AnswerBody, OwnAnswer, whole},
     body::{Relay, relay, succeeded},
-    cache_index::{PartPlan, Reader, plan_parts, shared_parts},
+    cache_index::{PartPlan, Reader, Transfer, plan_parts, shared_parts},
     connections::{Connection, connect},
     deployment::{Repeatable, Route, Team},
     filters::authorize,
     gateway::Gateway,
     placement::{Candidate, PlacementRequest, PromptShape, Reason, place},
     request_log::RequestLine,
+    slowness::usual_ms,
     translation::{AnswerFacts, CallerFacts, ForwardFacts},
 };
 
@@ -85,6 +86,9 @@
     /// What was to be read before the first token when the request came, the queue included.
     queue_tokens: u64,
     began_ms: TimeMs,
+    /// The slowness of the endpoint when the request came, in hundredths.
+    slowness_percent: u32,
+    transfers: Vec<Transfer>,
     is_trial: bool,
 }
 
@@ -111,6 +115,8 @@
             waiting_tokens,
             queue_tokens: candidate.waiting_tokens + waiting_tokens,
             began_ms: gateway.clock.now(),
+            slowness_percent: candidate.slowness_percent.unwrap_or(100),
+            transfers: Vec::new(),
             is_trial,
         }
     }
@@ -119,12 +125,31 @@
         &self.endpoint
     }
 
-    /// The first token came.
+    fn fetches(&mut self, transfers: Vec<Transfer>) {
+        let mut holders = self.gateway.holders.lock();
+        for transfer in &transfers {
+            if let Some(holder) = holders.iter_mut().find(|at| at.address() == transfer.address) {
+                holder.fetch_begins(transfer.tokens);
+            }
+        }
+        drop(holders);
+        self.transfers = transfers;
+    }
+
+    /// The first token came: what it took tells how fast the endpoint and the sources of its parts are.
     pub(crate) fn first_byte(&mut self) {
-        if self.waiting_tokens > 0 {
-            let now_ms = self.gateway.clock.now();
+        let now_ms = self.gateway.clock.now();
+        let took_ms = now_ms.since(self.began_ms);
+        if let [transfer] = self.transfers[..] {
+            let reading_ms = usual_ms(self.queue_tokens) * f64::from(self.slowness_percent) / 100.0;
+            let fetching_ms = took_ms.get() as f64 - reading_ms;
+            let mut holders = self.gateway.holders.lock();
+            if let Some(holder) = holders.iter_mut().find(|at| at.address() == transfer.address) {
+                holder.sample(transfer.usual_ms, fetching_ms, now_ms);
+            }
+        } else if self.waiting_tokens > 0 && self.transfers.is_empty() {
             if let Some(state) = self.gateway.local.lock().get_mut(&self.endpoint) {
-                state.slowness.sample(self.queue_tokens, now_ms.since(self.began_ms), now_ms);
+                state.slowness.sample(self.queue_tokens, took_ms, now_ms);
             }
         }
         self.no_longer_waiting();
@@ -135,6 +160,12 @@
         if let Some(state) = self.gateway.local.lock().get_mut(&self.endpoint) {
             state.waiting_tokens = state.waiting_tokens.saturating_sub(waiting_tokens);
         }
+        let mut holders = self.gateway.holders.lock();
+        for transfer in self.transfers.drain(..) {
+            if let Some(holder) = holders.iter_mut().find(|at| at.address() == transfer.address) {
+                holder.fetch_ended(transfer.tokens);
+            }
+        }
     }
 }
 
@@ -249,7 +280,7 @@
         if progress.offers == 0 {
             self.gateway.count_first_send(&self.service);
         }
-        match self.send(connection, &candidate, progress).await {
+        match self.send(connection, &candidate, &mut in_flight, progress).await {
             Sent::Unsent => {
                 progress.unsent += 1;
                 self.unsent(progress)
@@ -421,10 +452,12 @@
         &mut self,
         mut connection: Connection,
         candidate: &Candidate,
+        in_flight: &mut InFlight,
         progress: &Progress,
     ) -> Sent {
         let left_ms = self.left_ms();
-        let plan = self.part_plan(candidate);
+        let mut plan = self.part_plan(candidate);
+        in_flight.fetches(std::mem::take(&mut plan.transfers));
         let request = self.request(candidate, &plan, left_ms);
         let could_repeat = self.route.is_idempotent()
             && progress.runs + 1 < self.route.max_attempts
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,7 +32,7 @@
 mod translation;
 
 pub use cache_index::{
-    HolderKind, HolderTraits, HolderView, PartPlan, PrefixFacts, Reader, plan_parts, prefix_facts,
+    HolderKind, HolderLoad, HolderTraits, HolderView, PartPlan, PrefixFacts, Reader, Transfer, plan_parts, prefix_facts,
 };
 pub use clock::Clock;
 pub use deployment::{
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -12,14 +12,15 @@
 use bilberryford_types::EndpointId;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::{cache_index::PrefixFacts, health::Standing};
+use crate::{
+    cache_index::{PrefixFacts, TOKENS_PER_FETCH_MS},
+    health::Standing,
+};
 
 /// What one running request counts in the load of an engine, in tokens: its share of the batch's steps.
 const RUNNING_TOKENS: u64 = 250;
 /// What being first for the shared part is worth, in tokens: it keeps requests for a part together while nobody has it.
 const HOME_TOKENS: u64 = 1_500;
-/// What a millisecond of a transfer costs, in tokens that could be read meanwhile.
-const TOKENS_PER_FETCH_MS: f64 = 40.0;
 /// The slowness of an endpoint without a sample, in hundredths.
 const USUAL_PERCENT: u64 = 100;
 
--- a/crates/gateway/src/slowness.rs
+++ b/crates/gateway/src/slowness.rs
@@ -17,6 +17,11 @@
 /// How long samples are used, in milliseconds: an engine that gets no requests has to be tried again.
 const USED_FOR_MS: TimeMs = TimeMs(8_000);
 
+/// How long the first token behind `work_tokens` takes at usual speed.
+pub(crate) fn usual_ms(work_tokens: u64) -> f64 {
+    BASE_MS + work_tokens as f64 / USUAL_TOKENS_PER_MS
+}
+
 /// The mean of one engine.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Slowness {
@@ -27,9 +32,13 @@
 impl Slowness {
     /// A first token came after `took_ms`, with `work_tokens` to be read before it, the queue's included.
     pub fn sample(&mut self, work_tokens: u64, took_ms: TimeMs, now_ms: TimeMs) {
-        let usual_ms = BASE_MS + work_tokens as f64 / USUAL_TOKENS_PER_MS;
+        self.sample_ratio(took_ms.get() as f64 / usual_ms(work_tokens), now_ms);
+    }
+
+    /// Something took `ratio` times as long as usual.
+    pub fn sample_ratio(&mut self, ratio: f64, now_ms: TimeMs) {
         let (least, most) = SAMPLE_RANGE;
-        let sample = (took_ms.get() as f64 / usual_ms).clamp(least, most);
+        let sample = ratio.clamp(least, most);
         let mean = self.mean.filter(|_| now_ms.since(self.sampled_ms) < USED_FOR_MS);
         self.mean = Some(mean.map_or(sample, |mean| mean + (sample - mean) * NEWEST));
         self.sampled_ms = now_ms;
