--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -58,6 +58,7 @@
                 }
                 Ok(Some(Ok(frame))) => {
                     let Ok(data) = frame.into_data() else { continue };
+                    self.gateway.hear(self.in_flight.endpoint());
                     if self.line.first_byte_ms.is_none() {
                         self.line.first_byte_ms = Some(self.gateway.clock.now());
                         self.in_flight.first_byte();
--- a/crates/gateway/src/cache_index.rs
+++ b/crates/gateway/src/cache_index.rs
@@ -30,7 +30,7 @@
 /// What a millisecond of a transfer costs, in tokens that an engine could read meanwhile.
 pub(crate) const TOKENS_PER_FETCH_MS: f64 = 40.0;
 /// How many times the reading a fetch may cost: it leaves the engine free to read for others.
-const WORTH_FETCHING: f64 = 1.5;
+const WORTH_FETCHING: f64 = 3.0;
 /// How much longer a transfer between data centres takes.
 const BETWEEN_DATA_CENTRES: f64 = 2.0;
 
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -53,6 +53,9 @@
 /// When to come back while no endpoint is up, in milliseconds: an endpoint that restarts is listed within seconds.
 const NO_ENDPOINT_RETRY_MS: TimeMs = TimeMs(400);
 
+/// How many tokens may wait before a request for its wait to tell of the source of its parts.
+const CALM_QUEUE_TOKENS: u64 = 1_500;
+
 /// Headers that concern one connection only.
 const HOP_BY_HOP: [HeaderName; 6] = [
     header::CONNECTION,
@@ -141,6 +144,10 @@
         let now_ms = self.gateway.clock.now();
         let took_ms = now_ms.since(self.began_ms);
         if let [transfer] = self.transfers[..] {
+            if self.queue_tokens > self.waiting_tokens + CALM_QUEUE_TOKENS {
+                // Behind a queue the wait says more of the engine than of the source.
+                return self.no_longer_waiting();
+            }
             let reading_ms = usual_ms(self.queue_tokens) * f64::from(self.slowness_percent) / 100.0;
             let fetching_ms = took_ms.get() as f64 - reading_ms;
             let mut holders = self.gateway.holders.lock();
@@ -455,7 +462,7 @@
         in_flight: &mut InFlight,
         progress: &Progress,
     ) -> Sent {
-        let left_ms = self.left_ms();
+        let left_ms = self.left_ms().min(self.old_weights_left_ms(candidate));
         let mut plan = self.part_plan(candidate);
         in_flight.fetches(std::mem::take(&mut plan.transfers));
         let request = self.request(candidate, &plan, left_ms);
@@ -464,13 +471,24 @@
             && progress.offers + 1 < MAX_OFFERS;
         let patience_ms = if could_repeat {
             let targets_ms = self.route.target_latency_ms.get() * PATIENCE_TARGETS;
-            TimeMs(targets_ms.min(left_ms.get() / 2))
+            TimeMs(targets_ms.min(left_ms.get() / 2).max(LEAST_LEFT_MS.get()))
         } else {
             left_ms
         };
         self.line.attempts += 1;
         let sending = connection.sender.try_send_request(request);
-        match timeout(Duration::from_millis(patience_ms.get()), sending).await {
+        let began_ms = self.gateway.clock.now();
+        tokio::pin!(sending);
+        let answered = loop {
+            let patience = Duration::from_millis(patience_ms.get());
+            let answered = timeout(patience, sending.as_mut()).await;
+            // An endpoint that sends to others meanwhile is alive, and leaving its queue would lose the place in it.
+            let is_alive = self.gateway.was_heard(&candidate.id, began_ms);
+            if answered.is_ok() || !is_alive || self.left_ms() < LEAST_LEFT_MS {
+                break answered;
+            }
+        };
+        match answered {
             Err(_) => Sent::Lost("no_answer"),
             Ok(Err(error)) if error.message().is_some() => Sent::Unsent,
             Ok(Err(error)) => {
@@ -481,6 +499,15 @@
         }
     }
 
+    /// A request that waits in the queue of an engine with older weights must not begin after the bound.
+    fn old_weights_left_ms(&self, candidate: &Candidate) -> TimeMs {
+        let prompt = self.facts.prompt.as_ref().zip(candidate.weight_version);
+        let left = prompt.and_then(|(prompt, version)| {
+            self.gateway.old_weights_left_ms(&prompt.model, version)
+        });
+        left.unwrap_or(TimeMs(u64::MAX))
+    }
+
     fn read_head(&self, response: Response<Incoming>, mut connection: Connection) -> Sent {
         let facts = self.gateway.translation.read_answer(response.status(), response.headers());
         let is_other = facts.request_id.is_some() && facts.request_id != self.facts.request_id;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -34,8 +34,10 @@
 
 /// How long after a version was named engines with it are preferred, in milliseconds.
 const PREFER_NEW_WEIGHTS_MS: TimeMs = TimeMs(1_000);
-/// How long before the bound older weights are no longer used, in milliseconds.
-const OLD_WEIGHTS_MARGIN_MS: TimeMs = TimeMs(700);
+/// How long before the bound requests are no longer sent to older weights, in milliseconds: they may wait in a queue.
+const OLD_WEIGHTS_MARGIN_MS: TimeMs = TimeMs(2_000);
+/// How long before the bound an engine gives up a request to older weights, in milliseconds.
+const OLD_WEIGHTS_END_MS: TimeMs = TimeMs(300);
 
 /// Why a gateway can't be set up.
 #[derive(Debug, thiserror::Error)]
@@ -56,6 +58,8 @@
     /// A version that the endpoint showed by refusing an older one, until the list says so too.
     pub(crate) shown_weights: Option<u64>,
     pub(crate) slowness: Slowness,
+    /// When the endpoint last sent anything to this instance.
+    pub(crate) heard_ms: TimeMs,
     /// Until when an order of this instance to load weights is believed to be under way.
     pub(crate) loading_until_ms: Option<TimeMs>,
 }
@@ -256,6 +260,25 @@
         if is_preferred { Some(newest) } else { named.required(now_ms, bound_ms) }
     }
 
+    /// The endpoint sent something.
+    pub(crate) fn hear(&self, endpoint: &EndpointId) {
+        if let Some(state) = self.local.lock().get_mut(endpoint) {
+            state.heard_ms = self.clock.now();
+        }
+    }
+
+    /// Whether the endpoint sent anything to this instance since `since_ms`.
+    pub(crate) fn was_heard(&self, endpoint: &EndpointId, since_ms: TimeMs) -> bool {
+        self.local.lock().get(endpoint).is_some_and(|state| state.heard_ms > since_ms)
+    }
+
+    /// How long an engine with `version` may work on a request that begins now, where newer weights are named.
+    pub(crate) fn old_weights_left_ms(&self, model: &ModelName, version: u64) -> Option<TimeMs> {
+        let bound_ms = self.settings.bounds.weights_ms.since(OLD_WEIGHTS_END_MS);
+        let until_ms = self.weights.lock().get(model)?.usable_until(version, bound_ms)?;
+        Some(until_ms.since(self.clock.now()))
+    }
+
     /// Changes what is believed of an endpoint, and logs a change of its standing.
     pub(crate) fn judge(
         &self,
--- a/crates/gateway/src/rollout.rs
+++ b/crates/gateway/src/rollout.rs
@@ -107,4 +107,10 @@
         let is_due = |(_, seen_ms): &&(u64, TimeMs)| now_ms.since(*seen_ms) >= bound_ms;
         self.named.iter().rev().find(is_due).map(|(version, _)| *version)
     }
+
+    /// When requests may no longer begin on `version`; none while nothing newer is named.
+    pub fn usable_until(&self, version: u64, bound_ms: TimeMs) -> Option<TimeMs> {
+        let newer = self.named.iter().find(|(named, _)| *named > version);
+        newer.map(|(_, seen_ms)| seen_ms.after(bound_ms))
+    }
 }
