--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -51,6 +51,10 @@
     }
 }
 
+fn text(text: &Option<String>) -> &str {
+    text.as_deref().unwrap_or_default()
+}
+
 /// Bounds the lines.
 #[derive(Debug, Default)]
 pub(crate) struct RequestLog {
@@ -73,7 +77,7 @@
             (&self.answered, ANSWERED_LINES_PER_S)
         };
         let Some(left_out) = bucket.lock().take(now_ms, limit) else { return };
-        let text = |text: &Option<String>| text.clone().unwrap_or_default();
+        let notes = line.notes.join(",");
         log::info!(
             target: "request",
             request = text(&line.request_id),
@@ -82,7 +86,7 @@
             endpoint = line.endpoint.as_ref().map_or("", |id| id.as_str()),
             placed = line.placed,
             attempts = line.attempts,
-            notes = line.notes.join(","),
+            notes = notes.as_str(),
             config_version = line.config_version.map_or(0, |version| version.get()),
             key_age_ms = line.key_age_ms.map_or(0, |age| age.get()),
             elapsed_ms = now_ms.since(line.started_ms).get(),
--- /dev/null
+++ b/crates/gateway/tests/decisions/cache_index.rs
@@ -0,0 +1,137 @@
+use std::net::SocketAddr;
+
+use bilberryford_gateway::{
+    CacheChange, CacheChanges, CacheScope, HolderKind, HolderTraits, HolderView, PartKey,
+    PartSource, PromptPart, Reader, plan_parts, prefix_facts,
+};
+use bilberryford_types::{Bytes, BytesPerSec, TimeMs, Tokens};
+use rstest::rstest;
+
+const SCOPE: &str = "model/1/";
+
+fn address(last: u8) -> SocketAddr {
+    ([10, 0, 0, last], 80).into()
+}
+
+fn holder(kind: HolderKind, last: u8, capacity_tokens: u64) -> HolderView {
+    let mut view = HolderView::new(HolderTraits {
+        kind,
+        address: address(last),
+        data_centre: None,
+        capacity_tokens,
+        link: BytesPerSec(10_000_000_000),
+        first_byte_ms: TimeMs(1),
+    });
+    view.apply(changes(1, &[]), TimeMs(0));
+    view
+}
+
+fn changes(epoch: u64, parts: &[(&str, Option<u32>)]) -> CacheChanges {
+    let changes = parts.iter().map(|(id, tokens)| CacheChange {
+        key: PartKey { scope: SCOPE.to_owned(), id: (*id).to_owned() },
+        tokens: tokens.map(Tokens),
+    });
+    CacheChanges { epoch, next: 9, has_gap: false, changes: changes.collect() }
+}
+
+fn parts() -> Vec<PromptPart> {
+    [("system", 400), ("subject", 9_000), ("own", 2_000)]
+        .map(|(id, tokens)| PromptPart { id: id.to_owned(), tokens: Tokens(tokens) })
+        .into()
+}
+
+fn reader() -> Reader<'static> {
+    Reader { address: address(99), data_centre: None, token_bytes: Bytes(18_432) }
+}
+
+#[test]
+fn a_part_that_nobody_has_is_saved_once_and_its_owner_not_at_all() {
+    let mut holders = [holder(HolderKind::Store, 1, 100_000)];
+    let plan = plan_parts(&mut holders, SCOPE, &parts(), &reader(), TimeMs(10));
+    assert_eq!(plan.save, [Some(address(1)), Some(address(1)), None]);
+    assert!(plan.fetch.is_empty());
+    let again = plan_parts(&mut holders, SCOPE, &parts(), &reader(), TimeMs(20));
+    assert!(again.save.is_empty(), "the save is under way");
+}
+
+#[test]
+fn a_complete_part_is_fetched_with_its_tokens() {
+    let mut holders = [holder(HolderKind::Store, 1, 100_000)];
+    holders[0].apply(changes(1, &[("system", Some(400)), ("subject", Some(9_000))]), TimeMs(0));
+    let plan = plan_parts(&mut holders, SCOPE, &parts(), &reader(), TimeMs(10));
+    let source = |tokens| Some(PartSource { address: address(1), tokens: Some(Tokens(tokens)) });
+    assert_eq!(plan.fetch, [source(400), source(9_000), None]);
+    assert!(plan.save.is_empty());
+}
+
+#[rstest]
+#[case::silent_for_long(5_000, 1, false)]
+#[case::restarted(10, 2, false)]
+#[case::fresh(10, 1, true)]
+fn nothing_is_fetched_from_a_store_that_may_have_lost_it(
+    #[case] now_ms: u64,
+    #[case] epoch: u64,
+    #[case] is_fetched: bool,
+) {
+    let mut holders = [holder(HolderKind::Store, 1, 100_000)];
+    holders[0].apply(changes(1, &[("system", Some(400))]), TimeMs(0));
+    holders[0].apply(changes(epoch, &[]), TimeMs(0));
+    let plan = plan_parts(&mut holders, SCOPE, &parts(), &reader(), TimeMs(now_ms));
+    assert_eq!(!plan.fetch.is_empty(), is_fetched);
+}
+
+#[test]
+fn another_scope_is_another_part() {
+    let mut holders = [holder(HolderKind::Store, 1, 100_000)];
+    holders[0].apply(changes(1, &[("system", Some(400))]), TimeMs(0));
+    let plan = plan_parts(&mut holders, "model/2/", &parts(), &reader(), TimeMs(10));
+    assert!(plan.fetch.is_empty());
+}
+
+#[test]
+fn a_full_store_gets_no_save() {
+    let mut holders = [holder(HolderKind::Store, 1, 500)];
+    let plan = plan_parts(&mut holders, SCOPE, &parts(), &reader(), TimeMs(10));
+    assert_eq!(plan.save, [Some(address(1)), None, None]);
+}
+
+/// A store's link turns slow while many fetch from it: engines' memories and reading take over.
+#[test]
+fn a_source_that_is_behind_is_passed_by() {
+    let mut holders =
+        [holder(HolderKind::Store, 1, 100_000), holder(HolderKind::Engine, 2, 100_000)];
+    let both = changes(1, &[("system", Some(400)), ("subject", Some(9_000))]);
+    holders.iter_mut().for_each(|holder| holder.apply(both.clone(), TimeMs(0)));
+    holders[0].fetch_begins(60_000);
+    let plan = plan_parts(&mut holders, SCOPE, &parts(), &reader(), TimeMs(10));
+    assert!(plan.fetch.iter().flatten().all(|source| source.address == address(2)));
+    let mut alone = [holders[0].clone()];
+    (0..30).for_each(|_| alone[0].sample(10.0, 2_000.0, TimeMs(5)));
+    let plan = plan_parts(&mut alone, SCOPE, &parts(), &reader(), TimeMs(10));
+    assert!(plan.fetch.is_empty(), "reading is sooner: {plan:?}");
+}
+
+#[test]
+fn what_an_engine_has_counts_up_to_its_first_gap() {
+    let mut own = holder(HolderKind::Engine, 99, 100_000);
+    own.apply(changes(1, &[("subject", Some(9_000))]), TimeMs(0));
+    let facts = prefix_facts(&[own], SCOPE, &parts(), &reader(), TimeMs(10));
+    assert_eq!(facts.cached_tokens, 0, "a part is of no use without those before it");
+}
+
+#[rstest]
+#[case("m/3/", None)]
+#[case("m/3/team", Some("team"))]
+fn scopes_are_read_back(#[case] text: &str, #[case] team: Option<&str>) {
+    let scope: CacheScope = text.parse().expect("a scope");
+    assert_eq!((scope.weight_version, scope.team.as_ref().map(|t| t.as_str())), (3, team));
+    assert_eq!(scope.to_string(), text);
+}
+
+#[rstest]
+#[case("")]
+#[case("someone-else")]
+#[case("m/x/")]
+fn other_texts_are_no_scopes(#[case] text: &str) {
+    assert!(text.parse::<CacheScope>().is_err());
+}
--- /dev/null
+++ b/crates/gateway/tests/decisions/endpoints.rs
@@ -0,0 +1,73 @@
+use bilberryford_gateway::{EndpointRecord, EndpointState, EndpointTable};
+use bilberryford_types::{ObjectVersion, PoolName, TimeMs};
+
+fn record(id: &str, state: EndpointState) -> EndpointRecord {
+    EndpointRecord {
+        id: id.parse().expect("an id"),
+        born_ms: TimeMs(1),
+        service: service(),
+        address: ([127, 0, 0, 1], 9).into(),
+        data_centre: "a".parse().expect("a data centre"),
+        state,
+        slots: 4,
+        models: Vec::new(),
+    }
+}
+
+fn service() -> PoolName {
+    "pool".parse().expect("a service")
+}
+
+fn table(now_ms: u64) -> EndpointTable {
+    let mut table = EndpointTable::default();
+    table.in_contact(TimeMs(now_ms));
+    for id in ["one", "two"] {
+        table.upsert(record(id, EndpointState::Ready), ObjectVersion(5));
+    }
+    table
+}
+
+fn ready(table: &EndpointTable) -> usize {
+    table.ready(&service()).count()
+}
+
+#[test]
+fn an_older_entry_does_not_bring_a_leaving_endpoint_back() {
+    let mut table = table(0);
+    table.upsert(record("one", EndpointState::Leaving), ObjectVersion(8));
+    assert!(table.upsert(record("one", EndpointState::Ready), ObjectVersion(7)).is_none());
+    assert_eq!(ready(&table), 1);
+}
+
+/// The store was away and lost its leases: its owners write the entries again within two seconds.
+#[test]
+fn entries_that_lapsed_during_an_outage_stay_for_a_grace_and_no_longer() {
+    let mut table = table(0);
+    table.lost_contact();
+    table.in_contact(TimeMs(20_000));
+    let back = vec![(record("two", EndpointState::Ready), ObjectVersion(9))];
+    table.replace(back, TimeMs(20_000));
+    assert_eq!(ready(&table), 2, "the one that is missing is still used");
+    table.expire(TimeMs(21_900));
+    assert_eq!(ready(&table), 2);
+    table.expire(TimeMs(22_000));
+    assert_eq!(ready(&table), 1);
+}
+
+#[test]
+fn an_entry_removed_while_the_store_is_up_is_gone_at_once() {
+    let mut table = table(0);
+    table.in_contact(TimeMs(1_000));
+    table.remove(&"one".parse().expect("an id"), TimeMs(1_500));
+    assert_eq!(ready(&table), 1);
+}
+
+#[test]
+fn a_leaving_endpoint_gets_no_grace() {
+    let mut table = table(0);
+    table.upsert(record("one", EndpointState::Leaving), ObjectVersion(8));
+    table.lost_contact();
+    table.in_contact(TimeMs(20_000));
+    table.remove(&"one".parse().expect("an id"), TimeMs(20_010));
+    assert!(table.get(&"one".parse().expect("an id")).is_none());
+}
--- /dev/null
+++ b/crates/gateway/tests/decisions/peer_loads.rs
@@ -0,0 +1,57 @@
+use bilberryford_gateway::{EndpointLoad, EndpointTag, LoadMessage, PeerLoads};
+use bilberryford_types::TimeMs;
+
+fn message(instance: &str, sequence: u64, in_flight: u32) -> LoadMessage {
+    let load = EndpointLoad { in_flight, waiting_tokens: 100 * in_flight, ..Default::default() };
+    LoadMessage {
+        instance: instance.to_owned(),
+        incarnation: 1,
+        sequence,
+        endpoints: vec![(tag(), load)],
+    }
+}
+
+fn tag() -> EndpointTag {
+    EndpointTag::new("engine", TimeMs(3))
+}
+
+#[test]
+fn loads_add_up_and_late_messages_do_not_count() {
+    let mut peers = PeerLoads::default();
+    peers.hear(message("a", 2, 5), TimeMs(0));
+    peers.hear(message("a", 1, 50), TimeMs(10));
+    peers.hear(message("b", 1, 3), TimeMs(10));
+    let load = peers.load(tag(), TimeMs(20));
+    assert_eq!((load.in_flight, load.waiting_tokens), (8, 800));
+    assert_eq!(peers.live(TimeMs(20)), 3);
+}
+
+#[test]
+fn a_silent_peer_is_first_left_out_and_then_forgotten() {
+    let mut peers = PeerLoads::default();
+    peers.hear(message("a", 1, 5), TimeMs(0));
+    assert_eq!(peers.load(tag(), TimeMs(2_000)).in_flight, 0);
+    assert_eq!(peers.live(TimeMs(2_000)), 2);
+    peers.expire(TimeMs(4_000));
+    assert_eq!(peers.live(TimeMs(4_000)), 1);
+}
+
+#[test]
+fn another_life_of_an_endpoint_has_another_tag() {
+    assert_ne!(EndpointTag::new("engine", TimeMs(3)), EndpointTag::new("engine", TimeMs(4)));
+}
+
+#[test]
+fn all_instances_name_the_same_owner() {
+    let names = ["a", "b", "c"];
+    for what in ["10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"] {
+        let owners = names.iter().filter(|own| {
+            let mut peers = PeerLoads::default();
+            for peer in names.iter().filter(|peer| peer != own) {
+                peers.hear(message(peer, 1, 0), TimeMs(0));
+            }
+            peers.is_owner(own, what, TimeMs(0))
+        });
+        assert_eq!(owners.count(), 1, "{what}");
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/decisions/placement.rs
@@ -0,0 +1,132 @@
+use std::collections::HashMap;
+
+use bilberryford_gateway::{
+    Candidate, PlacementRequest, PrefixFacts, PromptShape, Reason, Standing, place,
+};
+
+fn candidate(index: u8) -> Candidate {
+    Candidate {
+        id: format!("e{index}").parse().expect("an id"),
+        address: ([10, 0, 0, index], 80).into(),
+        is_local: false,
+        standing: Standing::Sound,
+        in_flight: 0,
+        waiting_tokens: 0,
+        slowness_percent: None,
+        weight_version: Some(1),
+        prefix: PrefixFacts::default(),
+    }
+}
+
+fn pool(size: u8) -> Vec<Candidate> {
+    (0..size).map(candidate).collect()
+}
+
+fn call(draw: u64) -> PlacementRequest<'static> {
+    PlacementRequest { prompt: None, min_weight_version: None, tried: &[], draw }
+}
+
+fn prompt(part: &str, draw: u64) -> PlacementRequest<'_> {
+    let prompt = PromptShape { tokens: 12_000, shared_part: Some(part) };
+    PlacementRequest { prompt: Some(prompt), ..call(draw) }
+}
+
+#[test]
+fn every_instance_sends_a_new_part_to_the_same_engine_and_parts_spread() {
+    let pool = pool(9);
+    let mut parts_by_engine = HashMap::new();
+    for part in 0..900 {
+        let part = part.to_string();
+        let first = place(&pool, &prompt(&part, 1)).index;
+        assert_eq!(place(&pool, &prompt(&part, 2)).index, first);
+        *parts_by_engine.entry(first).or_insert(0) += 1;
+    }
+    assert!(
+        parts_by_engine.values().all(|count| (60..=140).contains(count)),
+        "{parts_by_engine:?}"
+    );
+}
+
+/// One part is hot: its engine falls behind, and the others take what it can't.
+#[test]
+fn a_hot_part_spreads_over_the_pool() {
+    let mut pool = pool(9);
+    for draw in 0..90 {
+        let choice = place(&pool, &prompt("hot", draw));
+        let index = choice.index.expect("an engine");
+        pool[index].waiting_tokens += choice.work_tokens;
+        pool[index].in_flight += 1;
+    }
+    let most = pool.iter().map(|engine| engine.in_flight).max();
+    assert!(most <= Some(13), "{most:?} of 90 at one engine of nine");
+}
+
+/// Engines that turned slow with good health answers get less in proportion, and none is left out.
+#[test]
+fn slow_engines_get_less() {
+    let mut pool = pool(9);
+    pool[3].slowness_percent = Some(400);
+    for draw in 0..450_u64 {
+        let part = draw.to_string();
+        let choice = place(&pool, &prompt(&part, draw));
+        let index = choice.index.expect("an engine");
+        pool[index].waiting_tokens += choice.work_tokens;
+    }
+    let slow = pool[3].waiting_tokens;
+    let usual = pool.iter().map(|engine| engine.waiting_tokens).max().unwrap_or(0);
+    assert!(slow * 3 < usual, "{slow} against {usual}");
+    assert!(slow > 0);
+}
+
+#[test]
+fn an_engine_with_the_part_in_memory_goes_before_the_one_that_is_first_for_it() {
+    let mut pool = pool(9);
+    let home = place(&pool, &prompt("part", 0)).index.expect("an engine");
+    let other = (home + 1) % 9;
+    pool[other].prefix.cached_tokens = 9_000;
+    let choice = place(&pool, &prompt("part", 0));
+    assert_eq!((choice.index, choice.reason), (Some(other), Reason::Cached));
+    pool[other].waiting_tokens = 40_000;
+    assert_ne!(place(&pool, &prompt("part", 0)).index, Some(other), "but not behind a long queue");
+}
+
+#[test]
+fn old_weights_are_no_choice_once_newer_ones_are_required() {
+    let mut pool = pool(3);
+    let required = PlacementRequest { min_weight_version: Some(2), ..prompt("part", 0) };
+    assert_eq!(place(&pool, &required).reason, Reason::OldWeights);
+    pool[1].weight_version = Some(2);
+    assert_eq!(place(&pool, &required).index, Some(1));
+}
+
+#[test]
+fn calls_go_to_the_own_data_centre_until_another_has_less_to_do() {
+    let mut pool = pool(4);
+    pool[2].is_local = true;
+    assert_eq!(place(&pool, &call(5)).index, Some(2));
+    pool[2].in_flight = 1;
+    assert_ne!(place(&pool, &call(5)).index, Some(2));
+}
+
+#[test]
+fn a_trial_is_one_request_and_never_a_repeat() {
+    let mut pool = pool(3);
+    pool[0].standing = Standing::Trial;
+    assert_eq!(place(&pool, &call(0)).reason, Reason::Trial);
+    let tried = ["e1".parse().expect("an id")];
+    let again = PlacementRequest { tried: &tried, ..call(0) };
+    assert_eq!(place(&pool, &again).index, Some(2));
+}
+
+#[test]
+fn a_pool_whose_circuits_are_all_open_still_gets_requests() {
+    let mut pool = pool(2);
+    pool.iter_mut().for_each(|endpoint| endpoint.standing = Standing::Broken);
+    assert_eq!(place(&pool, &call(0)).reason, Reason::AllBroken);
+    assert_eq!(place(&[], &call(0)).reason, Reason::NoEndpoint);
+    let tried = ["e0".parse().expect("an id"), "e1".parse().expect("an id")];
+    assert_eq!(
+        place(&pool, &PlacementRequest { tried: &tried, ..call(0) }).reason,
+        Reason::AllTried
+    );
+}
--- /dev/null
+++ b/crates/gateway/tests/decisions/repeats.rs
@@ -0,0 +1,35 @@
+use bilberryford_gateway::{RepeatBudget, RepeatLimits};
+use bilberryford_types::TimeMs;
+
+const LIMITS: RepeatLimits =
+    RepeatLimits { ratio_per_mille: 200, window_ms: TimeMs(10_000), slack: 58, instances: 9 };
+
+/// A pool that loses every request: nine instances repeat as much as each may, over any window.
+#[test]
+fn a_failing_pool_gets_repeats_within_the_deployments_bound() {
+    let mut budgets = vec![RepeatBudget::default(); 9];
+    let mut sent = Vec::new();
+    let mut repeated = Vec::new();
+    for now_ms in (0..40_000).step_by(20) {
+        let budget = &mut budgets[(now_ms / 20 % 9) as usize];
+        budget.first_send(&LIMITS, TimeMs(now_ms));
+        sent.push(now_ms);
+        if budget.take(&LIMITS, TimeMs(now_ms)) {
+            repeated.push(now_ms);
+        }
+    }
+    for start in (0..30_000).step_by(100) {
+        let within =
+            |times: &[u64]| times.iter().filter(|at| (start..start + 10_000).contains(*at)).count();
+        let allowed = within(&sent) / 5 + 58;
+        assert!(within(&repeated) <= allowed, "at {start}: {} of {allowed}", within(&repeated));
+    }
+    assert!(repeated.len() * 10 > sent.len(), "{} of {}", repeated.len(), sent.len());
+}
+
+#[test]
+fn a_quiet_instance_can_repeat_at_all() {
+    let mut budget = RepeatBudget::default();
+    budget.first_send(&LIMITS, TimeMs(0));
+    assert!(budget.take(&LIMITS, TimeMs(1)));
+}
--- /dev/null
+++ b/crates/gateway/tests/decisions/slowness.rs
@@ -0,0 +1,22 @@
+use bilberryford_gateway::Slowness;
+use bilberryford_types::TimeMs;
+
+#[test]
+fn an_engine_that_turns_slow_is_known_after_a_few_requests_and_forgotten_when_unused() {
+    let mut slowness = Slowness::default();
+    for request in 0..20 {
+        slowness.sample(5_000, TimeMs(115), TimeMs(request * 100));
+    }
+    let usual = slowness.percent(TimeMs(2_000)).unwrap_or(0);
+    assert!((90..=110).contains(&usual), "{usual}");
+    for request in 20..28 {
+        slowness.sample(5_000, TimeMs(920), TimeMs(request * 100));
+    }
+    let slow = slowness.percent(TimeMs(2_800)).unwrap_or(0);
+    assert!(slow > 500, "{slow}");
+    assert_eq!(
+        slowness.percent(TimeMs(20_000)),
+        None,
+        "an engine that gets nothing is tried again"
+    );
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -19,3 +19,4 @@
 mod shutdown;
 mod status;
 mod stores;
+mod wire_names;
