Fetching may cost eight times the reading, and the trial of parallel fetches is taken back

Cause: under load engines read parts again that a store has, fall behind, and read more: reading takes the time of every request behind it, a fetch only that of its own.

--- a/crates/gateway/src/cache_index.rs
+++ b/crates/gateway/src/cache_index.rs
@@ -29,8 +29,8 @@
 const LEAST_SAVED_TOKENS: u32 = 64;
 /// What a millisecond of a transfer costs, in tokens that an engine could read meanwhile.
 pub(crate) const TOKENS_PER_FETCH_MS: f64 = 40.0;
-/// How many times the reading a fetch may cost: it leaves the engine free to read for others.
-const WORTH_FETCHING: f64 = 3.0;
+/// How many times the reading a fetch may cost: it leaves the engine free to read for others. From trials with 1.2 to 25.
+const WORTH_FETCHING: f64 = 8.0;
 /// How much longer a transfer between data centres takes.
 const BETWEEN_DATA_CENTRES: f64 = 2.0;
 
@@ -303,8 +303,6 @@
     pub data_centre: Option<&'a DataCentreId>,
     /// The size of one cached token.
     pub token_bytes: Bytes,
-    /// The tokens that it reads for others before: a fetch goes on meanwhile.
-    pub queue_tokens: u64,
 }
 
 /// The nearest holder of a part that `reader` can fetch it from.
@@ -323,9 +321,7 @@
             Some((holder, tokens, holder.transfer_ms(tokens, reader)))
         })
         .filter(|(_, tokens, fetch_ms)| {
-            let reading = f64::from(tokens.get());
-            let most = (reading * WORTH_FETCHING).max(reader.queue_tokens as f64 + reading);
-            *fetch_ms * TOKENS_PER_FETCH_MS <= most
+            *fetch_ms * TOKENS_PER_FETCH_MS <= f64::from(tokens.get()) * WORTH_FETCHING
         })
         .min_by(|a, b| a.2.total_cmp(&b.2))
 }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -587,12 +587,7 @@
         let now_ms = self.gateway.clock.now();
         let endpoints = self.gateway.endpoints.lock();
         let data_centre = endpoints.get(&candidate.id).map(|record| &record.data_centre);
-        let reader = Reader {
-            address: candidate.address,
-            data_centre,
-            token_bytes,
-            queue_tokens: candidate.waiting_tokens,
-        };
+        let reader = Reader { address: candidate.address, data_centre, token_bytes };
         let mut holders = self.gateway.holders.lock();
         plan_parts(&mut holders, &scope, &prompt.parts, &reader, now_ms)
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -241,12 +241,7 @@
         for candidate in candidates {
             let Some(scope) = scope(candidate) else { continue };
             let data_centre = endpoints.get(&candidate.id).map(|record| &record.data_centre);
-            let reader = Reader {
-                address: candidate.address,
-                data_centre,
-                token_bytes,
-                queue_tokens: candidate.waiting_tokens,
-            };
+            let reader = Reader { address: candidate.address, data_centre, token_bytes };
             candidate.prefix = prefix_facts(&holders, &scope, parts, &reader, now_ms);
         }
     }
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -48,21 +48,10 @@
 }
 
 impl Candidate {
-    /// The predicted time to a first token, in tokens of an engine of usual speed: a fetch goes on while the engine reads
-    /// for others, and what is left is read after both.
-    fn cost(&self, read_tokens: u64, fetch_tokens: u64) -> u64 {
-        let slowness = self.slowness_percent.map_or(USUAL_PERCENT, u64::from);
-        let load = self.waiting_tokens + u64::from(self.in_flight) * RUNNING_TOKENS;
-        (load * slowness / USUAL_PERCENT).max(fetch_tokens) + read_tokens * slowness / USUAL_PERCENT
-    }
-
-    fn read_tokens(&self, prompt: &PromptShape<'_>) -> u64 {
-        prompt.tokens.saturating_sub(self.prefix.cached_tokens + self.prefix.fetchable_tokens)
-    }
-
-    fn fetch_tokens(&self) -> u64 {
-        // The cast saturates, and a transfer's time is never negative.
-        (self.prefix.fetch_ms * TOKENS_PER_FETCH_MS) as u64
+    /// The predicted time to a first token that needs `tokens` more, in tokens of an engine of usual speed.
+    fn cost(&self, tokens: u64) -> u64 {
+        let load = self.waiting_tokens + u64::from(self.in_flight) * RUNNING_TOKENS + tokens;
+        load * self.slowness_percent.map_or(USUAL_PERCENT, u64::from) / USUAL_PERCENT
     }
 }
 
@@ -119,7 +108,7 @@
     pub index: Option<usize>,
     /// Why.
     pub reason: Reason,
-    /// The tokens that the endpoint is predicted to read for the request.
+    /// What the endpoint is predicted to read or fetch for the request, in tokens read.
     pub work_tokens: u64,
 }
 
@@ -201,11 +190,17 @@
     prompt: &PromptShape<'_>,
 ) -> Choice {
     let home = prompt.shared_part.and_then(|part| home(candidates, sound, part));
+    let work = |index: usize| {
+        let prefix = &candidates[index].prefix;
+        let got = prefix.cached_tokens + prefix.fetchable_tokens;
+        // The cast saturates, and a transfer's time is never negative.
+        let fetch = (prefix.fetch_ms * TOKENS_PER_FETCH_MS) as u64;
+        prompt.tokens.saturating_sub(got) + fetch
+    };
     let best = sound.iter().copied().min_by_key(|&index| {
         let candidate = &candidates[index];
         let away = if home.is_some() && home != Some(index) { HOME_TOKENS } else { 0 };
-        let cost = candidate.cost(candidate.read_tokens(prompt) + away, candidate.fetch_tokens());
-        (cost, tie_break(candidate, request.draw))
+        (candidate.cost(work(index) + away), tie_break(candidate, request.draw))
     });
     let Some(index) = best else { return Choice::none(Reason::NoEndpoint) };
     let reason = match home {
@@ -214,5 +209,5 @@
         Some(_) if candidates[index].prefix.cached_tokens > 0 => Reason::Cached,
         Some(_) => Reason::Spill,
     };
-    Choice { work_tokens: candidates[index].read_tokens(prompt), ..Choice::of(index, reason) }
+    Choice { work_tokens: work(index), ..Choice::of(index, reason) }
 }
