Prompts are admitted by their predicted first token, and routes keep their ranks within a team

Nothing bounded the queues, and every request bore its team's rank alone. The replay in tests/decisions/admission.rs compares the same load without the bound.

--- a/crates/gateway/src/cache_index.rs
+++ b/crates/gateway/src/cache_index.rs
@@ -187,6 +187,11 @@
         self.saving.insert(key, now_ms);
     }
 
+    /// The request that was to bring a save about ended before.
+    pub fn save_abandoned(&mut self, key: &PartKey) {
+        self.saving.remove(key);
+    }
+
     /// The parts whose scope is not in use, with the life that they are of.
     pub fn outside(
         &self,
@@ -256,6 +261,8 @@
     pub save: Vec<Option<SocketAddr>>,
     /// The tokens that are fetched, and how long that should take, by source.
     pub transfers: Vec<Transfer>,
+    /// The parts that are saved.
+    pub saving: Vec<(SocketAddr, PartKey)>,
 }
 
 /// A transfer that a request brings about.
@@ -396,7 +403,8 @@
                 .filter(|store| store.has_room(part.tokens, now_ms))
                 .max_by(|a, b| score(a, &part.id).total_cmp(&score(b, &part.id)));
             if let Some(store) = best {
-                store.note_saving(key, now_ms);
+                store.note_saving(key.clone(), now_ms);
+                plan.saving.push((store.address(), key));
                 target = Some(store.address());
             }
         }
--- a/crates/gateway/src/controllers/peers.rs
+++ b/crates/gateway/src/controllers/peers.rs
@@ -16,7 +16,7 @@
 use crate::{
     cache_index::{HolderLoad, HolderView},
     gateway::Gateway,
-    peer_loads::{EndpointLoad, EndpointTag, LoadMessage, MAX_TOLD},
+    peer_loads::{EndpointLoad, EndpointTag, LoadMessage, MAX_TOLD, RankTokens},
 };
 
 /// The pause between messages to few peers, in milliseconds: short against the wait in a queue.
@@ -26,6 +26,9 @@
 /// The largest message, in bytes: one datagram without fragments.
 const MAX_MESSAGE_BYTES: usize = 1_400;
 
+/// The rank under which transfers are told: links know none.
+const TRANSFER_RANK: u8 = 0;
+
 /// What the store keeps of an instance.
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 struct InstanceBody {
@@ -133,7 +136,7 @@
     let now_ms = gateway.clock.now();
     let peers = gateway.peers.lock();
     for holder in gateway.holders.lock().iter_mut() {
-        let load = peers.load(holder_tag(holder), now_ms);
+        let load = peers.load(holder_tag(holder), TRANSFER_RANK, now_ms);
         holder.set_peers(HolderLoad {
             fetching_tokens: load.waiting_tokens,
             slowness_percent: load.slowness_percent,
@@ -152,11 +155,13 @@
         .collect();
     endpoints.extend(gateway.holders.lock().iter_mut().filter_map(|holder| {
         let load = holder.own_load(now_ms);
+        let mut waiting = RankTokens::default();
+        waiting.add(TRANSFER_RANK, load.fetching_tokens);
         let is_told = load.fetching_tokens > 0 || load.slowness_percent.is_some();
         is_told.then_some((
             holder_tag(holder),
             EndpointLoad {
-                waiting_tokens: u32::try_from(load.fetching_tokens).unwrap_or(u32::MAX),
+                waiting,
                 slowness_percent: load.slowness_percent.unwrap_or(0),
                 ..EndpointLoad::default()
             },
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -5,7 +5,7 @@
 //! A request that is not idempotent is sent again only when no byte of it was written, or when the endpoint stated that
 //! it did not run it. An answer that promises "not run" is given only while that holds for every send.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bilberryford_types::{EndpointId, ErrorKind, PoolName, TimeMs};
 use bytes::Bytes;
@@ -19,6 +19,7 @@
 use tokio::time::timeout;
 
 use crate::{
+    admission::{Admit, Forecast, admit},
     answers::{AnswerBody, OwnAnswer, whole},
     body::{Relay, relay, succeeded},
     cache_index::{PartPlan, Reader, Transfer, plan_parts, shared_parts},
@@ -30,7 +31,7 @@
     placement::{Candidate, PlacementRequest, PromptShape, Reason, place},
     request_log::{PromptLine, RequestLine},
     slowness::usual_ms,
-    translation::{AnswerFacts, CallerFacts, ForwardFacts},
+    translation::{AnswerFacts, CallerFacts, ForwardFacts, PartKey},
 };
 
 /// The least time left for which a send is worth it, in milliseconds: a round trip within a region.
@@ -54,6 +55,10 @@
 /// When to come back while no endpoint is up, in milliseconds: an endpoint that restarts is listed within seconds.
 const NO_ENDPOINT_RETRY_MS: TimeMs = TimeMs(400);
 
+/// How many ranks of routes are told apart within one rank of teams.
+const RANKS_OF_ROUTES: u8 = 3;
+/// The least urgent rank that endpoints know.
+const LAST_RANK: u8 = 9;
 /// How many tokens may wait before a request for its wait to tell of the source of its parts.
 const CALM_QUEUE_TOKENS: u64 = 1_500;
 
@@ -86,6 +91,7 @@
 pub(crate) struct InFlight {
     gateway: Arc<Gateway>,
     endpoint: EndpointId,
+    rank: u8,
     waiting_tokens: u64,
     /// What was to be read before the first token when the request came, the queue included.
     queue_tokens: u64,
@@ -93,6 +99,7 @@
     /// The slowness of the endpoint when the request came, in hundredths.
     slowness_percent: u32,
     transfers: Vec<Transfer>,
+    saves: Vec<(SocketAddr, PartKey)>,
     is_trial: bool,
 }
 
@@ -100,6 +107,7 @@
     fn new(
         gateway: &Arc<Gateway>,
         candidate: &Candidate,
+        rank: u8,
         waiting_tokens: u64,
         is_trial: bool,
     ) -> Self {
@@ -107,7 +115,7 @@
         let mut local = gateway.local.lock();
         let state = local.entry(endpoint.clone()).or_default();
         state.in_flight += 1;
-        state.waiting_tokens += waiting_tokens;
+        state.waiting.add(rank, waiting_tokens);
         if is_trial {
             state.health.start_trial();
         }
@@ -116,11 +124,13 @@
         Self {
             gateway: gateway.clone(),
             endpoint: endpoint.clone(),
+            rank,
             waiting_tokens,
             queue_tokens: candidate.waiting_tokens + waiting_tokens,
             began_ms: gateway.clock.now(),
             slowness_percent: candidate.slowness_percent.unwrap_or(100),
             transfers: Vec::new(),
+            saves: Vec::new(),
             is_trial,
         }
     }
@@ -144,6 +154,7 @@
     pub(crate) fn first_byte(&mut self) {
         let now_ms = self.gateway.clock.now();
         let took_ms = now_ms.since(self.began_ms);
+        self.saves.clear();
         if let [transfer] = self.transfers[..] {
             if self.queue_tokens > self.waiting_tokens + CALM_QUEUE_TOKENS {
                 // Behind a queue the wait says more of the engine than of the source.
@@ -166,7 +177,7 @@
     fn no_longer_waiting(&mut self) {
         let waiting_tokens = std::mem::take(&mut self.waiting_tokens);
         if let Some(state) = self.gateway.local.lock().get_mut(&self.endpoint) {
-            state.waiting_tokens = state.waiting_tokens.saturating_sub(waiting_tokens);
+            state.waiting.remove(self.rank, waiting_tokens);
         }
         let mut holders = self.gateway.holders.lock();
         for transfer in self.transfers.drain(..) {
@@ -180,6 +191,14 @@
 impl Drop for InFlight {
     fn drop(&mut self) {
         self.no_longer_waiting();
+        // Whatever was to be saved was not read, so that another request may save it.
+        let mut holders = self.gateway.holders.lock();
+        for (address, key) in self.saves.drain(..) {
+            if let Some(holder) = holders.iter_mut().find(|at| at.address() == address) {
+                holder.save_abandoned(&key);
+            }
+        }
+        drop(holders);
         if let Some(state) = self.gateway.local.lock().get_mut(&self.endpoint) {
             state.in_flight = state.in_flight.saturating_sub(1);
             if self.is_trial {
@@ -242,6 +261,13 @@
 }
 
 impl Forward {
+    /// A team's rank goes before that of the route, which decides within it.
+    fn rank(&self) -> u8 {
+        let team = self.team.as_ref().and_then(|team| team.rank);
+        let team = team.map_or(0, |rank| rank.saturating_mul(RANKS_OF_ROUTES));
+        team.saturating_add(self.route.rank.min(RANKS_OF_ROUTES - 1)).min(LAST_RANK)
+    }
+
     fn left_ms(&self) -> TimeMs {
         self.deadline_ms.since(self.gateway.clock.now())
     }
@@ -277,7 +303,8 @@
         };
         let Chosen { candidate, reason, work_tokens } = self.choose(progress)?;
         let is_trial = reason == Reason::Trial;
-        let mut in_flight = InFlight::new(&self.gateway, &candidate, work_tokens, is_trial);
+        let mut in_flight =
+            InFlight::new(&self.gateway, &candidate, self.rank(), work_tokens, is_trial);
         self.line.endpoint = Some(candidate.id.clone());
         self.line.placed = reason.into();
         let Some(connection) = self.connection(&candidate, progress).await else {
@@ -335,7 +362,7 @@
 
     fn choose(&mut self, progress: &Progress) -> Result<Chosen, OwnAnswer> {
         let model = self.facts.prompt.as_ref().map(|prompt| &prompt.model);
-        let mut candidates = self.gateway.candidates(&self.service, model);
+        let mut candidates = self.gateway.candidates(&self.service, model, self.rank());
         let min_weight_version =
             model.and_then(|model| self.gateway.min_weights(model, &candidates));
         let parts = self.facts.prompt.as_ref().map_or(&[][..], |prompt| &prompt.parts);
@@ -359,6 +386,21 @@
             };
             return Err(OwnAnswer::after(progress.kind(kind), NO_ENDPOINT_RETRY_MS));
         };
+        if progress.offers == 0 && request.prompt.is_some() && choice.reason != Reason::Trial {
+            let forecast = Forecast {
+                first_token_ms: TimeMs(usual_ms(choice.cost_tokens) as u64),
+                waiting_tokens: candidates[index].waiting_tokens,
+                left_ms: self.left_ms(),
+                timeout_ms: self.route.timeout_ms,
+                target_ms: self.route.target_latency_ms,
+            };
+            if let Admit::Later(after_ms) = admit(&forecast) {
+                self.line.placed = choice.reason.into();
+                self.line.notes.push("predicted_late");
+                self.line.prompt.queue_tokens = forecast.waiting_tokens;
+                return Err(OwnAnswer::after(progress.kind(ErrorKind::Overloaded), after_ms));
+            }
+        }
         Ok(Chosen {
             candidate: candidates[index].clone(),
             reason: choice.reason,
@@ -480,6 +522,7 @@
             slowness_percent: candidate.slowness_percent.unwrap_or(0),
         };
         in_flight.fetches(std::mem::take(&mut plan.transfers));
+        in_flight.saves = std::mem::take(&mut plan.saving);
         let request = self.request(candidate, &plan, left_ms);
         let could_repeat = self.route.is_idempotent()
             && progress.runs + 1 < self.route.max_attempts
@@ -546,12 +589,11 @@
     ) -> hyper::Request<Full<Bytes>> {
         let mut headers = self.headers.clone();
         let scope = self.cache_scope(candidate);
-        let rank = self.team.as_ref().and_then(|team| team.rank).unwrap_or(self.route.rank);
         let facts = ForwardFacts {
             endpoint: &candidate.id,
             time_left_ms,
             team: self.team.as_ref().map(|team| &team.name),
-            rank: self.facts.prompt.is_some().then_some(rank),
+            rank: self.facts.prompt.is_some().then(|| self.rank()),
             cache_scope: scope.as_deref(),
             weight_version: candidate.weight_version,
             fetch: &plan.fetch,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -22,7 +22,7 @@
     health::{EndpointHealth, Standing},
     key_validity::KeyValidity,
     metrics::{Metrics, MetricsError},
-    peer_loads::{EndpointLoad, EndpointTag, PeerLoads},
+    peer_loads::{EndpointLoad, EndpointTag, PeerLoads, RankTokens},
     placement::Candidate,
     repeats::{RepeatBudget, RepeatLimits},
     request_log::RequestLog,
@@ -54,7 +54,7 @@
     pub(crate) born_ms: TimeMs,
     pub(crate) health: EndpointHealth,
     pub(crate) in_flight: u32,
-    pub(crate) waiting_tokens: u64,
+    pub(crate) waiting: RankTokens,
     /// A version that the endpoint showed by refusing an older one, until the list says so too.
     pub(crate) shown_weights: Option<u64>,
     pub(crate) slowness: Slowness,
@@ -82,7 +82,7 @@
     pub(crate) fn told(&self, now_ms: TimeMs) -> EndpointLoad {
         EndpointLoad {
             in_flight: self.in_flight,
-            waiting_tokens: u32::try_from(self.waiting_tokens).unwrap_or(u32::MAX),
+            waiting: self.waiting,
             slowness_percent: self.slowness.percent(now_ms).unwrap_or(0),
             is_loading: self.is_loading(now_ms),
         }
@@ -192,6 +192,7 @@
         &self,
         service: &PoolName,
         model: Option<&ModelName>,
+        rank: u8,
     ) -> Vec<Candidate> {
         let now_ms = self.clock.now();
         let endpoints = self.endpoints.lock();
@@ -205,7 +206,8 @@
                     state.restarted(record.born_ms);
                 }
                 let listed = model.and_then(|model| record.weight_version(model));
-                let load = peers.load(EndpointTag::new(record.id.as_str(), record.born_ms), now_ms);
+                let load =
+                    peers.load(EndpointTag::new(record.id.as_str(), record.born_ms), rank, now_ms);
                 let is_loading = model.is_some() && (load.is_loading || state.is_loading(now_ms));
                 let standing = state.health.standing(now_ms);
                 let own = state.slowness.percent(now_ms);
@@ -215,7 +217,7 @@
                     is_local: record.data_centre == self.settings.data_centre,
                     standing: if is_loading { Standing::Broken } else { standing },
                     in_flight: state.in_flight.saturating_add(load.in_flight),
-                    waiting_tokens: state.waiting_tokens + load.waiting_tokens,
+                    waiting_tokens: state.waiting.before(rank) + load.waiting_tokens,
                     slowness_percent: match (own, load.slowness_percent) {
                         (Some(own), Some(theirs)) => Some((own + theirs) / 2),
                         (own, theirs) => own.or(theirs),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 //! the endpoints spell things is behind [`Translation`], which the adapter in `platform/` implements. See
 //! `docs/design/platform.md`.
 
+mod admission;
 mod answers;
 mod body;
 mod cache_index;
@@ -32,6 +33,7 @@
 mod slowness;
 mod translation;
 
+pub use admission::{Admit, Forecast, admit};
 pub use cache_index::{
     HolderKind, HolderLoad, HolderTraits, HolderView, PartPlan, PrefixFacts, Reader, Transfer,
     plan_parts, prefix_facts,
@@ -46,7 +48,7 @@
 pub use gateway::{Gateway, SetupError};
 pub use health::{EndpointHealth, Standing};
 pub use key_validity::KeyValidity;
-pub use peer_loads::{EndpointLoad, EndpointTag, LoadMessage, PeerLoad, PeerLoads};
+pub use peer_loads::{EndpointLoad, EndpointTag, LoadMessage, PeerLoad, PeerLoads, RankTokens};
 pub use placement::{Candidate, Choice, PlacementRequest, PromptShape, Reason, place};
 pub use repeats::{RepeatBudget, RepeatLimits};
 pub use rollout::{EngineWeights, NamedWeights, WeightOrder, WeightPlan, plan_weights};
--- a/crates/gateway/src/peer_loads.rs
+++ b/crates/gateway/src/peer_loads.rs
@@ -15,7 +15,7 @@
 /// How long a peer counts as live after its last message, in milliseconds.
 const LIVE_FOR_MS: TimeMs = TimeMs(3_000);
 /// The most endpoints that one message tells of, so that it fits into one datagram.
-pub(crate) const MAX_TOLD: usize = 96;
+pub(crate) const MAX_TOLD: usize = 56;
 
 /// A short name of an endpoint's life, for messages.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -30,13 +30,43 @@
     }
 }
 
+/// How many ranks there are.
+const RANKS: usize = 10;
+
+/// Waiting tokens by rank, 0 the most urgent.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RankTokens([u32; RANKS]);
+
+impl RankTokens {
+    fn at(&mut self, rank: u8) -> &mut u32 {
+        &mut self.0[usize::from(rank).min(RANKS - 1)]
+    }
+
+    /// Tokens of a request with `rank` begin to wait.
+    pub fn add(&mut self, rank: u8, tokens: u64) {
+        let at = self.at(rank);
+        *at = at.saturating_add(u32::try_from(tokens).unwrap_or(u32::MAX));
+    }
+
+    /// They wait no longer.
+    pub fn remove(&mut self, rank: u8, tokens: u64) {
+        let at = self.at(rank);
+        *at = at.saturating_sub(u32::try_from(tokens).unwrap_or(u32::MAX));
+    }
+
+    /// What goes before a request with `rank`: the tokens of its own rank and of more urgent ones.
+    pub fn before(&self, rank: u8) -> u64 {
+        self.0.iter().take(usize::from(rank) + 1).copied().map(u64::from).sum()
+    }
+}
+
 /// What one instance has at one endpoint.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
 pub struct EndpointLoad {
     /// Its requests there.
     pub in_flight: u32,
     /// The prompt tokens that the endpoint has yet to read for them.
-    pub waiting_tokens: u32,
+    pub waiting: RankTokens,
     /// How much slower than usual first tokens came, in hundredths; zero when it has not seen any.
     pub slowness_percent: u32,
     /// Whether it ordered the endpoint to load weights and has not seen the end.
@@ -119,14 +149,14 @@
         live.filter(|(name, _)| name.as_str() != own).all(|(name, _)| rank(name) < rank(own))
     }
 
-    /// What the peers have at one endpoint.
-    pub fn load(&self, endpoint: EndpointTag, now_ms: TimeMs) -> PeerLoad {
+    /// What the peers have at one endpoint that goes before a request with `rank`.
+    pub fn load(&self, endpoint: EndpointTag, rank: u8, now_ms: TimeMs) -> PeerLoad {
         let mut sum = PeerLoad::default();
         let mut slowness = (0u32, 0u32);
         let fresh = self.peers.values().filter(|peer| now_ms.since(peer.heard_ms) < USED_FOR_MS);
         for load in fresh.filter_map(|peer| peer.endpoints.get(&endpoint)) {
             sum.in_flight = sum.in_flight.saturating_add(load.in_flight);
-            sum.waiting_tokens += u64::from(load.waiting_tokens);
+            sum.waiting_tokens += load.waiting.before(rank);
             sum.is_loading |= load.is_loading;
             if load.slowness_percent > 0 {
                 slowness = (slowness.0.saturating_add(load.slowness_percent), slowness.1 + 1);
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -110,15 +110,17 @@
     pub reason: Reason,
     /// What the endpoint is predicted to read or fetch for the request, in tokens read.
     pub work_tokens: u64,
+    /// The predicted time to the first token, in tokens of an engine of usual speed.
+    pub cost_tokens: u64,
 }
 
 impl Choice {
     const fn none(reason: Reason) -> Self {
-        Self { index: None, reason, work_tokens: 0 }
+        Self { index: None, reason, work_tokens: 0, cost_tokens: 0 }
     }
 
     const fn of(index: usize, reason: Reason) -> Self {
-        Self { index: Some(index), reason, work_tokens: 0 }
+        Self { index: Some(index), reason, work_tokens: 0, cost_tokens: 0 }
     }
 }
 
@@ -209,5 +211,7 @@
         Some(_) if candidates[index].prefix.cached_tokens > 0 => Reason::Cached,
         Some(_) => Reason::Spill,
     };
-    Choice { work_tokens: work(index), ..Choice::of(index, reason) }
+    let work_tokens = work(index);
+    let cost_tokens = candidates[index].cost(work_tokens);
+    Choice { work_tokens, cost_tokens, ..Choice::of(index, reason) }
 }
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -1,6 +1,7 @@
 //! The decisions of the gateway, without a socket: each test replays the load that its module answers.
 
 mod decisions {
+    mod admission;
     mod cache_index;
     mod endpoints;
     mod health;
--- a/crates/gateway/tests/decisions/peer_loads.rs
+++ b/crates/gateway/tests/decisions/peer_loads.rs
@@ -1,8 +1,10 @@
-use bilberryford_gateway::{EndpointLoad, EndpointTag, LoadMessage, PeerLoads};
+use bilberryford_gateway::{EndpointLoad, EndpointTag, LoadMessage, PeerLoads, RankTokens};
 use bilberryford_types::TimeMs;
 
 fn message(instance: &str, sequence: u64, in_flight: u32) -> LoadMessage {
-    let load = EndpointLoad { in_flight, waiting_tokens: 100 * in_flight, ..Default::default() };
+    let mut waiting = RankTokens::default();
+    waiting.add(1, u64::from(100 * in_flight));
+    let load = EndpointLoad { in_flight, waiting, ..Default::default() };
     LoadMessage {
         instance: instance.to_owned(),
         incarnation: 1,
@@ -21,7 +23,7 @@
     peers.hear(message("a", 2, 5), TimeMs(0));
     peers.hear(message("a", 1, 50), TimeMs(10));
     peers.hear(message("b", 1, 3), TimeMs(10));
-    let load = peers.load(tag(), TimeMs(20));
+    let load = peers.load(tag(), 1, TimeMs(20));
     assert_eq!((load.in_flight, load.waiting_tokens), (8, 800));
     assert_eq!(peers.live(TimeMs(20)), 3);
 }
@@ -30,7 +32,7 @@
 fn a_silent_peer_is_first_left_out_and_then_forgotten() {
     let mut peers = PeerLoads::default();
     peers.hear(message("a", 1, 5), TimeMs(0));
-    assert_eq!(peers.load(tag(), TimeMs(2_000)).in_flight, 0);
+    assert_eq!(peers.load(tag(), 1, TimeMs(2_000)).in_flight, 0);
     assert_eq!(peers.live(TimeMs(2_000)), 2);
     peers.expire(TimeMs(4_000));
     assert_eq!(peers.live(TimeMs(4_000)), 1);
