--- a/crates/gateway/src/cache_index.rs
+++ b/crates/gateway/src/cache_index.rs
@@ -163,6 +163,18 @@
         contents.heard_ms = heard_ms;
     }
 
+    /// Parts of the life `epoch` were freed: the events that say so may never arrive.
+    pub fn freed(&mut self, epoch: u64, parts: &[PartKey]) {
+        let Some(contents) = self.contents.as_mut().filter(|contents| contents.epoch == epoch)
+        else {
+            return;
+        };
+        for key in parts {
+            let space = contents.parts.remove(key).map_or(0, space);
+            contents.used_tokens = contents.used_tokens.saturating_sub(space);
+        }
+    }
+
     fn fresh(&self, now_ms: TimeMs) -> Option<&Contents> {
         self.contents.as_ref().filter(|contents| now_ms.since(contents.heard_ms) < FRESH_MS)
     }
--- a/crates/gateway/src/controllers/free_parts.rs
+++ b/crates/gateway/src/controllers/free_parts.rs
@@ -71,6 +71,12 @@
         for (address, epoch, mut parts) in unused {
             parts.truncate(MAX_FREED);
             let is_freed = gateway.caches.free(address, epoch, &parts).await;
+            let mut holders = gateway.holders.lock();
+            let store = holders.iter_mut().find(|holder| holder.address() == address);
+            if let Some(store) = store.filter(|_| is_freed) {
+                store.freed(epoch, &parts);
+            }
+            drop(holders);
             log::info!(
                 target: "order", store:% = address, parts = parts.len(), freed = is_freed;
                 "parts of older weights freed"
--- a/crates/gateway/tests/decisions/cache_index.rs
+++ b/crates/gateway/tests/decisions/cache_index.rs
@@ -34,7 +34,7 @@
     CacheChanges { epoch, next: 9, has_gap: false, changes: changes.collect() }
 }
 
-fn parts() -> Vec<PromptPart> {
+fn prompt_parts() -> Vec<PromptPart> {
     [("system", 400), ("subject", 9_000), ("own", 2_000)]
         .map(|(id, tokens)| PromptPart { id: id.to_owned(), tokens: Tokens(tokens) })
         .into()
@@ -47,10 +47,10 @@
 #[test]
 fn a_part_that_nobody_has_is_saved_once_and_its_owner_not_at_all() {
     let mut holders = [holder(HolderKind::Store, 1, 100_000)];
-    let plan = plan_parts(&mut holders, SCOPE, &parts(), &reader(), TimeMs(10));
+    let plan = plan_parts(&mut holders, SCOPE, &prompt_parts(), &reader(), TimeMs(10));
     assert_eq!(plan.save, [Some(address(1)), Some(address(1)), None]);
     assert!(plan.fetch.is_empty());
-    let again = plan_parts(&mut holders, SCOPE, &parts(), &reader(), TimeMs(20));
+    let again = plan_parts(&mut holders, SCOPE, &prompt_parts(), &reader(), TimeMs(20));
     assert!(again.save.is_empty(), "the save is under way");
 }
 
@@ -58,7 +58,7 @@
 fn a_complete_part_is_fetched_with_its_tokens() {
     let mut holders = [holder(HolderKind::Store, 1, 100_000)];
     holders[0].apply(changes(1, &[("system", Some(400)), ("subject", Some(9_000))]), TimeMs(0));
-    let plan = plan_parts(&mut holders, SCOPE, &parts(), &reader(), TimeMs(10));
+    let plan = plan_parts(&mut holders, SCOPE, &prompt_parts(), &reader(), TimeMs(10));
     let source = |tokens| Some(PartSource { address: address(1), tokens: Some(Tokens(tokens)) });
     assert_eq!(plan.fetch, [source(400), source(9_000), None]);
     assert!(plan.save.is_empty());
@@ -76,7 +76,7 @@
     let mut holders = [holder(HolderKind::Store, 1, 100_000)];
     holders[0].apply(changes(1, &[("system", Some(400))]), TimeMs(0));
     holders[0].apply(changes(epoch, &[]), TimeMs(0));
-    let plan = plan_parts(&mut holders, SCOPE, &parts(), &reader(), TimeMs(now_ms));
+    let plan = plan_parts(&mut holders, SCOPE, &prompt_parts(), &reader(), TimeMs(now_ms));
     assert_eq!(!plan.fetch.is_empty(), is_fetched);
 }
 
@@ -84,14 +84,14 @@
 fn another_scope_is_another_part() {
     let mut holders = [holder(HolderKind::Store, 1, 100_000)];
     holders[0].apply(changes(1, &[("system", Some(400))]), TimeMs(0));
-    let plan = plan_parts(&mut holders, "model/2/", &parts(), &reader(), TimeMs(10));
+    let plan = plan_parts(&mut holders, "model/2/", &prompt_parts(), &reader(), TimeMs(10));
     assert!(plan.fetch.is_empty());
 }
 
 #[test]
 fn a_full_store_gets_no_save() {
     let mut holders = [holder(HolderKind::Store, 1, 500)];
-    let plan = plan_parts(&mut holders, SCOPE, &parts(), &reader(), TimeMs(10));
+    let plan = plan_parts(&mut holders, SCOPE, &prompt_parts(), &reader(), TimeMs(10));
     assert_eq!(plan.save, [Some(address(1)), None, None]);
 }
 
@@ -103,19 +103,33 @@
     let both = changes(1, &[("system", Some(400)), ("subject", Some(9_000))]);
     holders.iter_mut().for_each(|holder| holder.apply(both.clone(), TimeMs(0)));
     holders[0].fetch_begins(120_000);
-    let plan = plan_parts(&mut holders, SCOPE, &parts(), &reader(), TimeMs(10));
+    let plan = plan_parts(&mut holders, SCOPE, &prompt_parts(), &reader(), TimeMs(10));
     assert!(plan.fetch.iter().flatten().all(|source| source.address == address(2)));
     let mut alone = [holders[0].clone()];
     (0..30).for_each(|_| alone[0].sample(10.0, 2_000.0, TimeMs(5)));
-    let plan = plan_parts(&mut alone, SCOPE, &parts(), &reader(), TimeMs(10));
+    let plan = plan_parts(&mut alone, SCOPE, &prompt_parts(), &reader(), TimeMs(10));
     assert!(plan.fetch.is_empty(), "reading is far sooner: {plan:?}");
 }
 
+/// Seen in an incident: the events of freed parts were lost, and the parts were freed again twice a second.
+#[test]
+fn freed_parts_are_gone_without_an_event() {
+    let mut store = holder(HolderKind::Store, 1, 10_000);
+    store.apply(changes(1, &[("subject", Some(9_000))]), TimeMs(0));
+    let (epoch, parts) = store.outside(|_| false, TimeMs(10)).expect("a part of no use");
+    store.freed(epoch + 1, &parts);
+    assert!(store.outside(|_| false, TimeMs(10)).is_some(), "another life of the store");
+    store.freed(epoch, &parts);
+    assert!(store.outside(|_| false, TimeMs(10)).is_none());
+    let plan = plan_parts(&mut [store], SCOPE, &prompt_parts(), &reader(), TimeMs(10));
+    assert_eq!(plan.save.iter().flatten().count(), 2, "its space is free again");
+}
+
 #[test]
 fn what_an_engine_has_counts_up_to_its_first_gap() {
     let mut own = holder(HolderKind::Engine, 99, 100_000);
     own.apply(changes(1, &[("subject", Some(9_000))]), TimeMs(0));
-    let facts = prefix_facts(&[own], SCOPE, &parts(), &reader(), TimeMs(10));
+    let facts = prefix_facts(&[own], SCOPE, &prompt_parts(), &reader(), TimeMs(10));
     assert_eq!(facts.cached_tokens, 0, "a part is of no use without those before it");
 }
 
