--- a/crates/gateway/src/controllers/weight_orders.rs
+++ b/crates/gateway/src/controllers/weight_orders.rs
@@ -21,7 +21,7 @@
     endpoints::EndpointRecord,
     gateway::Gateway,
     rollout::{EngineWeights, plan_weights},
-    translation::{OrderReply, WeightTarget},
+    translation::{OrderReply, WeightLoad, WeightTarget},
 };
 
 /// The name of the lease.
@@ -331,10 +331,7 @@
             .load_weights(
                 record.address,
                 &record.id,
-                target,
-                holder,
-                permit.fencing,
-                accepted_orders,
+                WeightLoad { target, holder, fencing: permit.fencing, accepted_orders },
             )
             .await;
         self.gateway.metrics.orders.add(1, &[]);
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -166,10 +166,11 @@
             if let Some(holder) = holders.iter_mut().find(|at| at.address() == transfer.address) {
                 holder.sample(transfer.usual_ms, fetching_ms, now_ms);
             }
-        } else if self.waiting_tokens > 0 && self.transfers.is_empty() {
-            if let Some(state) = self.gateway.local.lock().get_mut(&self.endpoint) {
-                state.slowness.sample(self.queue_tokens, took_ms, now_ms);
-            }
+        } else if self.waiting_tokens > 0
+            && self.transfers.is_empty()
+            && let Some(state) = self.gateway.local.lock().get_mut(&self.endpoint)
+        {
+            state.slowness.sample(self.queue_tokens, took_ms, now_ms);
         }
         self.no_longer_waiting();
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -58,5 +58,5 @@
 pub use translation::{
     AnswerFacts, CacheChange, CacheChanges, CacheContent, CallerFacts, DecodeError, EngineReport,
     ForwardFacts, OrderReply, PartKey, PartSource, PromptFacts, PromptPart, TranslateCaches,
-    TranslateOrders, Translation, WeightTarget,
+    TranslateOrders, Translation, WeightLoad, WeightTarget,
 };
--- a/crates/gateway/src/translation.rs
+++ b/crates/gateway/src/translation.rs
@@ -242,6 +242,19 @@
     Unknown,
 }
 
+/// An order to load weights.
+#[derive(Debug, Clone, Copy)]
+pub struct WeightLoad<'a> {
+    /// Which weights.
+    pub target: &'a WeightTarget,
+    /// Who holds the lease of orders.
+    pub holder: &'a str,
+    /// The number that an engine compares with those it has seen.
+    pub fencing: Fencing,
+    /// The count of accepted orders that the engine must still have.
+    pub accepted_orders: u64,
+}
+
 /// Reads reports and gives orders.
 pub trait TranslateOrders: Send + Sync {
     /// The report of the engine at `address`; none when there was no readable answer.
@@ -256,9 +269,6 @@
         &'a self,
         address: SocketAddr,
         endpoint: &'a EndpointId,
-        target: &'a WeightTarget,
-        holder: &'a str,
-        fencing: Fencing,
-        accepted_orders: u64,
+        order: WeightLoad<'a>,
     ) -> BoxFuture<'a, OrderReply>;
 }
