--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -10,8 +10,8 @@
 use tokio::time::timeout;
 
 use crate::{
-    answers::AnswerBody, connections::Connection, forward::InFlight, gateway::Gateway,
-    health::EndpointHealth, request_log::RequestLine,
+    answers::AnswerBody, connections::Connection, gateway::Gateway, health::EndpointHealth,
+    in_flight::InFlight, request_log::RequestLine,
 };
 
 /// An answer on its way; dropping it closes the endpoint's connection, which stops its work.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -14,7 +14,7 @@
 use parking_lot::Mutex;
 
 use crate::{
-    cache_index::{HolderView, PrefixFacts, Reader, prefix_facts},
+    cache_index::HolderView,
     clock::Clock,
     connections::Connections,
     deployment::Deployment,
@@ -22,6 +22,7 @@
     health::{EndpointHealth, Standing},
     key_validity::KeyValidity,
     metrics::{Metrics, MetricsError},
+    part_plan::{PrefixFacts, Reader, prefix_facts},
     peer_loads::{EndpointLoad, EndpointTag, PeerLoads, RankTokens},
     placement::Candidate,
     repeats::{RepeatBudget, RepeatLimits},
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,8 +21,10 @@
 mod forward;
 mod gateway;
 mod health;
+mod in_flight;
 mod key_validity;
 mod metrics;
+mod part_plan;
 mod peer_loads;
 mod placement;
 mod repeats;
@@ -34,10 +36,7 @@
 mod translation;
 
 pub use admission::{Admit, Forecast, admit};
-pub use cache_index::{
-    HolderKind, HolderLoad, HolderTraits, HolderView, PartPlan, PrefixFacts, Reader, Transfer,
-    plan_parts, prefix_facts,
-};
+pub use cache_index::{HolderKind, HolderLoad, HolderTraits, HolderView};
 pub use cache_scope::{CacheScope, ScopeError};
 pub use clock::Clock;
 pub use deployment::{
@@ -48,6 +47,7 @@
 pub use gateway::{Gateway, SetupError};
 pub use health::{EndpointHealth, Standing};
 pub use key_validity::KeyValidity;
+pub use part_plan::{PartPlan, PrefixFacts, Reader, Transfer, plan_parts, prefix_facts};
 pub use peer_loads::{EndpointLoad, EndpointTag, LoadMessage, PeerLoad, PeerLoads, RankTokens};
 pub use placement::{Candidate, Choice, PlacementRequest, PromptShape, Reason, place};
 pub use repeats::{RepeatBudget, RepeatLimits};
--- /dev/null
+++ b/crates/gateway/src/part_plan.rs
@@ -0,0 +1,191 @@
+//! Plans where a prompt's parts come from and go to, over the views of all holders.
+//!
+//! The load pattern it answers: requests that share parts arrive at engines that don't have them. A part is fetched from
+//! where it is nearest, its link's queue and slowness included, and saved once where no store has it.
+
+use std::net::SocketAddr;
+
+use bilberryford_types::{Bytes, DataCentreId, TimeMs, Tokens};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::{
+    cache_index::{HolderKind, HolderView},
+    translation::{PartKey, PartSource, PromptPart},
+};
+
+/// The least tokens of a part that is worth a save: shorter ones are read faster than fetched.
+const LEAST_SAVED_TOKENS: u32 = 64;
+/// What a millisecond of a transfer costs, in tokens that an engine could read meanwhile.
+pub(crate) const TOKENS_PER_FETCH_MS: f64 = 40.0;
+/// How many times the reading a fetch may cost: it leaves the engine free to read for others. From trials with 1.2 to 25.
+const WORTH_FETCHING: f64 = 8.0;
+
+/// Where a prompt's parts come from and go to; both have one entry for each part, or none at all.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct PartPlan {
+    /// Sources of complete parts.
+    pub fetch: Vec<Option<PartSource>>,
+    /// Stores for parts that none has.
+    pub save: Vec<Option<SocketAddr>>,
+    /// The tokens that are fetched, and how long that should take, by source.
+    pub transfers: Vec<Transfer>,
+    /// The parts that are saved.
+    pub saving: Vec<(SocketAddr, PartKey)>,
+}
+
+/// A transfer that a request brings about.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Transfer {
+    /// From where.
+    pub address: SocketAddr,
+    /// How much.
+    pub tokens: u64,
+    /// How long it takes at usual speed.
+    pub usual_ms: f64,
+}
+
+/// What is known of a prompt's shared parts for one engine.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct PrefixFacts {
+    /// The tokens that the engine has in its memory.
+    pub cached_tokens: u64,
+    /// The tokens that it can fetch.
+    pub fetchable_tokens: u64,
+    /// How long fetching them takes.
+    pub fetch_ms: f64,
+}
+
+/// Weighted rendezvous hashing: the greatest score wins, and a store's share is that of its capacity.
+fn score(store: &HolderView, part: &str) -> f64 {
+    let seed = xxh3_64_with_seed(part.as_bytes(), 1);
+    let hash = xxh3_64_with_seed(store.address().to_string().as_bytes(), seed);
+    // A uniform number in (0, 1]; its logarithm turns the capacity into a share.
+    let uniform = ((hash >> 11) as f64 + 1.0) / (1u64 << 53) as f64;
+    -(store.traits().capacity_tokens as f64) / uniform.ln().min(-f64::MIN_POSITIVE)
+}
+
+/// The shared parts of a prompt; the last part is its own.
+pub(crate) fn shared_parts(parts: &[PromptPart]) -> &[PromptPart] {
+    &parts[..parts.len().saturating_sub(1)]
+}
+
+/// An engine that a prompt may go to.
+#[derive(Debug, Clone, Copy)]
+pub struct Reader<'a> {
+    /// Where it is.
+    pub address: SocketAddr,
+    /// Its data centre.
+    pub data_centre: Option<&'a DataCentreId>,
+    /// The size of one cached token.
+    pub token_bytes: Bytes,
+}
+
+/// The nearest holder of a part that `reader` can fetch it from.
+fn nearest<'a>(
+    holders: &'a [HolderView],
+    key: &PartKey,
+    part: &PromptPart,
+    reader: &Reader<'_>,
+    now_ms: TimeMs,
+) -> Option<(&'a HolderView, Tokens, f64)> {
+    holders
+        .iter()
+        .filter(|holder| holder.address() != reader.address)
+        .filter_map(|holder| {
+            let tokens = holder.holds(key, now_ms)?.min(part.tokens);
+            Some((holder, tokens, holder.transfer_ms(tokens, reader)))
+        })
+        .filter(|(_, tokens, fetch_ms)| {
+            *fetch_ms * TOKENS_PER_FETCH_MS <= f64::from(tokens.get()) * WORTH_FETCHING
+        })
+        .min_by(|a, b| a.2.total_cmp(&b.2))
+}
+
+/// What `reader` has and can get of a prompt's shared parts, up to the first that it has to read.
+pub fn prefix_facts(
+    holders: &[HolderView],
+    scope: &str,
+    parts: &[PromptPart],
+    reader: &Reader<'_>,
+    now_ms: TimeMs,
+) -> PrefixFacts {
+    let own = holders.iter().find(|holder| holder.address() == reader.address);
+    let mut facts = PrefixFacts::default();
+    let mut is_cached = true;
+    for part in shared_parts(parts) {
+        let key = PartKey { scope: scope.to_owned(), id: part.id.clone() };
+        let held =
+            own.and_then(|own| own.holds(&key, now_ms)).filter(|tokens| *tokens >= part.tokens);
+        if let Some(tokens) = held.filter(|_| is_cached) {
+            facts.cached_tokens += u64::from(tokens.get());
+            continue;
+        }
+        is_cached = false;
+        let Some((_, tokens, fetch_ms)) = nearest(holders, &key, part, reader, now_ms) else {
+            break;
+        };
+        facts.fetchable_tokens += u64::from(tokens.get());
+        facts.fetch_ms += fetch_ms;
+    }
+    facts
+}
+
+/// Plans a request's parts at the engine that was chosen; the last part is neither fetched nor saved.
+pub fn plan_parts(
+    holders: &mut [HolderView],
+    scope: &str,
+    parts: &[PromptPart],
+    reader: &Reader<'_>,
+    now_ms: TimeMs,
+) -> PartPlan {
+    let mut plan = PartPlan::default();
+    let own = holders.iter().position(|holder| holder.address() == reader.address);
+    for part in shared_parts(parts) {
+        let key = PartKey { scope: scope.to_owned(), id: part.id.clone() };
+        let is_cached = own.is_some_and(|own| {
+            holders[own].holds(&key, now_ms).is_some_and(|tokens| tokens >= part.tokens)
+        });
+        let source =
+            nearest(holders, &key, part, reader, now_ms).map(|(holder, tokens, fetch_ms)| {
+                if !is_cached {
+                    plan.transfers.push(Transfer {
+                        address: holder.address(),
+                        tokens: u64::from(tokens.get()),
+                        usual_ms: fetch_ms / holder.slowness(),
+                    });
+                }
+                // An engine drops parts at any time, and gives what it has then.
+                let tokens = (holder.traits().kind == HolderKind::Store).then_some(tokens);
+                PartSource { address: holder.address(), tokens }
+            });
+        let is_store = |holder: &&mut HolderView| holder.traits().kind == HolderKind::Store;
+        let is_kept = holders.iter().any(|holder| {
+            holder.traits().kind == HolderKind::Store
+                && (holder.holds(&key, now_ms).is_some() || holder.is_saving(&key, now_ms))
+        });
+        let mut target = None;
+        if !is_kept && part.tokens.get() >= LEAST_SAVED_TOKENS {
+            let best = holders
+                .iter_mut()
+                .filter(is_store)
+                .filter(|store| store.has_room(part.tokens, now_ms))
+                .max_by(|a, b| score(a, &part.id).total_cmp(&score(b, &part.id)));
+            if let Some(store) = best {
+                store.note_saving(key.clone(), now_ms);
+                plan.saving.push((store.address(), key));
+                target = Some(store.address());
+            }
+        }
+        plan.fetch.push(source);
+        plan.save.push(target);
+    }
+    plan.fetch.resize(parts.len(), None);
+    plan.save.resize(parts.len(), None);
+    if plan.fetch.iter().all(Option::is_none) {
+        plan.fetch.clear();
+    }
+    if plan.save.iter().all(Option::is_none) {
+        plan.save.clear();
+    }
+    plan
+}
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -13,8 +13,8 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
-    cache_index::{PrefixFacts, TOKENS_PER_FETCH_MS},
     health::Standing,
+    part_plan::{PrefixFacts, TOKENS_PER_FETCH_MS},
 };
 
 /// What one running request counts in the load of an engine, in tokens: its share of the batch's steps.
