--- a/crates/gateway/src/forward/choose.rs
+++ b/crates/gateway/src/forward/choose.rs
@@ -35,8 +35,8 @@
     pub(super) fn choose(&mut self, progress: &Progress) -> Result<Chosen, OwnAnswer> {
         let model = self.facts.prompt.as_ref().map(|prompt| &prompt.model);
         let mut candidates = self.gateway.candidates(&self.service, model, self.rank());
-        let min_weight_version =
-            model.and_then(|model| self.gateway.min_weights(model, &candidates));
+        let (min_weight_version, preferred_weight_version) =
+            model.map_or((None, None), |model| self.gateway.weights_wanted(model));
         let parts = self.facts.prompt.as_ref().map_or(&[][..], |prompt| &prompt.parts);
         self.gateway.fill_prefixes(&mut candidates, parts, |at| self.cache_scope(at));
         let prompt = self.facts.prompt.as_ref().map(|prompt| PromptShape {
@@ -46,6 +46,7 @@
         let request = PlacementRequest {
             prompt,
             min_weight_version,
+            preferred_weight_version,
             tried: &progress.tried,
             draw: rand::random(),
         };
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -255,18 +255,14 @@
         deployment.as_ref().and_then(|deployment| deployment.token_bytes()).unwrap_or_default()
     }
 
-    /// The lowest weight version for a request that begins now, given what the candidates have.
-    pub(crate) fn min_weights(&self, model: &ModelName, candidates: &[Candidate]) -> Option<u64> {
+    /// The lowest weight version for a request that begins now, and the one that is preferred.
+    pub(crate) fn weights_wanted(&self, model: &ModelName) -> (Option<u64>, Option<u64>) {
         let now_ms = self.clock.now();
         let weights = self.weights.lock();
-        let named = weights.get(model)?;
-        let newest = named.newest();
+        let Some(named) = weights.get(model) else { return (None, None) };
         let bound_ms = self.settings.bounds.weights_ms.since(OLD_WEIGHTS_MARGIN_MS);
-        let has_new =
-            |candidate: &&Candidate| candidate.weight_version.is_some_and(|v| v >= newest);
-        let is_usual = candidates.iter().filter(has_new).count() * 2 >= candidates.len();
-        let is_preferred = is_usual && named.age_ms(now_ms) >= PREFER_NEW_WEIGHTS_MS;
-        if is_preferred { Some(newest) } else { named.required(now_ms, bound_ms) }
+        let is_preferred = named.age_ms(now_ms) >= PREFER_NEW_WEIGHTS_MS;
+        (named.required(now_ms, bound_ms), is_preferred.then(|| named.newest()))
     }
 
     /// The endpoint sent something.
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -21,6 +21,8 @@
 const RUNNING_TOKENS: u64 = 250;
 /// What being first for the shared part is worth, in tokens: it keeps requests for a part together while nobody has it.
 const HOME_TOKENS: u64 = 1_500;
+/// What older weights than the preferred ones cost, in tokens: a fifth of a usual prompt's worth, as a wait.
+const OLD_WEIGHTS_TOKENS: u64 = 4_000;
 /// The slowness of an endpoint without a sample, in hundredths.
 const USUAL_PERCENT: u64 = 100;
 
@@ -71,6 +73,8 @@
     pub prompt: Option<PromptShape<'a>>,
     /// The lowest weight version that may be used.
     pub min_weight_version: Option<u64>,
+    /// The weight version that is better than older ones, though they may be used.
+    pub preferred_weight_version: Option<u64>,
     /// Endpoints that have had this request.
     pub tried: &'a [EndpointId],
     /// A uniform number that breaks ties.
@@ -202,7 +206,11 @@
     let best = sound.iter().copied().min_by_key(|&index| {
         let candidate = &candidates[index];
         let away = if home.is_some() && home != Some(index) { HOME_TOKENS } else { 0 };
-        (candidate.cost(work(index) + away), tie_break(candidate, request.draw))
+        let is_old = request
+            .preferred_weight_version
+            .is_some_and(|preferred| candidate.weight_version < Some(preferred));
+        let old = if is_old { OLD_WEIGHTS_TOKENS } else { 0 };
+        (candidate.cost(work(index) + away) + old, tie_break(candidate, request.draw))
     });
     let Some(index) = best else { return Choice::none(Reason::NoEndpoint) };
     let reason = match home {
--- a/crates/gateway/tests/decisions/placement.rs
+++ b/crates/gateway/tests/decisions/placement.rs
@@ -23,7 +23,13 @@
 }
 
 fn call(draw: u64) -> PlacementRequest<'static> {
-    PlacementRequest { prompt: None, min_weight_version: None, tried: &[], draw }
+    PlacementRequest {
+        prompt: None,
+        min_weight_version: None,
+        preferred_weight_version: None,
+        tried: &[],
+        draw,
+    }
 }
 
 fn prompt(part: &str, draw: u64) -> PlacementRequest<'_> {
@@ -99,6 +105,31 @@
     assert_eq!(place(&pool, &required).index, Some(1));
 }
 
+/// New weights are on a third of the pool: they get more than their part, and the others still help.
+#[test]
+fn newer_weights_are_preferred_until_their_engines_are_behind() {
+    let mut pool = half_loaded();
+    let mut counts = [0, 0];
+    for draw in 0..9 {
+        let part = draw.to_string();
+        let request = PlacementRequest { preferred_weight_version: Some(2), ..prompt(&part, draw) };
+        let choice = place(&pool, &request);
+        let index = choice.index.expect("an engine");
+        pool[index].waiting_tokens += choice.work_tokens;
+        counts[usize::from(index < 3)] += 1;
+    }
+    assert!(counts[1] >= 3 && counts[0] >= 3, "{counts:?}");
+    assert_eq!(counts[1] + counts[0], 9);
+    let first = PlacementRequest { preferred_weight_version: Some(2), ..prompt("x", 0) };
+    assert!(place(&half_loaded(), &first).index < Some(3));
+}
+
+fn half_loaded() -> Vec<Candidate> {
+    let mut pool = pool(9);
+    pool.iter_mut().take(3).for_each(|engine| engine.weight_version = Some(2));
+    pool
+}
+
 #[test]
 fn calls_go_to_the_own_data_centre_until_another_has_less_to_do() {
     let mut pool = pool(4);
