Watches pause after changes, and prompts draw six engines

Change: 0.4 s between two watches that bring changes of endpoints, 2 s of instances, 0.1 s of the others; a prompt considers six drawn engines beside those that have or should have its parts.

--- a/crates/gateway/src/controllers/config.rs
+++ b/crates/gateway/src/controllers/config.rs
@@ -22,6 +22,7 @@
 impl Sink for ConfigSink {
     const KIND: ObjectKind = ObjectKind::Config;
     const WAIT_MS: TimeMs = TimeMs(8_000);
+    const PAUSE_AFTER_CHANGES: Duration = Duration::from_millis(100);
 
     fn listed(&self, gateway: &Gateway, objects: Vec<Object>, started_ms: TimeMs) {
         for object in objects.into_iter().filter(|object| object.name.as_str() == NEWEST) {
--- a/crates/gateway/src/controllers/endpoints.rs
+++ b/crates/gateway/src/controllers/endpoints.rs
@@ -1,5 +1,7 @@
 //! Keeps the table of endpoints in step with the store's list.
 
+use std::time::Duration;
+
 use bilberryford_platform::{Change, Object, ObjectKind};
 use bilberryford_types::TimeMs;
 
@@ -17,6 +19,7 @@
 impl Sink for EndpointSink {
     const KIND: ObjectKind = ObjectKind::Endpoint;
     const WAIT_MS: TimeMs = TimeMs(2_500);
+    const PAUSE_AFTER_CHANGES: Duration = Duration::from_millis(400);
 
     fn listed(&self, gateway: &Gateway, objects: Vec<Object>, _started_ms: TimeMs) {
         let now_ms = gateway.clock.now();
--- a/crates/gateway/src/controllers/follow.rs
+++ b/crates/gateway/src/controllers/follow.rs
@@ -41,6 +41,9 @@
     const KIND: ObjectKind;
     /// How long a watch waits; a silent connection is noticed after it.
     const WAIT_MS: TimeMs;
+    /// The pause after a watch that brought changes: what changes meanwhile comes in one answer. Each call is priced, and
+    /// in a large fleet something changes all the time.
+    const PAUSE_AFTER_CHANGES: Duration;
 
     fn listed(&self, gateway: &Gateway, objects: Vec<Object>, started_ms: TimeMs);
     fn changed(&self, gateway: &Gateway, change: Change);
@@ -101,8 +104,12 @@
 ) -> Result<ObjectVersion, PlatformError> {
     gateway.metrics.store_calls.add(1, &[]);
     let changes = gateway.store.watch(S::KIND, from, S::WAIT_MS).await?;
+    let is_pausing = !changes.changes.is_empty();
     for change in changes.changes {
         sink.changed(gateway, change);
     }
+    if is_pausing {
+        sleep(S::PAUSE_AFTER_CHANGES).await;
+    }
     Ok(changes.version)
 }
--- a/crates/gateway/src/controllers/peers.rs
+++ b/crates/gateway/src/controllers/peers.rs
@@ -54,6 +54,7 @@
 impl Sink for PeerSink {
     const KIND: ObjectKind = ObjectKind::Instance;
     const WAIT_MS: TimeMs = TimeMs(10_000);
+    const PAUSE_AFTER_CHANGES: Duration = Duration::from_millis(2_000);
 
     fn listed(&self, _gateway: &Gateway, objects: Vec<Object>, _started_ms: TimeMs) {
         self.0.lock().clear();
--- a/crates/gateway/src/controllers/weights.rs
+++ b/crates/gateway/src/controllers/weights.rs
@@ -1,5 +1,7 @@
 //! Follows the weight versions that operators name.
 
+use std::time::Duration;
+
 use bilberryford_platform::{Change, Object, ObjectKind};
 use bilberryford_types::TimeMs;
 
@@ -39,6 +41,7 @@
 impl Sink for WeightSink {
     const KIND: ObjectKind = ObjectKind::WeightVersion;
     const WAIT_MS: TimeMs = TimeMs(5_000);
+    const PAUSE_AFTER_CHANGES: Duration = Duration::from_millis(100);
 
     fn listed(&self, gateway: &Gateway, objects: Vec<Object>, _started_ms: TimeMs) {
         for object in objects {
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -23,6 +23,10 @@
 const HOME_TOKENS: u64 = 1_500;
 /// What older weights than the preferred ones cost, in tokens: a fifth of a usual prompt's worth, as a wait.
 const OLD_WEIGHTS_TOKENS: u64 = 4_000;
+/// How many engines are drawn for a prompt, beside those that have or should have its parts.
+const DRAWN: usize = 6;
+/// The cached tokens that make an engine one to consider: more than the parts that nearly all prompts share.
+const LEAST_CACHED_TOKENS: u64 = 1_000;
 /// The slowness of an endpoint without a sample, in hundredths.
 const USUAL_PERCENT: u64 = 100;
 
@@ -203,7 +207,15 @@
         let fetch = (prefix.fetch_ms * TOKENS_PER_FETCH_MS) as u64;
         prompt.tokens.saturating_sub(got) + fetch
     };
-    let best = sound.iter().copied().min_by_key(|&index| {
+    // With a view that is some requests old, all instances would take the one engine that seems to have the least to do.
+    let mut drawn = sound.to_vec();
+    drawn.sort_by_key(|&index| tie_break(&candidates[index], request.draw));
+    let is_special = |index: usize| {
+        home == Some(index) || candidates[index].prefix.cached_tokens > LEAST_CACHED_TOKENS
+    };
+    let special = sound.iter().copied().filter(|&index| is_special(index));
+    let considered = drawn.into_iter().take(DRAWN).chain(special);
+    let best = considered.min_by_key(|&index| {
         let candidate = &candidates[index];
         let away = if home.is_some() && home != Some(index) { HOME_TOKENS } else { 0 };
         let is_old = request
