What stores hold is passed on to instances that don't follow them

Change: the first two followers pass on what a store says by UDP as soon as it is heard; an instance whose view has a gap asks the store for all content. Below the number of followers nothing is passed on.

--- a/crates/gateway/src/cache_index.rs
+++ b/crates/gateway/src/cache_index.rs
@@ -51,6 +51,8 @@
     pub link: BytesPerSec,
     /// What each transfer waits besides.
     pub first_byte_ms: TimeMs,
+    /// How many callers may wait for its events at once.
+    pub max_followers: u32,
 }
 
 #[derive(Debug, Clone, Default)]
@@ -75,6 +77,7 @@
 #[derive(Debug, Clone)]
 pub struct HolderView {
     traits: HolderTraits,
+    is_followed: bool,
     own: HolderLoad,
     slowness: Slowness,
     peers: HolderLoad,
@@ -87,10 +90,11 @@
 }
 
 impl HolderView {
-    /// A holder of which nothing is known.
-    pub fn new(traits: HolderTraits) -> Self {
+    /// A holder of which nothing is known; `is_followed` when this instance asks it itself.
+    pub fn new(traits: HolderTraits, is_followed: bool) -> Self {
         Self {
             traits,
+            is_followed,
             own: HolderLoad::default(),
             slowness: Slowness::default(),
             peers: HolderLoad::default(),
@@ -99,6 +103,11 @@
         }
     }
 
+    /// Whether this instance asks it itself, and not through peers.
+    pub const fn is_followed(&self) -> bool {
+        self.is_followed
+    }
+
     /// Where it is.
     pub const fn address(&self) -> SocketAddr {
         self.traits.address
@@ -168,6 +177,27 @@
         }
     }
 
+    /// Takes in changes that a peer passed on; those that don't go on from what is known make all content be asked for.
+    pub fn hear(&mut self, since: u64, changes: CacheChanges, heard_ms: TimeMs) {
+        let known = self.contents.as_ref().map(|contents| (contents.epoch, contents.next));
+        match known {
+            None if since == 0 => self.apply(changes, heard_ms),
+            // Another peer was sooner.
+            Some((epoch, next)) if epoch == changes.epoch && changes.next < next => {}
+            Some((epoch, next)) if epoch == changes.epoch && changes.next == next => {
+                self.heard(heard_ms);
+            }
+            Some((_, next)) if since == next => self.apply(changes, heard_ms),
+            _ => self.forget(),
+        }
+    }
+
+    fn heard(&mut self, heard_ms: TimeMs) {
+        if let Some(contents) = self.contents.as_mut() {
+            contents.heard_ms = heard_ms;
+        }
+    }
+
     fn fresh(&self, now_ms: TimeMs) -> Option<&Contents> {
         self.contents.as_ref().filter(|contents| now_ms.since(contents.heard_ms) < FRESH_MS)
     }
--- a/crates/gateway/src/controllers/caches.rs
+++ b/crates/gateway/src/controllers/caches.rs
@@ -14,6 +14,8 @@
     deployment::Deployment,
     endpoints::EndpointState,
     gateway::Gateway,
+    peer_loads::PartsMessage,
+    translation::CacheChanges,
 };
 
 /// How often the configuration and the list are asked for holders.
@@ -26,6 +28,8 @@
 const ENGINE_PAUSE_MS: u64 = 250;
 /// The pause after a call without an answer, in milliseconds.
 const FAILED_PAUSE_MS: u64 = 500;
+/// How often an instance that hears of a store through peers looks whether it has to ask, in milliseconds.
+const LISTEN_MS: u64 = 3_000;
 /// How often all content of a store is asked for, since some events never arrive, in milliseconds.
 const RELIST_MS: TimeMs = TimeMs(15_000);
 
@@ -34,20 +38,30 @@
 struct Holder {
     traits: HolderTraits,
     engine: Option<(EndpointId, TimeMs)>,
-    max_followers: u32,
+    is_followed: bool,
 }
 
 /// How many of a holder's calls for events are left free, for instances that disagree on who follows.
 const FREE_CALLS: usize = 2;
 
-impl Holder {
-    /// Whether this instance is one of those that follow it.
-    fn is_ours(&self, gateway: &Gateway) -> bool {
-        let now_ms = gateway.clock.now();
-        let address = self.traits.address.to_string();
-        let rank = gateway.peers.lock().rank(gateway.settings.instance.as_str(), &address, now_ms);
-        rank + FREE_CALLS < (self.max_followers as usize).max(FREE_CALLS + 1)
-    }
+/// How many followers of a store pass on what it says, so that one may be lost.
+const TELLERS: usize = 2;
+
+/// How many instances go before this one in following the holder at `address`.
+fn rank(gateway: &Gateway, address: SocketAddr) -> usize {
+    let now_ms = gateway.clock.now();
+    let own = gateway.settings.instance.as_str();
+    gateway.peers.lock().rank(own, &address.to_string(), now_ms)
+}
+
+/// How many instances ask a holder themselves.
+fn followers(max_followers: u32) -> usize {
+    (max_followers as usize).saturating_sub(FREE_CALLS).max(1)
+}
+
+/// Whether this instance is one of those that ask the holder themselves.
+fn is_ours(gateway: &Gateway, address: SocketAddr, max_followers: u32) -> bool {
+    rank(gateway, address) < followers(max_followers)
 }
 
 fn holders(gateway: &Gateway, deployment: &Deployment) -> Vec<Holder> {
@@ -60,9 +74,10 @@
             capacity_tokens: store.capacity_tokens,
             link: store.link,
             first_byte_ms: store.first_byte_ms,
+            max_followers: store.max_followers,
         },
         engine: None,
-        max_followers: store.max_followers,
+        is_followed: is_ours(gateway, store.address, store.max_followers),
     });
     let endpoints = gateway.endpoints.lock();
     let engines = endpoints.records().filter(|record| record.state == EndpointState::Ready);
@@ -76,14 +91,14 @@
                 capacity_tokens: engine.kv_capacity_tokens,
                 link: engine.link.max(BytesPerSec(1)),
                 first_byte_ms: TimeMs(0),
+                max_followers: engine.max_followers,
             },
             engine: Some((record.id.clone(), record.born_ms)),
-            max_followers: engine.max_followers,
+            is_followed: is_ours(gateway, record.address, engine.max_followers),
         })
     });
-    let all: Vec<Holder> = stores.chain(engines).collect();
-    drop(endpoints);
-    all.into_iter().filter(|holder| holder.is_ours(gateway)).collect()
+    // What stores hold is passed on by peers; what engines hold is known to their followers only.
+    stores.chain(engines.filter(|holder| holder.is_followed)).collect()
 }
 
 pub(super) async fn run(gateway: Arc<Gateway>) {
@@ -99,9 +114,14 @@
             if tasks.contains_key(&address) {
                 continue;
             }
-            gateway.holders.lock().push(HolderView::new(holder.traits.clone()));
+            let view = HolderView::new(holder.traits.clone(), holder.is_followed);
+            gateway.holders.lock().push(view);
             let mut task = JoinSet::new();
-            task.spawn(follow(gateway.clone(), address, holder.traits.kind));
+            if holder.is_followed {
+                task.spawn(follow(gateway.clone(), address, holder.traits.kind));
+            } else {
+                task.spawn(listen(gateway.clone(), address));
+            }
             tasks.insert(address, (holder, task));
         }
         sleep(RECONCILE_EVERY).await;
@@ -118,6 +138,7 @@
             return false;
         };
         let heard_ms = gateway.clock.now();
+        tell(gateway, address, since, &changes);
         with_view(gateway, address, |view| view.apply(changes, heard_ms));
         if with_view(gateway, address, |view| view.position()).flatten().is_some() {
             return true;
@@ -132,6 +153,31 @@
     }
 }
 
+/// Passes on what a store says to peers that don't follow it, if there are any.
+fn tell(gateway: &Gateway, address: SocketAddr, since: u64, changes: &CacheChanges) {
+    let traits = with_view(gateway, address, |view| view.traits().clone());
+    let Some(traits) = traits.filter(|traits| traits.kind == HolderKind::Store) else { return };
+    let live = gateway.peers.lock().live(gateway.clock.now());
+    let has_listeners = live > followers(traits.max_followers) as u64;
+    if has_listeners && rank(gateway, address) < TELLERS {
+        let changes = changes.clone();
+        gateway.parts_to_tell.lock().push(PartsMessage { holder: address, since, changes });
+        gateway.has_parts_to_tell.notify_one();
+    }
+}
+
+/// Asks a store that peers follow for all content, while what they pass on does not go on from what is known.
+async fn listen(gateway: Arc<Gateway>, address: SocketAddr) {
+    loop {
+        let pause_ms = rand::rng().random_range(LISTEN_MS / 2..=LISTEN_MS);
+        sleep(Duration::from_millis(pause_ms)).await;
+        let is_known = with_view(&gateway, address, |view| view.position()).flatten().is_some();
+        if !is_known && !ask(&gateway, address, true).await {
+            log::debug!(holder:% = address; "holder of parts not heard");
+        }
+    }
+}
+
 async fn follow(gateway: Arc<Gateway>, address: SocketAddr, kind: HolderKind) {
     let mut is_heard = true;
     let mut listed_ms = gateway.clock.now();
--- a/crates/gateway/src/controllers/peers.rs
+++ b/crates/gateway/src/controllers/peers.rs
@@ -16,7 +16,9 @@
 use crate::{
     cache_index::{HolderLoad, HolderView},
     gateway::Gateway,
-    peer_loads::{EndpointLoad, EndpointTag, LoadMessage, MAX_TOLD, RankTokens},
+    peer_loads::{
+        EndpointLoad, EndpointTag, LoadMessage, MAX_TOLD, PartsMessage, PeerMessage, RankTokens,
+    },
 };
 
 /// The pause between messages to few peers, in milliseconds: short against the wait in a queue.
@@ -107,15 +109,64 @@
             return;
         }
     };
-    tokio::join!(hear(&gateway, &socket), tell(&gateway, &socket, &addresses));
+    tokio::join!(
+        hear(&gateway, &socket),
+        tell(&gateway, &socket, &addresses),
+        tell_parts(&gateway, &socket, &addresses),
+    );
+}
+
+/// What a peer passes on of a store; an instance that follows the store itself knows it already.
+fn hear_parts(gateway: &Gateway, message: PartsMessage) {
+    let now_ms = gateway.clock.now();
+    let mut holders = gateway.holders.lock();
+    let holder = holders.iter_mut().find(|holder| holder.address() == message.holder);
+    if let Some(holder) = holder.filter(|holder| !holder.is_followed()) {
+        holder.hear(message.since, message.changes, now_ms);
+    }
+}
+
+fn peers_of(gateway: &Gateway, addresses: &PeerAddresses) -> Vec<SocketAddr> {
+    let own = gateway.settings.peer_listen;
+    addresses.lock().values().copied().filter(|at| *at != own).collect()
+}
+
+async fn send_all(socket: &UdpSocket, peers: &[SocketAddr], message: &PeerMessage) {
+    match postcard::to_stdvec(message) {
+        Ok(bytes) if bytes.len() <= MAX_MESSAGE_BYTES => {
+            for peer in peers {
+                if let Err(error) = socket.send_to(&bytes, peer).await {
+                    log::debug!(peer:% = peer, error:% = error; "message not sent");
+                }
+            }
+        }
+        // Peers notice the gap and ask the store itself.
+        Ok(bytes) => log::debug!(bytes = bytes.len(); "message too large to send"),
+        Err(error) => log::error!(error:% = error; "message can't be written"),
+    }
+}
+
+/// Passes on what stores say as soon as it is heard.
+async fn tell_parts(gateway: &Gateway, socket: &UdpSocket, addresses: &PeerAddresses) {
+    loop {
+        gateway.has_parts_to_tell.notified().await;
+        let messages = std::mem::take(&mut *gateway.parts_to_tell.lock());
+        let peers = peers_of(gateway, addresses);
+        for message in messages {
+            send_all(socket, &peers, &PeerMessage::Parts(message)).await;
+        }
+    }
 }
 
 async fn hear(gateway: &Gateway, socket: &UdpSocket) {
     let mut buffer = [0u8; MAX_MESSAGE_BYTES];
     loop {
         match socket.recv_from(&mut buffer).await {
-            Ok((length, from)) => match postcard::from_bytes::<LoadMessage>(&buffer[..length]) {
-                Ok(message) => gateway.peers.lock().hear(message, gateway.clock.now()),
+            Ok((length, from)) => match postcard::from_bytes::<PeerMessage>(&buffer[..length]) {
+                Ok(PeerMessage::Load(message)) => {
+                    gateway.peers.lock().hear(message, gateway.clock.now());
+                }
+                Ok(PeerMessage::Parts(message)) => hear_parts(gateway, message),
                 Err(error) => log::debug!(from:% = from, error:% = error; "message left out"),
             },
             Err(error) => {
@@ -178,20 +229,10 @@
     let incarnation = rand::random();
     let mut sequence = 0;
     loop {
-        let own = gateway.settings.peer_listen;
-        let peers: Vec<_> = addresses.lock().values().copied().filter(|at| *at != own).collect();
+        let peers = peers_of(gateway, addresses);
         sequence += 1;
-        match postcard::to_stdvec(&message(gateway, incarnation, sequence)) {
-            Ok(bytes) if bytes.len() <= MAX_MESSAGE_BYTES => {
-                for peer in &peers {
-                    if let Err(error) = socket.send_to(&bytes, peer).await {
-                        log::debug!(peer:% = peer, error:% = error; "message not sent");
-                    }
-                }
-            }
-            Ok(bytes) => log::warn!(bytes = bytes.len(); "message too large to send"),
-            Err(error) => log::error!(error:% = error; "message can't be written"),
-        }
+        let message = PeerMessage::Load(message(gateway, incarnation, sequence));
+        send_all(socket, &peers, &message).await;
         gateway.peers.lock().expire(gateway.clock.now());
         update_holders(gateway);
         let pause_ms = TELL_EVERY_MS * (peers.len() as u64).div_ceil(PEERS_AT_PACE).max(1);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -12,6 +12,7 @@
 use bilberryford_platform::ObjectStore;
 use bilberryford_types::{Bytes, EndpointId, ErrorKind, ModelName, PoolName, TimeMs};
 use parking_lot::Mutex;
+use tokio::sync::Notify;
 
 use crate::{
     cache_index::HolderView,
@@ -23,7 +24,7 @@
     key_validity::KeyValidity,
     metrics::{Metrics, MetricsError},
     part_plan::{PrefixFacts, Reader, prefix_facts},
-    peer_loads::{EndpointLoad, EndpointTag, PeerLoads, RankTokens},
+    peer_loads::{EndpointLoad, EndpointTag, PartsMessage, PeerLoads, RankTokens},
     placement::Candidate,
     repeats::{RepeatBudget, RepeatLimits},
     request_log::RequestLog,
@@ -99,6 +100,9 @@
     pub(crate) orders: Arc<dyn TranslateOrders>,
     pub(crate) caches: Arc<dyn TranslateCaches>,
     pub(crate) holders: Mutex<Vec<HolderView>>,
+    /// What stores said, to be passed on to peers that don't follow them.
+    pub(crate) parts_to_tell: Mutex<Vec<PartsMessage>>,
+    pub(crate) has_parts_to_tell: Notify,
     pub(crate) deployment: ArcSwapOption<Deployment>,
     pub(crate) keys: Mutex<KeyValidity>,
     pub(crate) endpoints: Mutex<EndpointTable>,
@@ -134,6 +138,8 @@
             orders,
             caches,
             holders: Mutex::default(),
+            parts_to_tell: Mutex::default(),
+            has_parts_to_tell: Notify::new(),
             deployment: ArcSwapOption::empty(),
             endpoints: Mutex::default(),
             local: Mutex::default(),
--- a/crates/gateway/src/peer_loads.rs
+++ b/crates/gateway/src/peer_loads.rs
@@ -4,12 +4,14 @@
 //! others, several times a second, what it has at each endpoint; the sum steers placement. A message that is lost or
 //! late only makes the view older: views steer, versions decide.
 
-use std::collections::HashMap;
+use std::{collections::HashMap, net::SocketAddr};
 
 use bilberryford_types::TimeMs;
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
+use crate::translation::CacheChanges;
+
 /// How long what a peer said is used, in milliseconds: a few of its messages may be lost.
 const USED_FOR_MS: TimeMs = TimeMs(1_200);
 /// How long a peer counts as live after its last message, in milliseconds.
@@ -86,6 +88,26 @@
     pub endpoints: Vec<(EndpointTag, EndpointLoad)>,
 }
 
+/// What a follower of a store passes on to the instances that don't follow it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub(crate) struct PartsMessage {
+    /// The store.
+    pub(crate) holder: SocketAddr,
+    /// The place that the changes go on from.
+    pub(crate) since: u64,
+    /// The changes.
+    pub(crate) changes: CacheChanges,
+}
+
+/// Whatever one instance tells another.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub(crate) enum PeerMessage {
+    /// What it has in flight.
+    Load(LoadMessage),
+    /// What a store says.
+    Parts(PartsMessage),
+}
+
 #[derive(Debug, Clone)]
 struct Peer {
     incarnation: u64,
--- a/crates/gateway/src/translation.rs
+++ b/crates/gateway/src/translation.rs
@@ -7,6 +7,7 @@
 use bilberryford_types::{EndpointId, Fencing, ModelName, TeamName, TimeMs, Tokens};
 use futures::future::BoxFuture;
 use hyper::{HeaderMap, StatusCode};
+use serde::{Deserialize, Serialize};
 
 use crate::{deployment::Deployment, endpoints::EndpointRecord};
 
@@ -148,7 +149,7 @@
 }
 
 /// A cached part, as a store or engine names it.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct PartKey {
     /// The scope within which it is found.
     pub scope: String,
@@ -157,7 +158,7 @@
 }
 
 /// One change of what a store holds.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CacheChange {
     /// Which part.
     pub key: PartKey,
@@ -166,7 +167,7 @@
 }
 
 /// The changes since an earlier call.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CacheChanges {
     /// Which life of the store they are of.
     pub epoch: u64,
--- a/crates/gateway/tests/decisions/cache_index.rs
+++ b/crates/gateway/tests/decisions/cache_index.rs
@@ -14,14 +14,18 @@
 }
 
 fn holder(kind: HolderKind, last: u8, capacity_tokens: u64) -> HolderView {
-    let mut view = HolderView::new(HolderTraits {
-        kind,
-        address: address(last),
-        data_centre: None,
-        capacity_tokens,
-        link: BytesPerSec(10_000_000_000),
-        first_byte_ms: TimeMs(1),
-    });
+    let mut view = HolderView::new(
+        HolderTraits {
+            kind,
+            address: address(last),
+            data_centre: None,
+            capacity_tokens,
+            link: BytesPerSec(10_000_000_000),
+            first_byte_ms: TimeMs(1),
+            max_followers: 4,
+        },
+        true,
+    );
     view.apply(changes(1, &[]), TimeMs(0));
     view
 }
@@ -125,6 +129,22 @@
     assert_eq!(plan.save.iter().flatten().count(), 2, "its space is free again");
 }
 
+#[test]
+fn what_peers_pass_on_is_taken_only_where_it_goes_on_from_what_is_known() {
+    let news =
+        |next: u64, parts: &[(&str, Option<u32>)]| CacheChanges { next, ..changes(1, parts) };
+    let mut store = holder(HolderKind::Store, 1, 100_000);
+    store.hear(9, news(12, &[("system", Some(400))]), TimeMs(0));
+    assert_eq!(store.position(), Some(12));
+    store.hear(9, news(11, &[("subject", Some(9_000))]), TimeMs(0));
+    assert_eq!(store.position(), Some(12), "another peer was sooner");
+    store.hear(12, news(12, &[]), TimeMs(2_000));
+    let plan = plan_parts(&mut [store.clone()], SCOPE, &prompt_parts(), &reader(), TimeMs(3_000));
+    assert_eq!(plan.fetch.iter().flatten().count(), 1, "it was heard of a second ago");
+    store.hear(14, news(15, &[]), TimeMs(3_000));
+    assert_eq!(store.position(), None, "a message was lost: all content is asked for");
+}
+
 #[test]
 fn what_an_engine_has_counts_up_to_its_first_gap() {
     let mut own = holder(HolderKind::Engine, 99, 100_000);
