--- a/crates/gateway/src/cache_index.rs
+++ b/crates/gateway/src/cache_index.rs
@@ -5,7 +5,7 @@
 //!
 //! # Invariant
 //!
-//! A holder tells only of parts that its events, heard within [`FRESH_MS`], say are complete, and never of more tokens than
+//! A holder tells only of parts that its events, heard within `FRESH_MS`, say are complete, and never of more tokens than
 //! they say. A holder that restarts is forgotten as a whole.
 
 use std::{collections::HashMap, net::SocketAddr};
--- a/crates/gateway/src/controllers/free_parts.rs
+++ b/crates/gateway/src/controllers/free_parts.rs
@@ -5,7 +5,7 @@
 //!
 //! # Invariant
 //!
-//! A part is freed only when every listed engine of its model has had newer weights for [`SETTLED_MS`]: an engine finishes
+//! A part is freed only when every listed engine of its model has had newer weights for `SETTLED_MS`: an engine finishes
 //! its requests, and with them their fetches, before it loads, and refuses requests that expect older weights afterwards.
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
