--- a/crates/gateway/src/cache_index.rs
+++ b/crates/gateway/src/cache_index.rs
@@ -187,7 +187,8 @@
             Some((epoch, next)) if epoch == changes.epoch && changes.next == next => {
                 self.heard(heard_ms);
             }
-            Some((_, next)) if since == next => self.apply(changes, heard_ms),
+            // Peers ask at different times: what is heard twice says the same in the same order.
+            Some((_, next)) if since <= next => self.apply(changes, heard_ms),
             _ => self.forget(),
         }
     }
--- a/crates/gateway/tests/decisions/cache_index.rs
+++ b/crates/gateway/tests/decisions/cache_index.rs
@@ -141,6 +141,8 @@
     store.hear(12, news(12, &[]), TimeMs(2_000));
     let plan = plan_parts(&mut [store.clone()], SCOPE, &prompt_parts(), &reader(), TimeMs(3_000));
     assert_eq!(plan.fetch.iter().flatten().count(), 1, "it was heard of a second ago");
+    store.hear(10, news(13, &[("subject", Some(9_000))]), TimeMs(2_500));
+    assert_eq!(store.position(), Some(13), "peers ask at different times");
     store.hear(14, news(15, &[]), TimeMs(3_000));
     assert_eq!(store.position(), None, "a message was lost: all content is asked for");
 }
