--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -66,9 +66,7 @@
                     return Some(Ok(data));
                 }
                 Ok(None) => {
-                    self.gateway.judge(self.in_flight.endpoint(), "answered", |health, _| {
-                        health.succeeded()
-                    });
+                    self.gateway.judge(self.in_flight.endpoint(), "answered", succeeded);
                     if let Some(connection) = self.connection.take() {
                         let now_ms = self.gateway.clock.now();
                         self.gateway.connections.keep(
@@ -101,7 +99,7 @@
     });
     StreamBody::new(items).boxed_unsync()
 }
-/// Keeps the judgement of a whole answer in one place.
+/// What a whole answer says of its endpoint.
 pub(crate) fn succeeded(health: &mut EndpointHealth, _now_ms: TimeMs) {
     health.succeeded();
 }
--- a/crates/gateway/src/controllers/config.rs
+++ b/crates/gateway/src/controllers/config.rs
@@ -26,19 +26,19 @@
 
     fn listed(&self, gateway: &Gateway, objects: Vec<Object>, started_ms: TimeMs) {
         for object in objects.into_iter().filter(|object| object.name.as_str() == NEWEST) {
-            adopt(gateway, object.version, &object.body, Some(started_ms));
+            adopt(gateway, &object.body, Some(started_ms));
         }
     }
 
     fn changed(&self, gateway: &Gateway, change: Change) {
         if let Some(body) = change.body.filter(|_| change.name.as_str() == NEWEST) {
-            adopt(gateway, change.version, &body, None);
+            adopt(gateway, &body, None);
         }
     }
 }
 
 /// Takes in a configuration as read; `confirmed_ms` is when a linearizable read of it started.
-fn adopt(gateway: &Gateway, _stored: ObjectVersion, body: &[u8], confirmed_ms: Option<TimeMs>) {
+fn adopt(gateway: &Gateway, body: &[u8], confirmed_ms: Option<TimeMs>) {
     let deployment = match gateway.translation.decode_deployment(body) {
         Ok(deployment) => deployment,
         Err(error) => {
@@ -80,7 +80,7 @@
                 gateway.keys.lock().confirm(started_ms);
             }
             Ok(Some(object)) => {
-                adopt(&gateway, object.version, &object.body, Some(started_ms));
+                adopt(&gateway, &object.body, Some(started_ms));
                 last = Some(object.version);
             }
             Ok(None) => log::debug!("no configuration yet"),
--- a/crates/gateway/src/controllers/follow.rs
+++ b/crates/gateway/src/controllers/follow.rs
@@ -17,6 +17,9 @@
 /// The longest pause, in milliseconds: a store that is back is noticed within it.
 const LONGEST_PAUSE_MS: u64 = 700;
 
+/// The pause before a new list after a compaction: a store that forgets all the time is not asked without end.
+const COMPACTED_PAUSE: Duration = Duration::from_millis(30);
+
 /// Pauses between failed calls.
 #[derive(Debug, Default)]
 pub(super) struct Pauses {
@@ -77,8 +80,10 @@
                         target: "dependency", kind:% = S::KIND, error:% = error; "store lost"
                     );
                 }
-                // Only a compaction is an answer of the store; it still needs a new list.
-                if error != PlatformError::Compacted {
+                // A compaction is an answer of the store; it only needs a new list.
+                if error == PlatformError::Compacted {
+                    sleep(COMPACTED_PAUSE).await;
+                } else {
                     sink.lost_contact(&gateway);
                     pauses.after_failure().await;
                 }
--- a/crates/gateway/src/controllers/weight_orders.rs
+++ b/crates/gateway/src/controllers/weight_orders.rs
@@ -315,6 +315,7 @@
         state.loading_until_ms = None;
     }
 
+    /// Gives one order; answers whether the lease is still worth anything.
     async fn give_order(
         &mut self,
         lease: &Lease<Held>,
@@ -352,8 +353,11 @@
                 true
             }
             OrderReply::Fenced => false,
-            OrderReply::Refused | OrderReply::Conflict => true,
-            OrderReply::Accepted | OrderReply::Unknown => true,
+            // The next plan goes by what the engine reports.
+            OrderReply::Refused
+            | OrderReply::Conflict
+            | OrderReply::Accepted
+            | OrderReply::Unknown => true,
         }
     }
 }
--- a/crates/gateway/src/filters/authorize.rs
+++ b/crates/gateway/src/filters/authorize.rs
@@ -24,13 +24,13 @@
 ) -> Result<Option<Arc<Team>>, OwnAnswer> {
     let deployment = gateway.deployment.load();
     let Some(deployment) = deployment.as_ref() else {
-        return Err(OwnAnswer::new(gateway.not_ready()));
+        return Err(OwnAnswer::new(ErrorKind::NotReady));
     };
     if !deployment.has_teams() || route.is_public {
         return Ok(None);
     }
     if !gateway.keys.lock().is_valid(gateway.clock.now()) {
-        return Err(OwnAnswer::after(gateway.not_ready(), ELSEWHERE_MS));
+        return Err(OwnAnswer::after(ErrorKind::NotReady, ELSEWHERE_MS));
     }
     let team = facts.key.as_deref().and_then(|key| deployment.team(key));
     team.cloned().map(Some).ok_or(OwnAnswer::new(ErrorKind::Unauthenticated))
--- a/crates/gateway/src/filters/identify.rs
+++ b/crates/gateway/src/filters/identify.rs
@@ -37,7 +37,7 @@
     })?;
     line.request_id.clone_from(&facts.request_id);
     let Some(deployment) = deployment else {
-        return Err(OwnAnswer::new(gateway.not_ready()));
+        return Err(OwnAnswer::new(ErrorKind::NotReady));
     };
     line.config_version = Some(deployment.version());
     let host = request.headers().get(header::HOST).and_then(|host| host.to_str().ok());
@@ -45,7 +45,7 @@
     let Some(route) = deployment.route(host, request.uri().path()) else {
         // A configuration that is not known to be the newest can't tell that a route does not exist.
         let is_confirmed = gateway.keys.lock().is_valid(gateway.clock.now());
-        let kind = if is_confirmed { ErrorKind::NotFound } else { gateway.not_ready() };
+        let kind = if is_confirmed { ErrorKind::NotFound } else { ErrorKind::NotReady };
         return Err(OwnAnswer::new(kind));
     };
     line.route = Some(route.name.clone());
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -111,7 +111,7 @@
         let mut progress = Progress::default();
         loop {
             match self.attempt(&mut progress).await {
-                Ok(Some(relay)) => return Ok(relay),
+                Ok(Some(answer)) => return Ok(answer),
                 Ok(None) => {}
                 Err(answer) => return Err((answer, self.line)),
             }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -10,7 +10,7 @@
 
 use arc_swap::ArcSwapOption;
 use bilberryford_platform::ObjectStore;
-use bilberryford_types::{Bytes, EndpointId, ErrorKind, ModelName, PoolName, TimeMs};
+use bilberryford_types::{Bytes, EndpointId, ModelName, PoolName, TimeMs};
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 
@@ -323,9 +323,4 @@
         drop(endpoints);
         self.connections.expire(self.clock.now());
     }
-
-    /// The error kind for an instance that can't decide about requests yet.
-    pub(crate) const fn not_ready(&self) -> ErrorKind {
-        ErrorKind::NotReady
-    }
 }
