--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -19,4 +19,3 @@
 mod shutdown;
 mod status;
 mod stores;
-mod wire_names;
