The run of the crash test is still under way when the crash comes

The run beside took 10 ms; it had ended whole (own 10, announced 10) before the crash was sent. The checks are the same; only the run is longer. Ruled out: a crash that spares the batch (the answer was whole, and announced as such, before the crash).

--- a/crates/standins/tests/engine_contract.rs
+++ b/crates/standins/tests/engine_contract.rs
@@ -26,9 +26,13 @@
 }
 
 fn start(faults: Faults) -> Setup {
+    start_with_gap(faults, 1)
+}
+
+fn start_with_gap(faults: Faults, token_gap_ms: u64) -> Setup {
     let spec = EngineSpec {
         prefill_tokens_per_s: 0,
-        token_gap_ms: 1,
+        token_gap_ms,
         ..EngineSpec::new("v1".parse().unwrap())
     };
     let engine = Engine::new(spec);
@@ -156,7 +160,8 @@
 
 #[tokio::test]
 async fn a_crash_loses_the_whole_batch_and_the_runs_are_forgotten() {
-    let setup = start(Faults::default());
+    // The run must still be under way when the crash comes, however busy the machine is.
+    let setup = start_with_gap(Faults::default(), 1_000);
     let beside = setup.http.generate(call("hello", "v1"), LIMIT).await.unwrap();
     let poison = GenerateCall { attempt: "a-2".parse().unwrap(), ..call(CRASH_MARK, "v1") };
     let _ = setup.http.generate(poison, LIMIT).await;
