--- a/crates/coord/src/membership.rs
+++ b/crates/coord/src/membership.rs
@@ -213,23 +213,23 @@
         }
     }
 
-    /// Up to `count` members to probe: a suspect that still needs this observer's word first, then random ones.
+    /// The members to probe: a suspect, one that still needs this observer's word first, and up to `count` random ones.
+    ///
+    /// A suspect is probed again until it fails or answers, since a word given within the transit time after its last
+    /// sign of life counts nowhere else.
     pub fn targets(&self, count: usize, rng: &mut impl Rng) -> Vec<(InstanceId, SocketAddr)> {
         let (failed, up): (Vec<_>, Vec<_>) =
             self.entries.values().partition(|entry| entry.failed.is_some());
-        let unsure: Vec<_> = up
-            .iter()
-            .copied()
-            .filter(|entry| entry.state() == Liveness::Suspect && self.own_vote(entry).is_none())
-            .collect();
+        let suspects: Vec<_> =
+            up.iter().copied().filter(|entry| entry.state() == Liveness::Suspect).collect();
+        let unsure: Vec<_> =
+            suspects.iter().copied().filter(|entry| self.own_vote(entry).is_none()).collect();
+        let suspect = unsure.choose(rng).or_else(|| suspects.choose(rng)).copied();
         let try_failed = up.is_empty() || rng.random_ratio(1, PROBE_FAILED_IN);
         let again = failed.choose(rng).copied().filter(|_| try_failed);
-        let mut chosen: Vec<&Entry> = unsure.choose(rng).copied().into_iter().collect();
-        for entry in up.sample(rng, count).copied() {
-            if chosen.len() < count && !chosen.iter().any(|one| one.record == entry.record) {
-                chosen.push(entry);
-            }
-        }
+        let mut chosen: Vec<&Entry> = suspect.into_iter().collect();
+        let random = up.sample(rng, count).copied();
+        chosen.extend(random.filter(|entry| suspect.is_none_or(|one| one.record != entry.record)));
         chosen.extend(again);
         chosen.iter().map(|one| (one.record.instance.clone(), one.record.address)).collect()
     }
@@ -261,7 +261,7 @@
     fn tell(&self, entry: &Entry, now: TimeMs) -> Observation {
         let own = self.own_vote(entry).map(|vote| vote.at);
         let (state, since) = match (entry.failed, own) {
-            (Some(at), _) => (Liveness::Failed, at),
+            (Some(at), own) => (Liveness::Failed, own.map_or(at, |own| own.max(at))),
             (None, Some(at)) => (Liveness::Suspect, at),
             (None, None) if entry.leaving => (Liveness::Leaving, entry.heard),
             (None, None) => (Liveness::Alive, entry.heard),
--- a/crates/coord/tests/membership.rs
+++ b/crates/coord/tests/membership.rs
@@ -327,3 +327,30 @@
         prop_assert!(network.converge(300).is_some(), "after the cut");
     }
 }
+
+/// Half a second is taken off every age, so that a first suspicion right after the last sign of life counts nowhere else;
+/// its observer has to look again.
+#[test]
+fn a_member_that_is_suspected_right_after_its_last_word_fails_soon() {
+    let rounds_until_failed = |seed| {
+        let mut network = Network::new(5, seed, 0);
+        network.converge(300).expect("all know each other");
+        for viewer in 0..4 {
+            network.views[viewer].hear(record(4, 1), false, network.now);
+        }
+        network.up[4] = false;
+        network.now = TimeMs(network.now.get() - 900);
+        let has_failed = |network: &Network| {
+            (0..4).all(|viewer| state(&network.views[viewer], 4) == Some(Liveness::Failed))
+        };
+        (1..=60).find(|_| {
+            network.round();
+            has_failed(&network)
+        })
+    };
+    let mut rounds: Vec<_> =
+        (0..500).map(|seed| rounds_until_failed(seed).unwrap_or(usize::MAX)).collect();
+    rounds.sort_unstable();
+    // A round takes a second; the process test waits twenty.
+    assert!(rounds[499] <= 20, "half {}, worst {:?}", rounds[250], &rounds[490..]);
+}
