--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -46,6 +46,7 @@
                     return Some(Err(io::ErrorKind::TimedOut.into()));
                 }
                 Ok(Some(Err(error))) => {
+                    self.in_flight.lost();
                     self.gateway.judge(
                         self.in_flight.endpoint(),
                         "answer_cut",
@@ -66,6 +67,7 @@
                     return Some(Ok(data));
                 }
                 Ok(None) => {
+                    self.in_flight.answered();
                     self.gateway.judge(self.in_flight.endpoint(), "answered", succeeded);
                     if let Some(connection) = self.connection.take() {
                         let now_ms = self.gateway.clock.now();
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -30,6 +30,7 @@
     forward::{Forward, remove_hop_by_hop},
     gateway::Gateway,
     request_log::RequestLine,
+    suspects::Fingerprint,
 };
 
 /// How long bytes to a caller may stay unacknowledged.
@@ -73,8 +74,7 @@
     if let Err(error) = set_liveness(&stream, UNACKNOWLEDGED_LIMIT) {
         log::debug!(error:% = error; "options of a caller's connection can't be set");
     }
-    let limits = gateway.deployment.load().as_ref().map(|deployment| *deployment.limits());
-    let limits = limits.unwrap_or_default();
+    let limits = gateway.limits();
     // The library counts the idle time before a request's first byte as time for its headers.
     let head_limit_ms = limits.idle_timeout_ms.after(limits.header_timeout_ms);
     let max_header_bytes = limits.max_header_bytes.get() as usize;
@@ -146,20 +146,24 @@
         Err(answer) => return Err((answer, line)),
     };
     line.team = team.as_ref().map(|team| team.name.to_string());
-    let limits = gateway.deployment.load().as_ref().map(|deployment| *deployment.limits());
-    let max_bytes = limits.unwrap_or_default().max_body_bytes.get() as usize;
+    let max_bytes = gateway.limits().max_body_bytes.get() as usize;
     let (head, body) = request.into_parts();
-    let body = match Limited::new(body, max_bytes).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(error) if error.is::<LengthLimitError>() => {
+    let left = Duration::from_millis(deadline_ms.since(gateway.clock.now()).get());
+    let body = match timeout(left, Limited::new(body, max_bytes).collect()).await {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => {
             return Err((OwnAnswer::new(ErrorKind::TooLarge), line));
         }
-        Err(_) => return Err((OwnAnswer::new(ErrorKind::BodyCut), line)),
+        Ok(Err(_)) => return Err((OwnAnswer::new(ErrorKind::BodyCut), line)),
+        Err(_) => return Err((OwnAnswer::new(ErrorKind::BodySlow), line)),
     };
     let mut headers = head.headers;
     remove_hop_by_hop(&mut headers);
     headers.remove(header::CONTENT_LENGTH);
     headers.remove(header::EXPECT);
+    let caller = line.team.as_deref().unwrap_or_default();
+    let target = head.uri.path_and_query().map_or("", |target| target.as_str());
+    let fingerprint = Fingerprint::new(caller, head.method.as_str(), target, &body);
     let forward = Forward {
         gateway: gateway.clone(),
         facts,
@@ -171,6 +175,7 @@
         uri: head.uri,
         headers,
         body,
+        fingerprint,
         line,
     };
     forward.run().await
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -26,6 +26,12 @@
 /// The most idle connections to one endpoint.
 const MAX_IDLE: usize = 32;
 
+/// The connections to one endpoint that are an instance's share, of `all` that it takes from `instances`: at least one.
+pub fn connection_share(all: u32, instances: u64) -> u32 {
+    let share = u64::from(all) / instances.max(1);
+    u32::try_from(share).unwrap_or(u32::MAX).max(1)
+}
+
 /// A connection that can take a request.
 #[derive(Debug)]
 pub(crate) struct Connection {
--- a/crates/gateway/src/controllers/endpoints.rs
+++ b/crates/gateway/src/controllers/endpoints.rs
@@ -10,9 +10,11 @@
 
 pub(super) struct EndpointSink;
 
-pub(super) fn log_changes(changes: impl IntoIterator<Item = EndpointChange>) {
+/// Logs what changed, and notes the lives that ended.
+pub(super) fn note_changes(gateway: &Gateway, changes: impl IntoIterator<Item = EndpointChange>) {
     for change in changes {
         log::info!(target: "belief", endpoint:% = change.id, what = change.what; "endpoint");
+        change.ended.into_iter().for_each(|life| gateway.life_ended(life));
     }
 }
 
@@ -40,7 +42,8 @@
                 }
             })
             .collect();
-        log_changes(gateway.endpoints.lock().replace(records, now_ms));
+        let changes = gateway.endpoints.lock().replace(records, now_ms);
+        note_changes(gateway, changes);
         gateway.forget_gone();
     }
 
@@ -51,21 +54,24 @@
             Some(body) => gateway.translation.decode_endpoint(change.name.as_str(), body),
             None => {
                 if let Ok(id) = removed {
-                    log_changes(gateway.endpoints.lock().remove(&id, now_ms));
+                    let change = gateway.endpoints.lock().remove(&id, now_ms);
+                    note_changes(gateway, change);
                 }
                 return;
             }
         };
         match result {
             Ok(record) => {
-                log_changes(gateway.endpoints.lock().upsert(record, change.version));
+                let change = gateway.endpoints.lock().upsert(record, change.version);
+                note_changes(gateway, change);
             }
             Err(error) => {
                 log::warn!(
                     target: "belief", entry:% = change.name, error:% = error; "entry left out"
                 );
                 if let Ok(id) = removed {
-                    log_changes(gateway.endpoints.lock().remove(&id, now_ms));
+                    let change = gateway.endpoints.lock().remove(&id, now_ms);
+                    note_changes(gateway, change);
                 }
             }
         }
--- a/crates/gateway/src/controllers/housekeeping.rs
+++ b/crates/gateway/src/controllers/housekeeping.rs
@@ -4,7 +4,7 @@
 
 use tokio::time::{MissedTickBehavior, interval};
 
-use super::endpoints::log_changes;
+use super::endpoints::note_changes;
 use crate::gateway::Gateway;
 
 /// How often, short against every grace that it ends.
@@ -16,7 +16,9 @@
     loop {
         ticks.tick().await;
         let now_ms = gateway.clock.now();
-        log_changes(gateway.endpoints.lock().expire(now_ms));
+        let changes = gateway.endpoints.lock().expire(now_ms);
+        note_changes(&gateway, changes);
+        gateway.suspects.lock().expire(now_ms);
         gateway.forget_gone();
     }
 }
--- a/crates/gateway/src/controllers/peers.rs
+++ b/crates/gateway/src/controllers/peers.rs
@@ -19,6 +19,7 @@
     peer_loads::{
         EndpointLoad, EndpointTag, LoadMessage, MAX_TOLD, PartsMessage, PeerMessage, RankTokens,
     },
+    suspects::Fingerprint,
 };
 
 /// The pause between messages to few peers, in milliseconds: short against the wait in a queue.
@@ -28,6 +29,9 @@
 /// The largest message, in bytes: one datagram without fragments.
 const MAX_MESSAGE_BYTES: usize = 1_400;
 
+/// The most crashes that one message tells of, so that it fits into one datagram.
+const MAX_CRASHES_TOLD: usize = 80;
+
 /// The rank under which transfers are told: links know none.
 const TRANSFER_RANK: u8 = 0;
 
@@ -126,6 +130,16 @@
     }
 }
 
+fn hear_crashes(gateway: &Gateway, crashes: &[(Fingerprint, EndpointTag)]) {
+    let now_ms = gateway.clock.now();
+    let mut suspects = gateway.suspects.lock();
+    let is_news =
+        |(request, life): &&(Fingerprint, EndpointTag)| suspects.hear(*request, *life, now_ms);
+    let held: Vec<_> = crashes.iter().filter(is_news).map(|(request, _)| *request).collect();
+    drop(suspects);
+    gateway.note_held(held, "peers saw it lost with endpoints");
+}
+
 fn peers_of(gateway: &Gateway, addresses: &PeerAddresses) -> Vec<SocketAddr> {
     let own = gateway.settings.peer_listen;
     addresses.lock().values().copied().filter(|at| *at != own).collect()
@@ -167,6 +181,7 @@
                     gateway.peers.lock().hear(message, gateway.clock.now());
                 }
                 Ok(PeerMessage::Parts(message)) => hear_parts(gateway, message),
+                Ok(PeerMessage::Crashes(crashes)) => hear_crashes(gateway, &crashes),
                 Err(error) => log::debug!(from:% = from, error:% = error; "message left out"),
             },
             Err(error) => {
@@ -222,7 +237,8 @@
     endpoints.sort_by_key(|(_, load)| std::cmp::Reverse((load.is_loading, load.in_flight)));
     endpoints.truncate(MAX_TOLD);
     let instance = gateway.settings.instance.to_string();
-    LoadMessage { instance, incarnation, sequence, endpoints }
+    let can_check_keys = gateway.keys.lock().is_valid(now_ms);
+    LoadMessage { instance, incarnation, sequence, can_check_keys, endpoints }
 }
 
 async fn tell(gateway: &Gateway, socket: &UdpSocket, addresses: &PeerAddresses) {
@@ -233,6 +249,10 @@
         sequence += 1;
         let message = PeerMessage::Load(message(gateway, incarnation, sequence));
         send_all(socket, &peers, &message).await;
+        let crashes = gateway.suspects.lock().told(MAX_CRASHES_TOLD, gateway.clock.now());
+        if !crashes.is_empty() {
+            send_all(socket, &peers, &PeerMessage::Crashes(crashes)).await;
+        }
         gateway.peers.lock().expire(gateway.clock.now());
         update_holders(gateway);
         let pause_ms = TELL_EVERY_MS * (peers.len() as u64).div_ceil(PEERS_AT_PACE).max(1);
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -12,6 +12,8 @@
 
 use bilberryford_types::{DataCentreId, EndpointId, ModelName, ObjectVersion, PoolName, TimeMs};
 
+use crate::peer_loads::EndpointTag;
+
 /// How long after the store's return an entry may be missing, in milliseconds: its owner writes it again within two
 /// seconds.
 const RETURN_GRACE_MS: TimeMs = TimeMs(2_000);
@@ -80,6 +82,8 @@
     pub id: EndpointId,
     /// What happened to it.
     pub what: &'static str,
+    /// The life that ended with it, where the endpoint was not leaving.
+    pub ended: Option<EndpointTag>,
 }
 
 /// All endpoints.
@@ -90,6 +94,18 @@
     returned_ms: Option<TimeMs>,
 }
 
+impl Entry {
+    fn life(&self) -> EndpointTag {
+        EndpointTag::new(self.record.id.as_str(), self.record.born_ms)
+    }
+
+    fn gone(&self, what: &'static str) -> EndpointChange {
+        let was_ready = self.record.state == EndpointState::Ready;
+        let ended = was_ready.then(|| self.life());
+        EndpointChange { id: self.record.id.clone(), what, ended }
+    }
+}
+
 impl EndpointTable {
     /// The store answered a linearizable call at `now_ms`.
     pub fn in_contact(&mut self, now_ms: TimeMs) {
@@ -117,17 +133,18 @@
         record: EndpointRecord,
         version: ObjectVersion,
     ) -> Option<EndpointChange> {
-        let what = match self.entries.get(&record.id) {
+        let id = record.id.clone();
+        let changed = |what| Some(EndpointChange { id: id.clone(), what, ended: None });
+        let change = match self.entries.get(&id) {
             Some(entry) if entry.version >= version => return None,
             Some(entry) if entry.record == record => None,
-            Some(entry) if entry.record.born_ms != record.born_ms => Some("restarted"),
-            Some(entry) if entry.record.state != record.state => Some("changed_state"),
-            Some(_) => Some("changed"),
-            None => Some("listed"),
+            Some(entry) if entry.record.born_ms != record.born_ms => Some(entry.gone("restarted")),
+            Some(entry) if entry.record.state != record.state => changed("changed_state"),
+            Some(_) => changed("changed"),
+            None => changed("listed"),
         };
-        let id = record.id.clone();
-        self.entries.insert(id.clone(), Entry { record, version, missing_until_ms: None });
-        what.map(|what| EndpointChange { id, what })
+        self.entries.insert(id, Entry { record, version, missing_until_ms: None });
+        change
     }
 
     /// Takes in that an entry is gone.
@@ -138,10 +155,10 @@
             && entry.record.state == EndpointState::Ready
         {
             entry.missing_until_ms.get_or_insert(ends);
-            return Some(EndpointChange { id: id.clone(), what: "missing_after_outage" });
+            let what = "missing_after_outage";
+            return Some(EndpointChange { id: id.clone(), what, ended: None });
         }
-        self.entries.remove(id);
-        Some(EndpointChange { id: id.clone(), what: "removed" })
+        self.entries.remove(id).map(|entry| entry.gone("removed"))
     }
 
     /// Takes in a whole list.
@@ -166,12 +183,8 @@
     /// Drops the entries whose grace is over.
     pub fn expire(&mut self, now_ms: TimeMs) -> Vec<EndpointChange> {
         let is_over = |entry: &Entry| entry.missing_until_ms.is_some_and(|ends| now_ms >= ends);
-        let gone: Vec<_> = self
-            .entries
-            .iter()
-            .filter(|(_, entry)| is_over(entry))
-            .map(|(id, _)| EndpointChange { id: id.clone(), what: "removed_after_grace" })
-            .collect();
+        let over = self.entries.values().filter(|entry| is_over(entry));
+        let gone: Vec<_> = over.map(|entry| entry.gone("removed_after_grace")).collect();
         self.entries.retain(|_, entry| !is_over(entry));
         gone
     }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -28,6 +28,7 @@
     in_flight::InFlight,
     placement::{Candidate, Reason},
     request_log::RequestLine,
+    suspects::Fingerprint,
     translation::{AnswerFacts, CallerFacts},
 };
 
@@ -66,6 +67,7 @@
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    pub(crate) fingerprint: Fingerprint,
     pub(crate) line: RequestLine,
 }
 
@@ -135,10 +137,21 @@
             Err(answer) if progress.runs == 0 => return Err(answer),
             Err(_) => return Err(OwnAnswer::new(ErrorKind::EndpointLost)),
         };
+        let now_ms = self.gateway.clock.now();
+        if let Some(held_ms) = self.gateway.suspects.lock().held_for(self.fingerprint, now_ms) {
+            self.line.notes.push("held_back");
+            return Err(OwnAnswer::after(progress.kind(ErrorKind::HeldBack), held_ms));
+        }
         let Chosen { candidate, reason, work_tokens } = self.choose(progress)?;
         let is_trial = reason == Reason::Trial;
-        let mut in_flight =
-            InFlight::new(&self.gateway, &candidate, self.rank(), work_tokens, is_trial);
+        let mut in_flight = InFlight::new(
+            &self.gateway,
+            &candidate,
+            self.fingerprint,
+            self.rank(),
+            work_tokens,
+            is_trial,
+        );
         self.line.endpoint = Some(candidate.id.clone());
         self.line.placed = reason.into();
         let Some(connection) = self.connection(&candidate, progress).await else {
@@ -230,6 +243,10 @@
         drop(connection);
         self.line.notes.push(if facts.is_misdirected { "misdirected" } else { "refused" });
         let has_shown = facts.is_misdirected && self.shows_newer_weights(candidate);
+        if facts.is_misdirected && !has_shown {
+            // The address belongs to another life by now.
+            self.gateway.life_ended(candidate.life);
+        }
         if !has_shown {
             progress.tried.push(candidate.id.clone());
             if self.facts.prompt.is_some() {
--- a/crates/gateway/src/forward/answer.rs
+++ b/crates/gateway/src/forward/answer.rs
@@ -66,6 +66,7 @@
             Ok(Err(error)) => {
                 log::debug!(error:% = error; "answer cut");
                 self.line.notes.push("answer_cut");
+                in_flight.lost();
                 self.gateway.judge(in_flight.endpoint(), "answer_cut", |health, now_ms| {
                     health.failed(now_ms, false);
                 });
@@ -73,6 +74,7 @@
             }
             Ok(Ok(body)) => body.to_bytes(),
         };
+        in_flight.answered();
         let now_ms = self.gateway.clock.now();
         self.gateway.judge(in_flight.endpoint(), "answered", succeeded);
         self.gateway.connections.keep(in_flight.endpoint(), connection, now_ms);
--- a/crates/gateway/src/forward/choose.rs
+++ b/crates/gateway/src/forward/choose.rs
@@ -55,6 +55,7 @@
             self.line.placed = choice.reason.into();
             let kind = match choice.reason {
                 Reason::AllTried => ErrorKind::EndpointRefused,
+                Reason::AllFull => ErrorKind::Overloaded,
                 _ => ErrorKind::NoEndpoint,
             };
             return Err(OwnAnswer::after(progress.kind(kind), NO_ENDPOINT_RETRY_MS));
--- a/crates/gateway/src/forward/send.rs
+++ b/crates/gateway/src/forward/send.rs
@@ -1,6 +1,6 @@
 //! Sends a request over a connection, and reads the head of its answer.
 
-use std::time::Duration;
+use std::{io, time::Duration};
 
 use bilberryford_types::TimeMs;
 use bytes::Bytes;
@@ -61,6 +61,9 @@
             Ok(connection) => Some(connection),
             Err(error) => {
                 log::debug!(endpoint:% = candidate.id, error:% = error; "no connection");
+                if error.kind() == io::ErrorKind::ConnectionRefused {
+                    self.gateway.life_ended(candidate.life);
+                }
                 self.line.notes.push("no_connection");
                 progress.unsent += 1;
                 progress.tried.push(candidate.id.clone());
@@ -118,6 +121,7 @@
             Ok(Err(error)) if error.message().is_some() => Sent::Unsent,
             Ok(Err(error)) => {
                 log::debug!(endpoint:% = candidate.id, error:% = error.error(); "answer lost");
+                in_flight.lost();
                 Sent::Lost("connection_lost")
             }
             Ok(Ok(response)) => self.read_head(response, connection),
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -17,8 +17,8 @@
 use crate::{
     cache_index::HolderView,
     clock::Clock,
-    connections::Connections,
-    deployment::Deployment,
+    connections::{Connections, connection_share},
+    deployment::{CallerLimits, Deployment},
     endpoints::EndpointTable,
     health::{EndpointHealth, Standing},
     key_validity::KeyValidity,
@@ -31,6 +31,7 @@
     rollout::NamedWeights,
     settings::GatewaySettings,
     slowness::Slowness,
+    suspects::{Fingerprint, Suspects},
     translation::{PromptPart, TranslateCaches, TranslateOrders, Translation},
 };
 
@@ -108,6 +109,7 @@
     pub(crate) endpoints: Mutex<EndpointTable>,
     pub(crate) local: Mutex<HashMap<EndpointId, LocalState>>,
     pub(crate) peers: Mutex<PeerLoads>,
+    pub(crate) suspects: Mutex<Suspects>,
     pub(crate) weights: Mutex<HashMap<ModelName, NamedWeights>>,
     pub(crate) connections: Connections,
     budgets: Mutex<HashMap<PoolName, RepeatBudget>>,
@@ -144,6 +146,7 @@
             endpoints: Mutex::default(),
             local: Mutex::default(),
             peers: Mutex::default(),
+            suspects: Mutex::default(),
             weights: Mutex::default(),
             connections: Connections::default(),
             budgets: Mutex::default(),
@@ -202,6 +205,7 @@
         rank: u8,
     ) -> Vec<Candidate> {
         let now_ms = self.clock.now();
+        let share = self.connection_share(service, now_ms);
         let endpoints = self.endpoints.lock();
         let mut local = self.local.lock();
         let peers = self.peers.lock();
@@ -213,16 +217,18 @@
                     state.restarted(record.born_ms);
                 }
                 let listed = model.and_then(|model| record.weight_version(model));
-                let load =
-                    peers.load(EndpointTag::new(record.id.as_str(), record.born_ms), rank, now_ms);
+                let life = EndpointTag::new(record.id.as_str(), record.born_ms);
+                let load = peers.load(life, rank, now_ms);
                 let is_loading = model.is_some() && (load.is_loading || state.is_loading(now_ms));
                 let standing = state.health.standing(now_ms);
                 let own = state.slowness.percent(now_ms);
                 Candidate {
                     id: record.id.clone(),
+                    life,
                     address: record.address,
                     is_local: record.data_centre == self.settings.data_centre,
                     standing: if is_loading { Standing::Broken } else { standing },
+                    is_full: state.in_flight >= share,
                     in_flight: state.in_flight.saturating_add(load.in_flight),
                     waiting_tokens: state.waiting.before(rank) + load.waiting_tokens,
                     slowness_percent: match (own, load.slowness_percent) {
@@ -255,6 +261,20 @@
         }
     }
 
+    /// What callers may send: the limits in force, or those before the first configuration.
+    pub(crate) fn limits(&self) -> CallerLimits {
+        let deployment = self.deployment.load();
+        deployment.as_ref().map(|deployment| *deployment.limits()).unwrap_or_default()
+    }
+
+    /// How many of an endpoint's connections are this instance's: callers share what it takes.
+    fn connection_share(&self, service: &PoolName, now_ms: TimeMs) -> u32 {
+        let deployment = self.deployment.load();
+        let service = deployment.as_ref().and_then(|deployment| deployment.service(service));
+        let all = service.map_or(u32::MAX, |service| service.max_connections);
+        connection_share(all, self.peers.lock().live(now_ms))
+    }
+
     /// The size of one cached token.
     pub(crate) fn token_bytes(&self) -> Bytes {
         let deployment = self.deployment.load();
@@ -316,6 +336,31 @@
         }
     }
 
+    /// Logs and counts requests that are held back from now on.
+    pub(crate) fn note_held(
+        &self,
+        requests: impl IntoIterator<Item = Fingerprint>,
+        why: &'static str,
+    ) {
+        for request in requests {
+            log::warn!(target: "belief", request:% = request, why = why; "request held back");
+            self.metrics.held_back.add(1, &[]);
+        }
+    }
+
+    /// A request lost its connection to an endpoint that may have begun it.
+    pub(crate) fn request_lost(&self, request: Fingerprint, life: EndpointTag) {
+        if self.suspects.lock().lost(request, life, self.clock.now()) {
+            self.note_held([request], "lost with a third endpoint");
+        }
+    }
+
+    /// A life of an endpoint ended: its address takes no connections, or belongs to another one.
+    pub(crate) fn life_ended(&self, life: EndpointTag) {
+        let held = self.suspects.lock().life_ended(life, self.clock.now());
+        self.note_held(held, "a third endpoint that lost it is gone");
+    }
+
     /// Drops what is kept of endpoints that are gone.
     pub(crate) fn forget_gone(&self) {
         let endpoints = self.endpoints.lock();
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -5,8 +5,8 @@
 use bilberryford_types::{EndpointId, TimeMs};
 
 use crate::{
-    gateway::Gateway, part_plan::Transfer, placement::Candidate, slowness::usual_ms,
-    translation::PartKey,
+    gateway::Gateway, part_plan::Transfer, peer_loads::EndpointTag, placement::Candidate,
+    slowness::usual_ms, suspects::Fingerprint, translation::PartKey,
 };
 
 /// How many tokens may wait before a request for its wait to tell of the source of its parts.
@@ -16,6 +16,8 @@
 pub(crate) struct InFlight {
     gateway: Arc<Gateway>,
     endpoint: EndpointId,
+    life: EndpointTag,
+    request: Fingerprint,
     rank: u8,
     waiting_tokens: u64,
     /// What was to be read before the first token when the request came, the queue included.
@@ -32,6 +34,7 @@
     pub(crate) fn new(
         gateway: &Arc<Gateway>,
         candidate: &Candidate,
+        request: Fingerprint,
         rank: u8,
         waiting_tokens: u64,
         is_trial: bool,
@@ -49,6 +52,8 @@
         Self {
             gateway: gateway.clone(),
             endpoint: endpoint.clone(),
+            life: candidate.life,
+            request,
             rank,
             waiting_tokens,
             queue_tokens: candidate.waiting_tokens + waiting_tokens,
@@ -64,6 +69,16 @@
         &self.endpoint
     }
 
+    /// Its connection broke after the endpoint may have begun it.
+    pub(crate) fn lost(&self) {
+        self.gateway.request_lost(self.request, self.life);
+    }
+
+    /// Its answer was whole.
+    pub(crate) fn answered(&self) {
+        self.gateway.suspects.lock().answered(self.request);
+    }
+
     pub(crate) fn fetches(&mut self, transfers: Vec<Transfer>) {
         let mut holders = self.gateway.holders.lock();
         for transfer in &transfers {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -33,12 +33,14 @@
 mod server;
 mod settings;
 mod slowness;
+mod suspects;
 mod translation;
 
 pub use admission::{Admit, Forecast, admit};
 pub use cache_index::{HolderKind, HolderLoad, HolderTraits, HolderView};
 pub use cache_scope::{CacheScope, ScopeError};
 pub use clock::Clock;
+pub use connections::connection_share;
 pub use deployment::{
     CallerLimits, Deployment, EngineTraits, Repeatable, Route, RouteTarget, Service, StoreTraits,
     Team,
@@ -55,6 +57,7 @@
 pub use server::{ServeError, serve};
 pub use settings::{Bounds, GatewaySettings};
 pub use slowness::Slowness;
+pub use suspects::{Fingerprint, Suspects};
 pub use translation::{
     AnswerFacts, CacheChange, CacheChanges, CacheContent, CallerFacts, DecodeError, EngineReport,
     ForwardFacts, OrderReply, PartKey, PartSource, PromptFacts, PromptPart, TranslateCaches,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -28,6 +28,7 @@
     pub(crate) connections: Counter<u64>,
     pub(crate) store_calls: Counter<u64>,
     pub(crate) orders: Counter<u64>,
+    pub(crate) held_back: Counter<u64>,
     pub(crate) in_flight: UpDownCounter<i64>,
     first_byte_s: Histogram<f64>,
 }
@@ -48,6 +49,7 @@
             connections: meter.u64_counter("bilberryford.gateway.connections").build(),
             store_calls: meter.u64_counter("bilberryford.gateway.store_calls").build(),
             orders: meter.u64_counter("bilberryford.gateway.orders").build(),
+            held_back: meter.u64_counter("bilberryford.gateway.held_back").build(),
             in_flight: meter.i64_up_down_counter("bilberryford.gateway.in_flight").build(),
             first_byte_s: meter
                 .f64_histogram("bilberryford.gateway.first_byte")
--- a/crates/gateway/src/peer_loads.rs
+++ b/crates/gateway/src/peer_loads.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-use crate::translation::CacheChanges;
+use crate::{suspects::Fingerprint, translation::CacheChanges};
 
 /// How long what a peer said is used, in milliseconds: a few of its messages may be lost.
 const USED_FOR_MS: TimeMs = TimeMs(1_200);
@@ -84,6 +84,8 @@
     pub incarnation: u64,
     /// Counts the messages of that run.
     pub sequence: u64,
+    /// Whether it can check keys, and so takes requests.
+    pub can_check_keys: bool,
     /// Its endpoints, the busy ones first.
     pub endpoints: Vec<(EndpointTag, EndpointLoad)>,
 }
@@ -106,6 +108,8 @@
     Load(LoadMessage),
     /// What a store says.
     Parts(PartsMessage),
+    /// Requests that it saw lost with the lives of endpoints.
+    Crashes(Vec<(Fingerprint, EndpointTag)>),
 }
 
 #[derive(Debug, Clone)]
@@ -113,6 +117,7 @@
     incarnation: u64,
     sequence: u64,
     heard_ms: TimeMs,
+    can_check_keys: bool,
     endpoints: HashMap<EndpointTag, EndpointLoad>,
 }
 
@@ -146,6 +151,7 @@
                 incarnation: message.incarnation,
                 sequence: message.sequence,
                 heard_ms: now_ms,
+                can_check_keys: message.can_check_keys,
                 endpoints: message.endpoints.into_iter().collect(),
             };
             self.peers.insert(message.instance, peer);
@@ -163,6 +169,13 @@
         1 + self.peers.values().filter(live).count() as u64
     }
 
+    /// Whether another instance can check keys, as far as is known.
+    pub fn can_any_check_keys(&self, now_ms: TimeMs) -> bool {
+        let mut fresh =
+            self.peers.values().filter(|peer| now_ms.since(peer.heard_ms) < USED_FOR_MS);
+        fresh.any(|peer| peer.can_check_keys)
+    }
+
     /// How many live instances go before `own` in looking after `what`; all instances agree but for those just gone.
     pub fn rank(&self, own: &str, what: &str, now_ms: TimeMs) -> usize {
         let seed = xxh3_64(what.as_bytes());
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -5,6 +5,8 @@
 //!   hashing over the last shared part gives every engine its own parts, alike on every instance.
 //! - One part is hot, or an engine is behind or slower than others. The engine with the lowest predicted first token
 //!   wins, and being first for the part is worth only what reading or fetching the part would cost.
+//! - A burst on slow endpoints, which take a bounded number of connections from all instances together and reset what is
+//!   beyond, whatever ran on it. An endpoint gets no more from one instance than its share.
 //! - Plain calls. The endpoint with the fewest requests, the own data centre first.
 
 use std::net::SocketAddr;
@@ -15,6 +17,7 @@
 use crate::{
     health::Standing,
     part_plan::{PrefixFacts, TOKENS_PER_FETCH_MS},
+    peer_loads::EndpointTag,
 };
 
 /// What one running request counts in the load of an engine, in tokens: its share of the batch's steps.
@@ -35,12 +38,16 @@
 pub struct Candidate {
     /// The endpoint.
     pub id: EndpointId,
+    /// Which life of it.
+    pub life: EndpointTag,
     /// Where it is.
     pub address: SocketAddr,
     /// Whether it is in the instance's own data centre.
     pub is_local: bool,
     /// Its circuit.
     pub standing: Standing,
+    /// Whether this instance has all the connections there that are its share; one more would be reset.
+    pub is_full: bool,
     /// The requests that all instances have there, as far as is known.
     pub in_flight: u32,
     /// The prompt tokens that it has yet to read for them.
@@ -105,6 +112,8 @@
     NoEndpoint,
     /// Every endpoint has had the request.
     AllTried,
+    /// This instance has its share of connections to each endpoint in use.
+    AllFull,
     /// No endpoint has weights that may be used.
     OldWeights,
 }
@@ -153,6 +162,11 @@
     if untried.is_empty() {
         return Choice::none(Reason::AllTried);
     }
+    let untried: Vec<usize> =
+        untried.into_iter().filter(|&index| !candidates[index].is_full).collect();
+    if untried.is_empty() {
+        return Choice::none(Reason::AllFull);
+    }
     let standing = |wanted: Standing| {
         untried.iter().copied().filter(move |&index| candidates[index].standing == wanted)
     };
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -11,4 +11,5 @@
     mod repeats;
     mod rollout;
     mod slowness;
+    mod suspects;
 }
--- a/crates/gateway/tests/decisions/peer_loads.rs
+++ b/crates/gateway/tests/decisions/peer_loads.rs
@@ -9,6 +9,7 @@
         instance: instance.to_owned(),
         incarnation: 1,
         sequence,
+        can_check_keys: false,
         endpoints: vec![(tag(), load)],
     }
 }
@@ -59,3 +60,15 @@
         assert_eq!(ranks, [0, 1, 2], "{what}");
     }
 }
+
+/// The store turns some instances away, or all of them.
+#[test]
+fn a_caller_is_sent_elsewhere_only_while_another_instance_can_check_keys() {
+    let mut peers = PeerLoads::default();
+    peers.hear(message("a", 1, 0), TimeMs(0));
+    assert!(!peers.can_any_check_keys(TimeMs(10)));
+    peers.hear(LoadMessage { can_check_keys: true, ..message("b", 1, 0) }, TimeMs(10));
+    assert!(peers.can_any_check_keys(TimeMs(20)));
+    // What it said is too old to send a caller there.
+    assert!(!peers.can_any_check_keys(TimeMs(2_000)));
+}
--- a/crates/gateway/tests/decisions/placement.rs
+++ b/crates/gateway/tests/decisions/placement.rs
@@ -1,15 +1,19 @@
 use std::collections::HashMap;
 
 use bilberryford_gateway::{
-    Candidate, PlacementRequest, PrefixFacts, PromptShape, Reason, Standing, place,
+    Candidate, EndpointTag, PlacementRequest, PrefixFacts, PromptShape, Reason, Standing,
+    connection_share, place,
 };
+use bilberryford_types::TimeMs;
 
 fn candidate(index: u8) -> Candidate {
     Candidate {
         id: format!("e{index}").parse().expect("an id"),
+        life: EndpointTag::new(&format!("e{index}"), TimeMs(1)),
         address: ([10, 0, 0, index], 80).into(),
         is_local: false,
         standing: Standing::Sound,
+        is_full: false,
         in_flight: 0,
         waiting_tokens: 0,
         slowness_percent: None,
@@ -161,3 +165,31 @@
         Reason::AllTried
     );
 }
+
+/// A burst on endpoints that are slow: each takes its share of an instance's connections, and the rest is refused.
+#[test]
+fn an_endpoint_gets_no_more_connections_than_the_instance_has_there() {
+    let share = connection_share(110, 8);
+    let mut pool = pool(3);
+    let mut placed = [0u32; 3];
+    let mut refused = 0;
+    for draw in 0..60 {
+        for (candidate, placed) in pool.iter_mut().zip(placed) {
+            candidate.in_flight = placed;
+            candidate.is_full = placed >= share;
+        }
+        match place(&pool, &call(draw)).index {
+            Some(index) => placed[index] += 1,
+            None => refused += 1,
+        }
+    }
+    assert!(placed.iter().all(|placed| placed * 8 <= 110), "{placed:?}");
+    assert_eq!(refused, 60 - 3 * share);
+    assert_eq!(place(&pool, &call(1)).reason, Reason::AllFull);
+}
+
+#[test]
+fn an_instance_always_has_one_connection() {
+    assert_eq!(connection_share(9, 60), 1);
+    assert_eq!(connection_share(370, 0), 370);
+}
--- /dev/null
+++ b/crates/gateway/tests/decisions/suspects.rs
@@ -0,0 +1,120 @@
+use bilberryford_gateway::{EndpointTag, Fingerprint, Suspects};
+use bilberryford_types::TimeMs;
+use rstest::rstest;
+
+fn life(number: u64) -> EndpointTag {
+    EndpointTag::new(&format!("engine-{number}"), TimeMs(number))
+}
+
+fn request(body: &str) -> Fingerprint {
+    Fingerprint::new("red", "POST", "/chat/", body.as_bytes())
+}
+
+/// A request is lost at an endpoint, and the endpoint is found to be gone a little later.
+fn crash(suspects: &mut Suspects, request: Fingerprint, number: u64) {
+    let at_ms = TimeMs(number * 1_000);
+    suspects.lost(request, life(number), at_ms);
+    suspects.life_ended(life(number), at_ms.after(TimeMs(300)));
+}
+
+#[test]
+fn a_request_that_ends_every_life_is_held_back_after_the_third() {
+    let (mut suspects, poison) = (Suspects::default(), request("poison"));
+    for number in 1..=2 {
+        crash(&mut suspects, poison, number);
+        assert_eq!(suspects.held_for(poison, TimeMs(2_500)), None);
+    }
+    crash(&mut suspects, poison, 3);
+    assert!(suspects.held_for(poison, TimeMs(3_500)).is_some());
+    assert_eq!(suspects.held_for(request("another"), TimeMs(3_500)), None);
+    assert_eq!(suspects.held_for(poison, TimeMs(700_000)), None);
+}
+
+#[test]
+fn the_end_may_be_seen_before_the_loss() {
+    let (mut suspects, poison) = (Suspects::default(), request("poison"));
+    for number in 1..=3 {
+        suspects.life_ended(life(number), TimeMs(number * 1_000));
+        suspects.lost(poison, life(number), TimeMs(number * 1_000 + 50));
+    }
+    assert!(suspects.held_for(poison, TimeMs(4_000)).is_some());
+}
+
+/// Endpoints that reset connections while they live, as grey ones do, make no request suspect.
+#[test]
+fn losses_without_the_end_of_a_life_do_not_count() {
+    let (mut suspects, innocent) = (Suspects::default(), request("innocent"));
+    for number in 1..=9 {
+        suspects.lost(innocent, life(number), TimeMs(number * 1_000));
+    }
+    assert_eq!(suspects.held_for(innocent, TimeMs(9_500)), None);
+    // The end of a life long after the loss has nothing to do with it.
+    (1..=9).for_each(|number| {
+        suspects.life_ended(life(number), TimeMs(60_000));
+    });
+    assert_eq!(suspects.held_for(innocent, TimeMs(60_000)), None);
+}
+
+#[test]
+fn a_life_counts_once_however_many_requests_and_instances_saw_it_end() {
+    let (mut suspects, neighbour) = (Suspects::default(), request("neighbour"));
+    crash(&mut suspects, neighbour, 1);
+    for _ in 0..5 {
+        suspects.lost(neighbour, life(1), TimeMs(1_400));
+        suspects.hear(neighbour, life(1), TimeMs(1_500));
+    }
+    assert_eq!(suspects.held_for(neighbour, TimeMs(2_000)), None);
+}
+
+#[test]
+fn an_answer_clears_a_neighbour_and_peers_do_not_bring_it_back() {
+    let (mut suspects, neighbour) = (Suspects::default(), request("neighbour"));
+    crash(&mut suspects, neighbour, 1);
+    crash(&mut suspects, neighbour, 2);
+    suspects.answered(neighbour);
+    crash(&mut suspects, neighbour, 3);
+    suspects.hear(neighbour, life(1), TimeMs(3_500));
+    suspects.hear(neighbour, life(2), TimeMs(3_500));
+    assert_eq!(suspects.held_for(neighbour, TimeMs(4_000)), None);
+}
+
+/// The caller sends it to another instance each time, and most messages between them are lost.
+#[rstest]
+#[case::all_heard(1)]
+#[case::one_in_seven_heard(7)]
+fn instances_hold_it_back_together(#[case] one_in: u64) {
+    let mut instances = vec![Suspects::default(); 3];
+    let poison = request("poison");
+    let mut sent = 0u64;
+    for tick in 10..60 {
+        let now_ms = TimeMs(tick * 100);
+        if (10..=30).contains(&tick) && tick % 10 == 0 {
+            crash(&mut instances[tick as usize / 10 - 1], poison, tick / 10);
+        }
+        for from in 0..3 {
+            let told = instances[from].told(64, now_ms);
+            for to in (0..3).filter(|to| *to != from) {
+                sent += 1;
+                let is_heard = sent.is_multiple_of(one_in);
+                told.iter().filter(|_| is_heard).for_each(|(request, life)| {
+                    instances[to].hear(*request, *life, now_ms);
+                });
+            }
+        }
+    }
+    for instance in &instances {
+        assert!(instance.held_for(poison, TimeMs(6_000)).is_some());
+    }
+}
+
+#[test]
+fn a_flood_of_losses_is_bounded_and_runs_out() {
+    let mut suspects = Suspects::default();
+    for number in 0..20_000 {
+        suspects.lost(request(&number.to_string()), life(1), TimeMs(1_000));
+    }
+    suspects.life_ended(life(1), TimeMs(1_100));
+    assert!(suspects.told(usize::MAX, TimeMs(1_200)).len() <= 4_096);
+    suspects.expire(TimeMs(1_000_000));
+    assert!(suspects.told(usize::MAX, TimeMs(1_200)).is_empty());
+}
--- a/crates/types/src/kind.rs
+++ b/crates/types/src/kind.rs
@@ -108,6 +108,8 @@
     Malformed: 400 No Never No RetryAfter::None, "the request body can't be read";
     /// The body stopped before its end.
     BodyCut: 400 No Never Yes RetryAfter::None, "the request body ended early";
+    /// The body did not come within the time that the caller waits.
+    BodySlow: 408 No Never Yes RetryAfter::None, "the request body did not come in time";
     /// The body is larger than allowed.
     TooLarge: 413 No Never No RetryAfter::None, "the request is larger than allowed";
     /// The headers are larger than allowed.
@@ -140,6 +142,8 @@
     Overloaded: 503 No Never Yes RetryAfter::DrainRate, "the system is full; the request was not run";
     /// The request was seen to crash endpoints.
     Quarantined: 422 No Never No RetryAfter::None, "this request was stopped because it made endpoints fail";
+    /// The request was lost with several endpoints, one after the other.
+    HeldBack: 503 No Never Yes RetryAfter::FixedMs(60_000), "endpoints failed each time this request ran; it was not run again";
     /// The request is suspected of crashing endpoints and runs elsewhere, or its owner can't be asked.
     SuspectRunning: 503 No Never Yes RetryAfter::FixedMs(2_000), "this request is being tried alone after an endpoint failed";
     /// No configuration is in force yet.
