--- a/crates/gateway/src/cache_index.rs
+++ b/crates/gateway/src/cache_index.rs
@@ -3,23 +3,34 @@
 //! The load pattern it answers: more shared parts are in use than the engines' memories hold. Whoever plans a request's
 //! parts ([`crate::plan_parts`]) has to know where they are, and how far behind each holder's link is.
 //!
+//! An engine takes few callers that follow its events, and an instance has little time to follow many engines. In a large
+//! fleet a few instances follow each engine and tell all others, in short form and without a promise that all arrives:
+//! an engine that no longer has a part costs a reading, which is what not knowing costs every time.
+//!
 //! # Invariant
 //!
-//! A holder tells only of parts that its events, heard within `FRESH_MS`, say are complete, and never of more tokens than
-//! they say. A holder that restarts is forgotten as a whole.
+//! A store is believed to have only parts that its events, heard within `FRESH_MS`, say are complete, and never more tokens
+//! than they say. A holder that restarts is forgotten as a whole.
 
 use std::{collections::HashMap, net::SocketAddr};
 
 use bilberryford_types::{BytesPerSec, DataCentreId, TimeMs, Tokens};
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::{
     part_plan::Reader,
+    peer_loads::EndpointTag,
     slowness::Slowness,
     translation::{CacheChanges, CacheContent, PartKey},
 };
 
 /// How long what a holder said is used, in milliseconds: one wait for events and a little more.
 pub(crate) const FRESH_MS: TimeMs = TimeMs(1_600);
+/// How long what peers told of an engine's part is believed, in milliseconds: word of its end may have been lost.
+const TOLD_MS: TimeMs = TimeMs(60_000);
+/// The most parts of one engine that are believed from peers: more than its memory has room for.
+const MAX_TOLD_PARTS: usize = 4_096;
 /// How long a save is believed to be under way, in milliseconds: a prompt is read and sent within it.
 const SAVING_MS: TimeMs = TimeMs(4_000);
 /// The unit in which stores give space, in tokens.
@@ -53,8 +64,26 @@
     pub first_byte_ms: TimeMs,
     /// How many callers may wait for its events at once.
     pub max_followers: u32,
+    /// Which life of an engine this is.
+    pub life: Option<EndpointTag>,
+}
+
+/// A short name of a part, for messages. Two parts may share one: what is told steers, and engines check.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct PartTag(u32);
+
+impl PartTag {
+    /// The tag of a part.
+    pub fn new(key: &PartKey) -> Self {
+        let hash = xxh3_64_with_seed(key.id.as_bytes(), xxh3_64(key.scope.as_bytes()));
+        // The low half is as uniform as the whole.
+        Self(hash as u32)
+    }
 }
 
+/// What became of one part of an engine's memory: its tokens, or none when it is gone.
+pub type ToldPart = (PartTag, Option<u32>);
+
 #[derive(Debug, Clone, Default)]
 struct Contents {
     epoch: u64,
@@ -82,6 +111,8 @@
     slowness: Slowness,
     peers: HolderLoad,
     contents: Option<Contents>,
+    /// What peers said of an engine that this instance does not follow, and when.
+    told: HashMap<PartTag, (Tokens, TimeMs)>,
     saving: HashMap<PartKey, TimeMs>,
 }
 
@@ -99,6 +130,7 @@
             slowness: Slowness::default(),
             peers: HolderLoad::default(),
             contents: None,
+            told: HashMap::new(),
             saving: HashMap::new(),
         }
     }
@@ -193,6 +225,21 @@
         }
     }
 
+    /// Takes in what a follower of an engine told.
+    pub fn hear_told(&mut self, changes: &[ToldPart], heard_ms: TimeMs) {
+        for (part, tokens) in changes {
+            match tokens {
+                Some(tokens) if self.told.len() < MAX_TOLD_PARTS => {
+                    self.told.insert(*part, (Tokens(*tokens), heard_ms));
+                }
+                Some(_) => self.told.retain(|_, (_, at_ms)| heard_ms.since(*at_ms) < TOLD_MS),
+                None => {
+                    self.told.remove(part);
+                }
+            }
+        }
+    }
+
     fn heard(&mut self, heard_ms: TimeMs) {
         if let Some(contents) = self.contents.as_mut() {
             contents.heard_ms = heard_ms;
@@ -205,6 +252,10 @@
 
     /// The complete tokens of a part.
     pub fn holds(&self, key: &PartKey, now_ms: TimeMs) -> Option<Tokens> {
+        if !self.told.is_empty() && !self.is_followed {
+            let (tokens, at_ms) = self.told.get(&PartTag::new(key))?;
+            return (now_ms.since(*at_ms) < TOLD_MS).then_some(*tokens);
+        }
         self.fresh(now_ms)?.parts.get(key).copied()
     }
 
--- a/crates/gateway/src/controllers/caches.rs
+++ b/crates/gateway/src/controllers/caches.rs
@@ -5,16 +5,16 @@
 
 use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
-use bilberryford_types::{BytesPerSec, EndpointId, TimeMs};
+use bilberryford_types::{BytesPerSec, TimeMs};
 use rand::RngExt;
 use tokio::{task::JoinSet, time::sleep};
 
 use crate::{
-    cache_index::{HolderKind, HolderTraits, HolderView},
+    cache_index::{HolderKind, HolderTraits, HolderView, PartTag},
     deployment::Deployment,
     endpoints::EndpointState,
     gateway::Gateway,
-    peer_loads::PartsMessage,
+    peer_loads::{EndpointTag, PartsMessage},
     translation::CacheChanges,
 };
 
@@ -37,13 +37,15 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct Holder {
     traits: HolderTraits,
-    engine: Option<(EndpointId, TimeMs)>,
     is_followed: bool,
 }
 
 /// How many of a holder's calls for events are left free, for instances that disagree on who follows.
 const FREE_CALLS: usize = 2;
 
+/// How many instances follow an engine in a large fleet: the one that tells, and one to take over.
+const ENGINE_FOLLOWERS: usize = 2;
+
 /// How many followers of a store pass on what it says, so that one may be lost.
 const TELLERS: usize = 2;
 
@@ -54,14 +56,16 @@
     gateway.peers.lock().rank(own, &address.to_string(), now_ms)
 }
 
-/// How many instances ask a holder themselves.
-fn followers(max_followers: u32) -> usize {
-    (max_followers as usize).saturating_sub(FREE_CALLS).max(1)
+/// How many instances ask a holder themselves; where not all can ask an engine, few do and tell the others.
+fn followers(gateway: &Gateway, max_followers: u32, kind: HolderKind) -> usize {
+    let most = (max_followers as usize).saturating_sub(FREE_CALLS).max(1);
+    let has_listeners = gateway.peers.lock().live(gateway.clock.now()) > most as u64;
+    if kind == HolderKind::Engine && has_listeners { most.min(ENGINE_FOLLOWERS) } else { most }
 }
 
 /// Whether this instance is one of those that ask the holder themselves.
-fn is_ours(gateway: &Gateway, address: SocketAddr, max_followers: u32) -> bool {
-    rank(gateway, address) < followers(max_followers)
+fn is_ours(gateway: &Gateway, address: SocketAddr, max_followers: u32, kind: HolderKind) -> bool {
+    rank(gateway, address) < followers(gateway, max_followers, kind)
 }
 
 fn holders(gateway: &Gateway, deployment: &Deployment) -> Vec<Holder> {
@@ -75,9 +79,9 @@
             link: store.link,
             first_byte_ms: store.first_byte_ms,
             max_followers: store.max_followers,
+            life: None,
         },
-        engine: None,
-        is_followed: is_ours(gateway, store.address, store.max_followers),
+        is_followed: is_ours(gateway, store.address, store.max_followers, HolderKind::Store),
     });
     let endpoints = gateway.endpoints.lock();
     let engines = endpoints.records().filter(|record| record.state == EndpointState::Ready);
@@ -92,13 +96,12 @@
                 link: engine.link.max(BytesPerSec(1)),
                 first_byte_ms: TimeMs(0),
                 max_followers: engine.max_followers,
+                life: Some(EndpointTag::new(record.id.as_str(), record.born_ms)),
             },
-            engine: Some((record.id.clone(), record.born_ms)),
-            is_followed: is_ours(gateway, record.address, engine.max_followers),
+            is_followed: is_ours(gateway, record.address, engine.max_followers, HolderKind::Engine),
         })
     });
-    // What stores hold is passed on by peers; what engines hold is known to their followers only.
-    stores.chain(engines.filter(|holder| holder.is_followed)).collect()
+    stores.chain(engines).collect()
 }
 
 pub(super) async fn run(gateway: Arc<Gateway>) {
@@ -119,7 +122,7 @@
             let mut task = JoinSet::new();
             if holder.is_followed {
                 task.spawn(follow(gateway.clone(), address, holder.traits.kind));
-            } else {
+            } else if holder.traits.kind == HolderKind::Store {
                 task.spawn(listen(gateway.clone(), address));
             }
             tasks.insert(address, (holder, task));
@@ -153,13 +156,22 @@
     }
 }
 
-/// Passes on what a store says to peers that don't follow it, if there are any.
+/// Passes on what a holder says to peers that don't follow it, if there are any.
 fn tell(gateway: &Gateway, address: SocketAddr, since: u64, changes: &CacheChanges) {
-    let traits = with_view(gateway, address, |view| view.traits().clone());
-    let Some(traits) = traits.filter(|traits| traits.kind == HolderKind::Store) else { return };
-    let live = gateway.peers.lock().live(gateway.clock.now());
-    let has_listeners = live > followers(traits.max_followers) as u64;
-    if has_listeners && rank(gateway, address) < TELLERS {
+    let Some(traits) = with_view(gateway, address, |view| view.traits().clone()) else { return };
+    let followers = followers(gateway, traits.max_followers, traits.kind);
+    if gateway.peers.lock().live(gateway.clock.now()) <= followers as u64 {
+        return;
+    }
+    let rank = rank(gateway, address);
+    if let Some(engine) = traits.life {
+        if rank == 0 {
+            let told = changes.changes.iter().map(|change| {
+                (PartTag::new(&change.key), change.tokens.map(|tokens| tokens.get()))
+            });
+            gateway.engine_parts.lock().add(engine, told);
+        }
+    } else if rank < TELLERS {
         let changes = changes.clone();
         gateway.parts_to_tell.lock().push(PartsMessage { holder: address, since, changes });
         gateway.has_parts_to_tell.notify_one();
--- a/crates/gateway/src/controllers/config.rs
+++ b/crates/gateway/src/controllers/config.rs
@@ -14,14 +14,17 @@
 
 /// The name of the object with the newest configuration.
 const NEWEST: &str = "main";
-/// The longest pause between two confirming reads, in milliseconds.
-const LONGEST_CONFIRM_MS: u64 = 1_500;
+/// The longest pause between two confirming reads, in hundredths of the bound of configurations: a watch that went deaf
+/// is made up for within the bound.
+const CONFIRM_OF_CONFIG_PERCENT: u64 = 70;
+/// The same of the bound of revocations, so that keys stay valid when one read fails.
+const CONFIRM_OF_REVOKE_PERCENT: u64 = 45;
 
 pub(super) struct ConfigSink;
 
 impl Sink for ConfigSink {
     const KIND: ObjectKind = ObjectKind::Config;
-    const WAIT_MS: TimeMs = TimeMs(8_000);
+    const WAIT_MS: TimeMs = TimeMs(15_000);
     const PAUSE_AFTER_CHANGES: Duration = Duration::from_millis(100);
 
     fn listed(&self, gateway: &Gateway, objects: Vec<Object>, started_ms: TimeMs) {
@@ -67,9 +70,10 @@
 pub(super) async fn confirm(gateway: Arc<Gateway>) {
     let Ok(name) = NEWEST.parse() else { return };
     let key = ObjectKey::new(ObjectKind::Config, name);
-    // Reads come well within the bound even when one fails, and instances don't read at the same time.
-    let longest_ms =
-        LONGEST_CONFIRM_MS.min(gateway.settings.bounds.revoke_ms.get() * 3 / 10).max(100);
+    let bounds = &gateway.settings.bounds;
+    let of_config_ms = bounds.config_ms.get() * CONFIRM_OF_CONFIG_PERCENT / 100;
+    let of_revoke_ms = bounds.revoke_ms.get() * CONFIRM_OF_REVOKE_PERCENT / 100;
+    let longest_ms = of_config_ms.min(of_revoke_ms).max(100);
     let mut pauses = Pauses::default();
     let mut last: Option<ObjectVersion> = None;
     loop {
@@ -91,6 +95,7 @@
             }
         }
         pauses.reset();
+        // Instances don't read at the same time.
         let pause_ms = rand::rng().random_range(longest_ms * 3 / 4..=longest_ms);
         sleep(Duration::from_millis(pause_ms)).await;
     }
--- a/crates/gateway/src/controllers/follow.rs
+++ b/crates/gateway/src/controllers/follow.rs
@@ -42,7 +42,7 @@
 /// Takes in what the store holds of one kind.
 pub(super) trait Sink: Send + Sync + 'static {
     const KIND: ObjectKind;
-    /// How long a watch waits; a silent connection is noticed after it.
+    /// How long a watch waits. Each is a call that is priced; a silent connection is noticed sooner, by its probes.
     const WAIT_MS: TimeMs;
     /// The pause after a watch that brought changes: what changes meanwhile comes in one answer. Each call is priced, and
     /// in a large fleet something changes all the time.
--- a/crates/gateway/src/controllers/peers.rs
+++ b/crates/gateway/src/controllers/peers.rs
@@ -17,7 +17,8 @@
     cache_index::{HolderLoad, HolderView},
     gateway::Gateway,
     peer_loads::{
-        EndpointLoad, EndpointTag, LoadMessage, MAX_TOLD, PartsMessage, PeerMessage, RankTokens,
+        EndpointLoad, EndpointTag, EngineParts, LoadMessage, MAX_TOLD, PartsMessage, PeerMessage,
+        RankTokens,
     },
     suspects::Fingerprint,
 };
@@ -29,6 +30,10 @@
 /// The largest message, in bytes: one datagram without fragments.
 const MAX_MESSAGE_BYTES: usize = 1_400;
 
+/// The most changes of engines' parts in one message, at nine bytes each.
+const MAX_PARTS_TOLD: usize = 120;
+/// The most such messages in one round; an engine that is followed anew has much to tell.
+const MAX_ENGINE_MESSAGES: usize = 4;
 /// The most crashes that one message tells of, so that it fits into one datagram.
 const MAX_CRASHES_TOLD: usize = 80;
 
@@ -59,7 +64,7 @@
 
 impl Sink for PeerSink {
     const KIND: ObjectKind = ObjectKind::Instance;
-    const WAIT_MS: TimeMs = TimeMs(10_000);
+    const WAIT_MS: TimeMs = TimeMs(25_000);
     const PAUSE_AFTER_CHANGES: Duration = Duration::from_millis(2_000);
 
     fn listed(&self, _gateway: &Gateway, objects: Vec<Object>, _started_ms: TimeMs) {
@@ -130,6 +135,17 @@
     }
 }
 
+fn hear_engines(gateway: &Gateway, engines: &[EngineParts]) {
+    let now_ms = gateway.clock.now();
+    let mut holders = gateway.holders.lock();
+    for told in engines {
+        let is_it = |view: &&mut HolderView| view.traits().life == Some(told.engine);
+        if let Some(view) = holders.iter_mut().find(is_it) {
+            view.hear_told(&told.changes, now_ms);
+        }
+    }
+}
+
 fn hear_crashes(gateway: &Gateway, crashes: &[(Fingerprint, EndpointTag)]) {
     let now_ms = gateway.clock.now();
     let mut suspects = gateway.suspects.lock();
@@ -181,6 +197,7 @@
                     gateway.peers.lock().hear(message, gateway.clock.now());
                 }
                 Ok(PeerMessage::Parts(message)) => hear_parts(gateway, message),
+                Ok(PeerMessage::Engines(engines)) => hear_engines(gateway, &engines),
                 Ok(PeerMessage::Crashes(crashes)) => hear_crashes(gateway, &crashes),
                 Err(error) => log::debug!(from:% = from, error:% = error; "message left out"),
             },
@@ -253,6 +270,13 @@
         if !crashes.is_empty() {
             send_all(socket, &peers, &PeerMessage::Crashes(crashes)).await;
         }
+        for _ in 0..MAX_ENGINE_MESSAGES {
+            let told = gateway.engine_parts.lock().take(MAX_PARTS_TOLD);
+            if told.is_empty() {
+                break;
+            }
+            send_all(socket, &peers, &PeerMessage::Engines(told)).await;
+        }
         gateway.peers.lock().expire(gateway.clock.now());
         update_holders(gateway);
         let pause_ms = TELL_EVERY_MS * (peers.len() as u64).div_ceil(PEERS_AT_PACE).max(1);
--- a/crates/gateway/src/controllers/weights.rs
+++ b/crates/gateway/src/controllers/weights.rs
@@ -40,7 +40,7 @@
 
 impl Sink for WeightSink {
     const KIND: ObjectKind = ObjectKind::WeightVersion;
-    const WAIT_MS: TimeMs = TimeMs(5_000);
+    const WAIT_MS: TimeMs = TimeMs(15_000);
     const PAUSE_AFTER_CHANGES: Duration = Duration::from_millis(100);
 
     fn listed(&self, gateway: &Gateway, objects: Vec<Object>, _started_ms: TimeMs) {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -23,8 +23,10 @@
     health::{EndpointHealth, Standing},
     key_validity::KeyValidity,
     metrics::{Metrics, MetricsError},
-    part_plan::{PrefixFacts, Reader, prefix_facts},
-    peer_loads::{EndpointLoad, EndpointTag, PartsMessage, PeerLoads, RankTokens},
+    part_plan::{LocatedParts, PrefixFacts, Reader},
+    peer_loads::{
+        EndpointLoad, EndpointTag, EnginePartsToTell, PartsMessage, PeerLoads, RankTokens,
+    },
     placement::Candidate,
     repeats::{RepeatBudget, RepeatLimits},
     request_log::RequestLog,
@@ -104,6 +106,8 @@
     /// What stores said, to be passed on to peers that don't follow them.
     pub(crate) parts_to_tell: Mutex<Vec<PartsMessage>>,
     pub(crate) has_parts_to_tell: Notify,
+    /// What engines that this instance follows said, for all peers.
+    pub(crate) engine_parts: Mutex<EnginePartsToTell>,
     pub(crate) deployment: ArcSwapOption<Deployment>,
     pub(crate) keys: Mutex<KeyValidity>,
     pub(crate) endpoints: Mutex<EndpointTable>,
@@ -142,6 +146,7 @@
             holders: Mutex::default(),
             parts_to_tell: Mutex::default(),
             has_parts_to_tell: Notify::new(),
+            engine_parts: Mutex::default(),
             deployment: ArcSwapOption::empty(),
             endpoints: Mutex::default(),
             local: Mutex::default(),
@@ -253,11 +258,16 @@
         let now_ms = self.clock.now();
         let endpoints = self.endpoints.lock();
         let holders = self.holders.lock();
+        // Candidates differ in their weights at most, and mostly don't.
+        let mut by_weights: HashMap<Option<u64>, Option<LocatedParts<'_>>> = HashMap::new();
         for candidate in candidates {
-            let Some(scope) = scope(candidate) else { continue };
+            let located = by_weights.entry(candidate.weight_version).or_insert_with(|| {
+                Some(LocatedParts::new(&holders, &scope(candidate)?, parts, now_ms))
+            });
+            let Some(located) = located else { continue };
             let data_centre = endpoints.get(&candidate.id).map(|record| &record.data_centre);
             let reader = Reader { address: candidate.address, data_centre, token_bytes };
-            candidate.prefix = prefix_facts(&holders, &scope, parts, &reader, now_ms);
+            candidate.prefix = located.prefix_facts(&reader);
         }
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -37,7 +37,7 @@
 mod translation;
 
 pub use admission::{Admit, Forecast, admit};
-pub use cache_index::{HolderKind, HolderLoad, HolderTraits, HolderView};
+pub use cache_index::{HolderKind, HolderLoad, HolderTraits, HolderView, PartTag, ToldPart};
 pub use cache_scope::{CacheScope, ScopeError};
 pub use clock::Clock;
 pub use connections::connection_share;
@@ -49,8 +49,11 @@
 pub use gateway::{Gateway, SetupError};
 pub use health::{EndpointHealth, Standing};
 pub use key_validity::KeyValidity;
-pub use part_plan::{PartPlan, PrefixFacts, Reader, Transfer, plan_parts, prefix_facts};
-pub use peer_loads::{EndpointLoad, EndpointTag, LoadMessage, PeerLoad, PeerLoads, RankTokens};
+pub use part_plan::{LocatedParts, PartPlan, PrefixFacts, Reader, Transfer, plan_parts};
+pub use peer_loads::{
+    EndpointLoad, EndpointTag, EngineParts, EnginePartsToTell, LoadMessage, PeerLoad, PeerLoads,
+    RankTokens,
+};
 pub use placement::{Candidate, Choice, PlacementRequest, PromptShape, Reason, place};
 pub use repeats::{RepeatBudget, RepeatLimits};
 pub use rollout::{EngineWeights, NamedWeights, WeightOrder, WeightPlan, plan_weights};
--- a/crates/gateway/src/part_plan.rs
+++ b/crates/gateway/src/part_plan.rs
@@ -80,54 +80,73 @@
     pub token_bytes: Bytes,
 }
 
-/// The nearest holder of a part that `reader` can fetch it from.
-fn nearest<'a>(
-    holders: &'a [HolderView],
-    key: &PartKey,
-    part: &PromptPart,
-    reader: &Reader<'_>,
-    now_ms: TimeMs,
-) -> Option<(&'a HolderView, Tokens, f64)> {
-    holders
-        .iter()
-        .filter(|holder| holder.address() != reader.address)
-        .filter_map(|holder| {
-            let tokens = holder.holds(key, now_ms)?.min(part.tokens);
-            Some((holder, tokens, holder.transfer_ms(tokens, reader)))
-        })
-        .filter(|(_, tokens, fetch_ms)| {
-            *fetch_ms * TOKENS_PER_FETCH_MS <= f64::from(tokens.get()) * WORTH_FETCHING
-        })
-        .min_by(|a, b| a.2.total_cmp(&b.2))
+/// A shared part, and who holds it.
+#[derive(Debug)]
+struct LocatedPart<'a> {
+    part: &'a PromptPart,
+    key: PartKey,
+    holders: Vec<(&'a HolderView, Tokens)>,
 }
 
-/// What `reader` has and can get of a prompt's shared parts, up to the first that it has to read.
-pub fn prefix_facts(
-    holders: &[HolderView],
-    scope: &str,
-    parts: &[PromptPart],
-    reader: &Reader<'_>,
-    now_ms: TimeMs,
-) -> PrefixFacts {
-    let own = holders.iter().find(|holder| holder.address() == reader.address);
-    let mut facts = PrefixFacts::default();
-    let mut is_cached = true;
-    for part in shared_parts(parts) {
-        let key = PartKey { scope: scope.to_owned(), id: part.id.clone() };
-        let held =
-            own.and_then(|own| own.holds(&key, now_ms)).filter(|tokens| *tokens >= part.tokens);
-        if let Some(tokens) = held.filter(|_| is_cached) {
-            facts.cached_tokens += u64::from(tokens.get());
-            continue;
+impl LocatedPart<'_> {
+    /// Whether `reader` has all of it in its own memory.
+    fn is_at(&self, reader: &Reader<'_>) -> bool {
+        let own = self.holders.iter().find(|(holder, _)| holder.address() == reader.address);
+        own.is_some_and(|(_, tokens)| *tokens >= self.part.tokens)
+    }
+
+    /// The nearest holder that `reader` can fetch it from.
+    fn nearest(&self, reader: &Reader<'_>) -> Option<(&HolderView, Tokens, f64)> {
+        self.holders
+            .iter()
+            .filter(|(holder, _)| holder.address() != reader.address)
+            .map(|(holder, tokens)| {
+                let tokens = (*tokens).min(self.part.tokens);
+                (*holder, tokens, holder.transfer_ms(tokens, reader))
+            })
+            .filter(|(_, tokens, fetch_ms)| {
+                *fetch_ms * TOKENS_PER_FETCH_MS <= f64::from(tokens.get()) * WORTH_FETCHING
+            })
+            .min_by(|a, b| a.2.total_cmp(&b.2))
+    }
+}
+
+/// Who holds a prompt's shared parts: looked up once, and weighed for each engine that the prompt may go to.
+#[derive(Debug)]
+pub struct LocatedParts<'a>(Vec<LocatedPart<'a>>);
+
+impl<'a> LocatedParts<'a> {
+    /// Looks the shared parts of a prompt up at all holders.
+    pub fn new(
+        holders: &'a [HolderView],
+        scope: &str,
+        parts: &'a [PromptPart],
+        now_ms: TimeMs,
+    ) -> Self {
+        let located = shared_parts(parts).iter().map(|part| {
+            let key = PartKey { scope: scope.to_owned(), id: part.id.clone() };
+            let held = holders.iter().filter_map(|at| Some((at, at.holds(&key, now_ms)?)));
+            LocatedPart { part, holders: held.collect(), key }
+        });
+        Self(located.collect())
+    }
+
+    /// What `reader` has and can get, up to the first part that it has to read.
+    pub fn prefix_facts(&self, reader: &Reader<'_>) -> PrefixFacts {
+        let mut facts = PrefixFacts::default();
+        let mut is_cached = true;
+        for located in &self.0 {
+            is_cached &= located.is_at(reader);
+            if is_cached {
+                facts.cached_tokens += u64::from(located.part.tokens.get());
+                continue;
+            }
+            let Some((_, tokens, fetch_ms)) = located.nearest(reader) else { break };
+            facts.fetchable_tokens += u64::from(tokens.get());
+            facts.fetch_ms += fetch_ms;
         }
-        is_cached = false;
-        let Some((_, tokens, fetch_ms)) = nearest(holders, &key, part, reader, now_ms) else {
-            break;
-        };
-        facts.fetchable_tokens += u64::from(tokens.get());
-        facts.fetch_ms += fetch_ms;
+        facts
     }
-    facts
 }
 
 /// Plans a request's parts at the engine that was chosen; the last part is neither fetched nor saved.
@@ -139,44 +158,40 @@
     now_ms: TimeMs,
 ) -> PartPlan {
     let mut plan = PartPlan::default();
-    let own = holders.iter().position(|holder| holder.address() == reader.address);
-    for part in shared_parts(parts) {
-        let key = PartKey { scope: scope.to_owned(), id: part.id.clone() };
-        let is_cached = own.is_some_and(|own| {
-            holders[own].holds(&key, now_ms).is_some_and(|tokens| tokens >= part.tokens)
-        });
-        let source =
-            nearest(holders, &key, part, reader, now_ms).map(|(holder, tokens, fetch_ms)| {
-                if !is_cached {
-                    plan.transfers.push(Transfer {
-                        address: holder.address(),
-                        tokens: u64::from(tokens.get()),
-                        usual_ms: fetch_ms / holder.slowness(),
-                    });
-                }
-                // An engine drops parts at any time, and gives what it has then.
-                let tokens = (holder.traits().kind == HolderKind::Store).then_some(tokens);
-                PartSource { address: holder.address(), tokens }
-            });
-        let is_store = |holder: &&mut HolderView| holder.traits().kind == HolderKind::Store;
-        let is_kept = holders.iter().any(|holder| {
-            holder.traits().kind == HolderKind::Store
-                && (holder.holds(&key, now_ms).is_some() || holder.is_saving(&key, now_ms))
-        });
-        let mut target = None;
-        if !is_kept && part.tokens.get() >= LEAST_SAVED_TOKENS {
-            let best = holders
-                .iter_mut()
-                .filter(is_store)
-                .filter(|store| store.has_room(part.tokens, now_ms))
-                .max_by(|a, b| score(a, &part.id).total_cmp(&score(b, &part.id)));
-            if let Some(store) = best {
-                store.note_saving(key.clone(), now_ms);
-                plan.saving.push((store.address(), key));
-                target = Some(store.address());
+    let mut unkept = Vec::new();
+    for located in LocatedParts::new(holders, scope, parts, now_ms).0 {
+        let source = located.nearest(reader).map(|(holder, tokens, fetch_ms)| {
+            if !located.is_at(reader) {
+                plan.transfers.push(Transfer {
+                    address: holder.address(),
+                    tokens: u64::from(tokens.get()),
+                    usual_ms: fetch_ms / holder.slowness(),
+                });
             }
-        }
+            // An engine drops parts at any time, and gives what it has then.
+            let tokens = (holder.traits().kind == HolderKind::Store).then_some(tokens);
+            PartSource { address: holder.address(), tokens }
+        });
         plan.fetch.push(source);
+        let mut holding = located.holders.iter();
+        let is_kept = holding.any(|(holder, _)| holder.traits().kind == HolderKind::Store);
+        let wants_save = !is_kept && located.part.tokens.get() >= LEAST_SAVED_TOKENS;
+        unkept.push(wants_save.then_some((located.part.tokens, located.key)));
+    }
+    for part in unkept {
+        let target = part.and_then(|(tokens, key)| {
+            if holders.iter().any(|holder| holder.is_saving(&key, now_ms)) {
+                return None;
+            }
+            let store = holders
+                .iter_mut()
+                .filter(|holder| holder.traits().kind == HolderKind::Store)
+                .filter(|store| store.has_room(tokens, now_ms))
+                .max_by(|a, b| score(a, &key.id).total_cmp(&score(b, &key.id)))?;
+            store.note_saving(key.clone(), now_ms);
+            plan.saving.push((store.address(), key));
+            Some(store.address())
+        });
         plan.save.push(target);
     }
     plan.fetch.resize(parts.len(), None);
--- a/crates/gateway/src/peer_loads.rs
+++ b/crates/gateway/src/peer_loads.rs
@@ -10,7 +10,11 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-use crate::{suspects::Fingerprint, translation::CacheChanges};
+use crate::{
+    cache_index::{PartTag, ToldPart},
+    suspects::Fingerprint,
+    translation::CacheChanges,
+};
 
 /// How long what a peer said is used, in milliseconds: a few of its messages may be lost.
 const USED_FOR_MS: TimeMs = TimeMs(1_200);
@@ -101,6 +105,45 @@
     pub(crate) changes: CacheChanges,
 }
 
+/// What a follower of an engine passes on to all other instances.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineParts {
+    /// The engine's life.
+    pub engine: EndpointTag,
+    /// What became of its parts.
+    pub changes: Vec<ToldPart>,
+}
+
+/// What is yet to be told of engines; of several changes of one part only the last.
+#[derive(Debug, Clone, Default)]
+pub struct EnginePartsToTell(HashMap<EndpointTag, HashMap<PartTag, Option<u32>>>);
+
+impl EnginePartsToTell {
+    /// Adds what an engine said.
+    pub fn add(&mut self, engine: EndpointTag, changes: impl Iterator<Item = ToldPart>) {
+        self.0.entry(engine).or_default().extend(changes);
+    }
+
+    /// Takes up to `limit` changes, for one message; what is left waits for the next.
+    pub fn take(&mut self, limit: usize) -> Vec<EngineParts> {
+        let mut left = limit;
+        let mut taken = Vec::new();
+        for (engine, changes) in &mut self.0 {
+            let parts: Vec<_> = changes.keys().take(left).copied().collect();
+            left -= parts.len();
+            let changes: Vec<_> = parts
+                .into_iter()
+                .filter_map(|part| changes.remove(&part).map(|tokens| (part, tokens)))
+                .collect();
+            if !changes.is_empty() {
+                taken.push(EngineParts { engine: *engine, changes });
+            }
+        }
+        self.0.retain(|_, changes| !changes.is_empty());
+        taken
+    }
+}
+
 /// Whatever one instance tells another.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub(crate) enum PeerMessage {
@@ -108,6 +151,8 @@
     Load(LoadMessage),
     /// What a store says.
     Parts(PartsMessage),
+    /// What engines that it follows have in their memories.
+    Engines(Vec<EngineParts>),
     /// Requests that it saw lost with the lives of endpoints.
     Crashes(Vec<(Fingerprint, EndpointTag)>),
 }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -9,6 +9,8 @@
 pub struct Bounds {
     /// Within which a revoked key must stop working, also on an instance that is cut off.
     pub revoke_ms: TimeMs,
+    /// Within which a configuration must be in force.
+    pub config_ms: TimeMs,
     /// Between the signal to stop and the kill.
     pub grace_ms: TimeMs,
     /// How long a holder of orders may be silent before another takes over.
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -26,8 +26,10 @@
 const HELD_FOR_MS: TimeMs = TimeMs(600_000);
 /// How far a loss and the end of a life may be apart, in milliseconds: an entry lapses some seconds after a crash.
 const TOGETHER_MS: TimeMs = TimeMs(6_000);
-/// How long a crash is told to peers, in milliseconds: several messages at the slowest pace.
-const TOLD_FOR_MS: TimeMs = TimeMs(2_500);
+/// How long a new crash is told with every message, in milliseconds: several messages at the slowest pace.
+const NEWS_FOR_MS: TimeMs = TimeMs(2_500);
+/// How often a crash is told again while its request has more than one, in milliseconds: peers start and come back.
+const TOLD_EVERY_MS: TimeMs = TimeMs(2_000);
 /// The most requests that are remembered; with more, new ones are left out until old ones have run out.
 const MAX_REQUESTS: usize = 4_096;
 
@@ -60,6 +62,7 @@
     is_crash: bool,
     /// Whether this instance saw it, and tells it.
     is_own: bool,
+    told_ms: TimeMs,
 }
 
 #[derive(Debug, Clone, Default)]
@@ -108,7 +111,7 @@
         let is_crash = self.ended_ms.contains_key(&life);
         let Some(suspicion) = self.entry(request) else { return false };
         let was_held = suspicion.is_held();
-        suspicion.keep(Loss { life, at_ms: now_ms, is_crash, is_own: true });
+        suspicion.keep(Loss { life, at_ms: now_ms, is_crash, is_own: true, told_ms: now_ms });
         !was_held && suspicion.is_held()
     }
 
@@ -148,25 +151,35 @@
         (left_ms > TimeMs(0)).then_some(left_ms)
     }
 
-    /// Up to `limit` crashes that this instance saw of late, for its peers.
-    pub fn told(&self, limit: usize, now_ms: TimeMs) -> Vec<(Fingerprint, EndpointTag)> {
-        let is_told = |loss: &&Loss| loss.is_own && now_ms.since(loss.at_ms) < TOLD_FOR_MS;
-        let of_request = |(request, suspicion): (&Fingerprint, &Suspicion)| {
-            let request = *request;
-            suspicion
-                .crashes()
-                .filter(is_told)
-                .map(move |loss| (request, loss.life))
-                .collect::<Vec<_>>()
-        };
-        self.by_request.iter().flat_map(of_request).take(limit).collect()
+    /// Up to `limit` crashes that this instance saw and tells its peers now.
+    pub fn told(&mut self, limit: usize, now_ms: TimeMs) -> Vec<(Fingerprint, EndpointTag)> {
+        let mut told = Vec::new();
+        for (request, suspicion) in &mut self.by_request {
+            let is_serious = suspicion.crashes().count() > 1;
+            let own = suspicion.losses.iter_mut().filter(|loss| loss.is_crash && loss.is_own);
+            let due = own.filter(|loss| {
+                now_ms.since(loss.at_ms) < NEWS_FOR_MS
+                    || is_serious && now_ms.since(loss.told_ms) >= TOLD_EVERY_MS
+            });
+            for loss in due.take(limit - told.len()) {
+                loss.told_ms = now_ms;
+                told.push((*request, loss.life));
+            }
+        }
+        told
     }
 
     /// A peer saw a request lost with a life; answers whether the request is held back from now on.
     pub fn hear(&mut self, request: Fingerprint, life: EndpointTag, now_ms: TimeMs) -> bool {
         let Some(suspicion) = self.entry(request) else { return false };
         let was_held = suspicion.is_held();
-        suspicion.keep(Loss { life, at_ms: now_ms, is_crash: true, is_own: false });
+        suspicion.keep(Loss {
+            life,
+            at_ms: now_ms,
+            is_crash: true,
+            is_own: false,
+            told_ms: now_ms,
+        });
         !was_held && suspicion.is_held()
     }
 
--- a/crates/gateway/tests/decisions/cache_index.rs
+++ b/crates/gateway/tests/decisions/cache_index.rs
@@ -1,8 +1,9 @@
 use std::net::SocketAddr;
 
 use bilberryford_gateway::{
-    CacheChange, CacheChanges, CacheScope, HolderKind, HolderTraits, HolderView, PartKey,
-    PartSource, PromptPart, Reader, plan_parts, prefix_facts,
+    CacheChange, CacheChanges, CacheScope, Candidate, EndpointTag, EnginePartsToTell, HolderKind,
+    HolderTraits, HolderView, LocatedParts, PartKey, PartSource, PartTag, PlacementRequest,
+    PromptPart, PromptShape, Reader, Standing, place, plan_parts,
 };
 use bilberryford_types::{Bytes, BytesPerSec, TimeMs, Tokens};
 use rstest::rstest;
@@ -23,6 +24,7 @@
             link: BytesPerSec(10_000_000_000),
             first_byte_ms: TimeMs(1),
             max_followers: 4,
+            life: None,
         },
         true,
     );
@@ -151,7 +153,8 @@
 fn what_an_engine_has_counts_up_to_its_first_gap() {
     let mut own = holder(HolderKind::Engine, 99, 100_000);
     own.apply(changes(1, &[("subject", Some(9_000))]), TimeMs(0));
-    let facts = prefix_facts(&[own], SCOPE, &prompt_parts(), &reader(), TimeMs(10));
+    let (holders, parts) = ([own], prompt_parts());
+    let facts = LocatedParts::new(&holders, SCOPE, &parts, TimeMs(10)).prefix_facts(&reader());
     assert_eq!(facts.cached_tokens, 0, "a part is of no use without those before it");
 }
 
@@ -171,3 +174,103 @@
 fn other_texts_are_no_scopes(#[case] text: &str) {
     assert!(text.parse::<CacheScope>().is_err());
 }
+
+fn part(id: &str) -> PartTag {
+    PartTag::new(&PartKey { scope: SCOPE.to_owned(), id: id.to_owned() })
+}
+
+fn unfollowed(last: u8) -> HolderView {
+    let traits = HolderTraits {
+        life: Some(EndpointTag::new(&last.to_string(), TimeMs(1))),
+        ..holder(HolderKind::Engine, last, 80_000).traits().clone()
+    };
+    HolderView::new(traits, false)
+}
+
+#[test]
+fn what_peers_tell_of_an_engine_is_believed_until_they_tell_its_end_or_it_is_old() {
+    let key = PartKey { scope: SCOPE.to_owned(), id: "subject".to_owned() };
+    let mut engine = unfollowed(1);
+    assert_eq!(engine.holds(&key, TimeMs(0)), None);
+    engine.hear_told(&[(part("subject"), Some(9_000)), (part("system"), Some(400))], TimeMs(0));
+    assert_eq!(engine.holds(&key, TimeMs(20_000)), Some(Tokens(9_000)));
+    assert_eq!(engine.holds(&key, TimeMs(60_000)), None);
+    engine.hear_told(&[(part("subject"), None)], TimeMs(21_000));
+    assert_eq!(engine.holds(&key, TimeMs(21_000)), None);
+    // Who follows an engine goes by its events alone.
+    let mut followed = holder(HolderKind::Engine, 2, 80_000);
+    followed.hear_told(&[(part("subject"), Some(9_000))], TimeMs(0));
+    assert_eq!(followed.holds(&key, TimeMs(10)), None);
+}
+
+#[test]
+fn an_engine_tells_only_the_last_of_each_part_and_messages_fit_a_datagram() {
+    let mut pending = EnginePartsToTell::default();
+    for number in 0..400u32 {
+        let engine = EndpointTag::new(&(number % 7).to_string(), TimeMs(1));
+        let tag = part(&number.to_string());
+        pending.add(engine, [(tag, None), (tag, Some(9_000))].into_iter());
+    }
+    let mut told = 0;
+    loop {
+        let message = pending.take(120);
+        if message.is_empty() {
+            break;
+        }
+        assert!(postcard::to_stdvec(&message).unwrap().len() < 1_390);
+        let changes = message.iter().flat_map(|engine| &engine.changes);
+        told += changes.filter(|(_, tokens)| *tokens == Some(9_000)).count();
+    }
+    assert_eq!(told, 400);
+}
+
+/// Many more engines than an instance can follow, and a part that comes back at another instance each time: it is not
+/// read again, whether the prompt goes to the engine that has the part or another one fetches it from there.
+#[test]
+fn a_part_in_an_engine_of_which_only_peers_know_is_not_read_again() {
+    let mut holders: Vec<_> = (0..90).map(unfollowed).collect();
+    let told = [(part("system"), Some(400)), (part("subject"), Some(9_000))];
+    let parts = prompt_parts();
+    let work = |holders: &[HolderView]| {
+        let located = LocatedParts::new(holders, SCOPE, &parts, TimeMs(5_000));
+        let candidates: Vec<_> = (0..90)
+            .map(|last| Candidate {
+                id: format!("e{last}").parse().expect("an id"),
+                life: EndpointTag::new(&last.to_string(), TimeMs(1)),
+                address: address(last),
+                is_local: true,
+                standing: Standing::Sound,
+                is_full: false,
+                in_flight: 2,
+                waiting_tokens: 0,
+                slowness_percent: None,
+                weight_version: Some(1),
+                prefix: located.prefix_facts(&Reader { address: address(last), ..reader() }),
+            })
+            .collect();
+        let request = PlacementRequest {
+            prompt: Some(PromptShape { tokens: 11_400, shared_part: Some("subject") }),
+            min_weight_version: None,
+            preferred_weight_version: None,
+            tried: &[],
+            draw: 7,
+        };
+        place(&candidates, &request).work_tokens
+    };
+    for holding in 0..90 {
+        assert_eq!(work(&holders), 11_400, "without word it is read");
+        holders[holding].hear_told(&told, TimeMs(0));
+        assert!(work(&holders) < 4_000, "{}", work(&holders));
+        holders[holding].hear_told(&told.map(|(part, _)| (part, None)), TimeMs(10));
+    }
+}
+
+/// The engine that has a part is too busy: the part is fetched from its memory, not read again.
+#[test]
+fn a_part_is_fetched_from_an_engine_of_which_only_peers_know() {
+    let mut holders = [unfollowed(1)];
+    holders[0].hear_told(&[(part("subject"), Some(9_000))], TimeMs(0));
+    let plan = plan_parts(&mut holders, SCOPE, &prompt_parts(), &reader(), TimeMs(10));
+    let source = Some(PartSource { address: address(1), tokens: None });
+    assert_eq!(plan.fetch, [None, source, None]);
+}
--- a/crates/gateway/tests/decisions/suspects.rs
+++ b/crates/gateway/tests/decisions/suspects.rs
@@ -107,6 +107,20 @@
     }
 }
 
+/// It heard nothing of the first two crashes while they were news.
+#[test]
+fn an_instance_that_starts_later_learns_of_it() {
+    let (mut first, mut second, poison) = (Suspects::default(), Suspects::default(), request("p"));
+    crash(&mut first, poison, 1);
+    crash(&mut first, poison, 2);
+    for (request, life) in first.told(64, TimeMs(30_000)) {
+        second.hear(request, life, TimeMs(30_000));
+    }
+    crash(&mut second, poison, 31);
+    assert!(second.held_for(poison, TimeMs(31_500)).is_some());
+    assert!(first.told(64, TimeMs(30_100)).is_empty(), "not with every message");
+}
+
 #[test]
 fn a_flood_of_losses_is_bounded_and_runs_out() {
     let mut suspects = Suspects::default();
