--- a/crates/gateway/src/cache_index.rs
+++ b/crates/gateway/src/cache_index.rs
@@ -27,6 +27,8 @@
 
 /// How long what a holder said is used, in milliseconds: one wait for events and a little more.
 pub(crate) const FRESH_MS: TimeMs = TimeMs(1_600);
+/// How long a part is expected at an engine that was given a prompt with it, in milliseconds: a usual queue and the news.
+const EXPECTED_MS: TimeMs = TimeMs(3_000);
 /// How long what peers told of an engine's part is believed, in milliseconds: word of its end may have been lost.
 const TOLD_MS: TimeMs = TimeMs(60_000);
 /// The most parts of one engine that are believed from peers: more than its memory has room for.
@@ -81,8 +83,28 @@
     }
 }
 
-/// What became of one part of an engine's memory: its tokens, or none when it is gone.
-pub type ToldPart = (PartTag, Option<u32>);
+/// What became of one part of an engine's memory.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PartNews {
+    /// It has so many tokens of it.
+    Has(u32),
+    /// A prompt is on its way by which it will.
+    Expected(u32),
+    /// It has it no more.
+    Gone,
+}
+
+/// What became of which part.
+pub type ToldPart = (PartTag, PartNews);
+
+/// How a holder has a part.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Holding {
+    /// So many complete tokens, which others can fetch.
+    Complete(Tokens),
+    /// A prompt that was sent before reads it: who comes after it finds it there, and nobody else.
+    Expected(Tokens),
+}
 
 #[derive(Debug, Clone, Default)]
 struct Contents {
@@ -111,8 +133,8 @@
     slowness: Slowness,
     peers: HolderLoad,
     contents: Option<Contents>,
-    /// What peers said of an engine that this instance does not follow, and when.
-    told: HashMap<PartTag, (Tokens, TimeMs)>,
+    /// What this instance and its peers expect of an engine, and what peers said of one that is not followed.
+    told: HashMap<PartTag, (Holding, TimeMs)>,
     saving: HashMap<PartKey, TimeMs>,
 }
 
@@ -120,6 +142,14 @@
     u64::from(tokens.get()).div_ceil(BLOCK_TOKENS) * BLOCK_TOKENS
 }
 
+fn is_believed(holding: Holding, at_ms: TimeMs, now_ms: TimeMs) -> bool {
+    let kept_ms = match holding {
+        Holding::Complete(_) => TOLD_MS,
+        Holding::Expected(_) => EXPECTED_MS,
+    };
+    now_ms.since(at_ms) < kept_ms
+}
+
 impl HolderView {
     /// A holder of which nothing is known; `is_followed` when this instance asks it itself.
     pub fn new(traits: HolderTraits, is_followed: bool) -> Self {
@@ -225,17 +255,31 @@
         }
     }
 
-    /// Takes in what a follower of an engine told.
-    pub fn hear_told(&mut self, changes: &[ToldPart], heard_ms: TimeMs) {
-        for (part, tokens) in changes {
-            match tokens {
-                Some(tokens) if self.told.len() < MAX_TOLD_PARTS => {
-                    self.told.insert(*part, (Tokens(*tokens), heard_ms));
-                }
-                Some(_) => self.told.retain(|_, (_, at_ms)| heard_ms.since(*at_ms) < TOLD_MS),
-                None => {
+    /// Takes in what peers told of an engine, or what a prompt of this instance leads one to expect.
+    pub fn hear_told(&mut self, news: &[ToldPart], heard_ms: TimeMs) {
+        if self.told.len() >= MAX_TOLD_PARTS {
+            self.told.retain(|_, (holding, at_ms)| is_believed(*holding, *at_ms, heard_ms));
+        }
+        for (part, news) in news {
+            let has_room = self.told.len() < MAX_TOLD_PARTS;
+            let known = self.told.get(part).copied();
+            let holding = match news {
+                PartNews::Gone => {
                     self.told.remove(part);
+                    continue;
                 }
+                PartNews::Has(tokens) => Holding::Complete(Tokens(*tokens)),
+                PartNews::Expected(_)
+                    if known.is_some_and(|(known, at_ms)| {
+                        matches!(known, Holding::Complete(_)) && is_believed(known, at_ms, heard_ms)
+                    }) =>
+                {
+                    continue;
+                }
+                PartNews::Expected(tokens) => Holding::Expected(Tokens(*tokens)),
+            };
+            if has_room {
+                self.told.insert(*part, (holding, heard_ms));
             }
         }
     }
@@ -252,11 +296,21 @@
 
     /// The complete tokens of a part.
     pub fn holds(&self, key: &PartKey, now_ms: TimeMs) -> Option<Tokens> {
-        if !self.told.is_empty() && !self.is_followed {
-            let (tokens, at_ms) = self.told.get(&PartTag::new(key))?;
-            return (now_ms.since(*at_ms) < TOLD_MS).then_some(*tokens);
+        match self.holding(key, now_ms)? {
+            Holding::Complete(tokens) => Some(tokens),
+            Holding::Expected(_) => None,
+        }
+    }
+
+    pub(crate) fn holding(&self, key: &PartKey, now_ms: TimeMs) -> Option<Holding> {
+        let complete = self.fresh(now_ms).and_then(|contents| contents.parts.get(key).copied());
+        if complete.is_some() || self.told.is_empty() {
+            return complete.map(Holding::Complete);
         }
-        self.fresh(now_ms)?.parts.get(key).copied()
+        let (holding, at_ms) = *self.told.get(&PartTag::new(key))?;
+        // Of an engine that is followed its own events tell.
+        let is_usable = !self.is_followed || matches!(holding, Holding::Expected(_));
+        (is_usable && is_believed(holding, at_ms, now_ms)).then_some(holding)
     }
 
     pub(crate) fn is_saving(&self, key: &PartKey, now_ms: TimeMs) -> bool {
--- a/crates/gateway/src/controllers/caches.rs
+++ b/crates/gateway/src/controllers/caches.rs
@@ -10,7 +10,7 @@
 use tokio::{task::JoinSet, time::sleep};
 
 use crate::{
-    cache_index::{HolderKind, HolderTraits, HolderView, PartTag},
+    cache_index::{HolderKind, HolderTraits, HolderView, PartNews, PartTag},
     deployment::Deployment,
     endpoints::EndpointState,
     gateway::Gateway,
@@ -167,7 +167,8 @@
     if let Some(engine) = traits.life {
         if rank == 0 {
             let told = changes.changes.iter().map(|change| {
-                (PartTag::new(&change.key), change.tokens.map(|tokens| tokens.get()))
+                let has = change.tokens.map(|tokens| PartNews::Has(tokens.get()));
+                (PartTag::new(&change.key), has.unwrap_or(PartNews::Gone))
             });
             gateway.engine_parts.lock().add(engine, told);
         }
--- a/crates/gateway/src/forward/choose.rs
+++ b/crates/gateway/src/forward/choose.rs
@@ -128,6 +128,13 @@
         let data_centre = endpoints.get(&candidate.id).map(|record| &record.data_centre);
         let reader = Reader { address: candidate.address, data_centre, token_bytes };
         let mut holders = self.gateway.holders.lock();
-        plan_parts(&mut holders, &scope, &prompt.parts, &reader, now_ms)
+        let plan = plan_parts(&mut holders, &scope, &prompt.parts, &reader, now_ms);
+        if let Some(engine) = holders.iter_mut().find(|at| at.address() == candidate.address) {
+            engine.hear_told(&plan.arriving, now_ms);
+        }
+        drop(holders);
+        let told = plan.arriving.iter().copied();
+        self.gateway.engine_parts.lock().add(candidate.life, told);
+        plan
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -37,7 +37,9 @@
 mod translation;
 
 pub use admission::{Admit, Forecast, admit};
-pub use cache_index::{HolderKind, HolderLoad, HolderTraits, HolderView, PartTag, ToldPart};
+pub use cache_index::{
+    HolderKind, HolderLoad, HolderTraits, HolderView, PartNews, PartTag, ToldPart,
+};
 pub use cache_scope::{CacheScope, ScopeError};
 pub use clock::Clock;
 pub use connections::connection_share;
--- a/crates/gateway/src/part_plan.rs
+++ b/crates/gateway/src/part_plan.rs
@@ -9,7 +9,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
-    cache_index::{HolderKind, HolderView},
+    cache_index::{HolderKind, HolderView, Holding, PartNews, PartTag, ToldPart},
     translation::{PartKey, PartSource, PromptPart},
 };
 
@@ -29,6 +29,8 @@
     pub save: Vec<Option<SocketAddr>>,
     /// The tokens that are fetched, and how long that should take, by source.
     pub transfers: Vec<Transfer>,
+    /// What the engine will have in its memory when it has read the prompt, and has not yet.
+    pub arriving: Vec<ToldPart>,
     /// The parts that are saved.
     pub saving: Vec<(SocketAddr, PartKey)>,
 }
@@ -85,24 +87,33 @@
 struct LocatedPart<'a> {
     part: &'a PromptPart,
     key: PartKey,
-    holders: Vec<(&'a HolderView, Tokens)>,
+    holders: Vec<(&'a HolderView, Holding)>,
 }
 
 impl LocatedPart<'_> {
-    /// Whether `reader` has all of it in its own memory.
+    /// Whether `reader` has all of it in its own memory, or will when its turn comes.
     fn is_at(&self, reader: &Reader<'_>) -> bool {
         let own = self.holders.iter().find(|(holder, _)| holder.address() == reader.address);
-        own.is_some_and(|(_, tokens)| *tokens >= self.part.tokens)
+        own.is_some_and(|(_, holding)| match holding {
+            Holding::Complete(tokens) | Holding::Expected(tokens) => *tokens >= self.part.tokens,
+        })
+    }
+
+    /// The holders that it can be fetched from.
+    fn sources(&self) -> impl Iterator<Item = (&HolderView, Tokens)> {
+        self.holders.iter().filter_map(|(holder, holding)| match holding {
+            Holding::Complete(tokens) => Some((*holder, *tokens)),
+            Holding::Expected(_) => None,
+        })
     }
 
     /// The nearest holder that `reader` can fetch it from.
     fn nearest(&self, reader: &Reader<'_>) -> Option<(&HolderView, Tokens, f64)> {
-        self.holders
-            .iter()
+        self.sources()
             .filter(|(holder, _)| holder.address() != reader.address)
             .map(|(holder, tokens)| {
-                let tokens = (*tokens).min(self.part.tokens);
-                (*holder, tokens, holder.transfer_ms(tokens, reader))
+                let tokens = tokens.min(self.part.tokens);
+                (holder, tokens, holder.transfer_ms(tokens, reader))
             })
             .filter(|(_, tokens, fetch_ms)| {
                 *fetch_ms * TOKENS_PER_FETCH_MS <= f64::from(tokens.get()) * WORTH_FETCHING
@@ -125,7 +136,7 @@
     ) -> Self {
         let located = shared_parts(parts).iter().map(|part| {
             let key = PartKey { scope: scope.to_owned(), id: part.id.clone() };
-            let held = holders.iter().filter_map(|at| Some((at, at.holds(&key, now_ms)?)));
+            let held = holders.iter().filter_map(|at| Some((at, at.holding(&key, now_ms)?)));
             LocatedPart { part, holders: held.collect(), key }
         });
         Self(located.collect())
@@ -173,8 +184,12 @@
             PartSource { address: holder.address(), tokens }
         });
         plan.fetch.push(source);
-        let mut holding = located.holders.iter();
-        let is_kept = holding.any(|(holder, _)| holder.traits().kind == HolderKind::Store);
+        let is_kept =
+            located.sources().any(|(holder, _)| holder.traits().kind == HolderKind::Store);
+        if !located.is_at(reader) {
+            let tokens = located.part.tokens.get();
+            plan.arriving.push((PartTag::new(&located.key), PartNews::Expected(tokens)));
+        }
         let wants_save = !is_kept && located.part.tokens.get() >= LEAST_SAVED_TOKENS;
         unkept.push(wants_save.then_some((located.part.tokens, located.key)));
     }
--- a/crates/gateway/src/peer_loads.rs
+++ b/crates/gateway/src/peer_loads.rs
@@ -11,7 +11,7 @@
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::{
-    cache_index::{PartTag, ToldPart},
+    cache_index::{PartNews, PartTag, ToldPart},
     suspects::Fingerprint,
     translation::CacheChanges,
 };
@@ -105,7 +105,7 @@
     pub(crate) changes: CacheChanges,
 }
 
-/// What a follower of an engine passes on to all other instances.
+/// What an instance that follows an engine, or sends prompts to it, tells all others of it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EngineParts {
     /// The engine's life.
@@ -116,10 +116,10 @@
 
 /// What is yet to be told of engines; of several changes of one part only the last.
 #[derive(Debug, Clone, Default)]
-pub struct EnginePartsToTell(HashMap<EndpointTag, HashMap<PartTag, Option<u32>>>);
+pub struct EnginePartsToTell(HashMap<EndpointTag, HashMap<PartTag, PartNews>>);
 
 impl EnginePartsToTell {
-    /// Adds what an engine said.
+    /// Adds what an engine said, or what it was given.
     pub fn add(&mut self, engine: EndpointTag, changes: impl Iterator<Item = ToldPart>) {
         self.0.entry(engine).or_default().extend(changes);
     }
@@ -133,7 +133,7 @@
             left -= parts.len();
             let changes: Vec<_> = parts
                 .into_iter()
-                .filter_map(|part| changes.remove(&part).map(|tokens| (part, tokens)))
+                .filter_map(|part| changes.remove(&part).map(|news| (part, news)))
                 .collect();
             if !changes.is_empty() {
                 taken.push(EngineParts { engine: *engine, changes });
@@ -151,7 +151,7 @@
     Load(LoadMessage),
     /// What a store says.
     Parts(PartsMessage),
-    /// What engines that it follows have in their memories.
+    /// What engines that it follows have in their memories, and those that it sends prompts to will have.
     Engines(Vec<EngineParts>),
     /// Requests that it saw lost with the lives of endpoints.
     Crashes(Vec<(Fingerprint, EndpointTag)>),
--- a/crates/gateway/tests/decisions/cache_index.rs
+++ b/crates/gateway/tests/decisions/cache_index.rs
@@ -2,8 +2,8 @@
 
 use bilberryford_gateway::{
     CacheChange, CacheChanges, CacheScope, Candidate, EndpointTag, EnginePartsToTell, HolderKind,
-    HolderTraits, HolderView, LocatedParts, PartKey, PartSource, PartTag, PlacementRequest,
-    PromptPart, PromptShape, Reader, Standing, place, plan_parts,
+    HolderTraits, HolderView, LocatedParts, PartKey, PartNews, PartSource, PartTag,
+    PlacementRequest, PromptPart, PromptShape, Reader, Standing, place, plan_parts,
 };
 use bilberryford_types::{Bytes, BytesPerSec, TimeMs, Tokens};
 use rstest::rstest;
@@ -192,14 +192,17 @@
     let key = PartKey { scope: SCOPE.to_owned(), id: "subject".to_owned() };
     let mut engine = unfollowed(1);
     assert_eq!(engine.holds(&key, TimeMs(0)), None);
-    engine.hear_told(&[(part("subject"), Some(9_000)), (part("system"), Some(400))], TimeMs(0));
+    engine.hear_told(
+        &[(part("subject"), PartNews::Has(9_000)), (part("system"), PartNews::Has(400))],
+        TimeMs(0),
+    );
     assert_eq!(engine.holds(&key, TimeMs(20_000)), Some(Tokens(9_000)));
     assert_eq!(engine.holds(&key, TimeMs(60_000)), None);
-    engine.hear_told(&[(part("subject"), None)], TimeMs(21_000));
+    engine.hear_told(&[(part("subject"), PartNews::Gone)], TimeMs(21_000));
     assert_eq!(engine.holds(&key, TimeMs(21_000)), None);
     // Who follows an engine goes by its events alone.
     let mut followed = holder(HolderKind::Engine, 2, 80_000);
-    followed.hear_told(&[(part("subject"), Some(9_000))], TimeMs(0));
+    followed.hear_told(&[(part("subject"), PartNews::Has(9_000))], TimeMs(0));
     assert_eq!(followed.holds(&key, TimeMs(10)), None);
 }
 
@@ -209,7 +212,7 @@
     for number in 0..400u32 {
         let engine = EndpointTag::new(&(number % 7).to_string(), TimeMs(1));
         let tag = part(&number.to_string());
-        pending.add(engine, [(tag, None), (tag, Some(9_000))].into_iter());
+        pending.add(engine, [(tag, PartNews::Gone), (tag, PartNews::Has(9_000))].into_iter());
     }
     let mut told = 0;
     loop {
@@ -219,7 +222,7 @@
         }
         assert!(postcard::to_stdvec(&message).unwrap().len() < 1_390);
         let changes = message.iter().flat_map(|engine| &engine.changes);
-        told += changes.filter(|(_, tokens)| *tokens == Some(9_000)).count();
+        told += changes.filter(|(_, news)| *news == PartNews::Has(9_000)).count();
     }
     assert_eq!(told, 400);
 }
@@ -229,7 +232,7 @@
 #[test]
 fn a_part_in_an_engine_of_which_only_peers_know_is_not_read_again() {
     let mut holders: Vec<_> = (0..90).map(unfollowed).collect();
-    let told = [(part("system"), Some(400)), (part("subject"), Some(9_000))];
+    let told = [(part("system"), PartNews::Has(400)), (part("subject"), PartNews::Has(9_000))];
     let parts = prompt_parts();
     let work = |holders: &[HolderView]| {
         let located = LocatedParts::new(holders, SCOPE, &parts, TimeMs(5_000));
@@ -261,7 +264,7 @@
         assert_eq!(work(&holders), 11_400, "without word it is read");
         holders[holding].hear_told(&told, TimeMs(0));
         assert!(work(&holders) < 4_000, "{}", work(&holders));
-        holders[holding].hear_told(&told.map(|(part, _)| (part, None)), TimeMs(10));
+        holders[holding].hear_told(&told.map(|(part, _)| (part, PartNews::Gone)), TimeMs(10));
     }
 }
 
@@ -269,8 +272,30 @@
 #[test]
 fn a_part_is_fetched_from_an_engine_of_which_only_peers_know() {
     let mut holders = [unfollowed(1)];
-    holders[0].hear_told(&[(part("subject"), Some(9_000))], TimeMs(0));
+    holders[0].hear_told(&[(part("subject"), PartNews::Has(9_000))], TimeMs(0));
     let plan = plan_parts(&mut holders, SCOPE, &prompt_parts(), &reader(), TimeMs(10));
     let source = Some(PartSource { address: address(1), tokens: None });
     assert_eq!(plan.fetch, [None, source, None]);
 }
+
+/// Callers come in clumps: a second prompt with the same part follows before the first was read. At the engine of the first
+/// the part will be there; nobody can fetch it yet.
+#[test]
+fn a_part_on_its_way_counts_at_its_engine_only() {
+    let (parts, now_ms) = (prompt_parts(), TimeMs(10));
+    let mut holders = [holder(HolderKind::Engine, 1, 80_000), unfollowed(2)];
+    for last in [1, 2] {
+        let at = |last| Reader { address: address(last), ..reader() };
+        let plan = plan_parts(&mut holders, SCOPE, &parts, &at(last), now_ms);
+        assert_eq!(plan.arriving.len(), 2);
+        holders[usize::from(last) - 1].hear_told(&plan.arriving, now_ms);
+        let facts = |holders: &[HolderView], last, now_ms| {
+            LocatedParts::new(holders, SCOPE, &parts, now_ms).prefix_facts(&at(last))
+        };
+        assert_eq!(facts(&holders, last, TimeMs(400)).cached_tokens, 9_400);
+        assert_eq!(facts(&holders, 9, TimeMs(400)).fetchable_tokens, 0);
+        assert_eq!(facts(&holders, last, TimeMs(3_500)).cached_tokens, 0, "it never came");
+    }
+    let again = plan_parts(&mut holders, SCOPE, &parts, &reader(), TimeMs(20));
+    assert!(again.fetch.is_empty());
+}
