--- a/crates/gateway/src/cache_index.rs
+++ b/crates/gateway/src/cache_index.rs
@@ -113,6 +113,9 @@
     parts: HashMap<PartKey, Tokens>,
     used_tokens: u64,
     heard_ms: TimeMs,
+    /// Whether changes that peers passed on were lost. Parts that came meanwhile are missing, and one that is gone costs
+    /// its reader a miss; no part is believed that was never complete in this life.
+    has_gap: bool,
 }
 
 /// What is being fetched from a holder, and how slow that is.
@@ -185,6 +188,11 @@
         self.contents.as_ref().map(|contents| contents.next)
     }
 
+    /// Whether all content is to be asked for.
+    pub fn wants_content(&self) -> bool {
+        self.contents.as_ref().is_none_or(|contents| contents.has_gap)
+    }
+
     /// The holder can't be heard: nothing is fetched from it until it is.
     pub fn forget(&mut self) {
         self.contents = None;
@@ -201,6 +209,7 @@
             parts: content.parts.into_iter().collect(),
             used_tokens,
             heard_ms: asked_ms,
+            has_gap: false,
         });
     }
 
@@ -239,7 +248,8 @@
         }
     }
 
-    /// Takes in changes that a peer passed on; those that don't go on from what is known make all content be asked for.
+    /// Takes in changes that a peer passed on; after a gap all content is to be asked for, and meanwhile what is known is
+    /// used.
     pub fn hear(&mut self, since: u64, changes: CacheChanges, heard_ms: TimeMs) {
         let known = self.contents.as_ref().map(|contents| (contents.epoch, contents.next));
         match known {
@@ -250,7 +260,12 @@
                 self.heard(heard_ms);
             }
             // Peers ask at different times: what is heard twice says the same in the same order.
-            Some((_, next)) if since <= next => self.apply(changes, heard_ms),
+            Some((epoch, next)) if epoch == changes.epoch => {
+                self.apply(changes, heard_ms);
+                if let Some(contents) = self.contents.as_mut().filter(|_| since > next) {
+                    contents.has_gap = true;
+                }
+            }
             _ => self.forget(),
         }
     }
--- a/crates/gateway/src/controllers/caches.rs
+++ b/crates/gateway/src/controllers/caches.rs
@@ -184,8 +184,8 @@
     loop {
         let pause_ms = rand::rng().random_range(LISTEN_MS / 2..=LISTEN_MS);
         sleep(Duration::from_millis(pause_ms)).await;
-        let is_known = with_view(&gateway, address, |view| view.position()).flatten().is_some();
-        if !is_known && !ask(&gateway, address, true).await {
+        let wants_content = with_view(&gateway, address, |view| view.wants_content());
+        if wants_content.unwrap_or(true) && !ask(&gateway, address, true).await {
             log::debug!(holder:% = address; "holder of parts not heard");
         }
     }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -142,16 +142,10 @@
             self.line.notes.push("held_back");
             return Err(OwnAnswer::after(progress.kind(ErrorKind::HeldBack), held_ms));
         }
-        let Chosen { candidate, reason, work_tokens } = self.choose(progress)?;
+        let Chosen { candidate, reason, need } = self.choose(progress)?;
         let is_trial = reason == Reason::Trial;
-        let mut in_flight = InFlight::new(
-            &self.gateway,
-            &candidate,
-            self.fingerprint,
-            self.rank(),
-            work_tokens,
-            is_trial,
-        );
+        let mut in_flight =
+            InFlight::new(&self.gateway, &candidate, self.fingerprint, self.rank(), need, is_trial);
         self.line.endpoint = Some(candidate.id.clone());
         self.line.placed = reason.into();
         let Some(connection) = self.connection(&candidate, progress).await else {
--- a/crates/gateway/src/forward/choose.rs
+++ b/crates/gateway/src/forward/choose.rs
@@ -7,6 +7,7 @@
     admission::{Admit, Forecast, admit},
     answers::OwnAnswer,
     cache_scope::CacheScope,
+    in_flight::Need,
     part_plan::{PartPlan, Reader, plan_parts, shared_parts},
     placement::{Candidate, PlacementRequest, PromptShape, Reason, place},
     slowness::usual_ms,
@@ -21,7 +22,7 @@
 pub(super) struct Chosen {
     pub(super) candidate: Candidate,
     pub(super) reason: Reason,
-    pub(super) work_tokens: u64,
+    pub(super) need: Need,
 }
 
 impl Forward {
@@ -41,8 +42,11 @@
         self.gateway.fill_prefixes(&mut candidates, parts, |at| self.cache_scope(at));
         let prompt = self.facts.prompt.as_ref().map(|prompt| PromptShape {
             tokens: u64::from(prompt.input_tokens.get()),
+            memory_tokens: u64::from(prompt.input_tokens.get())
+                + u64::from(prompt.max_output_tokens.get()),
             shared_part: shared_parts(parts).last().map(|part| part.id.as_str()),
         });
+        let memory_tokens = prompt.map_or(0, |prompt| prompt.memory_tokens);
         let request = PlacementRequest {
             prompt,
             min_weight_version,
@@ -78,7 +82,7 @@
         Ok(Chosen {
             candidate: candidates[index].clone(),
             reason: choice.reason,
-            work_tokens: choice.work_tokens,
+            need: Need { waiting_tokens: choice.work_tokens, memory_tokens },
         })
     }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -60,6 +60,8 @@
     pub(crate) health: EndpointHealth,
     pub(crate) in_flight: u32,
     pub(crate) waiting: RankTokens,
+    /// The memory that the requests in flight need there, in tokens.
+    pub(crate) memory_tokens: u64,
     /// A version that the endpoint showed by refusing an older one, until the list says so too.
     pub(crate) shown_weights: Option<u64>,
     pub(crate) slowness: Slowness,
@@ -88,6 +90,7 @@
         EndpointLoad {
             in_flight: self.in_flight,
             waiting: self.waiting,
+            memory_tokens: u32::try_from(self.memory_tokens).unwrap_or(u32::MAX),
             slowness_percent: self.slowness.percent(now_ms).unwrap_or(0),
             is_loading: self.is_loading(now_ms),
         }
@@ -210,7 +213,7 @@
         rank: u8,
     ) -> Vec<Candidate> {
         let now_ms = self.clock.now();
-        let share = self.connection_share(service, now_ms);
+        let (share, memory_tokens) = self.room(service, now_ms);
         let endpoints = self.endpoints.lock();
         let mut local = self.local.lock();
         let peers = self.peers.lock();
@@ -236,6 +239,8 @@
                     is_full: state.in_flight >= share,
                     in_flight: state.in_flight.saturating_add(load.in_flight),
                     waiting_tokens: state.waiting.before(rank) + load.waiting_tokens,
+                    free_memory_tokens: memory_tokens
+                        .map(|all| all.saturating_sub(state.memory_tokens + load.memory_tokens)),
                     slowness_percent: match (own, load.slowness_percent) {
                         (Some(own), Some(theirs)) => Some((own + theirs) / 2),
                         (own, theirs) => own.or(theirs),
@@ -277,12 +282,14 @@
         deployment.as_ref().map(|deployment| *deployment.limits()).unwrap_or_default()
     }
 
-    /// How many of an endpoint's connections are this instance's: callers share what it takes.
-    fn connection_share(&self, service: &PoolName, now_ms: TimeMs) -> u32 {
+    /// What each endpoint of a service has room for: this instance's share of its connections, and its memory in tokens.
+    fn room(&self, service: &PoolName, now_ms: TimeMs) -> (u32, Option<u64>) {
         let deployment = self.deployment.load();
         let service = deployment.as_ref().and_then(|deployment| deployment.service(service));
-        let all = service.map_or(u32::MAX, |service| service.max_connections);
-        connection_share(all, self.peers.lock().live(now_ms))
+        let connections = service.map_or(u32::MAX, |service| service.max_connections);
+        let engine = service.and_then(|service| service.engine.as_ref());
+        let share = connection_share(connections, self.peers.lock().live(now_ms));
+        (share, engine.map(|engine| engine.kv_capacity_tokens))
     }
 
     /// The size of one cached token.
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -12,6 +12,15 @@
 /// How many tokens may wait before a request for its wait to tell of the source of its parts.
 const CALM_QUEUE_TOKENS: u64 = 1_500;
 
+/// What a request needs at its endpoint, in tokens.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Need {
+    /// To be read or fetched before its first token.
+    pub(crate) waiting_tokens: u64,
+    /// In the endpoint's memory until it ends.
+    pub(crate) memory_tokens: u64,
+}
+
 /// A request counted at an endpoint until it is dropped.
 pub(crate) struct InFlight {
     gateway: Arc<Gateway>,
@@ -20,6 +29,7 @@
     request: Fingerprint,
     rank: u8,
     waiting_tokens: u64,
+    memory_tokens: u64,
     /// What was to be read before the first token when the request came, the queue included.
     queue_tokens: u64,
     began_ms: TimeMs,
@@ -36,14 +46,16 @@
         candidate: &Candidate,
         request: Fingerprint,
         rank: u8,
-        waiting_tokens: u64,
+        need: Need,
         is_trial: bool,
     ) -> Self {
+        let Need { waiting_tokens, memory_tokens } = need;
         let endpoint = &candidate.id;
         let mut local = gateway.local.lock();
         let state = local.entry(endpoint.clone()).or_default();
         state.in_flight += 1;
         state.waiting.add(rank, waiting_tokens);
+        state.memory_tokens += memory_tokens;
         if is_trial {
             state.health.start_trial();
         }
@@ -56,6 +68,7 @@
             request,
             rank,
             waiting_tokens,
+            memory_tokens,
             queue_tokens: candidate.waiting_tokens + waiting_tokens,
             began_ms: gateway.clock.now(),
             slowness_percent: candidate.slowness_percent.unwrap_or(100),
@@ -142,6 +155,7 @@
         drop(holders);
         if let Some(state) = self.gateway.local.lock().get_mut(&self.endpoint) {
             state.in_flight = state.in_flight.saturating_sub(1);
+            state.memory_tokens = state.memory_tokens.saturating_sub(self.memory_tokens);
             if self.is_trial {
                 state.health.trial_abandoned();
             }
--- a/crates/gateway/src/peer_loads.rs
+++ b/crates/gateway/src/peer_loads.rs
@@ -21,7 +21,7 @@
 /// How long a peer counts as live after its last message, in milliseconds.
 const LIVE_FOR_MS: TimeMs = TimeMs(3_000);
 /// The most endpoints that one message tells of, so that it fits into one datagram.
-pub(crate) const MAX_TOLD: usize = 56;
+pub(crate) const MAX_TOLD: usize = 48;
 
 /// A short name of an endpoint's life, for messages.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -73,6 +73,8 @@
     pub in_flight: u32,
     /// The prompt tokens that the endpoint has yet to read for them.
     pub waiting: RankTokens,
+    /// The memory that they need there, in tokens.
+    pub memory_tokens: u32,
     /// How much slower than usual first tokens came, in hundredths; zero when it has not seen any.
     pub slowness_percent: u32,
     /// Whether it ordered the endpoint to load weights and has not seen the end.
@@ -173,6 +175,8 @@
     pub in_flight: u32,
     /// The prompt tokens yet to be read for them.
     pub waiting_tokens: u64,
+    /// The memory that they need there, in tokens.
+    pub memory_tokens: u64,
     /// The mean of what they saw, in hundredths; none when no one saw any.
     pub slowness_percent: Option<u32>,
     /// Whether one of them ordered it to load weights.
@@ -236,6 +240,7 @@
         let fresh = self.peers.values().filter(|peer| now_ms.since(peer.heard_ms) < USED_FOR_MS);
         for load in fresh.filter_map(|peer| peer.endpoints.get(&endpoint)) {
             sum.in_flight = sum.in_flight.saturating_add(load.in_flight);
+            sum.memory_tokens += u64::from(load.memory_tokens);
             sum.waiting_tokens += load.waiting.before(rank);
             sum.is_loading |= load.is_loading;
             if load.slowness_percent > 0 {
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -5,6 +5,8 @@
 //!   hashing over the last shared part gives every engine its own parts, alike on every instance.
 //! - One part is hot, or an engine is behind or slower than others. The engine with the lowest predicted first token
 //!   wins, and being first for the part is worth only what reading or fetching the part would cost.
+//! - Long prompts meet at one engine by chance, and its memory runs out: it breaks off the least urgent one, which is read
+//!   again from the start. A prompt that does not fit beside those in flight costs that reading.
 //! - A burst on slow endpoints, which take a bounded number of connections from all instances together and reset what is
 //!   beyond, whatever ran on it. An endpoint gets no more from one instance than its share.
 //! - Plain calls. The endpoint with the fewest requests, the own data centre first.
@@ -52,6 +54,8 @@
     pub in_flight: u32,
     /// The prompt tokens that it has yet to read for them.
     pub waiting_tokens: u64,
+    /// The memory that the requests in flight leave, in tokens, where that is known.
+    pub free_memory_tokens: Option<u64>,
     /// How much slower than usual it is, in hundredths; none without a sample.
     pub slowness_percent: Option<u32>,
     /// Its weights, when the request names a model.
@@ -73,6 +77,8 @@
 pub struct PromptShape<'a> {
     /// All its tokens.
     pub tokens: u64,
+    /// The memory that it needs until its answer ends, in tokens.
+    pub memory_tokens: u64,
     /// What names the longest part that it shares with others.
     pub shared_part: Option<&'a str>,
 }
@@ -236,7 +242,10 @@
             .preferred_weight_version
             .is_some_and(|preferred| candidate.weight_version < Some(preferred));
         let old = if is_old { OLD_WEIGHTS_TOKENS } else { 0 };
-        (candidate.cost(work(index) + away) + old, tie_break(candidate, request.draw))
+        let is_short = candidate.free_memory_tokens.is_some_and(|free| free < prompt.memory_tokens);
+        let read_again = if is_short { prompt.tokens } else { 0 };
+        let cost = candidate.cost(work(index) + away + read_again) + old;
+        (cost, tie_break(candidate, request.draw))
     });
     let Some(index) = best else { return Choice::none(Reason::NoEndpoint) };
     let reason = match home {
--- a/crates/gateway/tests/decisions/cache_index.rs
+++ b/crates/gateway/tests/decisions/cache_index.rs
@@ -145,8 +145,14 @@
     assert_eq!(plan.fetch.iter().flatten().count(), 1, "it was heard of a second ago");
     store.hear(10, news(13, &[("subject", Some(9_000))]), TimeMs(2_500));
     assert_eq!(store.position(), Some(13), "peers ask at different times");
+    assert!(!store.wants_content());
     store.hear(14, news(15, &[]), TimeMs(3_000));
-    assert_eq!(store.position(), None, "a message was lost: all content is asked for");
+    assert!(store.wants_content(), "a message was lost: all content is asked for");
+    assert_eq!(store.position(), Some(15));
+    let plan = plan_parts(&mut [store.clone()], SCOPE, &prompt_parts(), &reader(), TimeMs(3_000));
+    assert_eq!(plan.fetch.iter().flatten().count(), 2, "what was known is used meanwhile");
+    store.hear(15, CacheChanges { next: 16, ..changes(2, &[]) }, TimeMs(3_000));
+    assert_eq!(store.position(), None, "another life of the store");
 }
 
 #[test]
@@ -246,13 +252,18 @@
                 is_full: false,
                 in_flight: 2,
                 waiting_tokens: 0,
+                free_memory_tokens: None,
                 slowness_percent: None,
                 weight_version: Some(1),
                 prefix: located.prefix_facts(&Reader { address: address(last), ..reader() }),
             })
             .collect();
         let request = PlacementRequest {
-            prompt: Some(PromptShape { tokens: 11_400, shared_part: Some("subject") }),
+            prompt: Some(PromptShape {
+                tokens: 11_400,
+                memory_tokens: 11_500,
+                shared_part: Some("subject"),
+            }),
             min_weight_version: None,
             preferred_weight_version: None,
             tried: &[],
--- a/crates/gateway/tests/decisions/placement.rs
+++ b/crates/gateway/tests/decisions/placement.rs
@@ -5,6 +5,7 @@
     connection_share, place,
 };
 use bilberryford_types::TimeMs;
+use rand::{RngExt, SeedableRng, rngs::StdRng};
 
 fn candidate(index: u8) -> Candidate {
     Candidate {
@@ -16,6 +17,7 @@
         is_full: false,
         in_flight: 0,
         waiting_tokens: 0,
+        free_memory_tokens: None,
         slowness_percent: None,
         weight_version: Some(1),
         prefix: PrefixFacts::default(),
@@ -37,7 +39,7 @@
 }
 
 fn prompt(part: &str, draw: u64) -> PlacementRequest<'_> {
-    let prompt = PromptShape { tokens: 12_000, shared_part: Some(part) };
+    let prompt = PromptShape { tokens: 12_000, memory_tokens: 12_000, shared_part: Some(part) };
     PlacementRequest { prompt: Some(prompt), ..call(draw) }
 }
 
@@ -193,3 +195,37 @@
     assert_eq!(connection_share(9, 60), 1);
     assert_eq!(connection_share(370, 0), 370);
 }
+
+/// Long prompts of uneven size, each for some time in an engine's memory. Where they meet, one is broken off and read again.
+#[test]
+fn long_prompts_meet_less_often_than_their_engines_have_memory_for() {
+    const MEMORY: u64 = 89_000;
+    let overflows = |is_known: bool| {
+        let mut rng = StdRng::seed_from_u64(7);
+        let mut pool = pool(9);
+        let mut running: Vec<(u64, usize, u64)> = Vec::new();
+        let mut overflows = 0;
+        for at_ms in (0..60_000).step_by(50) {
+            running.retain(|(ends_ms, ..)| *ends_ms > at_ms);
+            let used = |index| -> u64 {
+                running.iter().filter(|(_, at, _)| *at == index).map(|(.., tokens)| tokens).sum()
+            };
+            for index in 0..pool.len() {
+                let count = running.iter().filter(|(_, at, _)| *at == index).count();
+                pool[index].in_flight = count as u32;
+                pool[index].free_memory_tokens =
+                    is_known.then(|| MEMORY.saturating_sub(used(index)));
+            }
+            // Most are short; a few have most of an engine's memory to themselves.
+            let tokens = if rng.random_ratio(1, 5) { 40_000 } else { 9_000 };
+            let shape = PromptShape { tokens, memory_tokens: tokens, shared_part: None };
+            let request = PlacementRequest { prompt: Some(shape), ..call(rng.random()) };
+            let index = place(&pool, &request).index.expect("an engine");
+            overflows += u32::from(used(index) + tokens > MEMORY);
+            running.push((at_ms + 1_200, index, tokens));
+        }
+        overflows
+    };
+    let (blind, knowing) = (overflows(false), overflows(true));
+    assert!(knowing * 3 <= blind, "{knowing} with the memory known, {blind} without");
+}
