--- a/crates/gateway/src/controllers/peers.rs
+++ b/crates/gateway/src/controllers/peers.rs
@@ -29,7 +29,11 @@
 const PEERS_AT_PACE: u64 = 10;
 /// The largest message, in bytes: one datagram without fragments.
 const MAX_MESSAGE_BYTES: usize = 1_400;
+/// The largest load in a message, in bytes: the message's kind goes before it.
+const MAX_LOAD_BYTES: usize = MAX_MESSAGE_BYTES - 8;
 
+/// The least pause between messages on engines' parts, in milliseconds: about as long as a part is read.
+const TELL_ENGINES_EVERY_MS: TimeMs = TimeMs(300);
 /// The most changes of engines' parts in one message, at nine bytes each.
 const MAX_PARTS_TOLD: usize = 120;
 /// The most such messages in one round; an engine that is followed anew has much to tell.
@@ -258,24 +262,33 @@
     LoadMessage { instance, incarnation, sequence, can_check_keys, endpoints }
 }
 
+/// Tells what became of parts in engines' memories.
+async fn tell_engines(gateway: &Gateway, socket: &UdpSocket, peers: &[SocketAddr]) {
+    for _ in 0..MAX_ENGINE_MESSAGES {
+        let told = gateway.engine_parts.lock().take(MAX_PARTS_TOLD);
+        if told.is_empty() {
+            break;
+        }
+        send_all(socket, peers, &PeerMessage::Engines(told)).await;
+    }
+}
+
 async fn tell(gateway: &Gateway, socket: &UdpSocket, addresses: &PeerAddresses) {
     let incarnation = rand::random();
     let mut sequence = 0;
+    let mut told_engines_ms = TimeMs(0);
     loop {
         let peers = peers_of(gateway, addresses);
         sequence += 1;
-        let message = PeerMessage::Load(message(gateway, incarnation, sequence));
-        send_all(socket, &peers, &message).await;
+        let load = message(gateway, incarnation, sequence).trimmed(MAX_LOAD_BYTES);
+        send_all(socket, &peers, &PeerMessage::Load(load)).await;
         let crashes = gateway.suspects.lock().told(MAX_CRASHES_TOLD, gateway.clock.now());
         if !crashes.is_empty() {
             send_all(socket, &peers, &PeerMessage::Crashes(crashes)).await;
         }
-        for _ in 0..MAX_ENGINE_MESSAGES {
-            let told = gateway.engine_parts.lock().take(MAX_PARTS_TOLD);
-            if told.is_empty() {
-                break;
-            }
-            send_all(socket, &peers, &PeerMessage::Engines(told)).await;
+        if gateway.clock.now().since(told_engines_ms) >= TELL_ENGINES_EVERY_MS {
+            told_engines_ms = gateway.clock.now();
+            tell_engines(gateway, socket, &peers).await;
         }
         gateway.peers.lock().expire(gateway.clock.now());
         update_holders(gateway);
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -237,8 +237,8 @@
         drop(connection);
         self.line.notes.push(if facts.is_misdirected { "misdirected" } else { "refused" });
         let has_shown = facts.is_misdirected && self.shows_newer_weights(candidate);
-        if facts.is_misdirected && !has_shown {
-            // The address belongs to another life by now.
+        if facts.is_misdirected && self.facts.prompt.is_none() {
+            // The address belongs to another life by now; an engine may have refused the weights only.
             self.gateway.life_ended(candidate.life);
         }
         if !has_shown {
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -89,7 +89,8 @@
 
     /// Its answer was whole.
     pub(crate) fn answered(&self) {
-        self.gateway.suspects.lock().answered(self.request);
+        let now_ms = self.gateway.clock.now();
+        self.gateway.suspects.lock().answered(self.request, now_ms);
     }
 
     pub(crate) fn fetches(&mut self, transfers: Vec<Transfer>) {
--- a/crates/gateway/src/peer_loads.rs
+++ b/crates/gateway/src/peer_loads.rs
@@ -96,6 +96,19 @@
     pub endpoints: Vec<(EndpointTag, EndpointLoad)>,
 }
 
+impl LoadMessage {
+    /// The message without its least busy endpoints, so that it takes no more than `max_bytes`.
+    pub fn trimmed(mut self, max_bytes: usize) -> Self {
+        let is_larger = |message: &Self| {
+            postcard::to_stdvec(message).is_ok_and(|bytes| bytes.len() > max_bytes)
+        };
+        while !self.endpoints.is_empty() && is_larger(&self) {
+            self.endpoints.truncate(self.endpoints.len() * 3 / 4);
+        }
+        self
+    }
+}
+
 /// What a follower of a store passes on to the instances that don't follow it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub(crate) struct PartsMessage {
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -70,6 +70,7 @@
     losses: Vec<Loss>,
     /// Lives that ended before the request was answered; peers may still tell of them.
     cleared: Vec<EndpointTag>,
+    cleared_ms: TimeMs,
 }
 
 impl Suspicion {
@@ -136,8 +137,9 @@
     }
 
     /// A request was answered whole: it does not crash what runs it.
-    pub fn answered(&mut self, request: Fingerprint) {
+    pub fn answered(&mut self, request: Fingerprint, now_ms: TimeMs) {
         if let Some(suspicion) = self.by_request.get_mut(&request) {
+            suspicion.cleared_ms = now_ms;
             let lives = suspicion.losses.drain(..).map(|loss| loss.life);
             suspicion.cleared.extend(lives);
         }
@@ -191,7 +193,9 @@
                 let kept_ms = if loss.is_crash { HELD_FOR_MS } else { TOGETHER_MS };
                 now_ms.since(loss.at_ms) < kept_ms
             });
-            !suspicion.losses.is_empty()
+            let is_cleared_lately =
+                !suspicion.cleared.is_empty() && now_ms.since(suspicion.cleared_ms) < HELD_FOR_MS;
+            is_cleared_lately || !suspicion.losses.is_empty()
         });
     }
 }
--- a/crates/gateway/tests/decisions/peer_loads.rs
+++ b/crates/gateway/tests/decisions/peer_loads.rs
@@ -72,3 +72,26 @@
     // What it said is too old to send a caller there.
     assert!(!peers.can_any_check_keys(TimeMs(2_000)));
 }
+
+/// The worst load: every endpoint has work of all ranks. The message still fits a datagram, and the busiest are in it.
+#[test]
+fn a_message_of_the_worst_load_keeps_its_busiest_endpoints() {
+    let endpoints = (0..48u32).map(|number| {
+        let mut waiting = RankTokens::default();
+        (0..10).for_each(|rank| waiting.add(rank, 300_000));
+        let in_flight = 1_000 - number;
+        let load = EndpointLoad {
+            in_flight,
+            waiting,
+            memory_tokens: 3_000_000,
+            slowness_percent: 400,
+            is_loading: true,
+        };
+        (EndpointTag::new(&number.to_string(), TimeMs(1)), load)
+    });
+    let message = LoadMessage { endpoints: endpoints.collect(), ..message("a", 1, 0) };
+    let trimmed = message.clone().trimmed(1_392);
+    assert!(postcard::to_stdvec(&trimmed).unwrap().len() <= 1_392);
+    assert!(trimmed.endpoints.len() >= 20);
+    assert_eq!(trimmed.endpoints[..], message.endpoints[..trimmed.endpoints.len()]);
+}
--- a/crates/gateway/tests/decisions/placement.rs
+++ b/crates/gateway/tests/decisions/placement.rs
@@ -210,11 +210,10 @@
             let used = |index| -> u64 {
                 running.iter().filter(|(_, at, _)| *at == index).map(|(.., tokens)| tokens).sum()
             };
-            for index in 0..pool.len() {
+            for (index, engine) in pool.iter_mut().enumerate() {
                 let count = running.iter().filter(|(_, at, _)| *at == index).count();
-                pool[index].in_flight = count as u32;
-                pool[index].free_memory_tokens =
-                    is_known.then(|| MEMORY.saturating_sub(used(index)));
+                engine.in_flight = count as u32;
+                engine.free_memory_tokens = is_known.then(|| MEMORY.saturating_sub(used(index)));
             }
             // Most are short; a few have most of an engine's memory to themselves.
             let tokens = if rng.random_ratio(1, 5) { 40_000 } else { 9_000 };
--- a/crates/gateway/tests/decisions/suspects.rs
+++ b/crates/gateway/tests/decisions/suspects.rs
@@ -71,7 +71,8 @@
     let (mut suspects, neighbour) = (Suspects::default(), request("neighbour"));
     crash(&mut suspects, neighbour, 1);
     crash(&mut suspects, neighbour, 2);
-    suspects.answered(neighbour);
+    suspects.answered(neighbour, TimeMs(2_400));
+    suspects.expire(TimeMs(2_500));
     crash(&mut suspects, neighbour, 3);
     suspects.hear(neighbour, life(1), TimeMs(3_500));
     suspects.hear(neighbour, life(2), TimeMs(3_500));
