--- a/crates/gateway/src/cache_index.rs
+++ b/crates/gateway/src/cache_index.rs
@@ -145,6 +145,14 @@
     u64::from(tokens.get()).div_ceil(BLOCK_TOKENS) * BLOCK_TOKENS
 }
 
+/// The holder at an address.
+pub(crate) fn holder_at(
+    holders: &mut [HolderView],
+    address: SocketAddr,
+) -> Option<&mut HolderView> {
+    holders.iter_mut().find(|holder| holder.address() == address)
+}
+
 fn is_believed(holding: Holding, at_ms: TimeMs, now_ms: TimeMs) -> bool {
     let kept_ms = match holding {
         Holding::Complete(_) => TOLD_MS,
@@ -276,29 +284,33 @@
             self.told.retain(|_, (holding, at_ms)| is_believed(*holding, *at_ms, heard_ms));
         }
         for (part, news) in news {
-            let has_room = self.told.len() < MAX_TOLD_PARTS;
-            let known = self.told.get(part).copied();
-            let holding = match news {
+            match news {
                 PartNews::Gone => {
                     self.told.remove(part);
-                    continue;
                 }
-                PartNews::Has(tokens) => Holding::Complete(Tokens(*tokens)),
-                PartNews::Expected(_)
-                    if known.is_some_and(|(known, at_ms)| {
-                        matches!(known, Holding::Complete(_)) && is_believed(known, at_ms, heard_ms)
-                    }) =>
-                {
-                    continue;
+                PartNews::Has(tokens) => {
+                    self.believe(*part, Holding::Complete(Tokens(*tokens)), heard_ms);
+                }
+                PartNews::Expected(tokens) => {
+                    let known = self.told.get(part);
+                    let is_complete = known.is_some_and(|(holding, at_ms)| {
+                        matches!(holding, Holding::Complete(_))
+                            && is_believed(*holding, *at_ms, heard_ms)
+                    });
+                    if !is_complete {
+                        self.believe(*part, Holding::Expected(Tokens(*tokens)), heard_ms);
+                    }
                 }
-                PartNews::Expected(tokens) => Holding::Expected(Tokens(*tokens)),
-            };
-            if has_room {
-                self.told.insert(*part, (holding, heard_ms));
             }
         }
     }
 
+    fn believe(&mut self, part: PartTag, holding: Holding, heard_ms: TimeMs) {
+        if self.told.len() < MAX_TOLD_PARTS {
+            self.told.insert(part, (holding, heard_ms));
+        }
+    }
+
     fn heard(&mut self, heard_ms: TimeMs) {
         if let Some(contents) = self.contents.as_mut() {
             contents.heard_ms = heard_ms;
--- a/crates/gateway/src/controllers/caches.rs
+++ b/crates/gateway/src/controllers/caches.rs
@@ -10,7 +10,7 @@
 use tokio::{task::JoinSet, time::sleep};
 
 use crate::{
-    cache_index::{HolderKind, HolderTraits, HolderView, PartNews, PartTag},
+    cache_index::{HolderKind, HolderTraits, HolderView, PartNews, PartTag, holder_at},
     deployment::Deployment,
     endpoints::EndpointState,
     gateway::Gateway,
@@ -225,5 +225,5 @@
     address: SocketAddr,
     act: impl FnOnce(&mut HolderView) -> T,
 ) -> Option<T> {
-    gateway.holders.lock().iter_mut().find(|view| view.address() == address).map(act)
+    holder_at(&mut gateway.holders.lock(), address).map(act)
 }
--- a/crates/gateway/src/controllers/free_parts.rs
+++ b/crates/gateway/src/controllers/free_parts.rs
@@ -13,7 +13,11 @@
 use bilberryford_types::{ModelName, TimeMs};
 use tokio::time::sleep;
 
-use crate::{cache_index::HolderKind, cache_scope::CacheScope, gateway::Gateway};
+use crate::{
+    cache_index::{HolderKind, holder_at},
+    cache_scope::CacheScope,
+    gateway::Gateway,
+};
 
 /// How often it is looked.
 const EVERY: Duration = Duration::from_millis(500);
@@ -72,7 +76,7 @@
             parts.truncate(MAX_FREED);
             let is_freed = gateway.caches.free(address, epoch, &parts).await;
             let mut holders = gateway.holders.lock();
-            let store = holders.iter_mut().find(|holder| holder.address() == address);
+            let store = holder_at(&mut holders, address);
             if let Some(store) = store.filter(|_| is_freed) {
                 store.freed(epoch, &parts);
             }
--- a/crates/gateway/src/controllers/peers.rs
+++ b/crates/gateway/src/controllers/peers.rs
@@ -14,7 +14,7 @@
 
 use super::follow::{Pauses, Sink};
 use crate::{
-    cache_index::{HolderLoad, HolderView},
+    cache_index::{HolderLoad, HolderView, holder_at},
     gateway::Gateway,
     peer_loads::{
         EndpointLoad, EndpointTag, EngineParts, LoadMessage, MAX_TOLD, PartsMessage, PeerMessage,
@@ -133,7 +133,7 @@
 fn hear_parts(gateway: &Gateway, message: PartsMessage) {
     let now_ms = gateway.clock.now();
     let mut holders = gateway.holders.lock();
-    let holder = holders.iter_mut().find(|holder| holder.address() == message.holder);
+    let holder = holder_at(&mut holders, message.holder);
     if let Some(holder) = holder.filter(|holder| !holder.is_followed()) {
         holder.hear(message.since, message.changes, now_ms);
     }
--- a/crates/gateway/src/forward/choose.rs
+++ b/crates/gateway/src/forward/choose.rs
@@ -6,9 +6,11 @@
 use crate::{
     admission::{Admit, Forecast, admit},
     answers::OwnAnswer,
+    cache_index::holder_at,
     cache_scope::CacheScope,
+    gateway::reader,
     in_flight::Need,
-    part_plan::{PartPlan, Reader, plan_parts, shared_parts},
+    part_plan::{PartPlan, plan_parts, shared_parts},
     placement::{Candidate, PlacementRequest, PromptShape, Reason, place},
     slowness::usual_ms,
 };
@@ -129,11 +131,10 @@
         let token_bytes = self.gateway.token_bytes();
         let now_ms = self.gateway.clock.now();
         let endpoints = self.gateway.endpoints.lock();
-        let data_centre = endpoints.get(&candidate.id).map(|record| &record.data_centre);
-        let reader = Reader { address: candidate.address, data_centre, token_bytes };
+        let reader = reader(&endpoints, candidate, token_bytes);
         let mut holders = self.gateway.holders.lock();
         let plan = plan_parts(&mut holders, &scope, &prompt.parts, &reader, now_ms);
-        if let Some(engine) = holders.iter_mut().find(|at| at.address() == candidate.address) {
+        if let Some(engine) = holder_at(&mut holders, candidate.address) {
             engine.hear_told(&plan.arriving, now_ms);
         }
         drop(holders);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -270,9 +270,7 @@
                 Some(LocatedParts::new(&holders, &scope(candidate)?, parts, now_ms))
             });
             let Some(located) = located else { continue };
-            let data_centre = endpoints.get(&candidate.id).map(|record| &record.data_centre);
-            let reader = Reader { address: candidate.address, data_centre, token_bytes };
-            candidate.prefix = located.prefix_facts(&reader);
+            candidate.prefix = located.prefix_facts(&reader(&endpoints, candidate, token_bytes));
         }
     }
 
@@ -386,3 +384,13 @@
         self.connections.expire(self.clock.now());
     }
 }
+
+/// A candidate as a reader of parts.
+pub(crate) fn reader<'a>(
+    endpoints: &'a EndpointTable,
+    candidate: &Candidate,
+    token_bytes: Bytes,
+) -> Reader<'a> {
+    let data_centre = endpoints.get(&candidate.id).map(|record| &record.data_centre);
+    Reader { address: candidate.address, data_centre, token_bytes }
+}
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -5,8 +5,8 @@
 use bilberryford_types::{EndpointId, TimeMs};
 
 use crate::{
-    gateway::Gateway, part_plan::Transfer, peer_loads::EndpointTag, placement::Candidate,
-    slowness::usual_ms, suspects::Fingerprint, translation::PartKey,
+    cache_index::holder_at, gateway::Gateway, part_plan::Transfer, peer_loads::EndpointTag,
+    placement::Candidate, slowness::usual_ms, suspects::Fingerprint, translation::PartKey,
 };
 
 /// How many tokens may wait before a request for its wait to tell of the source of its parts.
@@ -96,7 +96,7 @@
     pub(crate) fn fetches(&mut self, transfers: Vec<Transfer>) {
         let mut holders = self.gateway.holders.lock();
         for transfer in &transfers {
-            if let Some(holder) = holders.iter_mut().find(|at| at.address() == transfer.address) {
+            if let Some(holder) = holder_at(&mut holders, transfer.address) {
                 holder.fetch_begins(transfer.tokens);
             }
         }
@@ -117,7 +117,7 @@
             let reading_ms = usual_ms(self.queue_tokens) * f64::from(self.slowness_percent) / 100.0;
             let fetching_ms = took_ms.get() as f64 - reading_ms;
             let mut holders = self.gateway.holders.lock();
-            if let Some(holder) = holders.iter_mut().find(|at| at.address() == transfer.address) {
+            if let Some(holder) = holder_at(&mut holders, transfer.address) {
                 holder.sample(transfer.usual_ms, fetching_ms, now_ms);
             }
         } else if self.waiting_tokens > 0
@@ -136,7 +136,7 @@
         }
         let mut holders = self.gateway.holders.lock();
         for transfer in self.transfers.drain(..) {
-            if let Some(holder) = holders.iter_mut().find(|at| at.address() == transfer.address) {
+            if let Some(holder) = holder_at(&mut holders, transfer.address) {
                 holder.fetch_ended(transfer.tokens);
             }
         }
@@ -149,7 +149,7 @@
         // Whatever was to be saved was not read, so that another request may save it.
         let mut holders = self.gateway.holders.lock();
         for (address, key) in self.saves.drain(..) {
-            if let Some(holder) = holders.iter_mut().find(|at| at.address() == address) {
+            if let Some(holder) = holder_at(&mut holders, address) {
                 holder.save_abandoned(&key);
             }
         }
