--- a/crates/gateway/src/deployment.rs
+++ b/crates/gateway/src/deployment.rs
@@ -5,7 +5,7 @@
 use std::{collections::HashMap, net::SocketAddr, sync::Arc};
 
 use bilberryford_types::{
-    Bytes, BytesPerSec, DataCentreId, Generation, ModelName, PoolName, TeamName, TimeMs,
+    Bytes, BytesPerSec, DataCentreId, Generation, PoolName, TeamName, TimeMs,
 };
 
 /// What may be repeated of a request once an endpoint may have begun it.
@@ -87,8 +87,6 @@
 /// What the engines of a service are like.
 #[derive(Debug, Clone)]
 pub struct EngineTraits {
-    /// How many requests an engine runs at once.
-    pub slots: u32,
     /// How many tokens its memory holds.
     pub kv_capacity_tokens: u64,
     /// The size of one cached token.
@@ -97,8 +95,6 @@
     pub link: BytesPerSec,
     /// How many callers may wait for an engine's cache events at once.
     pub max_followers: u32,
-    /// The models that the service has.
-    pub models: Vec<ModelName>,
 }
 
 /// A store of cached prompt parts, which engines save to and fetch from by order of each request.
