--- a/crates/gateway/src/forward/send.rs
+++ b/crates/gateway/src/forward/send.rs
@@ -90,6 +90,7 @@
             fetched_tokens: plan.transfers.iter().map(|transfer| transfer.tokens).sum(),
             queue_tokens: candidate.waiting_tokens,
             slowness_percent: candidate.slowness_percent.unwrap_or(0),
+            free_memory_tokens: candidate.free_memory_tokens.unwrap_or(0),
         };
         in_flight.fetches(std::mem::take(&mut plan.transfers));
         in_flight.saves = std::mem::take(&mut plan.saving);
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -20,6 +20,8 @@
     pub(crate) fetched_tokens: u64,
     pub(crate) queue_tokens: u64,
     pub(crate) slowness_percent: u32,
+    /// What the engine's memory had left for requests, as far as was known.
+    pub(crate) free_memory_tokens: u64,
 }
 
 /// What one line says.
@@ -104,6 +106,7 @@
             fetched_tokens = line.prompt.fetched_tokens,
             queue_tokens = line.prompt.queue_tokens,
             slowness_percent = line.prompt.slowness_percent,
+            free_memory_tokens = line.prompt.free_memory_tokens,
             config_version = line.config_version.map_or(0, |version| version.get()),
             key_age_ms = line.key_age_ms.map_or(0, |age| age.get()),
             elapsed_ms = now_ms.since(line.started_ms).get(),
