--- a/crates/gateway/src/controllers/caches.rs
+++ b/crates/gateway/src/controllers/caches.rs
@@ -110,10 +110,11 @@
         let deployment = gateway.deployment.load_full();
         let wanted =
             deployment.as_ref().map_or_else(Vec::new, |deployment| holders(&gateway, deployment));
-        tasks.retain(|_, (holder, _)| wanted.contains(holder));
+        let wanted: HashMap<_, _> =
+            wanted.into_iter().map(|holder| (holder.traits.address, holder)).collect();
+        tasks.retain(|address, (holder, _)| wanted.get(address) == Some(holder));
         gateway.holders.lock().retain(|view| tasks.contains_key(&view.address()));
-        for holder in wanted {
-            let address = holder.traits.address;
+        for (address, holder) in wanted {
             if tasks.contains_key(&address) {
                 continue;
             }
--- a/crates/gateway/src/peer_loads.rs
+++ b/crates/gateway/src/peer_loads.rs
@@ -178,7 +178,7 @@
     sequence: u64,
     heard_ms: TimeMs,
     can_check_keys: bool,
-    endpoints: HashMap<EndpointTag, EndpointLoad>,
+    endpoints: Vec<EndpointTag>,
 }
 
 /// The sum over peers for one endpoint.
@@ -196,10 +196,22 @@
     pub is_loading: bool,
 }
 
+/// What a peer said of an endpoint, and when.
+#[derive(Debug, Clone)]
+struct Told {
+    peer: String,
+    heard_ms: TimeMs,
+    load: EndpointLoad,
+}
+
 /// The view of all peers.
+///
+/// Loads are kept by endpoint: every request asks for those of all endpoints of its service, and few of many peers have
+/// anything at one of them.
 #[derive(Debug, Clone, Default)]
 pub struct PeerLoads {
     peers: HashMap<String, Peer>,
+    by_endpoint: HashMap<EndpointTag, Vec<Told>>,
 }
 
 impl PeerLoads {
@@ -208,21 +220,44 @@
         let is_newer = self.peers.get(&message.instance).is_none_or(|peer| {
             peer.incarnation != message.incarnation || peer.sequence < message.sequence
         });
-        if is_newer {
-            let peer = Peer {
-                incarnation: message.incarnation,
-                sequence: message.sequence,
-                heard_ms: now_ms,
-                can_check_keys: message.can_check_keys,
-                endpoints: message.endpoints.into_iter().collect(),
-            };
-            self.peers.insert(message.instance, peer);
+        if !is_newer {
+            return;
+        }
+        self.forget(&message.instance);
+        let endpoints = message.endpoints.iter().map(|(endpoint, _)| *endpoint).collect();
+        for (endpoint, load) in message.endpoints {
+            let told = Told { peer: message.instance.clone(), heard_ms: now_ms, load };
+            self.by_endpoint.entry(endpoint).or_default().push(told);
+        }
+        let peer = Peer {
+            incarnation: message.incarnation,
+            sequence: message.sequence,
+            heard_ms: now_ms,
+            can_check_keys: message.can_check_keys,
+            endpoints,
+        };
+        self.peers.insert(message.instance, peer);
+    }
+
+    /// Drops what a peer said.
+    fn forget(&mut self, instance: &str) {
+        let Some(peer) = self.peers.remove(instance) else { return };
+        for endpoint in peer.endpoints {
+            if let Some(told) = self.by_endpoint.get_mut(&endpoint) {
+                told.retain(|told| told.peer != instance);
+                if told.is_empty() {
+                    self.by_endpoint.remove(&endpoint);
+                }
+            }
         }
     }
 
     /// Drops peers that are silent.
     pub fn expire(&mut self, now_ms: TimeMs) {
-        self.peers.retain(|_, peer| now_ms.since(peer.heard_ms) < LIVE_FOR_MS);
+        let is_silent = |peer: &Peer| now_ms.since(peer.heard_ms) >= LIVE_FOR_MS;
+        let silent = self.peers.iter().filter(|(_, peer)| is_silent(peer));
+        let silent: Vec<_> = silent.map(|(instance, _)| instance.clone()).collect();
+        silent.iter().for_each(|instance| self.forget(instance));
     }
 
     /// How many instances are live, this one included.
@@ -250,8 +285,9 @@
     pub fn load(&self, endpoint: EndpointTag, rank: u8, now_ms: TimeMs) -> PeerLoad {
         let mut sum = PeerLoad::default();
         let mut slowness = (0u32, 0u32);
-        let fresh = self.peers.values().filter(|peer| now_ms.since(peer.heard_ms) < USED_FOR_MS);
-        for load in fresh.filter_map(|peer| peer.endpoints.get(&endpoint)) {
+        let told = self.by_endpoint.get(&endpoint).into_iter().flatten();
+        let fresh = told.filter(|told| now_ms.since(told.heard_ms) < USED_FOR_MS);
+        for load in fresh.map(|told| &told.load) {
             sum.in_flight = sum.in_flight.saturating_add(load.in_flight);
             sum.memory_tokens += u64::from(load.memory_tokens);
             sum.waiting_tokens += load.waiting.before(rank);
--- a/crates/gateway/tests/decisions/peer_loads.rs
+++ b/crates/gateway/tests/decisions/peer_loads.rs
@@ -95,3 +95,17 @@
     assert!(trimmed.endpoints.len() >= 20);
     assert_eq!(trimmed.endpoints[..], message.endpoints[..trimmed.endpoints.len()]);
 }
+
+/// Peers restart, fall silent and turn to other endpoints: nothing of what they said before is left.
+#[test]
+fn what_a_peer_said_before_does_not_count_any_more() {
+    let mut peers = PeerLoads::default();
+    peers.hear(message("a", 1, 5), TimeMs(0));
+    peers.hear(message("b", 1, 2), TimeMs(0));
+    peers.hear(LoadMessage { endpoints: Vec::new(), ..message("a", 2, 0) }, TimeMs(100));
+    assert_eq!(peers.load(tag(), 1, TimeMs(110)).in_flight, 2);
+    peers.hear(LoadMessage { incarnation: 2, ..message("b", 1, 7) }, TimeMs(200));
+    assert_eq!(peers.load(tag(), 1, TimeMs(210)).in_flight, 7, "another run of it");
+    peers.expire(TimeMs(4_000));
+    assert_eq!((peers.live(TimeMs(4_000)), peers.load(tag(), 1, TimeMs(4_000)).in_flight), (1, 0));
+}
