Log lines on endpoints name version, source state and heartbeat; a request names the table it was placed on

Now a change names the entry's version, start, state and heartbeat, each list names its version, the one before and whether it was applied, and a request's line the version and age of the table. No decision changes.

--- a/crates/gateway/src/controllers/endpoints.rs
+++ b/crates/gateway/src/controllers/endpoints.rs
@@ -25,7 +25,11 @@
 /// Logs changes of endpoints, and records the incarnations that ended.
 pub(super) fn record_changes(gateway: &Gateway, changes: impl IntoIterator<Item = EndpointChange>) {
     for change in changes {
-        log::info!(target: "belief", endpoint:% = change.id, what = change.kind; "endpoint");
+        log::info!(
+            target: "belief", endpoint:% = change.id, what = change.kind, state:% = change.state,
+            version:% = change.version, started:% = change.started_ms, heartbeat = change.heartbeat;
+            "endpoint"
+        );
         change
             .ended_incarnation
             .into_iter()
@@ -86,8 +90,14 @@
     ) {
         let now_ms = gateway.clock.now();
         let mut log = gateway.endpoint_log.lock();
-        if !log.record_list(version) {
-            log::debug!(version:% = version; "list of endpoints is older than the table; ignored");
+        let before = log.complete_to();
+        let is_applied = log.record_list(version);
+        log::info!(
+            target: "belief", version:% = version, before:% = before.unwrap_or_default(),
+            entries = objects.len(), applied = is_applied;
+            "endpoints listed"
+        );
+        if !is_applied {
             return;
         }
         let records = objects
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -55,6 +55,8 @@
     pub data_centre: DataCentreId,
     /// Its state.
     pub state: EndpointState,
+    /// The number of its heartbeat, which orders the entries of one incarnation.
+    pub heartbeat: u64,
     /// The number of requests that it runs at once.
     pub slots: u32,
     /// The models that it serves.
@@ -82,6 +84,14 @@
     pub id: EndpointId,
     /// The kind of the change, for the log.
     pub kind: &'static str,
+    /// The store's version of the entry that was applied last.
+    pub version: ObjectVersion,
+    /// The start time of the incarnation that the entry describes.
+    pub started_ms: TimeMs,
+    /// The number of the heartbeat that wrote the entry.
+    pub heartbeat: u64,
+    /// The state in the entry.
+    pub state: EndpointState,
     /// The incarnation that ended unexpectedly; none if it goes on or was leaving.
     pub ended_incarnation: Option<EndpointTag>,
 }
@@ -99,11 +109,25 @@
         EndpointTag::new(self.record.id.as_str(), self.record.started_ms)
     }
 
+    /// A change after which the entry's incarnation goes on, or was known to end.
+    fn changed(&self, kind: &'static str) -> EndpointChange {
+        let EndpointRecord { id, started_ms, heartbeat, state, .. } = &self.record;
+        EndpointChange {
+            id: id.clone(),
+            kind,
+            version: self.version,
+            started_ms: *started_ms,
+            heartbeat: *heartbeat,
+            state: *state,
+            ended_incarnation: None,
+        }
+    }
+
     /// The change that ends the entry's incarnation.
     fn ended(&self, kind: &'static str) -> EndpointChange {
         let was_ready = self.record.state == EndpointState::Ready;
         let ended_incarnation = was_ready.then(|| self.incarnation());
-        EndpointChange { id: self.record.id.clone(), kind, ended_incarnation }
+        EndpointChange { ended_incarnation, ..self.changed(kind) }
     }
 }
 
@@ -121,6 +145,11 @@
         self.contact_ms.is_some_and(|at| now_ms.since(at) <= MAX_CONTACT_GAP_MS)
     }
 
+    /// The time since the store's last reply; none before the first one.
+    pub fn contact_age_ms(&self, now_ms: TimeMs) -> Option<TimeMs> {
+        self.contact_ms.map(|at| now_ms.since(at))
+    }
+
     /// Records a failed call to the store; its next reply counts as the recovery.
     pub fn record_lost_contact(&mut self) {
         if self.contact_ms.is_some() {
@@ -140,18 +169,21 @@
         version: ObjectVersion,
     ) -> Option<EndpointChange> {
         let id = record.id.clone();
-        let changed = |kind| Some(EndpointChange { id: id.clone(), kind, ended_incarnation: None });
+        let new = Entry { record, version, missing_until_ms: None };
         let change = match self.entries.get(&id) {
             Some(entry) if entry.version >= version => return None,
-            Some(entry) if entry.record == record => None,
-            Some(entry) if entry.record.started_ms != record.started_ms => {
-                Some(entry.ended("restarted"))
+            Some(entry) if entry.record == new.record => None,
+            Some(entry) if entry.record.started_ms != new.record.started_ms => {
+                let ended_incarnation = entry.ended("restarted").ended_incarnation;
+                Some(EndpointChange { ended_incarnation, ..new.changed("restarted") })
+            }
+            Some(entry) if entry.record.state != new.record.state => {
+                Some(new.changed("changed_state"))
             }
-            Some(entry) if entry.record.state != record.state => changed("changed_state"),
-            Some(_) => changed("changed"),
-            None => changed("listed"),
+            Some(_) => Some(new.changed("changed")),
+            None => Some(new.changed("listed")),
         };
-        self.entries.insert(id, Entry { record, version, missing_until_ms: None });
+        self.entries.insert(id, new);
         change
     }
 
@@ -163,8 +195,7 @@
             && entry.record.state == EndpointState::Ready
         {
             entry.missing_until_ms.get_or_insert(ends);
-            let kind = "missing_after_outage";
-            return Some(EndpointChange { id: id.clone(), kind, ended_incarnation: None });
+            return Some(entry.changed("missing_after_outage"));
         }
         self.entries.remove(id).map(|entry| entry.ended("removed"))
     }
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -4,7 +4,7 @@
 //! formatted, since that takes processor time, which is scarce when the request rate is highest. Successful requests
 //! have the lower limit. Each record contains the number of records that were suppressed before it.
 
-use bilberryford_types::{EndpointId, Generation, TimeMs};
+use bilberryford_types::{EndpointId, Generation, ObjectVersion, TimeMs};
 use parking_lot::Mutex;
 
 /// The most records per second for requests with a complete response.
@@ -36,6 +36,10 @@
     pub(crate) notes: Vec<&'static str>,
     pub(crate) config_version: Option<Generation>,
     pub(crate) key_age_ms: Option<TimeMs>,
+    /// The version of the store up to which the table of endpoints was complete at the last placement.
+    pub(crate) endpoints_version: Option<ObjectVersion>,
+    /// The time from the store's last reply on endpoints to the last placement.
+    pub(crate) endpoints_age_ms: Option<TimeMs>,
     /// The inputs of the last placement, if the request has a prompt.
     pub(crate) prompt: PromptRecord,
     pub(crate) started_ms: TimeMs,
@@ -109,6 +113,8 @@
             free_memory_tokens = record.prompt.free_memory_tokens,
             config_version = record.config_version.map_or(0, |version| version.get()),
             key_age_ms = record.key_age_ms.map_or(0, |age| age.get()),
+            endpoints_version = record.endpoints_version.map_or(0, |version| version.get()),
+            endpoints_age_ms = record.endpoints_age_ms.map_or(0, |age| age.get()),
             elapsed_ms = now_ms.since(record.started_ms).get(),
             first_byte_ms = record.first_byte_ms.map_or(0, |at| at.since(record.started_ms).get()),
             left_out = suppressed;
--- a/crates/gateway/tests/decisions/endpoints.rs
+++ b/crates/gateway/tests/decisions/endpoints.rs
@@ -9,6 +9,7 @@
         address: ([127, 0, 0, 1], 9).into(),
         data_centre: "a".parse().expect("a data centre"),
         state,
+        heartbeat: 1,
         slots: 4,
         models: Vec::new(),
     }
