An endpoint that left during an outage is out of use once the instance counts as in touch

What callers saw: a request reached an endpoint 12 s after the store had acknowledged that it left. What fits the record: an instance that the store turns away from 8.0 to 17.0 s (a trouble of 9 s in the site file) doesn't learn of a departure at 8.011 s; from 20.0 s on it counts as in touch, and the request came at 20.015 s.

Cause: after an outage, an entry that the list lacks stays in use for two seconds, since live owners write theirs again. These were counted from the instance's own first reply, which call timeout and backoff delay by up to 1.6 s after the store's return, and ended with the next tick of 500 ms: up to 4.1 s after the return, while the instance counts as in touch after 3 s. The period was also granted after one lost call, in which no entry can lapse, and after a freeze, in which the store was not away at all.

Change: store_contact.rs. The period ends before the start of the last failed call plus the time after which the instance counts as in touch; it needs a failed call and an outage of two heartbeat intervals; an entry is out of use when it ends, not at the tick. Both limits come from the settings file.

Evidence: four tests of decisions/endpoints, all red on the code before (left: 2, right: 1), green now.

--- a/crates/gateway/src/controllers/caches.rs
+++ b/crates/gateway/src/controllers/caches.rs
@@ -12,7 +12,6 @@
 use crate::{
     cache_index::{HolderKind, HolderTraits, HolderView, PartTag, PartUpdate, holder_at},
     deployment::Deployment,
-    endpoints::EndpointState,
     gateway::Gateway,
     peer_loads::{EndpointTag, StorePartsMessage},
     translation::CacheChanges,
@@ -99,8 +98,7 @@
         ),
     });
     let endpoints = gateway.endpoints.lock();
-    let engines = endpoints.records().filter(|record| record.state == EndpointState::Ready);
-    let engines = engines.filter_map(|record| {
+    let engines = endpoints.ready(gateway.clock.now()).filter_map(|record| {
         let engine = deployment.service(&record.service)?.engine.as_ref()?;
         Some(Holder {
             traits: HolderTraits {
--- a/crates/gateway/src/controllers/config.rs
+++ b/crates/gateway/src/controllers/config.rs
@@ -143,7 +143,11 @@
         }
         gateway.metrics.store_calls.add(1, &[]);
         let started_ms = gateway.clock.now();
-        match gateway.store.get(&key).await {
+        let reply = gateway.store.get(&key).await;
+        if reply.is_ok() {
+            gateway.endpoints.lock().record_store_reply(gateway.clock.now());
+        }
+        match reply {
             Ok(Some(object)) if confirmed_version == Some(object.version) => {
                 gateway.keys.lock().confirm(started_ms);
             }
--- a/crates/gateway/src/controllers/endpoints.rs
+++ b/crates/gateway/src/controllers/endpoints.rs
@@ -138,10 +138,11 @@
     }
 
     fn on_contact(&self, gateway: &Gateway) {
-        gateway.endpoints.lock().record_contact(gateway.clock.now());
+        let (now_ms, limits) = (gateway.clock.now(), gateway.bounds().into());
+        gateway.endpoints.lock().record_contact(now_ms, limits);
     }
 
-    fn on_contact_lost(&self, gateway: &Gateway) {
-        gateway.endpoints.lock().record_lost_contact();
+    fn on_contact_lost(&self, gateway: &Gateway, started_ms: TimeMs) {
+        gateway.endpoints.lock().record_lost_contact(started_ms);
     }
 }
--- a/crates/gateway/src/controllers/list_watch.rs
+++ b/crates/gateway/src/controllers/list_watch.rs
@@ -77,8 +77,8 @@
     }
     /// Called when the store replied.
     fn on_contact(&self, _gateway: &Gateway) {}
-    /// Called when the store did not reply or refused the call.
-    fn on_contact_lost(&self, _gateway: &Gateway) {}
+    /// Called when the store did not reply to a call that began at `started_ms`, or refused it.
+    fn on_contact_lost(&self, _gateway: &Gateway, _started_ms: TimeMs) {}
 }
 
 pub(super) async fn run<H: WatchHandler>(gateway: Arc<Gateway>, handler: H) {
@@ -91,6 +91,7 @@
         if H::IS_SHARED && since.is_some() && gateway.read_mode.wait_until_reading(H::KIND).await {
             since = handler.resume_at(&gateway);
         }
+        let started_ms = gateway.clock.now();
         let result = match since {
             None => list(&gateway, &handler, needs_fresh_list).await,
             Some(version) => watch(&gateway, &handler, version).await,
@@ -116,7 +117,7 @@
                     needs_fresh_list = true;
                     sleep(COMPACTION_DELAY).await;
                 } else {
-                    handler.on_contact_lost(&gateway);
+                    handler.on_contact_lost(&gateway, started_ms);
                     backoff.wait().await;
                 }
                 since = None;
--- a/crates/gateway/src/controllers/shared_view.rs
+++ b/crates/gateway/src/controllers/shared_view.rs
@@ -204,7 +204,7 @@
     let is_usable = confirmed_age_ms.is_some() && answer.has_contact;
     gateway.readers.lock().record_answer(from, asked_ms, is_usable);
     if answer.has_contact {
-        gateway.endpoints.lock().record_contact(now_ms);
+        gateway.endpoints.lock().record_contact(now_ms, gateway.bounds().into());
         match answer.endpoints {
             MissedChanges::Batches(batches) => {
                 batches.iter().for_each(|batch| apply_batch(gateway, batch));
--- a/crates/gateway/src/controllers/weight_orders.rs
+++ b/crates/gateway/src/controllers/weight_orders.rs
@@ -113,8 +113,7 @@
             .filter_map(|(model, published)| {
                 let newest = published.newest();
                 let engines: Vec<_> = endpoints
-                    .records()
-                    .filter(|record| record.state == crate::EndpointState::Ready)
+                    .ready(now_ms)
                     .filter(|record| record.weight_version(model).is_some())
                     .cloned()
                     .collect();
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -12,14 +12,10 @@
 
 use bilberryford_types::{DataCentreId, EndpointId, ModelName, ObjectVersion, PoolName, TimeMs};
 
-use crate::peer_loads::EndpointTag;
-
-/// How long after the store's recovery an entry may be missing, in milliseconds: its owner writes it again within two
-/// seconds.
-const RECOVERY_GRACE_MS: TimeMs = TimeMs(2_000);
-/// The longest time between confirmed replies of the store without an outage, in milliseconds: more than the
-/// wait of one watch and its reply.
-const MAX_CONTACT_GAP_MS: TimeMs = TimeMs(3_500);
+use crate::{
+    peer_loads::EndpointTag,
+    store_contact::{RecoveryLimits, StoreContact},
+};
 
 /// A model that an endpoint serves.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -100,8 +96,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct EndpointTable {
     entries: HashMap<EndpointId, Entry>,
-    contact_ms: Option<TimeMs>,
-    recovered_ms: Option<TimeMs>,
+    contact: StoreContact,
 }
 
 impl Entry {
@@ -109,6 +104,11 @@
         EndpointTag::new(self.record.id.as_str(), self.record.started_ms)
     }
 
+    /// True if the entry was missing for as long as it may be.
+    fn is_expired(&self, now_ms: TimeMs) -> bool {
+        self.missing_until_ms.is_some_and(|ends_ms| now_ms >= ends_ms)
+    }
+
     /// A change after which the entry's incarnation goes on, or was known to end.
     fn changed(&self, kind: &'static str) -> EndpointChange {
         let EndpointRecord { id, started_ms, heartbeat, state, .. } = &self.record;
@@ -132,34 +132,29 @@
 }
 
 impl EndpointTable {
-    /// Records that the store replied to a linearizable call at `now_ms`.
-    pub fn record_contact(&mut self, now_ms: TimeMs) {
-        if self.contact_ms.is_some_and(|at| now_ms.since(at) > MAX_CONTACT_GAP_MS) {
-            self.recovered_ms = Some(now_ms);
-        }
-        self.contact_ms = Some(now_ms);
+    /// Records that the store replied to a linearizable call on endpoints.
+    pub fn record_contact(&mut self, now_ms: TimeMs, limits: RecoveryLimits) {
+        self.contact.record_endpoints(now_ms, limits);
+    }
+
+    /// Records that the store replied to a linearizable call on something else.
+    pub fn record_store_reply(&mut self, now_ms: TimeMs) {
+        self.contact.record_reply(now_ms);
     }
 
     /// Returns true if the store replied recently and no call failed since.
     pub fn has_contact(&self, now_ms: TimeMs) -> bool {
-        self.contact_ms.is_some_and(|at| now_ms.since(at) <= MAX_CONTACT_GAP_MS)
+        self.contact.has_contact(now_ms)
     }
 
     /// The time since the store's last reply; none before the first one.
     pub fn contact_age_ms(&self, now_ms: TimeMs) -> Option<TimeMs> {
-        self.contact_ms.map(|at| now_ms.since(at))
+        self.contact.age_ms(now_ms)
     }
 
-    /// Records a failed call to the store; its next reply counts as the recovery.
-    pub fn record_lost_contact(&mut self) {
-        if self.contact_ms.is_some() {
-            self.contact_ms = Some(TimeMs(0));
-        }
-    }
-
-    fn grace_ends_ms(&self, now_ms: TimeMs) -> Option<TimeMs> {
-        let ends = self.recovered_ms?.after(RECOVERY_GRACE_MS);
-        (now_ms < ends).then_some(ends)
+    /// Records a failed call on endpoints that began at `started_ms`; the next reply ends the outage.
+    pub fn record_lost_contact(&mut self, started_ms: TimeMs) {
+        self.contact.record_failure(started_ms);
     }
 
     /// Applies an entry of the store at `version`; an older one than the known entry is ignored.
@@ -189,7 +184,7 @@
 
     /// Applies the removal of an entry; shortly after the store's recovery, a ready endpoint gets a grace period.
     pub fn remove(&mut self, id: &EndpointId, now_ms: TimeMs) -> Option<EndpointChange> {
-        let grace_ends_ms = self.grace_ends_ms(now_ms);
+        let grace_ends_ms = self.contact.grace_ends_ms(now_ms);
         let entry = self.entries.get_mut(id)?;
         if let Some(ends) = grace_ends_ms
             && entry.record.state == EndpointState::Ready
@@ -221,10 +216,9 @@
 
     /// Removes the entries whose grace period has ended.
     pub fn expire(&mut self, now_ms: TimeMs) -> Vec<EndpointChange> {
-        let is_expired = |entry: &Entry| entry.missing_until_ms.is_some_and(|ends| now_ms >= ends);
-        let expired = self.entries.values().filter(|entry| is_expired(entry));
+        let expired = self.entries.values().filter(|entry| entry.is_expired(now_ms));
         let gone: Vec<_> = expired.map(|entry| entry.ended("removed_after_grace")).collect();
-        self.entries.retain(|_, entry| !is_expired(entry));
+        self.entries.retain(|_, entry| !entry.is_expired(now_ms));
         gone
     }
 
@@ -233,11 +227,12 @@
         self.entries.values().map(|entry| &entry.record)
     }
 
-    /// The entries of a service that accept requests.
-    pub fn ready<'a>(&'a self, service: &'a PoolName) -> impl Iterator<Item = &'a EndpointRecord> {
-        self.records().filter(move |record| {
-            record.service == *service && record.state == EndpointState::Ready
-        })
+    /// The entries of all services that accept requests at `now_ms`.
+    pub fn ready(&self, now_ms: TimeMs) -> impl Iterator<Item = &EndpointRecord> {
+        let is_ready = move |entry: &&Entry| {
+            entry.record.state == EndpointState::Ready && !entry.is_expired(now_ms)
+        };
+        self.entries.values().filter(is_ready).map(|entry| &entry.record)
     }
 
     /// The entry of an endpoint.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -203,7 +203,8 @@
         let mut local = self.local.lock();
         let peers = self.peers.lock();
         endpoints
-            .ready(service)
+            .ready(now_ms)
+            .filter(|record| record.service == *service)
             .map(|record| {
                 let state = local.entry(record.id.clone()).or_default();
                 if state.started_ms != record.started_ms {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -36,6 +36,7 @@
 mod server;
 mod settings;
 mod slowness;
+mod store_contact;
 mod translation;
 
 pub use admission::{Admission, Forecast, admit};
@@ -67,6 +68,7 @@
 pub use server::{ServeError, serve};
 pub use settings::{Bounds, GatewaySettings, SettingChange, setting_change};
 pub use slowness::Slowness;
+pub use store_contact::RecoveryLimits;
 pub use translation::{
     CacheChange, CacheChanges, CacheSnapshot, CallerFacts, DecodeError, EngineReport, ForwardFacts,
     OrderReply, PartKey, PartSource, PromptFacts, PromptPart, ResponseFacts, TranslateCaches,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -13,6 +13,10 @@
     pub config_propagation_ms: TimeMs,
     /// How long a leaving endpoint serves new requests after its departure is listed.
     pub endpoint_drain_ms: TimeMs,
+    /// How long after a disturbance of the instance or of the store the instance counts as in touch again.
+    pub in_touch_ms: TimeMs,
+    /// The interval at which endpoints write their entries.
+    pub heartbeat_ms: TimeMs,
     /// The time between the termination signal and the kill.
     pub grace_ms: TimeMs,
     /// The shortest time between the last weight order of one lease holder and the first of the next.
@@ -87,6 +91,8 @@
                 &old_bounds.config_propagation_ms,
                 &new_bounds.config_propagation_ms,
             ),
+            setting_change("in_touch_ms", &old_bounds.in_touch_ms, &new_bounds.in_touch_ms),
+            setting_change("heartbeat_ms", &old_bounds.heartbeat_ms, &new_bounds.heartbeat_ms),
             setting_change(
                 "endpoint_drain_ms",
                 &old_bounds.endpoint_drain_ms,
--- /dev/null
+++ b/crates/gateway/src/store_contact.rs
@@ -0,0 +1,91 @@
+//! When the store replied, and how long after an outage an entry that is missing may still be written again.
+//!
+//! Entries of live endpoints lapse in an outage of the store and are back soon after it, so that a list without them
+//! must not empty the table. An endpoint that left meanwhile is missing as well. The grace period therefore ends before
+//! the instance counts as in touch again, from when on it must send nothing to an endpoint that left. The instance can't
+//! see when the outage ended, but no earlier than its last failed call began.
+
+use bilberryford_types::TimeMs;
+
+use crate::settings::Bounds;
+
+/// How long after the store's first reply an entry may be missing, in milliseconds: its owner writes it again within two
+/// seconds.
+const REWRITE_MS: TimeMs = TimeMs(2_000);
+/// The margin before the instance counts as in touch, in milliseconds: a request may wait for a new connection.
+const IN_TOUCH_MARGIN_MS: TimeMs = TimeMs(300);
+/// The shortest outage in which an entry can lapse, in heartbeat intervals: it lapses after three of them without a
+/// heartbeat, and the last one may have been due when the outage began.
+const LAPSE_HEARTBEATS: u64 = 2;
+/// The longest time between confirmed replies of the store without an outage, in milliseconds: more than the
+/// wait of one watch and its reply.
+const MAX_CONTACT_GAP_MS: TimeMs = TimeMs(3_500);
+
+/// The limits that a deployment sets for the return of entries.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RecoveryLimits {
+    /// How long after a disturbance an instance counts as in touch again.
+    pub in_touch_ms: TimeMs,
+    /// The interval at which endpoints write their entries.
+    pub heartbeat_ms: TimeMs,
+}
+
+impl From<Bounds> for RecoveryLimits {
+    fn from(bounds: Bounds) -> Self {
+        Self { in_touch_ms: bounds.in_touch_ms, heartbeat_ms: bounds.heartbeat_ms }
+    }
+}
+
+/// The replies of the store to calls on endpoints.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct StoreContact {
+    /// The last reply to a call on endpoints, by this instance or by one that reads the store for it.
+    endpoints_ms: Option<TimeMs>,
+    /// The last reply to any linearizable call.
+    reply_ms: Option<TimeMs>,
+    /// The start of the last call on endpoints that failed since the last reply.
+    failed_ms: Option<TimeMs>,
+    grace_ends_ms: Option<TimeMs>,
+}
+
+impl StoreContact {
+    /// Records a reply to a call on endpoints, which ends an outage if the last call failed.
+    pub(crate) fn record_endpoints(&mut self, now_ms: TimeMs, limits: RecoveryLimits) {
+        let lapse_ms = TimeMs(limits.heartbeat_ms.get() * LAPSE_HEARTBEATS);
+        let outage_ms = self.reply_ms.map(|reply_ms| now_ms.since(reply_ms));
+        if let Some(failed_ms) = self.failed_ms.take()
+            && outage_ms.is_some_and(|outage_ms| outage_ms >= lapse_ms)
+        {
+            let in_touch_ms = failed_ms.after(limits.in_touch_ms).since(IN_TOUCH_MARGIN_MS);
+            self.grace_ends_ms = Some(now_ms.after(REWRITE_MS).min(in_touch_ms));
+        }
+        self.endpoints_ms = self.endpoints_ms.max(Some(now_ms));
+        self.record_reply(now_ms);
+    }
+
+    /// Records a reply to a linearizable call on anything else, which bounds the length of an outage.
+    pub(crate) fn record_reply(&mut self, now_ms: TimeMs) {
+        self.reply_ms = self.reply_ms.max(Some(now_ms));
+    }
+
+    /// Records a call on endpoints that failed and began at `started_ms`.
+    pub(crate) fn record_failure(&mut self, started_ms: TimeMs) {
+        self.failed_ms = self.failed_ms.max(Some(started_ms));
+    }
+
+    /// Returns true if the store replied recently and no call failed since.
+    pub(crate) fn has_contact(&self, now_ms: TimeMs) -> bool {
+        let is_recent = |at: TimeMs| now_ms.since(at) <= MAX_CONTACT_GAP_MS;
+        self.failed_ms.is_none() && self.endpoints_ms.is_some_and(is_recent)
+    }
+
+    /// The time since the last reply to a call on endpoints.
+    pub(crate) fn age_ms(&self, now_ms: TimeMs) -> Option<TimeMs> {
+        self.endpoints_ms.map(|at| now_ms.since(at))
+    }
+
+    /// The end of the grace period for missing entries, while it lasts.
+    pub(crate) fn grace_ends_ms(&self, now_ms: TimeMs) -> Option<TimeMs> {
+        self.grace_ends_ms.filter(|ends_ms| now_ms < *ends_ms)
+    }
+}
--- a/crates/gateway/tests/decisions/endpoints.rs
+++ b/crates/gateway/tests/decisions/endpoints.rs
@@ -1,6 +1,9 @@
-use bilberryford_gateway::{EndpointRecord, EndpointState, EndpointTable};
+use bilberryford_gateway::{EndpointRecord, EndpointState, EndpointTable, RecoveryLimits};
 use bilberryford_types::{ObjectVersion, PoolName, TimeMs};
 
+const LIMITS: RecoveryLimits =
+    RecoveryLimits { in_touch_ms: TimeMs(3_000), heartbeat_ms: TimeMs(1_200) };
+
 fn record(id: &str, state: EndpointState) -> EndpointRecord {
     EndpointRecord {
         id: id.parse().expect("an id"),
@@ -21,15 +24,19 @@
 
 fn table(now_ms: u64) -> EndpointTable {
     let mut table = EndpointTable::default();
-    table.record_contact(TimeMs(now_ms));
+    table.record_contact(TimeMs(now_ms), LIMITS);
     for id in ["one", "two"] {
         table.upsert(record(id, EndpointState::Ready), ObjectVersion(5));
     }
     table
 }
 
+fn ready_at(table: &EndpointTable, now_ms: u64) -> usize {
+    table.ready(TimeMs(now_ms)).count()
+}
+
 fn ready(table: &EndpointTable) -> usize {
-    table.ready(&service()).count()
+    ready_at(table, 0)
 }
 
 #[test]
@@ -44,8 +51,8 @@
 #[test]
 fn entries_lost_in_an_outage_remain_only_for_the_grace_period() {
     let mut table = table(0);
-    table.record_lost_contact();
-    table.record_contact(TimeMs(20_000));
+    table.record_lost_contact(TimeMs(19_900));
+    table.record_contact(TimeMs(20_000), LIMITS);
     let listed = vec![(record("two", EndpointState::Ready), ObjectVersion(9))];
     table.replace(listed, TimeMs(20_000));
     assert_eq!(ready(&table), 2, "the missing entry is still used");
@@ -58,7 +65,7 @@
 #[test]
 fn entries_removed_without_an_outage_are_removed_at_once() {
     let mut table = table(0);
-    table.record_contact(TimeMs(1_000));
+    table.record_contact(TimeMs(1_000), LIMITS);
     table.remove(&"one".parse().expect("an id"), TimeMs(1_500));
     assert_eq!(ready(&table), 1);
 }
@@ -67,8 +74,52 @@
 fn leaving_endpoints_get_no_grace_period() {
     let mut table = table(0);
     table.upsert(record("one", EndpointState::Leaving), ObjectVersion(8));
-    table.record_lost_contact();
-    table.record_contact(TimeMs(20_000));
+    table.record_lost_contact(TimeMs(19_900));
+    table.record_contact(TimeMs(20_000), LIMITS);
     table.remove(&"one".parse().expect("an id"), TimeMs(20_010));
     assert!(table.get(&"one".parse().expect("an id")).is_none());
 }
+
+/// An instance loses the store from 7.0 to 17.0 s while an endpoint leaves without a notice, and gets its first reply
+/// late. From 20.0 s on it is bound like any other, so the entry that its list lacks must be out of use by then.
+#[test]
+fn an_endpoint_that_left_during_an_outage_is_not_used_once_the_instance_counts_as_in_touch() {
+    let mut table = table(7_000);
+    for call_ms in (9_500..16_950).step_by(350) {
+        table.record_lost_contact(TimeMs(call_ms));
+    }
+    table.record_contact(TimeMs(18_450), LIMITS);
+    table.replace(vec![(record("two", EndpointState::Ready), ObjectVersion(9))], TimeMs(18_450));
+    assert_eq!(ready_at(&table, 18_500), 2, "its owner may be about to write the entry again");
+    assert_eq!(ready_at(&table, 20_000), 1);
+}
+
+/// The grace period ends at its time, not at the next tick of the housekeeping.
+#[test]
+fn a_missing_entry_is_out_of_use_when_its_grace_period_ends() {
+    let mut table = table(0);
+    table.record_lost_contact(TimeMs(19_900));
+    table.record_contact(TimeMs(20_000), LIMITS);
+    table.replace(vec![(record("two", EndpointState::Ready), ObjectVersion(9))], TimeMs(20_000));
+    assert_eq!(ready_at(&table, 21_999), 2);
+    assert_eq!(ready_at(&table, 22_000), 1);
+}
+
+/// An entry lapses after three heartbeat intervals of silence. In a shorter outage none can, so that a missing one left.
+#[test]
+fn an_entry_that_is_missing_after_one_lost_call_is_removed_at_once() {
+    let mut table = table(10_000);
+    table.record_lost_contact(TimeMs(11_000));
+    table.record_contact(TimeMs(11_200), LIMITS);
+    table.replace(vec![(record("two", EndpointState::Ready), ObjectVersion(9))], TimeMs(11_200));
+    assert_eq!(ready_at(&table, 11_200), 1);
+}
+
+/// An instance that was frozen had no outage: what its list lacks has left, and may have done so long ago.
+#[test]
+fn an_entry_that_is_missing_after_a_freeze_is_removed_at_once() {
+    let mut table = table(10_000);
+    table.record_contact(TimeMs(25_000), LIMITS);
+    table.replace(vec![(record("two", EndpointState::Ready), ObjectVersion(9))], TimeMs(25_000));
+    assert_eq!(ready_at(&table, 25_000), 1);
+}
