An incarnation that left is not ready again: late heartbeats, earlier incarnations and removed entries

Cause: the table compared an entry with the known one by the store's version alone, although its invariant says that an endpoint seen as leaving gets no more requests in the same incarnation. A heartbeat that is under way when the endpoint says that it leaves, or a write that is carried out seconds later, has a higher version and the state from before; an entry of an earlier incarnation counted as a restart; and nothing was remembered of a removed entry, so that an older list or such a write listed it anew.

Change: departed.rs remembers the newest entry of removed endpoints, in a bounded number, and orders entries by incarnation and by the number of the heartbeat that wrote them. A departure is final for its incarnation. Each entry that is not applied for this has a line (ignored_earlier_incarnation, ignored_earlier_heartbeat, remains_leaving).

--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -5,14 +5,15 @@
 //!
 //! # Invariant
 //!
-//! An endpoint that was seen as leaving gets no more requests in the same incarnation, even if an older list still
-//! shows it as ready.
+//! An endpoint that was seen as leaving gets no more requests in the same incarnation, whatever a list, a batch or a late
+//! heartbeat says of it, and also after its entry was removed.
 
 use std::{collections::HashMap, net::SocketAddr};
 
 use bilberryford_types::{DataCentreId, EndpointId, ModelName, ObjectVersion, PoolName, TimeMs};
 
 use crate::{
+    departed::{Departed, EntryOrder, LastEntry},
     peer_loads::EndpointTag,
     store_contact::{RecoveryLimits, StoreContact},
 };
@@ -96,6 +97,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct EndpointTable {
     entries: HashMap<EndpointId, Entry>,
+    departed: Departed,
     contact: StoreContact,
 }
 
@@ -157,16 +159,34 @@
         self.contact.record_failure(started_ms);
     }
 
-    /// Applies an entry of the store at `version`; an older one than the known entry is ignored.
+    /// The newest entry of an endpoint that was applied, also if it was removed since.
+    fn last_entry(&self, id: &EndpointId) -> Option<LastEntry> {
+        let listed = self.entries.get(id).map(|entry| LastEntry::new(&entry.record, entry.version));
+        listed.or_else(|| self.departed.get(id))
+    }
+
+    /// Applies an entry of the store at `version`, unless it is older than the known one.
     pub fn upsert(
         &mut self,
-        record: EndpointRecord,
+        mut record: EndpointRecord,
         version: ObjectVersion,
     ) -> Option<EndpointChange> {
+        let order = self.last_entry(&record.id).map(|last| last.order(&record, version));
+        let is_restored = record.state == EndpointState::Ready;
+        match order {
+            Some(EntryOrder::Known) => return None,
+            Some(EntryOrder::Outdated(kind)) => {
+                return Some(Entry { record, version, missing_until_ms: None }.changed(kind));
+            }
+            Some(EntryOrder::AfterDeparture) => record.state = EndpointState::Leaving,
+            Some(EntryOrder::Newer) | None => {}
+        }
         let id = record.id.clone();
         let new = Entry { record, version, missing_until_ms: None };
         let change = match self.entries.get(&id) {
-            Some(entry) if entry.version >= version => return None,
+            _ if order == Some(EntryOrder::AfterDeparture) && is_restored => {
+                Some(new.changed("remains_leaving"))
+            }
             Some(entry) if entry.record == new.record => None,
             Some(entry) if entry.record.started_ms != new.record.started_ms => {
                 let ended_incarnation = entry.ended("restarted").ended_incarnation;
@@ -182,6 +202,18 @@
         change
     }
 
+    /// Takes an entry out of the table, and remembers it.
+    fn take(&mut self, id: &EndpointId) -> Option<Entry> {
+        let entry = self.entries.remove(id)?;
+        self.departed.insert(id.clone(), LastEntry::new(&entry.record, entry.version));
+        Some(entry)
+    }
+
+    /// The number of removed endpoints that are remembered.
+    pub fn remembered(&self) -> usize {
+        self.departed.len()
+    }
+
     /// Applies the removal of an entry; shortly after the store's recovery, a ready endpoint gets a grace period.
     pub fn remove(&mut self, id: &EndpointId, now_ms: TimeMs) -> Option<EndpointChange> {
         let grace_ends_ms = self.contact.grace_ends_ms(now_ms);
@@ -192,7 +224,7 @@
             entry.missing_until_ms.get_or_insert(ends);
             return Some(entry.changed("missing_after_outage"));
         }
-        self.entries.remove(id).map(|entry| entry.ended("removed"))
+        self.take(id).map(|entry| entry.ended("removed"))
     }
 
     /// Applies a complete list of the store.
@@ -216,10 +248,10 @@
 
     /// Removes the entries whose grace period has ended.
     pub fn expire(&mut self, now_ms: TimeMs) -> Vec<EndpointChange> {
-        let expired = self.entries.values().filter(|entry| entry.is_expired(now_ms));
-        let gone: Vec<_> = expired.map(|entry| entry.ended("removed_after_grace")).collect();
-        self.entries.retain(|_, entry| !entry.is_expired(now_ms));
-        gone
+        let expired = self.entries.iter().filter(|(_, entry)| entry.is_expired(now_ms));
+        let expired: Vec<_> = expired.map(|(id, _)| id.clone()).collect();
+        let gone = expired.iter().filter_map(|id| self.take(id));
+        gone.map(|entry| entry.ended("removed_after_grace")).collect()
     }
 
     /// All entries.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod clock;
 mod connections;
 mod controllers;
+mod departed;
 mod deployment;
 mod endpoints;
 mod filters;
--- a/crates/gateway/tests/decisions/endpoints.rs
+++ b/crates/gateway/tests/decisions/endpoints.rs
@@ -123,3 +123,73 @@
     table.replace(vec![(record("two", EndpointState::Ready), ObjectVersion(9))], TimeMs(25_000));
     assert_eq!(ready_at(&table, 25_000), 1);
 }
+
+/// An entry of the first incarnation of `one`, written by heartbeat `heartbeat`.
+fn written(heartbeat: u64, state: EndpointState) -> EndpointRecord {
+    EndpointRecord { heartbeat, ..record("one", state) }
+}
+
+fn is_ready(table: &EndpointTable, id: &str) -> bool {
+    table.ready(TimeMs(0)).any(|record| record.id.as_str() == id)
+}
+
+/// A heartbeat that was under way when the endpoint said that it leaves is written after that, at a higher version.
+#[test]
+fn a_late_heartbeat_does_not_make_a_leaving_endpoint_ready() {
+    let mut table = table(0);
+    table.upsert(written(7, EndpointState::Leaving), ObjectVersion(8));
+    table.upsert(written(6, EndpointState::Ready), ObjectVersion(9));
+    assert!(!is_ready(&table, "one"));
+    table.upsert(written(8, EndpointState::Ready), ObjectVersion(10));
+    assert!(!is_ready(&table, "one"), "an incarnation that left stays so");
+    let restarted = EndpointRecord { started_ms: TimeMs(2), ..record("one", EndpointState::Ready) };
+    table.upsert(restarted, ObjectVersion(11));
+    assert!(is_ready(&table, "one"));
+}
+
+#[test]
+fn an_endpoint_that_left_is_not_ready_again_after_its_entry_was_removed() {
+    let mut table = table(0);
+    let id = "one".parse().expect("an id");
+    table.upsert(written(7, EndpointState::Leaving), ObjectVersion(8));
+    table.remove(&id, TimeMs(10));
+    table.upsert(written(8, EndpointState::Ready), ObjectVersion(12));
+    assert!(!is_ready(&table, "one"));
+}
+
+/// The entry of an endpoint that left without a notice is removed; an older list or a late heartbeat has it once more.
+#[test]
+fn a_removed_entry_is_back_only_with_a_later_heartbeat() {
+    let mut table = table(0);
+    let id = "one".parse().expect("an id");
+    table.upsert(written(7, EndpointState::Ready), ObjectVersion(8));
+    table.remove(&id, TimeMs(10));
+    table.upsert(written(7, EndpointState::Ready), ObjectVersion(8));
+    assert!(!is_ready(&table, "one"), "an older list");
+    table.upsert(written(6, EndpointState::Ready), ObjectVersion(12));
+    assert!(!is_ready(&table, "one"), "a late heartbeat");
+    table.upsert(written(9, EndpointState::Ready), ObjectVersion(13));
+    assert!(is_ready(&table, "one"), "its entry had lapsed, and its owner lives");
+}
+
+#[test]
+fn an_entry_of_an_earlier_incarnation_changes_nothing() {
+    let mut table = table(0);
+    let restarted = EndpointRecord { started_ms: TimeMs(2), ..record("one", EndpointState::Ready) };
+    table.upsert(restarted, ObjectVersion(8));
+    table.upsert(written(9, EndpointState::Leaving), ObjectVersion(9));
+    assert!(is_ready(&table, "one"));
+    assert_eq!(table.get(&"one".parse().expect("an id")).map(|it| it.started_ms), Some(TimeMs(2)));
+}
+
+/// Endpoints come and go for years under new ids.
+#[test]
+fn what_is_remembered_of_removed_endpoints_is_bounded() {
+    let mut table = EndpointTable::default();
+    for number in 0..10_000 {
+        let id = format!("engine-{number}");
+        table.upsert(record(&id, EndpointState::Leaving), ObjectVersion(number));
+        table.remove(&id.parse().expect("an id"), TimeMs(0));
+    }
+    assert!(table.remembered() <= 4_096, "{} endpoints", table.remembered());
+}
