Contact with the store is passed on with its age

Cause: a reader answered whether the store had replied to it within 3.5 s, and the asker dated that at the answer's arrival. Two instances that are cut off and ask each other stayed in contact for as long as they asked, so that neither saw the outage, nor the recovery with its grace period; and an asker relied for up to 3.5 s on a reader that was cut off, while a leaving endpoint is served for 2 s.

Change: the answer names the age of the store's last reply to any linearizable call; the asker counts it back from its question, as with confirmations, and relies on the view only within the time for which a leaving endpoint serves, less 500 ms. After an answer that is too old it decides at once, not at its next question, whether to read the store itself. The message has a new number; builds before and after ignore each other's answers and read the store.

What remains: a reader that is cut off while it collects a batch (500 ms) lacks a departure of that time; with both readers cut at once, an asker can rely on that for up to 2.5 s.

--- a/crates/gateway/src/controllers/peers.rs
+++ b/crates/gateway/src/controllers/peers.rs
@@ -251,6 +251,7 @@
                 Ok(PeerMessage::Parts(message)) => apply_store_parts(gateway, message),
                 Ok(PeerMessage::Engines(engines)) => apply_engine_parts(gateway, &engines),
                 Ok(PeerMessage::Crashes(crashes)) => apply_crash_reports(gateway, &crashes),
+                Ok(PeerMessage::RetiredQuestion | PeerMessage::RetiredAnswer) => {}
                 Ok(PeerMessage::AskView(question)) => {
                     shared_view::answer(gateway, socket, from, &question).await;
                 }
--- a/crates/gateway/src/controllers/shared_view.rs
+++ b/crates/gateway/src/controllers/shared_view.rs
@@ -67,8 +67,8 @@
     confirmed_age_ms: Option<TimeMs>,
     /// The configuration in force.
     config_version: Option<u64>,
-    /// True if the store recently answered the sender's reads of endpoints.
-    has_contact: bool,
+    /// How long ago the store last replied to the sender, in milliseconds; none if a call failed since.
+    contact_age_ms: Option<TimeMs>,
     endpoints: MissedChanges,
     weights: Vec<SeenWeights>,
 }
@@ -152,12 +152,16 @@
         send_message(socket, &questions, &question).await;
         let pause_ms = rand::rng().random_range(ASK_INTERVAL_MS * 3 / 4..=ASK_INTERVAL_MS);
         sleep(Duration::from_millis(pause_ms)).await;
-        let now_ms = gateway.clock.now();
-        let reads_store = gateway.readers.lock().reads_store(now_ms, ANSWER_EXPIRY_MS);
-        gateway.read_mode.set_reads_store(reads_store);
+        update_read_mode(gateway, gateway.clock.now());
     }
 }
 
+/// Starts or ends the reads of the store, according to the readers that answer.
+fn update_read_mode(gateway: &Gateway, now_ms: TimeMs) {
+    let reads_store = gateway.readers.lock().reads_store(now_ms, ANSWER_EXPIRY_MS);
+    gateway.read_mode.set_reads_store(reads_store);
+}
+
 /// Answers a question of another instance.
 pub(super) async fn answer(
     gateway: &Gateway,
@@ -184,7 +188,7 @@
         asked_ms: question.asked_ms,
         confirmed_age_ms,
         config_version: deployment.as_ref().map(|deployment| deployment.version().get()),
-        has_contact: gateway.endpoints.lock().has_contact(now_ms),
+        contact_age_ms: gateway.endpoints.lock().contact_age_to_pass_on_ms(now_ms),
         endpoints,
         weights,
     };
@@ -201,10 +205,17 @@
     if asked_ms > now_ms || now_ms.since(asked_ms) >= ANSWER_EXPIRY_MS {
         return;
     }
-    let is_usable = confirmed_age_ms.is_some() && answer.has_contact;
+    let limits = gateway.bounds().into();
+    let has_contact = answer.contact_age_ms.is_some_and(|age_ms| {
+        gateway.endpoints.lock().record_passed_on_contact(asked_ms, age_ms, now_ms, limits)
+    });
+    let is_usable = confirmed_age_ms.is_some() && has_contact;
     gateway.readers.lock().record_answer(from, asked_ms, is_usable);
-    if answer.has_contact {
-        gateway.endpoints.lock().record_contact(now_ms, gateway.bounds().into());
+    if !is_usable {
+        // Without waiting for the next question: what this instance lacks may be a departure.
+        update_read_mode(gateway, now_ms);
+    }
+    if has_contact {
         match answer.endpoints {
             MissedChanges::Batches(batches) => {
                 batches.iter().for_each(|batch| apply_batch(gateway, batch));
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -144,9 +144,21 @@
         self.contact.record_reply(now_ms);
     }
 
-    /// Returns true if the store replied recently and no call failed since.
-    pub fn has_contact(&self, now_ms: TimeMs) -> bool {
-        self.contact.has_contact(now_ms)
+    /// Records that a reader answered a question of `asked_ms`, `age_ms` after the store had replied to it. Returns false
+    /// if its view is too old to be relied on.
+    pub fn record_passed_on_contact(
+        &mut self,
+        asked_ms: TimeMs,
+        age_ms: TimeMs,
+        now_ms: TimeMs,
+        limits: RecoveryLimits,
+    ) -> bool {
+        self.contact.record_passed_on(asked_ms, age_ms, now_ms, limits)
+    }
+
+    /// How long ago the store last replied, to be passed on; none if a call failed since.
+    pub fn contact_age_to_pass_on_ms(&self, now_ms: TimeMs) -> Option<TimeMs> {
+        self.contact.age_to_pass_on_ms(now_ms)
     }
 
     /// The time since the store's last reply; none before the first one.
--- a/crates/gateway/src/peer_loads.rs
+++ b/crates/gateway/src/peer_loads.rs
@@ -185,6 +185,11 @@
     Engines(Vec<EngineParts>),
     /// Requests that the sender lost in crashes, with the crashed incarnations.
     Crashes(Vec<(Fingerprint, EndpointTag)>),
+    /// The question of versions whose answers passed contact with the store on without its age; it gets no answer, so that
+    /// they read the store.
+    RetiredQuestion,
+    /// The answer of such versions; it is ignored.
+    RetiredAnswer,
     /// A question for the state of the store.
     AskView(ViewQuestion),
     /// The answer to such a question.
--- a/crates/gateway/src/store_contact.rs
+++ b/crates/gateway/src/store_contact.rs
@@ -7,7 +7,7 @@
 
 use bilberryford_types::TimeMs;
 
-use crate::settings::Bounds;
+use crate::{readers::passed_on_confirmation, settings::Bounds};
 
 /// How long after the store's first reply an entry may be missing, in milliseconds: its owner writes it again within two
 /// seconds.
@@ -17,9 +17,9 @@
 /// The shortest outage in which an entry can lapse, in heartbeat intervals: it lapses after three of them without a
 /// heartbeat, and the last one may have been due when the outage began.
 const LAPSE_HEARTBEATS: u64 = 2;
-/// The longest time between confirmed replies of the store without an outage, in milliseconds: more than the
-/// wait of one watch and its reply.
-const MAX_CONTACT_GAP_MS: TimeMs = TimeMs(3_500);
+/// How much less than the time for which a leaving endpoint serves the view of a reader may lag, in milliseconds: the
+/// interval of the questions, and a read of the store after the first answer that is too old.
+const VIEW_MARGIN_MS: TimeMs = TimeMs(500);
 
 /// The limits that a deployment sets for the return of entries.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -28,20 +28,28 @@
     pub in_touch_ms: TimeMs,
     /// The interval at which endpoints write their entries.
     pub heartbeat_ms: TimeMs,
+    /// How long a leaving endpoint serves new requests after its departure is listed.
+    pub endpoint_drain_ms: TimeMs,
+}
+
+impl RecoveryLimits {
+    /// The longest age of the store's last reply at which the view of an instance may be passed on.
+    pub const fn max_view_age_ms(&self) -> TimeMs {
+        self.endpoint_drain_ms.since(VIEW_MARGIN_MS)
+    }
 }
 
 impl From<Bounds> for RecoveryLimits {
     fn from(bounds: Bounds) -> Self {
-        Self { in_touch_ms: bounds.in_touch_ms, heartbeat_ms: bounds.heartbeat_ms }
+        let Bounds { in_touch_ms, heartbeat_ms, endpoint_drain_ms, .. } = bounds;
+        Self { in_touch_ms, heartbeat_ms, endpoint_drain_ms }
     }
 }
 
 /// The replies of the store to calls on endpoints.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct StoreContact {
-    /// The last reply to a call on endpoints, by this instance or by one that reads the store for it.
-    endpoints_ms: Option<TimeMs>,
-    /// The last reply to any linearizable call.
+    /// The last reply to a linearizable call, of this instance or of one that reads the store for it.
     reply_ms: Option<TimeMs>,
     /// The start of the last call on endpoints that failed since the last reply.
     failed_ms: Option<TimeMs>,
@@ -59,10 +67,29 @@
             let in_touch_ms = failed_ms.after(limits.in_touch_ms).since(IN_TOUCH_MARGIN_MS);
             self.grace_ends_ms = Some(now_ms.after(REWRITE_MS).min(in_touch_ms));
         }
-        self.endpoints_ms = self.endpoints_ms.max(Some(now_ms));
         self.record_reply(now_ms);
     }
 
+    /// Records what a reader passed on: its last reply was `age_ms` old when it answered a question of `asked_ms`.
+    /// Returns false if that is too old for its view to be relied on.
+    ///
+    /// The age is counted back from the question, so that two instances without the store can't keep each other in
+    /// contact: what is passed on, however often, only ages.
+    pub(crate) fn record_passed_on(
+        &mut self,
+        asked_ms: TimeMs,
+        age_ms: TimeMs,
+        now_ms: TimeMs,
+        limits: RecoveryLimits,
+    ) -> bool {
+        let replied_ms = passed_on_confirmation(asked_ms, age_ms);
+        let is_recent = now_ms.since(replied_ms) <= limits.max_view_age_ms();
+        if is_recent && self.failed_ms.is_none_or(|failed_ms| failed_ms <= replied_ms) {
+            self.record_endpoints(replied_ms, limits);
+        }
+        is_recent
+    }
+
     /// Records a reply to a linearizable call on anything else, which bounds the length of an outage.
     pub(crate) fn record_reply(&mut self, now_ms: TimeMs) {
         self.reply_ms = self.reply_ms.max(Some(now_ms));
@@ -73,15 +100,14 @@
         self.failed_ms = self.failed_ms.max(Some(started_ms));
     }
 
-    /// Returns true if the store replied recently and no call failed since.
-    pub(crate) fn has_contact(&self, now_ms: TimeMs) -> bool {
-        let is_recent = |at: TimeMs| now_ms.since(at) <= MAX_CONTACT_GAP_MS;
-        self.failed_ms.is_none() && self.endpoints_ms.is_some_and(is_recent)
+    /// The age of the last reply to pass on; none if a call on endpoints failed since.
+    pub(crate) fn age_to_pass_on_ms(&self, now_ms: TimeMs) -> Option<TimeMs> {
+        self.reply_ms.filter(|_| self.failed_ms.is_none()).map(|at| now_ms.since(at))
     }
 
-    /// The time since the last reply to a call on endpoints.
+    /// The time since the last reply to any linearizable call.
     pub(crate) fn age_ms(&self, now_ms: TimeMs) -> Option<TimeMs> {
-        self.endpoints_ms.map(|at| now_ms.since(at))
+        self.reply_ms.map(|at| now_ms.since(at))
     }
 
     /// The end of the grace period for missing entries, while it lasts.
--- a/crates/gateway/tests/decisions/endpoints.rs
+++ b/crates/gateway/tests/decisions/endpoints.rs
@@ -1,8 +1,11 @@
 use bilberryford_gateway::{EndpointRecord, EndpointState, EndpointTable, RecoveryLimits};
 use bilberryford_types::{ObjectVersion, PoolName, TimeMs};
 
-const LIMITS: RecoveryLimits =
-    RecoveryLimits { in_touch_ms: TimeMs(3_000), heartbeat_ms: TimeMs(1_200) };
+const LIMITS: RecoveryLimits = RecoveryLimits {
+    in_touch_ms: TimeMs(3_000),
+    heartbeat_ms: TimeMs(1_200),
+    endpoint_drain_ms: TimeMs(2_000),
+};
 
 fn record(id: &str, state: EndpointState) -> EndpointRecord {
     EndpointRecord {
@@ -193,3 +196,34 @@
     }
     assert!(table.remembered() <= 4_096, "{} endpoints", table.remembered());
 }
+
+/// Two instances are cut off from the store and ask each other every 400 ms.
+#[test]
+fn two_instances_without_the_store_do_not_keep_each_other_in_contact() {
+    let mut tables = [table(0), table(0)];
+    let mut last_relied_on_ms = 0;
+    for now_ms in (400..20_000).step_by(400) {
+        let (asked_ms, now_ms) = (TimeMs(now_ms - 10), TimeMs(now_ms));
+        for (asker, reader) in [(0, 1), (1, 0)] {
+            let Some(age_ms) = tables[reader].contact_age_to_pass_on_ms(now_ms) else { continue };
+            if tables[asker].record_passed_on_contact(asked_ms, age_ms, now_ms, LIMITS) {
+                last_relied_on_ms = now_ms.get();
+            }
+        }
+    }
+    assert!(last_relied_on_ms < 2_000, "relied on until {last_relied_on_ms} ms");
+}
+
+/// The failure of an own call counts until the store has replied to somebody after it began.
+#[test]
+fn an_older_reply_that_was_passed_on_does_not_end_an_outage() {
+    let mut table = table(0);
+    table.record_lost_contact(TimeMs(5_000));
+    let is_relied_on = |table: &mut EndpointTable, age_ms| {
+        table.record_passed_on_contact(TimeMs(5_990), TimeMs(age_ms), TimeMs(6_000), LIMITS)
+    };
+    is_relied_on(&mut table, 1_300);
+    assert_eq!(table.contact_age_to_pass_on_ms(TimeMs(6_000)), None);
+    is_relied_on(&mut table, 100);
+    assert!(table.contact_age_to_pass_on_ms(TimeMs(6_000)).is_some());
+}
