Endpoints that say in an answer that they leave, or that they take nothing for a time

Before: only the store's list said that an endpoint leaves, and a 503 with a time was repeated elsewhere like any other, so that a request reached an endpoint for as long as the store was away, and a closed endpoint got each further request (after 150 ms for prompts, at once for calls).

A departure by an answer (responses, refusals, streams, reports, events and lists of caches) is final for the incarnation, whatever the store lists later; an answer of 421 speaks of another endpoint and doesn't count. A closure ends after the named time and a random delay, with one trial. obstacle.rs is the one question whether an endpoint must get no request (departed, closed, full); placement asks it for each candidate, and the forwarder once more before the first byte. A pool that is closed as a whole is refused at once with the first reopening. Weight orders and reports are no requests of callers and pass. Peers are not told: the rule binds the instance that passed the answer on.

--- a/crates/gateway/src/controllers.rs
+++ b/crates/gateway/src/controllers.rs
@@ -13,6 +13,7 @@
 
 use std::sync::Arc;
 
+pub(crate) use endpoints::record_changes;
 pub(crate) use shared_view::{ReadMode, ViewAnswer, ViewQuestion};
 use tokio::task::JoinSet;
 
--- a/crates/gateway/src/controllers/caches.rs
+++ b/crates/gateway/src/controllers/caches.rs
@@ -161,6 +161,7 @@
             return false;
         };
         let received_ms = gateway.clock.now();
+        record_departure(gateway, address, changes.is_leaving);
         forward_changes(gateway, address, since, &changes);
         with_view(gateway, address, |view| view.apply_changes(changes, received_ms));
         if with_view(gateway, address, |view| view.cursor()).flatten().is_some() {
@@ -169,6 +170,7 @@
     }
     match gateway.caches.snapshot(address).await {
         Some(snapshot) => {
+            record_departure(gateway, address, snapshot.is_leaving);
             with_view(gateway, address, |view| view.apply_snapshot(snapshot, requested_ms));
             true
         }
@@ -176,6 +178,14 @@
     }
 }
 
+/// Records that the engine at `address` leaves, if its answer said so. Stores have no incarnations to leave.
+fn record_departure(gateway: &Gateway, address: SocketAddr, is_leaving: bool) {
+    let incarnation = with_view(gateway, address, |view| view.traits().incarnation).flatten();
+    if let Some(incarnation) = incarnation.filter(|_| is_leaving) {
+        gateway.record_departure(incarnation);
+    }
+}
+
 /// Forwards a holder's changes to the peers that are not subscribed to it, if there are any.
 fn forward_changes(gateway: &Gateway, address: SocketAddr, since: u64, changes: &CacheChanges) {
     let Some(traits) = with_view(gateway, address, |view| view.traits().clone()) else { return };
--- a/crates/gateway/src/controllers/endpoints.rs
+++ b/crates/gateway/src/controllers/endpoints.rs
@@ -23,7 +23,7 @@
 pub(super) struct EndpointHandler;
 
 /// Logs changes of endpoints, and records the incarnations that ended.
-pub(super) fn record_changes(gateway: &Gateway, changes: impl IntoIterator<Item = EndpointChange>) {
+pub(crate) fn record_changes(gateway: &Gateway, changes: impl IntoIterator<Item = EndpointChange>) {
     for change in changes {
         log::info!(
             target: "belief", endpoint:% = change.id, what = change.kind, state:% = change.state,
--- a/crates/gateway/src/controllers/weight_orders.rs
+++ b/crates/gateway/src/controllers/weight_orders.rs
@@ -20,6 +20,7 @@
 use crate::{
     endpoints::EndpointRecord,
     gateway::Gateway,
+    peer_loads::EndpointTag,
     rollout::{EngineWeights, plan_weights},
     translation::{OrderReply, WeightLoad, WeightTarget},
 };
@@ -291,6 +292,10 @@
             let reported = report.as_ref().and_then(|report| {
                 report.models.iter().find(|(model, _)| *model == target.model).map(|(_, v)| *v)
             });
+            if report.as_ref().is_some_and(|report| report.is_leaving) {
+                let incarnation = EndpointTag::new(record.id.as_str(), record.started_ms);
+                self.gateway.record_departure(incarnation);
+            }
             let needed_report = loaded.max(listed).is_none_or(|version| version < target.version);
             if let Some(version) = reported.filter(|version| *version >= target.version) {
                 self.loaded.insert(incarnation_key(record), (now_ms, version));
--- a/crates/gateway/src/departed.rs
+++ b/crates/gateway/src/departed.rs
@@ -8,7 +8,10 @@
 
 use bilberryford_types::{EndpointId, ObjectVersion, TimeMs};
 
-use crate::endpoints::{EndpointRecord, EndpointState};
+use crate::{
+    endpoints::{EndpointRecord, EndpointState},
+    peer_loads::EndpointTag,
+};
 
 /// The most endpoints that are remembered: those that a large fleet replaces in a day.
 const MAX_ENDPOINTS: usize = 4_096;
@@ -84,6 +87,16 @@
         self.entries.get(id).copied()
     }
 
+    /// Records that an incarnation said that it leaves, if it is remembered.
+    pub(crate) fn record_departure(&mut self, incarnation: EndpointTag) {
+        let is_subject = |id: &EndpointId, last: &LastEntry| {
+            EndpointTag::new(id.as_str(), last.started_ms) == incarnation
+        };
+        for (_, last) in self.entries.iter_mut().filter(|(id, last)| is_subject(id, last)) {
+            last.has_left = true;
+        }
+    }
+
     pub(crate) fn len(&self) -> usize {
         self.entries.len()
     }
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -221,6 +221,26 @@
         Some(entry)
     }
 
+    /// Records that an incarnation said itself that it leaves. Returns no change if that is known.
+    pub fn record_departure(&mut self, incarnation: EndpointTag) -> Option<EndpointChange> {
+        self.departed.record_departure(incarnation);
+        let is_subject = |entry: &&mut Entry| {
+            entry.record.state == EndpointState::Ready && entry.incarnation() == incarnation
+        };
+        let entry = self.entries.values_mut().find(is_subject)?;
+        entry.record.state = EndpointState::Leaving;
+        Some(entry.changed("said_that_it_leaves"))
+    }
+
+    /// True if this incarnation of an endpoint accepts requests at `now_ms`.
+    pub fn is_ready(&self, id: &EndpointId, incarnation: EndpointTag, now_ms: TimeMs) -> bool {
+        self.entries.get(id).is_some_and(|entry| {
+            entry.record.state == EndpointState::Ready
+                && entry.incarnation() == incarnation
+                && !entry.is_expired(now_ms)
+        })
+    }
+
     /// The number of removed endpoints that are remembered.
     pub fn remembered(&self) -> usize {
         self.departed.len()
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -176,6 +176,11 @@
                 REFUSAL_RETRY_MS,
             ));
         }
+        if let Some(obstacle) = self.gateway.obstacle(&candidate) {
+            self.record.notes.push(obstacle.into());
+            progress.unsent_attempts += 1;
+            return self.after_unsent(progress);
+        }
         if progress.sent_attempts == 0 {
             self.gateway.record_first_attempt(&self.service);
         }
@@ -201,6 +206,9 @@
                 progress.sent_attempts += 1;
                 progress.possible_runs += 1;
                 progress.tried.push(candidate.id.clone());
+                if let Some(closed_for_ms) = facts.closed_for_ms {
+                    self.gateway.record_closure(&candidate.id, closed_for_ms);
+                }
                 if response.status().is_server_error() && self.may_retry(progress) {
                     self.record.notes.push("endpoint_error");
                     self.gateway.update_health(
@@ -279,6 +287,9 @@
                 });
             }
         }
+        if let Some(closed_for_ms) = facts.closed_for_ms {
+            self.gateway.record_closure(&candidate.id, closed_for_ms);
+        }
         if progress.sent_attempts < MAX_SENT_ATTEMPTS {
             return Ok(None);
         }
--- a/crates/gateway/src/forward/choose.rs
+++ b/crates/gateway/src/forward/choose.rs
@@ -1,6 +1,6 @@
 //! Chooses the endpoint for an attempt, and plans the transfers of its prompt's parts.
 
-use bilberryford_types::{ErrorKind, TimeMs};
+use bilberryford_types::{EndpointId, ErrorKind, TimeMs};
 
 use super::{Forward, NO_ENDPOINT_RETRY_MS, Progress};
 use crate::{
@@ -9,6 +9,7 @@
     cache_scope::CacheScope,
     gateway::target_engine,
     in_flight::TokenDemand,
+    obstacle::Obstacle,
     part_plan::{PartPlan, plan_parts, shared_parts},
     placement::{Candidate, PlacementRequest, PromptShape, Reason, place},
     responses::ErrorResponse,
@@ -27,6 +28,16 @@
     pub(super) demand: TokenDemand,
 }
 
+/// The time at which the first of the endpoints that closed themselves takes requests again.
+fn earliest_reopening_ms(candidates: &[Candidate], tried: &[EndpointId]) -> Option<TimeMs> {
+    let untried = candidates.iter().filter(|candidate| !tried.contains(&candidate.id));
+    let reopenings = untried.filter_map(|candidate| match candidate.obstacle {
+        Some(Obstacle::Closed { until_ms }) => Some(until_ms),
+        _ => None,
+    });
+    reopenings.min()
+}
+
 impl Forward {
     /// The priority rank: the team's rank, subdivided by the route's.
     pub(super) fn rank(&self) -> u8 {
@@ -68,13 +79,17 @@
             self.record.placed = choice.reason.into();
             let kind = match choice.reason {
                 Reason::AllTried => ErrorKind::EndpointRefused,
-                Reason::AllFull => ErrorKind::Overloaded,
+                Reason::AllFull | Reason::AllClosed => ErrorKind::Overloaded,
                 _ => ErrorKind::NoEndpoint,
             };
-            return Err(ErrorResponse::with_retry_after(
-                progress.error_kind(kind),
-                NO_ENDPOINT_RETRY_MS,
-            ));
+            let reopening_ms = earliest_reopening_ms(&candidates, &progress.tried);
+            let retry_after_ms = match reopening_ms {
+                Some(at_ms) if choice.reason == Reason::AllClosed => {
+                    at_ms.since(self.gateway.clock.now())
+                }
+                _ => NO_ENDPOINT_RETRY_MS,
+            };
+            return Err(ErrorResponse::with_retry_after(progress.error_kind(kind), retry_after_ms));
         };
         if progress.sent_attempts == 0 && request.prompt.is_some() && choice.reason != Reason::Trial
         {
--- a/crates/gateway/src/forward/send.rs
+++ b/crates/gateway/src/forward/send.rs
@@ -126,7 +126,7 @@
                 in_flight.record_loss();
                 SendOutcome::Lost("connection_lost")
             }
-            Ok(Ok(response)) => self.classify_response(response, connection),
+            Ok(Ok(response)) => self.classify_response(response, connection, candidate),
         }
     }
 
@@ -134,8 +134,13 @@
         &self,
         response: Response<Incoming>,
         mut connection: Connection,
+        candidate: &Candidate,
     ) -> SendOutcome {
         let facts = self.gateway.translation.read_response(response.status(), response.headers());
+        // The endpoint that a request did not reach speaks of itself, not of the candidate.
+        if facts.is_leaving && !facts.is_misdirected {
+            self.gateway.record_departure(candidate.incarnation);
+        }
         let is_for_other_request =
             facts.request_id.is_some() && facts.request_id != self.facts.request_id;
         if is_for_other_request {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -12,6 +12,7 @@
 use bilberryford_platform::ObjectStore;
 use bilberryford_types::{Bytes, EndpointId, ModelName, PoolName, TimeMs};
 use parking_lot::Mutex;
+use rand::RngExt;
 use tokio::sync::Notify;
 
 use crate::{
@@ -19,13 +20,14 @@
     change_log::ChangeLog,
     clock::Clock,
     connections::{ConnectionPool, connection_share},
-    controllers::ReadMode,
+    controllers::{ReadMode, record_changes},
     deployment::{CallerLimits, Deployment},
     endpoints::EndpointTable,
     health::{CircuitState, EndpointHealth},
     key_validity::KeyValidity,
     local_state::LocalState,
     metrics::{Metrics, MetricsError},
+    obstacle::{Obstacle, SendFacts, obstacle},
     part_plan::{LocatedParts, PrefixFacts, TargetEngine},
     peer_loads::{EndpointTag, PeerLoads, PendingEngineParts, StorePartsMessage},
     placement::Candidate,
@@ -45,6 +47,9 @@
 /// How long before the bound the deadline of requests at engines with older weights is, in milliseconds.
 const OLD_WEIGHTS_END_MS: TimeMs = TimeMs(300);
 
+/// The longest random delay after the end of a closure, in milliseconds.
+const MAX_REOPENING_DELAY_MS: u64 = 500;
+
 /// An error in the set-up of a gateway.
 #[derive(Debug, thiserror::Error)]
 pub enum SetupError {
@@ -222,7 +227,15 @@
                     address: record.address,
                     is_local: record.data_centre == self.settings.data_centre,
                     circuit: if is_loading { CircuitState::Open } else { circuit },
-                    is_full: state.in_flight >= share,
+                    obstacle: obstacle(
+                        &SendFacts {
+                            is_ready: true,
+                            closed_until_ms: state.closed_until_ms,
+                            in_flight: state.in_flight,
+                            connection_share: share,
+                        },
+                        now_ms,
+                    ),
                     in_flight: state.in_flight.saturating_add(load.in_flight),
                     waiting_tokens: state.waiting.ahead_of(rank) + load.waiting_tokens,
                     free_memory_tokens: memory_tokens
@@ -238,6 +251,46 @@
             .collect()
     }
 
+    /// Returns the reason why a request that was placed must not be sent after all. It counts at the endpoint already.
+    pub(crate) fn obstacle(&self, candidate: &Candidate) -> Option<Obstacle> {
+        let now_ms = self.clock.now();
+        let is_ready = self.endpoints.lock().is_ready(&candidate.id, candidate.incarnation, now_ms);
+        let local = self.local.lock();
+        let closed_until_ms = local.get(&candidate.id).and_then(|state| state.closed_until_ms);
+        drop(local);
+        let facts =
+            SendFacts { is_ready, closed_until_ms, in_flight: 0, connection_share: u32::MAX };
+        obstacle(&facts, now_ms)
+    }
+
+    /// Records that an incarnation of an endpoint said in an answer that it leaves.
+    pub(crate) fn record_departure(&self, incarnation: EndpointTag) {
+        let change = self.endpoints.lock().record_departure(incarnation);
+        if let Some(change) = change {
+            self.connections.close_idle(&change.id);
+            record_changes(self, [change]);
+        }
+    }
+
+    /// Records that `endpoint` takes no request of this instance for `closed_for_ms`.
+    ///
+    /// A single trial follows, after a random delay, so that the instances that were refused do not return at once.
+    pub(crate) fn record_closure(&self, endpoint: &EndpointId, closed_for_ms: TimeMs) {
+        let max_delay_ms = (closed_for_ms.get() / 4).min(MAX_REOPENING_DELAY_MS);
+        let delay_ms = TimeMs(rand::rng().random_range(0..=max_delay_ms));
+        let pause_ms = closed_for_ms.after(delay_ms);
+        if let Some(state) = self.local.lock().get_mut(endpoint) {
+            state.closed_until_ms =
+                state.closed_until_ms.max(Some(self.clock.now().after(pause_ms)));
+        }
+        self.update_health(endpoint, "closed", |health, now_ms| health.pause(now_ms, pause_ms));
+        log::info!(
+            target: "belief", endpoint:% = endpoint, closed_for_ms = closed_for_ms.get(),
+            reopening_delay_ms = delay_ms.get();
+            "endpoint closed itself to this instance"
+        );
+    }
+
     /// Sets which of a prompt's shared parts each candidate has cached or can fetch.
     pub(crate) fn fill_prefix_facts(
         &self,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,6 +24,7 @@
 mod key_validity;
 mod local_state;
 mod metrics;
+mod obstacle;
 mod part_plan;
 mod peer_loads;
 mod placement;
@@ -56,6 +57,7 @@
 pub use gateway::{Gateway, SetupError};
 pub use health::{CircuitState, EndpointHealth};
 pub use key_validity::KeyValidity;
+pub use obstacle::{Obstacle, SendFacts, obstacle};
 pub use part_plan::{LocatedParts, PartPlan, PrefixFacts, TargetEngine, Transfer, plan_parts};
 pub use peer_loads::{
     EndpointLoad, EndpointTag, EngineParts, LoadMessage, PeerLoad, PeerLoads, PendingEngineParts,
--- a/crates/gateway/src/local_state.rs
+++ b/crates/gateway/src/local_state.rs
@@ -25,6 +25,8 @@
     pub(crate) last_received_ms: TimeMs,
     /// The time until which an order of this instance to load weights is assumed to be in progress.
     pub(crate) loading_until_ms: Option<TimeMs>,
+    /// The time until which it takes no request of this instance, on its own word.
+    pub(crate) closed_until_ms: Option<TimeMs>,
 }
 
 impl LocalState {
@@ -35,6 +37,7 @@
         self.observed_weights = None;
         self.slowness = Slowness::default();
         self.loading_until_ms = None;
+        self.closed_until_ms = None;
     }
 
     pub(crate) fn is_loading(&self, now_ms: TimeMs) -> bool {
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -20,6 +20,7 @@
 
 use crate::{
     health::CircuitState,
+    obstacle::Obstacle,
     part_plan::{PrefixFacts, TOKENS_PER_FETCH_MS},
     peer_loads::EndpointTag,
 };
@@ -53,8 +54,8 @@
     pub is_local: bool,
     /// The state of its circuit.
     pub circuit: CircuitState,
-    /// True if this instance uses its full share of connections there; the endpoint would reset a further one.
-    pub is_full: bool,
+    /// The reason why it must get no request, if there is one.
+    pub obstacle: Option<Obstacle>,
     /// The requests of all instances that are in flight there, as far as is known.
     pub in_flight: u32,
     /// The prompt tokens of these requests that it has yet to prefill.
@@ -126,6 +127,8 @@
     AllTried,
     /// This instance uses its full share of connections to each endpoint.
     AllFull,
+    /// Each endpoint takes no request for some time, on its own word, or is full.
+    AllClosed,
     /// No endpoint has a weight version that may be used.
     OldWeights,
 }
@@ -174,10 +177,14 @@
     if untried.is_empty() {
         return Choice::none(Reason::AllTried);
     }
-    let usable: Vec<usize> =
-        untried.into_iter().filter(|&index| !candidates[index].is_full).collect();
+    let (usable, blocked): (Vec<usize>, Vec<usize>) =
+        untried.into_iter().partition(|&index| candidates[index].obstacle.is_none());
     if usable.is_empty() {
-        return Choice::none(Reason::AllFull);
+        let is_closed =
+            |index: &usize| matches!(candidates[*index].obstacle, Some(Obstacle::Closed { .. }));
+        let reason =
+            if blocked.iter().any(is_closed) { Reason::AllClosed } else { Reason::AllFull };
+        return Choice::none(reason);
     }
     let with_circuit = |state: CircuitState| {
         usable.iter().copied().filter(move |&index| candidates[index].circuit == state)
--- a/crates/gateway/src/translation.rs
+++ b/crates/gateway/src/translation.rs
@@ -87,6 +87,10 @@
     pub is_not_run: bool,
     /// True if the endpoint refused because it isn't the intended one or has other weights.
     pub is_misdirected: bool,
+    /// True if the endpoint states that it leaves.
+    pub is_leaving: bool,
+    /// How long it takes no further request of this instance, if it refused this one and said so.
+    pub closed_for_ms: Option<TimeMs>,
 }
 
 /// A header or stored object that can't be decoded.
@@ -177,6 +181,9 @@
     pub has_gap: bool,
     /// The changes, oldest first.
     pub changes: Vec<CacheChange>,
+    /// True if the holder states that it leaves. It is not passed on to peers.
+    #[serde(skip)]
+    pub is_leaving: bool,
 }
 
 /// The complete contents of a store or an engine's memory.
@@ -190,6 +197,8 @@
     pub parts: Vec<(PartKey, Tokens)>,
     /// The space that incomplete parts occupy, in tokens.
     pub incomplete_tokens: u64,
+    /// True if the holder states that it leaves.
+    pub is_leaving: bool,
 }
 
 /// Reads the contents of stores and engines' memories, and frees parts in stores.
@@ -223,6 +232,8 @@
     pub accepted_orders: u64,
     /// Its models with the versions of their weights.
     pub models: Vec<(ModelName, u64)>,
+    /// True if it states that it leaves.
+    pub is_leaving: bool,
 }
 
 /// The reply of an engine to an order.
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -7,6 +7,7 @@
     mod endpoints;
     mod health;
     mod key_validity;
+    mod obstacle;
     mod peer_loads;
     mod placement;
     mod quarantine;
--- a/crates/gateway/tests/decisions/cache_index.rs
+++ b/crates/gateway/tests/decisions/cache_index.rs
@@ -37,7 +37,7 @@
         key: PartKey { scope: SCOPE.to_owned(), id: (*id).to_owned() },
         tokens: tokens.map(Tokens),
     });
-    CacheChanges { epoch, next: 9, has_gap: false, changes: changes.collect() }
+    CacheChanges { epoch, next: 9, has_gap: false, changes: changes.collect(), is_leaving: false }
 }
 
 fn prompt_parts() -> Vec<PromptPart> {
@@ -257,7 +257,7 @@
                 address: address(last),
                 is_local: true,
                 circuit: CircuitState::Closed,
-                is_full: false,
+                obstacle: None,
                 in_flight: 2,
                 waiting_tokens: 0,
                 free_memory_tokens: None,
--- a/crates/gateway/tests/decisions/placement.rs
+++ b/crates/gateway/tests/decisions/placement.rs
@@ -1,8 +1,8 @@
 use std::collections::HashMap;
 
 use bilberryford_gateway::{
-    Candidate, CircuitState, EndpointTag, PlacementRequest, PrefixFacts, PromptShape, Reason,
-    connection_share, place,
+    Candidate, CircuitState, EndpointTag, Obstacle, PlacementRequest, PrefixFacts, PromptShape,
+    Reason, connection_share, place,
 };
 use bilberryford_types::TimeMs;
 use rand::{RngExt, SeedableRng, rngs::StdRng};
@@ -14,7 +14,7 @@
         address: ([10, 0, 0, index], 80).into(),
         is_local: false,
         circuit: CircuitState::Closed,
-        is_full: false,
+        obstacle: None,
         in_flight: 0,
         waiting_tokens: 0,
         free_memory_tokens: None,
@@ -183,7 +183,7 @@
     for tie_break_seed in 0..60 {
         for (candidate, placed) in pool.iter_mut().zip(placed) {
             candidate.in_flight = placed;
-            candidate.is_full = placed >= share;
+            candidate.obstacle = (placed >= share).then_some(Obstacle::Full);
         }
         match place(&pool, &call(tie_break_seed)).index {
             Some(index) => placed[index] += 1,
@@ -234,3 +234,16 @@
     let (unknown, known) = (count_overflows(false), count_overflows(true));
     assert!(known * 3 <= unknown, "{known} with the memory known, {unknown} without");
 }
+
+/// A pool in which one endpoint closed itself to this instance and the others are full.
+#[test]
+fn a_pool_that_is_closed_or_full_takes_no_request() {
+    let mut pool = pool(2);
+    pool[0].obstacle = Some(Obstacle::Full);
+    assert_eq!(place(&pool, &call(0)).index, Some(1));
+    pool[1].obstacle = Some(Obstacle::Closed { until_ms: TimeMs(5) });
+    assert_eq!(place(&pool, &call(0)).reason, Reason::AllClosed);
+    // An open circuit is a guess, which gives way when there is no other endpoint; an obstacle does not.
+    pool[0].circuit = CircuitState::Open;
+    assert_eq!(place(&pool, &call(0)).index, None);
+}
