An instance whose readers are all cut off reads the store within the bound of a change

Cause: an answer was relied on until the reader's last confirmation was 1.3 intervals old (1,820 ms); the next question came up to 400 ms later.

--- a/crates/gateway/src/controllers/shared_view.rs
+++ b/crates/gateway/src/controllers/shared_view.rs
@@ -24,7 +24,7 @@
 };
 use crate::{
     change_log::MissedChanges, gateway::Gateway, peer_loads::PeerMessage,
-    readers::passed_on_confirmation, rollout::PublishedWeights,
+    readers::passed_on_confirmation, rollout::PublishedWeights, store_contact::RecoveryLimits,
 };
 
 /// The interval between two questions, in milliseconds. It bounds how much later than a reader this instance learns of
@@ -125,11 +125,6 @@
     }
 }
 
-/// The longest age of a confirmation that a reader passes on: more than the interval of its reads and one failed read.
-fn max_confirmation_age_ms(gateway: &Gateway) -> TimeMs {
-    TimeMs(config::confirm_interval_ms(gateway).get() * 13 / 10)
-}
-
 /// Asks readers for the state of the store, for as long as the gateway runs.
 pub(super) async fn ask(gateway: &Gateway, socket: &UdpSocket, addresses: &PeerAddresses) {
     loop {
@@ -199,13 +194,13 @@
 pub(super) fn apply(gateway: &Arc<Gateway>, from: SocketAddr, answer: ViewAnswer) {
     let asked_ms = answer.asked_ms;
     let now_ms = gateway.clock.now();
+    let limits = RecoveryLimits::from(gateway.bounds());
     let confirmed_age_ms =
-        answer.confirmed_age_ms.filter(|age_ms| *age_ms < max_confirmation_age_ms(gateway));
+        answer.confirmed_age_ms.filter(|age_ms| *age_ms <= limits.max_view_age_ms());
     // An answer that was under way for long says nothing of the reader's present state.
     if asked_ms > now_ms || now_ms.since(asked_ms) >= ANSWER_EXPIRY_MS {
         return;
     }
-    let limits = gateway.bounds().into();
     let has_contact = answer.contact_age_ms.is_some_and(|age_ms| {
         gateway.endpoints.lock().record_passed_on_contact(asked_ms, age_ms, now_ms, limits)
     });
--- a/crates/gateway/src/store_contact.rs
+++ b/crates/gateway/src/store_contact.rs
@@ -17,8 +17,8 @@
 /// The shortest outage in which an entry can lapse, in heartbeat intervals: it lapses after three of them without a
 /// heartbeat, and the last one may have been due when the outage began.
 const LAPSE_HEARTBEATS: u64 = 2;
-/// How much less than the time for which a leaving endpoint serves the view of a reader may lag, in milliseconds: the
-/// interval of the questions, and a read of the store after the first answer that is too old.
+/// How much less than the shortest bound of a change the view of a reader may lag, in milliseconds: the interval of the
+/// questions, and a read of the store after the first answer that is too old.
 const VIEW_MARGIN_MS: TimeMs = TimeMs(500);
 
 /// The limits that a deployment sets for the return of entries.
@@ -30,19 +30,23 @@
     pub heartbeat_ms: TimeMs,
     /// How long a leaving endpoint serves new requests after its departure is listed.
     pub endpoint_drain_ms: TimeMs,
+    /// The time within which a new configuration must be in force.
+    pub config_propagation_ms: TimeMs,
 }
 
 impl RecoveryLimits {
-    /// The longest age of the store's last reply at which the view of an instance may be passed on.
-    pub const fn max_view_age_ms(&self) -> TimeMs {
-        self.endpoint_drain_ms.since(VIEW_MARGIN_MS)
+    /// The longest age of the store's last reply, and of the last confirmation of the configuration, at which the view of
+    /// a reader may be relied on.
+    pub fn max_view_age_ms(&self) -> TimeMs {
+        self.endpoint_drain_ms.min(self.config_propagation_ms).since(VIEW_MARGIN_MS)
     }
 }
 
 impl From<Bounds> for RecoveryLimits {
     fn from(bounds: Bounds) -> Self {
-        let Bounds { in_touch_ms, heartbeat_ms, endpoint_drain_ms, .. } = bounds;
-        Self { in_touch_ms, heartbeat_ms, endpoint_drain_ms }
+        let Bounds { in_touch_ms, heartbeat_ms, .. } = bounds;
+        let Bounds { endpoint_drain_ms, config_propagation_ms, .. } = bounds;
+        Self { in_touch_ms, heartbeat_ms, endpoint_drain_ms, config_propagation_ms }
     }
 }
 
--- a/crates/gateway/tests/decisions/endpoints.rs
+++ b/crates/gateway/tests/decisions/endpoints.rs
@@ -5,6 +5,7 @@
     in_touch_ms: TimeMs(3_000),
     heartbeat_ms: TimeMs(1_200),
     endpoint_drain_ms: TimeMs(2_000),
+    config_propagation_ms: TimeMs(2_000),
 };
 
 fn record(id: &str, state: EndpointState) -> EndpointRecord {
--- a/crates/gateway/tests/decisions/readers.rs
+++ b/crates/gateway/tests/decisions/readers.rs
@@ -3,8 +3,11 @@
 
 use std::{collections::HashMap, net::SocketAddr};
 
-use bilberryford_gateway::{KeyValidity, ReaderSelection, passed_on_confirmation};
+use bilberryford_gateway::{
+    EndpointTable, KeyValidity, ReaderSelection, RecoveryLimits, passed_on_confirmation,
+};
 use bilberryford_types::TimeMs;
+use rand::{RngExt, SeedableRng, rngs::StdRng};
 use rstest::rstest;
 
 const EXPIRY_MS: TimeMs = TimeMs(1_600);
@@ -343,3 +346,48 @@
         confirmed_ms = passed_on;
     }
 }
+
+/// Both readers are cut off from the store at once, and a change is made right after that. An instance that asks them is
+/// in touch itself, so that it has to rely on them no longer than the bound of the change allows.
+#[rstest]
+#[case::small_deployment(2_000, 1_400)]
+#[case::large_deployment(4_000, 2_250)]
+fn an_instance_whose_readers_are_all_cut_off_reads_the_store_in_time(
+    #[case] bound_ms: u64,
+    #[case] confirm_ms: u64,
+) {
+    const CUT_MS: u64 = 10_000;
+    /// The time of a list of the store.
+    const LIST_MS: u64 = 50;
+    let limits = RecoveryLimits {
+        in_touch_ms: TimeMs(3_000),
+        heartbeat_ms: TimeMs(1_200),
+        endpoint_drain_ms: TimeMs(bound_ms),
+        config_propagation_ms: TimeMs(bound_ms),
+    };
+    let mut random = StdRng::seed_from_u64(27);
+    for _ in 0..2_000 {
+        // The last replies to the two readers, which confirm the configuration at their intervals.
+        let readers = [(); 2].map(|()| {
+            let mut table = EndpointTable::default();
+            let replied_ms = CUT_MS - random.random_range(0..confirm_ms);
+            table.record_contact(TimeMs(replied_ms), limits);
+            table
+        });
+        let mut asker = EndpointTable::default();
+        let mut now_ms = CUT_MS + random.random_range(0..ASK_MS);
+        let mut turn = 0;
+        let relies_on = |table: &EndpointTable, asker: &mut EndpointTable, now_ms: u64| {
+            let (asked_ms, now_ms) = (TimeMs(now_ms - 2), TimeMs(now_ms));
+            table.contact_age_to_pass_on_ms(now_ms).is_some_and(|age_ms| {
+                asker.record_passed_on_contact(asked_ms, age_ms, now_ms, limits)
+            })
+        };
+        while relies_on(&readers[turn % 2], &mut asker, now_ms) {
+            turn += 1;
+            now_ms += random.random_range(ASK_MS * 3 / 4..=ASK_MS);
+        }
+        let known_ms = now_ms + LIST_MS - CUT_MS;
+        assert!(known_ms <= bound_ms, "the change is known {known_ms} ms after the cut");
+    }
+}
