A version of the store is an era and a revision

Cause: a store that comes back from a copy gives its revisions out again. The list after the 410 ended before the view and was ignored, entries with revisions not above the known ones too, until the counter had caught up: departures were not seen and new endpoints not used. A watch from a revision that exists twice got a history with a gap; readers and askers of two eras exchanged batches that don't belong together; the next holder of the lease could have a fencing number below what endpoints had seen; the instance's registration was lost.

One log line for each new era. The type has no number to compare: get() is gone.

Not built: the drill in the model of readers and in the stand-in of serve.

--- a/crates/coord/examples/embed.rs
+++ b/crates/coord/examples/embed.rs
@@ -50,7 +50,7 @@
         if current != update.expected {
             return LeaseWriteOutcome::Conflict;
         }
-        let version = ObjectVersion(current.get() + 1);
+        let version = ObjectVersion::new(current.revision() + 1);
         self.object = Some(LeaseObject { version, record: update.record });
         LeaseWriteOutcome::Applied(version)
     }
--- a/crates/coord/src/lease.rs
+++ b/crates/coord/src/lease.rs
@@ -12,9 +12,12 @@
 //! first read that version, and its conditional update fails if the version has changed. Its measurement therefore
 //! starts later and ends later, whatever was lost, delayed or paused in between.
 
-use bilberryford_types::{Fencing, Incarnation, InstanceId, ObjectVersion, TimeMs};
+use bilberryford_types::{Fencing, Incarnation, InstanceId, ObjectVersion, StoreEra, TimeMs};
 use serde::{Deserialize, Serialize};
 
+/// The number of bits of a fencing number that count acquisitions within one era of the store.
+const ACQUISITION_BITS: u32 = 32;
+
 /// One incarnation of an instance as the holder of a lease; a restarted instance is a different holder.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeaseHolder {
@@ -107,6 +110,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct Watching {
     first_read: Option<FirstRead>,
+    era: StoreEra,
 }
 
 /// A version of the object with the time at which this instance first read it.
@@ -228,28 +232,57 @@
     }
 
     /// Applies the result of a read; `now` is the time *after* the response arrived.
-    pub fn observe(mut self, found: Option<&LeaseObject>, now: TimeMs) -> WatchOutcome {
+    pub fn observe(self, found: Option<&LeaseObject>, now: TimeMs) -> WatchOutcome {
+        // In a later era, the object of a holder that still acts may be among what the store lost.
+        let may_have_lost_holder = self.state.era > StoreEra(0);
         let Some(object) = found else {
+            if may_have_lost_holder {
+                let (absent, duration) =
+                    (ObjectVersion::in_era(self.state.era, 0), self.terms.duration);
+                return self.wait_or_acquire(absent, duration, Fencing(0), now);
+            }
             return self.acquire(ObjectVersion::ABSENT, Fencing(0), now);
         };
         // A record of this incarnation that is not held here: no one can act under it, so it need not expire.
-        if object.record.holder.is_none() || self.is_holder_of(&object.record) {
+        let is_free = object.record.holder.is_none() || self.is_holder_of(&object.record);
+        if is_free && !may_have_lost_holder {
             return self.acquire(object.version, object.record.fencing, now);
         }
-        let first_read = self.state.first_read.filter(|read| read.version == object.version);
-        let first_read = first_read.unwrap_or(FirstRead { version: object.version, at: now });
-        let until = first_read.at.after(object.record.duration_ms.max(self.terms.duration));
+        let duration = object.record.duration_ms.max(self.terms.duration);
+        self.wait_or_acquire(object.version, duration, object.record.fencing, now)
+    }
+
+    /// Acquires the lease if its object has had `version` for `duration`.
+    fn wait_or_acquire(
+        mut self,
+        version: ObjectVersion,
+        duration: TimeMs,
+        last_fencing: Fencing,
+        now: TimeMs,
+    ) -> WatchOutcome {
+        let first_read = self.state.first_read.filter(|read| read.version == version);
+        let first_read = first_read.unwrap_or(FirstRead { version, at: now });
+        let until = first_read.at.after(duration);
         if now >= until {
-            return self.acquire(object.version, object.record.fencing, now);
+            let expected = if version.revision() == 0 { ObjectVersion::ABSENT } else { version };
+            return self.acquire(expected, last_fencing, now);
         }
         self.state.first_read = Some(first_read);
         WatchOutcome::Wait { lease: self, until }
     }
 
+    /// States that the store is in `era`: the next fencing number is above all those of earlier eras, which the object
+    /// of this era may not name.
+    pub fn in_era(mut self, era: StoreEra) -> Self {
+        self.state.era = era;
+        self
+    }
+
     fn acquire(self, expected: ObjectVersion, last_fencing: Fencing, now: TimeMs) -> WatchOutcome {
+        let first_of_era = self.state.era.get() << ACQUISITION_BITS;
         let record = LeaseRecord {
             holder: Some(self.holder.clone()),
-            fencing: Fencing(last_fencing.get() + 1),
+            fencing: Fencing((last_fencing.get() + 1).max(first_of_era)),
             duration_ms: self.terms.duration,
         };
         let update = LeaseUpdate { expected, record };
@@ -293,6 +326,11 @@
         self.state.fencing
     }
 
+    /// The version that this holder wrote last.
+    pub const fn version(&self) -> ObjectVersion {
+        self.state.version
+    }
+
     /// The time at which this holder stops acting, unless a renewal succeeds before.
     pub const fn stops_at(&self) -> TimeMs {
         self.state.counted_from.after(self.terms.duration.since(self.terms.margin))
--- a/crates/coord/tests/config.rs
+++ b/crates/coord/tests/config.rs
@@ -8,7 +8,7 @@
 fn stamp(generation: u64, content: u8) -> ConfigStamp {
     ConfigStamp {
         generation: Generation(generation),
-        version: ObjectVersion(generation * 10),
+        version: ObjectVersion::new(generation * 10),
         digest: Digest([content; 32]),
     }
 }
--- a/crates/coord/tests/lease.rs
+++ b/crates/coord/tests/lease.rs
@@ -7,7 +7,7 @@
     AcquireOutcome, Held, Lease, LeaseHolder, LeaseObject, LeaseRecord, LeaseTerms, LeaseUpdate,
     LeaseWriteOutcome, RenewalOutcome, WatchOutcome, Watching,
 };
-use bilberryford_types::{Fencing, Incarnation, ObjectVersion, TimeMs};
+use bilberryford_types::{Fencing, Incarnation, ObjectVersion, StoreEra, TimeMs};
 use proptest::prelude::*;
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use rstest::rstest;
@@ -24,7 +24,7 @@
         fencing: Fencing(fencing),
         duration_ms: TERMS.duration,
     };
-    LeaseObject { version: ObjectVersion(version), record }
+    LeaseObject { version: ObjectVersion::new(version), record }
 }
 
 fn watching(name: &str) -> Lease<Watching> {
@@ -35,7 +35,8 @@
     let WatchOutcome::Acquire { lease, .. } = watching(name).observe(None, TimeMs(now)) else {
         panic!("an absent lease was not free");
     };
-    let AcquireOutcome::Held(lease) = lease.on_write(LeaseWriteOutcome::Applied(ObjectVersion(1)))
+    let AcquireOutcome::Held(lease) =
+        lease.on_write(LeaseWriteOutcome::Applied(ObjectVersion::new(1)))
     else {
         panic!("an applied write did not acquire the lease");
     };
@@ -113,7 +114,7 @@
 }
 
 #[rstest]
-#[case::applied(LeaseWriteOutcome::Applied(ObjectVersion(2)), None, Some(4_500))]
+#[case::applied(LeaseWriteOutcome::Applied(ObjectVersion::new(2)), None, Some(4_500))]
 #[case::response_lost_and_applied(
     LeaseWriteOutcome::Unknown,
     Some(object(2, Some("a"), 1)),
@@ -208,7 +209,7 @@
             return LeaseWriteOutcome::Conflict;
         }
         self.last_version += 1;
-        let version = ObjectVersion(self.last_version);
+        let version = ObjectVersion::new(self.last_version);
         self.object = Some(LeaseObject { version, record: update.record.clone() });
         LeaseWriteOutcome::Applied(version)
     }
@@ -384,3 +385,40 @@
         orders.len()
     );
 }
+
+/// The store came back from a copy: another holder, whose acquisition is lost, may act until its lease ends.
+#[rstest]
+#[case::absent(None)]
+#[case::released(Some(object(3, None, 7)))]
+#[case::own_record_but_not_held(Some(object(3, Some("a"), 7)))]
+#[case::held_by_another(Some(object(3, Some("b"), 7)))]
+fn a_lease_in_a_later_era_is_acquired_only_after_its_duration(#[case] found: Option<LeaseObject>) {
+    let watching = watching("a").in_era(StoreEra(1));
+    let WatchOutcome::Wait { lease, until } = watching.observe(found.as_ref(), TimeMs(10)) else {
+        panic!("acquired while a holder may act");
+    };
+    assert_eq!(until, TimeMs(10).after(TERMS.duration));
+    let acquired = lease.in_era(StoreEra(1)).observe(found.as_ref(), until);
+    assert!(matches!(acquired, WatchOutcome::Acquire { .. }));
+}
+
+/// The copy has a lower number than endpoints have seen, or none at all.
+#[test]
+fn fencing_numbers_of_a_later_era_are_above_all_earlier_ones() {
+    let fencing_in = |era: u64, last: u64| {
+        let found = object(3, Some("b"), last);
+        let watching = watching("a").in_era(StoreEra(era));
+        let WatchOutcome::Wait { lease, until } = watching.observe(Some(&found), TimeMs(0)) else {
+            panic!("acquired while a holder may act");
+        };
+        let WatchOutcome::Acquire { update, .. } = lease.observe(Some(&found), until) else {
+            panic!("not acquired after its duration");
+        };
+        update.record.fencing
+    };
+    let in_first_era = Fencing(1_000_000);
+    let in_second_era = fencing_in(1, 7);
+    assert!(in_second_era > in_first_era);
+    assert!(fencing_in(1, in_second_era.get()) > in_second_era);
+    assert!(fencing_in(2, in_second_era.get()) > fencing_in(1, in_second_era.get()));
+}
--- a/crates/coord/tests/order.rs
+++ b/crates/coord/tests/order.rs
@@ -111,7 +111,7 @@
 }
 
 #[rstest]
-#[case::applied(&[PutOutcome::Applied(ObjectVersion(7))], None, IntentStep::Durable(ObjectVersion(7)))]
+#[case::applied(&[PutOutcome::Applied(ObjectVersion::new(7))], None, IntentStep::Durable(ObjectVersion::new(7)))]
 #[case::not_applied(&[PutOutcome::NotApplied], None, IntentStep::GiveUp { needs_fence: false, is_key_used: false })]
 #[case::unknown_and_read_failed(
     &[PutOutcome::Unknown], Some(Err(())), IntentStep::GiveUp { needs_fence: true, is_key_used: false }
@@ -121,7 +121,7 @@
     &[PutOutcome::Conflict], Some(Err(())), IntentStep::GiveUp { needs_fence: false, is_key_used: true }
 )]
 #[case::applied_without_response(
-    &[PutOutcome::Unknown], Some(Ok(Some((1, OrderState::Intent)))), IntentStep::Durable(ObjectVersion(9))
+    &[PutOutcome::Unknown], Some(Ok(Some((1, OrderState::Intent)))), IntentStep::Durable(ObjectVersion::new(9))
 )]
 #[case::fenced(
     &[PutOutcome::Unknown],
@@ -145,7 +145,7 @@
         assert_eq!(step, IntentStep::Get);
         let found = get.map(|found| {
             found.map(|(attempt, state)| StoredOrder {
-                version: ObjectVersion(9),
+                version: ObjectVersion::new(9),
                 record: record(attempt, state),
             })
         });
@@ -213,7 +213,7 @@
             return PutOutcome::Conflict;
         }
         self.version += 1;
-        let version = ObjectVersion(self.version);
+        let version = ObjectVersion::new(self.version);
         self.object = Some(StoredOrder { version, record });
         PutOutcome::Applied(version)
     }
--- a/crates/gateway/src/change_log.rs
+++ b/crates/gateway/src/change_log.rs
@@ -7,7 +7,8 @@
 //! # Invariant
 //!
 //! The view is complete up to [`ChangeLog::complete_to`] and never goes back: a list or batch that ends earlier is not
-//! applied, so that it can't bring back an object that was removed since.
+//! applied, so that it can't bring back an object that was removed since. Versions of a later era of the store are later,
+//! whatever their revisions; a view of one era is continued by a list of the next one, never by its batches.
 
 use std::collections::VecDeque;
 
@@ -75,7 +76,8 @@
     /// Records a batch. Returns false if it must not be applied: the view has it already, or lacks what precedes it.
     pub fn record_batch(&mut self, batch: &ChangeBatch) -> bool {
         let Some(complete) = self.complete_to else { return false };
-        if batch.from > complete || batch.to <= complete {
+        let is_of_era = batch.from.era() == complete.era() && batch.to.era() == complete.era();
+        if !is_of_era || batch.from > complete || batch.to <= complete {
             return false;
         }
         self.complete_to = Some(batch.to);
@@ -97,6 +99,9 @@
     /// What a view that is complete up to `version` lacks, if it takes at most `max_bytes`.
     pub fn missed_since(&self, version: ObjectVersion, max_bytes: usize) -> MissedChanges {
         let Some(complete) = self.complete_to else { return MissedChanges::Unavailable };
+        if version.era() != complete.era() {
+            return MissedChanges::Unavailable;
+        }
         if version >= complete {
             return MissedChanges::Batches(Vec::new());
         }
--- a/crates/gateway/src/controllers.rs
+++ b/crates/gateway/src/controllers.rs
@@ -3,6 +3,7 @@
 mod caches;
 mod config;
 mod endpoints;
+mod eras;
 mod free_parts;
 mod housekeeping;
 mod list_watch;
@@ -22,6 +23,7 @@
 /// Starts all controllers. Dropping the returned set stops them.
 pub(crate) fn start(gateway: &Arc<Gateway>) -> JoinSet<()> {
     let mut tasks = JoinSet::new();
+    tasks.spawn(eras::run(gateway.clone()));
     tasks.spawn(config::run_confirmation(gateway.clone()));
     tasks.spawn(list_watch::run(gateway.clone(), config::ConfigHandler));
     tasks.spawn(list_watch::run(gateway.clone(), endpoints::EndpointHandler));
--- a/crates/gateway/src/controllers/config.rs
+++ b/crates/gateway/src/controllers/config.rs
@@ -55,6 +55,7 @@
 
 /// Applies a configuration if it is newer. `confirmed_ms` is the start of the linearizable read that returned it.
 fn apply_config(gateway: &Gateway, body: &[u8], confirmed_ms: Option<TimeMs>) {
+    gateway.observe_era();
     let deployment = match gateway.translation.decode_deployment(body) {
         Ok(deployment) => deployment,
         Err(error) => {
@@ -75,7 +76,7 @@
     if let Some(started_ms) = confirmed_ms
         && in_force.is_none_or(|in_force| version >= in_force)
     {
-        gateway.keys.lock().confirm(started_ms);
+        gateway.confirm_keys(started_ms);
     }
 }
 
@@ -149,7 +150,7 @@
         }
         match reply {
             Ok(Some(object)) if confirmed_version == Some(object.version) => {
-                gateway.keys.lock().confirm(started_ms);
+                gateway.confirm_keys(started_ms);
             }
             Ok(Some(object)) => {
                 apply_config(&gateway, &object.body, Some(started_ms));
@@ -166,6 +167,9 @@
         let max_interval_ms = confirm_interval_ms(&gateway).get();
         // The jitter keeps instances from reading at the same time.
         let pause_ms = rand::rng().random_range(max_interval_ms * 3 / 4..=max_interval_ms);
+        // In a new era the first read that confirms must not wait for the interval as well.
+        let held_for_ms = gateway.keys.lock().held_for_ms(gateway.clock.now()).get();
+        let pause_ms = if held_for_ms > 0 { held_for_ms.min(pause_ms) } else { pause_ms };
         sleep(Duration::from_millis(pause_ms)).await;
     }
 }
--- a/crates/gateway/src/controllers/endpoints.rs
+++ b/crates/gateway/src/controllers/endpoints.rs
@@ -100,6 +100,9 @@
         if !is_applied {
             return;
         }
+        if before.is_some_and(|before| before.era() < version.era()) {
+            gateway.endpoints.lock().record_new_era(now_ms, gateway.bounds().into());
+        }
         let records = objects
             .into_iter()
             .filter_map(|object| {
--- a/crates/gateway/src/controllers/list_watch.rs
+++ b/crates/gateway/src/controllers/list_watch.rs
@@ -92,6 +92,10 @@
             since = handler.resume_at(&gateway);
         }
         let started_ms = gateway.clock.now();
+        if since.is_some_and(|version| version.era() != gateway.store.era()) {
+            since = None;
+            needs_fresh_list = true;
+        }
         let result = match since {
             None => list(&gateway, &handler, needs_fresh_list).await,
             Some(version) => watch(&gateway, &handler, version).await,
@@ -152,7 +156,11 @@
     since: ObjectVersion,
 ) -> Result<ObjectVersion, PlatformError> {
     gateway.metrics.store_calls.add(1, &[]);
-    let changes = gateway.store.watch(H::KIND, since, H::WATCH_TIMEOUT_MS).await?;
+    let changes = tokio::select! {
+        changes = gateway.store.watch(H::KIND, since, H::WATCH_TIMEOUT_MS) => changes?,
+        // What follows the version is no longer what follows the view.
+        _ = gateway.store.wait_for_era_after(since.era()) => return Err(PlatformError::Compacted),
+    };
     let (version, has_changes) = (changes.version, !changes.changes.is_empty());
     handler.on_changes(gateway, since, changes);
     if has_changes {
--- a/crates/gateway/src/controllers/peers.rs
+++ b/crates/gateway/src/controllers/peers.rs
@@ -120,7 +120,7 @@
     }
 }
 
-/// Writes this instance's address to the store, with retries until that succeeds.
+/// Writes this instance's address to the store, with retries until that succeeds, and again in each era of the store.
 pub(super) async fn register(gateway: Arc<Gateway>) {
     let settings = &gateway.settings;
     let Ok(name) = settings.instance.as_str().parse() else { return };
@@ -135,7 +135,11 @@
     loop {
         gateway.metrics.store_calls.add(1, &[]);
         match gateway.store.put(&key, precondition, body.clone()).await {
-            Ok(_) => return,
+            Ok(version) => {
+                // The copy from which the store comes back may lack this object.
+                gateway.store.wait_for_era_after(version.era()).await;
+                precondition = Precondition::Absent;
+            }
             Err(PlatformError::Conflict { current }) => {
                 precondition = Precondition::Version(current);
                 backoff.wait().await;
--- a/crates/gateway/src/controllers/shared_view.rs
+++ b/crates/gateway/src/controllers/shared_view.rs
@@ -229,7 +229,7 @@
     let (Some(age_ms), Some(version)) = (confirmed_age_ms, answer.config_version) else { return };
     let confirmed_ms = passed_on_confirmation(asked_ms, age_ms);
     if config::version_in_force(gateway) >= Some(version) {
-        gateway.keys.lock().confirm(confirmed_ms);
+        gateway.confirm_keys(confirmed_ms);
         return;
     }
     let gateway = gateway.clone();
@@ -239,7 +239,7 @@
             log::warn!(version = version; "configuration named by a reader not read in time");
         }
         if config::version_in_force(&gateway) >= Some(version) {
-            gateway.keys.lock().confirm(confirmed_ms);
+            gateway.confirm_keys(confirmed_ms);
         }
     });
 }
--- a/crates/gateway/src/controllers/weight_orders.rs
+++ b/crates/gateway/src/controllers/weight_orders.rs
@@ -181,7 +181,7 @@
                 return lease;
             }
         };
-        match lease.observe(object.as_ref(), self.now()) {
+        match lease.in_era(self.gateway.store.era()).observe(object.as_ref(), self.now()) {
             WatchOutcome::Wait { lease, until } => {
                 let wait_ms = until.since(self.now()).get().clamp(50, 1_500);
                 sleep(Duration::from_millis(wait_ms)).await;
@@ -212,7 +212,10 @@
         let mut renewed_ms = self.now();
         loop {
             let pending_rollouts = self.pending_rollouts();
-            if pending_rollouts.is_empty() || self.gateway.is_stopping() {
+            if pending_rollouts.is_empty()
+                || self.gateway.is_stopping()
+                || !self.is_of_present_era(&lease)
+            {
                 // The lease expires instead, since the next holder has to wait for the bound in any case.
                 return self.stop_holding(lease);
             }
@@ -232,6 +235,11 @@
         }
     }
 
+    /// Returns false once the store came back from a copy, which may lack the lease or name another holder.
+    fn is_of_present_era(&self, lease: &Lease<Held>) -> bool {
+        lease.version().era() == self.gateway.store.era()
+    }
+
     fn stop_holding(&self, lease: Lease<Held>) -> Lease<Watching> {
         log::info!(
             target: "belief", fencing:% = lease.fencing();
@@ -336,6 +344,9 @@
         record: &EndpointRecord,
         accepted_orders: u64,
     ) -> bool {
+        if !self.is_of_present_era(lease) {
+            return false;
+        }
         let is_fenced = self.gateway.bounds().are_orders_fenced;
         let Some(permit) = lease.permit(self.now(), is_fenced) else { return true };
         let holder = self.gateway.settings.instance.as_str();
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -156,6 +156,11 @@
         self.contact.record_passed_on(asked_ms, age_ms, now_ms, limits)
     }
 
+    /// Records that the store came back from a copy: entries that it lacks may be missing for a moment.
+    pub fn record_new_era(&mut self, now_ms: TimeMs, limits: RecoveryLimits) {
+        self.contact.record_new_era(now_ms, limits);
+    }
+
     /// How long ago the store last replied, to be passed on; none if a call failed since.
     pub fn contact_age_to_pass_on_ms(&self, now_ms: TimeMs) -> Option<TimeMs> {
         self.contact.age_to_pass_on_ms(now_ms)
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -10,7 +10,7 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use bilberryford_platform::ObjectStore;
-use bilberryford_types::{Bytes, EndpointId, ModelName, PoolName, TimeMs};
+use bilberryford_types::{Bytes, EndpointId, ModelName, PoolName, StoreEra, TimeMs};
 use parking_lot::Mutex;
 use rand::RngExt;
 use tokio::sync::Notify;
@@ -79,6 +79,8 @@
     pub(crate) endpoints: Mutex<EndpointTable>,
     pub(crate) endpoint_log: Mutex<ChangeLog>,
     pub(crate) readers: Mutex<ReaderSelection>,
+    /// The era of the store that this instance has reacted to.
+    seen_era: Mutex<Option<StoreEra>>,
     pub(crate) read_mode: ReadMode,
     pub(crate) local: Mutex<HashMap<EndpointId, LocalState>>,
     pub(crate) peers: Mutex<PeerLoads>,
@@ -121,6 +123,7 @@
             endpoints: Mutex::default(),
             endpoint_log: Mutex::default(),
             readers: Mutex::default(),
+            seen_era: Mutex::default(),
             read_mode: ReadMode::default(),
             local: Mutex::default(),
             peers: Mutex::default(),
@@ -346,6 +349,36 @@
         (published.required(now_ms, bound_ms), is_preferred.then(|| published.newest()))
     }
 
+    /// Notices that the store came back from a copy, before anything that it says now is relied on.
+    pub(crate) fn observe_era(&self) {
+        let era = self.store.era();
+        let before = {
+            let mut seen = self.seen_era.lock();
+            let before = seen.unwrap_or(era);
+            *seen = seen.max(Some(era));
+            before
+        };
+        // A process without a configuration learns from the first answer in which era it starts.
+        if before >= era || self.deployment.load().is_none() {
+            return;
+        }
+        let now_ms = self.clock.now();
+        let confirms_from_ms = self.keys.lock().record_new_era(now_ms);
+        log::warn!(
+            target: "belief", before:% = before, now:% = era,
+            kept = "configuration, weights, departures", dropped = "lease, registration",
+            held = "confirmations, missing endpoints",
+            held_for_ms = confirms_from_ms.since(now_ms).get();
+            "store came back from a copy"
+        );
+    }
+
+    /// Records that a linearizable read that started at `started_ms`, here or at a reader, confirmed the configuration.
+    pub(crate) fn confirm_keys(&self, started_ms: TimeMs) {
+        self.observe_era();
+        self.keys.lock().confirm(started_ms);
+    }
+
     /// Records that the endpoint sent data.
     pub(crate) fn record_received(&self, endpoint: &EndpointId) {
         if let Some(state) = self.local.lock().get_mut(endpoint) {
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -113,7 +113,7 @@
             free_memory_tokens = record.prompt.free_memory_tokens,
             config_version = record.config_version.map_or(0, |version| version.get()),
             key_age_ms = record.key_age_ms.map_or(0, |age| age.get()),
-            endpoints_version = record.endpoints_version.map_or(0, |version| version.get()),
+            endpoints_version:% = record.endpoints_version.unwrap_or_default(),
             endpoints_age_ms = record.endpoints_age_ms.map_or(0, |age| age.get()),
             elapsed_ms = now_ms.since(record.started_ms).get(),
             first_byte_ms = record.first_byte_ms.map_or(0, |at| at.since(record.started_ms).get()),
--- a/crates/gateway/src/store_contact.rs
+++ b/crates/gateway/src/store_contact.rs
@@ -58,6 +58,8 @@
     /// The start of the last call on endpoints that failed since the last reply.
     failed_ms: Option<TimeMs>,
     grace_ends_ms: Option<TimeMs>,
+    /// The time between the last two replies.
+    gap_ms: TimeMs,
 }
 
 impl StoreContact {
@@ -96,9 +98,19 @@
 
     /// Records a reply to a linearizable call on anything else, which bounds the length of an outage.
     pub(crate) fn record_reply(&mut self, now_ms: TimeMs) {
+        self.gap_ms = self.reply_ms.map_or(TimeMs(0), |reply_ms| now_ms.since(reply_ms));
         self.reply_ms = self.reply_ms.max(Some(now_ms));
     }
 
+    /// Records that the store came back from a copy, which lacks the entries that were written since. They are written
+    /// again. After a longer time without contact a missing entry may as well have left, and only what an outage grants
+    /// applies.
+    pub(crate) fn record_new_era(&mut self, now_ms: TimeMs, limits: RecoveryLimits) {
+        if self.gap_ms < limits.in_touch_ms {
+            self.grace_ends_ms = self.grace_ends_ms.max(Some(now_ms.after(REWRITE_MS)));
+        }
+    }
+
     /// Records a call on endpoints that failed and began at `started_ms`.
     pub(crate) fn record_failure(&mut self, started_ms: TimeMs) {
         self.failed_ms = self.failed_ms.max(Some(started_ms));
--- a/crates/gateway/tests/decisions/endpoints.rs
+++ b/crates/gateway/tests/decisions/endpoints.rs
@@ -30,7 +30,7 @@
     let mut table = EndpointTable::default();
     table.record_contact(TimeMs(now_ms), LIMITS);
     for id in ["one", "two"] {
-        table.upsert(record(id, EndpointState::Ready), ObjectVersion(5));
+        table.upsert(record(id, EndpointState::Ready), ObjectVersion::new(5));
     }
     table
 }
@@ -46,8 +46,8 @@
 #[test]
 fn an_older_entry_does_not_restore_a_leaving_endpoint() {
     let mut table = table(0);
-    table.upsert(record("one", EndpointState::Leaving), ObjectVersion(8));
-    assert!(table.upsert(record("one", EndpointState::Ready), ObjectVersion(7)).is_none());
+    table.upsert(record("one", EndpointState::Leaving), ObjectVersion::new(8));
+    assert!(table.upsert(record("one", EndpointState::Ready), ObjectVersion::new(7)).is_none());
     assert_eq!(ready(&table), 1);
 }
 
@@ -57,7 +57,7 @@
     let mut table = table(0);
     table.record_lost_contact(TimeMs(19_900));
     table.record_contact(TimeMs(20_000), LIMITS);
-    let listed = vec![(record("two", EndpointState::Ready), ObjectVersion(9))];
+    let listed = vec![(record("two", EndpointState::Ready), ObjectVersion::new(9))];
     table.replace(listed, TimeMs(20_000));
     assert_eq!(ready(&table), 2, "the missing entry is still used");
     table.expire(TimeMs(21_900));
@@ -77,7 +77,7 @@
 #[test]
 fn leaving_endpoints_get_no_grace_period() {
     let mut table = table(0);
-    table.upsert(record("one", EndpointState::Leaving), ObjectVersion(8));
+    table.upsert(record("one", EndpointState::Leaving), ObjectVersion::new(8));
     table.record_lost_contact(TimeMs(19_900));
     table.record_contact(TimeMs(20_000), LIMITS);
     table.remove(&"one".parse().expect("an id"), TimeMs(20_010));
@@ -93,7 +93,10 @@
         table.record_lost_contact(TimeMs(call_ms));
     }
     table.record_contact(TimeMs(18_450), LIMITS);
-    table.replace(vec![(record("two", EndpointState::Ready), ObjectVersion(9))], TimeMs(18_450));
+    table.replace(
+        vec![(record("two", EndpointState::Ready), ObjectVersion::new(9))],
+        TimeMs(18_450),
+    );
     assert_eq!(ready_at(&table, 18_500), 2, "its owner may be about to write the entry again");
     assert_eq!(ready_at(&table, 20_000), 1);
 }
@@ -104,7 +107,10 @@
     let mut table = table(0);
     table.record_lost_contact(TimeMs(19_900));
     table.record_contact(TimeMs(20_000), LIMITS);
-    table.replace(vec![(record("two", EndpointState::Ready), ObjectVersion(9))], TimeMs(20_000));
+    table.replace(
+        vec![(record("two", EndpointState::Ready), ObjectVersion::new(9))],
+        TimeMs(20_000),
+    );
     assert_eq!(ready_at(&table, 21_999), 2);
     assert_eq!(ready_at(&table, 22_000), 1);
 }
@@ -115,7 +121,10 @@
     let mut table = table(10_000);
     table.record_lost_contact(TimeMs(11_000));
     table.record_contact(TimeMs(11_200), LIMITS);
-    table.replace(vec![(record("two", EndpointState::Ready), ObjectVersion(9))], TimeMs(11_200));
+    table.replace(
+        vec![(record("two", EndpointState::Ready), ObjectVersion::new(9))],
+        TimeMs(11_200),
+    );
     assert_eq!(ready_at(&table, 11_200), 1);
 }
 
@@ -124,7 +133,10 @@
 fn an_entry_that_is_missing_after_a_freeze_is_removed_at_once() {
     let mut table = table(10_000);
     table.record_contact(TimeMs(25_000), LIMITS);
-    table.replace(vec![(record("two", EndpointState::Ready), ObjectVersion(9))], TimeMs(25_000));
+    table.replace(
+        vec![(record("two", EndpointState::Ready), ObjectVersion::new(9))],
+        TimeMs(25_000),
+    );
     assert_eq!(ready_at(&table, 25_000), 1);
 }
 
@@ -141,13 +153,13 @@
 #[test]
 fn a_late_heartbeat_does_not_make_a_leaving_endpoint_ready() {
     let mut table = table(0);
-    table.upsert(written(7, EndpointState::Leaving), ObjectVersion(8));
-    table.upsert(written(6, EndpointState::Ready), ObjectVersion(9));
+    table.upsert(written(7, EndpointState::Leaving), ObjectVersion::new(8));
+    table.upsert(written(6, EndpointState::Ready), ObjectVersion::new(9));
     assert!(!is_ready(&table, "one"));
-    table.upsert(written(8, EndpointState::Ready), ObjectVersion(10));
+    table.upsert(written(8, EndpointState::Ready), ObjectVersion::new(10));
     assert!(!is_ready(&table, "one"), "an incarnation that left stays so");
     let restarted = EndpointRecord { started_ms: TimeMs(2), ..record("one", EndpointState::Ready) };
-    table.upsert(restarted, ObjectVersion(11));
+    table.upsert(restarted, ObjectVersion::new(11));
     assert!(is_ready(&table, "one"));
 }
 
@@ -155,9 +167,9 @@
 fn an_endpoint_that_left_is_not_ready_again_after_its_entry_was_removed() {
     let mut table = table(0);
     let id = "one".parse().expect("an id");
-    table.upsert(written(7, EndpointState::Leaving), ObjectVersion(8));
+    table.upsert(written(7, EndpointState::Leaving), ObjectVersion::new(8));
     table.remove(&id, TimeMs(10));
-    table.upsert(written(8, EndpointState::Ready), ObjectVersion(12));
+    table.upsert(written(8, EndpointState::Ready), ObjectVersion::new(12));
     assert!(!is_ready(&table, "one"));
 }
 
@@ -166,13 +178,13 @@
 fn a_removed_entry_is_back_only_with_a_later_heartbeat() {
     let mut table = table(0);
     let id = "one".parse().expect("an id");
-    table.upsert(written(7, EndpointState::Ready), ObjectVersion(8));
+    table.upsert(written(7, EndpointState::Ready), ObjectVersion::new(8));
     table.remove(&id, TimeMs(10));
-    table.upsert(written(7, EndpointState::Ready), ObjectVersion(8));
+    table.upsert(written(7, EndpointState::Ready), ObjectVersion::new(8));
     assert!(!is_ready(&table, "one"), "an older list");
-    table.upsert(written(6, EndpointState::Ready), ObjectVersion(12));
+    table.upsert(written(6, EndpointState::Ready), ObjectVersion::new(12));
     assert!(!is_ready(&table, "one"), "a late heartbeat");
-    table.upsert(written(9, EndpointState::Ready), ObjectVersion(13));
+    table.upsert(written(9, EndpointState::Ready), ObjectVersion::new(13));
     assert!(is_ready(&table, "one"), "its entry had lapsed, and its owner lives");
 }
 
@@ -180,8 +192,8 @@
 fn an_entry_of_an_earlier_incarnation_changes_nothing() {
     let mut table = table(0);
     let restarted = EndpointRecord { started_ms: TimeMs(2), ..record("one", EndpointState::Ready) };
-    table.upsert(restarted, ObjectVersion(8));
-    table.upsert(written(9, EndpointState::Leaving), ObjectVersion(9));
+    table.upsert(restarted, ObjectVersion::new(8));
+    table.upsert(written(9, EndpointState::Leaving), ObjectVersion::new(9));
     assert!(is_ready(&table, "one"));
     assert_eq!(table.get(&"one".parse().expect("an id")).map(|it| it.started_ms), Some(TimeMs(2)));
 }
@@ -192,7 +204,7 @@
     let mut table = EndpointTable::default();
     for number in 0..10_000 {
         let id = format!("engine-{number}");
-        table.upsert(record(&id, EndpointState::Leaving), ObjectVersion(number));
+        table.upsert(record(&id, EndpointState::Leaving), ObjectVersion::new(number));
         table.remove(&id.parse().expect("an id"), TimeMs(0));
     }
     assert!(table.remembered() <= 4_096, "{} endpoints", table.remembered());
--- a/crates/gateway/tests/decisions/key_validity.rs
+++ b/crates/gateway/tests/decisions/key_validity.rs
@@ -38,3 +38,17 @@
     assert!(validity.is_valid(TimeMs(7_000)));
     assert_eq!(validity.age_ms(TimeMs(3_500)), Some(TimeMs(500)));
 }
+
+/// The copy from which the store came back may lack the configuration that removed a key.
+#[test]
+fn a_read_right_after_the_return_of_the_store_confirms_nothing() {
+    let mut validity = KeyValidity::new(BOUND_MS);
+    validity.confirm(TimeMs(1_000));
+    let confirms_from_ms = validity.record_new_era(TimeMs(2_000));
+    assert_eq!(confirms_from_ms, TimeMs(4_000));
+    validity.confirm(TimeMs(3_999));
+    assert_eq!(validity.age_ms(TimeMs(4_000)), Some(TimeMs(3_000)), "as before the return");
+    assert_eq!(validity.held_for_ms(TimeMs(3_000)), TimeMs(1_000));
+    validity.confirm(TimeMs(4_000));
+    assert_eq!(validity.age_ms(TimeMs(4_000)), Some(TimeMs(0)));
+}
--- a/crates/peer/src/runtime/request.rs
+++ b/crates/peer/src/runtime/request.rs
@@ -27,7 +27,7 @@
             let results = response.get()?;
             let reply = ConfigReply {
                 generation: Generation(results.get_generation()),
-                version: ObjectVersion(results.get_version()),
+                version: ObjectVersion::from_wire(results.get_version()),
                 body: results.get_body()?.to_vec(),
             };
             Reply::Configuration((reply.generation > above).then_some(reply))
--- a/crates/peer/src/runtime/service.rs
+++ b/crates/peer/src/runtime/service.rs
@@ -32,7 +32,7 @@
         if let Some(reply) = self.handler.configuration(above) {
             let mut builder = results.get();
             builder.set_generation(reply.generation.get());
-            builder.set_version(reply.version.get());
+            builder.set_version(reply.version.to_wire());
             builder.set_body(&reply.body);
         }
         Ok(())
--- a/crates/peer/tests/contract.rs
+++ b/crates/peer/tests/contract.rs
@@ -91,7 +91,8 @@
 
     fn configuration(&self, above: Generation) -> Option<ConfigReply> {
         let body = self.body.clone();
-        let reply = ConfigReply { generation: Generation(9), version: ObjectVersion(90), body };
+        let reply =
+            ConfigReply { generation: Generation(9), version: ObjectVersion::new(90), body };
         (above < Generation(9)).then_some(reply)
     }
 
@@ -147,7 +148,7 @@
     assert_eq!(client.heartbeat(to, heartbeat(2, 2), timeout).await, Ok(heartbeat(3, 2)));
     let reply = client.configuration(to, Generation(8), timeout).await.unwrap().unwrap();
     assert_eq!(
-        (reply.generation, reply.version.get(), reply.body.len()),
+        (reply.generation, reply.version.revision(), reply.body.len()),
         (Generation(9), 90, 900_000)
     );
     assert_eq!(client.configuration(to, Generation(9), timeout).await, Ok(None));
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -11,12 +11,14 @@
 //!
 //! [`HttpPlatform`] implements both traits over HTTP; [`wire`] defines the wire format.
 
+mod era;
 mod http;
 mod instances;
 mod object;
 mod traffic;
 pub mod wire;
 
+pub use era::EraTracker;
 pub use http::{HttpPlatform, HttpPlatformConfig};
 pub use instances::{InstanceList, InstanceRecord, InstanceState, Role};
 pub use object::{
--- a/crates/platform/src/object.rs
+++ b/crates/platform/src/object.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use bilberryford_types::{ObjectName, ObjectVersion, TimeMs};
+use bilberryford_types::{ObjectName, ObjectVersion, StoreEra, TimeMs};
 use bytes::Bytes;
 use futures::future::BoxFuture;
 use serde::{Deserialize, Serialize};
@@ -146,6 +146,16 @@
 
 /// The platform's object API. Each call has its own deadline.
 pub trait ObjectStore: Send + Sync {
+    /// The era of the store, as far as its answers have named it. Versions of two eras are of two histories.
+    fn era(&self) -> StoreEra {
+        StoreEra::default()
+    }
+
+    /// Waits until an answer names a later era than `known`. A store without eras never does.
+    fn wait_for_era_after(&self, _known: StoreEra) -> BoxFuture<'_, StoreEra> {
+        Box::pin(std::future::pending())
+    }
+
     /// Reads an object.
     ///
     /// # Errors
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -176,7 +176,7 @@
             .filter(|change| change.version > after && change.kind == kind)
             .filter_map(|change| list_item(&change.name, change.version, change.body.clone()))
             .collect();
-        Some(ListBody { version: ObjectVersion(state.version), items })
+        Some(ListBody { version: ObjectVersion::new(state.version), items })
     }
 
     fn visible_instances(&self) -> Vec<InstanceRecord> {
@@ -201,5 +201,5 @@
 
 fn list_item(name: &str, version: u64, body: Option<String>) -> Option<ListItem> {
     let name: ObjectName = name.parse().ok()?;
-    Some(ListItem { name, version: ObjectVersion(version), body })
+    Some(ListItem { name, version: ObjectVersion::new(version), body })
 }
--- a/crates/standins/src/platform/routes.rs
+++ b/crates/standins/src/platform/routes.rs
@@ -59,7 +59,7 @@
     match state.objects.get(&(kind, name)) {
         None => StatusCode::NOT_FOUND.into_response(),
         Some(stored) => Response::builder()
-            .header("etag", entity_tag(ObjectVersion(stored.version)))
+            .header("etag", entity_tag(ObjectVersion::new(stored.version)))
             .body(stored.body.clone()),
     }
 }
@@ -80,7 +80,7 @@
     }
     let if_match = request.header("if-match").and_then(parse_entity_tag);
     let expected = match (if_match, request.header("if-none-match")) {
-        (Some(version), _) => version.get(),
+        (Some(version), _) => version.revision(),
         (None, Some("*")) => 0,
         _ => return StatusCode::PRECONDITION_REQUIRED.into_response(),
     };
@@ -103,11 +103,11 @@
             StatusCode::INTERNAL_SERVER_ERROR.into_response()
         }
         Ok(version) => {
-            Response::builder().header("etag", entity_tag(ObjectVersion(version))).finish()
+            Response::builder().header("etag", entity_tag(ObjectVersion::new(version))).finish()
         }
         Err(current) => Response::builder()
             .status(StatusCode::PRECONDITION_FAILED)
-            .header("etag", entity_tag(ObjectVersion(current)))
+            .header("etag", entity_tag(ObjectVersion::new(current)))
             .finish(),
     }
 }
@@ -161,7 +161,7 @@
             list_item(name, stored.version, Some(stored.body.clone()))
         })
         .collect();
-    Json(ListBody { version: ObjectVersion(state.version), items }).into_response()
+    Json(ListBody { version: ObjectVersion::new(state.version), items }).into_response()
 }
 
 #[derive(Deserialize)]
--- a/crates/standins/tests/object_store.rs
+++ b/crates/standins/tests/object_store.rs
@@ -122,7 +122,7 @@
 
 #[rstest]
 #[case::create_over_one(Precondition::Absent, WriteOutcome::Conflict)]
-#[case::old_version(Precondition::Version(ObjectVersion(99)), WriteOutcome::Conflict)]
+#[case::old_version(Precondition::Version(ObjectVersion::new(99)), WriteOutcome::Conflict)]
 #[tokio::test]
 async fn a_failed_precondition_changes_nothing(
     #[case] precondition: Precondition,
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -14,6 +14,7 @@
 mod id;
 mod kind;
 mod quantity;
+mod version;
 
 pub use digest::{Digest, DigestError};
 pub use event::{Event, EventKind, HybridClock, HybridTime};
@@ -24,6 +25,7 @@
 };
 pub use kind::{CallerRetry, ErrorKind, ErrorSpec, InternalRetry, Ran, RetryAfter};
 pub use quantity::{
-    Bytes, BytesPerSec, Fencing, Generation, Incarnation, ObjectVersion, Priority, QuantityError,
-    Share, TimeMs, Tokens,
+    Bytes, BytesPerSec, Fencing, Generation, Incarnation, Priority, QuantityError, Share, StoreEra,
+    TimeMs, Tokens,
 };
+pub use version::{ObjectVersion, VersionError};
--- a/crates/types/src/quantity.rs
+++ b/crates/types/src/quantity.rs
@@ -64,8 +64,8 @@
     /// The incarnation of an instance: each start of its process has a greater one. A late heartbeat of an earlier
     /// process is thereby not attributed to the current one.
     Incarnation(u64) ""
-    /// The version that the platform's object store assigns to an object on each write.
-    ObjectVersion(u64) ""
+    /// How often the platform's store came back from a copy, and lost what it had acknowledged since the copy was made.
+    StoreEra(u64) ""
     /// A team's weight in the division of capacity.
     Share(u32) ""
 }
@@ -82,11 +82,6 @@
     }
 }
 
-impl ObjectVersion {
-    /// The version that stands for an object that does not exist.
-    pub const ABSENT: Self = Self(0);
-}
-
 /// The priority of a request. Under overload, requests of the lowest priority are refused first.
 #[derive(
     Debug,
