A change of an endpoint that no watch returned is noticed

Cause, by reading: only watches and the lists after failed calls change the table of endpoints. A watch that goes on from a version after a change without having returned it, whatever the reason, leaves a leaving endpoint ready until its entry changes once more, which is when it ends. The configuration has a confirming read for this; endpoints had nothing, in and since.

Nothing is applied from the old list itself. Entries that are ignored as outdated count as seen.

--- a/crates/gateway/src/controllers.rs
+++ b/crates/gateway/src/controllers.rs
@@ -27,6 +27,7 @@
     tasks.spawn(config::run_confirmation(gateway.clone()));
     tasks.spawn(list_watch::run(gateway.clone(), config::ConfigHandler));
     tasks.spawn(list_watch::run(gateway.clone(), endpoints::EndpointHandler));
+    tasks.spawn(endpoints::reconcile(gateway.clone()));
     tasks.spawn(list_watch::run(gateway.clone(), weights::WeightHandler));
     tasks.spawn(weight_orders::run(gateway.clone()));
     let addresses = peers::PeerAddresses::default();
--- a/crates/gateway/src/controllers/endpoints.rs
+++ b/crates/gateway/src/controllers/endpoints.rs
@@ -1,9 +1,12 @@
 //! Keeps the endpoint table up to date with the store.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use bilberryford_platform::{Changes, Object, ObjectKind};
 use bilberryford_types::{ObjectVersion, TimeMs};
+use futures::{FutureExt, future::BoxFuture};
+use rand::RngExt;
+use tokio::time::sleep;
 
 use super::list_watch::WatchHandler;
 use crate::{
@@ -20,6 +23,11 @@
 /// The longest delay that collects changes of endpoints: placement relies on them as well.
 const MAX_BATCH_DELAY: Duration = Duration::from_millis(1_000);
 
+/// The longest interval between two comparisons with a list.
+const RECONCILE_INTERVAL: Duration = Duration::from_secs(5);
+/// The same for each entry of a large fleet, so that the lists stay a small part of an instance's traffic.
+const RECONCILE_INTERVAL_PER_ENTRY: Duration = Duration::from_millis(50);
+
 pub(super) struct EndpointHandler;
 
 /// Logs changes of endpoints, and records the incarnations that ended.
@@ -70,6 +78,43 @@
     gateway.endpoints.lock().remove(&id, gateway.clock.now())
 }
 
+/// Compares the table with lists of the store that may be old, which cost it little. Nothing else notices a change that no
+/// watch returned.
+pub(super) async fn reconcile(gateway: Arc<Gateway>) {
+    loop {
+        let entries = gateway.endpoints.lock().records().count() as u32;
+        let max_interval = RECONCILE_INTERVAL.max(RECONCILE_INTERVAL_PER_ENTRY * entries);
+        let jitter = rand::rng().random_range(0.75..=1.0);
+        sleep(max_interval.mul_f64(jitter)).await;
+        let Some(complete_to) = endpoints_are_complete_to(&gateway) else { continue };
+        if !gateway.read_mode.reads_store() {
+            continue;
+        }
+        gateway.metrics.store_calls.add(1, &[]);
+        let (version, objects) = match gateway.store.list_stale(ObjectKind::Endpoint, "").await {
+            Ok(list) => list,
+            Err(error) => {
+                log::debug!(error:% = error; "no list to compare the endpoints with");
+                continue;
+            }
+        };
+        let is_usable = |object: &Object| {
+            gateway.translation.decode_endpoint(object.name.as_str(), &object.body)
+        };
+        let listed: Vec<_> = objects
+            .iter()
+            .filter_map(|object| Some((is_usable(object).ok()?.id, object.version)))
+            .collect();
+        if gateway.endpoints.lock().missed_a_change(&listed, version, complete_to) {
+            log::warn!(
+                target: "belief", listed:% = version, complete_to:% = complete_to;
+                "endpoints differ from an older list of the store; listing them again"
+            );
+            gateway.endpoints_differ.notify_one();
+        }
+    }
+}
+
 impl WatchHandler for EndpointHandler {
     const KIND: ObjectKind = ObjectKind::Endpoint;
     const WATCH_TIMEOUT_MS: TimeMs = TimeMs(2_500);
@@ -136,6 +181,10 @@
         apply_batch(gateway, &ChangeBatch { from: since, to, changes: changes.collect() });
     }
 
+    fn wait_for_difference<'a>(&self, gateway: &'a Gateway) -> BoxFuture<'a, ()> {
+        gateway.endpoints_differ.notified().boxed()
+    }
+
     fn resume_at(&self, gateway: &Gateway) -> Option<ObjectVersion> {
         endpoints_are_complete_to(gateway)
     }
--- a/crates/gateway/src/controllers/list_watch.rs
+++ b/crates/gateway/src/controllers/list_watch.rs
@@ -7,6 +7,7 @@
 
 use bilberryford_platform::{Changes, Object, ObjectKind, PlatformError};
 use bilberryford_types::{ObjectVersion, TimeMs};
+use futures::future::BoxFuture;
 use rand::RngExt;
 use tokio::time::sleep;
 
@@ -75,6 +76,10 @@
     fn resume_at(&self, _gateway: &Gateway) -> Option<ObjectVersion> {
         None
     }
+    /// Waits until the objects were found to differ from the store's, so that they have to be listed again.
+    fn wait_for_difference<'a>(&self, _gateway: &'a Gateway) -> BoxFuture<'a, ()> {
+        Box::pin(std::future::pending())
+    }
     /// Called when the store replied.
     fn on_contact(&self, _gateway: &Gateway) {}
     /// Called when the store did not reply to a call that began at `started_ms`, or refused it.
@@ -160,6 +165,7 @@
         changes = gateway.store.watch(H::KIND, since, H::WATCH_TIMEOUT_MS) => changes?,
         // What follows the version is no longer what follows the view.
         _ = gateway.store.wait_for_era_after(since.era()) => return Err(PlatformError::Compacted),
+        () = handler.wait_for_difference(gateway) => return Err(PlatformError::Compacted),
     };
     let (version, has_changes) = (changes.version, !changes.changes.is_empty());
     handler.on_changes(gateway, since, changes);
--- a/crates/gateway/src/departed.rs
+++ b/crates/gateway/src/departed.rs
@@ -83,6 +83,13 @@
         }
     }
 
+    /// Records that an entry at `version` was seen, and not applied.
+    pub(crate) fn set_version(&mut self, id: &EndpointId, version: ObjectVersion) {
+        if let Some(last) = self.entries.get_mut(id) {
+            last.version = version;
+        }
+    }
+
     pub(crate) fn get(&self, id: &EndpointId) -> Option<LastEntry> {
         self.entries.get(id).copied()
     }
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -8,7 +8,10 @@
 //! An endpoint that was seen as leaving gets no more requests in the same incarnation, whatever a list, a batch or a late
 //! heartbeat says of it, and also after its entry was removed.
 
-use std::{collections::HashMap, net::SocketAddr};
+use std::{
+    collections::{HashMap, HashSet},
+    net::SocketAddr,
+};
 
 use bilberryford_types::{DataCentreId, EndpointId, ModelName, ObjectVersion, PoolName, TimeMs};
 
@@ -193,6 +196,10 @@
         match order {
             Some(EntryOrder::Known) => return None,
             Some(EntryOrder::Outdated(kind)) => {
+                match self.entries.get_mut(&record.id) {
+                    Some(entry) => entry.version = version,
+                    None => self.departed.set_version(&record.id, version),
+                }
                 return Some(Entry { record, version, missing_until_ms: None }.changed(kind));
             }
             Some(EntryOrder::AfterDeparture) => record.state = EndpointState::Leaving,
@@ -219,6 +226,25 @@
         change
     }
 
+    /// Returns true if a list at `version`, which may be old, has or lacks an entry that this table would not if it had
+    /// been given each change up to `complete_to`.
+    pub fn missed_a_change(
+        &self,
+        listed: &[(EndpointId, ObjectVersion)],
+        version: ObjectVersion,
+        complete_to: ObjectVersion,
+    ) -> bool {
+        let is_unknown = |(id, version): &(EndpointId, ObjectVersion)| {
+            *version <= complete_to
+                && self.last_entry(id).is_none_or(|last| last.version < *version)
+        };
+        let ids: HashSet<&EndpointId> = listed.iter().map(|(id, _)| id).collect();
+        let is_gone = |(id, entry): (&EndpointId, &Entry)| {
+            entry.missing_until_ms.is_none() && entry.version <= version && !ids.contains(id)
+        };
+        listed.iter().any(is_unknown) || version <= complete_to && self.entries.iter().any(is_gone)
+    }
+
     /// Takes an entry out of the table, and remembers it.
     fn take(&mut self, id: &EndpointId) -> Option<Entry> {
         let entry = self.entries.remove(id)?;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -78,6 +78,8 @@
     pub(crate) keys: Mutex<KeyValidity>,
     pub(crate) endpoints: Mutex<EndpointTable>,
     pub(crate) endpoint_log: Mutex<ChangeLog>,
+    /// Notified when the table of endpoints was found to lack a change.
+    pub(crate) endpoints_differ: Notify,
     pub(crate) readers: Mutex<ReaderSelection>,
     /// The era of the store that this instance has reacted to.
     seen_era: Mutex<Option<StoreEra>>,
@@ -122,6 +124,7 @@
             deployment: ArcSwapOption::empty(),
             endpoints: Mutex::default(),
             endpoint_log: Mutex::default(),
+            endpoints_differ: Notify::new(),
             readers: Mutex::default(),
             seen_era: Mutex::default(),
             read_mode: ReadMode::default(),
--- a/crates/gateway/tests/decisions/endpoints.rs
+++ b/crates/gateway/tests/decisions/endpoints.rs
@@ -1,5 +1,6 @@
 use bilberryford_gateway::{EndpointRecord, EndpointState, EndpointTable, RecoveryLimits};
 use bilberryford_types::{ObjectVersion, PoolName, TimeMs};
+use rstest::rstest;
 
 const LIMITS: RecoveryLimits = RecoveryLimits {
     in_touch_ms: TimeMs(3_000),
@@ -240,3 +241,37 @@
     is_relied_on(&mut table, 100);
     assert!(table.contact_age_to_pass_on_ms(TimeMs(6_000)).is_some());
 }
+
+/// A list that may be old is compared with a table of `one` at 5 and `two` at 5, complete up to 10.
+#[rstest]
+#[case::the_same(&[("one", 5), ("two", 5)], 8, false)]
+#[case::newer_than_the_table(&[("one", 12), ("two", 5)], 12, false)]
+#[case::removed_after_the_table(&[("two", 5)], 12, false)]
+#[case::a_change_was_missed(&[("one", 7), ("two", 5)], 8, true)]
+#[case::a_removal_was_missed(&[("two", 5)], 8, true)]
+#[case::an_entry_was_missed(&[("one", 5), ("two", 5), ("three", 6)], 8, true)]
+#[case::older_than_the_entries(&[], 4, false)]
+fn a_list_that_may_be_old_shows_what_the_table_missed(
+    #[case] listed: &[(&str, u64)],
+    #[case] version: u64,
+    #[case] is_missed: bool,
+) {
+    let listed: Vec<_> = listed
+        .iter()
+        .map(|(id, version)| (id.parse().expect("an id"), ObjectVersion::new(*version)))
+        .collect();
+    let missed =
+        table(0).missed_a_change(&listed, ObjectVersion::new(version), ObjectVersion::new(10));
+    assert_eq!(missed, is_missed);
+}
+
+/// An entry that is ignored as outdated differs from the table for good, and is no missed change.
+#[test]
+fn an_ignored_entry_is_no_missed_change() {
+    let mut table = table(0);
+    table.upsert(written(7, EndpointState::Ready), ObjectVersion::new(8));
+    table.upsert(written(6, EndpointState::Ready), ObjectVersion::new(9));
+    let listed = ["one", "two"].map(|id| id.parse().expect("an id"));
+    let listed: Vec<_> = listed.into_iter().zip([9, 5].map(ObjectVersion::new)).collect();
+    assert!(!table.missed_a_change(&listed, ObjectVersion::new(9), ObjectVersion::new(10)));
+}
