--- a/crates/gateway/tests/decisions/readers.rs
+++ b/crates/gateway/tests/decisions/readers.rs
@@ -1,5 +1,5 @@
 //! Which instances read the store, and how long the others rely on what readers pass on. A simulated data centre loses
-//! and delays datagrams, freezes instances and cuts them off from the store.
+//! and delays datagrams, freezes instances and cuts them off from the store, which may come back from a copy.
 
 use std::{collections::HashMap, net::SocketAddr};
 
@@ -18,14 +18,12 @@
 /// The round trip of a read of the store.
 const READ_MS: u64 = 100;
 
-/// A small generator, so that a seed gives the same day everywhere.
-struct Random(u64);
+/// The random numbers of a day.
+struct Random(StdRng);
 
 impl Random {
     fn below(&mut self, limit: u64) -> u64 {
-        self.0 =
-            self.0.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
-        (self.0 >> 33) % limit
+        self.0.random_range(0..limit)
     }
 
     fn is_hit(&mut self, percent: u64) -> bool {
@@ -50,16 +48,23 @@
     format!("front-{number}")
 }
 
-/// A configuration: its version, and the time at which the store acknowledged that the key was removed.
+/// The longest age of the copy from which the store comes back.
+const COPY_AGE_MS: u64 = 6_000;
+/// How long after the return the operator writes at the latest what was lost.
+const REWRITE_MS: u64 = 1_900;
+
+/// What the store holds: a version of the configuration, in an era.
 #[derive(Clone, Copy)]
 struct Stored {
     version: u64,
+    era: u64,
 }
 
 struct Instance {
     readers: ReaderSelection,
     keys: KeyValidity,
     version: u64,
+    era: u64,
     frozen_until_ms: u64,
     cut_until_ms: u64,
     next_ask_ms: u64,
@@ -84,7 +89,7 @@
     Read {
         to: usize,
         started_ms: u64,
-        version: u64,
+        stored: Stored,
     },
 }
 
@@ -93,6 +98,10 @@
     /// Messages by the time of their arrival.
     under_way: Vec<(u64, Message)>,
     stored: Stored,
+    /// The versions that the operator wrote, by time.
+    written: Vec<(u64, u64)>,
+    /// The time at which the operator writes again what the store lost.
+    rewritten_ms: Option<u64>,
     /// The version with which the key was removed, and when the store acknowledged it.
     revoked: Option<(u64, u64)>,
     random: Random,
@@ -101,7 +110,7 @@
 
 impl Day {
     fn new(instances: usize, seed: u64) -> Self {
-        let mut random = Random(seed);
+        let mut random = Random(StdRng::seed_from_u64(seed));
         let instances = (0..instances)
             .map(|number| {
                 let mut readers = ReaderSelection::default();
@@ -113,6 +122,7 @@
                     readers,
                     keys: KeyValidity::new(BOUND_MS),
                     version: 0,
+                    era: 0,
                     frozen_until_ms: 0,
                     cut_until_ms: 0,
                     next_ask_ms: random.below(ASK_MS),
@@ -124,7 +134,9 @@
         Self {
             instances,
             under_way: Vec::new(),
-            stored: Stored { version: 1 },
+            stored: Stored { version: 1, era: 0 },
+            written: vec![(0, 1)],
+            rewritten_ms: None,
             revoked: None,
             random,
             now_ms: 0,
@@ -173,23 +185,53 @@
                         TimeMs(asked_ms),
                         fresh.is_some(),
                     );
-                    if let Some(age_ms) = fresh {
-                        instance.version = instance.version.max(version);
+                    if let Some(age_ms) = fresh.filter(|_| version >= instance.version) {
+                        instance.version = version;
                         instance.keys.confirm(passed_on_confirmation(TimeMs(asked_ms), age_ms));
                     }
                 }
-                Message::Read { to, started_ms, version } => {
+                Message::Read { to, started_ms, stored } => {
                     let instance = &mut self.instances[to];
-                    instance.version = instance.version.max(version);
-                    instance.keys.confirm(TimeMs(started_ms));
+                    if stored.era < instance.era {
+                        continue;
+                    }
+                    if stored.era > instance.era {
+                        instance.era = stored.era;
+                        instance.keys.record_new_era(TimeMs(now_ms));
+                    }
+                    if stored.version >= instance.version {
+                        instance.version = stored.version;
+                        instance.keys.confirm(TimeMs(started_ms));
+                    }
                 }
             }
         }
     }
 
+    /// The operator writes a version that removes the key.
+    fn revoke(&mut self) {
+        let version = self.written.last().map_or(1, |(_, version)| version + 1);
+        self.written.push((self.now_ms, version));
+        self.stored.version = version;
+        self.revoked = Some((version, self.now_ms));
+    }
+
+    /// The store comes back from a copy, and lacks what was written since until the operator writes it again.
+    fn come_back(&mut self) {
+        let copied_ms = self.now_ms.saturating_sub(self.random.below(COPY_AGE_MS));
+        let copied = self.written.iter().rev().find(|(at_ms, _)| *at_ms <= copied_ms);
+        let version = copied.map_or(1, |(_, version)| *version);
+        self.stored = Stored { version, era: self.stored.era + 1 };
+        self.rewritten_ms = Some(self.now_ms + self.random.below(REWRITE_MS));
+    }
+
     fn step(&mut self, network: Network) {
         self.now_ms += STEP_MS;
         let now_ms = self.now_ms;
+        if self.rewritten_ms.is_some_and(|at_ms| at_ms <= now_ms) {
+            self.rewritten_ms = None;
+            self.stored.version = self.written.last().map_or(1, |(_, version)| *version);
+        }
         self.deliver(network);
         for number in 0..self.instances.len() {
             if self.instances[number].frozen_until_ms > now_ms {
@@ -215,10 +257,10 @@
                 instance.calls += 1;
                 if instance.cut_until_ms <= now_ms {
                     // The store decides in the middle of the call which version it returns.
-                    let version = self.stored.version;
+                    let stored = self.stored;
                     self.under_way.push((
                         now_ms + READ_MS,
-                        Message::Read { to: number, started_ms: now_ms, version },
+                        Message::Read { to: number, started_ms: now_ms, stored },
                     ));
                 }
             }
@@ -248,21 +290,31 @@
     }
 }
 
-/// Freezes, cuts, loss and delay, with a key that is removed every ten seconds.
+/// Freezes, cuts, loss and delay, with a key that is removed every ten seconds, and a store that comes back from a copy
+/// in one of so many steps or not at all.
 #[rstest]
-#[case::small(3, 0)]
-#[case::one_reader(7, 0)]
-#[case::two_readers(20, 0)]
-#[case::large(60, 0)]
-#[case::lossy(20, 30)]
-fn no_key_is_accepted_after_the_bound(#[case] instances: usize, #[case] loss_percent: u64) {
+#[case::small(3, 0, None)]
+#[case::one_reader(7, 0, None)]
+#[case::two_readers(20, 0, None)]
+#[case::large(60, 0, None)]
+#[case::lossy(20, 30, None)]
+#[case::one_reader_and_copies(7, 0, Some(60))]
+#[case::two_readers_and_copies(20, 0, Some(60))]
+#[case::lossy_and_copies(20, 30, Some(60))]
+fn no_key_is_accepted_after_the_bound(
+    #[case] instances: usize,
+    #[case] loss_percent: u64,
+    #[case] steps_per_copy: Option<u64>,
+) {
     let network = Network { loss_percent, delay_percent: 5 };
     for seed in 0..40 {
         let mut day = Day::new(instances, seed);
         while day.now_ms < 60_000 {
             if day.now_ms.is_multiple_of(10_000) {
-                day.stored.version += 1;
-                day.revoked = Some((day.stored.version, day.now_ms));
+                day.revoke();
+            }
+            if steps_per_copy.is_some_and(|steps| day.random.below(steps) == 0) {
+                day.come_back();
             }
             if day.random.is_hit(8) {
                 let (victim, until_ms) = (
