A lease and its fencing number belong to one era of the store

The simulation of the lease gets a store that comes back from a copy some steps old, gives revisions out again and compares nothing but them, with writes of earlier eras that arrive late.

Change: a number is at least the version of the lease that was found, with the era in its high bits, so that numbers grow with the store's own versions; an acquisition or renewal whose version is of another era than its number is lost.

--- a/crates/coord/src/lease.rs
+++ b/crates/coord/src/lease.rs
@@ -15,9 +15,6 @@
 use bilberryford_types::{Fencing, Incarnation, InstanceId, ObjectVersion, StoreEra, TimeMs};
 use serde::{Deserialize, Serialize};
 
-/// The number of bits of a fencing number that count acquisitions within one era of the store.
-const ACQUISITION_BITS: u32 = 32;
-
 /// One incarnation of an instance as the holder of a lease; a restarted instance is a different holder.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeaseHolder {
@@ -279,10 +276,14 @@
     }
 
     fn acquire(self, expected: ObjectVersion, last_fencing: Fencing, now: TimeMs) -> WatchOutcome {
-        let first_of_era = self.state.era.get() << ACQUISITION_BITS;
+        // In a later era, the record that was found may be older than the last acquisition. Versions only grow.
+        let floor = match self.state.era {
+            StoreEra(0) => 0,
+            era => ObjectVersion::in_era(era, expected.revision()).to_wire(),
+        };
         let record = LeaseRecord {
             holder: Some(self.holder.clone()),
-            fencing: Fencing((last_fencing.get() + 1).max(first_of_era)),
+            fencing: Fencing((last_fencing.get() + 1).max(floor)),
             duration_ms: self.terms.duration,
         };
         let update = LeaseUpdate { expected, record };
@@ -291,6 +292,12 @@
     }
 }
 
+/// True if the store came back from a copy since the lease with `fencing` was acquired. Its object may be a restored one,
+/// or one that a write of the earlier era met at a revision that was given out again.
+fn is_of_other_era(fencing: Fencing, version: ObjectVersion) -> bool {
+    ObjectVersion::from_wire(fencing.get()).era() != version.era()
+}
+
 impl Lease<Acquiring> {
     /// Applies the outcome of the update.
     pub fn on_write(self, result: LeaseWriteOutcome) -> AcquireOutcome {
@@ -316,6 +323,9 @@
 
     fn acquired(self, version: ObjectVersion) -> AcquireOutcome {
         let Acquiring { update, started } = self.state.clone();
+        if is_of_other_era(update.record.fencing, version) {
+            return AcquireOutcome::Lost(self.into_watching());
+        }
         AcquireOutcome::Held(self.into_held(version, update.record.fencing, started))
     }
 }
@@ -398,6 +408,9 @@
     /// Extends the lease after a renewal was applied. The version was written by the first unconfirmed renewal or a
     /// later one, so counting from the start of the first is safe.
     fn extend(mut self, version: ObjectVersion, now: TimeMs) -> RenewalOutcome {
+        if is_of_other_era(self.state.fencing, version) {
+            return RenewalOutcome::Lost(self.into_watching());
+        }
         self.state.version = version;
         if let Some(started) = self.state.unconfirmed.take() {
             self.state.counted_from = started;
--- a/crates/coord/tests/lease.rs
+++ b/crates/coord/tests/lease.rs
@@ -167,7 +167,8 @@
 #[derive(Debug)]
 enum Step {
     Start,
-    Read(Lease<Watching>, Option<LeaseObject>),
+    /// With the era in which the object was read.
+    Read(Lease<Watching>, Option<LeaseObject>, StoreEra),
     AcquireWritten(Lease<bilberryford_coord::Acquiring>, LeaseWriteOutcome),
     AcquireRead(Lease<bilberryford_coord::Acquiring>, Option<LeaseObject>),
     Hold(Lease<Held>),
@@ -200,18 +201,46 @@
     delayed: BTreeMap<(u64, u64), LeaseUpdate>,
     steps: BTreeMap<(u64, usize), Step>,
     orders: Vec<Order>,
+    era: StoreEra,
+    /// Recent states of the store, with their last revisions.
+    copies: Vec<(Option<LeaseObject>, u64)>,
+    /// The store comes back from a copy in one of so many steps, or never.
+    steps_per_return: Option<u32>,
 }
 
 impl World {
+    /// The store compares revisions, and knows nothing of the era in which a writer read them.
     fn apply(&mut self, update: &LeaseUpdate) -> LeaseWriteOutcome {
-        let current = self.object.as_ref().map_or(ObjectVersion::ABSENT, |object| object.version);
-        if current != update.expected {
+        let current = self.object.as_ref().map_or(0, |object| object.version.revision());
+        if current != update.expected.revision() {
             return LeaseWriteOutcome::Conflict;
         }
         self.last_version += 1;
-        let version = ObjectVersion::new(self.last_version);
+        let version = ObjectVersion::in_era(self.era, self.last_version);
         self.object = Some(LeaseObject { version, record: update.record.clone() });
-        LeaseWriteOutcome::Applied(version)
+        let is_of_era =
+            update.expected == ObjectVersion::ABSENT || update.expected.era() == self.era;
+        if is_of_era { LeaseWriteOutcome::Applied(version) } else { LeaseWriteOutcome::Unknown }
+    }
+
+    /// At random, copies the store, or lets it come back from one of the copies.
+    fn drill(&mut self) {
+        let Some(steps) = self.steps_per_return else { return };
+        if self.rng.random_ratio(1, 5) {
+            self.copies.push((self.object.clone(), self.last_version));
+            self.copies.drain(..self.copies.len().saturating_sub(6));
+        }
+        if !self.copies.is_empty() && self.rng.random_ratio(1, steps) {
+            let index = self.rng.random_range(0..self.copies.len());
+            let (object, last_version) = self.copies[index].clone();
+            self.era = StoreEra(self.era.get() + 1);
+            self.last_version = last_version;
+            self.object = object.map(|object| {
+                let version = ObjectVersion::in_era(self.era, object.version.revision());
+                LeaseObject { version, ..object }
+            });
+            self.copies.clear();
+        }
     }
 
     /// Performs a write; at random, its response is lost, or its effect is delayed or lost.
@@ -258,12 +287,13 @@
         match step {
             Step::Start => {
                 let found = self.object.clone();
-                self.schedule(now, index, Step::Read(watching(agent.name), found));
+                self.schedule(now, index, Step::Read(watching(agent.name), found, self.era));
             }
-            Step::Read(lease, found) => match lease.observe(found.as_ref(), clock) {
+            Step::Read(lease, found, era) => match lease.in_era(era).observe(found.as_ref(), clock)
+            {
                 WatchOutcome::Wait { lease, .. } => {
                     let found = self.object.clone();
-                    self.schedule(now, index, Step::Read(lease, found));
+                    self.schedule(now, index, Step::Read(lease, found, self.era));
                 }
                 WatchOutcome::Acquire { lease, update } => {
                     let result = self.write(now, &update);
@@ -337,7 +367,7 @@
     }
 }
 
-fn simulate(seed: u64) -> Vec<Order> {
+fn simulate(seed: u64, steps_per_return: Option<u32>) -> Vec<Order> {
     let agents = [
         Agent { name: "a", offset: 0, rate: 1_000 },
         Agent { name: "b", offset: 1_000_000, rate: 950 },
@@ -350,11 +380,15 @@
         delayed: BTreeMap::new(),
         steps: (0..agents.len()).map(|index| ((0, index), Step::Start)).collect(),
         orders: Vec::new(),
+        era: StoreEra(0),
+        copies: Vec::new(),
+        steps_per_return,
     };
     while let Some(((now, index), step)) = world.steps.pop_first() {
         if now > 200_000 {
             break;
         }
+        world.drill();
         world.apply_delayed(now);
         world.step(now, index, &agents[index], step);
     }
@@ -366,24 +400,36 @@
 
     #[test]
     fn two_holders_never_act_at_the_same_time_and_numbers_grow(seed: u64) {
-        let orders = simulate(seed);
-        for pair in orders.windows(2) {
-            prop_assert!(pair[0].fencing <= pair[1].fencing, "{:?}", pair);
-            let is_same = pair[0].fencing == pair[1].fencing;
-            prop_assert!(is_same || pair[0].to <= pair[1].from, "{:?}", pair);
-        }
+        check(&simulate(seed, None))?;
+    }
+
+    /// The store comes back from a copy some steps old, and gives its revisions out again.
+    #[test]
+    fn one_holder_acts_and_numbers_grow_over_the_eras_of_the_store(seed: u64) {
+        check(&simulate(seed, Some(60)))?;
+    }
+}
+
+fn check(orders: &[Order]) -> Result<(), TestCaseError> {
+    for pair in orders.windows(2) {
+        prop_assert!(pair[0].fencing <= pair[1].fencing, "{:?}", pair);
+        let is_same = pair[0].fencing == pair[1].fencing;
+        prop_assert!(is_same || pair[0].to <= pair[1].from, "{:?}", pair);
     }
+    Ok(())
 }
 
 #[test]
 fn the_simulation_hands_the_lease_over_many_times() {
-    let orders: Vec<_> = (0..20).flat_map(simulate).collect();
-    let holders = orders.windows(2).filter(|pair| pair[0].fencing != pair[1].fencing).count();
-    assert!(
-        orders.len() > 500 && holders > 50,
-        "{} orders, {holders} changes of holder",
-        orders.len()
-    );
+    for steps_per_return in [None, Some(60)] {
+        let orders: Vec<_> = (0..20).flat_map(|seed| simulate(seed, steps_per_return)).collect();
+        let holders = orders.windows(2).filter(|pair| pair[0].fencing != pair[1].fencing).count();
+        assert!(
+            orders.len() > 500 && holders > 50,
+            "{} orders, {holders} changes of holder",
+            orders.len()
+        );
+    }
 }
 
 /// The store came back from a copy: another holder, whose acquisition is lost, may act until its lease ends.
--- a/crates/gateway/tests/decisions/change_log.rs
+++ b/crates/gateway/tests/decisions/change_log.rs
@@ -102,6 +102,8 @@
     let mut log = listed_at(100);
     let batch = ChangeBatch { from: of_second_era(8), to: of_second_era(9), changes: Vec::new() };
     assert!(!log.record_batch(&batch), "what precedes it is of another history");
+    let over_both = ChangeBatch { from: ObjectVersion::new(100), ..batch };
+    assert!(!log.record_batch(&over_both), "it lacks what was lost between");
     assert!(log.record_list(of_second_era(9)));
     assert!(!log.record_list(ObjectVersion::new(200)), "a list of the first era that comes late");
     assert_eq!(log.complete_to(), Some(of_second_era(9)));
