A closed pool is refused with the time of its first reopening, also to the request that found it closed

The time is now the first reopening whenever each endpoint is closed or full. The question before the first byte moves ahead of the retry budget, which a request that is not sent must not use up.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -168,6 +168,11 @@
         let Some(connection) = self.take_connection(&candidate, progress).await else {
             return self.after_unsent(progress);
         };
+        if let Some(obstacle) = self.gateway.obstacle(&candidate) {
+            self.record.notes.push(obstacle.into());
+            progress.unsent_attempts += 1;
+            return self.after_unsent(progress);
+        }
         // Every request that reaches the service after its first attempt is a retry, whatever the outcome of the first.
         if progress.sent_attempts > 0 && !self.gateway.try_take_retry(&self.service) {
             self.record.notes.push("no_repeat_left");
@@ -176,11 +181,6 @@
                 REFUSAL_RETRY_MS,
             ));
         }
-        if let Some(obstacle) = self.gateway.obstacle(&candidate) {
-            self.record.notes.push(obstacle.into());
-            progress.unsent_attempts += 1;
-            return self.after_unsent(progress);
-        }
         if progress.sent_attempts == 0 {
             self.gateway.record_first_attempt(&self.service);
         }
--- a/crates/gateway/src/forward/choose.rs
+++ b/crates/gateway/src/forward/choose.rs
@@ -1,6 +1,6 @@
 //! Chooses the endpoint for an attempt, and plans the transfers of its prompt's parts.
 
-use bilberryford_types::{EndpointId, ErrorKind, TimeMs};
+use bilberryford_types::{ErrorKind, TimeMs};
 
 use super::{Forward, NO_ENDPOINT_RETRY_MS, Progress};
 use crate::{
@@ -28,14 +28,13 @@
     pub(super) demand: TokenDemand,
 }
 
-/// The time at which the first of the endpoints that closed themselves takes requests again.
-fn earliest_reopening_ms(candidates: &[Candidate], tried: &[EndpointId]) -> Option<TimeMs> {
-    let untried = candidates.iter().filter(|candidate| !tried.contains(&candidate.id));
-    let reopenings = untried.filter_map(|candidate| match candidate.obstacle {
+/// The time at which the first endpoint takes requests again, if none takes one before: each is closed or full.
+fn earliest_reopening_ms(candidates: &[Candidate]) -> Option<TimeMs> {
+    let reopenings = candidates.iter().filter_map(|candidate| match candidate.obstacle {
         Some(Obstacle::Closed { until_ms }) => Some(until_ms),
         _ => None,
     });
-    reopenings.min()
+    reopenings.min().filter(|_| candidates.iter().all(|candidate| candidate.obstacle.is_some()))
 }
 
 impl Forward {
@@ -82,13 +81,8 @@
                 Reason::AllFull | Reason::AllClosed => ErrorKind::Overloaded,
                 _ => ErrorKind::NoEndpoint,
             };
-            let reopening_ms = earliest_reopening_ms(&candidates, &progress.tried);
-            let retry_after_ms = match reopening_ms {
-                Some(at_ms) if choice.reason == Reason::AllClosed => {
-                    at_ms.since(self.gateway.clock.now())
-                }
-                _ => NO_ENDPOINT_RETRY_MS,
-            };
+            let retry_after_ms = earliest_reopening_ms(&candidates)
+                .map_or(NO_ENDPOINT_RETRY_MS, |at_ms| at_ms.since(self.gateway.clock.now()));
             return Err(ErrorResponse::with_retry_after(progress.error_kind(kind), retry_after_ms));
         };
         if progress.sent_attempts == 0 && request.prompt.is_some() && choice.reason != Reason::Trial
--- a/crates/platform/src/era.rs
+++ b/crates/platform/src/era.rs
@@ -14,7 +14,7 @@
 }
 
 impl EraTracker {
-    /// The current era.
+    /// The latest era that an answer named.
     pub fn current(&self) -> StoreEra {
         *self.0.borrow()
     }
