--- a/crates/gateway/src/controllers/config.rs
+++ b/crates/gateway/src/controllers/config.rs
@@ -1,7 +1,8 @@
 //! Keeps the configuration up to date: a watch delivers changes soon, and a periodic read confirms the version in
 //! force.
 //!
-//! Only the read extends the validity of keys, since a watch may silently miss changes.
+//! Only the read extends the validity of keys, here or at a reader that passes its age on, since a watch may silently miss
+//! changes.
 
 use std::{sync::Arc, time::Duration};
 
