A limit that an endpoint states is read and logged

Each instance now writes a line when a response first states a limit, changes it or states none any more. No decision uses it yet.

--- a/crates/gateway/src/forward/send.rs
+++ b/crates/gateway/src/forward/send.rs
@@ -147,6 +147,9 @@
             // This response belongs to an earlier request. The connection is dropped, since its own may still arrive.
             return SendOutcome::Lost("answer_of_another");
         }
+        if !facts.is_misdirected {
+            self.gateway.record_limit(&candidate.id, facts.limit);
+        }
         if let Some(keep_alive_ms) = keep_alive_timeout_ms(response.headers()) {
             connection.limit_idle_time(keep_alive_ms);
         }
--- a/crates/gateway/src/gateway/endpoint_access.rs
+++ b/crates/gateway/src/gateway/endpoint_access.rs
@@ -1,6 +1,6 @@
 //! What the gateway knows of single endpoints, and whether it may send to them.
 
-use bilberryford_types::{EndpointId, ModelName, PoolName, TimeMs};
+use bilberryford_types::{EndpointId, ModelName, PoolName, RequestRate, TimeMs};
 use rand::RngExt;
 
 use super::Gateway;
@@ -105,6 +105,26 @@
         }
     }
 
+    /// Records whether a response of an endpoint stated a limit.
+    pub(crate) fn record_limit(&self, endpoint: &EndpointId, limit: Option<RequestRate>) {
+        let before = {
+            let mut local = self.local.lock();
+            let Some(state) = local.get_mut(endpoint) else { return };
+            std::mem::replace(&mut state.stated_limit, limit)
+        };
+        match limit {
+            _ if limit == before => {}
+            Some(limit) => log::info!(
+                target: "belief", endpoint:% = endpoint, limit:% = limit, source = "response";
+                "endpoint states a limit"
+            ),
+            None => log::info!(
+                target: "belief", endpoint:% = endpoint, source = "response";
+                "endpoint states no limit any more"
+            ),
+        }
+    }
+
     /// Records that `endpoint` takes no request of this instance for `closed_for_ms`.
     ///
     /// A single trial follows, after a random delay, so that the instances that were refused do not return at once.
--- a/crates/gateway/src/translation.rs
+++ b/crates/gateway/src/translation.rs
@@ -4,7 +4,7 @@
 
 use std::net::SocketAddr;
 
-use bilberryford_types::{EndpointId, Fencing, ModelName, TeamName, TimeMs, Tokens};
+use bilberryford_types::{EndpointId, Fencing, ModelName, RequestRate, TeamName, TimeMs, Tokens};
 use futures::future::BoxFuture;
 use hyper::{HeaderMap, StatusCode};
 use serde::{Deserialize, Serialize};
@@ -91,6 +91,8 @@
     pub is_leaving: bool,
     /// How long it takes no further request of this instance, if it refused this one and said so.
     pub closed_for_ms: Option<TimeMs>,
+    /// The requests that it takes from all instances together, if it states a limit.
+    pub limit: Option<RequestRate>,
 }
 
 /// A header or stored object that can't be decoded.
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -14,6 +14,7 @@
 mod id;
 mod kind;
 mod quantity;
+mod rate;
 mod version;
 
 pub use digest::{Digest, DigestError};
@@ -28,4 +29,5 @@
     Bytes, BytesPerSec, Fencing, Generation, Incarnation, Priority, QuantityError, Share, StoreEra,
     TimeMs, Tokens,
 };
+pub use rate::{RateError, RequestRate};
 pub use version::{ObjectVersion, VersionError};
