--- a/crates/gateway/src/controllers/peers.rs
+++ b/crates/gateway/src/controllers/peers.rs
@@ -355,7 +355,12 @@
             engines_reported_ms = gateway.clock.now();
             report_engine_parts(gateway, socket, &peers).await;
         }
-        gateway.peers.lock().expire(gateway.clock.now());
+        let live_instances = {
+            let mut peers = gateway.peers.lock();
+            peers.expire(gateway.clock.now());
+            peers.live_instances(gateway.clock.now())
+        };
+        gateway.metrics.live_peers.record(live_instances - 1, &[]);
         update_holder_loads(gateway);
         sleep(Duration::from_millis(report_interval_ms(peers.len()).get())).await;
     }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use opentelemetry::{
     KeyValue,
-    metrics::{Counter, Histogram, MeterProvider, UpDownCounter},
+    metrics::{Counter, Gauge, Histogram, MeterProvider, UpDownCounter},
 };
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
@@ -30,6 +30,7 @@
     pub(crate) orders: Counter<u64>,
     pub(crate) quarantined: Counter<u64>,
     pub(crate) in_flight: UpDownCounter<i64>,
+    pub(crate) live_peers: Gauge<u64>,
     first_byte_s: Histogram<f64>,
 }
 
@@ -51,6 +52,7 @@
             orders: meter.u64_counter("bilberryford.gateway.orders").build(),
             quarantined: meter.u64_counter("bilberryford.gateway.held_back").build(),
             in_flight: meter.i64_up_down_counter("bilberryford.gateway.in_flight").build(),
+            live_peers: meter.u64_gauge("bilberryford.gateway.live_peers").build(),
             first_byte_s: meter
                 .f64_histogram("bilberryford.gateway.first_byte")
                 .with_unit("s")
