The limit that an endpoint states is divided among the instances

Cause: nothing read the limit. The class is a total that all instances share: an equal part with a floor of one, as the project has elsewhere, would pass 1 a second with nine instances.

SharedRate (coord) divides a limit without an owner: the first instances in the rendezvous order of those that have requests, no more of them than whole requests a second, each have an equal part as a bucket that starts empty; a lower part holds at once, a higher one after the time in which all learn of the change. After an end that a later response shows, the total doubles each second. Whoever gets a response with a limit reports it to the others at once, with its age; only what an instance got itself is passed on. A request takes from its instance's part right before its first byte, whatever its way there; a pool whose endpoints are all closed or limited is refused at once with the time of the first one.

Ruled out: equal parts (nobody may send more than every ninth second at nine instances, which a single busy instance starves on), an owner that grants requests (a round trip on each request, and its failover is the same settling time).

--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -26,6 +26,8 @@
 mod quarantine;
 mod retry;
 mod rollout;
+mod share_place;
+mod shared_rate;
 mod shares;
 mod silence;
 
@@ -53,6 +55,8 @@
 pub use quarantine::{ClaimReply, QUARANTINE_MS, Quarantine, QuarantineSource, QuarantineState};
 pub use retry::{RetryBudget, RetryBudgets, RetryClass, backoff};
 pub use rollout::{EngineView, LoadState, RolloutPlan, RolloutView, RolloutWait};
+pub use share_place::SharePlace;
+pub use shared_rate::SharedRate;
 pub use shares::{
     GRANT_VALIDITY, GrantedLimit, LimitOwner, MAX_LIMITED_TEAMS, SlotGrant, SlotRequest,
     conservative_share,
--- a/crates/gateway/src/controllers/peers.rs
+++ b/crates/gateway/src/controllers/peers.rs
@@ -3,14 +3,23 @@
 //! An instance registers its address once when it starts. Messages are small and have no reply, and the pause between
 //! them grows with the number of peers, so that the traffic per instance is bounded.
 
-use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use bilberryford_platform::{Changes, Object, ObjectKey, ObjectKind, PlatformError, Precondition};
 use bilberryford_types::{DataCentreId, ObjectName, ObjectVersion, TimeMs};
 use bytes::Bytes;
 use parking_lot::Mutex;
+use rand::RngExt;
 use serde::{Deserialize, Serialize};
-use tokio::{net::UdpSocket, time::sleep};
+use tokio::{
+    net::UdpSocket,
+    time::{sleep, timeout},
+};
 
 use super::{
     list_watch::{Backoff, WatchHandler},
@@ -18,10 +27,11 @@
 };
 use crate::{
     cache_index::{HolderLoad, HolderView, holder_at},
+    endpoint_limits::MAX_REPORTED_LIMITS,
     gateway::Gateway,
     peer_loads::{
-        EndpointLoad, EndpointTag, EngineParts, LoadMessage, MAX_REPORTED_ENDPOINTS, PeerMessage,
-        RankTokens, StorePartsMessage, report_interval_ms,
+        EndpointLoad, EndpointTag, EngineParts, LimitsMessage, LoadMessage, MAX_REPORTED_ENDPOINTS,
+        PeerMessage, RankTokens, StorePartsMessage, report_interval_ms,
     },
     quarantine::Fingerprint,
 };
@@ -45,6 +55,10 @@
 /// The most crash reports in one message, so that it fits into one datagram.
 const MAX_CRASHES_PER_MESSAGE: usize = 80;
 
+/// The shortest interval between two reports on limits, so that an endpoint whose limit changes with each response causes
+/// few messages.
+const MIN_LIMIT_REPORT_INTERVAL: Duration = Duration::from_millis(20);
+
 /// The rank under which transfers are reported, since links have no priorities.
 const TRANSFER_RANK: u8 = 0;
 
@@ -166,6 +180,7 @@
         report_loads(&gateway, &socket, &addresses),
         forward_store_parts(&gateway, &socket, &addresses),
         shared_view::ask(&gateway, &socket, &addresses),
+        report_limits(&gateway, &socket, &addresses),
     );
 }
 
@@ -259,6 +274,9 @@
                 Ok(PeerMessage::AskView(question)) => {
                     shared_view::answer(gateway, socket, from, &question).await;
                 }
+                Ok(PeerMessage::Limits(message)) => {
+                    gateway.apply_limit_reports(&message.instance, &message.reports);
+                }
                 Ok(PeerMessage::View(answer)) => shared_view::apply(gateway, from, answer),
                 Err(error) => {
                     log::debug!(
@@ -337,12 +355,44 @@
     }
 }
 
+/// Reports the limits that endpoints state, as long as any does. A new one is reported at once; an instance that learns of
+/// it from a peer waits for its turn, so that a large fleet does not report all at once.
+async fn report_limits(gateway: &Gateway, socket: &UdpSocket, addresses: &PeerAddresses) {
+    let instance = gateway.settings.instance.to_string();
+    loop {
+        let changed = gateway.limits_changed.notified();
+        let interval_ms = report_interval_ms(peer_addresses(gateway, addresses).len()).get();
+        let (is_idle, is_due) = {
+            let limits = gateway.limits.lock();
+            (limits.is_empty(), limits.is_report_due())
+        };
+        if is_idle {
+            changed.await;
+            let delay_ms = rand::rng().random_range(0..=interval_ms);
+            if !gateway.limits.lock().is_report_due() {
+                sleep(Duration::from_millis(delay_ms)).await;
+            }
+        } else if !is_due {
+            // Either the interval ends or a limit changes.
+            let _ = timeout(Duration::from_millis(interval_ms), changed).await;
+        }
+        let reports = gateway.refresh_limits();
+        let peers = peer_addresses(gateway, addresses);
+        for reports in reports.chunks(MAX_REPORTED_LIMITS) {
+            let message = LimitsMessage { instance: instance.clone(), reports: reports.to_vec() };
+            send_message(socket, &peers, &PeerMessage::Limits(message)).await;
+        }
+        sleep(MIN_LIMIT_REPORT_INTERVAL).await;
+    }
+}
+
 async fn report_loads(gateway: &Gateway, socket: &UdpSocket, addresses: &PeerAddresses) {
     let incarnation = rand::random();
     let mut sequence = 0;
     let mut engines_reported_ms = TimeMs(0);
     loop {
         let peers = peer_addresses(gateway, addresses);
+        gateway.listed_peers.store(peers.len(), Ordering::Relaxed);
         sequence += 1;
         let load = load_message(gateway, incarnation, sequence).trimmed(MAX_LOAD_BYTES);
         send_message(socket, &peers, &PeerMessage::Load(load)).await;
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -272,6 +272,17 @@
         })
     }
 
+    /// The incarnations of all entries.
+    pub fn incarnations(&self) -> impl Iterator<Item = EndpointTag> {
+        self.entries.values().map(Entry::incarnation)
+    }
+
+    /// The listed endpoint of an incarnation.
+    pub fn id_of(&self, incarnation: EndpointTag) -> Option<EndpointId> {
+        let mut entries = self.entries.iter();
+        entries.find(|(_, entry)| entry.incarnation() == incarnation).map(|(id, _)| id.clone())
+    }
+
     /// The number of removed endpoints that are remembered.
     pub fn remembered(&self) -> usize {
         self.departed.len()
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -38,6 +38,8 @@
 const MAX_SENT_ATTEMPTS: u32 = 4;
 /// The most attempts of a request that fail before a byte is written.
 const MAX_UNSENT_ATTEMPTS: u32 = 3;
+/// The most placements of a request that obstacles prevent: each one takes the time to open a connection at most.
+const MAX_OBSTACLES: u32 = 8;
 /// How long an engine that refused a request gets no further ones, in milliseconds: it loads weights or is full.
 const REFUSAL_PAUSE_MS: TimeMs = TimeMs(150);
 /// The retry delay after every endpoint refused, in milliseconds: a few requests have ended by then.
@@ -98,6 +100,8 @@
     possible_runs: u32,
     /// The attempts that failed before a byte was written.
     unsent_attempts: u32,
+    /// The placements that an obstacle prevented.
+    obstacles: u32,
 }
 
 impl Progress {
@@ -168,10 +172,11 @@
         let Some(connection) = self.take_connection(&candidate, progress).await else {
             return self.after_unsent(progress);
         };
-        if let Some(obstacle) = self.gateway.obstacle(&candidate) {
+        if let Some(obstacle) = self.gateway.last_obstacle(&candidate) {
             self.record.notes.push(obstacle.into());
-            progress.unsent_attempts += 1;
-            return self.after_unsent(progress);
+            let now_ms = self.gateway.clock.now();
+            self.gateway.connections.release(&candidate.id, connection, now_ms);
+            return self.after_obstacle(progress);
         }
         // Every request that reaches the service after its first attempt is a retry, whatever the outcome of the first.
         if progress.sent_attempts > 0 && !self.gateway.try_take_retry(&self.service) {
@@ -243,6 +248,21 @@
         ))
     }
 
+    /// Places the request anew after an obstacle that arose since its placement.
+    fn after_obstacle(
+        &mut self,
+        progress: &mut Progress,
+    ) -> Result<Option<Response<ResponseBody>>, ErrorResponse> {
+        progress.obstacles += 1;
+        if progress.obstacles < MAX_OBSTACLES {
+            return Ok(None);
+        }
+        Err(ErrorResponse::with_retry_after(
+            progress.error_kind(ErrorKind::Overloaded),
+            NO_ENDPOINT_RETRY_MS,
+        ))
+    }
+
     fn may_retry(&self, progress: &Progress) -> bool {
         self.route.is_idempotent()
             && progress.possible_runs < self.route.max_attempts
--- a/crates/gateway/src/forward/choose.rs
+++ b/crates/gateway/src/forward/choose.rs
@@ -31,7 +31,7 @@
 /// The time at which the first endpoint takes requests again, if none takes one before: each is closed or full.
 fn earliest_reopening_ms(candidates: &[Candidate]) -> Option<TimeMs> {
     let reopenings = candidates.iter().filter_map(|candidate| match candidate.obstacle {
-        Some(Obstacle::Closed { until_ms }) => Some(until_ms),
+        Some(Obstacle::Closed { until_ms } | Obstacle::Limited { until_ms }) => Some(until_ms),
         _ => None,
     });
     reopenings.min().filter(|_| candidates.iter().all(|candidate| candidate.obstacle.is_some()))
--- a/crates/gateway/src/forward/send.rs
+++ b/crates/gateway/src/forward/send.rs
@@ -126,7 +126,7 @@
                 in_flight.record_loss();
                 SendOutcome::Lost("connection_lost")
             }
-            Ok(Ok(response)) => self.classify_response(response, connection, candidate),
+            Ok(Ok(response)) => self.classify_response(response, connection, candidate, sent_ms),
         }
     }
 
@@ -135,6 +135,7 @@
         response: Response<Incoming>,
         mut connection: Connection,
         candidate: &Candidate,
+        sent_ms: TimeMs,
     ) -> SendOutcome {
         let facts = self.gateway.translation.read_response(response.status(), response.headers());
         // The endpoint that a request did not reach speaks of itself, not of the candidate.
@@ -143,13 +144,15 @@
         }
         let is_for_other_request =
             facts.request_id.is_some() && facts.request_id != self.facts.request_id;
+        // Only the endpoint's own response to this request shows that its limit has ended.
+        let is_own = !is_for_other_request && (facts.is_signed || facts.is_not_run);
+        if !facts.is_misdirected && (facts.limit.is_some() || is_own) {
+            self.gateway.record_limit(candidate, facts.limit, sent_ms);
+        }
         if is_for_other_request {
             // This response belongs to an earlier request. The connection is dropped, since its own may still arrive.
             return SendOutcome::Lost("answer_of_another");
         }
-        if !facts.is_misdirected {
-            self.gateway.record_limit(&candidate.id, facts.limit);
-        }
         if let Some(keep_alive_ms) = keep_alive_timeout_ms(response.headers()) {
             connection.limit_idle_time(keep_alive_ms);
         }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,12 +1,13 @@
 //! The gateway's shared state. Each part has its own lock, and no lock is held across an await.
 
 mod endpoint_access;
+mod limits;
 
 use std::{
     collections::HashMap,
     sync::{
         Arc,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
 };
 
@@ -23,6 +24,7 @@
     connections::ConnectionPool,
     controllers::ReadMode,
     deployment::{CallerLimits, Deployment},
+    endpoint_limits::EndpointLimits,
     endpoints::EndpointTable,
     key_validity::KeyValidity,
     local_state::LocalState,
@@ -82,6 +84,11 @@
     pub(crate) read_mode: ReadMode,
     pub(crate) local: Mutex<HashMap<EndpointId, LocalState>>,
     pub(crate) peers: Mutex<PeerLoads>,
+    /// The peers that the store lists.
+    pub(crate) listed_peers: AtomicUsize,
+    pub(crate) limits: Mutex<EndpointLimits>,
+    pub(crate) limits_changed: Notify,
+    started_ms: TimeMs,
     pub(crate) quarantine: Mutex<Quarantine>,
     pub(crate) weights: Mutex<HashMap<ModelName, PublishedWeights>>,
     pub(crate) connections: ConnectionPool,
@@ -126,6 +133,10 @@
             read_mode: ReadMode::default(),
             local: Mutex::default(),
             peers: Mutex::default(),
+            listed_peers: AtomicUsize::new(0),
+            limits: Mutex::default(),
+            limits_changed: Notify::new(),
+            started_ms: Clock.now(),
             quarantine: Mutex::default(),
             weights: Mutex::default(),
             connections: ConnectionPool::default(),
--- a/crates/gateway/src/gateway/endpoint_access.rs
+++ b/crates/gateway/src/gateway/endpoint_access.rs
@@ -1,6 +1,6 @@
 //! What the gateway knows of single endpoints, and whether it may send to them.
 
-use bilberryford_types::{EndpointId, ModelName, PoolName, RequestRate, TimeMs};
+use bilberryford_types::{EndpointId, ModelName, PoolName, TimeMs};
 use rand::RngExt;
 
 use super::Gateway;
@@ -30,6 +30,7 @@
         let endpoints = self.endpoints.lock();
         let mut local = self.local.lock();
         let peers = self.peers.lock();
+        let mut limits = self.limits.lock();
         endpoints
             .ready(now_ms)
             .filter(|record| record.service == *service)
@@ -54,6 +55,7 @@
                         &SendFacts {
                             is_ready: true,
                             closed_until_ms: state.closed_until_ms,
+                            limited_until_ms: Some(limits.next_ms(incarnation, now_ms)),
                             in_flight: state.in_flight,
                             connection_share: share,
                         },
@@ -84,16 +86,22 @@
         (share, engine.map(|engine| engine.kv_capacity_tokens))
     }
 
-    /// Returns the reason why a request that was placed must not be sent after all. It counts at the endpoint already.
-    pub(crate) fn obstacle(&self, candidate: &Candidate) -> Option<Obstacle> {
+    /// Returns the reason why a request that was placed must not be sent after all; none if it is to be sent now, and then
+    /// it is counted in a limit that the endpoint states. It counts at the endpoint already.
+    pub(crate) fn last_obstacle(&self, candidate: &Candidate) -> Option<Obstacle> {
         let now_ms = self.clock.now();
         let is_ready = self.endpoints.lock().is_ready(&candidate.id, candidate.incarnation, now_ms);
         let local = self.local.lock();
         let closed_until_ms = local.get(&candidate.id).and_then(|state| state.closed_until_ms);
         drop(local);
-        let facts =
-            SendFacts { is_ready, closed_until_ms, in_flight: 0, connection_share: u32::MAX };
-        obstacle(&facts, now_ms)
+        let facts = SendFacts {
+            is_ready,
+            closed_until_ms,
+            limited_until_ms: None,
+            in_flight: 0,
+            connection_share: u32::MAX,
+        };
+        obstacle(&facts, now_ms).or_else(|| self.limit_obstacle(candidate.incarnation, now_ms))
     }
 
     /// Records that an incarnation of an endpoint said in an answer that it leaves.
@@ -105,26 +113,6 @@
         }
     }
 
-    /// Records whether a response of an endpoint stated a limit.
-    pub(crate) fn record_limit(&self, endpoint: &EndpointId, limit: Option<RequestRate>) {
-        let before = {
-            let mut local = self.local.lock();
-            let Some(state) = local.get_mut(endpoint) else { return };
-            std::mem::replace(&mut state.stated_limit, limit)
-        };
-        match limit {
-            _ if limit == before => {}
-            Some(limit) => log::info!(
-                target: "belief", endpoint:% = endpoint, limit:% = limit, source = "response";
-                "endpoint states a limit"
-            ),
-            None => log::info!(
-                target: "belief", endpoint:% = endpoint, source = "response";
-                "endpoint states no limit any more"
-            ),
-        }
-    }
-
     /// Records that `endpoint` takes no request of this instance for `closed_for_ms`.
     ///
     /// A single trial follows, after a random delay, so that the instances that were refused do not return at once.
--- /dev/null
+++ b/crates/gateway/src/gateway/limits.rs
@@ -0,0 +1,147 @@
+//! The limits that endpoints state, as this instance and its peers learn of them.
+
+use std::{collections::HashSet, sync::atomic::Ordering};
+
+use bilberryford_coord::SharePlace;
+use bilberryford_types::{EndpointId, RequestRate, TimeMs};
+
+use super::Gateway;
+use crate::{
+    endpoint_limits::{LimitChange, LimitReport, LimitSharers},
+    obstacle::Obstacle,
+    peer_loads::{EndpointTag, PeerLoads, report_interval_ms},
+    placement::Candidate,
+};
+
+/// The time after the start of the process in which it learns of its peers, in reports.
+const ACQUAINTANCE_REPORTS: u64 = 5;
+/// The shortest such time, in milliseconds: the list of peers is read and they are sent a first message.
+const MIN_ACQUAINTANCE_MS: u64 = 2_000;
+
+/// The live peers, as of one moment.
+struct LiveSharers<'a> {
+    peers: &'a PeerLoads,
+    local: &'a str,
+    listed_peers: usize,
+    knows_peers: bool,
+    now_ms: TimeMs,
+}
+
+impl LimitSharers for LiveSharers<'_> {
+    fn place(
+        &self,
+        endpoint: EndpointTag,
+        takes_part: &dyn Fn(&str) -> bool,
+    ) -> Option<SharePlace> {
+        let place = || self.peers.place(self.local, endpoint, takes_part, self.now_ms);
+        self.knows_peers.then(place)
+    }
+
+    fn report_interval_ms(&self) -> TimeMs {
+        report_interval_ms(self.listed_peers)
+    }
+}
+
+impl Gateway {
+    fn with_sharers<T>(&self, now_ms: TimeMs, work: impl FnOnce(&LiveSharers<'_>) -> T) -> T {
+        let peers = self.peers.lock();
+        let listed_peers = self.listed_peers.load(Ordering::Relaxed);
+        let interval_ms = report_interval_ms(listed_peers).get();
+        let acquaintance_ms = MIN_ACQUAINTANCE_MS.max(ACQUAINTANCE_REPORTS * interval_ms);
+        work(&LiveSharers {
+            peers: &peers,
+            local: self.settings.instance.as_str(),
+            listed_peers,
+            knows_peers: now_ms.since(self.started_ms).get() >= acquaintance_ms,
+            now_ms,
+        })
+    }
+
+    /// Records whether the response to a request that was sent at `sent_ms` stated a limit.
+    pub(crate) fn record_limit(
+        &self,
+        candidate: &Candidate,
+        limit: Option<RequestRate>,
+        sent_ms: TimeMs,
+    ) {
+        let now_ms = self.clock.now();
+        if limit.is_none() && self.limits.lock().is_empty() {
+            return;
+        }
+        let change = self.with_sharers(now_ms, |sharers| {
+            let endpoint = candidate.incarnation;
+            self.limits.lock().record_response(endpoint, limit, sent_ms, sharers, now_ms)
+        });
+        if change.is_some() {
+            self.limits_changed.notify_one();
+        }
+        self.log_limit_change(Some(&candidate.id), candidate.incarnation, change, "response", None);
+    }
+
+    /// Applies a peer's reports on limits.
+    pub(crate) fn apply_limit_reports(&self, peer: &str, reports: &[LimitReport]) {
+        let now_ms = self.clock.now();
+        if self.limits.lock().is_empty() {
+            // The task that reports sleeps while there is no limit.
+            self.limits_changed.notify_one();
+        }
+        for report in reports {
+            let change = self.with_sharers(now_ms, |sharers| {
+                self.limits.lock().apply_report(peer, report, sharers, now_ms)
+            });
+            if change.is_some() {
+                let id = self.endpoints.lock().id_of(report.endpoint);
+                let age_ms = report.statement.map(|statement| statement.age_ms);
+                self.log_limit_change(id.as_ref(), report.endpoint, change, peer, age_ms);
+            }
+        }
+    }
+
+    /// Updates this instance's parts of the limits, and returns its reports for the others.
+    pub(crate) fn refresh_limits(&self) -> Vec<LimitReport> {
+        let now_ms = self.clock.now();
+        let listed: HashSet<EndpointTag> = self.endpoints.lock().incarnations().collect();
+        let over = self.with_sharers(now_ms, |sharers| {
+            self.limits.lock().refresh(sharers, |endpoint| listed.contains(&endpoint), now_ms)
+        });
+        for endpoint in over {
+            let id = self.endpoints.lock().id_of(endpoint);
+            log::info!(
+                target: "belief", endpoint = id.as_ref().map_or("", |id| id.as_str());
+                "endpoint's limit is over"
+            );
+        }
+        self.limits.lock().take_reports(now_ms)
+    }
+
+    /// Takes one request of this instance's part of a limit, or returns the limit as the obstacle.
+    pub(super) fn limit_obstacle(&self, endpoint: EndpointTag, now_ms: TimeMs) -> Option<Obstacle> {
+        let mut limits = self.limits.lock();
+        let is_taken = limits.try_take(endpoint, now_ms);
+        (!is_taken).then(|| Obstacle::Limited { until_ms: limits.next_ms(endpoint, now_ms) })
+    }
+
+    fn log_limit_change(
+        &self,
+        id: Option<&EndpointId>,
+        endpoint: EndpointTag,
+        change: Option<LimitChange>,
+        source: &str,
+        age_ms: Option<TimeMs>,
+    ) {
+        let Some(change) = change else { return };
+        let id = id.map_or("", |id| id.as_str());
+        let own_part = self.limits.lock().own_part(endpoint).unwrap_or_default();
+        match change {
+            LimitChange::Stated(limit) => log::info!(
+                target: "belief", endpoint = id, limit:% = limit, own_part:% = own_part,
+                source = source, age_ms = age_ms.unwrap_or_default().get();
+                "endpoint states a limit"
+            ),
+            LimitChange::Ended => log::info!(
+                target: "belief", endpoint = id, own_part:% = own_part, source = source;
+                "endpoint states no limit any more"
+            ),
+        }
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod controllers;
 mod departed;
 mod deployment;
+mod endpoint_limits;
 mod endpoints;
 mod filters;
 mod forward;
@@ -53,6 +54,7 @@
     CallerLimits, Deployment, EngineTraits, RetryPolicy, Route, RouteTarget, Service, StoreTraits,
     Team,
 };
+pub use endpoint_limits::{EndpointLimits, LimitChange, LimitReport, LimitSharers, LimitStatement};
 pub use endpoints::{EndpointRecord, EndpointState, EndpointTable, ServedModel};
 pub use gateway::{Gateway, SetupError};
 pub use health::{CircuitState, EndpointHealth};
--- a/crates/gateway/src/local_state.rs
+++ b/crates/gateway/src/local_state.rs
@@ -1,6 +1,6 @@
 //! What this instance knows of one endpoint from its own requests.
 
-use bilberryford_types::{RequestRate, TimeMs};
+use bilberryford_types::TimeMs;
 
 use crate::{
     health::EndpointHealth,
@@ -27,8 +27,6 @@
     pub(crate) loading_until_ms: Option<TimeMs>,
     /// The time until which it takes no request of this instance, on its own word.
     pub(crate) closed_until_ms: Option<TimeMs>,
-    /// The limit that its last response stated for the requests of all instances together.
-    pub(crate) stated_limit: Option<RequestRate>,
 }
 
 impl LocalState {
@@ -40,7 +38,6 @@
         self.slowness = Slowness::default();
         self.loading_until_ms = None;
         self.closed_until_ms = None;
-        self.stated_limit = None;
     }
 
     pub(crate) fn is_loading(&self, now_ms: TimeMs) -> bool {
--- a/crates/gateway/src/obstacle.rs
+++ b/crates/gateway/src/obstacle.rs
@@ -4,6 +4,8 @@
 //! the connection that was opened meanwhile may have taken longer than the answer that closed the endpoint. Requests,
 //! repeats and trials all pass it. Weight orders, reports and events of caches don't: they are no requests of callers,
 //! and an engine that is full still has to load new weights.
+//!
+//! A limit is checked before that by taking a request of this instance's part, since two requests may be placed on one.
 
 use bilberryford_types::TimeMs;
 
@@ -14,6 +16,8 @@
     pub is_ready: bool,
     /// The end of the time for which it takes nothing from this instance.
     pub closed_until_ms: Option<TimeMs>,
+    /// The time from which this instance's part of a limit that the endpoint states allows a request.
+    pub limited_until_ms: Option<TimeMs>,
     /// The requests of this instance that it has, and the most that it may have.
     pub in_flight: u32,
     /// This instance's share of the endpoint's connections.
@@ -31,6 +35,11 @@
         /// The end of that time.
         until_ms: TimeMs,
     },
+    /// It states a limit on the requests of all instances, and this instance has used its part for now.
+    Limited {
+        /// The time from which its part, or else that of another instance, allows a request.
+        until_ms: TimeMs,
+    },
     /// This instance uses its full share of connections there; the endpoint would reset a further one.
     Full,
 }
@@ -43,5 +52,8 @@
     if let Some(until_ms) = facts.closed_until_ms.filter(|until_ms| now_ms < *until_ms) {
         return Some(Obstacle::Closed { until_ms });
     }
+    if let Some(until_ms) = facts.limited_until_ms.filter(|until_ms| now_ms < *until_ms) {
+        return Some(Obstacle::Limited { until_ms });
+    }
     (facts.in_flight >= facts.connection_share).then_some(Obstacle::Full)
 }
--- a/crates/gateway/src/peer_loads.rs
+++ b/crates/gateway/src/peer_loads.rs
@@ -6,6 +6,7 @@
 
 use std::{collections::HashMap, net::SocketAddr};
 
+use bilberryford_coord::SharePlace;
 use bilberryford_types::TimeMs;
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
@@ -13,6 +14,7 @@
 use crate::{
     cache_index::{PartReport, PartTag, PartUpdate},
     controllers::{ViewAnswer, ViewQuestion},
+    endpoint_limits::LimitReport,
     quarantine::Fingerprint,
     translation::CacheChanges,
 };
@@ -174,6 +176,15 @@
     }
 }
 
+/// The limits that endpoints stated to an instance, and for which of them it has requests.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct LimitsMessage {
+    /// The sender.
+    pub(crate) instance: String,
+    /// One report for each endpoint.
+    pub(crate) reports: Vec<LimitReport>,
+}
+
 /// A message between instances.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub(crate) enum PeerMessage {
@@ -194,6 +205,8 @@
     AskView(ViewQuestion),
     /// The answer to such a question.
     View(ViewAnswer),
+    /// The limits that endpoints state.
+    Limits(LimitsMessage),
 }
 
 #[derive(Debug, Clone)]
@@ -249,6 +262,10 @@
     by_key: HashMap<String, usize>,
 }
 
+fn rendezvous_score(instance: &str, seed: u64) -> u64 {
+    xxh3_64_with_seed(instance.as_bytes(), seed)
+}
+
 impl PeerLoads {
     /// Applies a message; one that is not newer than the last one of the same incarnation is ignored.
     pub fn apply(&mut self, message: LoadMessage, now_ms: TimeMs) {
@@ -332,14 +349,36 @@
             return *rank;
         }
         let seed = xxh3_64(key.as_bytes());
-        let score = |instance: &str| xxh3_64_with_seed(instance.as_bytes(), seed);
-        let own_score = score(local);
-        let precedes = |name: &&String| name.as_str() != local && score(name) > own_score;
+        let own_score = rendezvous_score(local, seed);
+        let precedes =
+            |name: &&String| name.as_str() != local && rendezvous_score(name, seed) > own_score;
         let rank = self.peers.keys().filter(precedes).count();
         self.ranks.by_key.insert(key.to_owned(), rank);
         rank
     }
 
+    /// The place of `local` among itself and the live peers that take part, in the rendezvous order for `endpoint`.
+    pub fn place(
+        &self,
+        local: &str,
+        endpoint: EndpointTag,
+        takes_part: &dyn Fn(&str) -> bool,
+        now_ms: TimeMs,
+    ) -> SharePlace {
+        let liveness_ms = self.liveness_ms();
+        let seed = u64::from(endpoint.0);
+        let own_score = rendezvous_score(local, seed);
+        let others = self.peers.iter().filter(|(name, peer)| {
+            name.as_str() != local
+                && now_ms.since(peer.received_ms) < liveness_ms
+                && takes_part(name)
+        });
+        let (rank, count) = others.fold((0, 0), |(rank, count), (name, _)| {
+            (rank + u64::from(rendezvous_score(name, seed) > own_score), count + 1)
+        });
+        SharePlace::new(rank, count + 1)
+    }
+
     /// The load of all peers on an endpoint, with the waiting tokens ahead of a request with `rank`.
     pub fn load(&self, endpoint: EndpointTag, rank: u8, now_ms: TimeMs) -> PeerLoad {
         let mut sum = PeerLoad::default();
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -180,8 +180,10 @@
     let (usable, blocked): (Vec<usize>, Vec<usize>) =
         untried.into_iter().partition(|&index| candidates[index].obstacle.is_none());
     if usable.is_empty() {
-        let is_closed =
-            |index: &usize| matches!(candidates[*index].obstacle, Some(Obstacle::Closed { .. }));
+        let is_closed = |index: &usize| {
+            let obstacle = candidates[*index].obstacle;
+            matches!(obstacle, Some(Obstacle::Closed { .. } | Obstacle::Limited { .. }))
+        };
         let reason =
             if blocked.iter().any(is_closed) { Reason::AllClosed } else { Reason::AllFull };
         return Choice::none(reason);
--- a/crates/gateway/tests/decisions/obstacle.rs
+++ b/crates/gateway/tests/decisions/obstacle.rs
@@ -8,7 +8,7 @@
 
 fn facts(is_ready: bool, closed_until_ms: Option<u64>, in_flight: u32) -> SendFacts {
     let closed_until_ms = closed_until_ms.map(TimeMs);
-    SendFacts { is_ready, closed_until_ms, in_flight, connection_share: 3 }
+    SendFacts { is_ready, closed_until_ms, in_flight, connection_share: 3, limited_until_ms: None }
 }
 
 #[rstest]
