A restart of the fleet does not renew the slack of the retry budget

A process that has just started has heard of no peer, counted itself as the only instance and took the whole slack; and whatever it knew, it began with a fresh part although the process before it had used one in the same window. What callers see of it is none the better: the endpoints of a failing pool get several times the repeats that the deployment allows.

Replay: nine instances before a pool that loses every request restart at once or in turn. Now: none of the slack until the store's list of instances or the peers' messages are there, and a quarter instead of three quarters of it in the first window, so that both processes together stay within the slack.

--- a/crates/gateway/src/controllers/peers.rs
+++ b/crates/gateway/src/controllers/peers.rs
@@ -3,12 +3,7 @@
 //! An instance registers its address once when it starts. Messages are small and have no reply, and the pause between
 //! them grows with the number of peers, so that the traffic per instance is bounded.
 
-use std::{
-    collections::HashMap,
-    net::SocketAddr,
-    sync::{Arc, atomic::Ordering},
-    time::Duration,
-};
+use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use bilberryford_platform::{Changes, Object, ObjectKey, ObjectKind, PlatformError, Precondition};
 use bilberryford_types::{DataCentreId, ObjectName, ObjectVersion, TimeMs};
@@ -98,6 +93,15 @@
     }
 }
 
+impl PeerHandler {
+    fn record_number(&self, gateway: &Gateway) {
+        let own_address = gateway.settings.peer_listen;
+        let listed = self.0.lock();
+        let peers = listed.values().filter(|peer| peer.address != own_address).count();
+        *gateway.listed_peers.lock() = Some(peers);
+    }
+}
+
 impl WatchHandler for PeerHandler {
     const KIND: ObjectKind = ObjectKind::Instance;
     const WATCH_TIMEOUT_MS: TimeMs = TimeMs(30_000);
@@ -111,7 +115,7 @@
 
     fn on_list(
         &self,
-        _gateway: &Gateway,
+        gateway: &Gateway,
         _version: ObjectVersion,
         objects: Vec<Object>,
         _started_ms: TimeMs,
@@ -120,9 +124,10 @@
         for object in objects {
             self.insert(&object.name, &object.body);
         }
+        self.record_number(gateway);
     }
 
-    fn on_changes(&self, _gateway: &Gateway, _since: ObjectVersion, changes: Changes) {
+    fn on_changes(&self, gateway: &Gateway, _since: ObjectVersion, changes: Changes) {
         for change in changes.changes {
             match change.body {
                 Some(body) => self.insert(&change.name, &body),
@@ -131,6 +136,7 @@
                 }
             }
         }
+        self.record_number(gateway);
     }
 }
 
@@ -392,7 +398,6 @@
     let mut engines_reported_ms = TimeMs(0);
     loop {
         let peers = peer_addresses(gateway, addresses);
-        gateway.listed_peers.store(peers.len(), Ordering::Relaxed);
         sequence += 1;
         let load = load_message(gateway, incarnation, sequence).trimmed(MAX_LOAD_BYTES);
         send_message(socket, &peers, &PeerMessage::Load(load)).await;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -7,7 +7,7 @@
     collections::HashMap,
     sync::{
         Arc,
-        atomic::{AtomicBool, AtomicUsize, Ordering},
+        atomic::{AtomicBool, Ordering},
     },
 };
 
@@ -84,8 +84,8 @@
     pub(crate) read_mode: ReadMode,
     pub(crate) local: Mutex<HashMap<EndpointId, LocalState>>,
     pub(crate) peers: Mutex<PeerLoads>,
-    /// The peers that the store lists.
-    pub(crate) listed_peers: AtomicUsize,
+    /// The number of peers that the store lists; none before the first list.
+    pub(crate) listed_peers: Mutex<Option<usize>>,
     pub(crate) limits: Mutex<EndpointLimits>,
     pub(crate) limits_changed: Notify,
     started_ms: TimeMs,
@@ -133,7 +133,7 @@
             read_mode: ReadMode::default(),
             local: Mutex::default(),
             peers: Mutex::default(),
-            listed_peers: AtomicUsize::new(0),
+            listed_peers: Mutex::default(),
             limits: Mutex::default(),
             limits_changed: Notify::new(),
             started_ms: Clock.now(),
@@ -185,7 +185,8 @@
             ratio_per_mille: bounds.retry_ratio_per_mille,
             window_ms: bounds.retry_window_ms,
             slack: bounds.retry_slack,
-            instances: self.peers.lock().live_instances(self.clock.now()),
+            instances: self.fleet_size(self.clock.now()),
+            uptime_ms: self.clock.now().since(self.started_ms),
         }
     }
 
--- a/crates/gateway/src/gateway/limits.rs
+++ b/crates/gateway/src/gateway/limits.rs
@@ -1,6 +1,6 @@
-//! The limits that endpoints state, as this instance and its peers learn of them.
+//! What this instance shares with its peers: the size of the fleet, and the limits that endpoints state.
 
-use std::{collections::HashSet, sync::atomic::Ordering};
+use std::collections::HashSet;
 
 use bilberryford_coord::SharePlace;
 use bilberryford_types::{EndpointId, RequestRate, TimeMs};
@@ -43,16 +43,31 @@
 }
 
 impl Gateway {
+    /// The number of instances that share what the fleet may use, this one included; none while it does not know the
+    /// others. A process that has just started has not had messages from all peers that the store lists.
+    pub(crate) fn fleet_size(&self, now_ms: TimeMs) -> Option<u64> {
+        let live = self.peers.lock().live_instances(now_ms);
+        let listed_peers = *self.listed_peers.lock();
+        if self.knows_peers(listed_peers, now_ms) {
+            return Some(live);
+        }
+        listed_peers.map(|peers| live.max(peers as u64 + 1))
+    }
+
+    fn knows_peers(&self, listed_peers: Option<usize>, now_ms: TimeMs) -> bool {
+        let interval_ms = report_interval_ms(listed_peers.unwrap_or(0)).get();
+        let acquaintance_ms = MIN_ACQUAINTANCE_MS.max(ACQUAINTANCE_REPORTS * interval_ms);
+        now_ms.since(self.started_ms).get() >= acquaintance_ms
+    }
+
     fn with_sharers<T>(&self, now_ms: TimeMs, work: impl FnOnce(&LiveSharers<'_>) -> T) -> T {
+        let listed_peers = *self.listed_peers.lock();
         let peers = self.peers.lock();
-        let listed_peers = self.listed_peers.load(Ordering::Relaxed);
-        let interval_ms = report_interval_ms(listed_peers).get();
-        let acquaintance_ms = MIN_ACQUAINTANCE_MS.max(ACQUAINTANCE_REPORTS * interval_ms);
         work(&LiveSharers {
             peers: &peers,
             local: self.settings.instance.as_str(),
-            listed_peers,
-            knows_peers: now_ms.since(self.started_ms).get() >= acquaintance_ms,
+            listed_peers: listed_peers.unwrap_or(0),
+            knows_peers: self.knows_peers(listed_peers, now_ms),
             now_ms,
         })
     }
--- a/crates/gateway/src/retry_budget.rs
+++ b/crates/gateway/src/retry_budget.rs
@@ -13,6 +13,9 @@
 const USED_RATIO_FRACTION: (u64, u64) = (3, 4);
 /// The fraction of the slack that is divided among the instances.
 const USED_SLACK_FRACTION: (u64, u64) = (3, 4);
+/// The same in the first window of a process: with what the process before it may have used in that time, it is no more
+/// than the whole slack.
+const NEWCOMER_SLACK_FRACTION: (u64, u64) = (1, 4);
 /// The buckets of a window.
 const BUCKETS: u64 = 10;
 
@@ -25,8 +28,10 @@
     pub window_ms: TimeMs,
     /// Retries per window that are allowed regardless of the traffic, over all instances.
     pub slack: u64,
-    /// The number of instances that share the slack.
-    pub instances: u64,
+    /// The number of instances that share the slack; none while this one does not know the others.
+    pub instances: Option<u64>,
+    /// The time since the start of this process, which does not know what the one before it retried.
+    pub uptime_ms: TimeMs,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -68,8 +73,11 @@
         let (numerator, denominator) = USED_RATIO_FRACTION;
         let proportional =
             first_attempts * limits.ratio_per_mille * numerator / (denominator * 1_000);
-        let (numerator, denominator) = USED_SLACK_FRACTION;
-        let floor = limits.slack * numerator / (denominator * limits.instances.max(1));
+        let is_newcomer = limits.uptime_ms < limits.window_ms;
+        let (numerator, denominator) =
+            if is_newcomer { NEWCOMER_SLACK_FRACTION } else { USED_SLACK_FRACTION };
+        let part = |instances: u64| limits.slack * numerator / (denominator * instances.max(1));
+        let floor = limits.instances.map_or(0, part);
         let is_allowed = retries < proportional + floor;
         if is_allowed {
             self.bucket(limits, now_ms).retries += 1;
--- a/crates/gateway/tests/decisions/retry_budget.rs
+++ b/crates/gateway/tests/decisions/retry_budget.rs
@@ -1,8 +1,14 @@
 use bilberryford_gateway::{RetryBudget, RetryLimits};
 use bilberryford_types::TimeMs;
+use rstest::rstest;
 
-const LIMITS: RetryLimits =
-    RetryLimits { ratio_per_mille: 200, window_ms: TimeMs(10_000), slack: 58, instances: 9 };
+const LIMITS: RetryLimits = RetryLimits {
+    ratio_per_mille: 200,
+    window_ms: TimeMs(10_000),
+    slack: 58,
+    instances: Some(9),
+    uptime_ms: TimeMs(60_000),
+};
 
 /// While a pool loses every request, nine instances retry as much as each may; any window must stay within the bound.
 #[test]
@@ -33,3 +39,42 @@
     budget.record_first_attempt(&LIMITS, TimeMs(0));
     assert!(budget.try_take(&LIMITS, TimeMs(1)));
 }
+
+/// All instances restart at once, or one after the other, while a pool loses every request: the processes before them have
+/// used their part of the slack, and none of the new ones knows of that, nor at first of the others.
+#[rstest]
+#[case::at_once(0)]
+#[case::in_turn(900)]
+fn a_restart_of_the_fleet_does_not_renew_the_slack(#[case] apart_ms: u64) {
+    const RESTART_MS: u64 = 20_000;
+    const UNKNOWN_MS: u64 = 300;
+    let mut budgets = vec![RetryBudget::default(); 9];
+    let mut started_ms = [0u64; 9];
+    let mut sent = Vec::new();
+    let mut retried = Vec::new();
+    for now_ms in (0..50_000u64).step_by(20) {
+        let at = (now_ms / 20 % 9) as usize;
+        let restart_ms = RESTART_MS + at as u64 * apart_ms;
+        if started_ms[at] == 0 && now_ms >= restart_ms {
+            started_ms[at] = restart_ms;
+            budgets[at] = RetryBudget::default();
+        }
+        let uptime_ms = match started_ms[at] {
+            0 => 60_000,
+            started_ms => now_ms - started_ms,
+        };
+        let instances = (uptime_ms >= UNKNOWN_MS).then_some(9);
+        let limits = RetryLimits { instances, uptime_ms: TimeMs(uptime_ms), ..LIMITS };
+        budgets[at].record_first_attempt(&limits, TimeMs(now_ms));
+        sent.push(now_ms);
+        while budgets[at].try_take(&limits, TimeMs(now_ms)) {
+            retried.push(now_ms);
+        }
+    }
+    for start in (0..40_000).step_by(100) {
+        let within =
+            |times: &[u64]| times.iter().filter(|at| (start..start + 10_000).contains(*at)).count();
+        let allowed = within(&sent) / 5 + 58;
+        assert!(within(&retried) <= allowed, "at {start}: {} of {allowed}", within(&retried));
+    }
+}
