The shares of all instances stay within an endpoint's connections

The endpoint resets what is beyond, with the request on it, which may not be repeated if it is an order.

Where there are fewer connections than instances, the first ones in the endpoint's rendezvous order have one each. The cost: an instance without a part refuses what it can't place elsewhere.

--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -6,6 +6,7 @@
 
 use std::{collections::HashMap, io, net::SocketAddr, time::Duration};
 
+use bilberryford_coord::SharePlace;
 use bilberryford_types::{EndpointId, TimeMs};
 use bytes::Bytes;
 use http_body_util::Full;
@@ -26,10 +27,17 @@
 /// The most idle connections per endpoint.
 const MAX_IDLE_CONNECTIONS: usize = 32;
 
-/// Returns the share of one instance in the `capacity` of an endpoint, which `instances` divide equally: at least one.
-pub fn connection_share(capacity: u32, instances: u64) -> u32 {
-    let share = u64::from(capacity) / instances.max(1);
-    u32::try_from(share).unwrap_or(u32::MAX).max(1)
+/// Returns the part of one instance in the `capacity` of an endpoint, which `instances` share; `rank` is its place in their
+/// order. Where there are fewer connections than instances, the last ones have none: a further connection would be reset,
+/// with the request on it.
+pub fn connection_share(capacity: u32, instances: u64, rank: impl FnOnce() -> u64) -> u32 {
+    let capacity = u64::from(capacity);
+    // The rank takes a hash for each peer. What it adds to a whole part is one connection at most.
+    let share = match capacity / instances.max(1) {
+        0 => SharePlace::new(rank(), instances).part(capacity),
+        whole => whole,
+    };
+    u32::try_from(share).unwrap_or(u32::MAX)
 }
 
 /// A connection that is ready for a request.
--- a/crates/gateway/src/gateway/endpoint_access.rs
+++ b/crates/gateway/src/gateway/endpoint_access.rs
@@ -26,10 +26,12 @@
         rank: u8,
     ) -> Vec<Candidate> {
         let now_ms = self.clock.now();
-        let (share, memory_tokens) = self.endpoint_capacity(service, now_ms);
+        let (connections, memory_tokens) = self.endpoint_capacity(service);
+        let instances = self.fleet_size(now_ms);
+        let local_name = self.settings.instance.as_str();
         let endpoints = self.endpoints.lock();
         let mut local = self.local.lock();
-        let peers = self.peers.lock();
+        let mut peers = self.peers.lock();
         let mut limits = self.limits.lock();
         endpoints
             .ready(now_ms)
@@ -57,7 +59,11 @@
                             closed_until_ms: state.closed_until_ms,
                             limited_until_ms: Some(limits.next_ms(incarnation, now_ms)),
                             in_flight: state.in_flight,
-                            connection_share: share,
+                            connection_share: connection_share(
+                                connections,
+                                instances.unwrap_or(u64::from(connections)),
+                                || peers.rendezvous_rank(local_name, record.id.as_str()) as u64,
+                            ),
                         },
                         now_ms,
                     ),
@@ -76,14 +82,13 @@
             .collect()
     }
 
-    /// The capacity of each endpoint of a service: this instance's share of its connections, and its memory in tokens.
-    fn endpoint_capacity(&self, service: &PoolName, now_ms: TimeMs) -> (u32, Option<u64>) {
+    /// The capacity of each endpoint of a service: its connections, and its memory in tokens.
+    fn endpoint_capacity(&self, service: &PoolName) -> (u32, Option<u64>) {
         let deployment = self.deployment.load();
         let service = deployment.as_ref().and_then(|deployment| deployment.service(service));
         let connections = service.map_or(u32::MAX, |service| service.max_connections);
         let engine = service.and_then(|service| service.engine.as_ref());
-        let share = connection_share(connections, self.peers.lock().live_instances(now_ms));
-        (share, engine.map(|engine| engine.kv_capacity_tokens))
+        (connections, engine.map(|engine| engine.kv_capacity_tokens))
     }
 
     /// Returns the reason why a request that was placed must not be sent after all; none if it is to be sent now, and then
