--- a/crates/coord/tests/shared_rate.rs
+++ b/crates/coord/tests/shared_rate.rs
@@ -73,6 +73,16 @@
     assert!(sent(&mut rate, 500, 2_000) > 50);
 }
 
+/// The limit rises, and falls to a value between before that is in force.
+#[test]
+fn only_the_lowest_limit_of_the_settling_time_comes_into_force() {
+    let mut rate = alone(1);
+    rate.record_stated(RequestRate::per_s(100), at(1), at(1));
+    rate.record_stated(RequestRate::per_s(10), at(400), at(400));
+    rate.record_stated(RequestRate::per_s(100), at(501), at(501));
+    assert_eq!(rate.rate(), RequestRate::per_s(10));
+}
+
 /// The instance ahead of it left: it may still have sent shortly before.
 #[test]
 fn a_new_holder_waits_until_the_old_one_knows() {
