A planned stop cuts no request on a connection that was accepted

The users' list: "during a planned stop under load, requests that had just been accepted were cut off without an answer". It happens here, in both front ends.

Causes: the loop that accepts ends with established connections in the listener's queue, which the close of the listener resets; and hyper's graceful shutdown closes a connection at once on which it has read nothing, although the request may be in the socket's buffer or on its way. A request whose bytes are in the socket of an idle connection is lost in the same way.

Both front ends now share one server, crates/callers: it accepts what waits before the listener closes, keeps a new connection for half a second for its first request, and reads what a socket holds before it ends an idle connection. `serve` thereby leaves poem's loop, which also polls a connection once more after a failed body and ends the framing as if the response were complete (the gateway left it for that reason); its connections get an idle limit of 75 s, and the failure of TCP_NODELAY is logged.

Ruled out: a longer drain delay, since the callers of the test go on as long as the address accepts.

--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -1,30 +1,18 @@
-//! The server for callers: accepts connections and closes them without losing a request.
-//!
-//! It uses hyper's connections directly. The server loop of poem polls a connection once more after a response body
-//! failed, which ends the chunked encoding as if the response were complete (see `docs/design/platform.md`). Here, a
-//! failed body ends the connection.
+//! Responds to callers' requests: the filter chain, and the error responses of the gateway itself.
 
-use std::{convert::Infallible, sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
+use bilberryford_callers::{ConnectionLimits, Respond};
 use bilberryford_types::ErrorKind;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::{
     Request, Response,
     body::Incoming,
     header::{self, HeaderValue},
-    server::conn::http1,
-    service::service_fn,
 };
-use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::{
-    net::{TcpListener, TcpStream},
-    task::JoinSet,
-    time::{sleep, timeout},
-};
-use tokio_util::sync::CancellationToken;
+use tokio::time::timeout;
 
 use crate::{
-    connections::set_socket_options,
     filters::{RoutedRequest, authorize, identify},
     forward::{Forward, remove_hop_by_hop},
     gateway::Gateway,
@@ -33,73 +21,28 @@
     responses::{ErrorResponse, ResponseBody},
 };
 
-/// How long bytes to a caller may stay unacknowledged before the connection is closed.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(5);
-/// The delay after a failed accept, for example when file descriptors have run out.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
-/// The smallest buffer of a connection that hyper accepts.
-const MIN_BUFFER_BYTES: usize = 8 * 1024;
+/// Responds to the requests of callers through the filter chain.
+pub(crate) struct GatewayResponder(pub(crate) Arc<Gateway>);
+
+impl Respond for GatewayResponder {
+    type Body = ResponseBody;
 
-/// Accepts connections until `shutdown` is cancelled, then waits up to `drain_timeout` for the requests in progress.
-pub(crate) async fn serve_callers(
-    gateway: Arc<Gateway>,
-    listener: TcpListener,
-    shutdown: CancellationToken,
-    drain_timeout: Duration,
-) {
-    let mut connections = JoinSet::new();
-    loop {
-        tokio::select! {
-            accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => {
-                    connections.spawn(serve_connection(gateway.clone(), stream, shutdown.clone()));
-                }
-                Err(error) => {
-                    log::warn!(error:% = error; "can't accept a connection");
-                    sleep(ACCEPT_RETRY_DELAY).await;
-                }
-            },
-            Some(_) = connections.join_next() => {}
-            _ = shutdown.cancelled() => break,
+    fn connection_limits(&self) -> ConnectionLimits {
+        let limits = self.0.limits();
+        // hyper counts the idle time before the first byte of a request as part of the time for its headers.
+        let header_timeout_ms = limits.idle_timeout_ms.after(limits.header_timeout_ms);
+        ConnectionLimits {
+            header_timeout: Duration::from_millis(header_timeout_ms.get()),
+            max_header_bytes: limits.max_header_bytes.get() as usize,
         }
     }
-    drop(listener);
-    let drained = async { while connections.join_next().await.is_some() {} };
-    if timeout(drain_timeout, drained).await.is_err() {
-        log::warn!(
-            target: "life", left = connections.len();
-            "drain timed out; closing the remaining connections"
-        );
-    }
-}
 
-async fn serve_connection(gateway: Arc<Gateway>, stream: TcpStream, shutdown: CancellationToken) {
-    if let Err(error) = set_socket_options(&stream, UNACKNOWLEDGED_TIMEOUT) {
-        log::debug!(error:% = error; "can't set the socket options of a caller's connection");
-    }
-    let limits = gateway.limits();
-    // hyper counts the idle time before the first byte of a request as part of the time for its headers.
-    let header_timeout_ms = limits.idle_timeout_ms.after(limits.header_timeout_ms);
-    let max_header_bytes = limits.max_header_bytes.get() as usize;
-    let service = service_fn(|request| {
-        let gateway = gateway.clone();
-        async move { Ok::<_, Infallible>(serve_request(&gateway, request).await) }
-    });
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(Duration::from_millis(header_timeout_ms.get()))
-        .max_buf_size(max_header_bytes.max(MIN_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(connection);
-    let ended = tokio::select! {
-        ended = connection.as_mut() => ended,
-        _ = shutdown.cancelled() => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
-        }
-    };
-    if let Err(error) = ended {
-        log::debug!(error:% = error; "a caller's connection failed");
+    async fn respond(
+        &self,
+        request: Request<Incoming>,
+        _from: SocketAddr,
+    ) -> Response<ResponseBody> {
+        serve_request(&self.0, request).await
     }
 }
 
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -6,6 +6,7 @@
 
 use std::{collections::HashMap, io, net::SocketAddr, time::Duration};
 
+use bilberryford_callers::set_socket_options;
 use bilberryford_coord::SharePlace;
 use bilberryford_types::{EndpointId, TimeMs};
 use bytes::Bytes;
@@ -13,15 +14,12 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
-use socket2::{SockRef, TcpKeepalive};
 use tokio::{net::TcpStream, time::timeout};
 
 /// The timeout for connecting: a few round trips within a region and the endpoint's time to accept.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// How long written bytes may stay unacknowledged before the connection is considered dead.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// The interval between TCP keep-alive probes on an idle connection.
-const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// The idle timeout for endpoints that send no `Keep-Alive` header, in milliseconds: less than common servers have.
 const DEFAULT_IDLE_TIMEOUT_MS: TimeMs = TimeMs(4_000);
 /// The most idle connections per endpoint.
@@ -69,20 +67,6 @@
     idle: Mutex<HashMap<EndpointId, Vec<IdleConnection>>>,
 }
 
-/// Enables the detection of dead peers and disables Nagle's algorithm.
-///
-/// # Errors
-///
-/// The operating system's error for the first option that it rejects.
-pub(crate) fn set_socket_options(stream: &TcpStream, unacknowledged: Duration) -> io::Result<()> {
-    stream.set_nodelay(true)?;
-    let socket = SockRef::from(stream);
-    socket.set_tcp_user_timeout(Some(unacknowledged))?;
-    socket.set_tcp_keepalive(
-        &TcpKeepalive::new().with_time(KEEPALIVE_INTERVAL).with_interval(KEEPALIVE_INTERVAL),
-    )
-}
-
 impl ConnectionPool {
     /// Takes the most recently used idle connection, if it was used within `max_idle_ms`.
     pub(crate) fn reuse(
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -2,13 +2,14 @@
 
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
+use bilberryford_callers::serve_callers;
 use poem::{
     IntoResponse, Route, Server, endpoint::make_sync, get, http::StatusCode, listener::TcpAcceptor,
 };
 use tokio::{net::TcpListener, time::sleep};
 use tokio_util::sync::CancellationToken;
 
-use crate::{callers::serve_callers, controllers, gateway::Gateway};
+use crate::{callers::GatewayResponder, controllers, gateway::Gateway};
 
 /// How long an instance that shuts down still accepts connections, so that the load balancer's next two checks can see
 /// that it is not ready.
@@ -65,8 +66,8 @@
     let shutdown = CancellationToken::new();
     let grace = Duration::from_millis(gateway.bounds().grace_ms.get());
     let drain_timeout = grace.saturating_sub(READINESS_DELAY + EXIT_RESERVE);
-    let server =
-        tokio::spawn(serve_callers(gateway.clone(), callers, shutdown.clone(), drain_timeout));
+    let responder = Arc::new(GatewayResponder(gateway.clone()));
+    let server = tokio::spawn(serve_callers(responder, callers, shutdown.clone(), drain_timeout));
     stop.await;
     gateway.stop();
     log::info!(target: "life", "stopping");
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -13,7 +13,6 @@
 //! [`ErrorKind`]: bilberryford_types::ErrorKind
 
 mod accept;
-mod acceptor;
 mod admission;
 mod api;
 mod config;
@@ -47,7 +46,6 @@
     AcceptError, Accepted, AcceptedChange, ConfigChange, ConfigHead, PromotedFrom, accept_change,
     read_config_head,
 };
-pub use acceptor::NoDelayAcceptor;
 pub use config::{ConfigObject, config_key, document_digest};
 pub use server::{RunningInstance, ServeError, start};
 pub use settings::NodeSettings;
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -2,26 +2,28 @@
 
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
+use bilberryford_callers::{ConnectionLimits, Respond, serve_callers};
 use bilberryford_peer::{PeerRuntime, PeerTraffic};
 use bilberryford_types::{ErrorKind, EventKind, HybridTime};
 use bytes::Bytes;
+use http_body_util::combinators::BoxBody;
+use hyper::body::Incoming;
 use poem::{
-    Body, EndpointExt, Request, Response, Route, Server,
+    Body, EndpointExt, Request, Response, Route,
     endpoint::make,
     error::ReadBodyError,
     get, handler,
-    http::{HeaderMap, HeaderValue, StatusCode, header},
-    web::Data,
+    http::{HeaderMap, HeaderValue, StatusCode, header, uri::Scheme},
+    web::{Data, LocalAddr, RemoteAddr},
 };
 use tokio::{
     net::TcpListener,
-    sync::oneshot,
     task::{JoinHandle, JoinSet},
     time::{Instant, sleep, timeout},
 };
+use tokio_util::sync::CancellationToken;
 
 use crate::{
-    acceptor::NoDelayAcceptor,
     api::ResponseFormat,
     controllers,
     filters::{self, Context, Target},
@@ -36,6 +38,10 @@
 const MAX_HEADERS: usize = 64;
 /// The largest total size of a request's header names and values, in bytes.
 const MAX_HEADER_BYTES: usize = 16 * 1024;
+/// The longest idle time of a connection, the headers of its next request included.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(75);
+/// The most bytes of a request that are held before its headers are complete: room for headers that are refused by name.
+const MAX_BUFFER_BYTES: usize = 4 * MAX_HEADER_BYTES;
 /// The time limit for receiving a request's body, in milliseconds.
 const BODY_TIMEOUT_MS: u64 = 10_000;
 
@@ -53,9 +59,9 @@
         /// The operating system's error.
         source: io::Error,
     },
-    /// The server failed.
+    /// The server task panicked or was cancelled.
     #[error("the server failed: {0}")]
-    Server(io::Error),
+    Server(#[from] tokio::task::JoinError),
 }
 
 impl From<SetupError> for ServeError {
@@ -70,8 +76,32 @@
     address: SocketAddr,
     peers: PeerRuntime,
     controllers: JoinSet<()>,
-    stop: oneshot::Sender<()>,
-    server: JoinHandle<io::Result<()>>,
+    shutdown: CancellationToken,
+    server: JoinHandle<usize>,
+}
+
+/// Responds to callers through the routes.
+struct RouteResponder<E> {
+    routes: E,
+    address: SocketAddr,
+}
+
+impl<E: poem::Endpoint<Output = Response> + 'static> Respond for RouteResponder<E> {
+    type Body = BoxBody<Bytes, io::Error>;
+
+    fn connection_limits(&self) -> ConnectionLimits {
+        ConnectionLimits { header_timeout: HEADER_TIMEOUT, max_header_bytes: MAX_BUFFER_BYTES }
+    }
+
+    async fn respond(
+        &self,
+        request: hyper::Request<Incoming>,
+        from: SocketAddr,
+    ) -> hyper::Response<Self::Body> {
+        let (local, remote) = (LocalAddr(self.address.into()), RemoteAddr(from.into()));
+        let request = Request::from((request, local, remote, Scheme::HTTP));
+        self.routes.get_response(request).await.into()
+    }
 }
 
 /// Starts an instance: binds its addresses, then starts the peer thread, the controllers and the HTTP server.
@@ -84,7 +114,6 @@
     let bind_error = |source| ServeError::Bind { address: "the address for callers", source };
     let listener = TcpListener::bind(node.settings.listen).await.map_err(bind_error)?;
     let address = listener.local_addr().map_err(bind_error)?;
-    let acceptor = NoDelayAcceptor::from_tokio(listener).map_err(bind_error)?;
     let peer_error = |source| ServeError::Bind { address: "the address for peers", source };
     let peer_listener =
         std::net::TcpListener::bind(node.settings.peer_listen).map_err(peer_error)?;
@@ -93,19 +122,14 @@
     let peers = PeerRuntime::start(peer_listener, Arc::new(handler)).map_err(peer_error)?;
     node.set_peers(peers.client());
     let controllers = controllers::start(&node, peer_address);
-    let (stop, stopped) = oneshot::channel::<()>();
     let limit = Duration::from_millis(node.settings.drain_limit.get());
-    let app = routes(node.clone());
-    let server = tokio::spawn(async move {
-        let stopped = async move { drop(stopped.await) };
-        Server::new_with_acceptor(acceptor)
-            .run_with_graceful_shutdown(app, stopped, Some(limit))
-            .await
-    });
+    let responder = Arc::new(RouteResponder { routes: routes(node.clone()), address });
+    let shutdown = CancellationToken::new();
+    let server = tokio::spawn(serve_callers(responder, listener, shutdown.clone(), limit));
     node.events.write(EventKind::Started, |event| {
         event.detail = format!("http {address}, peers {peer_address}")
     });
-    Ok(RunningInstance { node, address, peers, controllers, stop, server })
+    Ok(RunningInstance { node, address, peers, controllers, shutdown, server })
 }
 
 impl RunningInstance {
@@ -131,14 +155,14 @@
     ///
     /// [`ServeError::Server`] when the server failed.
     pub async fn shut_down(self) -> Result<(), ServeError> {
-        let Self { node, stop, server, controllers, peers, .. } = self;
+        let Self { node, shutdown, server, controllers, peers, .. } = self;
         node.events.write(EventKind::Stopping, |_| {});
         node.mark_leaving();
         let drain_delay = sleep(Duration::from_millis(node.settings.drain_delay.get()));
         tokio::join!(shutdown::notify_peers(&node, peers.address()), drain_delay);
         let until = Instant::now() + Duration::from_millis(node.settings.drain_limit.get());
-        let _ = stop.send(());
-        let result = server.await.map_err(|error| ServeError::Server(io::Error::other(error)))?;
+        shutdown.cancel();
+        let result = server.await;
         shutdown::wait_for_requests(&node, until).await;
         node.orders.wait_drained().await;
         shutdown::wait_for_lease_release(&node).await;
@@ -147,7 +171,8 @@
             event.detail = format!("{} in flight", node.in_flight())
         });
         tokio::task::spawn_blocking(move || drop(peers)).await.ok();
-        result.map_err(ServeError::Server)
+        result?;
+        Ok(())
     }
 }
 
--- a/crates/node/src/acceptor.rs
+++ b/crates/standins/src/acceptor.rs
@@ -10,7 +10,7 @@
 use tokio::net::TcpStream;
 
 /// A TCP acceptor that sets `TCP_NODELAY` on each connection.
-pub struct NoDelayAcceptor(TcpAcceptor);
+pub(crate) struct NoDelayAcceptor(TcpAcceptor);
 
 impl NoDelayAcceptor {
     /// Creates an acceptor from a bound listener.
@@ -18,7 +18,7 @@
     /// # Errors
     ///
     /// Returns the operating system's error if the listener can't be used.
-    pub fn from_tokio(listener: tokio::net::TcpListener) -> io::Result<Self> {
+    pub(crate) fn from_tokio(listener: tokio::net::TcpListener) -> io::Result<Self> {
         TcpAcceptor::from_tokio(listener).map(Self)
     }
 }
--- a/crates/standins/src/host.rs
+++ b/crates/standins/src/host.rs
@@ -12,7 +12,7 @@
     time::Duration,
 };
 
-use bilberryford_node::NoDelayAcceptor;
+use crate::acceptor::NoDelayAcceptor;
 use poem::{EndpointExt, Server, endpoint::BoxEndpoint};
 use tokio::{net::TcpSocket, sync::Notify};
 
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -6,6 +6,7 @@
 //!
 //! A stand-in runs on a thread with its own runtime ([`host`]), so that a crash can drop every socket at once.
 
+mod acceptor;
 pub mod answer;
 pub mod demo;
 pub mod deployment;
@@ -16,6 +17,7 @@
 pub mod load;
 pub mod orders;
 pub mod overhead;
+pub mod persistent;
 pub mod platform;
 pub mod process;
 pub mod returning;
--- a/tests/all/shutdown.rs
+++ b/tests/all/shutdown.rs
@@ -8,7 +8,10 @@
     time::{Duration, Instant},
 };
 
-use bilberryford_standins::load::{Caller, Outcome};
+use bilberryford_standins::{
+    load::{Caller, Outcome},
+    persistent::call_at_once,
+};
 
 use crate::support::{Deployment, KEY, eventually, fast_engine};
 
@@ -169,3 +172,21 @@
     let orders = deployment.services[0].0.stats().orders;
     assert!(!orders.is_empty() && orders.values().all(|count| *count == 1));
 }
+
+/// The connection of a request may be accepted in the moment in which the instance stops to accept.
+#[tokio::test]
+async fn a_planned_stop_under_load_cuts_no_request_on_an_accepted_connection() {
+    const CALLERS: usize = 12;
+    let mut deployment =
+        Deployment::start_with(1, &fast_engine(), &["--drain-delay-ms", "500"]).await.unwrap();
+    let leaving = deployment.instances.remove(0);
+    let address = leaving.url().trim_start_matches("http://").parse().expect("an address");
+    let text = "GET /healthz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+    let calling = tokio::task::spawn_blocking(move || call_at_once(address, text, CALLERS));
+    let is_clean = tokio::task::spawn_blocking(move || leaving.stop(STOP_LIMIT)).await.unwrap();
+    assert!(is_clean, "the instance did not stop within the limit");
+    let outcomes = calling.await.expect("the callers end");
+    let (answered, cut) = (outcomes.answered, outcomes.cut);
+    assert!(cut.is_empty(), "{} requests cut, {answered} answered: {cut:?}", cut.len());
+    assert!(answered > CALLERS, "only {answered} requests");
+}
