A response without a head costs its connection, not a core

An endpoint that sends interim responses (1xx) without end kept hyper's task of the connection busy: hyper bounds the headers of one response, skips any number of interim ones, and goes on after the request that waits was given up. Nothing ended that task, so that one such endpoint took a share of the gateway's single core for good with each request.

A connection's task ends with the connection, and at most 1 MiB is read from the start of a request to the head of its response.

--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -15,6 +15,9 @@
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 use tokio::{net::TcpStream, time::timeout};
+use tokio_util::task::AbortOnDropHandle;
+
+use crate::head_limit::{HeadLimit, HeadLimitedStream};
 
 /// The timeout for connecting: a few round trips within a region and the endpoint's time to accept.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -44,7 +47,11 @@
     pub(crate) sender: SendRequest<Full<Bytes>>,
     /// True if it has carried a request before.
     pub(crate) is_reused: bool,
+    /// The limit on the head of the next response.
+    pub(crate) head_limit: HeadLimit,
     idle_timeout_ms: TimeMs,
+    /// hyper's task of the connection, which ends with it: hyper itself goes on to read a response of which it has no head.
+    _task: AbortOnDropHandle<()>,
 }
 
 impl Connection {
@@ -128,12 +135,20 @@
         .await
         .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
     set_socket_options(&stream, UNACKNOWLEDGED_TIMEOUT)?;
+    let head_limit = HeadLimit::new();
+    let stream = HeadLimitedStream { stream, limit: head_limit.clone() };
     let (sender, connection) =
         http1::handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
-    tokio::spawn(async move {
+    let task = tokio::spawn(async move {
         if let Err(error) = connection.await {
             log::debug!(address:% = address, error:% = error; "connection to an endpoint failed");
         }
     });
-    Ok(Connection { sender, is_reused: false, idle_timeout_ms: DEFAULT_IDLE_TIMEOUT_MS })
+    Ok(Connection {
+        sender,
+        is_reused: false,
+        head_limit,
+        idle_timeout_ms: DEFAULT_IDLE_TIMEOUT_MS,
+        _task: AbortOnDropHandle::new(task),
+    })
 }
--- a/crates/gateway/src/forward/send.rs
+++ b/crates/gateway/src/forward/send.rs
@@ -106,6 +106,7 @@
             time_left_ms
         };
         self.record.attempts += 1;
+        connection.head_limit.begin();
         let sending = connection.sender.try_send_request(request);
         let sent_ms = self.gateway.clock.now();
         tokio::pin!(sending);
@@ -126,7 +127,10 @@
                 in_flight.record_loss();
                 SendOutcome::Lost("connection_lost")
             }
-            Ok(Ok(response)) => self.classify_response(response, connection, candidate, sent_ms),
+            Ok(Ok(response)) => {
+                connection.head_limit.end();
+                self.classify_response(response, connection, candidate, sent_ms)
+            }
         }
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod filters;
 mod forward;
 mod gateway;
+mod head_limit;
 mod health;
 mod in_flight;
 mod key_validity;
