A body that always has more ends at its deadline; a suite of endpoints that misbehave

The deadline of a streamed response was a time-out around the read of its next part. A time-out asks the read first, so that a body of which a part is always there went on past the deadline for as long as its caller read ("stalled ones never ended", on the users' list).

The suite: an endpoint on raw sockets plays 19 ways to misbehave (a late second copy of an answer on a connection that is in use again, heads, bodies, chunk extensions, trailers, interim responses without end, an absurd chunk, no HTTP at all, two lengths, a length and chunks, answers that break off by close, reset and silence, with and without a length, bytes after the end, a byte now and then) for a call, an order and a stream.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -40,14 +40,18 @@
     async fn next_chunk(&mut self) -> Option<io::Result<Bytes>> {
         loop {
             let time_left_ms = self.deadline_ms.since(self.gateway.clock.now());
-            let frame =
-                timeout(Duration::from_millis(time_left_ms.get()), self.incoming.frame()).await;
+            let wait = Duration::from_millis(time_left_ms.get());
+            // A timeout does not end a wait for what is always there.
+            let frame = match time_left_ms {
+                TimeMs(0) => None,
+                _ => timeout(wait, self.incoming.frame()).await.ok(),
+            };
             match frame {
-                Err(_) => {
+                None => {
                     self.finish("deadline_in_answer", true);
                     return Some(Err(io::ErrorKind::TimedOut.into()));
                 }
-                Ok(Some(Err(error))) => {
+                Some(Some(Err(error))) => {
                     self.in_flight.record_loss();
                     self.gateway.update_health(
                         self.in_flight.endpoint(),
@@ -59,7 +63,7 @@
                     self.finish("answer_cut", true);
                     return Some(Err(io::Error::other(error)));
                 }
-                Ok(Some(Ok(frame))) => {
+                Some(Some(Ok(frame))) => {
                     let Ok(data) = frame.into_data() else { continue };
                     self.gateway.record_received(self.in_flight.endpoint());
                     if self.record.first_byte_ms.is_none() {
@@ -68,7 +72,7 @@
                     }
                     return Some(Ok(data));
                 }
-                Ok(None) => {
+                Some(None) => {
                     self.in_flight.record_response();
                     self.gateway.update_health(
                         self.in_flight.endpoint(),
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod heartbeats;
 pub mod host;
 pub mod load;
+pub mod misbehaving;
 pub mod orders;
 pub mod overhead;
 pub mod persistent;
