A response on a connection that is used again has to name its attempt; replies of endpoints are bounded in `serve` too

Two faults in the HTTP clients of `serve`, in the same functions.

The users' list: "a server sent a second copy of an answer, late, on a connection that was in use again; the next caller got an answer that wasn't its own". It happens here: a plain service that does so gave call 1 the answer to call 0 (a_late_second_copy_of_a_services_ answer_is_nobodys, red before, with a service that repeats the attempt's id and with one that does not), and an engine's late copy of a refusal made the next run count as not run although the engine had begun it (a_late_second_copy_of_a_refusal_..., red before: [No, No]). The attempt's id was sent "for the service's own logs" and compared with nothing; the gateway checks its echo since it stands.

A response that names another attempt is lost, whatever its status, and so is one without a name on a connection that has carried another request. Connections are used again only for endpoints that repeat the id (header bilberryford-attempt); others get a new connection for each call. The stand-ins repeat it. Orders have had a new connection each before.

Replies of services and reports of engines, stores and the platform were read to their end, whatever their length, and an event of a stream was held until its line ended (an_answer_without_end_is_not_read_without_end, cases EndlessUnframedBody and AbsurdChunk red before). They are bounded: 8 MiB, 16 MiB for the platform, 1 MiB for an event. The reading of bounded bodies of the gateway's adapter moves to crates/http, which all clients use.

Ruled out: telling a second copy by its time or by bytes on the idle connection; hyper does the latter, and it comes when a request is under way.

--- a/crates/endpoint/src/http_control.rs
+++ b/crates/endpoint/src/http_control.rs
@@ -9,7 +9,9 @@
 use futures::{FutureExt, future::BoxFuture};
 use reqwest::{RequestBuilder, Response, StatusCode};
 
-use crate::{ControlReport, EndpointError, EngineControl, OrderError, WeightOrder};
+use crate::{
+    ControlReport, EndpointError, EngineControl, OrderError, WeightOrder, report::read_report,
+};
 
 /// The control interface of an engine over HTTP.
 #[derive(Debug, Clone)]
@@ -63,10 +65,7 @@
             if !response.status().is_success() {
                 return Err(refused(response.status()));
             }
-            response
-                .json()
-                .await
-                .map_err(|error| EndpointError::InvalidResponse { reason: error.to_string() })
+            read_report(response).await
         }
         .boxed()
     }
--- a/crates/endpoint/src/http_engine.rs
+++ b/crates/endpoint/src/http_engine.rs
@@ -3,25 +3,32 @@
 use std::{net::SocketAddr, time::Duration};
 
 use bilberryford_types::{AttemptId, TimeMs};
+use bytes::Bytes;
 use eventsource_stream::Eventsource;
-use futures::{FutureExt, StreamExt, future::BoxFuture};
+use futures::{FutureExt, Stream, StreamExt, future::BoxFuture};
 use reqwest::{RequestBuilder, Response, StatusCode};
 use serde::de::DeserializeOwned;
 
 use crate::{
-    Chunk, ChunkStream, EndpointError, GenerateCall, LoadReport, ModelEngine,
+    ATTEMPT_HEADER, Chunk, ChunkStream, EndpointError, GenerateCall, LoadReport, ModelEngine,
+    echo::{AttemptEcho, ChosenClient},
+    report::read_report,
     wire::{ChunkBody, CompletionBody, is_draining},
 };
 
 /// The deadline of calls that return a short report and of cancellations, in milliseconds.
 const SHORT_CALL_TIMEOUT_MS: u64 = 1_000;
 
+/// The longest line of a stream of events, in bytes: a token, or several, with their frame.
+const MAX_LINE_BYTES: usize = 1024 * 1024;
+
 /// A model engine over HTTP.
 #[derive(Debug, Clone)]
 pub struct HttpEngine {
     base_url: String,
     pooled: reqwest::Client,
     unpooled: reqwest::Client,
+    echo: AttemptEcho,
 }
 
 impl HttpEngine {
@@ -30,7 +37,8 @@
     ///
     /// Runs are resumed and cancelled through `unpooled`, because a pooled connection may be the one that stalled.
     pub fn new(address: SocketAddr, pooled: reqwest::Client, unpooled: reqwest::Client) -> Self {
-        Self { base_url: format!("http://{address}"), pooled, unpooled }
+        let echo = AttemptEcho::default();
+        Self { base_url: format!("http://{address}"), pooled, unpooled, echo }
     }
 
     fn attempt_url(&self, attempt: &AttemptId) -> String {
@@ -44,19 +52,24 @@
     ) -> Result<T, EndpointError> {
         let request = self.pooled.get(format!("{}{path}", self.base_url));
         let response = send(request, TimeMs(SHORT_CALL_TIMEOUT_MS)).await?;
-        response
-            .json()
-            .await
-            .map_err(|error| EndpointError::InvalidResponse { reason: error.to_string() })
+        read_report(response).await
     }
 }
 
 async fn send(request: RequestBuilder, timeout: TimeMs) -> Result<Response, EndpointError> {
-    let response = request
-        .timeout(Duration::from_millis(timeout.get()))
-        .send()
-        .await
-        .map_err(|error| EndpointError::from_send(&error))?;
+    accepted(send_unchecked(request, timeout).await?)
+}
+
+async fn send_unchecked(
+    request: RequestBuilder,
+    timeout: TimeMs,
+) -> Result<Response, EndpointError> {
+    let request = request.timeout(Duration::from_millis(timeout.get()));
+    request.send().await.map_err(|error| EndpointError::from_send(&error))
+}
+
+/// Returns the response if the engine began to run the request.
+fn accepted(response: Response) -> Result<Response, EndpointError> {
     match response.status() {
         status if status.is_success() => Ok(response),
         StatusCode::NOT_FOUND => Err(EndpointError::UnknownAttempt),
@@ -75,9 +88,26 @@
     status.is_client_error() || status == StatusCode::SERVICE_UNAVAILABLE
 }
 
+/// Ends a stream of events in which one takes too many bytes. What reads the events holds a line until it ends.
+fn with_bounded_lines(
+    bytes: impl Stream<Item = reqwest::Result<Bytes>>,
+) -> impl Stream<Item = Result<Bytes, String>> {
+    let mut line_bytes = 0;
+    bytes.map(move |chunk| {
+        let chunk = chunk.map_err(|error| error.to_string())?;
+        line_bytes = match chunk.iter().rposition(|byte| *byte == b'\n') {
+            Some(end) => chunk.len() - end - 1,
+            None => line_bytes + chunk.len(),
+        };
+        if line_bytes > MAX_LINE_BYTES {
+            return Err(format!("an event is longer than {MAX_LINE_BYTES} bytes"));
+        }
+        Ok(chunk)
+    })
+}
+
 fn chunk_stream(response: Response) -> ChunkStream {
-    response
-        .bytes_stream()
+    with_bounded_lines(response.bytes_stream())
         .eventsource()
         .map(|event| {
             let event =
@@ -123,8 +153,16 @@
                 skip_tokens: call.skip_tokens,
                 given: call.skipped_text.to_string(),
             };
-            let request = self.pooled.post(format!("{}/v1/completions", self.base_url)).json(&body);
-            match send(request, timeout).await {
+            let ChosenClient { client, may_be_reused } =
+                self.echo.choose(&self.pooled, &self.unpooled);
+            let request = client
+                .post(format!("{}/v1/completions", self.base_url))
+                .header(ATTEMPT_HEADER, body.attempt.as_str())
+                .json(&body);
+            let response = send_unchecked(request, timeout).await?;
+            // A late copy of another attempt's refusal says nothing of this one.
+            self.echo.check(response.headers(), &body.attempt, may_be_reused)?;
+            match accepted(response) {
                 Ok(response) => Ok(chunk_stream(response)),
                 Err(EndpointError::UnknownAttempt) => {
                     Err(EndpointError::Refused { status: StatusCode::NOT_FOUND.as_u16() })
--- a/crates/endpoint/src/http_service.rs
+++ b/crates/endpoint/src/http_service.rs
@@ -2,11 +2,19 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use bilberryford_http::read_body;
 use bilberryford_types::TimeMs;
 use futures::{FutureExt, future::BoxFuture};
 use reqwest::{Method, StatusCode, header};
 
-use crate::{EndpointError, PlainService, ServiceCall, ServiceReply, wire::is_draining};
+use crate::{
+    ATTEMPT_HEADER, EndpointError, PlainService, ServiceCall, ServiceReply,
+    echo::{AttemptEcho, ChosenClient},
+    wire::is_draining,
+};
+
+/// The longest reply of a service, in bytes, which is held until it is complete.
+const MAX_REPLY_BYTES: usize = 8 * 1024 * 1024;
 
 /// A plain service over HTTP.
 #[derive(Debug, Clone)]
@@ -14,13 +22,15 @@
     base_url: String,
     pooled: reqwest::Client,
     unpooled: reqwest::Client,
+    echo: AttemptEcho,
 }
 
 impl HttpService {
     /// Creates a client for the service at `address`. `pooled` may reuse connections, `unpooled` must open a new one
     /// for each call.
     pub fn new(address: SocketAddr, pooled: reqwest::Client, unpooled: reqwest::Client) -> Self {
-        Self { base_url: format!("http://{address}"), pooled, unpooled }
+        let echo = AttemptEcho::default();
+        Self { base_url: format!("http://{address}"), pooled, unpooled, echo }
     }
 }
 
@@ -31,14 +41,15 @@
         timeout: TimeMs,
     ) -> BoxFuture<'_, Result<ServiceReply, EndpointError>> {
         async move {
-            let client = if call.idempotent { &self.pooled } else { &self.unpooled };
+            let pooled = if call.idempotent { &self.pooled } else { &self.unpooled };
+            let ChosenClient { client, may_be_reused } = self.echo.choose(pooled, &self.unpooled);
             let method = Method::from_bytes(call.method.as_bytes())
                 .map_err(|error| EndpointError::Connect { reason: error.to_string() })?;
             let mut request = client
                 .request(method, format!("{}{}", self.base_url, call.path))
                 .timeout(Duration::from_millis(timeout.get()))
                 .header("bilberryford-team", call.team.as_str())
-                .header("bilberryford-attempt", call.attempt.as_str())
+                .header(ATTEMPT_HEADER, call.attempt.as_str())
                 .body(call.body);
             if let Some(content_type) = call.content_type {
                 request = request.header(header::CONTENT_TYPE, content_type);
@@ -48,6 +59,7 @@
             }
             let response =
                 request.send().await.map_err(|error| EndpointError::from_send(&error))?;
+            self.echo.check(response.headers(), &call.attempt, may_be_reused)?;
             let status = response.status().as_u16();
             if response.status() == StatusCode::SERVICE_UNAVAILABLE
                 && is_draining(response.headers())
@@ -61,8 +73,7 @@
                 .map(str::to_owned);
             let reported_not_run =
                 response.headers().get("bilberryford-ran").is_some_and(|value| value == "no");
-            let body = response
-                .bytes()
+            let body = read_body(response, MAX_REPLY_BYTES)
                 .await
                 .map_err(|error| EndpointError::ResponseLost { reason: error.to_string() })?;
             Ok(ServiceReply { status, content_type, body, reported_not_run })
--- a/crates/endpoint/src/http_store.rs
+++ b/crates/endpoint/src/http_store.rs
@@ -12,6 +12,7 @@
     kv_wire::{
         ExportOrder, ExportReport, ImportOrder, ImportReport, LookUpBody, StoreUsage, StoredExport,
     },
+    report::read_report,
 };
 
 /// A store of cache blocks over HTTP.
@@ -89,7 +90,5 @@
     if !status.is_success() {
         return Err(EndpointError::ResponseLost { reason: format!("status {status}") });
     }
-    let body = response.bytes().await.map_err(|error| EndpointError::from_send(&error))?;
-    serde_json::from_slice(&body)
-        .map_err(|error| EndpointError::InvalidResponse { reason: error.to_string() })
+    read_report(response).await
 }
--- a/crates/endpoint/src/lib.rs
+++ b/crates/endpoint/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod cache_feed;
 mod control;
+mod echo;
 mod engine;
 mod error;
 mod http_cache_feed;
@@ -17,12 +18,14 @@
 mod http_service;
 mod http_store;
 pub mod kv_wire;
+mod report;
 mod service;
 mod store;
 pub mod wire;
 
 pub use cache_feed::CacheFeed;
 pub use control::{ControlReport, EngineControl, OrderError, WeightOrder};
+pub use echo::ATTEMPT_HEADER;
 pub use engine::{Chunk, ChunkStream, GenerateCall, LoadReport, ModelEngine};
 pub use error::EndpointError;
 pub use http_control::HttpControl;
--- a/platform/src/body.rs
+++ b/crates/http/src/body.rs
@@ -5,7 +5,7 @@
 
 /// A body that was not read to its end.
 #[derive(Debug, thiserror::Error)]
-pub(crate) enum BodyError {
+pub enum BodyError {
     /// The connection failed or the call took too long.
     #[error(transparent)]
     Transport(#[from] reqwest::Error),
@@ -18,10 +18,11 @@
 }
 
 /// Reads the body of `response`, of at most `limit_bytes`.
-pub(crate) async fn read_body(
-    mut response: Response,
-    limit_bytes: usize,
-) -> Result<Bytes, BodyError> {
+///
+/// # Errors
+///
+/// [`BodyError`] if the body is longer or is not read to its end. The connection is closed in both cases.
+pub async fn read_body(mut response: Response, limit_bytes: usize) -> Result<Bytes, BodyError> {
     let mut body = BytesMut::new();
     while let Some(chunk) = response.chunk().await? {
         if body.len() + chunk.len() > limit_bytes {
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use bilberryford_http::{BodyError, read_body};
 use bilberryford_types::{ObjectVersion, TimeMs};
 use bytes::Bytes;
 use futures::{FutureExt, future::BoxFuture};
@@ -19,6 +20,9 @@
     wire::{InstancesBody, ListBody, entity_tag, parse_entity_tag},
 };
 
+/// The longest reply of the platform, in bytes: some objects of the largest size.
+const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
+
 /// Settings of [`HttpPlatform`].
 #[derive(Debug, Clone)]
 pub struct HttpPlatformConfig {
@@ -122,8 +126,8 @@
     }
 
     async fn read_body(&self, response: Response) -> Result<Bytes, PlatformError> {
-        let unknown = |error: reqwest::Error| PlatformError::Unknown { reason: error.to_string() };
-        let body = response.bytes().await.map_err(unknown)?;
+        let unknown = |error: BodyError| PlatformError::Unknown { reason: error.to_string() };
+        let body = read_body(response, MAX_BODY_BYTES).await.map_err(unknown)?;
         self.traffic.record_received(body.len());
         Ok(body)
     }
--- a/crates/standins/src/host.rs
+++ b/crates/standins/src/host.rs
@@ -13,7 +13,8 @@
 };
 
 use crate::acceptor::NoDelayAcceptor;
-use poem::{EndpointExt, Server, endpoint::BoxEndpoint};
+use bilberryford_endpoint::ATTEMPT_HEADER;
+use poem::{Endpoint, EndpointExt, Server, endpoint::BoxEndpoint};
 use tokio::{net::TcpSocket, sync::Notify};
 
 /// Maximum number of connections that wait to be accepted.
@@ -144,7 +145,7 @@
         let result = runtime.block_on(async move {
             let acceptor = NoDelayAcceptor::from_tokio(socket(address)?.listen(BACKLOG)?)?;
             let _ = address_sender.send(Ok(address));
-            let server = Server::new_with_acceptor(acceptor).run(app.map_to_response());
+            let server = Server::new_with_acceptor(acceptor).run(app.around(echo_attempt));
             tokio::select! {
                 result = server => result,
                 () = notify.notified() => Ok(()),
@@ -164,3 +165,16 @@
     socket.bind(address)?;
     Ok(socket)
 }
+
+/// Repeats the attempt's id, so that callers can use a connection again.
+async fn echo_attempt(
+    app: Arc<BoxEndpoint<'static, poem::Response>>,
+    request: poem::Request,
+) -> poem::Result<poem::Response> {
+    let attempt = request.headers().get(ATTEMPT_HEADER).cloned();
+    let mut response = Endpoint::get_response(&app, request).await;
+    if let Some(attempt) = attempt {
+        response.headers_mut().insert(ATTEMPT_HEADER, attempt);
+    }
+    Ok(response)
+}
