--- a/crates/gateway/src/controllers/peers.rs
+++ b/crates/gateway/src/controllers/peers.rs
@@ -383,6 +383,7 @@
             let _ = timeout(Duration::from_millis(interval_ms), changed).await;
         }
         let reports = gateway.refresh_limits();
+        gateway.metrics.limited_endpoints.record(reports.len() as u64, &[]);
         let peers = peer_addresses(gateway, addresses);
         for reports in reports.chunks(MAX_REPORTED_LIMITS) {
             let message = LimitsMessage { instance: instance.clone(), reports: reports.to_vec() };
--- a/crates/gateway/src/forward/choose.rs
+++ b/crates/gateway/src/forward/choose.rs
@@ -1,5 +1,7 @@
 //! Chooses the endpoint for an attempt, and plans the transfers of its prompt's parts.
 
+use std::collections::BTreeSet;
+
 use bilberryford_types::{ErrorKind, TimeMs};
 
 use super::{Forward, NO_ENDPOINT_RETRY_MS, Progress};
@@ -37,6 +39,11 @@
     reopenings.min().filter(|_| candidates.iter().all(|candidate| candidate.obstacle.is_some()))
 }
 
+/// The kinds of obstacles at a pool of which no endpoint can be chosen, for the log.
+fn obstacle_names(candidates: &[Candidate]) -> BTreeSet<&'static str> {
+    candidates.iter().filter_map(|candidate| candidate.obstacle).map(Into::into).collect()
+}
+
 impl Forward {
     /// The priority rank: the team's rank, subdivided by the route's.
     pub(super) fn rank(&self) -> u8 {
@@ -76,6 +83,7 @@
         let choice = place(&candidates, &request);
         let Some(index) = choice.index else {
             self.record.placed = choice.reason.into();
+            self.record.notes.extend(obstacle_names(&candidates));
             let kind = match choice.reason {
                 Reason::AllTried => ErrorKind::EndpointRefused,
                 Reason::AllFull | Reason::AllClosed => ErrorKind::Overloaded,
--- a/crates/gateway/tests/decisions/endpoint_limits.rs
+++ b/crates/gateway/tests/decisions/endpoint_limits.rs
@@ -524,3 +524,17 @@
     assert_eq!(limits.refresh(&First, |_| false, TimeMs(10_200)), [endpoint()]);
     assert!(limits.is_empty());
 }
+
+/// The others have taken its part over meanwhile.
+#[test]
+fn an_instance_whose_requests_come_back_waits_for_its_part() {
+    let mut limits = EndpointLimits::default();
+    limits.record_response(endpoint(), Some(LIMIT), TimeMs(9_900), &First, TimeMs(10_000));
+    limits.refresh(&First, |_| true, TimeMs(25_000));
+    assert!(limits.next_ms(endpoint(), TimeMs(25_010)) > TimeMs(25_010));
+    assert!(!limits.try_take(endpoint(), TimeMs(25_010)));
+    limits.refresh(&First, |_| true, TimeMs(25_100));
+    assert!(!limits.try_take(endpoint(), TimeMs(25_500)));
+    limits.refresh(&First, |_| true, TimeMs(25_700));
+    assert!(limits.try_take(endpoint(), TimeMs(26_800)));
+}
