Reports on limits and the model of limits in files of their own

A move: no line of logic changes. Ruled out: splitting the model's fleet from its cases, which would make one file need the other's private parts.

--- a/crates/gateway/src/controllers.rs
+++ b/crates/gateway/src/controllers.rs
@@ -6,6 +6,7 @@
 mod eras;
 mod free_parts;
 mod housekeeping;
+mod limits;
 mod list_watch;
 mod peers;
 mod shared_view;
--- a/crates/gateway/src/controllers/peers.rs
+++ b/crates/gateway/src/controllers/peers.rs
@@ -9,24 +9,20 @@
 use bilberryford_types::{DataCentreId, ObjectName, ObjectVersion, TimeMs};
 use bytes::Bytes;
 use parking_lot::Mutex;
-use rand::RngExt;
 use serde::{Deserialize, Serialize};
-use tokio::{
-    net::UdpSocket,
-    time::{sleep, timeout},
-};
+use tokio::{net::UdpSocket, time::sleep};
 
 use super::{
+    limits,
     list_watch::{Backoff, WatchHandler},
     shared_view,
 };
 use crate::{
     cache_index::{HolderLoad, HolderView, holder_at},
-    endpoint_limits::MAX_REPORTED_LIMITS,
     gateway::Gateway,
     peer_loads::{
-        EndpointLoad, EndpointTag, EngineParts, LimitsMessage, LoadMessage, MAX_REPORTED_ENDPOINTS,
-        PeerMessage, RankTokens, StorePartsMessage, report_interval_ms,
+        EndpointLoad, EndpointTag, EngineParts, LoadMessage, MAX_REPORTED_ENDPOINTS, PeerMessage,
+        RankTokens, StorePartsMessage, report_interval_ms,
     },
     quarantine::Fingerprint,
 };
@@ -50,10 +46,6 @@
 /// The most crash reports in one message, so that it fits into one datagram.
 const MAX_CRASHES_PER_MESSAGE: usize = 80;
 
-/// The shortest interval between two reports on limits, so that an endpoint whose limit changes with each response causes
-/// few messages.
-const MIN_LIMIT_REPORT_INTERVAL: Duration = Duration::from_millis(20);
-
 /// The rank under which transfers are reported, since links have no priorities.
 const TRANSFER_RANK: u8 = 0;
 
@@ -186,7 +178,7 @@
         report_loads(&gateway, &socket, &addresses),
         forward_store_parts(&gateway, &socket, &addresses),
         shared_view::ask(&gateway, &socket, &addresses),
-        report_limits(&gateway, &socket, &addresses),
+        limits::report(&gateway, &socket, &addresses),
     );
 }
 
@@ -223,7 +215,7 @@
     gateway.record_quarantined(quarantined, "peers saw it lost with endpoints");
 }
 
-fn peer_addresses(gateway: &Gateway, addresses: &PeerAddresses) -> Vec<SocketAddr> {
+pub(super) fn peer_addresses(gateway: &Gateway, addresses: &PeerAddresses) -> Vec<SocketAddr> {
     let own_address = gateway.settings.peer_listen;
     let listed = addresses.lock();
     listed.values().map(|peer| peer.address).filter(|at| *at != own_address).collect()
@@ -361,38 +353,6 @@
     }
 }
 
-/// Reports the limits that endpoints state, as long as any does. A new one is reported at once; an instance that learns of
-/// it from a peer waits for its turn, so that a large fleet does not report all at once.
-async fn report_limits(gateway: &Gateway, socket: &UdpSocket, addresses: &PeerAddresses) {
-    let instance = gateway.settings.instance.to_string();
-    loop {
-        let changed = gateway.limits_changed.notified();
-        let interval_ms = report_interval_ms(peer_addresses(gateway, addresses).len()).get();
-        let (is_idle, is_due) = {
-            let limits = gateway.limits.lock();
-            (limits.is_empty(), limits.is_report_due())
-        };
-        if is_idle {
-            changed.await;
-            let delay_ms = rand::rng().random_range(0..=interval_ms);
-            if !gateway.limits.lock().is_report_due() {
-                sleep(Duration::from_millis(delay_ms)).await;
-            }
-        } else if !is_due {
-            // Either the interval ends or a limit changes.
-            let _ = timeout(Duration::from_millis(interval_ms), changed).await;
-        }
-        let reports = gateway.refresh_limits();
-        gateway.metrics.limited_endpoints.record(reports.len() as u64, &[]);
-        let peers = peer_addresses(gateway, addresses);
-        for reports in reports.chunks(MAX_REPORTED_LIMITS) {
-            let message = LimitsMessage { instance: instance.clone(), reports: reports.to_vec() };
-            send_message(socket, &peers, &PeerMessage::Limits(message)).await;
-        }
-        sleep(MIN_LIMIT_REPORT_INTERVAL).await;
-    }
-}
-
 async fn report_loads(gateway: &Gateway, socket: &UdpSocket, addresses: &PeerAddresses) {
     let incarnation = rand::random();
     let mut sequence = 0;
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -8,6 +8,7 @@
     mod endpoints;
     mod health;
     mod key_validity;
+    mod limit_model;
     mod obstacle;
     mod peer_loads;
     mod placement;
