No connection is established while the listener closes

Between the last accept and the close of the listener the kernel goes on to establish connections, and a busy machine makes that time long.

A packet filter on the listener drops the first packet of further connections before the last ones are accepted; callers repeat it and are refused. Where the option is not to be had, a line says so and the stop is as before.

Ruled out: a shorter backlog (one connection is always taken) and shutdown() on the listener, which resets what waits.

--- a/crates/callers/src/lib.rs
+++ b/crates/callers/src/lib.rs
@@ -11,9 +11,10 @@
 mod connection;
 mod stream;
 
-use std::{convert::Infallible, io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{convert::Infallible, io, net::SocketAddr, pin::pin, sync::Arc, time::Duration};
 
 use hyper::{Request, Response, body::Incoming};
+use socket2::{SockFilter, SockRef};
 use tokio::{
     net::{TcpListener, TcpStream},
     task::JoinSet,
@@ -27,6 +28,21 @@
 /// The delay after a failed accept, for example when file descriptors have run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
+/// How long connections are accepted after the first packet of further ones is dropped: a round trip, and the time that the
+/// kernel of a busy machine takes to process the last packet of a handshake.
+const HANDSHAKE_TIME: Duration = Duration::from_millis(100);
+/// A packet filter that drops the first packet of a connection and accepts all others. Its input begins with the TCP header.
+const DROP_SYN: [SockFilter; 5] = [
+    // Loads the byte of the flags.
+    SockFilter::new(0x30, 0, 0, 13),
+    // Retains SYN and ACK.
+    SockFilter::new(0x54, 0, 0, 0x12),
+    // Goes on for SYN alone, and skips an instruction otherwise.
+    SockFilter::new(0x15, 0, 1, 0x02),
+    SockFilter::new(0x06, 0, 0, 0),
+    SockFilter::new(0x06, 0, 0, u32::MAX),
+];
+
 /// Responds to the requests of callers.
 pub trait Respond: Send + Sync + 'static {
     /// The body of a response. An error in it ends the connection, so that a truncated response never looks complete.
@@ -54,32 +70,54 @@
     drain_timeout: Duration,
 ) -> usize {
     let mut connections = JoinSet::new();
+    let accept = |connections: &mut JoinSet<()>, stream, from| {
+        connections.spawn(serve_connection(responder.clone(), stream, from, shutdown.clone()));
+    };
+    accept_until(&listener, shutdown.cancelled(), &mut connections, accept).await;
+    refuse_new(&listener);
+    accept_until(&listener, sleep(HANDSHAKE_TIME), &mut connections, accept).await;
+    for (stream, from) in take_waiting(listener) {
+        accept(&mut connections, stream, from);
+    }
+    let drained = async { while connections.join_next().await.is_some() {} };
+    if timeout(drain_timeout, drained).await.is_err() {
+        log::warn!(
+            target: "life", left = connections.len();
+            "drain timed out; closing the remaining connections"
+        );
+    }
+    connections.len()
+}
+
+/// Accepts connections until `end`.
+async fn accept_until(
+    listener: &TcpListener,
+    end: impl Future<Output = ()>,
+    connections: &mut JoinSet<()>,
+    accept: impl Fn(&mut JoinSet<()>, TcpStream, SocketAddr),
+) {
+    let mut end = pin!(end);
     loop {
         tokio::select! {
             accepted = listener.accept() => match accepted {
-                Ok((stream, from)) => {
-                    connections.spawn(serve_connection(responder.clone(), stream, from, shutdown.clone()));
-                }
+                Ok((stream, from)) => accept(connections, stream, from),
                 Err(error) => {
                     log::warn!(error:% = error; "can't accept a connection");
                     sleep(ACCEPT_RETRY_DELAY).await;
                 }
             },
             Some(_) = connections.join_next() => {}
-            () = shutdown.cancelled() => break,
+            () = end.as_mut() => return,
         }
     }
-    for (stream, from) in take_waiting(listener) {
-        connections.spawn(serve_connection(responder.clone(), stream, from, shutdown.clone()));
-    }
-    let drained = async { while connections.join_next().await.is_some() {} };
-    if timeout(drain_timeout, drained).await.is_err() {
-        log::warn!(
-            target: "life", left = connections.len();
-            "drain timed out; closing the remaining connections"
-        );
+}
+
+/// Keeps the kernel from establishing further connections, which the close of the listener would reset. Callers repeat the
+/// packet that is dropped, and are refused after that close.
+fn refuse_new(listener: &TcpListener) {
+    if let Err(error) = SockRef::from(listener).attach_filter(&DROP_SYN) {
+        log::debug!(error:% = error; "connections may be established until the listener is closed");
     }
-    connections.len()
 }
 
 /// Accepts the connections that the kernel has established, and closes the listener, which would reset them.
