--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -4,6 +4,7 @@
     mod admission;
     mod cache_index;
     mod change_log;
+    mod endpoint_eras;
     mod endpoint_limits;
     mod endpoints;
     mod health;
