--- a/crates/callers/src/connection.rs
+++ b/crates/callers/src/connection.rs
@@ -1,6 +1,7 @@
 //! One connection of a caller, from its acceptance to its end.
 
 use std::{
+    convert::Infallible,
     io,
     net::SocketAddr,
     sync::{
@@ -19,7 +20,7 @@
 };
 use tokio_util::sync::CancellationToken;
 
-use crate::{Respond, Served, stream::SharedStream};
+use crate::{Respond, stream::SharedStream};
 
 /// How long bytes to a caller may stay unacknowledged before the connection is closed.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(5);
@@ -111,7 +112,7 @@
             let guard = BusyGuard(state);
             let response = responder.respond(request, from).await;
             drop(guard);
-            Served::Ok(response)
+            Ok::<_, Infallible>(response)
         }
     });
     let connection = http1::Builder::new()
--- a/crates/callers/src/lib.rs
+++ b/crates/callers/src/lib.rs
@@ -11,7 +11,7 @@
 mod connection;
 mod stream;
 
-use std::{convert::Infallible, io, net::SocketAddr, pin::pin, sync::Arc, time::Duration};
+use std::{io, net::SocketAddr, pin::pin, sync::Arc, time::Duration};
 
 use hyper::{Request, Response, body::Incoming};
 use socket2::{SockFilter, SockRef};
@@ -62,13 +62,12 @@
 }
 
 /// Accepts connections until `shutdown` is cancelled, then waits up to `drain_timeout` for the requests in progress.
-/// Returns the number of connections that were closed with one in progress.
 pub async fn serve_callers<R: Respond>(
     responder: Arc<R>,
     listener: TcpListener,
     shutdown: CancellationToken,
     drain_timeout: Duration,
-) -> usize {
+) {
     let mut connections = JoinSet::new();
     let accept = |connections: &mut JoinSet<()>, stream, from| {
         connections.spawn(serve_connection(responder.clone(), stream, from, shutdown.clone()));
@@ -86,7 +85,6 @@
             "drain timed out; closing the remaining connections"
         );
     }
-    connections.len()
 }
 
 /// Accepts connections until `end`.
@@ -154,6 +152,3 @@
     stream.set_nonblocking(true)?;
     TcpStream::from_std(stream)
 }
-
-/// The result of a service that can't fail.
-type Served<B> = Result<Response<B>, Infallible>;
--- a/crates/endpoint/src/echo.rs
+++ b/crates/endpoint/src/echo.rs
@@ -2,8 +2,8 @@
 //!
 //! A faulty endpoint may send a second copy of a response late, when the next request of the connection is under way, so
 //! that its caller would get an answer that is not its own. An endpoint that repeats the attempt's id in its responses can
-//! be told apart from one that does not: only for the former are connections used again, and a response without the id of
-//! its request is none.
+//! be recognised: only for such an endpoint are connections used again, and a response without the id of its request is
+//! lost.
 
 use std::sync::{
     Arc,
--- a/crates/gateway/src/obstacle.rs
+++ b/crates/gateway/src/obstacle.rs
@@ -1,11 +1,10 @@
 //! Decides whether this instance may send a request to an endpoint now.
 //!
 //! The question is asked twice: for each candidate of a placement, and once more before the first byte is written, since
-//! the connection that was opened meanwhile may have taken longer than the answer that closed the endpoint. Requests,
-//! repeats and trials all pass it. Weight orders, reports and events of caches don't: they are no requests of callers,
-//! and an engine that is full still has to load new weights.
-//!
-//! A limit is checked before that by taking a request of this instance's part, since two requests may be placed on one.
+//! the connection that was opened meanwhile may have taken longer than the answer that closed the endpoint. The second
+//! time, the request is taken from this instance's part of a limit, since two requests may have been placed on one.
+//! Requests, repeats and trials all pass it. Weight orders, reports and events of caches don't: they are no requests of
+//! callers, and an engine that is full still has to load new weights.
 
 use bilberryford_types::TimeMs;
 
--- a/crates/gateway/tests/decisions/endpoint_eras.rs
+++ b/crates/gateway/tests/decisions/endpoint_eras.rs
@@ -50,7 +50,7 @@
     log: ChangeLog,
     table: EndpointTable,
     next_read_ms: u64,
-    /// The incarnations that the instance was told of as leaving.
+    /// The incarnations that a list or a batch has shown as leaving.
     seen_leaving: HashSet<(usize, u64)>,
     /// Since when the store lists an incarnation as leaving.
     listed_leaving_ms: HashMap<(usize, u64), u64>,
--- a/crates/gateway/tests/decisions/limit_model.rs
+++ b/crates/gateway/tests/decisions/limit_model.rs
@@ -18,7 +18,7 @@
 /// The time from a change of the limit until it binds.
 const CONTACT_MS: u64 = 3_000;
 /// The time from a response with a limit until the requests of its instance count.
-const TOLD_MS: u64 = 500;
+const STATED_MS: u64 = 500;
 /// The time after a fault for which the requests of its instance do not count.
 const EXCUSED_MS: u64 = 5_000;
 const LIVENESS_MS: u64 = 3_000;
@@ -60,8 +60,8 @@
 
 struct Instance {
     limits: EndpointLimits,
-    /// When each instance was last heard.
-    heard_ms: Vec<Option<u64>>,
+    /// The time of the last message of each instance.
+    received_ms: Vec<Option<u64>>,
     started_ms: u64,
     /// The end of a freeze or of the time in which the process is down.
     stopped_until_ms: u64,
@@ -69,7 +69,7 @@
     excused_until_ms: u64,
     next_report_ms: u64,
     next_heartbeat_ms: u64,
-    told_ms: Option<u64>,
+    first_stated_ms: Option<u64>,
 }
 
 struct Sharers<'a> {
@@ -88,7 +88,8 @@
         }
         let liveness_ms = LIVENESS_MS.max(3 * self.interval_ms);
         let is_live = |at: usize| {
-            instance.heard_ms[at].is_some_and(|heard_ms| self.now_ms - heard_ms < liveness_ms)
+            instance.received_ms[at]
+                .is_some_and(|received_ms| self.now_ms - received_ms < liveness_ms)
         };
         let others = || {
             (0..self.order.len())
@@ -140,14 +141,14 @@
         let fleet = (0..instances)
             .map(|_| Instance {
                 limits: EndpointLimits::default(),
-                heard_ms: vec![Some(0); instances],
+                received_ms: vec![Some(0); instances],
                 started_ms: 0,
                 stopped_until_ms: 0,
                 cut_until_ms: 0,
                 excused_until_ms: 0,
                 next_report_ms: 0,
                 next_heartbeat_ms: random.random_range(0..interval_ms),
-                told_ms: None,
+                first_stated_ms: None,
             })
             .collect();
         let order = (0..instances).map(|_| random.random()).collect();
@@ -172,7 +173,7 @@
     fn settled(mut self) -> Self {
         let now_ms = self.now_ms;
         for instance in &mut self.instances {
-            instance.heard_ms.fill(Some(now_ms));
+            instance.received_ms.fill(Some(now_ms));
             instance.next_heartbeat_ms += now_ms;
         }
         self
@@ -247,7 +248,7 @@
                     if self.is_cut(from) || self.is_cut(to) {
                         continue;
                     }
-                    self.instances[to].heard_ms[from] = Some(self.now_ms);
+                    self.instances[to].received_ms[from] = Some(self.now_ms);
                     self.with_limits(to, |limits, sharers, now_ms| {
                         for report in &reports {
                             limits.apply_report(&name(from), report, sharers, now_ms);
@@ -260,7 +261,7 @@
                     }
                     if stated.is_some() {
                         let now_ms = self.now_ms;
-                        self.instances[to].told_ms.get_or_insert(now_ms);
+                        self.instances[to].first_stated_ms.get_or_insert(now_ms);
                     }
                     let endpoint = self.endpoint;
                     self.with_limits(to, |limits, sharers, now_ms| {
@@ -310,8 +311,10 @@
         }
         self.served += 1;
         let instance = &self.instances[from];
-        let is_told = instance.told_ms.is_some_and(|told_ms| told_ms + TOLD_MS <= self.now_ms);
-        if is_told && self.now_ms >= instance.excused_until_ms {
+        let has_limit = instance
+            .first_stated_ms
+            .is_some_and(|first_stated_ms| first_stated_ms + STATED_MS <= self.now_ms);
+        if has_limit && self.now_ms >= instance.excused_until_ms {
             self.counted_ms.push_back(self.now_ms);
         }
         let response = Event::Response {
@@ -352,9 +355,9 @@
         self.freeze(at, for_ms);
         let instance = &mut self.instances[at];
         instance.limits = EndpointLimits::default();
-        instance.heard_ms.fill(None);
+        instance.received_ms.fill(None);
         instance.started_ms = instance.stopped_until_ms;
-        instance.told_ms = None;
+        instance.first_stated_ms = None;
         // What was under way to the process is lost with it.
         for events in &mut self.events {
             events.retain(|event| !matches!(event, Event::Message { to, .. } if *to == at));
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -77,7 +77,7 @@
     peers: PeerRuntime,
     controllers: JoinSet<()>,
     shutdown: CancellationToken,
-    server: JoinHandle<usize>,
+    server: JoinHandle<()>,
 }
 
 /// Responds to callers through the routes.
