--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -13,6 +13,7 @@
 use tokio::time::timeout;
 
 use crate::{
+    features::RequestFeatures,
     filters::{RoutedRequest, authorize, identify},
     forward::{Forward, remove_hop_by_hop},
     gateway::Gateway,
@@ -114,6 +115,7 @@
     let caller = record.team.as_deref().unwrap_or_default();
     let target = head.uri.path_and_query().map_or("", |target| target.as_str());
     let fingerprint = Fingerprint::new(caller, head.method.as_str(), target, &body);
+    let features = Arc::new(RequestFeatures::new(fingerprint, &facts));
     let forward = Forward {
         gateway: gateway.clone(),
         facts,
@@ -125,7 +127,7 @@
         uri: head.uri,
         headers,
         body,
-        fingerprint,
+        features,
         record,
     };
     forward.run().await
--- a/crates/gateway/src/controllers/endpoints.rs
+++ b/crates/gateway/src/controllers/endpoints.rs
@@ -41,7 +41,7 @@
         change
             .ended_incarnation
             .into_iter()
-            .for_each(|incarnation| gateway.record_incarnation_end(incarnation));
+            .for_each(|incarnation| gateway.record_incarnation_end(incarnation, "list"));
     }
 }
 
--- /dev/null
+++ b/crates/gateway/src/features.rs
@@ -0,0 +1,80 @@
+//! The features of a request by which a crash of its endpoint may be explained: the request itself, and the parts of its
+//! prompt that other requests share.
+
+use std::fmt::Write as _;
+
+use bilberryford_types::{ModelName, TimeMs};
+
+use crate::{part_plan::shared_parts, quarantine::Fingerprint, translation::CallerFacts};
+
+/// The most parts that a log line names.
+const MAX_LOGGED_PARTS: usize = 12;
+
+/// How far the response to a request had come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub(crate) enum ResponseStage {
+    /// Nothing had come.
+    NoHead,
+    /// Its head had come, and no content.
+    Head,
+    /// Content had come for this long.
+    Content {
+        /// The time since the first content.
+        age_ms: TimeMs,
+    },
+}
+
+impl ResponseStage {
+    /// The stage of a response of which the head has come, and the first content at `first_content_ms`.
+    pub(crate) fn after_head(first_content_ms: Option<TimeMs>, now_ms: TimeMs) -> Self {
+        first_content_ms.map_or(Self::Head, |at_ms| Self::Content { age_ms: now_ms.since(at_ms) })
+    }
+
+    pub(crate) fn content_age_ms(self) -> Option<TimeMs> {
+        match self {
+            Self::Content { age_ms } => Some(age_ms),
+            Self::NoHead | Self::Head => None,
+        }
+    }
+}
+
+/// The features of one request.
+#[derive(Debug)]
+pub(crate) struct RequestFeatures {
+    request_id: Option<String>,
+    pub(crate) request: Fingerprint,
+    model: Option<ModelName>,
+    /// The ids of the shared parts of its prompt, in order.
+    part_ids: Vec<String>,
+}
+
+impl RequestFeatures {
+    pub(crate) fn new(request: Fingerprint, facts: &CallerFacts) -> Self {
+        let prompt = facts.prompt.as_ref();
+        let parts = prompt.map_or(&[][..], |prompt| shared_parts(&prompt.parts));
+        Self {
+            request_id: facts.request_id.clone(),
+            request,
+            model: prompt.map(|prompt| prompt.model.clone()),
+            part_ids: parts.iter().map(|part| part.id.clone()).collect(),
+        }
+    }
+
+    pub(crate) fn request_id(&self) -> &str {
+        self.request_id.as_deref().unwrap_or_default()
+    }
+
+    /// The model and the ids of the shared parts, for the log.
+    pub(crate) fn parts_text(&self) -> String {
+        let mut text = self.model.as_ref().map(ToString::to_string).unwrap_or_default();
+        for id in self.part_ids.iter().take(MAX_LOGGED_PARTS) {
+            // Writing to a string does not fail.
+            let _ = write!(text, " {id}");
+        }
+        if self.part_ids.len() > MAX_LOGGED_PARTS {
+            let _ = write!(text, " and {} more", self.part_ids.len() - MAX_LOGGED_PARTS);
+        }
+        text
+    }
+}
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -22,11 +22,11 @@
 use crate::{
     connections::Connection,
     deployment::{Route, Team},
+    features::RequestFeatures,
     filters::authorize,
     gateway::Gateway,
     in_flight::InFlight,
     placement::{Candidate, Reason},
-    quarantine::Fingerprint,
     request_log::RequestRecord,
     responses::{ErrorResponse, ResponseBody},
     translation::{CallerFacts, ResponseFacts},
@@ -69,7 +69,7 @@
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
-    pub(crate) fingerprint: Fingerprint,
+    pub(crate) features: Arc<RequestFeatures>,
     pub(crate) record: RequestRecord,
 }
 
@@ -149,7 +149,7 @@
         };
         let now_ms = self.gateway.clock.now();
         if let Some(quarantine_left_ms) =
-            self.gateway.quarantine.lock().quarantine_left_ms(self.fingerprint, now_ms)
+            self.gateway.quarantine.lock().quarantine_left_ms(self.features.request, now_ms)
         {
             self.record.notes.push("held_back");
             return Err(ErrorResponse::with_retry_after(
@@ -159,14 +159,8 @@
         }
         let ChosenEndpoint { candidate, reason, demand } = self.choose_endpoint(progress)?;
         let is_trial = reason == Reason::Trial;
-        let mut in_flight = InFlight::new(
-            &self.gateway,
-            &candidate,
-            self.fingerprint,
-            self.rank(),
-            demand,
-            is_trial,
-        );
+        let mut in_flight =
+            InFlight::new(&self.gateway, &candidate, &self.features, self.rank(), demand, is_trial);
         self.record.endpoint = Some(candidate.id.clone());
         self.record.placed = reason.into();
         let Some(connection) = self.take_connection(&candidate, progress).await else {
@@ -297,7 +291,7 @@
         let has_newer_weights = facts.is_misdirected && self.infer_newer_weights(candidate);
         if facts.is_misdirected && self.facts.prompt.is_none() {
             // Another incarnation has the address now. For a prompt, the engine may only have rejected the weights.
-            self.gateway.record_incarnation_end(candidate.incarnation);
+            self.gateway.record_incarnation_end(candidate.incarnation, "misdirected");
         }
         if !has_newer_weights {
             progress.tried.push(candidate.id.clone());
--- a/crates/gateway/src/forward/answer.rs
+++ b/crates/gateway/src/forward/answer.rs
@@ -15,6 +15,7 @@
 use crate::{
     connections::Connection,
     deployment::RetryPolicy,
+    features::ResponseStage,
     in_flight::InFlight,
     relay::{Relay, record_success, relay_body},
     responses::{ErrorResponse, ResponseBody, full_body},
@@ -67,7 +68,7 @@
             Ok(Err(error)) => {
                 log::debug!(error:% = error; "response truncated");
                 self.record.notes.push("answer_cut");
-                in_flight.record_loss();
+                in_flight.record_loss(ResponseStage::Head);
                 self.gateway.update_health(in_flight.endpoint(), "answer_cut", |health, now_ms| {
                     health.record_failure(now_ms, false);
                 });
--- a/crates/gateway/src/forward/send.rs
+++ b/crates/gateway/src/forward/send.rs
@@ -12,6 +12,7 @@
 use crate::{
     connections::{Connection, connect},
     deployment::RetryPolicy,
+    features::ResponseStage,
     in_flight::InFlight,
     part_plan::PartPlan,
     placement::Candidate,
@@ -63,7 +64,8 @@
             Err(error) => {
                 log::debug!(endpoint:% = candidate.id, error:% = error; "can't connect");
                 if error.kind() == io::ErrorKind::ConnectionRefused {
-                    self.gateway.record_incarnation_end(candidate.incarnation);
+                    self.gateway
+                        .record_incarnation_end(candidate.incarnation, "connection_refused");
                 }
                 self.record.notes.push("no_connection");
                 progress.unsent_attempts += 1;
@@ -124,7 +126,7 @@
             Ok(Err(error)) if error.message().is_some() => SendOutcome::Unsent,
             Ok(Err(error)) => {
                 log::debug!(endpoint:% = candidate.id, error:% = error.error(); "answer lost");
-                in_flight.record_loss();
+                in_flight.record_loss(ResponseStage::NoHead);
                 SendOutcome::Lost("connection_lost")
             }
             Ok(Ok(response)) => {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -26,6 +26,7 @@
     deployment::{CallerLimits, Deployment},
     endpoint_limits::EndpointLimits,
     endpoints::EndpointTable,
+    features::{RequestFeatures, ResponseStage},
     key_validity::KeyValidity,
     local_state::LocalState,
     metrics::{Metrics, MetricsError},
@@ -303,16 +304,40 @@
         }
     }
 
-    /// Records that a request lost its connection to an endpoint that may have started it.
-    pub(crate) fn record_request_loss(&self, request: Fingerprint, incarnation: EndpointTag) {
-        if self.quarantine.lock().record_loss(request, incarnation, self.clock.now()) {
+    /// Records that a request lost its connection to an endpoint that may have started it, at `stage` of its response.
+    pub(crate) fn record_request_loss(
+        &self,
+        endpoint: &EndpointId,
+        incarnation: EndpointTag,
+        features: &RequestFeatures,
+        stage: ResponseStage,
+    ) {
+        let (now_ms, request) = (self.clock.now(), features.request);
+        if let Some(suppressed) = self.request_log.take_loss_record(now_ms) {
+            let stage_name: &'static str = stage.into();
+            log::info!(
+                target: "belief", request = features.request_id(), endpoint:% = endpoint,
+                incarnation:% = incarnation, fingerprint:% = request,
+                parts = features.parts_text().as_str(), stage = stage_name,
+                content_age_ms = stage.content_age_ms().map_or(0, TimeMs::get), left_out = suppressed;
+                "response lost with its connection"
+            );
+        }
+        if self.quarantine.lock().record_loss(request, incarnation, now_ms) {
             self.record_quarantined([request], "lost with a third endpoint");
         }
     }
 
-    /// Records the end of an endpoint's incarnation: its address refuses connections, or belongs to another endpoint.
-    pub(crate) fn record_incarnation_end(&self, incarnation: EndpointTag) {
-        let requests = self.quarantine.lock().record_incarnation_end(incarnation, self.clock.now());
+    /// Records the end of an endpoint's incarnation, with how this instance found out.
+    pub(crate) fn record_incarnation_end(&self, incarnation: EndpointTag, source: &'static str) {
+        let now_ms = self.clock.now();
+        let mut quarantine = self.quarantine.lock();
+        let is_known = quarantine.has_ended(incarnation);
+        let requests = quarantine.record_incarnation_end(incarnation, now_ms);
+        drop(quarantine);
+        if !is_known {
+            log::info!(target: "belief", incarnation:% = incarnation, source = source; "endpoint ended");
+        }
         self.record_quarantined(requests, "a third endpoint that lost it is gone");
     }
 }
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -5,8 +5,14 @@
 use bilberryford_types::{EndpointId, TimeMs};
 
 use crate::{
-    cache_index::holder_at, gateway::Gateway, part_plan::Transfer, peer_loads::EndpointTag,
-    placement::Candidate, quarantine::Fingerprint, slowness::nominal_ms, translation::PartKey,
+    cache_index::holder_at,
+    features::{RequestFeatures, ResponseStage},
+    gateway::Gateway,
+    part_plan::Transfer,
+    peer_loads::EndpointTag,
+    placement::Candidate,
+    slowness::nominal_ms,
+    translation::PartKey,
 };
 
 /// The longest queue ahead of a request, in tokens, behind which its wait is attributed to the source of its parts.
@@ -26,7 +32,7 @@
     gateway: Arc<Gateway>,
     endpoint: EndpointId,
     incarnation: EndpointTag,
-    request: Fingerprint,
+    features: Arc<RequestFeatures>,
     rank: u8,
     waiting_tokens: u64,
     memory_tokens: u64,
@@ -45,7 +51,7 @@
     pub(crate) fn new(
         gateway: &Arc<Gateway>,
         candidate: &Candidate,
-        request: Fingerprint,
+        features: &Arc<RequestFeatures>,
         rank: u8,
         demand: TokenDemand,
         is_trial: bool,
@@ -66,7 +72,7 @@
             gateway: gateway.clone(),
             endpoint: endpoint.clone(),
             incarnation: candidate.incarnation,
-            request,
+            features: features.clone(),
             rank,
             waiting_tokens,
             memory_tokens,
@@ -83,15 +89,15 @@
         &self.endpoint
     }
 
-    /// Records that its connection broke after the endpoint may have started it.
-    pub(crate) fn record_loss(&self) {
-        self.gateway.record_request_loss(self.request, self.incarnation);
+    /// Records that its connection broke after the endpoint may have started it, at `stage` of its response.
+    pub(crate) fn record_loss(&self, stage: ResponseStage) {
+        self.gateway.record_request_loss(&self.endpoint, self.incarnation, &self.features, stage);
     }
 
     /// Records a complete response.
     pub(crate) fn record_response(&self) {
         let now_ms = self.gateway.clock.now();
-        self.gateway.quarantine.lock().record_response(self.request, now_ms);
+        self.gateway.quarantine.lock().record_response(self.features.request, now_ms);
     }
 
     /// Counts the transfers at their holders until the first token.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 mod deployment;
 mod endpoint_limits;
 mod endpoints;
+mod features;
 mod filters;
 mod forward;
 mod gateway;
--- a/crates/gateway/src/peer_loads.rs
+++ b/crates/gateway/src/peer_loads.rs
@@ -39,6 +39,12 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct EndpointTag(u32);
 
+impl std::fmt::Display for EndpointTag {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{:08x}", self.0)
+    }
+}
+
 impl EndpointTag {
     /// The tag of the incarnation of endpoint `id` that started at `started_ms`.
     pub fn new(id: &str, started_ms: TimeMs) -> Self {
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -132,6 +132,11 @@
         !was_quarantined && record.is_quarantined()
     }
 
+    /// Returns true if the end of `incarnation` was recorded within the last seconds.
+    pub fn has_ended(&self, incarnation: EndpointTag) -> bool {
+        self.ended_ms.contains_key(&incarnation)
+    }
+
     /// Records the end of an endpoint's incarnation and returns the requests that this quarantines.
     pub fn record_incarnation_end(
         &mut self,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -10,8 +10,8 @@
 use tokio::time::timeout;
 
 use crate::{
-    connections::Connection, gateway::Gateway, health::EndpointHealth, in_flight::InFlight,
-    request_log::RequestRecord, responses::ResponseBody,
+    connections::Connection, features::ResponseStage, gateway::Gateway, health::EndpointHealth,
+    in_flight::InFlight, request_log::RequestRecord, responses::ResponseBody,
 };
 
 /// A response that is being streamed. Dropping it before its end closes the connection to the endpoint, which cancels
@@ -52,7 +52,9 @@
                     return Some(Err(io::ErrorKind::TimedOut.into()));
                 }
                 Some(Some(Err(error))) => {
-                    self.in_flight.record_loss();
+                    let now_ms = self.gateway.clock.now();
+                    let stage = ResponseStage::after_head(self.record.first_byte_ms, now_ms);
+                    self.in_flight.record_loss(stage);
                     self.gateway.update_health(
                         self.in_flight.endpoint(),
                         "answer_cut",
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -11,6 +11,8 @@
 const MAX_ANSWERED_PER_S: u64 = 20;
 /// The most records per second for requests that were refused or failed.
 const MAX_FAILED_PER_S: u64 = 100;
+/// The most records per second for responses that were lost with their connections.
+const MAX_LOSSES_PER_S: u64 = 50;
 
 /// The inputs of a prompt's placement.
 #[derive(Debug, Clone, Copy, Default)]
@@ -78,9 +80,15 @@
 pub(crate) struct RequestLog {
     answered: Mutex<RecordLimiter>,
     failed: Mutex<RecordLimiter>,
+    losses: Mutex<RecordLimiter>,
 }
 
 impl RequestLog {
+    /// Takes one record of a lost response from the limit, and returns the number that was suppressed before it.
+    pub(crate) fn take_loss_record(&self, now_ms: TimeMs) -> Option<u64> {
+        self.losses.lock().take(now_ms, MAX_LOSSES_PER_S)
+    }
+
     /// Writes the record of a request that ended with `outcome`, or counts it as suppressed.
     pub(crate) fn write(
         &self,
