--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use futures::stream;
 use http_body_util::{BodyExt, StreamBody};
-use hyper::body::{Frame, Incoming};
+use hyper::body::{Body as _, Frame, Incoming};
 use tokio::time::timeout;
 
 use crate::{
@@ -37,6 +37,20 @@
         }
     }
 
+    /// Records that the response is complete.
+    fn complete(&mut self) {
+        if self.is_finished {
+            return;
+        }
+        self.in_flight.record_response();
+        let endpoint = self.in_flight.endpoint();
+        self.gateway.update_health(endpoint, "answered", record_success);
+        if let Some(connection) = self.connection.take() {
+            self.gateway.connections.release(endpoint, connection, self.gateway.clock.now());
+        }
+        self.finish("answered", false);
+    }
+
     async fn next_chunk(&mut self) -> Option<io::Result<Bytes>> {
         loop {
             let time_left_ms = self.deadline_ms.since(self.gateway.clock.now());
@@ -72,24 +86,14 @@
                         self.record.first_byte_ms = Some(self.gateway.clock.now());
                         self.in_flight.record_first_byte();
                     }
+                    // The server asks for nothing after the last byte of a body whose length it knows.
+                    if self.incoming.is_end_stream() {
+                        self.complete();
+                    }
                     return Some(Ok(data));
                 }
                 Some(None) => {
-                    self.in_flight.record_response();
-                    self.gateway.update_health(
-                        self.in_flight.endpoint(),
-                        "answered",
-                        record_success,
-                    );
-                    if let Some(connection) = self.connection.take() {
-                        let now_ms = self.gateway.clock.now();
-                        self.gateway.connections.release(
-                            self.in_flight.endpoint(),
-                            connection,
-                            now_ms,
-                        );
-                    }
-                    self.finish("answered", false);
+                    self.complete();
                     return None;
                 }
             }
