--- /dev/null
+++ b/crates/coord/src/blame.rs
@@ -0,0 +1,604 @@
+//! Blame for endpoints that crash: which feature of the requests they ran is refused from then on.
+//!
+//! A request, or one part of a prompt whatever else the prompt holds, may crash each endpoint that begins to respond to
+//! it. Two kinds of evidence are weighed for each [`Feature`]:
+//!
+//! * A **crash** accuses the features of all requests that were in flight at the incarnation and had not been answered. It
+//!   counts once for each incarnation, however many instances report it, and crashes at almost the same moment count as
+//!   one, since an outage of many endpoints is one event.
+//! * An **answer** speaks for the features that it was made on, at any instance. A request is cleared by its first
+//!   answer; a part by more than [`ANSWERS_PER_CRASH`] answers for each of its crashes, so that one that crashes only
+//!   some of its runs is found as well.
+//!
+//! A feature with [`CRASH_LIMIT`] crashes that its answers don't outweigh is convicted, and its crashes speak against no
+//! other feature any more: requests that shared a batch or a part with it are not refused with it. When the term of a
+//! conviction ends, a single run tries the feature again.
+//!
+//! Instances report crashes, answers and convictions to each other. All of them only grow, so a report may be lost,
+//! repeated or late. See `docs/design/poison.md`.
+//!
+//! # Invariant
+//!
+//! A lost connection counts only together with the unplanned end of that incarnation. A convicted feature is never
+//! evicted to make room.
+
+mod accused;
+mod answers;
+mod feature;
+mod reports;
+
+use std::{
+    collections::{HashMap, HashSet},
+    hash::Hash,
+};
+
+use bilberryford_types::TimeMs;
+
+pub use self::{
+    accused::ANSWERS_PER_CRASH,
+    feature::{Feature, FeatureKind},
+    reports::{AnswerReport, BlameReports, ConvictionReport, CrashReport},
+};
+use self::{
+    accused::{Accused, Crash},
+    reports::NEWS_MS,
+};
+
+/// The crashes that convict a feature: one more than an unrelated one in the same batches usually sees.
+pub const CRASH_LIMIT: usize = 3;
+/// How long a crash that completes the evidence waits for the reports of other instances on it, in milliseconds.
+const SETTLE_MS: TimeMs = TimeMs(50);
+/// The first term of a conviction, in milliseconds. It doubles with each trial that crashes.
+const TERM_MS: u64 = 600_000;
+/// The longest term of a conviction, in milliseconds: a day.
+const MAX_TERM_MS: u64 = 86_400_000;
+/// The longest time that a trial holds off another one, in milliseconds: a run and the report of its end.
+const TRIAL_MS: TimeMs = TimeMs(30_000);
+/// How long an accused feature is remembered after its last crash, in milliseconds.
+const ACCUSED_MS: TimeMs = TimeMs(600_000);
+/// The longest time from a loss to the end of its incarnation, in milliseconds: the entry of an endpoint in the list
+/// expires some seconds after a crash.
+const CORRELATION_MS: TimeMs = TimeMs(6_000);
+/// How long an end is remembered, in milliseconds: a request at a silent endpoint is lost only at its deadline.
+const END_MEMORY_MS: TimeMs = TimeMs(60_000);
+/// The most features that are accused at a time. Beyond them, those with the oldest single crash are forgotten first.
+const MAX_ACCUSED: usize = 4_096;
+/// The most convicted features.
+const MAX_CONVICTED: usize = 1_024;
+/// The most losses that wait for the end of their incarnations.
+const MAX_LOSSES: usize = 4_096;
+
+/// What may be done with a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// It may run.
+    Run,
+    /// It may run as the only trial of a feature whose term has ended. [`Blame::start_trial`] reserves it.
+    Trial(Feature),
+    /// It must not run.
+    Refuse {
+        /// The convicted feature.
+        feature: Feature,
+        /// The time until it may be tried again.
+        left_ms: TimeMs,
+    },
+}
+
+/// What an instance has to do next, the most urgent first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BlameAgenda {
+    /// Evidence waits to be weighed by [`Blame::tick`].
+    Weigh,
+    /// Something new is to be reported several times.
+    Report,
+    /// Known evidence is to be repeated now and then.
+    Repeat,
+    /// Nothing.
+    Nothing,
+}
+
+/// A change of what is believed of a feature, for the log.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum BlameChange {
+    /// Its second crash was counted.
+    Suspected {
+        /// The feature.
+        feature: Feature,
+        /// The answers that speak for it.
+        answers: u32,
+    },
+    /// It is refused from now on.
+    Convicted {
+        /// The feature.
+        feature: Feature,
+        /// The crashes that convict it.
+        crashes: usize,
+        /// The answers that speak for it.
+        answers: u32,
+        /// The age of its first crash.
+        first_crash_age_ms: TimeMs,
+        /// How long it is refused.
+        term_ms: TimeMs,
+        /// True if a peer convicted it.
+        is_reported: bool,
+    },
+    /// Answers lifted its conviction.
+    Acquitted {
+        /// The feature.
+        feature: Feature,
+        /// The answers that speak for it.
+        answers: u32,
+    },
+    /// Its term has ended; a single run tries it.
+    TermEnded {
+        /// The feature.
+        feature: Feature,
+    },
+}
+
+/// A request that was lost with its connection, unanswered.
+#[derive(Debug, Clone)]
+struct Loss {
+    features: Vec<Feature>,
+    at_ms: TimeMs,
+}
+
+/// The state of a convicted feature.
+#[derive(Debug, Clone)]
+struct Conviction<I> {
+    incarnations: HashSet<I>,
+    until_ms: TimeMs,
+    term_ms: u64,
+    /// The time until which a trial under way holds off another one.
+    trial_until_ms: Option<TimeMs>,
+    has_term_ended: bool,
+    reported_ms: Option<TimeMs>,
+}
+
+/// What one instance knows of crashes and of the features that they are blamed on. `I` identifies an incarnation of an
+/// endpoint.
+#[derive(Debug, Clone)]
+pub struct Blame<I> {
+    answers: answers::RecentAnswers,
+    losses: HashMap<I, Vec<Loss>>,
+    losses_len: usize,
+    /// The unplanned ends of incarnations.
+    ended_ms: HashMap<I, TimeMs>,
+    /// The incarnations that said that they leave.
+    departed_ms: HashMap<I, TimeMs>,
+    accused: HashMap<Feature, Accused<I>>,
+    convicted: HashMap<Feature, Conviction<I>>,
+    /// Incarnations whose crashes a convicted feature explains.
+    explained_ms: HashMap<I, TimeMs>,
+    /// The convictions that a trial at this instance lifted, to be reported.
+    acquitted_ms: HashMap<Feature, TimeMs>,
+    /// The time from which the evidence is complete enough to convict.
+    ripe_ms: Option<TimeMs>,
+    has_news: bool,
+}
+
+impl<I> Default for Blame<I> {
+    fn default() -> Self {
+        Self {
+            answers: Default::default(),
+            losses: Default::default(),
+            losses_len: 0,
+            ended_ms: Default::default(),
+            departed_ms: Default::default(),
+            accused: Default::default(),
+            convicted: Default::default(),
+            explained_ms: Default::default(),
+            acquitted_ms: Default::default(),
+            ripe_ms: None,
+            has_news: false,
+        }
+    }
+}
+
+impl<I: Copy + Eq + Hash> Blame<I> {
+    /// Says what may be done with a request that has `features`. `is_trier` is true if this instance is the one that
+    /// tries a feature whose term has ended.
+    pub fn verdict(
+        &self,
+        features: &[Feature],
+        is_trier: impl Fn(Feature) -> bool,
+        now_ms: TimeMs,
+    ) -> Verdict {
+        let mut verdict = Verdict::Run;
+        for feature in features {
+            let Some(conviction) = self.convicted.get(feature) else {
+                if let Some(left_ms) = self.settling_ms(*feature) {
+                    return Verdict::Refuse { feature: *feature, left_ms };
+                }
+                continue;
+            };
+            let left_ms = conviction.until_ms.since(now_ms);
+            if left_ms > TimeMs(0) {
+                return Verdict::Refuse { feature: *feature, left_ms };
+            }
+            let trial_left_ms =
+                conviction.trial_until_ms.map_or(TimeMs(0), |until_ms| until_ms.since(now_ms));
+            if trial_left_ms > TimeMs(0) || !is_trier(*feature) {
+                let left_ms = trial_left_ms.max(SETTLE_MS);
+                return Verdict::Refuse { feature: *feature, left_ms };
+            }
+            verdict = Verdict::Trial(*feature);
+        }
+        verdict
+    }
+
+    /// The time for which a feature is refused whose evidence is complete and not weighed yet. A request is convicted
+    /// whatever the other reports are; of parts, another one may explain the crashes.
+    fn settling_ms(&self, feature: Feature) -> Option<TimeMs> {
+        let accused = self.accused.get(&feature)?;
+        let left_ms = match feature.kind() {
+            FeatureKind::Request => TimeMs(TERM_MS),
+            FeatureKind::Part => SETTLE_MS,
+        };
+        accused.is_convictable(feature.kind()).then_some(left_ms)
+    }
+
+    /// Reserves the trial of a feature.
+    pub fn start_trial(&mut self, feature: Feature, now_ms: TimeMs) {
+        if let Some(conviction) = self.convicted.get_mut(&feature) {
+            conviction.trial_until_ms = Some(now_ms.after(TRIAL_MS));
+        }
+    }
+
+    /// Records that a request was answered: its response is complete, or went on for a while after its first content.
+    pub fn record_answer(&mut self, features: &[Feature], now_ms: TimeMs) -> Vec<BlameChange> {
+        let mut changes = Vec::new();
+        for feature in features {
+            if feature.kind() == FeatureKind::Part {
+                self.answers.add(*feature, now_ms);
+            }
+            if self.convicted.get(feature).is_some_and(|conviction| conviction.has_term_ended) {
+                self.acquitted_ms.insert(*feature, now_ms);
+                changes.extend(self.acquit(*feature, now_ms));
+            }
+            if let Some(accused) = self.accused.get_mut(feature) {
+                accused.own_answers += 1;
+                self.has_news |= accused.has_crashes();
+                changes.extend(self.weigh_answers(*feature, now_ms));
+            }
+        }
+        changes
+    }
+
+    /// Records that a request was lost with its connection to an endpoint that may have begun to run it, unanswered.
+    pub fn record_loss(
+        &mut self,
+        features: &[Feature],
+        incarnation: I,
+        now_ms: TimeMs,
+    ) -> Vec<BlameChange> {
+        if self.departed_ms.contains_key(&incarnation) {
+            return Vec::new();
+        }
+        if self.ended_ms.contains_key(&incarnation) {
+            return self.accuse(features, incarnation, now_ms, now_ms);
+        }
+        if self.losses_len < MAX_LOSSES {
+            self.losses_len += 1;
+            let loss = Loss { features: features.to_vec(), at_ms: now_ms };
+            self.losses.entry(incarnation).or_default().push(loss);
+        }
+        Vec::new()
+    }
+
+    /// Returns true if a loss at `incarnation` waits for its end to become known.
+    pub fn awaits_end(&self, incarnation: I) -> bool {
+        self.losses.contains_key(&incarnation)
+    }
+
+    /// Returns true if the unplanned end of `incarnation` is known.
+    pub fn has_ended(&self, incarnation: I) -> bool {
+        self.ended_ms.contains_key(&incarnation)
+    }
+
+    /// Records that an incarnation has ended without having said that it leaves: its address refuses connections or
+    /// belongs to another endpoint. What is lost with it later was lost in the crash as well.
+    pub fn record_end(&mut self, incarnation: I, now_ms: TimeMs) -> Vec<BlameChange> {
+        if self.departed_ms.contains_key(&incarnation)
+            || self.ended_ms.insert(incarnation, now_ms).is_some()
+        {
+            return Vec::new();
+        }
+        self.accuse_lost(incarnation, now_ms)
+    }
+
+    /// Records that a ready incarnation is no longer listed. It accuses what was lost before; an endpoint that leaves
+    /// without saying so may go on for a while.
+    pub fn record_removal(&mut self, incarnation: I, now_ms: TimeMs) -> Vec<BlameChange> {
+        self.accuse_lost(incarnation, now_ms)
+    }
+
+    fn accuse_lost(&mut self, incarnation: I, now_ms: TimeMs) -> Vec<BlameChange> {
+        let losses = self.take_losses(incarnation);
+        let coincident =
+            losses.into_iter().filter(|loss| now_ms.since(loss.at_ms) <= CORRELATION_MS);
+        coincident
+            .flat_map(|loss| self.accuse(&loss.features, incarnation, loss.at_ms, now_ms))
+            .collect()
+    }
+
+    /// Records that an incarnation leaves as planned: what is lost with it accuses nothing.
+    pub fn record_departure(&mut self, incarnation: I, now_ms: TimeMs) {
+        self.departed_ms.insert(incarnation, now_ms);
+        self.take_losses(incarnation);
+    }
+
+    fn take_losses(&mut self, incarnation: I) -> Vec<Loss> {
+        let losses = self.losses.remove(&incarnation).unwrap_or_default();
+        self.losses_len -= losses.len();
+        losses
+    }
+
+    /// Counts a crash that this instance observed against each of `features`.
+    fn accuse(
+        &mut self,
+        features: &[Feature],
+        incarnation: I,
+        at_ms: TimeMs,
+        now_ms: TimeMs,
+    ) -> Vec<BlameChange> {
+        let crash = Crash { incarnation, at_ms, reported_ms: None, is_local: true };
+        // The convicted feature of the request explains the crash to the others.
+        if let Some(convicted) =
+            features.iter().copied().find(|feature| self.convicted.contains_key(feature))
+        {
+            return self.add_crash(convicted, crash, now_ms);
+        }
+        features.iter().flat_map(|feature| self.add_crash(*feature, crash, now_ms)).collect()
+    }
+
+    fn add_crash(&mut self, feature: Feature, crash: Crash<I>, now_ms: TimeMs) -> Vec<BlameChange> {
+        if self.convicted.contains_key(&feature) {
+            return self.add_crash_to_convicted(feature, crash, now_ms);
+        }
+        if self.explained_ms.contains_key(&crash.incarnation) || !self.make_room(feature, now_ms) {
+            return Vec::new();
+        }
+        let accused = self.accused.entry(feature).or_default();
+        if !accused.has_crashes() {
+            // Only a part has answers before its first crash; a request is cleared by those that come after it.
+            accused.start_count(self.answers.count(feature, now_ms));
+        }
+        if !accused.add(crash) {
+            return Vec::new();
+        }
+        self.has_news |= crash.is_local;
+        let mut changes: Vec<_> = self.weigh_answers(feature, now_ms).into_iter().collect();
+        if let Some(accused) = self.accused.get(&feature) {
+            if accused.crashes().len() == 2 {
+                changes.push(BlameChange::Suspected { feature, answers: accused.answers() });
+            }
+            if accused.is_convictable(feature.kind()) {
+                let ripe_ms = now_ms.after(SETTLE_MS);
+                self.ripe_ms = Some(self.ripe_ms.map_or(ripe_ms, |at_ms| at_ms.min(ripe_ms)));
+            }
+        }
+        changes
+    }
+
+    /// A crash of a convicted feature: the trial of one whose term has ended, or a run that was under way.
+    fn add_crash_to_convicted(
+        &mut self,
+        feature: Feature,
+        crash: Crash<I>,
+        now_ms: TimeMs,
+    ) -> Vec<BlameChange> {
+        self.explain(&HashSet::from([crash.incarnation]), now_ms);
+        let Some(conviction) = self.convicted.get_mut(&feature) else { return Vec::new() };
+        if !conviction.incarnations.insert(crash.incarnation) || !conviction.has_term_ended {
+            return Vec::new();
+        }
+        let term_ms = (conviction.term_ms * 2).min(MAX_TERM_MS);
+        conviction.term_ms = term_ms;
+        conviction.until_ms = now_ms.after(TimeMs(term_ms));
+        conviction.trial_until_ms = None;
+        conviction.has_term_ended = false;
+        conviction.reported_ms = None;
+        self.has_news = true;
+        vec![BlameChange::Convicted {
+            feature,
+            crashes: conviction.incarnations.len(),
+            answers: 0,
+            first_crash_age_ms: TimeMs(0),
+            term_ms: TimeMs(term_ms),
+            is_reported: !crash.is_local,
+        }]
+    }
+
+    /// Clears a feature whose answers outweigh its crashes.
+    fn weigh_answers(&mut self, feature: Feature, now_ms: TimeMs) -> Option<BlameChange> {
+        let accused = self.accused.get_mut(&feature)?;
+        if !accused.is_outweighed(feature.kind()) {
+            return None;
+        }
+        let answers = accused.answers();
+        accused.clear(now_ms);
+        self.convicted.remove(&feature).map(|_| BlameChange::Acquitted { feature, answers })
+    }
+
+    /// Lifts a conviction.
+    fn acquit(&mut self, feature: Feature, now_ms: TimeMs) -> Option<BlameChange> {
+        self.convicted.remove(&feature)?;
+        self.has_news = true;
+        let accused = self.accused.get_mut(&feature);
+        let answers = accused.as_ref().map_or(0, |accused| accused.answers());
+        if let Some(accused) = accused {
+            accused.clear(now_ms);
+        }
+        Some(BlameChange::Acquitted { feature, answers })
+    }
+
+    /// Returns true if the answers of the last seconds here outweigh `crashes`.
+    fn refutes(&mut self, feature: Feature, crashes: usize, now_ms: TimeMs) -> bool {
+        let answers = self.answers.count(feature, now_ms);
+        answers > ANSWERS_PER_CRASH * crashes as u32
+    }
+
+    fn has_room_to_convict(&self) -> bool {
+        self.convicted.len() < MAX_CONVICTED
+    }
+
+    /// Convicts what the evidence suffices for, and reports terms that have ended. To be called often.
+    pub fn tick(&mut self, now_ms: TimeMs) -> Vec<BlameChange> {
+        let mut changes = Vec::new();
+        for (feature, conviction) in &mut self.convicted {
+            if !conviction.has_term_ended && conviction.until_ms <= now_ms {
+                conviction.has_term_ended = true;
+                changes.push(BlameChange::TermEnded { feature: *feature });
+            }
+        }
+        if self.ripe_ms.is_some_and(|ripe_ms| ripe_ms <= now_ms) {
+            self.ripe_ms = None;
+            while let Some(culprits) = self.culprits() {
+                changes.extend(self.convict(&culprits, now_ms));
+            }
+        }
+        changes
+    }
+
+    /// The features that the evidence speaks against most: those with the fewest answers for each crash, then those that
+    /// explain most crashes. Of a request and a part that explain the same, the request is the narrower explanation; parts
+    /// that the evidence can't tell apart come together.
+    fn culprits(&self) -> Option<Vec<Feature>> {
+        let convictable = |(feature, accused): &(&Feature, &Accused<I>)| {
+            accused.is_convictable(feature.kind()) && !self.convicted.contains_key(feature)
+        };
+        let (first, evidence) =
+            self.accused.iter().filter(convictable).min_by_key(|(feature, accused)| {
+                let crashes = accused.crashes().len();
+                let answers_per_mille = u64::from(accused.answers()) * 1_000 / crashes as u64;
+                (answers_per_mille, std::cmp::Reverse(crashes), feature.kind(), **feature)
+            })?;
+        if !self.has_room_to_convict() {
+            return None;
+        }
+        let is_alike = |(feature, accused): &(&Feature, &Accused<I>)| {
+            feature.kind() == FeatureKind::Part
+                && accused.answers() == evidence.answers()
+                && accused.incarnations() == evidence.incarnations()
+        };
+        let mut culprits = vec![*first];
+        if first.kind() == FeatureKind::Part {
+            let alike = self.accused.iter().filter(convictable).filter(is_alike);
+            culprits.extend(alike.map(|(feature, _)| *feature).filter(|feature| feature != first));
+        }
+        Some(culprits)
+    }
+
+    fn convict(&mut self, culprits: &[Feature], now_ms: TimeMs) -> Vec<BlameChange> {
+        let mut changes = Vec::new();
+        let mut explained = HashSet::new();
+        for feature in culprits {
+            let Some(accused) = self.accused.get(feature) else { continue };
+            let incarnations = accused.incarnations();
+            changes.push(BlameChange::Convicted {
+                feature: *feature,
+                crashes: accused.crashes().len(),
+                answers: accused.answers(),
+                first_crash_age_ms: accused.first_crash_age_ms(now_ms),
+                term_ms: TimeMs(TERM_MS),
+                is_reported: false,
+            });
+            explained.extend(&incarnations);
+            self.insert_conviction(*feature, incarnations, TERM_MS, now_ms.after(TimeMs(TERM_MS)));
+        }
+        self.has_news = true;
+        self.explain(&explained, now_ms);
+        changes
+    }
+
+    fn insert_conviction(
+        &mut self,
+        feature: Feature,
+        incarnations: HashSet<I>,
+        term_ms: u64,
+        until_ms: TimeMs,
+    ) {
+        let conviction = Conviction {
+            incarnations,
+            until_ms,
+            term_ms,
+            trial_until_ms: None,
+            has_term_ended: false,
+            reported_ms: None,
+        };
+        self.convicted.insert(feature, conviction);
+    }
+
+    /// Withdraws the crashes of `incarnations` from all features but the convicted ones.
+    fn explain(&mut self, incarnations: &HashSet<I>, now_ms: TimeMs) {
+        self.explained_ms.extend(incarnations.iter().map(|incarnation| (*incarnation, now_ms)));
+        for (feature, accused) in &mut self.accused {
+            if !self.convicted.contains_key(feature) {
+                accused.withdraw(incarnations);
+            }
+        }
+    }
+
+    /// Makes room for a feature, and returns false if there is none: of the features with a single crash, the quarter that
+    /// was accused longest ago is forgotten.
+    fn make_room(&mut self, feature: Feature, now_ms: TimeMs) -> bool {
+        if self.accused.len() < MAX_ACCUSED || self.accused.contains_key(&feature) {
+            return true;
+        }
+        self.expire(now_ms);
+        let is_weak = |feature: &Feature, accused: &Accused<I>| {
+            !accused.is_repeated() && !self.convicted.contains_key(feature)
+        };
+        let weak = self.accused.iter().filter(|(feature, accused)| is_weak(feature, accused));
+        let mut weak: Vec<_> =
+            weak.map(|(feature, accused)| (accused.last_ms(), *feature)).collect();
+        weak.sort_unstable();
+        for (_, feature) in weak.into_iter().take(MAX_ACCUSED / 4) {
+            self.accused.remove(&feature);
+        }
+        self.accused.len() < MAX_ACCUSED
+    }
+
+    /// What there is to do at `now_ms`, if nothing new happens.
+    pub fn agenda(&self, now_ms: TimeMs) -> BlameAgenda {
+        let is_new = |accused: &Accused<I>| {
+            accused.has_crashes() && now_ms.since(accused.last_ms()) < NEWS_MS
+        };
+        if self.ripe_ms.is_some() {
+            BlameAgenda::Weigh
+        } else if !self.acquitted_ms.is_empty() || self.accused.values().any(is_new) {
+            BlameAgenda::Report
+        } else if !self.convicted.is_empty() || self.accused.values().any(Accused::is_repeated) {
+            BlameAgenda::Repeat
+        } else {
+            BlameAgenda::Nothing
+        }
+    }
+
+    /// Forgets what has expired.
+    pub fn expire(&mut self, now_ms: TimeMs) {
+        self.ended_ms.retain(|_, at_ms| now_ms.since(*at_ms) < END_MEMORY_MS);
+        self.departed_ms.retain(|_, at_ms| now_ms.since(*at_ms) < END_MEMORY_MS);
+        self.explained_ms.retain(|_, at_ms| now_ms.since(*at_ms) < ACCUSED_MS);
+        for losses in self.losses.values_mut() {
+            losses.retain(|loss| now_ms.since(loss.at_ms) <= CORRELATION_MS);
+        }
+        self.losses.retain(|_, losses| !losses.is_empty());
+        self.losses_len = self.losses.values().map(Vec::len).sum();
+        // A feature that nobody has sent since its term ended is forgotten.
+        self.convicted
+            .retain(|_, conviction| now_ms < conviction.until_ms.after(TimeMs(conviction.term_ms)));
+        let convicted = &self.convicted;
+        self.accused.retain(|feature, accused| {
+            convicted.contains_key(feature) || now_ms.since(accused.last_ms()) < ACCUSED_MS
+        });
+    }
+
+    /// The convicted features with the time until each may be tried again.
+    pub fn convicted(&self, now_ms: TimeMs) -> impl Iterator<Item = (Feature, TimeMs)> {
+        self.convicted
+            .iter()
+            .map(move |(feature, conviction)| (*feature, conviction.until_ms.since(now_ms)))
+    }
+}
--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -11,6 +11,7 @@
 
 mod admission;
 mod attempt;
+mod blame;
 mod cell;
 mod concurrency;
 mod config;
@@ -33,6 +34,10 @@
 
 pub use admission::{AdmissionController, AdmissionDecision, AdmissionRequest, ShedReason};
 pub use attempt::{Attempt, AttemptState, NotRun, Planned, Sent, Settled};
+pub use blame::{
+    ANSWERS_PER_CRASH, AnswerReport, Blame, BlameAgenda, BlameChange, BlameReports, CRASH_LIMIT,
+    ConvictionReport, CrashReport, Feature, FeatureKind, Verdict,
+};
 pub use cell::{Cell, CellId, Cells, MAX_CELL_ENDPOINTS};
 pub use concurrency::{ConcurrencyLimit, QueueReport};
 pub use config::{ConfigOfferOutcome, ConfigStamp, VersionedConfig};
--- /dev/null
+++ b/crates/coord/tests/blame.rs
@@ -0,0 +1,393 @@
+//! Tables of what is blamed for the crashes of endpoints.
+
+use std::collections::HashSet;
+
+use bilberryford_coord::{Blame, BlameChange, BlameReports, Feature, Verdict};
+use bilberryford_types::TimeMs;
+use rstest::rstest;
+
+/// The number of an incarnation.
+type Incarnation = u32;
+
+fn request(body: &str) -> Feature {
+    Feature::of_request("red", "POST", "/chat/", body.as_bytes())
+}
+
+fn part(id: &str) -> Feature {
+    Feature::of_part("model", id)
+}
+
+/// One instance with a clock of its own.
+#[derive(Default)]
+struct Instance {
+    blame: Blame<Incarnation>,
+    now_ms: u64,
+}
+
+impl Instance {
+    fn at(now_ms: u64) -> Self {
+        Self { now_ms, ..Self::default() }
+    }
+
+    fn now(&self) -> TimeMs {
+        TimeMs(self.now_ms)
+    }
+
+    fn pass(&mut self, ms: u64) -> Vec<BlameChange> {
+        self.now_ms += ms;
+        let now = self.now();
+        self.blame.tick(now)
+    }
+
+    /// A request with `features` is lost at an incarnation that ends a little later, and its evidence is weighed.
+    fn crash(&mut self, features: &[Feature], incarnation: Incarnation) -> Vec<BlameChange> {
+        let now = self.now();
+        let mut changes = self.blame.record_loss(features, incarnation, now);
+        changes.extend(self.pass(10));
+        changes.extend(self.blame.record_end(incarnation, TimeMs(self.now_ms)));
+        changes.extend(self.pass(200));
+        changes
+    }
+
+    fn answer(&mut self, features: &[Feature], times: usize) {
+        let now = self.now();
+        for _ in 0..times {
+            self.blame.record_answer(features, now);
+        }
+    }
+
+    fn refuses(&self, feature: Feature) -> bool {
+        matches!(self.blame.verdict(&[feature], |_| false, self.now()), Verdict::Refuse { .. })
+    }
+
+    fn reports(&mut self) -> BlameReports<Incarnation> {
+        let now = self.now();
+        self.blame.take_reports(usize::MAX, |_| 0, now)
+    }
+
+    fn apply(&mut self, peer: u64, reports: &BlameReports<Incarnation>) -> Vec<BlameChange> {
+        let now = self.now();
+        self.blame.apply_reports(peer, reports, now)
+    }
+}
+
+fn is_conviction(change: &BlameChange) -> bool {
+    matches!(change, BlameChange::Convicted { .. })
+}
+
+#[test]
+fn a_request_is_convicted_by_its_third_crash() {
+    let mut instance = Instance::at(1_000);
+    let poison = request("poison");
+    for incarnation in 1..=2 {
+        instance.crash(&[poison], incarnation);
+        assert!(!instance.refuses(poison));
+    }
+    assert!(instance.crash(&[poison], 3).iter().any(is_conviction));
+    assert!(instance.refuses(poison));
+    assert!(!instance.refuses(request("another")));
+}
+
+/// No two of the requests are alike; they share the part and, with sound ones, all their other parts.
+#[test]
+fn a_part_is_convicted_by_crashes_of_requests_that_share_nothing_else() {
+    let mut instance = Instance::at(1_000);
+    let (dead, system) = (part("dead"), part("system"));
+    for incarnation in 1..=3u32 {
+        instance.answer(&[request("sound"), system, part(&format!("session-{incarnation}"))], 5);
+        let own = request(&incarnation.to_string());
+        let session = part(&format!("session-{incarnation}"));
+        instance.crash(&[own, system, session, dead], incarnation);
+    }
+    assert!(instance.refuses(dead));
+    assert!(!instance.refuses(system));
+    for incarnation in 1..=3u32 {
+        assert!(!instance.refuses(part(&format!("session-{incarnation}"))));
+        assert!(!instance.refuses(request(&incarnation.to_string())));
+    }
+}
+
+#[test]
+fn a_crash_may_be_known_before_the_loss() {
+    let mut instance = Instance::at(1_000);
+    let poison = request("poison");
+    for incarnation in 1..=3 {
+        let now = instance.now();
+        instance.blame.record_end(incarnation, now);
+        instance.pass(50);
+        let now = instance.now();
+        instance.blame.record_loss(&[poison], incarnation, now);
+        instance.pass(1_000);
+    }
+    assert!(instance.refuses(poison));
+}
+
+/// Connections that a running but faulty endpoint resets do not count.
+#[test]
+fn losses_without_the_end_of_an_incarnation_do_not_count() {
+    let mut instance = Instance::at(1_000);
+    let harmless = [request("harmless"), part("harmless")];
+    for incarnation in 1..=9 {
+        let now = instance.now();
+        instance.blame.record_loss(&harmless, incarnation, now);
+        instance.pass(1_000);
+    }
+    // The end of an incarnation long after the loss is unrelated to it.
+    instance.pass(50_000);
+    for incarnation in 1..=9 {
+        let now = instance.now();
+        instance.blame.record_end(incarnation, now);
+        instance.pass(200);
+    }
+    assert!(harmless.iter().all(|feature| !instance.refuses(*feature)));
+}
+
+/// An endpoint that leaves cuts what it has not finished; one that is removed from the list may leave unannounced.
+#[test]
+fn planned_ends_accuse_nothing() {
+    let mut instance = Instance::at(1_000);
+    let sound = [request("sound"), part("sound")];
+    for incarnation in 1..=6 {
+        let now = instance.now();
+        if incarnation % 2 == 0 {
+            instance.blame.record_departure(incarnation, now);
+        } else {
+            instance.blame.record_removal(incarnation, now);
+        }
+        instance.blame.record_loss(&sound, incarnation, now);
+        instance.pass(300);
+        let now = instance.now();
+        instance.blame.record_removal(incarnation + 100, now);
+        if incarnation % 2 == 0 {
+            instance.blame.record_end(incarnation, now);
+        }
+        instance.pass(300);
+    }
+    assert!(sound.iter().all(|feature| !instance.refuses(*feature)));
+}
+
+#[test]
+fn an_incarnation_counts_once_however_often_its_crash_is_reported() {
+    let mut instance = Instance::at(1_000);
+    let neighbour = request("neighbour");
+    instance.crash(&[neighbour], 1);
+    let mut peer = Instance::at(1_000);
+    peer.crash(&[neighbour], 1);
+    let reports = peer.reports();
+    for _ in 0..5 {
+        instance.apply(7, &reports);
+        instance.crash(&[neighbour], 1);
+    }
+    assert!(!instance.refuses(neighbour));
+}
+
+/// A part that many requests share is in flight wherever endpoints fail.
+#[test]
+fn endpoints_that_fail_together_convict_no_part() {
+    let mut instance = Instance::at(1_000);
+    let popular = part("popular");
+    for incarnation in 1..=40u32 {
+        let now = instance.now();
+        let own = request(&incarnation.to_string());
+        instance.blame.record_loss(&[own, popular], incarnation, now);
+        instance.blame.record_end(incarnation, now);
+        instance.now_ms += 2;
+    }
+    instance.pass(200);
+    assert!(!instance.refuses(popular));
+}
+
+#[test]
+fn answers_of_the_last_seconds_outweigh_crashes() {
+    let mut instance = Instance::at(1_000);
+    let popular = part("popular");
+    instance.answer(&[popular], 12);
+    for incarnation in 1..=4 {
+        let now = instance.now();
+        instance.blame.record_loss(&[popular], incarnation, now);
+        instance.blame.record_end(incarnation, now);
+        instance.pass(200);
+    }
+    assert!(!instance.refuses(popular));
+}
+
+/// Answers at other instances speak for a part that this one has not served.
+#[test]
+fn answers_of_peers_outweigh_crashes() {
+    let (mut first, mut second) = (Instance::at(1_000), Instance::at(1_000));
+    let popular = part("popular");
+    second.answer(&[popular], 30);
+    for incarnation in 1..=5 {
+        first.crash(&[popular], incarnation);
+        second.pass(210);
+        second.apply(1, &first.reports());
+        second.answer(&[popular], 3);
+        first.apply(2, &second.reports());
+    }
+    assert!(!first.refuses(popular));
+    assert!(!second.refuses(popular));
+}
+
+/// One that crashes half of its runs.
+#[test]
+fn a_part_that_crashes_now_and_then_is_convicted() {
+    let mut instance = Instance::at(1_000);
+    let flaky = part("flaky");
+    for incarnation in 1..=3 {
+        instance.crash(&[flaky], incarnation);
+        instance.answer(&[flaky], 1);
+    }
+    assert!(instance.refuses(flaky));
+}
+
+#[test]
+fn an_answer_clears_a_request_despite_late_reports_of_peers() {
+    let mut instance = Instance::at(1_000);
+    let neighbour = request("neighbour");
+    let mut peer = Instance::at(1_000);
+    for incarnation in 1..=2 {
+        instance.crash(&[neighbour], incarnation);
+        peer.crash(&[neighbour], incarnation);
+    }
+    instance.answer(&[neighbour], 1);
+    let now = instance.now();
+    instance.blame.expire(now);
+    instance.crash(&[neighbour], 3);
+    let reports = peer.reports();
+    instance.apply(7, &reports);
+    instance.pass(200);
+    assert!(!instance.refuses(neighbour));
+}
+
+/// A part below the deadly one is accused with it each time; it is served again wherever it comes without it.
+#[test]
+fn what_rides_with_a_convicted_part_is_not_convicted_later() {
+    let mut instance = Instance::at(1_000);
+    let (dead, below) = (part("dead"), part("below"));
+    instance.crash(&[request("1"), dead], 1);
+    for incarnation in 2..=4 {
+        instance.crash(&[request(&incarnation.to_string()), dead, below], incarnation);
+    }
+    assert!(instance.refuses(dead));
+    assert!(!instance.refuses(below));
+    // A run that was under way when the part was convicted.
+    instance.crash(&[request("5"), dead, below], 5);
+    instance.crash(&[request("6"), below], 6);
+    instance.crash(&[request("7"), below], 7);
+    assert!(!instance.refuses(below));
+}
+
+/// The caller sends the request to another instance each time, and most messages between the instances are lost.
+#[rstest]
+#[case::all_received(1)]
+#[case::one_in_seven_received(7)]
+fn instances_convict_a_request_together(#[case] one_in: u64) {
+    let mut instances = [Instance::at(0), Instance::at(0), Instance::at(0)];
+    let poison = request("poison");
+    let mut sent = 0u64;
+    for tick in 10..60u32 {
+        for (number, instance) in instances.iter_mut().enumerate() {
+            instance.now_ms = u64::from(tick) * 100;
+            if number as u32 + 1 == tick / 10 && tick.is_multiple_of(10) {
+                let now = instance.now();
+                instance.blame.record_loss(&[poison], tick / 10, now);
+                instance.blame.record_end(tick / 10, now);
+            }
+            instance.pass(0);
+        }
+        for from in 0..3 {
+            let reports = instances[from].reports();
+            for to in (0..3).filter(|to| *to != from) {
+                sent += 1;
+                if sent.is_multiple_of(one_in) {
+                    instances[to].apply(from as u64, &reports);
+                }
+            }
+        }
+    }
+    assert!(instances.iter().all(|instance| instance.refuses(poison)));
+}
+
+/// An instance that missed the first reports of two crashes must still count them.
+#[test]
+fn an_instance_that_starts_later_learns_of_earlier_crashes() {
+    let (mut first, poison) = (Instance::at(1_000), request("poison"));
+    first.crash(&[poison], 1);
+    first.crash(&[poison], 2);
+    first.pass(30_000);
+    let mut second = Instance::at(1_000);
+    second.apply(1, &first.reports());
+    second.crash(&[poison], 31);
+    assert!(second.refuses(poison));
+    first.pass(100);
+    assert!(first.reports().is_empty(), "not with every message");
+}
+
+/// A part is refused for its term; then a single run tries it.
+#[test]
+fn one_run_tries_a_part_whose_term_has_ended() {
+    let mut instance = Instance::at(1_000);
+    let dead = part("dead");
+    (1..=3).for_each(|incarnation| {
+        instance.crash(&[dead], incarnation);
+    });
+    let Verdict::Refuse { left_ms, .. } = instance.blame.verdict(&[dead], |_| true, instance.now())
+    else {
+        panic!("the part is not refused");
+    };
+    assert!(instance.pass(left_ms.get()).contains(&BlameChange::TermEnded { feature: dead }));
+    assert!(instance.refuses(dead), "only the instance that tries it runs it");
+    let verdict = instance.blame.verdict(&[dead], |_| true, instance.now());
+    assert_eq!(verdict, Verdict::Trial(dead));
+    let now = instance.now();
+    instance.blame.start_trial(dead, now);
+    let second = instance.blame.verdict(&[dead], |_| true, now);
+    assert!(matches!(second, Verdict::Refuse { .. }), "{second:?}");
+    // The trial crashes: the next term is twice as long.
+    instance.crash(&[dead], 4);
+    let Verdict::Refuse { left_ms: next_ms, .. } =
+        instance.blame.verdict(&[dead], |_| true, instance.now())
+    else {
+        panic!("the part is not refused");
+    };
+    assert!(next_ms.get() > left_ms.get() * 3 / 2, "{next_ms:?} after {left_ms:?}");
+    instance.pass(next_ms.get());
+    instance.answer(&[dead], 1);
+    assert!(!instance.refuses(dead));
+    assert!(instance.reports().acquitted.contains(&dead));
+}
+
+/// The number of features that the next reports accuse.
+fn accused_features(instance: &mut Instance) -> usize {
+    let crashes = instance.reports().crashes;
+    crashes.iter().map(|crash| crash.feature).collect::<HashSet<_>>().len()
+}
+
+#[test]
+fn memory_is_bounded_and_a_convicted_feature_stays() {
+    let mut instance = Instance::at(1_000);
+    let dead = part("dead");
+    (1..=3).for_each(|incarnation| {
+        instance.crash(&[dead], incarnation);
+    });
+    for number in 0..20_000 {
+        let now = instance.now();
+        instance.blame.record_loss(&[part(&number.to_string())], 9, now);
+    }
+    let now = instance.now();
+    instance.blame.record_end(9, now);
+    assert!(accused_features(&mut instance) <= 4_096);
+    for incarnation in 10..60 {
+        let now = instance.now();
+        let parts: Vec<_> = (0..200).map(|id| part(&format!("{incarnation}-{id}"))).collect();
+        instance.blame.record_loss(&parts, incarnation, now);
+        instance.blame.record_end(incarnation, now);
+        instance.pass(1);
+    }
+    assert!(instance.refuses(dead));
+    assert!(accused_features(&mut instance) <= 4_096);
+    instance.pass(1_300_000);
+    let now = instance.now();
+    instance.blame.expire(now);
+    assert!(instance.reports().crashes.is_empty());
+}
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bilberryford_callers::{ConnectionLimits, Respond};
+use bilberryford_coord::Feature;
 use bilberryford_types::ErrorKind;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::{
@@ -17,7 +18,6 @@
     filters::{RoutedRequest, authorize, identify},
     forward::{Forward, remove_hop_by_hop},
     gateway::Gateway,
-    quarantine::Fingerprint,
     request_log::RequestRecord,
     responses::{ErrorResponse, ResponseBody},
 };
@@ -114,7 +114,7 @@
     headers.remove(header::EXPECT);
     let caller = record.team.as_deref().unwrap_or_default();
     let target = head.uri.path_and_query().map_or("", |target| target.as_str());
-    let fingerprint = Fingerprint::new(caller, head.method.as_str(), target, &body);
+    let fingerprint = Feature::of_request(caller, head.method.as_str(), target, &body);
     let features = Arc::new(RequestFeatures::new(fingerprint, &facts));
     let forward = Forward {
         gateway: gateway.clone(),
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -125,6 +125,12 @@
     }
 }
 
+/// Returns false if `address` refuses connections; a connection that takes long says nothing.
+pub(crate) async fn accepts_connections(address: SocketAddr) -> bool {
+    let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+    !matches!(connecting, Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused)
+}
+
 /// Opens a connection.
 ///
 /// # Errors
--- a/crates/gateway/src/controllers.rs
+++ b/crates/gateway/src/controllers.rs
@@ -1,5 +1,6 @@
 //! Controllers: background tasks that synchronise the gateway's state with the object store, the engines and the peers.
 
+mod blame;
 mod caches;
 mod config;
 mod endpoints;
--- /dev/null
+++ b/crates/gateway/src/controllers/blame.rs
@@ -0,0 +1,130 @@
+//! Reports what endpoints' crashes are blamed on to the other instances, and learns it from them after a start.
+
+use std::{net::SocketAddr, sync::atomic::Ordering, time::Duration};
+
+use bilberryford_coord::{BlameAgenda, BlameReports};
+use bilberryford_types::TimeMs;
+use rand::seq::IndexedRandom;
+use tokio::{
+    net::UdpSocket,
+    time::{Instant, sleep, timeout},
+};
+
+use super::peers::{PeerAddresses, peer_addresses, send_message};
+use crate::{
+    gateway::Gateway,
+    peer_loads::{BlameMessage, EndpointTag, PeerMessage, report_interval_ms},
+};
+
+/// The most reports in one message, so that it fits into one datagram.
+const MAX_REPORTS_PER_MESSAGE: usize = 48;
+/// The most convictions in the answer to an instance that has just started, at up to 70 bytes each.
+const MAX_CONVICTIONS_PER_MESSAGE: usize = 16;
+/// The shortest interval between two messages, so that many crashes at once cause few messages.
+const MIN_REPORT_INTERVAL: Duration = Duration::from_millis(20);
+/// The interval at which evidence is weighed while any is open.
+const WEIGH_INTERVAL: Duration = Duration::from_millis(50);
+
+/// The interval at which known evidence may be due to be repeated.
+const REPEAT_INTERVAL: Duration = Duration::from_millis(1_000);
+
+/// The peers that an instance which has just started asks in each round.
+const ASKED_PEERS: usize = 6;
+/// The interval of these rounds: several round trips within a region.
+const ASK_INTERVAL: Duration = Duration::from_millis(100);
+/// The longest time for which a starting instance waits for an answer. Where the whole fleet starts, none knows anything.
+const MAX_LEARNING_TIME: Duration = Duration::from_millis(600);
+
+fn message(gateway: &Gateway, reports: BlameReports<EndpointTag>) -> PeerMessage {
+    PeerMessage::Blame(BlameMessage {
+        process_number: gateway.process_number,
+        has_learned: gateway.has_learned_blame(),
+        reports,
+    })
+}
+
+/// Applies a peer's reports.
+pub(super) fn apply(gateway: &Gateway, message: &BlameMessage) {
+    gateway.change_blame(|blame, now_ms| {
+        blame.apply_reports(message.process_number, &message.reports, now_ms)
+    });
+    if message.has_learned {
+        finish_learning(gateway, "peer");
+    }
+}
+
+/// Answers the question of an instance that has just started.
+pub(super) async fn answer(gateway: &Gateway, socket: &UdpSocket, from: SocketAddr) {
+    let now_ms = gateway.clock.now();
+    let reports = BlameReports {
+        crashes: Vec::new(),
+        answers: Vec::new(),
+        convictions: gateway.blame.lock().convictions(MAX_CONVICTIONS_PER_MESSAGE, now_ms),
+        acquitted: Vec::new(),
+    };
+    send_message(socket, &[from], &message(gateway, reports)).await;
+}
+
+fn finish_learning(gateway: &Gateway, source: &'static str) {
+    if !gateway.has_learned_blame.swap(true, Ordering::Relaxed) {
+        let convicted = gateway.blame.lock().convicted(gateway.clock.now()).count();
+        log::info!(
+            target: "belief", source = source, quarantined = convicted;
+            "quarantined features learned"
+        );
+    }
+}
+
+/// Asks peers what is blamed until one of them answers that knows it itself.
+pub(super) async fn learn(gateway: &Gateway, socket: &UdpSocket, addresses: &PeerAddresses) {
+    let mut asked_since: Option<Instant> = None;
+    while !gateway.has_learned_blame() {
+        let peers = peer_addresses(gateway, addresses);
+        let is_alone = peers.is_empty() && gateway.listed_peers.lock().is_some();
+        let has_waited = asked_since.is_some_and(|since| since.elapsed() >= MAX_LEARNING_TIME);
+        if is_alone || has_waited {
+            return finish_learning(gateway, if is_alone { "no_peers" } else { "no_answer" });
+        }
+        if !peers.is_empty() {
+            asked_since.get_or_insert_with(Instant::now);
+            let asked: Vec<_> = peers.sample(&mut rand::rng(), ASKED_PEERS).copied().collect();
+            send_message(socket, &asked, &PeerMessage::AskBlame).await;
+        }
+        sleep(ASK_INTERVAL).await;
+    }
+}
+
+/// Reports changes at once, and repeats them at the interval of the load reports while there is anything to repeat.
+pub(super) async fn report(gateway: &Gateway, socket: &UdpSocket, addresses: &PeerAddresses) {
+    let mut reported_ms = TimeMs(0);
+    loop {
+        let changed = gateway.blame_changed.notified();
+        let peers = peer_addresses(gateway, addresses);
+        let agenda = gateway.blame.lock().agenda(gateway.clock.now());
+        let interval_ms = report_interval_ms(peers.len());
+        let wait = match agenda {
+            BlameAgenda::Weigh => WEIGH_INTERVAL,
+            BlameAgenda::Report => Duration::from_millis(interval_ms.get()),
+            BlameAgenda::Repeat => REPEAT_INTERVAL,
+            BlameAgenda::Nothing => Duration::MAX,
+        };
+        // Either the interval ends or there is something new.
+        let _ = timeout(wait, changed).await;
+        gateway.change_blame(|blame, now_ms| blame.tick(now_ms));
+        let now_ms = gateway.clock.now();
+        let has_news = gateway.blame.lock().take_news();
+        // Answers wait for their turn, since a few instances' answers suffice to clear what many served.
+        if has_news || now_ms.since(reported_ms) >= interval_ms {
+            reported_ms = now_ms;
+            let reports = gateway.blame.lock().take_reports(
+                MAX_REPORTS_PER_MESSAGE,
+                |feature| gateway.rank_for(feature),
+                now_ms,
+            );
+            if !reports.is_empty() {
+                send_message(socket, &peers, &message(gateway, reports)).await;
+            }
+        }
+        sleep(MIN_REPORT_INTERVAL).await;
+    }
+}
--- a/crates/gateway/src/controllers/endpoints.rs
+++ b/crates/gateway/src/controllers/endpoints.rs
@@ -11,7 +11,7 @@
 use super::list_watch::WatchHandler;
 use crate::{
     change_log::{ChangeBatch, ObjectChange},
-    endpoints::EndpointChange,
+    endpoints::{EndpointChange, EndpointState},
     gateway::Gateway,
 };
 
@@ -38,10 +38,13 @@
             version:% = change.version, started:% = change.started_ms, heartbeat = change.heartbeat;
             "endpoint"
         );
-        change
-            .ended_incarnation
-            .into_iter()
-            .for_each(|incarnation| gateway.record_incarnation_end(incarnation, "list"));
+        gateway.change_blame(|blame, now_ms| {
+            if change.state == EndpointState::Leaving {
+                blame.record_departure(change.incarnation(), now_ms);
+            }
+            let ended = change.ended_incarnation.into_iter();
+            ended.flat_map(|incarnation| blame.record_removal(incarnation, now_ms)).collect()
+        });
     }
 }
 
--- a/crates/gateway/src/controllers/housekeeping.rs
+++ b/crates/gateway/src/controllers/housekeeping.rs
@@ -18,7 +18,10 @@
         let now_ms = gateway.clock.now();
         let changes = gateway.endpoints.lock().expire(now_ms);
         record_changes(&gateway, changes);
-        gateway.quarantine.lock().expire(now_ms);
+        gateway.change_blame(|blame, now_ms| {
+            blame.expire(now_ms);
+            blame.tick(now_ms)
+        });
         gateway.remove_unlisted_endpoints();
     }
 }
--- a/crates/gateway/src/controllers/peers.rs
+++ b/crates/gateway/src/controllers/peers.rs
@@ -13,7 +13,7 @@
 use tokio::{net::UdpSocket, time::sleep};
 
 use super::{
-    limits,
+    blame, limits,
     list_watch::{Backoff, WatchHandler},
     shared_view,
 };
@@ -24,7 +24,6 @@
         EndpointLoad, EndpointTag, EngineParts, LoadMessage, MAX_REPORTED_ENDPOINTS, PeerMessage,
         RankTokens, StorePartsMessage, report_interval_ms,
     },
-    quarantine::Fingerprint,
 };
 
 /// The pause after an error of the socket.
@@ -43,8 +42,6 @@
 const MAX_PARTS_PER_MESSAGE: usize = 120;
 /// The most messages on engines' parts in one round: a new subscription starts with many changes.
 const MAX_ENGINE_MESSAGES_PER_ROUND: usize = 4;
-/// The most crash reports in one message, so that it fits into one datagram.
-const MAX_CRASHES_PER_MESSAGE: usize = 80;
 
 /// The rank under which transfers are reported, since links have no priorities.
 const TRANSFER_RANK: u8 = 0;
@@ -179,6 +176,8 @@
         forward_store_parts(&gateway, &socket, &addresses),
         shared_view::ask(&gateway, &socket, &addresses),
         limits::report(&gateway, &socket, &addresses),
+        blame::learn(&gateway, &socket, &addresses),
+        blame::report(&gateway, &socket, &addresses),
     );
 }
 
@@ -203,18 +202,6 @@
     }
 }
 
-fn apply_crash_reports(gateway: &Gateway, crashes: &[(Fingerprint, EndpointTag)]) {
-    let now_ms = gateway.clock.now();
-    let mut quarantine = gateway.quarantine.lock();
-    let quarantines_request = |(request, incarnation): &&(Fingerprint, EndpointTag)| {
-        quarantine.apply_report(*request, *incarnation, now_ms)
-    };
-    let quarantined: Vec<_> =
-        crashes.iter().filter(quarantines_request).map(|(request, _)| *request).collect();
-    drop(quarantine);
-    gateway.record_quarantined(quarantined, "peers saw it lost with endpoints");
-}
-
 pub(super) fn peer_addresses(gateway: &Gateway, addresses: &PeerAddresses) -> Vec<SocketAddr> {
     let own_address = gateway.settings.peer_listen;
     let listed = addresses.lock();
@@ -267,8 +254,13 @@
                 }
                 Ok(PeerMessage::Parts(message)) => apply_store_parts(gateway, message),
                 Ok(PeerMessage::Engines(engines)) => apply_engine_parts(gateway, &engines),
-                Ok(PeerMessage::Crashes(crashes)) => apply_crash_reports(gateway, &crashes),
-                Ok(PeerMessage::RetiredQuestion | PeerMessage::RetiredAnswer) => {}
+                Ok(
+                    PeerMessage::RetiredCrashes(_)
+                    | PeerMessage::RetiredQuestion
+                    | PeerMessage::RetiredAnswer,
+                ) => {}
+                Ok(PeerMessage::Blame(message)) => blame::apply(gateway, &message),
+                Ok(PeerMessage::AskBlame) => blame::answer(gateway, socket, from).await,
                 Ok(PeerMessage::AskView(question)) => {
                     shared_view::answer(gateway, socket, from, &question).await;
                 }
@@ -362,11 +354,6 @@
         sequence += 1;
         let load = load_message(gateway, incarnation, sequence).trimmed(MAX_LOAD_BYTES);
         send_message(socket, &peers, &PeerMessage::Load(load)).await;
-        let crashes =
-            gateway.quarantine.lock().take_reports(MAX_CRASHES_PER_MESSAGE, gateway.clock.now());
-        if !crashes.is_empty() {
-            send_message(socket, &peers, &PeerMessage::Crashes(crashes)).await;
-        }
         if gateway.clock.now().since(engines_reported_ms) >= ENGINE_REPORT_INTERVAL_MS {
             engines_reported_ms = gateway.clock.now();
             report_engine_parts(gateway, socket, &peers).await;
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -96,6 +96,13 @@
     pub ended_incarnation: Option<EndpointTag>,
 }
 
+impl EndpointChange {
+    /// The incarnation that the entry describes.
+    pub(crate) fn incarnation(&self) -> EndpointTag {
+        EndpointTag::new(self.id.as_str(), self.started_ms)
+    }
+}
+
 /// The table of all endpoints.
 #[derive(Debug, Clone, Default)]
 pub struct EndpointTable {
--- a/crates/gateway/src/features.rs
+++ b/crates/gateway/src/features.rs
@@ -3,9 +3,10 @@
 
 use std::fmt::Write as _;
 
+use bilberryford_coord::Feature;
 use bilberryford_types::{ModelName, TimeMs};
 
-use crate::{part_plan::shared_parts, quarantine::Fingerprint, translation::CallerFacts};
+use crate::{part_plan::shared_parts, translation::CallerFacts};
 
 /// The most parts that a log line names.
 const MAX_LOGGED_PARTS: usize = 12;
@@ -43,24 +44,39 @@
 #[derive(Debug)]
 pub(crate) struct RequestFeatures {
     request_id: Option<String>,
-    pub(crate) request: Fingerprint,
+    /// The request itself, then the shared parts of its prompt.
+    features: Vec<Feature>,
     model: Option<ModelName>,
     /// The ids of the shared parts of its prompt, in order.
     part_ids: Vec<String>,
 }
 
 impl RequestFeatures {
-    pub(crate) fn new(request: Fingerprint, facts: &CallerFacts) -> Self {
+    pub(crate) fn new(request: Feature, facts: &CallerFacts) -> Self {
         let prompt = facts.prompt.as_ref();
         let parts = prompt.map_or(&[][..], |prompt| shared_parts(&prompt.parts));
+        let model = prompt.map_or("", |prompt| prompt.model.as_str());
+        let of_parts = parts.iter().map(|part| Feature::of_part(model, &part.id));
+        let mut features: Vec<_> = [request].into_iter().chain(of_parts).collect();
+        features.dedup();
         Self {
             request_id: facts.request_id.clone(),
-            request,
+            features,
             model: prompt.map(|prompt| prompt.model.clone()),
             part_ids: parts.iter().map(|part| part.id.clone()).collect(),
         }
     }
 
+    /// All features.
+    pub(crate) fn all(&self) -> &[Feature] {
+        &self.features
+    }
+
+    /// The request itself.
+    pub(crate) fn request(&self) -> Feature {
+        self.features[0]
+    }
+
     pub(crate) fn request_id(&self) -> &str {
         self.request_id.as_deref().unwrap_or_default()
     }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -11,6 +11,7 @@
 
 use std::sync::Arc;
 
+use bilberryford_coord::Verdict;
 use bilberryford_types::{EndpointId, ErrorKind, PoolName, TimeMs};
 use bytes::Bytes;
 use hyper::{
@@ -147,14 +148,15 @@
             Err(error) if progress.possible_runs == 0 => return Err(error),
             Err(_) => return Err(ErrorResponse::new(ErrorKind::EndpointLost)),
         };
-        let now_ms = self.gateway.clock.now();
-        if let Some(quarantine_left_ms) =
-            self.gateway.quarantine.lock().quarantine_left_ms(self.features.request, now_ms)
-        {
+        if self.facts.prompt.is_some() && !self.gateway.has_learned_blame() {
+            return Err(ErrorResponse::new(progress.error_kind(ErrorKind::NotReady)));
+        }
+        if let Verdict::Refuse { feature, left_ms } = self.gateway.take_verdict(&self.features) {
             self.record.notes.push("held_back");
+            self.record.blamed = Some(feature);
             return Err(ErrorResponse::with_retry_after(
                 progress.error_kind(ErrorKind::HeldBack),
-                quarantine_left_ms,
+                left_ms,
             ));
         }
         let ChosenEndpoint { candidate, reason, demand } = self.choose_endpoint(progress)?;
--- a/crates/gateway/src/forward/answer.rs
+++ b/crates/gateway/src/forward/answer.rs
@@ -48,6 +48,7 @@
             in_flight,
             deadline_ms: self.deadline_ms,
             record,
+            is_success: head.status.is_success(),
             is_finished: false,
         };
         Ok(Some(Response::from_parts(head, relay_body(relay))))
@@ -59,7 +60,7 @@
         head: Parts,
         incoming: Incoming,
         connection: Connection,
-        in_flight: InFlight,
+        mut in_flight: InFlight,
     ) -> Result<Option<Response<ResponseBody>>, ErrorResponse> {
         let left = Duration::from_millis(self.time_left_ms().get());
         let reading = Limited::new(incoming, MAX_BUFFERED_BYTES as usize).collect();
@@ -76,7 +77,9 @@
             }
             Ok(Ok(body)) => body.to_bytes(),
         };
-        in_flight.record_response();
+        if head.status.is_success() {
+            in_flight.record_answer();
+        }
         let now_ms = self.gateway.clock.now();
         self.gateway.update_health(in_flight.endpoint(), "answered", record_success);
         self.gateway.connections.release(in_flight.endpoint(), connection, now_ms);
--- a/crates/gateway/src/forward/send.rs
+++ b/crates/gateway/src/forward/send.rs
@@ -122,7 +122,10 @@
             }
         };
         match result {
-            Err(_) => SendOutcome::Lost("no_answer"),
+            Err(_) => {
+                in_flight.record_loss(ResponseStage::NoHead);
+                SendOutcome::Lost("no_answer")
+            }
             Ok(Err(error)) if error.message().is_some() => SendOutcome::Unsent,
             Ok(Err(error)) => {
                 log::debug!(endpoint:% = candidate.id, error:% = error.error(); "answer lost");
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,8 +1,11 @@
 //! The gateway's shared state. Each part has its own lock, and no lock is held across an await.
 
+mod blame;
 mod endpoint_access;
 mod limits;
 
+pub(crate) use blame::ANSWER_AGE_MS;
+
 use std::{
     collections::HashMap,
     sync::{
@@ -12,6 +15,7 @@
 };
 
 use arc_swap::{ArcSwap, ArcSwapOption};
+use bilberryford_coord::Blame;
 use bilberryford_platform::ObjectStore;
 use bilberryford_types::{Bytes, EndpointId, ModelName, PoolName, StoreEra, TimeMs};
 use parking_lot::Mutex;
@@ -26,14 +30,12 @@
     deployment::{CallerLimits, Deployment},
     endpoint_limits::EndpointLimits,
     endpoints::EndpointTable,
-    features::{RequestFeatures, ResponseStage},
     key_validity::KeyValidity,
     local_state::LocalState,
     metrics::{Metrics, MetricsError},
     part_plan::{LocatedParts, TargetEngine},
     peer_loads::{EndpointTag, PeerLoads, PendingEngineParts, StorePartsMessage},
     placement::Candidate,
-    quarantine::{Fingerprint, Quarantine},
     readers::ReaderSelection,
     request_log::RequestLog,
     retry_budget::{RetryBudget, RetryLimits},
@@ -90,7 +92,13 @@
     pub(crate) limits: Mutex<EndpointLimits>,
     pub(crate) limits_changed: Notify,
     started_ms: TimeMs,
-    pub(crate) quarantine: Mutex<Quarantine>,
+    pub(crate) blame: Mutex<Blame<EndpointTag>>,
+    /// Notified when peers should hear of a crash, an answer or a conviction at once.
+    pub(crate) blame_changed: Notify,
+    /// True once this instance knows what its peers blame, or has none that could know.
+    pub(crate) has_learned_blame: AtomicBool,
+    /// A number that is new with each start of the process.
+    pub(crate) process_number: u64,
     pub(crate) weights: Mutex<HashMap<ModelName, PublishedWeights>>,
     pub(crate) connections: ConnectionPool,
     retry_budgets: Mutex<HashMap<PoolName, RetryBudget>>,
@@ -138,7 +146,10 @@
             limits: Mutex::default(),
             limits_changed: Notify::new(),
             started_ms: Clock.now(),
-            quarantine: Mutex::default(),
+            blame: Mutex::default(),
+            blame_changed: Notify::new(),
+            has_learned_blame: AtomicBool::new(false),
+            process_number: rand::random(),
             weights: Mutex::default(),
             connections: ConnectionPool::default(),
             retry_budgets: Mutex::default(),
@@ -169,7 +180,11 @@
         let has_deployment = self.deployment.load().is_some();
         let can_check_keys = self.keys.lock().is_valid(self.clock.now());
         let has_endpoints = self.endpoints.lock().records().next().is_some();
-        !self.is_stopping() && has_deployment && can_check_keys && has_endpoints
+        !self.is_stopping()
+            && has_deployment
+            && can_check_keys
+            && has_endpoints
+            && self.has_learned_blame()
     }
 
     pub(crate) fn stop(&self) {
@@ -291,55 +306,6 @@
         let until_ms = self.weights.lock().get(model)?.usable_until(version, bound_ms)?;
         Some(until_ms.since(self.clock.now()))
     }
-
-    /// Logs and counts newly quarantined requests.
-    pub(crate) fn record_quarantined(
-        &self,
-        requests: impl IntoIterator<Item = Fingerprint>,
-        reason: &'static str,
-    ) {
-        for request in requests {
-            log::warn!(target: "belief", request:% = request, why = reason; "request held back");
-            self.metrics.quarantined.add(1, &[]);
-        }
-    }
-
-    /// Records that a request lost its connection to an endpoint that may have started it, at `stage` of its response.
-    pub(crate) fn record_request_loss(
-        &self,
-        endpoint: &EndpointId,
-        incarnation: EndpointTag,
-        features: &RequestFeatures,
-        stage: ResponseStage,
-    ) {
-        let (now_ms, request) = (self.clock.now(), features.request);
-        if let Some(suppressed) = self.request_log.take_loss_record(now_ms) {
-            let stage_name: &'static str = stage.into();
-            log::info!(
-                target: "belief", request = features.request_id(), endpoint:% = endpoint,
-                incarnation:% = incarnation, fingerprint:% = request,
-                parts = features.parts_text().as_str(), stage = stage_name,
-                content_age_ms = stage.content_age_ms().map_or(0, TimeMs::get), left_out = suppressed;
-                "response lost with its connection"
-            );
-        }
-        if self.quarantine.lock().record_loss(request, incarnation, now_ms) {
-            self.record_quarantined([request], "lost with a third endpoint");
-        }
-    }
-
-    /// Records the end of an endpoint's incarnation, with how this instance found out.
-    pub(crate) fn record_incarnation_end(&self, incarnation: EndpointTag, source: &'static str) {
-        let now_ms = self.clock.now();
-        let mut quarantine = self.quarantine.lock();
-        let is_known = quarantine.has_ended(incarnation);
-        let requests = quarantine.record_incarnation_end(incarnation, now_ms);
-        drop(quarantine);
-        if !is_known {
-            log::info!(target: "belief", incarnation:% = incarnation, source = source; "endpoint ended");
-        }
-        self.record_quarantined(requests, "a third endpoint that lost it is gone");
-    }
 }
 
 pub(crate) fn target_engine<'a>(
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -9,7 +9,6 @@
     features::{RequestFeatures, ResponseStage},
     gateway::Gateway,
     part_plan::Transfer,
-    peer_loads::EndpointTag,
     placement::Candidate,
     slowness::nominal_ms,
     translation::PartKey,
@@ -30,8 +29,7 @@
 /// A request that is counted at its endpoint until this is dropped.
 pub(crate) struct InFlight {
     gateway: Arc<Gateway>,
-    endpoint: EndpointId,
-    incarnation: EndpointTag,
+    candidate: Candidate,
     features: Arc<RequestFeatures>,
     rank: u8,
     waiting_tokens: u64,
@@ -45,6 +43,7 @@
     /// The saves that the endpoint was asked for and that may not have happened yet.
     pub(crate) saves: Vec<(SocketAddr, PartKey)>,
     pub(crate) is_trial: bool,
+    is_answered: bool,
 }
 
 impl InFlight {
@@ -70,8 +69,7 @@
         gateway.metrics.in_flight.add(1, &[]);
         Self {
             gateway: gateway.clone(),
-            endpoint: endpoint.clone(),
-            incarnation: candidate.incarnation,
+            candidate: candidate.clone(),
             features: features.clone(),
             rank,
             waiting_tokens,
@@ -82,22 +80,24 @@
             transfers: Vec::new(),
             saves: Vec::new(),
             is_trial,
+            is_answered: false,
         }
     }
 
     pub(crate) fn endpoint(&self) -> &EndpointId {
-        &self.endpoint
+        &self.candidate.id
     }
 
     /// Records that its connection broke after the endpoint may have started it, at `stage` of its response.
     pub(crate) fn record_loss(&self, stage: ResponseStage) {
-        self.gateway.record_request_loss(&self.endpoint, self.incarnation, &self.features, stage);
+        self.gateway.record_request_loss(&self.candidate, &self.features, stage);
     }
 
-    /// Records a complete response.
-    pub(crate) fn record_response(&self) {
-        let now_ms = self.gateway.clock.now();
-        self.gateway.quarantine.lock().record_response(self.features.request, now_ms);
+    /// Records that its response is complete, or went on for a while after its first content.
+    pub(crate) fn record_answer(&mut self) {
+        if !std::mem::replace(&mut self.is_answered, true) {
+            self.gateway.record_answer(&self.features);
+        }
     }
 
     /// Counts the transfers at their holders until the first token.
@@ -132,7 +132,7 @@
             }
         } else if self.waiting_tokens > 0
             && self.transfers.is_empty()
-            && let Some(state) = self.gateway.local.lock().get_mut(&self.endpoint)
+            && let Some(state) = self.gateway.local.lock().get_mut(&self.candidate.id)
         {
             state.slowness.sample(self.queue_tokens, took_ms, now_ms);
         }
@@ -141,7 +141,7 @@
 
     fn end_waiting(&mut self) {
         let waiting_tokens = std::mem::take(&mut self.waiting_tokens);
-        if let Some(state) = self.gateway.local.lock().get_mut(&self.endpoint) {
+        if let Some(state) = self.gateway.local.lock().get_mut(&self.candidate.id) {
             state.waiting.remove(self.rank, waiting_tokens);
         }
         let mut holders = self.gateway.holders.lock();
@@ -164,7 +164,7 @@
             }
         }
         drop(holders);
-        if let Some(state) = self.gateway.local.lock().get_mut(&self.endpoint) {
+        if let Some(state) = self.gateway.local.lock().get_mut(&self.candidate.id) {
             state.in_flight = state.in_flight.saturating_sub(1);
             state.memory_tokens = state.memory_tokens.saturating_sub(self.memory_tokens);
             if self.is_trial {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,7 +31,6 @@
 mod part_plan;
 mod peer_loads;
 mod placement;
-mod quarantine;
 mod readers;
 mod relay;
 mod request_log;
@@ -68,7 +67,6 @@
     RankTokens, report_interval_ms,
 };
 pub use placement::{Candidate, Choice, PlacementRequest, PromptShape, Reason, place};
-pub use quarantine::{Fingerprint, Quarantine};
 pub use readers::{ReaderSelection, passed_on_confirmation};
 pub use retry_budget::{RetryBudget, RetryLimits};
 pub use rollout::{EngineWeights, PublishedWeights, WeightOrder, WeightPlan, plan_weights};
--- a/crates/gateway/src/peer_loads.rs
+++ b/crates/gateway/src/peer_loads.rs
@@ -6,7 +6,7 @@
 
 use std::{collections::HashMap, net::SocketAddr};
 
-use bilberryford_coord::SharePlace;
+use bilberryford_coord::{BlameReports, SharePlace};
 use bilberryford_types::TimeMs;
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
@@ -15,7 +15,6 @@
     cache_index::{PartReport, PartTag, PartUpdate},
     controllers::{ViewAnswer, ViewQuestion},
     endpoint_limits::LimitReport,
-    quarantine::Fingerprint,
     translation::CacheChanges,
 };
 
@@ -200,8 +199,8 @@
     Parts(StorePartsMessage),
     /// Changes in the memories of engines.
     Engines(Vec<EngineParts>),
-    /// Requests that the sender lost in crashes, with the crashed incarnations.
-    Crashes(Vec<(Fingerprint, EndpointTag)>),
+    /// What versions before shared parts reported of requests that crash endpoints; it is ignored.
+    RetiredCrashes(Vec<(u64, EndpointTag)>),
     /// The question of versions whose answers passed contact with the store on without its age; it gets no answer, so that
     /// they read the store.
     RetiredQuestion,
@@ -213,6 +212,21 @@
     View(ViewAnswer),
     /// The limits that endpoints state.
     Limits(LimitsMessage),
+    /// What the sender knows of crashes and of the features that they are blamed on.
+    Blame(BlameMessage),
+    /// The question of an instance that has just started for what is blamed.
+    AskBlame,
+}
+
+/// What an instance reports of crashes.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct BlameMessage {
+    /// A number that is new with each start of the sender.
+    pub(crate) process_number: u64,
+    /// True if the sender knows what its own peers blame.
+    pub(crate) has_learned: bool,
+    /// The reports.
+    pub(crate) reports: BlameReports<EndpointTag>,
 }
 
 #[derive(Debug, Clone)]
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -10,8 +10,13 @@
 use tokio::time::timeout;
 
 use crate::{
-    connections::Connection, features::ResponseStage, gateway::Gateway, health::EndpointHealth,
-    in_flight::InFlight, request_log::RequestRecord, responses::ResponseBody,
+    connections::Connection,
+    features::ResponseStage,
+    gateway::{ANSWER_AGE_MS, Gateway},
+    health::EndpointHealth,
+    in_flight::InFlight,
+    request_log::RequestRecord,
+    responses::ResponseBody,
 };
 
 /// A response that is being streamed. Dropping it before its end closes the connection to the endpoint, which cancels
@@ -23,6 +28,8 @@
     pub(crate) in_flight: InFlight,
     pub(crate) deadline_ms: TimeMs,
     pub(crate) record: RequestRecord,
+    /// True if its status states that the endpoint ran the request.
+    pub(crate) is_success: bool,
     pub(crate) is_finished: bool,
 }
 
@@ -42,7 +49,9 @@
         if self.is_finished {
             return;
         }
-        self.in_flight.record_response();
+        if self.is_success {
+            self.in_flight.record_answer();
+        }
         let endpoint = self.in_flight.endpoint();
         self.gateway.update_health(endpoint, "answered", record_success);
         if let Some(connection) = self.connection.take() {
@@ -62,6 +71,10 @@
             };
             match frame {
                 None => {
+                    if self.record.first_byte_ms.is_none() {
+                        // An endpoint that ended silently shows no other sign.
+                        self.in_flight.record_loss(ResponseStage::Head);
+                    }
                     self.finish("deadline_in_answer", true);
                     return Some(Err(io::ErrorKind::TimedOut.into()));
                 }
@@ -82,9 +95,16 @@
                 Some(Some(Ok(frame))) => {
                     let Ok(data) = frame.into_data() else { continue };
                     self.gateway.record_received(self.in_flight.endpoint());
-                    if self.record.first_byte_ms.is_none() {
-                        self.record.first_byte_ms = Some(self.gateway.clock.now());
-                        self.in_flight.record_first_byte();
+                    let now_ms = self.gateway.clock.now();
+                    match self.record.first_byte_ms {
+                        None => {
+                            self.record.first_byte_ms = Some(now_ms);
+                            self.in_flight.record_first_byte();
+                        }
+                        Some(at_ms) if self.is_success && now_ms.since(at_ms) >= ANSWER_AGE_MS => {
+                            self.in_flight.record_answer();
+                        }
+                        Some(_) => {}
                     }
                     // The server asks for nothing after the last byte of a body whose length it knows.
                     if self.incoming.is_end_stream() {
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -13,7 +13,6 @@
     mod obstacle;
     mod peer_loads;
     mod placement;
-    mod quarantine;
     mod readers;
     mod retry_budget;
     mod rollout;
