A stream that ends inside an event is broken off, whatever its framing says

A response with neither a length nor chunks ends with its connection; an endpoint that ended in the middle of an event closes that connection as well, and the caller got the stream as complete. The relay follows the position in a stream of events and ends the caller's response with an error there; a stream of events with a length is passed on in chunks, since a body with a length can't be broken off after its last byte. The error waits until what came before it is written.

Streams that end with their connection after an event, and other responses without a length, are passed on as complete (tests beside it).

--- a/crates/gateway/src/forward/answer.rs
+++ b/crates/gateway/src/forward/answer.rs
@@ -7,6 +7,7 @@
 use hyper::{
     Response,
     body::{Body as _, Incoming},
+    header,
     http::response::Parts,
 };
 use tokio::time::timeout;
@@ -15,6 +16,7 @@
 use crate::{
     connections::Connection,
     deployment::RetryPolicy,
+    event_stream::{EventPosition, is_event_stream},
     features::ResponseStage,
     in_flight::InFlight,
     relay::{Relay, record_success, relay_body},
@@ -39,6 +41,11 @@
         if self.route.retry_policy != RetryPolicy::Stream && is_small {
             return self.buffer_response(progress, head, incoming, connection, in_flight).await;
         }
+        let event_position = is_event_stream(&head.headers).then(EventPosition::default);
+        if event_position.is_some() {
+            // A body with a length could not be broken off at its end.
+            head.headers.remove(header::CONTENT_LENGTH);
+        }
         let gateway = self.gateway.clone();
         let record = std::mem::take(&mut self.record);
         let relay = Relay {
@@ -47,6 +54,7 @@
             connection: Some(connection),
             in_flight,
             deadline_ms: self.deadline_ms,
+            event_position,
             record,
             is_success: head.status.is_success(),
             is_finished: false,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 mod deployment;
 mod endpoint_limits;
 mod endpoints;
+mod event_stream;
 mod features;
 mod filters;
 mod forward;
@@ -57,6 +58,7 @@
 };
 pub use endpoint_limits::{EndpointLimits, LimitChange, LimitReport, LimitSharers, LimitStatement};
 pub use endpoints::{EndpointRecord, EndpointState, EndpointTable, ServedModel};
+pub use event_stream::EventPosition;
 pub use gateway::{Gateway, SetupError};
 pub use health::{CircuitState, EndpointHealth};
 pub use key_validity::KeyValidity;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -7,10 +7,11 @@
 use futures::stream;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Body as _, Frame, Incoming};
-use tokio::time::timeout;
+use tokio::{task::yield_now, time::timeout};
 
 use crate::{
     connections::Connection,
+    event_stream::EventPosition,
     features::ResponseStage,
     gateway::{ANSWER_AGE_MS, Gateway},
     health::EndpointHealth,
@@ -27,6 +28,8 @@
     pub(crate) connection: Option<Connection>,
     pub(crate) in_flight: InFlight,
     pub(crate) deadline_ms: TimeMs,
+    /// The position in a stream of events; none for other responses.
+    pub(crate) event_position: Option<EventPosition>,
     pub(crate) record: RequestRecord,
     /// True if its status states that the endpoint ran the request.
     pub(crate) is_success: bool,
@@ -60,6 +63,21 @@
         self.finish("answered", false);
     }
 
+    fn is_inside_event(&self) -> bool {
+        self.event_position.is_some_and(|position| position.is_inside_event())
+    }
+
+    /// Records that the endpoint broke the response off.
+    fn break_off(&mut self) {
+        let now_ms = self.gateway.clock.now();
+        self.in_flight.record_loss(ResponseStage::after_head(self.record.first_byte_ms, now_ms));
+        let endpoint = self.in_flight.endpoint();
+        self.gateway.update_health(endpoint, "answer_cut", |health, now_ms| {
+            health.record_failure(now_ms, false);
+        });
+        self.finish("answer_cut", true);
+    }
+
     async fn next_chunk(&mut self) -> Option<io::Result<Bytes>> {
         loop {
             let time_left_ms = self.deadline_ms.since(self.gateway.clock.now());
@@ -79,17 +97,7 @@
                     return Some(Err(io::ErrorKind::TimedOut.into()));
                 }
                 Some(Some(Err(error))) => {
-                    let now_ms = self.gateway.clock.now();
-                    let stage = ResponseStage::after_head(self.record.first_byte_ms, now_ms);
-                    self.in_flight.record_loss(stage);
-                    self.gateway.update_health(
-                        self.in_flight.endpoint(),
-                        "answer_cut",
-                        |health, now_ms| {
-                            health.record_failure(now_ms, false);
-                        },
-                    );
-                    self.finish("answer_cut", true);
+                    self.break_off();
                     return Some(Err(io::Error::other(error)));
                 }
                 Some(Some(Ok(frame))) => {
@@ -106,12 +114,21 @@
                         }
                         Some(_) => {}
                     }
+                    if let Some(position) = &mut self.event_position {
+                        position.read(&data);
+                    }
                     // The server asks for nothing after the last byte of a body whose length it knows.
-                    if self.incoming.is_end_stream() {
+                    if self.incoming.is_end_stream() && !self.is_inside_event() {
                         self.complete();
                     }
                     return Some(Ok(data));
                 }
+                Some(None) if self.is_inside_event() => {
+                    self.break_off();
+                    // The server writes what came before while the body is pending, and nothing after an error.
+                    yield_now().await;
+                    return Some(Err(io::ErrorKind::UnexpectedEof.into()));
+                }
                 Some(None) => {
                     self.complete();
                     return None;
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -7,6 +7,7 @@
     mod endpoint_eras;
     mod endpoint_limits;
     mod endpoints;
+    mod event_stream;
     mod health;
     mod key_validity;
     mod limit_model;
