--- a/crates/gateway/src/controllers/blame.rs
+++ b/crates/gateway/src/controllers/blame.rs
@@ -99,9 +99,8 @@
     let mut reported_ms = TimeMs(0);
     loop {
         let changed = gateway.blame_changed.notified();
-        let peers = peer_addresses(gateway, addresses);
         let agenda = gateway.blame.lock().agenda(gateway.clock.now());
-        let interval_ms = report_interval_ms(peers.len());
+        let interval_ms = report_interval_ms(peer_addresses(gateway, addresses).len());
         let wait = match agenda {
             BlameAgenda::Weigh => WEIGH_INTERVAL,
             BlameAgenda::Report => Duration::from_millis(interval_ms.get()),
@@ -122,6 +121,8 @@
                 now_ms,
             );
             if !reports.is_empty() {
+                // The wait may have lasted since before the peers were listed.
+                let peers = peer_addresses(gateway, addresses);
                 send_message(socket, &peers, &message(gateway, reports)).await;
             }
         }
