A suspected part runs apart, what is convicted is withdrawn, and parts that came together are told apart

A part with two crashes and no answer now runs one request at a time over all instances, at the endpoint with least in flight, and is not repeated elsewhere. - Up to seven requests with the part were in flight at one endpoint when it was convicted.

--- a/crates/coord/src/blame.rs
+++ b/crates/coord/src/blame.rs
@@ -11,8 +11,9 @@
 //!   some of its runs is found as well.
 //!
 //! A feature with [`CRASH_LIMIT`] crashes that its answers don't outweigh is convicted, and its crashes speak against no
-//! other feature any more: requests that shared a batch or a part with it are not refused with it. When the term of a
-//! conviction ends, a single run tries the feature again.
+//! other feature any more: requests that shared a batch or a part with it are not refused with it. Parts that the evidence
+//! can't tell apart, since they came together each time, are convicted together; a request that has only some of them
+//! tries those. When the term of a conviction ends, a single run tries the feature again.
 //!
 //! Instances report crashes, answers and convictions to each other. All of them only grow, so a report may be lost,
 //! repeated or late. See `docs/design/poison.md`.
@@ -52,6 +53,10 @@
 const TERM_MS: u64 = 600_000;
 /// The longest term of a conviction, in milliseconds: a day.
 const MAX_TERM_MS: u64 = 86_400_000;
+/// How long a suspect runs apart after its last crash, in milliseconds.
+const SUSPECT_MS: TimeMs = TimeMs(5_000);
+/// The time after which a request of a suspect may ask again, in milliseconds: about the time of a first token.
+const SUSPECT_RETRY_MS: TimeMs = TimeMs(500);
 /// The longest time that a trial holds off another one, in milliseconds: a run and the report of its end.
 const TRIAL_MS: TimeMs = TimeMs(30_000);
 /// How long an accused feature is remembered after its last crash, in milliseconds.
@@ -73,8 +78,16 @@
 pub enum Verdict {
     /// It may run.
     Run,
-    /// It may run as the only trial of a feature whose term has ended. [`Blame::start_trial`] reserves it.
+    /// It may run apart from other work, as the only trial of a suspect or of a feature whose term has ended.
+    /// [`Blame::start_trial`] reserves it.
     Trial(Feature),
+    /// It must wait, since another request tries a suspect or another instance does.
+    Wait {
+        /// The suspect.
+        feature: Feature,
+        /// The time after which to ask again.
+        left_ms: TimeMs,
+    },
     /// It must not run.
     Refuse {
         /// The convicted feature.
@@ -147,10 +160,10 @@
 #[derive(Debug, Clone)]
 struct Conviction<I> {
     incarnations: HashSet<I>,
+    /// The parts that came with it each time, so that one of them may be the culprit.
+    alike: Vec<Feature>,
     until_ms: TimeMs,
     term_ms: u64,
-    /// The time until which a trial under way holds off another one.
-    trial_until_ms: Option<TimeMs>,
     has_term_ended: bool,
     reported_ms: Option<TimeMs>,
 }
@@ -170,6 +183,8 @@
     convicted: HashMap<Feature, Conviction<I>>,
     /// Incarnations whose crashes a convicted feature explains.
     explained_ms: HashMap<I, TimeMs>,
+    /// The times until which a trial that this instance runs holds off another one.
+    trials_until_ms: HashMap<Feature, TimeMs>,
     /// The convictions that a trial at this instance lifted, to be reported.
     acquitted_ms: HashMap<Feature, TimeMs>,
     /// The time from which the evidence is complete enough to convict.
@@ -188,6 +203,7 @@
             accused: Default::default(),
             convicted: Default::default(),
             explained_ms: Default::default(),
+            trials_until_ms: Default::default(),
             acquitted_ms: Default::default(),
             ripe_ms: None,
             has_news: false,
@@ -195,6 +211,13 @@
     }
 }
 
+impl<I> Conviction<I> {
+    /// Returns true if a request with `features` has all parts that the evidence can't tell apart.
+    fn comes_with(&self, features: &[Feature]) -> bool {
+        self.alike.iter().all(|alike| features.contains(alike))
+    }
+}
+
 impl<I: Copy + Eq + Hash> Blame<I> {
     /// Says what may be done with a request that has `features`. `is_trier` is true if this instance is the one that
     /// tries a feature whose term has ended.
@@ -204,27 +227,42 @@
         is_trier: impl Fn(Feature) -> bool,
         now_ms: TimeMs,
     ) -> Verdict {
-        let mut verdict = Verdict::Run;
-        for feature in features {
-            let Some(conviction) = self.convicted.get(feature) else {
-                if let Some(left_ms) = self.settling_ms(*feature) {
-                    return Verdict::Refuse { feature: *feature, left_ms };
+        let mut tried: Option<Feature> = None;
+        let mut is_suspect = false;
+        let mut has_single = false;
+        for feature in features.iter().copied() {
+            match self.convicted.get(&feature) {
+                Some(conviction) if conviction.until_ms > now_ms => {
+                    if conviction.comes_with(features) {
+                        let left_ms = conviction.until_ms.since(now_ms);
+                        return Verdict::Refuse { feature, left_ms };
+                    }
+                    has_single = true;
+                }
+                Some(_) => {}
+                None => {
+                    if let Some(left_ms) = self.settling_ms(feature) {
+                        return Verdict::Refuse { feature, left_ms };
+                    }
+                    if !self.is_suspect(feature, now_ms) {
+                        continue;
+                    }
+                    is_suspect = true;
                 }
-                continue;
-            };
-            let left_ms = conviction.until_ms.since(now_ms);
-            if left_ms > TimeMs(0) {
-                return Verdict::Refuse { feature: *feature, left_ms };
             }
-            let trial_left_ms =
-                conviction.trial_until_ms.map_or(TimeMs(0), |until_ms| until_ms.since(now_ms));
-            if trial_left_ms > TimeMs(0) || !is_trier(*feature) {
-                let left_ms = trial_left_ms.max(SETTLE_MS);
-                return Verdict::Refuse { feature: *feature, left_ms };
+            if self.is_on_trial(feature, now_ms) {
+                return Verdict::Wait { feature, left_ms: SUSPECT_RETRY_MS };
             }
-            verdict = Verdict::Trial(*feature);
+            // One of several decides which instance tries them, so that not each of them names another one.
+            tried = Some(tried.map_or(feature, |other| other.min(feature)));
+        }
+        match tried {
+            None => Verdict::Run,
+            // It comes without the parts that it came with before, which is rare: each instance may try it.
+            Some(feature) if has_single || is_trier(feature) => Verdict::Trial(feature),
+            Some(feature) if is_suspect => Verdict::Wait { feature, left_ms: SUSPECT_RETRY_MS },
+            Some(feature) => Verdict::Refuse { feature, left_ms: TRIAL_MS },
         }
-        verdict
     }
 
     /// The time for which a feature is refused whose evidence is complete and not weighed yet. A request is convicted
@@ -238,13 +276,42 @@
         accused.is_convictable(feature.kind()).then_some(left_ms)
     }
 
-    /// Reserves the trial of a feature.
-    pub fn start_trial(&mut self, feature: Feature, now_ms: TimeMs) {
-        if let Some(conviction) = self.convicted.get_mut(&feature) {
-            conviction.trial_until_ms = Some(now_ms.after(TRIAL_MS));
+    /// Returns true for a part with several recent crashes and no answer, whose next crash is to name it and take nothing
+    /// else along. A request is no suspect: its caller repeats it a few times at most, each time after its end.
+    fn is_suspect(&self, feature: Feature, now_ms: TimeMs) -> bool {
+        feature.kind() == FeatureKind::Part
+            && self.accused.get(&feature).is_some_and(|accused| {
+                accused.is_repeated()
+                    && accused.answers() == 0
+                    && now_ms.since(accused.last_ms()) < SUSPECT_MS
+            })
+    }
+
+    fn is_on_trial(&self, feature: Feature, now_ms: TimeMs) -> bool {
+        self.trials_until_ms.get(&feature).is_some_and(|until_ms| now_ms < *until_ms)
+    }
+
+    /// Reserves the trial of what `features` has to try.
+    pub fn start_trial(&mut self, features: &[Feature], now_ms: TimeMs) {
+        for feature in features {
+            if self.convicted.contains_key(feature) {
+                self.trials_until_ms.insert(*feature, now_ms.after(TRIAL_MS));
+            } else if self.is_suspect(*feature, now_ms) {
+                self.trials_until_ms.insert(*feature, now_ms.after(SUSPECT_MS));
+            }
         }
     }
 
+    /// The first of `features` that is convicted, so that its unanswered runs are to be withdrawn.
+    pub fn convicted_of(&self, features: &[Feature]) -> Option<Feature> {
+        let is_in_term = |feature: &Feature| {
+            self.convicted.get(feature).is_some_and(|conviction| {
+                !conviction.has_term_ended && conviction.comes_with(features)
+            })
+        };
+        features.iter().copied().find(is_in_term)
+    }
+
     /// Records that a request was answered: its response is complete, or went on for a while after its first content.
     pub fn record_answer(&mut self, features: &[Feature], now_ms: TimeMs) -> Vec<BlameChange> {
         let mut changes = Vec::new();
@@ -252,7 +319,10 @@
             if feature.kind() == FeatureKind::Part {
                 self.answers.add(*feature, now_ms);
             }
-            if self.convicted.get(feature).is_some_and(|conviction| conviction.has_term_ended) {
+            let is_tried = |conviction: &Conviction<I>| {
+                conviction.has_term_ended || !conviction.comes_with(features)
+            };
+            if self.convicted.get(feature).is_some_and(is_tried) {
                 self.acquitted_ms.insert(*feature, now_ms);
                 changes.extend(self.acquit(*feature, now_ms));
             }
@@ -343,11 +413,15 @@
         now_ms: TimeMs,
     ) -> Vec<BlameChange> {
         let crash = Crash { incarnation, at_ms, reported_ms: None, is_local: true };
-        // The convicted feature of the request explains the crash to the others.
-        if let Some(convicted) =
-            features.iter().copied().find(|feature| self.convicted.contains_key(feature))
-        {
-            return self.add_crash(convicted, crash, now_ms);
+        // The convicted features of the request explain the crash to the others.
+        let is_convicted = |feature: &Feature| self.convicted.contains_key(feature);
+        let convicted: Vec<_> = features.iter().copied().filter(is_convicted).collect();
+        if !convicted.is_empty() {
+            let mut changes = self.free_alike(&convicted, features, now_ms);
+            let added =
+                convicted.iter().flat_map(|feature| self.add_crash(*feature, crash, now_ms));
+            changes.extend(added);
+            return changes;
         }
         features.iter().flat_map(|feature| self.add_crash(*feature, crash, now_ms)).collect()
     }
@@ -381,6 +455,26 @@
         changes
     }
 
+    /// Lifts the convictions of parts that were convicted with one of `convicted` and that a crash did without.
+    fn free_alike(
+        &mut self,
+        convicted: &[Feature],
+        features: &[Feature],
+        now_ms: TimeMs,
+    ) -> Vec<BlameChange> {
+        let absent: HashSet<Feature> = convicted
+            .iter()
+            .filter_map(|feature| self.convicted.get(feature))
+            .flat_map(|conviction| conviction.alike.iter().copied())
+            .filter(|alike| !features.contains(alike))
+            .collect();
+        let changes = absent.into_iter().filter_map(|feature| {
+            self.acquitted_ms.insert(feature, now_ms);
+            self.acquit(feature, now_ms)
+        });
+        changes.collect()
+    }
+
     /// A crash of a convicted feature: the trial of one whose term has ended, or a run that was under way.
     fn add_crash_to_convicted(
         &mut self,
@@ -396,7 +490,7 @@
         let term_ms = (conviction.term_ms * 2).min(MAX_TERM_MS);
         conviction.term_ms = term_ms;
         conviction.until_ms = now_ms.after(TimeMs(term_ms));
-        conviction.trial_until_ms = None;
+        self.trials_until_ms.remove(&feature);
         conviction.has_term_ended = false;
         conviction.reported_ms = None;
         self.has_news = true;
@@ -424,6 +518,9 @@
     /// Lifts a conviction.
     fn acquit(&mut self, feature: Feature, now_ms: TimeMs) -> Option<BlameChange> {
         self.convicted.remove(&feature)?;
+        for conviction in self.convicted.values_mut() {
+            conviction.alike.retain(|alike| *alike != feature);
+        }
         self.has_news = true;
         let accused = self.accused.get_mut(&feature);
         let answers = accused.as_ref().map_or(0, |accused| accused.answers());
@@ -505,7 +602,14 @@
                 is_reported: false,
             });
             explained.extend(&incarnations);
-            self.insert_conviction(*feature, incarnations, TERM_MS, now_ms.after(TimeMs(TERM_MS)));
+            let alike = culprits.iter().copied().filter(|other| other != feature).collect();
+            self.insert_conviction(
+                *feature,
+                incarnations,
+                alike,
+                TERM_MS,
+                now_ms.after(TimeMs(TERM_MS)),
+            );
         }
         self.has_news = true;
         self.explain(&explained, now_ms);
@@ -516,14 +620,15 @@
         &mut self,
         feature: Feature,
         incarnations: HashSet<I>,
+        alike: Vec<Feature>,
         term_ms: u64,
         until_ms: TimeMs,
     ) {
         let conviction = Conviction {
             incarnations,
+            alike,
             until_ms,
             term_ms,
-            trial_until_ms: None,
             has_term_ended: false,
             reported_ms: None,
         };
@@ -586,6 +691,7 @@
         }
         self.losses.retain(|_, losses| !losses.is_empty());
         self.losses_len = self.losses.values().map(Vec::len).sum();
+        self.trials_until_ms.retain(|_, until_ms| now_ms < *until_ms);
         // A feature that nobody has sent since its term ended is forgotten.
         self.convicted
             .retain(|_, conviction| now_ms < conviction.until_ms.after(TimeMs(conviction.term_ms)));
--- a/crates/coord/src/blame/reports.rs
+++ b/crates/coord/src/blame/reports.rs
@@ -5,8 +5,10 @@
 use bilberryford_types::TimeMs;
 use serde::{Deserialize, Serialize};
 
-use super::{Blame, BlameChange, Feature, accused::Crash};
+use super::{Blame, BlameChange, Conviction, Feature, accused::Crash};
 
+/// The most parts that a reported conviction names as alike.
+const MAX_NAMED_ALIKE: usize = 4;
 /// How long a new crash, conviction or acquittal is part of every report, in milliseconds: several messages.
 pub(super) const NEWS_MS: TimeMs = TimeMs(2_500);
 /// The interval at which repeated evidence is reported once more, in milliseconds: peers start and reconnect.
@@ -49,6 +51,8 @@
     pub term_ms: u32,
     /// Some of the incarnations whose crashes convicted it.
     pub incarnations: Vec<I>,
+    /// The parts that the evidence can't tell apart from it.
+    pub alike: Vec<Feature>,
 }
 
 /// What one instance reports to others.
@@ -169,6 +173,7 @@
             left_ms: u32::try_from(conviction.until_ms.since(now_ms).get()).unwrap_or(u32::MAX),
             term_ms: u32::try_from(conviction.term_ms).unwrap_or(u32::MAX),
             incarnations: incarnations.collect(),
+            alike: conviction.alike.iter().copied().take(MAX_NAMED_ALIKE).collect(),
         })
     }
 
@@ -213,7 +218,10 @@
         }
         for feature in &reports.acquitted {
             let conviction = self.convicted.get(feature);
-            if conviction.is_some_and(|conviction| conviction.until_ms.since(now_ms) < NEWS_MS) {
+            let is_tried = |conviction: &Conviction<I>| {
+                conviction.until_ms.since(now_ms) < NEWS_MS || !conviction.alike.is_empty()
+            };
+            if conviction.is_some_and(is_tried) {
                 changes.extend(self.acquit(*feature, now_ms));
             }
         }
@@ -247,7 +255,8 @@
         }
         let crashes = incarnations.len();
         self.explain(&incarnations, now_ms);
-        self.insert_conviction(feature, incarnations, report.term_ms.into(), until_ms);
+        let alike = report.alike.clone();
+        self.insert_conviction(feature, incarnations, alike, report.term_ms.into(), until_ms);
         if let Some(conviction) = self.convicted.get_mut(&feature) {
             // The sender has reported it to all.
             conviction.reported_ms = Some(now_ms);
--- a/crates/gateway/src/features.rs
+++ b/crates/gateway/src/features.rs
@@ -81,6 +81,17 @@
         self.request_id.as_deref().unwrap_or_default()
     }
 
+    /// The name of one of its features for the log: the part's id, which only requests that have it know, and the hash by
+    /// which instances report it.
+    pub(crate) fn describe(&self, feature: Feature) -> String {
+        let model = self.model.as_ref().map_or("", |model| model.as_str());
+        let is_named = |id: &&String| Feature::of_part(model, id) == feature;
+        match self.part_ids.iter().find(is_named) {
+            Some(id) => format!("part {id} {feature}"),
+            None => format!("request {feature}"),
+        }
+    }
+
     /// The model and the ids of the shared parts, for the log.
     pub(crate) fn parts_text(&self) -> String {
         let mut text = self.model.as_ref().map(ToString::to_string).unwrap_or_default();
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -103,6 +103,8 @@
     unsent_attempts: u32,
     /// The placements that an obstacle prevented.
     obstacles: u32,
+    /// True if it runs as the trial of something that may crash its endpoint, so that it is not repeated elsewhere.
+    is_apart: bool,
 }
 
 impl Progress {
@@ -151,14 +153,7 @@
         if self.facts.prompt.is_some() && !self.gateway.has_learned_blame() {
             return Err(ErrorResponse::new(progress.error_kind(ErrorKind::NotReady)));
         }
-        if let Verdict::Refuse { feature, left_ms } = self.gateway.take_verdict(&self.features) {
-            self.record.notes.push("held_back");
-            self.record.blamed = Some(feature);
-            return Err(ErrorResponse::with_retry_after(
-                progress.error_kind(ErrorKind::HeldBack),
-                left_ms,
-            ));
-        }
+        self.check_blame(progress)?;
         let ChosenEndpoint { candidate, reason, demand } = self.choose_endpoint(progress)?;
         let is_trial = reason == Reason::Trial;
         let mut in_flight =
@@ -193,6 +188,11 @@
             SendOutcome::NotRun(facts, connection) => {
                 self.after_refusal(progress, &candidate, &facts, connection)
             }
+            SendOutcome::Withdrawn(feature) => {
+                self.record.notes.push("held_back");
+                self.record.blamed = Some(self.features.describe(feature));
+                Err(ErrorResponse::new(ErrorKind::EndpointLost))
+            }
             SendOutcome::Lost(reason) => {
                 progress.sent_attempts += 1;
                 progress.possible_runs += 1;
@@ -231,6 +231,26 @@
         }
     }
 
+    /// Refuses a request that has a quarantined feature, or one that another request is trying.
+    fn check_blame(&mut self, progress: &mut Progress) -> Result<(), ErrorResponse> {
+        let (feature, kind, left_ms) = match self.gateway.take_verdict(&self.features) {
+            Verdict::Run => return Ok(()),
+            // The trial that it waits for may be its own.
+            Verdict::Wait { .. } if progress.is_apart => return Ok(()),
+            Verdict::Trial(feature) => {
+                progress.is_apart = true;
+                self.record.notes.push("apart");
+                self.record.blamed = Some(self.features.describe(feature));
+                return Ok(());
+            }
+            Verdict::Wait { feature, left_ms } => (feature, ErrorKind::SuspectRunning, left_ms),
+            Verdict::Refuse { feature, left_ms } => (feature, ErrorKind::HeldBack, left_ms),
+        };
+        self.record.notes.push("held_back");
+        self.record.blamed = Some(self.features.describe(feature));
+        Err(ErrorResponse::with_retry_after(progress.error_kind(kind), left_ms))
+    }
+
     fn after_unsent(
         &mut self,
         progress: &Progress,
@@ -261,6 +281,7 @@
 
     fn may_retry(&self, progress: &Progress) -> bool {
         self.route.is_idempotent()
+            && !progress.is_apart
             && progress.possible_runs < self.route.max_attempts
             && progress.sent_attempts < MAX_SENT_ATTEMPTS
     }
--- a/crates/gateway/src/forward/choose.rs
+++ b/crates/gateway/src/forward/choose.rs
@@ -78,6 +78,7 @@
             min_weight_version,
             preferred_weight_version,
             tried: &progress.tried,
+            is_apart: progress.is_apart,
             tie_break_seed: rand::random(),
         };
         let choice = place(&candidates, &request);
--- a/crates/gateway/src/forward/send.rs
+++ b/crates/gateway/src/forward/send.rs
@@ -2,6 +2,7 @@
 
 use std::{io, time::Duration};
 
+use bilberryford_coord::Feature;
 use bilberryford_types::TimeMs;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -36,6 +37,8 @@
     Unsent,
     /// The endpoint stated that it did not run the request.
     NotRun(ResponseFacts, Connection),
+    /// A feature of the request was quarantined before its response began; the connection is closed.
+    Withdrawn(Feature),
     /// The request may have run, and there is no response to it; with the note for the request log.
     Lost(&'static str),
 }
@@ -114,7 +117,12 @@
         tokio::pin!(sending);
         let result = loop {
             let head_timeout = Duration::from_millis(head_timeout_ms.get());
-            let result = timeout(head_timeout, sending.as_mut()).await;
+            let result = tokio::select! {
+                result = timeout(head_timeout, sending.as_mut()) => result,
+                feature = self.gateway.conviction_of(&self.features) => {
+                    return SendOutcome::Withdrawn(feature);
+                }
+            };
             // An endpoint that responds to other requests is alive, and a retry would lose the place in its queue.
             let is_alive = self.gateway.has_received_since(&candidate.id, sent_ms);
             if result.is_ok() || !is_alive || self.time_left_ms() < MIN_TIME_LEFT_MS {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -19,7 +19,7 @@
 use bilberryford_platform::ObjectStore;
 use bilberryford_types::{Bytes, EndpointId, ModelName, PoolName, StoreEra, TimeMs};
 use parking_lot::Mutex;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 use crate::{
     cache_index::HolderView,
@@ -95,6 +95,8 @@
     pub(crate) blame: Mutex<Blame<EndpointTag>>,
     /// Notified when peers should hear of a crash, an answer or a conviction at once.
     pub(crate) blame_changed: Notify,
+    /// The number of convictions so far, for those that wait for one.
+    convictions: watch::Sender<u64>,
     /// True once this instance knows what its peers blame, or has none that could know.
     pub(crate) has_learned_blame: AtomicBool,
     /// A number that is new with each start of the process.
@@ -148,6 +150,7 @@
             started_ms: Clock.now(),
             blame: Mutex::default(),
             blame_changed: Notify::new(),
+            convictions: watch::Sender::new(0),
             has_learned_blame: AtomicBool::new(false),
             process_number: rand::random(),
             weights: Mutex::default(),
--- a/crates/gateway/src/gateway/blame.rs
+++ b/crates/gateway/src/gateway/blame.rs
@@ -36,8 +36,8 @@
         let is_trier = |feature: Feature| self.rank_for(feature) == 0;
         let mut blame = self.blame.lock();
         let verdict = blame.verdict(features.all(), is_trier, now_ms);
-        if let Verdict::Trial(feature) = verdict {
-            blame.start_trial(feature, now_ms);
+        if matches!(verdict, Verdict::Trial(_)) {
+            blame.start_trial(features.all(), now_ms);
         }
         verdict
     }
@@ -78,6 +78,20 @@
         }
     }
 
+    /// Waits until a feature of a request is convicted, so that its run is withdrawn unless it has been answered.
+    pub(crate) async fn conviction_of(&self, features: &RequestFeatures) -> Feature {
+        let mut convictions = self.convictions.subscribe();
+        loop {
+            if let Some(feature) = self.blame.lock().convicted_of(features.all()) {
+                return feature;
+            }
+            if convictions.changed().await.is_err() {
+                // The sender lives as long as this gateway.
+                std::future::pending::<()>().await;
+            }
+        }
+    }
+
     /// Records that a request was answered.
     pub(crate) fn record_answer(&self, features: &RequestFeatures) {
         self.change_blame(|blame, now_ms| blame.record_answer(features.all(), now_ms));
@@ -124,6 +138,7 @@
                 is_reported,
             } => {
                 self.metrics.quarantined.add(1, &[]);
+                self.convictions.send_modify(|convictions| *convictions += 1);
                 log::warn!(
                     target: "belief", feature:% = feature, kind:% = feature.kind(),
                     crashes = crashes, answers = answers,
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -88,6 +88,10 @@
         &self.candidate.id
     }
 
+    pub(crate) fn features(&self) -> &RequestFeatures {
+        &self.features
+    }
+
     /// Records that its connection broke after the endpoint may have started it, at `stage` of its response.
     pub(crate) fn record_loss(&self, stage: ResponseStage) {
         self.gateway.record_request_loss(&self.candidate, &self.features, stage);
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -11,6 +11,7 @@
 //!   memory is therefore preferred over one without, at nearly any cost.
 //! - Slow endpoints accept a bounded number of connections from all instances together and reset any connection beyond
 //!   it, with the request that runs on it. During a burst an endpoint gets no more than its share from one instance.
+//! - A prompt that may crash its endpoint goes to the one with the fewest requests in flight, which are lost with it.
 //! - Plain calls go to the endpoint with the fewest requests in flight, preferably in the local data centre.
 
 use std::net::SocketAddr;
@@ -100,6 +101,8 @@
     pub preferred_weight_version: Option<u64>,
     /// Endpoints that already received this request.
     pub tried: &'a [EndpointId],
+    /// True if it is the trial of something that may crash its endpoint.
+    pub is_apart: bool,
     /// A uniform random number that breaks ties.
     pub tie_break_seed: u64,
 }
@@ -116,6 +119,8 @@
     Spill,
     /// It has the least load.
     LeastLoaded,
+    /// It has the least work that would be lost if this request crashed it.
+    Apart,
     /// Its circuit is half-open, and this request is the trial.
     Trial,
     /// No circuit is closed; it was picked at random.
@@ -203,6 +208,7 @@
         return Choice { work_tokens: all_tokens, ..Choice::of(next, Reason::AllOpen) };
     }
     match request.prompt {
+        Some(prompt) if request.is_apart => place_apart(candidates, &closed, request, &prompt),
         Some(prompt) => place_prompt(candidates, &closed, request, &prompt),
         None => place_call(candidates, &closed, request),
     }
@@ -234,6 +240,21 @@
     closed.iter().copied().max_by_key(|&index| tie_break(&candidates[index], seed))
 }
 
+fn place_apart(
+    candidates: &[Candidate],
+    closed: &[usize],
+    request: &PlacementRequest<'_>,
+    prompt: &PromptShape<'_>,
+) -> Choice {
+    let best = closed.iter().copied().min_by_key(|&index| {
+        let candidate = &candidates[index];
+        (candidate.in_flight, tie_break(candidate, request.tie_break_seed))
+    });
+    let Some(index) = best else { return Choice::none(Reason::NoEndpoint) };
+    let cost_tokens = candidates[index].cost_tokens(prompt.tokens);
+    Choice { work_tokens: prompt.tokens, cost_tokens, ..Choice::of(index, Reason::Apart) }
+}
+
 fn place_prompt(
     candidates: &[Candidate],
     closed: &[usize],
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -85,7 +85,17 @@
             // A timeout does not end a wait for what is always there.
             let frame = match time_left_ms {
                 TimeMs(0) => None,
-                _ => timeout(wait, self.incoming.frame()).await.ok(),
+                _ if self.record.first_byte_ms.is_some() => {
+                    timeout(wait, self.incoming.frame()).await.ok()
+                }
+                _ => tokio::select! {
+                    frame = timeout(wait, self.incoming.frame()) => frame.ok(),
+                    feature = self.gateway.conviction_of(self.in_flight.features()) => {
+                        self.record.blamed = Some(self.in_flight.features().describe(feature));
+                        self.finish("held_back", true);
+                        return Some(Err(io::ErrorKind::ConnectionAborted.into()));
+                    }
+                },
             };
             match frame {
                 None => {
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -4,7 +4,6 @@
 //! formatted, since that takes processor time, which is scarce when the request rate is highest. Successful requests
 //! have the lower limit. Each record contains the number of records that were suppressed before it.
 
-use bilberryford_coord::Feature;
 use bilberryford_types::{EndpointId, Generation, ObjectVersion, TimeMs};
 use parking_lot::Mutex;
 
@@ -38,7 +37,7 @@
     pub(crate) attempts: u32,
     pub(crate) notes: Vec<&'static str>,
     /// The feature for which the request was refused, since it crashes endpoints.
-    pub(crate) blamed: Option<Feature>,
+    pub(crate) blamed: Option<String>,
     pub(crate) config_version: Option<Generation>,
     pub(crate) key_age_ms: Option<TimeMs>,
     /// The version of the store up to which the table of endpoints was complete at the last placement.
@@ -107,7 +106,6 @@
         };
         let Some(suppressed) = limiter.lock().take(now_ms, limit) else { return };
         let notes = record.notes.join(",");
-        let blamed = record.blamed.map(|feature| feature.to_string()).unwrap_or_default();
         log::info!(
             target: "request",
             request = text(&record.request_id),
@@ -117,7 +115,7 @@
             placed = record.placed,
             attempts = record.attempts,
             notes = notes.as_str(),
-            blamed = blamed.as_str(),
+            blamed = text(&record.blamed),
             prompt_tokens = record.prompt.tokens,
             cached_tokens = record.prompt.cached_tokens,
             fetched_tokens = record.prompt.fetched_tokens,
--- a/crates/gateway/tests/decisions/cache_index.rs
+++ b/crates/gateway/tests/decisions/cache_index.rs
@@ -276,6 +276,7 @@
             min_weight_version: None,
             preferred_weight_version: None,
             tried: &[],
+            is_apart: false,
             tie_break_seed: 7,
         };
         place(&candidates, &request).work_tokens
--- a/crates/gateway/tests/decisions/placement.rs
+++ b/crates/gateway/tests/decisions/placement.rs
@@ -35,6 +35,7 @@
         min_weight_version: None,
         preferred_weight_version: None,
         tried: &[],
+        is_apart: false,
         tie_break_seed,
     }
 }
@@ -44,6 +45,21 @@
     PlacementRequest { prompt: Some(prompt), ..call(tie_break_seed) }
 }
 
+/// A prompt that may crash its endpoint takes what is in flight there along.
+#[test]
+fn a_prompt_apart_goes_where_least_is_in_flight() {
+    let mut pool = pool(9);
+    for (index, candidate) in pool.iter_mut().enumerate() {
+        candidate.in_flight = if index == 4 { 1 } else { 3 };
+        candidate.prefix.cached_tokens = if index == 4 { 0 } else { 11_000 };
+    }
+    for seed in 0..20 {
+        let apart = PlacementRequest { is_apart: true, ..prompt("part", seed) };
+        let choice = place(&pool, &apart);
+        assert_eq!((choice.index, choice.reason), (Some(4), Reason::Apart));
+    }
+}
+
 #[test]
 fn new_parts_have_the_same_home_on_all_instances_and_spread_evenly() {
     let pool = pool(9);
