A model of blame over a fleet; evidence on a part is weighed with the answers of all instances

Answers are reported four crashes ahead, those on the most accused features first; evidence with answers waits two report intervals; a peer's conviction is weighed like other crashes. - An instance that had just started convicted parts that all prompts share, since it knew no answers: it waits 2 to 5 s. - At 301 instances the instance that tries a suspect got no request with it for 5 s, while the bound is 3 s: 1.5 s now, and two events with five crashes convict as well. - A conviction of a part lasts 30 s at first, then twenty times as long with each trial that crashes: a wrong one shuts a class of callers out, and three trials are all that may reach endpoints.

--- a/crates/coord/src/blame.rs
+++ b/crates/coord/src/blame.rs
@@ -4,8 +4,8 @@
 //! it. Two kinds of evidence are weighed for each [`Feature`]:
 //!
 //! * A **crash** accuses the features of all requests that were in flight at the incarnation and had not been answered. It
-//!   counts once for each incarnation, however many instances report it, and crashes at almost the same moment count as
-//!   one, since an outage of many endpoints is one event.
+//!   counts once for each incarnation, however many instances report it. Crashes at almost the same moment are one event,
+//!   since an outage may end many endpoints: it takes three events, or two with five crashes.
 //! * An **answer** speaks for the features that it was made on, at any instance. A request is cleared by its first
 //!   answer; a part by more than [`ANSWERS_PER_CRASH`] answers for each of its crashes, so that one that crashes only
 //!   some of its runs is found as well.
@@ -28,10 +28,7 @@
 mod feature;
 mod reports;
 
-use std::{
-    collections::{HashMap, HashSet},
-    hash::Hash,
-};
+use std::collections::{BTreeMap, BTreeSet};
 
 use bilberryford_types::TimeMs;
 
@@ -45,16 +42,31 @@
     reports::NEWS_MS,
 };
 
-/// The crashes that convict a feature: one more than an unrelated one in the same batches usually sees.
+/// The crashes that convict a feature, if they are apart in time: one more than an unrelated one in the same batches
+/// usually sees.
 pub const CRASH_LIMIT: usize = 3;
+/// The crashes that convict a part if they came in two events.
+const MANY_CRASHES: usize = 5;
+/// How long an instance has to have seen losses or answers before it convicts a part, in milliseconds, and the answers on
+/// parts that shorten this: after a start it knows of no answers, not even those on parts that nearly all prompts share.
+const OBSERVATION_MS: TimeMs = TimeMs(5_000);
+const SHORT_OBSERVATION_MS: TimeMs = TimeMs(2_000);
+const SHORT_OBSERVATION_ANSWERS: u32 = 40;
 /// How long a crash that completes the evidence waits for the reports of other instances on it, in milliseconds.
 const SETTLE_MS: TimeMs = TimeMs(50);
-/// The first term of a conviction, in milliseconds. It doubles with each trial that crashes.
-const TERM_MS: u64 = 600_000;
+/// The report intervals for which the evidence on a part that has been answered waits for the answers at other instances.
+const SETTLE_INTERVALS: u64 = 2;
+/// The first term of a convicted request, in milliseconds.
+const REQUEST_TERM_MS: u64 = 600_000;
+/// The first term of a convicted part, in milliseconds: a wrong conviction shuts all callers out whose prompts have it.
+const PART_TERM_MS: u64 = 30_000;
+/// The factor by which the term grows with each trial that crashes: few trials in a day, since each costs an endpoint.
+const TERM_FACTOR: u64 = 20;
 /// The longest term of a conviction, in milliseconds: a day.
 const MAX_TERM_MS: u64 = 86_400_000;
-/// How long a suspect runs apart after its last crash, in milliseconds.
-const SUSPECT_MS: TimeMs = TimeMs(5_000);
+/// How long a suspect runs apart after its last crash, in milliseconds: less than the time in which instances in touch
+/// have to stop it, since the one that tries it may get no request with it.
+const SUSPECT_MS: TimeMs = TimeMs(1_500);
 /// The time after which a request of a suspect may ask again, in milliseconds: about the time of a first token.
 const SUSPECT_RETRY_MS: TimeMs = TimeMs(500);
 /// The longest time that a trial holds off another one, in milliseconds: a run and the report of its end.
@@ -159,7 +171,7 @@
 /// The state of a convicted feature.
 #[derive(Debug, Clone)]
 struct Conviction<I> {
-    incarnations: HashSet<I>,
+    incarnations: BTreeSet<I>,
     /// The parts that came with it each time, so that one of them may be the culprit.
     alike: Vec<Feature>,
     until_ms: TimeMs,
@@ -173,20 +185,26 @@
 #[derive(Debug, Clone)]
 pub struct Blame<I> {
     answers: answers::RecentAnswers,
-    losses: HashMap<I, Vec<Loss>>,
+    /// The interval at which instances report answers that are not urgent.
+    report_interval_ms: TimeMs,
+    /// The time of the first loss or answer.
+    observing_since_ms: Option<TimeMs>,
+    /// The answers on parts since then.
+    answers_seen: u32,
+    losses: BTreeMap<I, Vec<Loss>>,
     losses_len: usize,
     /// The unplanned ends of incarnations.
-    ended_ms: HashMap<I, TimeMs>,
+    ended_ms: BTreeMap<I, TimeMs>,
     /// The incarnations that said that they leave.
-    departed_ms: HashMap<I, TimeMs>,
-    accused: HashMap<Feature, Accused<I>>,
-    convicted: HashMap<Feature, Conviction<I>>,
+    departed_ms: BTreeMap<I, TimeMs>,
+    accused: BTreeMap<Feature, Accused<I>>,
+    convicted: BTreeMap<Feature, Conviction<I>>,
     /// Incarnations whose crashes a convicted feature explains.
-    explained_ms: HashMap<I, TimeMs>,
+    explained_ms: BTreeMap<I, TimeMs>,
     /// The times until which a trial that this instance runs holds off another one.
-    trials_until_ms: HashMap<Feature, TimeMs>,
+    trials_until_ms: BTreeMap<Feature, TimeMs>,
     /// The convictions that a trial at this instance lifted, to be reported.
-    acquitted_ms: HashMap<Feature, TimeMs>,
+    acquitted_ms: BTreeMap<Feature, TimeMs>,
     /// The time from which the evidence is complete enough to convict.
     ripe_ms: Option<TimeMs>,
     has_news: bool,
@@ -196,6 +214,9 @@
     fn default() -> Self {
         Self {
             answers: Default::default(),
+            report_interval_ms: TimeMs(0),
+            observing_since_ms: None,
+            answers_seen: 0,
             losses: Default::default(),
             losses_len: 0,
             ended_ms: Default::default(),
@@ -218,7 +239,12 @@
     }
 }
 
-impl<I: Copy + Eq + Hash> Blame<I> {
+impl<I: Copy + Ord> Blame<I> {
+    /// Sets the interval at which instances report what is not urgent.
+    pub fn set_report_interval(&mut self, interval_ms: TimeMs) {
+        self.report_interval_ms = interval_ms;
+    }
+
     /// Says what may be done with a request that has `features`. `is_trier` is true if this instance is the one that
     /// tries a feature whose term has ended.
     pub fn verdict(
@@ -241,7 +267,7 @@
                 }
                 Some(_) => {}
                 None => {
-                    if let Some(left_ms) = self.settling_ms(feature) {
+                    if let Some(left_ms) = self.settling_ms(feature, now_ms) {
                         return Verdict::Refuse { feature, left_ms };
                     }
                     if !self.is_suspect(feature, now_ms) {
@@ -267,13 +293,16 @@
 
     /// The time for which a feature is refused whose evidence is complete and not weighed yet. A request is convicted
     /// whatever the other reports are; of parts, another one may explain the crashes.
-    fn settling_ms(&self, feature: Feature) -> Option<TimeMs> {
+    fn settling_ms(&self, feature: Feature, now_ms: TimeMs) -> Option<TimeMs> {
         let accused = self.accused.get(&feature)?;
-        let left_ms = match feature.kind() {
-            FeatureKind::Request => TimeMs(TERM_MS),
-            FeatureKind::Part => SETTLE_MS,
-        };
-        accused.is_convictable(feature.kind()).then_some(left_ms)
+        accused.convictable_since_ms(feature.kind())?;
+        match feature.kind() {
+            FeatureKind::Request => Some(TimeMs(REQUEST_TERM_MS)),
+            FeatureKind::Part => {
+                let left_ms = self.ripe_at_ms(feature, accused)?.since(now_ms);
+                (accused.answers() == 0 && left_ms <= SETTLE_MS).then_some(SETTLE_MS)
+            }
+        }
     }
 
     /// Returns true for a part with several recent crashes and no answer, whose next crash is to name it and take nothing
@@ -314,9 +343,11 @@
 
     /// Records that a request was answered: its response is complete, or went on for a while after its first content.
     pub fn record_answer(&mut self, features: &[Feature], now_ms: TimeMs) -> Vec<BlameChange> {
+        self.observing_since_ms.get_or_insert(now_ms);
         let mut changes = Vec::new();
         for feature in features {
             if feature.kind() == FeatureKind::Part {
+                self.answers_seen = self.answers_seen.saturating_add(1);
                 self.answers.add(*feature, now_ms);
             }
             let is_tried = |conviction: &Conviction<I>| {
@@ -327,8 +358,9 @@
                 changes.extend(self.acquit(*feature, now_ms));
             }
             if let Some(accused) = self.accused.get_mut(feature) {
-                accused.own_answers += 1;
-                self.has_news |= accused.has_crashes();
+                accused.record_answer();
+                // What may be convicted soon can't wait for the next report.
+                self.has_news |= accused.is_repeated() && !accused.is_outweighed(feature.kind());
                 changes.extend(self.weigh_answers(*feature, now_ms));
             }
         }
@@ -342,6 +374,7 @@
         incarnation: I,
         now_ms: TimeMs,
     ) -> Vec<BlameChange> {
+        self.observing_since_ms.get_or_insert(now_ms);
         if self.departed_ms.contains_key(&incarnation) {
             return Vec::new();
         }
@@ -434,23 +467,18 @@
             return Vec::new();
         }
         let accused = self.accused.entry(feature).or_default();
-        if !accused.has_crashes() {
-            // Only a part has answers before its first crash; a request is cleared by those that come after it.
-            accused.start_count(self.answers.count(feature, now_ms));
-        }
-        if !accused.add(crash) {
+        let answers = &mut self.answers;
+        if !accused.add(crash, feature.kind(), || answers.count(feature, now_ms), now_ms) {
             return Vec::new();
         }
         self.has_news |= crash.is_local;
         let mut changes: Vec<_> = self.weigh_answers(feature, now_ms).into_iter().collect();
         if let Some(accused) = self.accused.get(&feature) {
-            if accused.crashes().len() == 2 {
+            if accused.crashes().len() == 2 && !accused.is_outweighed(feature.kind()) {
                 changes.push(BlameChange::Suspected { feature, answers: accused.answers() });
             }
-            if accused.is_convictable(feature.kind()) {
-                let ripe_ms = now_ms.after(SETTLE_MS);
-                self.ripe_ms = Some(self.ripe_ms.map_or(ripe_ms, |at_ms| at_ms.min(ripe_ms)));
-            }
+            let ripe_ms = self.ripe_at_ms(feature, accused);
+            self.ripe_ms = self.ripe_ms.into_iter().chain(ripe_ms).min();
         }
         changes
     }
@@ -462,7 +490,7 @@
         features: &[Feature],
         now_ms: TimeMs,
     ) -> Vec<BlameChange> {
-        let absent: HashSet<Feature> = convicted
+        let absent: BTreeSet<Feature> = convicted
             .iter()
             .filter_map(|feature| self.convicted.get(feature))
             .flat_map(|conviction| conviction.alike.iter().copied())
@@ -482,12 +510,12 @@
         crash: Crash<I>,
         now_ms: TimeMs,
     ) -> Vec<BlameChange> {
-        self.explain(&HashSet::from([crash.incarnation]), now_ms);
+        self.explain(&BTreeSet::from([crash.incarnation]), now_ms);
         let Some(conviction) = self.convicted.get_mut(&feature) else { return Vec::new() };
         if !conviction.incarnations.insert(crash.incarnation) || !conviction.has_term_ended {
             return Vec::new();
         }
-        let term_ms = (conviction.term_ms * 2).min(MAX_TERM_MS);
+        let term_ms = (conviction.term_ms * TERM_FACTOR).min(MAX_TERM_MS);
         conviction.term_ms = term_ms;
         conviction.until_ms = now_ms.after(TimeMs(term_ms));
         self.trials_until_ms.remove(&feature);
@@ -504,23 +532,27 @@
         }]
     }
 
-    /// Clears a feature whose answers outweigh its crashes.
+    /// Clears a request that was answered, and lifts the conviction of a feature whose answers outweigh its crashes.
     fn weigh_answers(&mut self, feature: Feature, now_ms: TimeMs) -> Option<BlameChange> {
         let accused = self.accused.get_mut(&feature)?;
         if !accused.is_outweighed(feature.kind()) {
             return None;
         }
-        let answers = accused.answers();
-        accused.clear(now_ms);
-        self.convicted.remove(&feature).map(|_| BlameChange::Acquitted { feature, answers })
+        if self.convicted.contains_key(&feature) {
+            return self.acquit(feature, now_ms);
+        }
+        if feature.kind() == FeatureKind::Request {
+            accused.clear(now_ms);
+        }
+        None
     }
 
     /// Lifts a conviction.
     fn acquit(&mut self, feature: Feature, now_ms: TimeMs) -> Option<BlameChange> {
-        self.convicted.remove(&feature)?;
         for conviction in self.convicted.values_mut() {
             conviction.alike.retain(|alike| *alike != feature);
         }
+        self.convicted.remove(&feature)?;
         self.has_news = true;
         let accused = self.accused.get_mut(&feature);
         let answers = accused.as_ref().map_or(0, |accused| accused.answers());
@@ -530,12 +562,6 @@
         Some(BlameChange::Acquitted { feature, answers })
     }
 
-    /// Returns true if the answers of the last seconds here outweigh `crashes`.
-    fn refutes(&mut self, feature: Feature, crashes: usize, now_ms: TimeMs) -> bool {
-        let answers = self.answers.count(feature, now_ms);
-        answers > ANSWERS_PER_CRASH * crashes as u32
-    }
-
     fn has_room_to_convict(&self) -> bool {
         self.convicted.len() < MAX_CONVICTED
     }
@@ -550,20 +576,43 @@
             }
         }
         if self.ripe_ms.is_some_and(|ripe_ms| ripe_ms <= now_ms) {
-            self.ripe_ms = None;
-            while let Some(culprits) = self.culprits() {
+            while let Some(culprits) = self.culprits(now_ms) {
                 changes.extend(self.convict(&culprits, now_ms));
             }
+            let open =
+                self.accused.iter().filter(|(feature, _)| !self.convicted.contains_key(feature));
+            self.ripe_ms =
+                open.filter_map(|(feature, accused)| self.ripe_at_ms(*feature, accused)).min();
         }
         changes
     }
 
+    /// The time from which the evidence on a feature is complete, if it suffices.
+    fn ripe_at_ms(&self, feature: Feature, accused: &Accused<I>) -> Option<TimeMs> {
+        let since_ms = accused.convictable_since_ms(feature.kind())?;
+        if feature.kind() == FeatureKind::Request {
+            return Some(since_ms.after(SETTLE_MS));
+        }
+        let answered_ms = TimeMs(SETTLE_INTERVALS * self.report_interval_ms.get());
+        let settle_ms = match accused.answers() {
+            0 => SETTLE_MS,
+            _ => SETTLE_MS.after(answered_ms),
+        };
+        let observation_ms = match self.answers_seen {
+            SHORT_OBSERVATION_ANSWERS.. => SHORT_OBSERVATION_MS,
+            _ => OBSERVATION_MS,
+        };
+        let observed_ms = self.observing_since_ms?.after(observation_ms);
+        Some(since_ms.after(settle_ms).max(observed_ms))
+    }
+
     /// The features that the evidence speaks against most: those with the fewest answers for each crash, then those that
     /// explain most crashes. Of a request and a part that explain the same, the request is the narrower explanation; parts
     /// that the evidence can't tell apart come together.
-    fn culprits(&self) -> Option<Vec<Feature>> {
+    fn culprits(&self, now_ms: TimeMs) -> Option<Vec<Feature>> {
         let convictable = |(feature, accused): &(&Feature, &Accused<I>)| {
-            accused.is_convictable(feature.kind()) && !self.convicted.contains_key(feature)
+            !self.convicted.contains_key(feature)
+                && self.ripe_at_ms(**feature, accused).is_some_and(|ripe_ms| ripe_ms <= now_ms)
         };
         let (first, evidence) =
             self.accused.iter().filter(convictable).min_by_key(|(feature, accused)| {
@@ -589,16 +638,20 @@
 
     fn convict(&mut self, culprits: &[Feature], now_ms: TimeMs) -> Vec<BlameChange> {
         let mut changes = Vec::new();
-        let mut explained = HashSet::new();
+        let mut explained = BTreeSet::new();
         for feature in culprits {
             let Some(accused) = self.accused.get(feature) else { continue };
             let incarnations = accused.incarnations();
+            let term_ms = match feature.kind() {
+                FeatureKind::Request => REQUEST_TERM_MS,
+                FeatureKind::Part => PART_TERM_MS,
+            };
             changes.push(BlameChange::Convicted {
                 feature: *feature,
                 crashes: accused.crashes().len(),
                 answers: accused.answers(),
                 first_crash_age_ms: accused.first_crash_age_ms(now_ms),
-                term_ms: TimeMs(TERM_MS),
+                term_ms: TimeMs(term_ms),
                 is_reported: false,
             });
             explained.extend(&incarnations);
@@ -607,8 +660,8 @@
                 *feature,
                 incarnations,
                 alike,
-                TERM_MS,
-                now_ms.after(TimeMs(TERM_MS)),
+                term_ms,
+                now_ms.after(TimeMs(term_ms)),
             );
         }
         self.has_news = true;
@@ -619,7 +672,7 @@
     fn insert_conviction(
         &mut self,
         feature: Feature,
-        incarnations: HashSet<I>,
+        incarnations: BTreeSet<I>,
         alike: Vec<Feature>,
         term_ms: u64,
         until_ms: TimeMs,
@@ -636,7 +689,7 @@
     }
 
     /// Withdraws the crashes of `incarnations` from all features but the convicted ones.
-    fn explain(&mut self, incarnations: &HashSet<I>, now_ms: TimeMs) {
+    fn explain(&mut self, incarnations: &BTreeSet<I>, now_ms: TimeMs) {
         self.explained_ms.extend(incarnations.iter().map(|incarnation| (*incarnation, now_ms)));
         for (feature, accused) in &mut self.accused {
             if !self.convicted.contains_key(feature) {
--- a/crates/coord/src/blame/reports.rs
+++ b/crates/coord/src/blame/reports.rs
@@ -1,11 +1,14 @@
 //! What instances report to each other. Every report may be lost, repeated or late.
 
-use std::{collections::HashSet, hash::Hash};
+use std::collections::BTreeSet;
 
 use bilberryford_types::TimeMs;
 use serde::{Deserialize, Serialize};
 
-use super::{Blame, BlameChange, Conviction, Feature, accused::Crash};
+use super::{
+    Blame, BlameChange, Conviction, Feature,
+    accused::{Answers, Crash},
+};
 
 /// The most parts that a reported conviction names as alike.
 const MAX_NAMED_ALIKE: usize = 4;
@@ -36,8 +39,10 @@
 pub struct AnswerReport {
     /// The feature.
     pub feature: Feature,
-    /// The answers.
-    pub answers: u32,
+    /// The answers since the first crash.
+    pub since: u32,
+    /// Those of the last seconds before it.
+    pub earlier: u32,
 }
 
 /// A feature that the sender refuses.
@@ -82,7 +87,7 @@
     u32::try_from(now_ms.since(since_ms).get()).unwrap_or(u32::MAX)
 }
 
-impl<I: Copy + Eq + Hash> Blame<I> {
+impl<I: Copy + Ord> Blame<I> {
     /// Returns true if there is a change that peers should learn of at once.
     pub fn has_news(&self) -> bool {
         self.has_news
@@ -105,18 +110,22 @@
         let convictions = self.take_convictions(&mut left, &rank, now_ms);
         let mut crashes = Vec::new();
         let mut answers = Vec::new();
-        for (feature, accused) in &mut self.accused {
-            let is_weighed =
-                accused.has_crashes() || accused.has_refuted_report && rank(*feature) < REPORTERS;
-            if left > 0 && is_weighed && accused.own_answers > accused.reported_answers {
+        // What may be decided first comes first.
+        let mut by_evidence: Vec<_> = self.accused.iter_mut().collect();
+        by_evidence.sort_by_key(|(_, accused)| std::cmp::Reverse(accused.crashes().len()));
+        for (feature, accused) in by_evidence {
+            let is_reporter = || rank(*feature) < REPORTERS;
+            if left > 0
+                && let Some(counted) = accused.take_answer_report(feature.kind(), is_reporter)
+            {
                 left -= 1;
-                accused.reported_answers = accused.own_answers;
-                accused.has_refuted_report = false;
-                answers.push(AnswerReport { feature: *feature, answers: accused.own_answers });
+                let Answers { since, earlier } = counted;
+                answers.push(AnswerReport { feature: *feature, since, earlier });
             }
             let is_repeated = accused.is_repeated();
             let due = accused.crashes_mut().iter_mut().filter(|crash| {
                 crash.is_local
+                    && crash.reported_ms != Some(now_ms)
                     && crash.reported_ms.is_none_or(|at_ms| {
                         let is_new = now_ms.since(crash.at_ms) < NEWS_MS;
                         is_new || is_repeated && now_ms.since(at_ms) >= REPEAT_MS
@@ -194,7 +203,8 @@
         // Answers first: they may speak against what follows.
         for report in &reports.answers {
             if let Some(accused) = self.accused.get_mut(&report.feature) {
-                accused.record_peer_answers(peer, report.answers);
+                let AnswerReport { since, earlier, .. } = *report;
+                accused.record_peer_answers(peer, Answers { since, earlier });
                 changes.extend(self.weigh_answers(report.feature, now_ms));
             }
         }
@@ -211,7 +221,7 @@
             };
             changes.extend(self.add_crash(report.feature, crash, now_ms));
             if let Some(accused) = self.accused.get_mut(&report.feature)
-                && !accused.has_crashes()
+                && (!accused.has_crashes() || accused.is_outweighed(report.feature.kind()))
             {
                 accused.has_refuted_report = true;
             }
@@ -234,7 +244,7 @@
         now_ms: TimeMs,
     ) -> Option<BlameChange> {
         let feature = report.feature;
-        let incarnations: HashSet<I> = report.incarnations.iter().copied().collect();
+        let incarnations: BTreeSet<I> = report.incarnations.iter().copied().collect();
         let until_ms = now_ms.after(TimeMs(report.left_ms.into()));
         if let Some(known) = self.convicted.get_mut(&feature) {
             let is_new =
@@ -250,10 +260,26 @@
             }
             return None;
         }
-        if self.refutes(feature, incarnations.len(), now_ms) || !self.has_room_to_convict() {
+        if !self.has_room_to_convict() || !self.make_room(feature, now_ms) {
             return None;
         }
         let crashes = incarnations.len();
+        let accused = self.accused.entry(feature).or_default();
+        for incarnation in &incarnations {
+            let crash = Crash {
+                incarnation: *incarnation,
+                at_ms: now_ms,
+                is_local: false,
+                reported_ms: None,
+            };
+            let answers = &mut self.answers;
+            accused.add(crash, feature.kind(), || answers.count(feature, now_ms), now_ms);
+        }
+        if accused.is_outweighed(feature.kind()) {
+            // The sender lacks answers that speak for the feature.
+            accused.has_refuted_report = true;
+            return None;
+        }
         self.explain(&incarnations, now_ms);
         let alike = report.alike.clone();
         self.insert_conviction(feature, incarnations, alike, report.term_ms.into(), until_ms);
--- a/crates/coord/tests/blame.rs
+++ b/crates/coord/tests/blame.rs
@@ -25,8 +25,13 @@
 }
 
 impl Instance {
+    /// An instance that has served other requests for some seconds.
     fn at(now_ms: u64) -> Self {
-        Self { now_ms, ..Self::default() }
+        let mut instance = Self { now_ms, ..Self::default() };
+        instance.blame.set_report_interval(TimeMs(100));
+        instance.answer(&[part("unrelated")], 50);
+        instance.pass(3_000);
+        instance
     }
 
     fn now(&self) -> TimeMs {
@@ -272,6 +277,7 @@
         instance.crash(&[flaky], incarnation);
         instance.answer(&[flaky], 1);
     }
+    instance.pass(200);
     assert!(instance.refuses(flaky));
 }
 
@@ -417,14 +423,14 @@
     instance.blame.start_trial(&[dead], now);
     let second = instance.blame.verdict(&[dead], |_| true, now);
     assert!(matches!(second, Verdict::Wait { .. }), "{second:?}");
-    // The trial crashes: the next term is twice as long.
+    // The trial crashes: the next term is much longer, so that few trials crash in a day.
     instance.crash(&[dead], 4);
     let Verdict::Refuse { left_ms: next_ms, .. } =
         instance.blame.verdict(&[dead], |_| true, instance.now())
     else {
         panic!("the part is not refused");
     };
-    assert!(next_ms.get() > left_ms.get() * 3 / 2, "{next_ms:?} after {left_ms:?}");
+    assert!(next_ms.get() > left_ms.get() * 10, "{next_ms:?} after {left_ms:?}");
     instance.pass(next_ms.get());
     instance.answer(&[dead], 1);
     assert!(!instance.refuses(dead));
--- a/crates/gateway/src/controllers/blame.rs
+++ b/crates/gateway/src/controllers/blame.rs
@@ -109,7 +109,10 @@
         };
         // Either the interval ends or there is something new.
         let _ = timeout(wait, changed).await;
-        gateway.change_blame(|blame, now_ms| blame.tick(now_ms));
+        gateway.change_blame(|blame, now_ms| {
+            blame.set_report_interval(interval_ms);
+            blame.tick(now_ms)
+        });
         let now_ms = gateway.clock.now();
         let has_news = gateway.blame.lock().take_news();
         // Answers wait for their turn, since a few instances' answers suffice to clear what many served.
--- a/crates/gateway/src/peer_loads.rs
+++ b/crates/gateway/src/peer_loads.rs
@@ -35,7 +35,7 @@
 const MAX_CACHED_RANKS: usize = 20_000;
 
 /// A compact identifier of one incarnation of an endpoint, for messages.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct EndpointTag(u32);
 
 impl std::fmt::Display for EndpointTag {
