--- a/crates/gateway/src/controllers/list_watch.rs
+++ b/crates/gateway/src/controllers/list_watch.rs
@@ -80,7 +80,7 @@
     fn wait_for_difference<'a>(&self, _gateway: &'a Gateway) -> BoxFuture<'a, ()> {
         Box::pin(std::future::pending())
     }
-    /// Called when the store replied.
+    /// Called when the store has replied, before any pause: contact is passed on with its age.
     fn on_contact(&self, _gateway: &Gateway) {}
     /// Called when the store did not reply to a call that began at `started_ms`, or refused it.
     fn on_contact_lost(&self, _gateway: &Gateway, _started_ms: TimeMs) {}
@@ -113,7 +113,6 @@
                 since = Some(version);
                 needs_fresh_list = false;
                 backoff.reset();
-                handler.on_contact(&gateway);
             }
             Err(error) => {
                 if std::mem::replace(&mut is_connected, false) {
@@ -169,6 +168,7 @@
     };
     let (version, has_changes) = (changes.version, !changes.changes.is_empty());
     handler.on_changes(gateway, since, changes);
+    handler.on_contact(gateway);
     if has_changes {
         sleep(handler.change_batch_delay(gateway)).await;
     }
--- a/crates/gateway/src/forward/choose.rs
+++ b/crates/gateway/src/forward/choose.rs
@@ -57,8 +57,7 @@
         progress: &Progress,
     ) -> Result<ChosenEndpoint, ErrorResponse> {
         self.record.endpoints_version = self.gateway.endpoint_log.lock().complete_to();
-        self.record.endpoints_age_ms =
-            self.gateway.endpoints.lock().contact_age_ms(self.gateway.clock.now());
+        self.record.endpoints_age_ms = self.gateway.store_contact_age_ms();
         let model = self.facts.prompt.as_ref().map(|prompt| &prompt.model);
         let mut candidates = self.gateway.candidates(&self.service, model, self.rank());
         let (min_weight_version, preferred_weight_version) =
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -178,6 +178,11 @@
         changes
     }
 
+    /// The time since the store's last reply to a linearizable call, of this instance or of the one that reads it for it.
+    pub fn store_contact_age_ms(&self) -> Option<TimeMs> {
+        self.endpoints.lock().contact_age_ms(self.clock.now())
+    }
+
     /// Returns true if the load balancer may send new connections.
     pub(crate) fn is_ready(&self) -> bool {
         let has_deployment = self.deployment.load().is_some();
