One count of listed peers, one lock for a message of limit reports, one step after a setback, named instructions of the packet filter

Not done of it: one wrapper for HeadLimitedStream and SharedStream. The first counts what it reads and may fail; the second is shared with its examiner and reads without registration, so that a common wrapper would hold a hook and two kinds of ownership and save no method.

--- a/crates/callers/src/lib.rs
+++ b/crates/callers/src/lib.rs
@@ -33,16 +33,28 @@
 const HANDSHAKE_TIME: Duration = Duration::from_millis(100);
 /// A packet filter that drops the first packet of a connection and accepts all others. Its input begins with the TCP header.
 const DROP_SYN: [SockFilter; 5] = [
-    // Loads the byte of the flags.
-    SockFilter::new(0x30, 0, 0, 13),
-    // Retains SYN and ACK.
-    SockFilter::new(0x54, 0, 0, 0x12),
+    SockFilter::new(LOAD_BYTE, 0, 0, TCP_FLAGS_OFFSET),
+    SockFilter::new(AND, 0, 0, TCP_SYN | TCP_ACK),
     // Goes on for SYN alone, and skips an instruction otherwise.
-    SockFilter::new(0x15, 0, 1, 0x02),
-    SockFilter::new(0x06, 0, 0, 0),
-    SockFilter::new(0x06, 0, 0, u32::MAX),
+    SockFilter::new(JUMP_IF_EQUAL, 0, 1, TCP_SYN),
+    SockFilter::new(RETURN, 0, 0, DROP),
+    SockFilter::new(RETURN, 0, 0, ACCEPT),
 ];
 
+// Instructions of the classic packet filter, by their names in the kernel: BPF_LD | BPF_B | BPF_ABS, BPF_ALU | BPF_AND | BPF_K,
+// BPF_JMP | BPF_JEQ | BPF_K and BPF_RET | BPF_K.
+const LOAD_BYTE: u16 = 0x30;
+const AND: u16 = 0x54;
+const JUMP_IF_EQUAL: u16 = 0x15;
+const RETURN: u16 = 0x06;
+/// The number of a packet's bytes that the filter passes on.
+const DROP: u32 = 0;
+const ACCEPT: u32 = u32::MAX;
+/// The place of the flags in a TCP header, and two of them.
+const TCP_FLAGS_OFFSET: u32 = 13;
+const TCP_SYN: u32 = 0x02;
+const TCP_ACK: u32 = 0x10;
+
 /// Responds to the requests of callers.
 pub trait Respond: Send + Sync + 'static {
     /// The body of a response. An error in it ends the connection, so that a truncated response never looks complete.
--- a/crates/coord/src/shared_rate.rs
+++ b/crates/coord/src/shared_rate.rs
@@ -120,11 +120,6 @@
         self.rate
     }
 
-    /// The time of the last response that stated the limit.
-    pub fn stated_ms(&self) -> TimeMs {
-        self.stated_ms
-    }
-
     /// True if a later response has not stated the limit.
     pub fn has_ended(&self) -> bool {
         self.ended_ms.is_some()
--- a/crates/gateway/src/controllers/peers.rs
+++ b/crates/gateway/src/controllers/peers.rs
@@ -84,10 +84,7 @@
 
 impl PeerHandler {
     fn record_number(&self, gateway: &Gateway) {
-        let own_address = gateway.settings.peer_listen;
-        let listed = self.0.lock();
-        let peers = listed.values().filter(|peer| peer.address != own_address).count();
-        *gateway.listed_peers.lock() = Some(peers);
+        *gateway.listed_peers.lock() = Some(peer_addresses(gateway, &self.0).len());
     }
 }
 
--- a/crates/gateway/src/endpoint_limits.rs
+++ b/crates/gateway/src/endpoint_limits.rs
@@ -242,12 +242,6 @@
         self.by_endpoint.get_mut(&endpoint).is_none_or(|state| state.rate.try_take(now_ms))
     }
 
-    /// The limit of an endpoint over all instances, and the time of the last response that stated it.
-    pub fn limit(&self, endpoint: EndpointTag, now_ms: TimeMs) -> Option<(RequestRate, TimeMs)> {
-        let state = self.by_endpoint.get(&endpoint)?;
-        Some((state.rate.limit(now_ms), state.rate.stated_ms()))
-    }
-
     /// The part of this instance in the limit of an endpoint.
     pub fn own_part(&self, endpoint: EndpointTag) -> Option<RequestRate> {
         self.by_endpoint.get(&endpoint).map(|state| state.rate.rate())
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -121,6 +121,11 @@
         self.missing_until_ms.is_some_and(|ends_ms| now_ms >= ends_ms)
     }
 
+    /// True if the endpoint may get requests.
+    fn is_ready(&self, now_ms: TimeMs) -> bool {
+        self.record.state == EndpointState::Ready && !self.is_expired(now_ms)
+    }
+
     /// A change after which the entry's incarnation goes on, or was known to end.
     fn changed(&self, kind: &'static str) -> EndpointChange {
         let EndpointRecord { id, started_ms, heartbeat, state, .. } = &self.record;
@@ -272,11 +277,9 @@
 
     /// True if this incarnation of an endpoint accepts requests at `now_ms`.
     pub fn is_ready(&self, id: &EndpointId, incarnation: EndpointTag, now_ms: TimeMs) -> bool {
-        self.entries.get(id).is_some_and(|entry| {
-            entry.record.state == EndpointState::Ready
-                && entry.incarnation() == incarnation
-                && !entry.is_expired(now_ms)
-        })
+        self.entries
+            .get(id)
+            .is_some_and(|entry| entry.is_ready(now_ms) && entry.incarnation() == incarnation)
     }
 
     /// The incarnations of all entries.
@@ -342,10 +345,8 @@
 
     /// The entries of all services that accept requests at `now_ms`.
     pub fn ready(&self, now_ms: TimeMs) -> impl Iterator<Item = &EndpointRecord> {
-        let is_ready = move |entry: &&Entry| {
-            entry.record.state == EndpointState::Ready && !entry.is_expired(now_ms)
-        };
-        self.entries.values().filter(is_ready).map(|entry| &entry.record)
+        let ready = self.entries.values().filter(move |entry| entry.is_ready(now_ms));
+        ready.map(|entry| &entry.record)
     }
 
     /// The entry of an endpoint.
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -114,6 +114,33 @@
     }
 }
 
+/// The reason why an attempt ended before a byte was written.
+#[derive(Debug, Clone, Copy)]
+enum Setback {
+    /// The connection failed.
+    Unsent,
+    /// An obstacle arose since the placement.
+    Obstacle,
+}
+
+/// Counts a setback, and returns `Ok(None)` to place the request once more, or the final error.
+fn after_setback(
+    progress: &mut Progress,
+    setback: Setback,
+) -> Result<Option<Response<ResponseBody>>, ErrorResponse> {
+    let (count, limit, kind) = match setback {
+        Setback::Unsent => {
+            (&mut progress.unsent_attempts, MAX_UNSENT_ATTEMPTS, ErrorKind::ConnectFailed)
+        }
+        Setback::Obstacle => (&mut progress.obstacles, MAX_OBSTACLES, ErrorKind::Overloaded),
+    };
+    *count += 1;
+    if *count < limit {
+        return Ok(None);
+    }
+    Err(ErrorResponse::with_retry_after(progress.error_kind(kind), NO_ENDPOINT_RETRY_MS))
+}
+
 impl Forward {
     fn time_left_ms(&self) -> TimeMs {
         self.deadline_ms.since(self.gateway.clock.now())
@@ -161,13 +188,13 @@
         self.record.endpoint = Some(candidate.id.clone());
         self.record.placed = reason.into();
         let Some(connection) = self.take_connection(&candidate, progress).await else {
-            return self.after_unsent(progress);
+            return after_setback(progress, Setback::Unsent);
         };
         if let Some(obstacle) = self.gateway.last_obstacle(&candidate) {
             self.record.notes.push(obstacle.into());
             let now_ms = self.gateway.clock.now();
             self.gateway.connections.release(&candidate.id, connection, now_ms);
-            return self.after_obstacle(progress);
+            return after_setback(progress, Setback::Obstacle);
         }
         // Every request that reaches the service after its first attempt is a retry, whatever the outcome of the first.
         if progress.sent_attempts > 0 && !self.gateway.try_take_retry(&self.service) {
@@ -181,10 +208,7 @@
             self.gateway.record_first_attempt(&self.service);
         }
         match self.send(connection, &candidate, &mut in_flight, progress).await {
-            SendOutcome::Unsent => {
-                progress.unsent_attempts += 1;
-                self.after_unsent(progress)
-            }
+            SendOutcome::Unsent => after_setback(progress, Setback::Unsent),
             SendOutcome::NotRun(facts, connection) => {
                 self.after_refusal(progress, &candidate, &facts, connection)
             }
@@ -251,34 +275,6 @@
         Err(ErrorResponse::with_retry_after(progress.error_kind(kind), left_ms))
     }
 
-    fn after_unsent(
-        &mut self,
-        progress: &Progress,
-    ) -> Result<Option<Response<ResponseBody>>, ErrorResponse> {
-        if progress.unsent_attempts < MAX_UNSENT_ATTEMPTS {
-            return Ok(None);
-        }
-        Err(ErrorResponse::with_retry_after(
-            progress.error_kind(ErrorKind::ConnectFailed),
-            NO_ENDPOINT_RETRY_MS,
-        ))
-    }
-
-    /// Places the request anew after an obstacle that arose since its placement.
-    fn after_obstacle(
-        &mut self,
-        progress: &mut Progress,
-    ) -> Result<Option<Response<ResponseBody>>, ErrorResponse> {
-        progress.obstacles += 1;
-        if progress.obstacles < MAX_OBSTACLES {
-            return Ok(None);
-        }
-        Err(ErrorResponse::with_retry_after(
-            progress.error_kind(ErrorKind::Overloaded),
-            NO_ENDPOINT_RETRY_MS,
-        ))
-    }
-
     fn may_retry(&self, progress: &Progress) -> bool {
         self.route.is_idempotent()
             && !progress.is_apart
--- a/crates/gateway/src/forward/send.rs
+++ b/crates/gateway/src/forward/send.rs
@@ -71,7 +71,6 @@
                         .record_incarnation_end(candidate.incarnation, "connection_refused");
                 }
                 self.record.notes.push("no_connection");
-                progress.unsent_attempts += 1;
                 progress.tried.push(candidate.id.clone());
                 self.gateway.update_health(&candidate.id, "no_connection", |health, now_ms| {
                     health.record_failure(now_ms, true);
--- a/crates/gateway/src/gateway/limits.rs
+++ b/crates/gateway/src/gateway/limits.rs
@@ -100,10 +100,14 @@
             // The task that reports sleeps while there is no limit.
             self.limits_changed.notify_one();
         }
-        for report in reports {
-            let change = self.with_sharers(now_ms, |sharers| {
-                self.limits.lock().apply_report(peer, report, sharers, now_ms)
-            });
+        let changes: Vec<_> = self.with_sharers(now_ms, |sharers| {
+            let mut limits = self.limits.lock();
+            reports
+                .iter()
+                .map(|report| limits.apply_report(peer, report, sharers, now_ms))
+                .collect()
+        });
+        for (report, change) in reports.iter().zip(changes) {
             if change.is_some() {
                 let id = self.endpoints.lock().id_of(report.endpoint);
                 let age_ms = report.statement.map(|statement| statement.age_ms);
--- a/crates/gateway/tests/decisions/endpoint_limits.rs
+++ b/crates/gateway/tests/decisions/endpoint_limits.rs
@@ -51,7 +51,7 @@
 fn what_a_peer_reported_is_not_passed_on() {
     let mut limits = EndpointLimits::default();
     limits.apply_report("peer", &report(Some(LIMIT), 0), &First, TimeMs(10_000));
-    assert!(limits.limit(endpoint(), TimeMs(10_000)).is_some());
+    assert!(limits.own_part(endpoint()).is_some());
     let reports = limits.take_reports(TimeMs(10_100));
     assert_eq!(reports.iter().map(|report| report.statement).collect::<Vec<_>>(), [None]);
     limits.record_response(endpoint(), Some(LIMIT), TimeMs(10_100), &First, TimeMs(10_200));
