A conviction that no reporter knows is reported by whoever has it; many crashes shorten the wait of an instance that has just started

Whoever has a conviction that nobody reported within 150 ms reports it. - An instance with few answers waits 5 s before it convicts, in which five crashes and the 3 s after them pass. With five crashes it waits 2 s. What it convicts wrongly then is told apart by the first request without the deadly part, also where one of two parts has a crash more. Both have a test that fails without them.

--- a/crates/coord/src/blame.rs
+++ b/crates/coord/src/blame.rs
@@ -39,7 +39,7 @@
 };
 use self::{
     accused::{Accused, Crash},
-    reports::NEWS_MS,
+    reports::{NEWS_MS, OVERDUE_MS},
 };
 
 /// The crashes that convict a feature, if they are apart in time: one more than an unrelated one in the same batches
@@ -47,8 +47,9 @@
 pub const CRASH_LIMIT: usize = 3;
 /// The crashes that convict a part if they came in two events.
 const MANY_CRASHES: usize = 5;
-/// How long an instance has to have seen losses or answers before it convicts a part, in milliseconds, and the answers on
-/// parts that shorten this: after a start it knows of no answers, not even those on parts that nearly all prompts share.
+/// How long an instance has to have seen losses or answers before it convicts a part, in milliseconds: after a start it
+/// knows of no answers, not even those on parts that nearly all prompts share. It is shorter with many answers, and with
+/// as many crashes as start the time in which the part has to be stopped.
 const OBSERVATION_MS: TimeMs = TimeMs(5_000);
 const SHORT_OBSERVATION_MS: TimeMs = TimeMs(2_000);
 const SHORT_OBSERVATION_ANSWERS: u32 = 40;
@@ -85,6 +86,11 @@
 /// The most losses that wait for the end of their incarnations.
 const MAX_LOSSES: usize = 4_096;
 
+/// Returns true if one of two sets of crashes has all of the other: a report that is late makes them differ.
+fn is_nested<I: Ord>(first: &BTreeSet<I>, second: &BTreeSet<I>) -> bool {
+    first.is_subset(second) || first.is_superset(second)
+}
+
 /// What may be done with a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
@@ -177,6 +183,8 @@
     until_ms: TimeMs,
     term_ms: u64,
     has_term_ended: bool,
+    convicted_ms: TimeMs,
+    /// The time of the last report of it, by this instance or by a peer.
     reported_ms: Option<TimeMs>,
 }
 
@@ -233,6 +241,29 @@
 }
 
 impl<I> Conviction<I> {
+    fn new(
+        incarnations: BTreeSet<I>,
+        alike: Vec<Feature>,
+        term_ms: u64,
+        until_ms: TimeMs,
+        now_ms: TimeMs,
+    ) -> Self {
+        Self {
+            incarnations,
+            alike,
+            until_ms,
+            term_ms,
+            has_term_ended: false,
+            convicted_ms: now_ms,
+            reported_ms: None,
+        }
+    }
+
+    /// Returns true if no peer has reported it within a time.
+    fn is_overdue(&self, now_ms: TimeMs) -> bool {
+        now_ms.since(self.convicted_ms) >= OVERDUE_MS
+    }
+
     /// Returns true if a request with `features` has all parts that the evidence can't tell apart.
     fn comes_with(&self, features: &[Feature]) -> bool {
         self.alike.iter().all(|alike| features.contains(alike))
@@ -520,6 +551,7 @@
         conviction.until_ms = now_ms.after(TimeMs(term_ms));
         self.trials_until_ms.remove(&feature);
         conviction.has_term_ended = false;
+        conviction.convicted_ms = now_ms;
         conviction.reported_ms = None;
         self.has_news = true;
         vec![BlameChange::Convicted {
@@ -575,6 +607,10 @@
                 changes.push(BlameChange::TermEnded { feature: *feature });
             }
         }
+        let is_overdue = |conviction: &Conviction<I>| {
+            conviction.reported_ms.is_none() && conviction.is_overdue(now_ms)
+        };
+        self.has_news |= self.convicted.values().any(is_overdue);
         if self.ripe_ms.is_some_and(|ripe_ms| ripe_ms <= now_ms) {
             while let Some(culprits) = self.culprits(now_ms) {
                 changes.extend(self.convict(&culprits, now_ms));
@@ -598,10 +634,9 @@
             0 => SETTLE_MS,
             _ => SETTLE_MS.after(answered_ms),
         };
-        let observation_ms = match self.answers_seen {
-            SHORT_OBSERVATION_ANSWERS.. => SHORT_OBSERVATION_MS,
-            _ => OBSERVATION_MS,
-        };
+        let has_evidence = self.answers_seen >= SHORT_OBSERVATION_ANSWERS
+            || accused.crashes().len() >= MANY_CRASHES;
+        let observation_ms = if has_evidence { SHORT_OBSERVATION_MS } else { OBSERVATION_MS };
         let observed_ms = self.observing_since_ms?.after(observation_ms);
         Some(since_ms.after(settle_ms).max(observed_ms))
     }
@@ -623,10 +658,11 @@
         if !self.has_room_to_convict() {
             return None;
         }
+        let incarnations = evidence.incarnations();
         let is_alike = |(feature, accused): &(&Feature, &Accused<I>)| {
             feature.kind() == FeatureKind::Part
                 && accused.answers() == evidence.answers()
-                && accused.incarnations() == evidence.incarnations()
+                && is_nested(&accused.incarnations(), &incarnations)
         };
         let mut culprits = vec![*first];
         if first.kind() == FeatureKind::Part {
@@ -656,38 +692,15 @@
             });
             explained.extend(&incarnations);
             let alike = culprits.iter().copied().filter(|other| other != feature).collect();
-            self.insert_conviction(
-                *feature,
-                incarnations,
-                alike,
-                term_ms,
-                now_ms.after(TimeMs(term_ms)),
-            );
+            let until_ms = now_ms.after(TimeMs(term_ms));
+            let conviction = Conviction::new(incarnations, alike, term_ms, until_ms, now_ms);
+            self.convicted.insert(*feature, conviction);
         }
         self.has_news = true;
         self.explain(&explained, now_ms);
         changes
     }
 
-    fn insert_conviction(
-        &mut self,
-        feature: Feature,
-        incarnations: BTreeSet<I>,
-        alike: Vec<Feature>,
-        term_ms: u64,
-        until_ms: TimeMs,
-    ) {
-        let conviction = Conviction {
-            incarnations,
-            alike,
-            until_ms,
-            term_ms,
-            has_term_ended: false,
-            reported_ms: None,
-        };
-        self.convicted.insert(feature, conviction);
-    }
-
     /// Withdraws the crashes of `incarnations` from all features but the convicted ones.
     fn explain(&mut self, incarnations: &BTreeSet<I>, now_ms: TimeMs) {
         self.explained_ms.extend(incarnations.iter().map(|incarnation| (*incarnation, now_ms)));
@@ -723,7 +736,8 @@
         let is_new = |accused: &Accused<I>| {
             accused.has_crashes() && now_ms.since(accused.last_ms()) < NEWS_MS
         };
-        if self.ripe_ms.is_some() {
+        let is_unreported = |conviction: &Conviction<I>| conviction.reported_ms.is_none();
+        if self.ripe_ms.is_some() || self.convicted.values().any(is_unreported) {
             BlameAgenda::Weigh
         } else if !self.acquitted_ms.is_empty() || self.accused.values().any(is_new) {
             BlameAgenda::Report
--- a/crates/coord/src/blame/reports.rs
+++ b/crates/coord/src/blame/reports.rs
@@ -18,6 +18,8 @@
 const REPEAT_MS: TimeMs = TimeMs(2_000);
 /// The instances that report what all of them know.
 const REPORTERS: usize = 3;
+/// How long an instance that is no reporter waits for the report of one, in milliseconds.
+pub(super) const OVERDUE_MS: TimeMs = TimeMs(150);
 /// The entries of a message that a conviction counts as, for its size.
 const CONVICTION_ENTRIES: usize = 4;
 /// The most incarnations that a reported conviction names.
@@ -157,10 +159,11 @@
             .iter()
             .filter(|(feature, conviction)| {
                 let rank = || rank(**feature);
-                conviction.reported_ms.map_or_else(
-                    || rank() < REPORTERS,
-                    |at_ms| now_ms.since(at_ms) >= REPEAT_MS && rank() == 0,
-                )
+                match conviction.reported_ms {
+                    Some(at_ms) => now_ms.since(at_ms) >= REPEAT_MS && rank() == 0,
+                    // The first ones report what all of them find out; they may lack the evidence.
+                    None => rank() < REPORTERS || conviction.is_overdue(now_ms),
+                }
             })
             .map(|(feature, _)| *feature)
             .take(*left / CONVICTION_ENTRIES)
@@ -250,6 +253,8 @@
             let is_new =
                 incarnations.iter().any(|incarnation| !known.incarnations.contains(incarnation));
             known.incarnations.extend(&incarnations);
+            // The peer has reported it to all.
+            known.reported_ms.get_or_insert(now_ms);
             if u64::from(report.term_ms) > known.term_ms {
                 known.term_ms = report.term_ms.into();
                 known.until_ms = known.until_ms.max(until_ms);
@@ -282,7 +287,9 @@
         }
         self.explain(&incarnations, now_ms);
         let alike = report.alike.clone();
-        self.insert_conviction(feature, incarnations, alike, report.term_ms.into(), until_ms);
+        let conviction =
+            Conviction::new(incarnations, alike, report.term_ms.into(), until_ms, now_ms);
+        self.convicted.insert(feature, conviction);
         if let Some(conviction) = self.convicted.get_mut(&feature) {
             // The sender has reported it to all.
             conviction.reported_ms = Some(now_ms);
--- a/crates/coord/tests/blame.rs
+++ b/crates/coord/tests/blame.rs
@@ -349,6 +349,63 @@
     assert!(peer.refuses(dead));
 }
 
+/// Guards against a conviction that only instances know which leave its report to others.
+#[test]
+fn a_conviction_is_reported_by_an_instance_that_is_no_reporter_unless_another_one_does() {
+    let (mut instance, dead, other) = convict_two_parts_together();
+    let take = |instance: &mut Instance| {
+        let now = instance.now();
+        instance.blame.take_reports(usize::MAX, |_| 7, now).convictions
+    };
+    assert!(take(&mut instance).is_empty(), "a reporter may do it");
+    instance.pass(200);
+    assert!(instance.blame.has_news());
+    let features: Vec<_> = take(&mut instance).into_iter().map(|report| report.feature).collect();
+    assert!(features.contains(&dead) && features.contains(&other), "{features:?}");
+    let (mut second, ..) = convict_two_parts_together();
+    let (mut reporter, ..) = convict_two_parts_together();
+    let reports = reporter.reports();
+    second.apply(1, &reports);
+    second.pass(500);
+    assert!(take(&mut second).is_empty(), "another instance has reported it");
+}
+
+/// A report that is late makes the crashes of parts differ that came together.
+#[test]
+fn a_part_that_all_prompts_share_is_told_apart_although_it_has_a_crash_more() {
+    let mut instance = Instance::at(1_000);
+    let (dead, system) = (part("dead"), part("system"));
+    instance.crash(&[request("1"), system, dead], 1);
+    instance.crash(&[request("2"), system, dead], 2);
+    let now = instance.now();
+    for (incarnation, features) in [(3, vec![system, dead]), (4, vec![system])] {
+        instance.blame.record_loss(&features, incarnation, now);
+        instance.blame.record_end(incarnation, now);
+    }
+    instance.pass(200);
+    let both = instance.blame.verdict(&[system, dead], |_| true, instance.now());
+    assert!(matches!(both, Verdict::Refuse { .. }), "{both:?}");
+    let sound = [request("sound"), system];
+    let verdict = instance.blame.verdict(&sound, |_| false, instance.now());
+    assert_eq!(verdict, Verdict::Trial(system));
+    instance.answer(&sound, 1);
+    assert_eq!(instance.blame.verdict(&sound, |_| false, instance.now()), Verdict::Run);
+    assert!(instance.refuses(dead));
+}
+
+/// With five crashes, an instance that has just started and has few answers does not wait for more of them.
+#[test]
+fn many_crashes_convict_soon_after_a_start() {
+    let mut instance = Instance::default();
+    let dead = part("dead");
+    for incarnation in 1..=5 {
+        instance.crash(&[request(&incarnation.to_string()), dead], incarnation);
+    }
+    assert!(!instance.refuses(dead), "it has seen too little for {} ms", instance.now_ms);
+    instance.pass(1_000);
+    assert!(instance.refuses(dead));
+}
+
 #[test]
 fn a_crash_without_the_other_part_acquits_the_other_part() {
     let (mut instance, dead, other) = convict_two_parts_together();
