Only the answer to its question ends the learning of an instance that has just started

Found by reading, while a red run of instance_that_starts_later_refuses_what_its_peers_quarantined was traced: any message on blame from a peer that knows ended the wait, a periodic one as well, which holds no convictions. No test of its own: the order of two datagrams decides.

--- a/crates/gateway/src/controllers/blame.rs
+++ b/crates/gateway/src/controllers/blame.rs
@@ -35,10 +35,14 @@
 /// The longest time for which a starting instance waits for an answer. Where the whole fleet starts, none knows anything.
 const MAX_LEARNING_TIME: Duration = Duration::from_millis(600);
 
-fn message(gateway: &Gateway, reports: BlameReports<EndpointTag>) -> PeerMessage {
+fn message(
+    gateway: &Gateway,
+    reports: BlameReports<EndpointTag>,
+    is_informed_answer: bool,
+) -> PeerMessage {
     PeerMessage::Blame(BlameMessage {
         process_number: gateway.process_number,
-        has_learned: gateway.has_learned_blame(),
+        is_informed_answer,
         reports,
     })
 }
@@ -48,7 +52,7 @@
     gateway.change_blame(|blame, now_ms| {
         blame.apply_reports(message.process_number, &message.reports, now_ms)
     });
-    if message.has_learned {
+    if message.is_informed_answer {
         finish_learning(gateway, "peer");
     }
 }
@@ -62,7 +66,8 @@
         convictions: gateway.blame.lock().convictions(MAX_CONVICTIONS_PER_MESSAGE, now_ms),
         acquitted: Vec::new(),
     };
-    send_message(socket, &[from], &message(gateway, reports)).await;
+    let answer = message(gateway, reports, gateway.has_learned_blame());
+    send_message(socket, &[from], &answer).await;
 }
 
 fn finish_learning(gateway: &Gateway, source: &'static str) {
@@ -126,7 +131,7 @@
             if !reports.is_empty() {
                 // The wait may have lasted since before the peers were listed.
                 let peers = peer_addresses(gateway, addresses);
-                send_message(socket, &peers, &message(gateway, reports)).await;
+                send_message(socket, &peers, &message(gateway, reports, false)).await;
             }
         }
         sleep(MIN_REPORT_INTERVAL).await;
--- a/crates/gateway/src/peer_loads.rs
+++ b/crates/gateway/src/peer_loads.rs
@@ -223,8 +223,9 @@
 pub(crate) struct BlameMessage {
     /// A number that is new with each start of the sender.
     pub(crate) process_number: u64,
-    /// True if the sender knows what its own peers blame.
-    pub(crate) has_learned: bool,
+    /// True if this answers the question of an instance that has just started, and the sender knows what its own peers
+    /// blame. Other messages hold only what is new.
+    pub(crate) is_informed_answer: bool,
     /// The reports.
     pub(crate) reports: BlameReports<EndpointTag>,
 }
