--- a/crates/coord/src/blame/reports.rs
+++ b/crates/coord/src/blame/reports.rs
@@ -6,8 +6,9 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    Blame, BlameChange, Conviction, Feature,
+    Blame, BlameChange, Feature,
     accused::{Answers, Crash},
+    conviction::Conviction,
 };
 
 /// The most parts that a reported conviction names as alike.
