The answer to an instance that has just started fits into its datagrams

Found at the last read: sixteen convictions with all their fields take about 1,600 bytes, more than a datagram holds, so that the answer was dropped from thirteen on and the instance went on after 0.6 s without it. Twelve a message now, in as many as it takes. No test: a message that is too long is only dropped by the sender.

--- a/crates/coord/src/blame/reports.rs
+++ b/crates/coord/src/blame/reports.rs
@@ -76,6 +76,17 @@
     pub acquitted: Vec<Feature>,
 }
 
+impl<I> Default for BlameReports<I> {
+    fn default() -> Self {
+        Self {
+            crashes: Vec::new(),
+            answers: Vec::new(),
+            convictions: Vec::new(),
+            acquitted: Vec::new(),
+        }
+    }
+}
+
 impl<I> BlameReports<I> {
     /// Returns true if there is nothing to report.
     pub fn is_empty(&self) -> bool {
--- a/crates/coord/tests/blame_model.rs
+++ b/crates/coord/tests/blame_model.rs
@@ -501,12 +501,7 @@
                 let excused_until_ms = instance.excused_until_ms;
                 *instance = Instance::new(number);
                 instance.excused_until_ms = excused_until_ms;
-                let reports = BlameReports {
-                    crashes: Vec::new(),
-                    answers: Vec::new(),
-                    convictions: known,
-                    acquitted: Vec::new(),
-                };
+                let reports = BlameReports { convictions: known, ..BlameReports::default() };
                 self.runs.retain(|_, run| run.instance != at);
                 self.change(at, |blame, now_ms| blame.apply_reports(0, &reports, now_ms));
             }
--- a/crates/gateway/src/controllers/blame.rs
+++ b/crates/gateway/src/controllers/blame.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, sync::atomic::Ordering, time::Duration};
 
-use bilberryford_coord::{BlameAgenda, BlameReports};
+use bilberryford_coord::{BlameAgenda, BlameReports, ConvictionReport};
 use bilberryford_types::TimeMs;
 use rand::seq::IndexedRandom;
 use tokio::{
@@ -18,8 +18,10 @@
 
 /// The most reports in one message, so that it fits into one datagram.
 const MAX_REPORTS_PER_MESSAGE: usize = 48;
-/// The most convictions in the answer to an instance that has just started, at up to 70 bytes each.
-const MAX_CONVICTIONS_PER_MESSAGE: usize = 16;
+/// The most convictions in one message, at up to 105 bytes each.
+const MAX_CONVICTIONS_PER_MESSAGE: usize = 12;
+/// The most convictions in the answer to an instance that has just started; it learns of further ones as they are repeated.
+const MAX_CONVICTIONS_IN_ANSWER: usize = 96;
 /// The shortest interval between two messages, so that many crashes at once cause few messages.
 const MIN_REPORT_INTERVAL: Duration = Duration::from_millis(20);
 /// The interval at which evidence is weighed while any is open.
@@ -57,19 +59,24 @@
     }
 }
 
-/// Answers the question of an instance that has just started.
+/// Answers the question of an instance that has just started. The last message ends its wait.
 pub(super) async fn answer(gateway: &Gateway, socket: &UdpSocket, from: SocketAddr) {
     let now_ms = gateway.clock.now();
-    let reports = BlameReports {
-        crashes: Vec::new(),
-        answers: Vec::new(),
-        convictions: gateway.blame.lock().convictions(MAX_CONVICTIONS_PER_MESSAGE, now_ms),
-        acquitted: Vec::new(),
-    };
-    let answer = message(gateway, reports, gateway.has_learned_blame());
+    let convictions = gateway.blame.lock().convictions(MAX_CONVICTIONS_IN_ANSWER, now_ms);
+    let mut parts: Vec<_> =
+        convictions.chunks(MAX_CONVICTIONS_PER_MESSAGE).map(<[_]>::to_vec).collect();
+    let last = parts.pop().unwrap_or_default();
+    for part in parts {
+        send_message(socket, &[from], &message(gateway, convictions_only(part), false)).await;
+    }
+    let answer = message(gateway, convictions_only(last), gateway.has_learned_blame());
     send_message(socket, &[from], &answer).await;
 }
 
+fn convictions_only(convictions: Vec<ConvictionReport<EndpointTag>>) -> BlameReports<EndpointTag> {
+    BlameReports { convictions, ..BlameReports::default() }
+}
+
 fn finish_learning(gateway: &Gateway, source: &'static str) {
     if !gateway.has_learned_blame.swap(true, Ordering::Relaxed) {
         let convicted = gateway.blame.lock().convicted(gateway.clock.now()).count();
