Instances that start together wait for nobody's knowledge of blame

The answers of three peers that have just started as well end the wait, and so does the configuration in force for 0.6 s where the list of peers does not come.

--- a/crates/gateway/src/controllers/blame.rs
+++ b/crates/gateway/src/controllers/blame.rs
@@ -13,7 +13,7 @@
 use super::peers::{PeerAddresses, peer_addresses, send_message};
 use crate::{
     gateway::Gateway,
-    peer_loads::{BlameMessage, EndpointTag, PeerMessage, report_interval_ms},
+    peer_loads::{BlameMessage, BlameOccasion, EndpointTag, PeerMessage, report_interval_ms},
 };
 
 /// The most reports in one message, so that it fits into one datagram.
@@ -34,19 +34,19 @@
 const ASKED_PEERS: usize = 6;
 /// The interval of these rounds: several round trips within a region.
 const ASK_INTERVAL: Duration = Duration::from_millis(100);
-/// The longest time for which a starting instance waits for an answer. Where the whole fleet starts, none knows anything.
+/// The interval at which the list of peers is looked for before it has come.
+const PEERS_INTERVAL: Duration = Duration::from_millis(20);
+/// The peers that have just started as well after whose answers nobody is expected to know anything: the whole fleet starts.
+const UNINFORMED_ANSWERS: usize = 3;
+/// The longest time for which a starting instance waits for an answer.
 const MAX_LEARNING_TIME: Duration = Duration::from_millis(600);
 
 fn message(
     gateway: &Gateway,
     reports: BlameReports<EndpointTag>,
-    is_informed_answer: bool,
+    occasion: BlameOccasion,
 ) -> PeerMessage {
-    PeerMessage::Blame(BlameMessage {
-        process_number: gateway.process_number,
-        is_informed_answer,
-        reports,
-    })
+    PeerMessage::Blame(BlameMessage { process_number: gateway.process_number, occasion, reports })
 }
 
 /// Applies a peer's reports.
@@ -54,8 +54,17 @@
     gateway.change_blame(|blame, now_ms| {
         blame.apply_reports(message.process_number, &message.reports, now_ms)
     });
-    if message.is_informed_answer {
-        finish_learning(gateway, "peer");
+    match message.occasion {
+        BlameOccasion::News => {}
+        BlameOccasion::InformedAnswer => finish_learning(gateway, "peer"),
+        BlameOccasion::UninformedAnswer => {
+            let mut uninformed = gateway.uninformed_peers.lock();
+            uninformed.insert(message.process_number);
+            let all = gateway.listed_peers.lock().unwrap_or(usize::MAX);
+            if uninformed.len() >= UNINFORMED_ANSWERS.min(all) {
+                finish_learning(gateway, "started_together");
+            }
+        }
     }
 }
 
@@ -67,9 +76,18 @@
         convictions.chunks(MAX_CONVICTIONS_PER_MESSAGE).map(<[_]>::to_vec).collect();
     let last = parts.pop().unwrap_or_default();
     for part in parts {
-        send_message(socket, &[from], &message(gateway, convictions_only(part), false)).await;
+        send_message(
+            socket,
+            &[from],
+            &message(gateway, convictions_only(part), BlameOccasion::News),
+        )
+        .await;
     }
-    let answer = message(gateway, convictions_only(last), gateway.has_learned_blame());
+    let occasion = match gateway.has_learned_blame() {
+        true => BlameOccasion::InformedAnswer,
+        false => BlameOccasion::UninformedAnswer,
+    };
+    let answer = message(gateway, convictions_only(last), occasion);
     send_message(socket, &[from], &answer).await;
 }
 
@@ -87,23 +105,29 @@
     }
 }
 
-/// Asks peers what is blamed until one of them answers that knows it itself.
+/// Asks peers what is blamed until one of them answers that knows it itself, or several that have just started as well.
 pub(super) async fn learn(gateway: &Gateway, socket: &UdpSocket, addresses: &PeerAddresses) {
-    let mut asked_since: Option<Instant> = None;
+    let mut waiting_since: Option<Instant> = None;
     while !gateway.has_learned_blame() {
         let peers = peer_addresses(gateway, addresses);
         let is_alone = peers.is_empty() && gateway.listed_peers.lock().is_some();
-        let has_waited = asked_since.is_some_and(|since| since.elapsed() >= MAX_LEARNING_TIME);
+        let has_waited = waiting_since.is_some_and(|since| since.elapsed() >= MAX_LEARNING_TIME);
         if is_alone || has_waited {
             return finish_learning(gateway, if is_alone { "no_peers" } else { "no_answer" });
         }
-        if !peers.is_empty() {
-            asked_since.get_or_insert_with(Instant::now);
-            let asked: Vec<_> = peers.sample(&mut rand::rng(), ASKED_PEERS).copied().collect();
-            send_message(socket, &asked, &PeerMessage::AskBlame).await;
+        // Without the list of peers, the instance serves once it has had the configuration for as long.
+        if !peers.is_empty() || gateway.deployment.load().is_some() {
+            waiting_since.get_or_insert_with(Instant::now);
+        }
+        if peers.is_empty() {
+            sleep(PEERS_INTERVAL).await;
+            continue;
         }
+        let asked: Vec<_> = peers.sample(&mut rand::rng(), ASKED_PEERS).copied().collect();
+        send_message(socket, &asked, &PeerMessage::AskBlame).await;
         sleep(ASK_INTERVAL).await;
     }
+    gateway.uninformed_peers.lock().clear();
 }
 
 /// Reports changes at once, and repeats them at the interval of the load reports while there is anything to repeat.
@@ -138,7 +162,7 @@
             if !reports.is_empty() {
                 // The wait may have lasted since before the peers were listed.
                 let peers = peer_addresses(gateway, addresses);
-                send_message(socket, &peers, &message(gateway, reports, false)).await;
+                send_message(socket, &peers, &message(gateway, reports, BlameOccasion::News)).await;
             }
         }
         sleep(MIN_REPORT_INTERVAL).await;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -7,7 +7,7 @@
 pub(crate) use blame::ANSWER_AGE_MS;
 
 use std::{
-    collections::HashMap,
+    collections::{BTreeSet, HashMap},
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -99,6 +99,8 @@
     convictions: watch::Sender<u64>,
     /// True once this instance knows what its peers blame, or has none that could know.
     pub(crate) has_learned_blame: AtomicBool,
+    /// The peers that answered the question for what is blamed, and have just started as well.
+    pub(crate) uninformed_peers: Mutex<BTreeSet<u64>>,
     /// A number that is new with each start of the process.
     pub(crate) process_number: u64,
     pub(crate) weights: Mutex<HashMap<ModelName, PublishedWeights>>,
@@ -152,6 +154,7 @@
             blame_changed: Notify::new(),
             convictions: watch::Sender::new(0),
             has_learned_blame: AtomicBool::new(false),
+            uninformed_peers: Mutex::default(),
             process_number: rand::random(),
             weights: Mutex::default(),
             connections: ConnectionPool::default(),
--- a/crates/gateway/src/peer_loads.rs
+++ b/crates/gateway/src/peer_loads.rs
@@ -218,14 +218,24 @@
     AskBlame,
 }
 
+/// The occasion of a message on blame.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum BlameOccasion {
+    /// Something new, or the repetition of something.
+    News,
+    /// The question of an instance that has just started; the sender knows what its own peers blame.
+    InformedAnswer,
+    /// The same; the sender has just started as well.
+    UninformedAnswer,
+}
+
 /// What an instance reports of crashes.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct BlameMessage {
     /// A number that is new with each start of the sender.
     pub(crate) process_number: u64,
-    /// True if this answers the question of an instance that has just started, and the sender knows what its own peers
-    /// blame. Other messages hold only what is new.
-    pub(crate) is_informed_answer: bool,
+    /// The occasion of the message.
+    pub(crate) occasion: BlameOccasion,
     /// The reports.
     pub(crate) reports: BlameReports<EndpointTag>,
 }
