--- a/crates/gateway/src/controllers/endpoints.rs
+++ b/crates/gateway/src/controllers/endpoints.rs
@@ -35,7 +35,8 @@
     for change in changes {
         log::info!(
             target: "belief", endpoint:% = change.id, what = change.kind, state:% = change.state,
-            version:% = change.version, started:% = change.started_ms, heartbeat = change.heartbeat;
+            build:% = change.build, version:% = change.version, started:% = change.started_ms,
+            heartbeat = change.heartbeat;
             "endpoint"
         );
         gateway.change_blame(|blame, now_ms| {
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -13,7 +13,9 @@
     net::SocketAddr,
 };
 
-use bilberryford_types::{DataCentreId, EndpointId, ModelName, ObjectVersion, PoolName, TimeMs};
+use bilberryford_types::{
+    Build, DataCentreId, EndpointId, ModelName, ObjectVersion, PoolName, TimeMs,
+};
 
 use crate::{
     departed::{Departed, EntryOrder, LastEntry},
@@ -53,6 +55,8 @@
     pub address: SocketAddr,
     /// Its data centre.
     pub data_centre: DataCentreId,
+    /// The build of its software.
+    pub build: Build,
     /// Its state.
     pub state: EndpointState,
     /// The number of its heartbeat, which orders the entries of one incarnation.
@@ -92,6 +96,8 @@
     pub heartbeat: u64,
     /// The state in the entry.
     pub state: EndpointState,
+    /// The build in the entry.
+    pub build: Build,
     /// The incarnation that ended unexpectedly; none if it goes on or was leaving.
     pub ended_incarnation: Option<EndpointTag>,
 }
@@ -128,7 +134,7 @@
 
     /// A change after which the entry's incarnation goes on, or was known to end.
     fn changed(&self, kind: &'static str) -> EndpointChange {
-        let EndpointRecord { id, started_ms, heartbeat, state, .. } = &self.record;
+        let EndpointRecord { id, started_ms, heartbeat, state, build, .. } = &self.record;
         EndpointChange {
             id: id.clone(),
             kind,
@@ -136,6 +142,7 @@
             started_ms: *started_ms,
             heartbeat: *heartbeat,
             state: *state,
+            build: build.clone(),
             ended_incarnation: None,
         }
     }
--- a/crates/gateway/src/filters/identify.rs
+++ b/crates/gateway/src/filters/identify.rs
@@ -41,6 +41,8 @@
         ErrorResponse::new(ErrorKind::BadDeadline)
     })?;
     record.request_id.clone_from(&facts.request_id);
+    let resumption = facts.resumption.as_ref();
+    record.resumes = resumption.map(|taken| taken.first_request_id.clone().unwrap_or_default());
     let Some(deployment) = deployment else {
         return Err(ErrorResponse::new(ErrorKind::NotReady));
     };
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -186,6 +186,7 @@
         let mut in_flight =
             InFlight::new(&self.gateway, &candidate, &self.features, self.rank(), demand, is_trial);
         self.record.endpoint = Some(candidate.id.clone());
+        self.record.build = Some(candidate.build.clone());
         self.record.placed = reason.into();
         let Some(connection) = self.take_connection(&candidate, progress).await else {
             return after_setback(progress, Setback::Unsent);
--- a/crates/gateway/src/gateway/endpoint_access.rs
+++ b/crates/gateway/src/gateway/endpoint_access.rs
@@ -51,6 +51,7 @@
                     id: record.id.clone(),
                     incarnation,
                     address: record.address,
+                    build: record.build.clone(),
                     is_local: record.data_centre == self.settings.data_centre,
                     circuit: if is_loading { CircuitState::Open } else { circuit },
                     obstacle: obstacle(
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -78,6 +78,6 @@
 pub use store_contact::RecoveryLimits;
 pub use translation::{
     CacheChange, CacheChanges, CacheSnapshot, CallerFacts, DecodeError, EngineReport, ForwardFacts,
-    OrderReply, PartKey, PartSource, PromptFacts, PromptPart, ResponseFacts, TranslateCaches,
-    TranslateOrders, Translation, WeightLoad, WeightTarget,
+    OrderReply, PartKey, PartSource, PromptFacts, PromptPart, ResponseFacts, Resumption,
+    TranslateCaches, TranslateOrders, Translation, WeightLoad, WeightTarget,
 };
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -16,7 +16,7 @@
 
 use std::net::SocketAddr;
 
-use bilberryford_types::EndpointId;
+use bilberryford_types::{Build, EndpointId};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
@@ -51,6 +51,8 @@
     pub incarnation: EndpointTag,
     /// Its address.
     pub address: SocketAddr,
+    /// The build of its software.
+    pub build: Build,
     /// True if it is in the data centre of this instance.
     pub is_local: bool,
     /// The state of its circuit.
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -4,7 +4,7 @@
 //! formatted, since that takes processor time, which is scarce when the request rate is highest. Successful requests
 //! have the lower limit. Each record contains the number of records that were suppressed before it.
 
-use bilberryford_types::{EndpointId, Generation, ObjectVersion, TimeMs};
+use bilberryford_types::{Build, EndpointId, Generation, ObjectVersion, TimeMs};
 use parking_lot::Mutex;
 
 /// The most records per second for requests with a complete response.
@@ -33,6 +33,10 @@
     pub(crate) route: Option<String>,
     pub(crate) team: Option<String>,
     pub(crate) endpoint: Option<EndpointId>,
+    /// The build of the endpoint.
+    pub(crate) build: Option<Build>,
+    /// The attempt that brought the first event of the stream that the request takes up; empty if it names none.
+    pub(crate) resumes: Option<String>,
     pub(crate) placed: &'static str,
     pub(crate) attempts: u32,
     pub(crate) notes: Vec<&'static str>,
@@ -112,6 +116,8 @@
             route = text(&record.route),
             team = text(&record.team),
             endpoint = record.endpoint.as_ref().map_or("", |id| id.as_str()),
+            build = record.build.as_ref().map_or("", |build| build.as_str()),
+            resumes = text(&record.resumes),
             placed = record.placed,
             attempts = record.attempts,
             notes = notes.as_str(),
--- a/crates/gateway/src/translation.rs
+++ b/crates/gateway/src/translation.rs
@@ -33,6 +33,13 @@
     pub parts: Vec<PromptPart>,
 }
 
+/// The stream that a request takes up after its last event.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Resumption {
+    /// The caller's id for the attempt that brought the stream's first event; none if the request does not name exactly one.
+    pub first_request_id: Option<String>,
+}
+
 /// The contents of the headers of a caller's request.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct CallerFacts {
@@ -44,6 +51,8 @@
     pub key: Option<String>,
     /// The prompt of a request to a model; none for other requests.
     pub prompt: Option<PromptFacts>,
+    /// The stream that the request takes up; none if it begins a response.
+    pub resumption: Option<Resumption>,
 }
 
 /// The additional headers of a forwarded request.
--- a/crates/gateway/tests/decisions/endpoint_eras.rs
+++ b/crates/gateway/tests/decisions/endpoint_eras.rs
@@ -65,6 +65,7 @@
         service: "pool".parse().expect("a service"),
         address: ([127, 0, 0, 1], 9).into(),
         data_centre: "a".parse().expect("a data centre"),
+        build: "v1".parse().expect("a build"),
         state: if endpoint.has_left { EndpointState::Leaving } else { EndpointState::Ready },
         heartbeat: endpoint.heartbeat,
         slots: 4,
--- a/crates/gateway/tests/decisions/endpoints.rs
+++ b/crates/gateway/tests/decisions/endpoints.rs
@@ -16,6 +16,7 @@
         service: service(),
         address: ([127, 0, 0, 1], 9).into(),
         data_centre: "a".parse().expect("a data centre"),
+        build: "v1".parse().expect("a build"),
         state,
         heartbeat: 1,
         slots: 4,
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -9,6 +9,7 @@
 //! * **Events**: the timeline events that every process records, and the hybrid logical timestamp that orders the
 //!   events of several processes. See `docs/OPERATIONS.md`.
 
+mod build;
 mod digest;
 mod event;
 mod id;
@@ -17,6 +18,7 @@
 mod rate;
 mod version;
 
+pub use build::{Build, BuildError};
 pub use digest::{Digest, DigestError};
 pub use event::{Event, EventKind, HybridClock, HybridTime};
 pub use id::{
