A stream that is taken up goes on only at the build that began it

What callers saw: after a crash in the middle of a roll-out, an answer that went on with events of another build. Cause: nothing knew the build. A request with Last-Event-Id was placed like any other. Class: a request that goes on with state made elsewhere is placed as if it were new. Change: before the first event of a stream leaves, the instance tells up to four others, by rendezvous over the stream's key and spread over data centres, which build began it. Records never change; two origins for one stream are refused. An instance that does not know a stream asks the same ones, in rounds of 30 ms that end with the last denial, and refuses what nobody knows (503, not run, begin again at once). Weighed: asking all (not at 300, and the dead don't answer); telling all (300 datagrams a stream); a build computed from the stream's key (the set of builds changes between two tries); the store (a write for each stream). A guess while one build is listed was left out: an instance that is cut off does not know what others have listed.

--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -31,6 +31,7 @@
 mod shared_rate;
 mod shares;
 mod silence;
+mod stream;
 
 pub use admission::{AdmissionController, AdmissionDecision, AdmissionRequest, ShedReason};
 pub use attempt::{Attempt, AttemptState, NotRun, Planned, Sent, Settled};
@@ -67,3 +68,7 @@
     conservative_share,
 };
 pub use silence::StallDetector;
+pub use stream::{
+    InquiryStep, MAX_STREAMS, STREAM_RETENTION_MS, StreamInquiry, StreamKeeper, StreamKey,
+    StreamKnowledge, StreamOrigin, StreamRecords, ranked_keepers,
+};
--- a/crates/coord/src/ownership.rs
+++ b/crates/coord/src/ownership.rs
@@ -6,8 +6,8 @@
 use bilberryford_types::InstanceId;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-fn weight(instance: &InstanceId, key: &[u8]) -> u64 {
-    let seed = xxh3_64_with_seed(instance.as_str().as_bytes(), 0);
+pub(crate) fn weight(instance: &str, key: &[u8]) -> u64 {
+    let seed = xxh3_64_with_seed(instance.as_bytes(), 0);
     xxh3_64_with_seed(key, seed)
 }
 
@@ -16,7 +16,7 @@
     members: impl IntoIterator<Item = &'a InstanceId>,
     key: &[u8],
 ) -> Option<&'a InstanceId> {
-    members.into_iter().max_by_key(|member| (weight(member, key), member.as_str()))
+    members.into_iter().max_by_key(|member| (weight(member.as_str(), key), member.as_str()))
 }
 
 /// Returns the `count` highest-ranked instances for `key`, the owner first.
@@ -26,7 +26,7 @@
     count: usize,
 ) -> Vec<&'a InstanceId> {
     let mut ranked: Vec<_> = members.into_iter().collect();
-    ranked.sort_by_key(|member| std::cmp::Reverse((weight(member, key), member.as_str())));
+    ranked.sort_by_key(|member| std::cmp::Reverse((weight(member.as_str(), key), member.as_str())));
     ranked.truncate(count);
     ranked
 }
--- /dev/null
+++ b/crates/coord/src/stream/keepers.rs
@@ -0,0 +1,32 @@
+//! Which instances keep the record of a stream.
+
+use std::{cmp::Reverse, collections::HashSet};
+
+use super::StreamKey;
+use crate::ownership::weight;
+
+/// An instance that may keep records.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StreamKeeper<'a> {
+    /// Its name.
+    pub name: &'a str,
+    /// Its data centre, if known.
+    pub data_centre: Option<&'a str>,
+}
+
+/// Returns the indices of `instances` in the order in which they keep the record of a stream.
+///
+/// The order is that of rendezvous hashing, except that the best instance of each data centre comes before the others, so
+/// that the first ones outlive the loss of a data centre. Instances that see different fleets agree on most of it.
+pub fn ranked_keepers(instances: &[StreamKeeper<'_>], key: &StreamKey) -> Vec<usize> {
+    let mut ranked: Vec<usize> = (0..instances.len()).collect();
+    ranked.sort_by_cached_key(|&index| {
+        let name = instances[index].name;
+        Reverse((weight(name, key.as_bytes()), name))
+    });
+    let mut seen = HashSet::new();
+    let (mut first, rest): (Vec<usize>, Vec<usize>) =
+        ranked.into_iter().partition(|&index| seen.insert(instances[index].data_centre));
+    first.extend(rest);
+    first
+}
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     features::RequestFeatures,
-    filters::{RoutedRequest, authorize, identify},
+    filters::{RoutedRequest, authorize, identify, take_up},
     forward::{Forward, remove_hop_by_hop},
     gateway::Gateway,
     request_log::RequestRecord,
@@ -91,7 +91,7 @@
     request: Request<Incoming>,
     mut record: RequestRecord,
 ) -> Result<Response<ResponseBody>, (ErrorResponse, RequestRecord)> {
-    let RoutedRequest { facts, route, service, deadline_ms } = routed;
+    let RoutedRequest { facts, route, mut service, deadline_ms } = routed;
     let team = match authorize(gateway, &facts, &route) {
         Ok(team) => team,
         Err(error) => return Err((error, record)),
@@ -108,6 +108,11 @@
         Ok(Err(_)) => return Err((ErrorResponse::new(ErrorKind::BodyCut), record)),
         Err(_) => return Err((ErrorResponse::new(ErrorKind::BodySlow), record)),
     };
+    let stream =
+        match take_up(gateway, &facts, &route, team.as_deref(), &mut service, &mut record).await {
+            Ok(stream) => stream,
+            Err(error) => return Err((error, record)),
+        };
     let mut headers = head.headers;
     remove_hop_by_hop(&mut headers);
     headers.remove(header::CONTENT_LENGTH);
@@ -122,6 +127,7 @@
         route,
         service,
         team,
+        stream,
         deadline_ms,
         method: head.method,
         uri: head.uri,
--- a/crates/gateway/src/controllers.rs
+++ b/crates/gateway/src/controllers.rs
@@ -11,13 +11,16 @@
 mod list_watch;
 mod peers;
 mod shared_view;
+mod streams;
 mod weight_orders;
 mod weights;
 
 use std::sync::Arc;
 
 pub(crate) use endpoints::record_changes;
+pub(crate) use peers::PeerLink;
 pub(crate) use shared_view::{ReadMode, ViewAnswer, ViewQuestion};
+pub(crate) use streams::{find_stream, tell_stream};
 use tokio::task::JoinSet;
 
 use crate::gateway::Gateway;
--- a/crates/gateway/src/controllers/housekeeping.rs
+++ b/crates/gateway/src/controllers/housekeeping.rs
@@ -22,6 +22,7 @@
             blame.expire(now_ms);
             blame.tick(now_ms)
         });
+        gateway.streams.lock().forget_expired(now_ms);
         gateway.remove_unlisted_endpoints();
     }
 }
--- a/crates/gateway/src/controllers/peers.rs
+++ b/crates/gateway/src/controllers/peers.rs
@@ -15,7 +15,7 @@
 use super::{
     blame, limits,
     list_watch::{Backoff, WatchHandler},
-    shared_view,
+    shared_view, streams,
 };
 use crate::{
     cache_index::{HolderLoad, HolderView, holder_at},
@@ -68,6 +68,12 @@
 /// The peers that the store lists, by name.
 pub(super) type PeerAddresses = Arc<Mutex<HashMap<ObjectName, ListedPeer>>>;
 
+/// The socket for messages to peers, and the peers, for requests that tell or ask them something.
+pub(crate) struct PeerLink {
+    pub(super) socket: Arc<UdpSocket>,
+    pub(super) addresses: PeerAddresses,
+}
+
 pub(super) struct PeerHandler(pub(super) PeerAddresses);
 
 impl PeerHandler {
@@ -167,6 +173,10 @@
             return;
         }
     };
+    let link = PeerLink { socket: socket.clone(), addresses: addresses.clone() };
+    if gateway.peer_link.set(link).is_err() {
+        log::error!("the link to peers is set up twice; the first one stays in use");
+    }
     tokio::join!(
         receive(&gateway, &socket),
         report_loads(&gateway, &socket, &addresses),
@@ -265,6 +275,11 @@
                     gateway.apply_limit_reports(&message.instance, &message.reports);
                 }
                 Ok(PeerMessage::View(answer)) => shared_view::apply(gateway, from, answer),
+                Ok(PeerMessage::StreamBegan(report)) => streams::apply_report(gateway, &report),
+                Ok(PeerMessage::AskStream(key)) => {
+                    streams::answer(gateway, socket, from, key).await;
+                }
+                Ok(PeerMessage::Stream(answer)) => streams::apply_answer(gateway, from, &answer),
                 Err(error) => {
                     log::debug!(
                         from:% = from, error:% = error;
--- a/crates/gateway/src/forward/answer.rs
+++ b/crates/gateway/src/forward/answer.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use bilberryford_coord::StreamOrigin;
 use bilberryford_types::ErrorKind;
 use http_body_util::{BodyExt, Limited};
 use hyper::{
@@ -15,9 +16,11 @@
 use super::{Forward, Progress, remove_hop_by_hop};
 use crate::{
     connections::Connection,
+    controllers::tell_stream,
     deployment::RetryPolicy,
     event_stream::{EventPosition, is_event_stream},
     features::ResponseStage,
+    filters::StreamPart,
     in_flight::InFlight,
     relay::{Relay, record_success, relay_body},
     responses::{ErrorResponse, ResponseBody, full_body},
@@ -46,6 +49,9 @@
             // A body with a length could not be broken off at its end.
             head.headers.remove(header::CONTENT_LENGTH);
         }
+        if head.status.is_success() {
+            self.record_stream();
+        }
         let gateway = self.gateway.clone();
         let record = std::mem::take(&mut self.record);
         let relay = Relay {
@@ -62,6 +68,20 @@
         Ok(Some(Response::from_parts(head, relay_body(relay))))
     }
 
+    /// Records where the stream of the response began, before its first event is passed on. From here on, the request
+    /// is not sent to another endpoint.
+    fn record_stream(&self) {
+        let (key, origin, outcome) = match (&self.stream, &self.record.build) {
+            (StreamPart::Beginning(key), Some(build)) => {
+                (*key, StreamOrigin::new(&self.service, build), "begun")
+            }
+            (StreamPart::Continuation { key, origin, .. }, _) => (*key, *origin, "continued"),
+            _ => return,
+        };
+        self.gateway.metrics.record_stream(outcome);
+        tell_stream(&self.gateway, key, origin);
+    }
+
     pub(super) async fn buffer_response(
         &mut self,
         progress: &Progress,
--- a/crates/gateway/src/forward/choose.rs
+++ b/crates/gateway/src/forward/choose.rs
@@ -76,6 +76,7 @@
             prompt,
             min_weight_version,
             preferred_weight_version,
+            build: self.stream.required_build(),
             tried: &progress.tried,
             is_apart: progress.is_apart,
             tie_break_seed: rand::random(),
@@ -87,6 +88,7 @@
             let kind = match choice.reason {
                 Reason::AllTried => ErrorKind::EndpointRefused,
                 Reason::AllFull | Reason::AllClosed => ErrorKind::Overloaded,
+                Reason::OtherBuild => ErrorKind::StreamEnded,
                 _ => ErrorKind::NoEndpoint,
             };
             let retry_after_ms = earliest_reopening_ms(&candidates)
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -3,19 +3,21 @@
 mod blame;
 mod endpoint_access;
 mod limits;
+mod streams;
 
 pub(crate) use blame::ANSWER_AGE_MS;
 
 use std::{
     collections::{BTreeSet, HashMap},
+    net::SocketAddr,
     sync::{
-        Arc,
+        Arc, OnceLock,
         atomic::{AtomicBool, Ordering},
     },
 };
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use bilberryford_coord::Blame;
+use bilberryford_coord::{Blame, StreamInquiry, StreamKey, StreamRecords};
 use bilberryford_platform::ObjectStore;
 use bilberryford_types::{Bytes, EndpointId, ModelName, PoolName, StoreEra, TimeMs};
 use parking_lot::Mutex;
@@ -26,7 +28,7 @@
     change_log::ChangeLog,
     clock::Clock,
     connections::ConnectionPool,
-    controllers::ReadMode,
+    controllers::{PeerLink, ReadMode},
     deployment::{CallerLimits, Deployment},
     endpoint_limits::EndpointLimits,
     endpoints::EndpointTable,
@@ -103,6 +105,14 @@
     pub(crate) uninformed_peers: Mutex<BTreeSet<u64>>,
     /// A number that is new with each start of the process.
     pub(crate) process_number: u64,
+    /// Where streams began.
+    pub(crate) streams: Mutex<StreamRecords>,
+    /// The inquiries of this instance about streams that it does not know.
+    pub(crate) inquiries: Mutex<HashMap<StreamKey, StreamInquiry<SocketAddr>>>,
+    /// Notified when an inquiry was answered.
+    pub(crate) inquiry_answered: Notify,
+    /// The link to the peers; none before its socket is bound.
+    pub(crate) peer_link: OnceLock<PeerLink>,
     pub(crate) weights: Mutex<HashMap<ModelName, PublishedWeights>>,
     pub(crate) connections: ConnectionPool,
     retry_budgets: Mutex<HashMap<PoolName, RetryBudget>>,
@@ -156,6 +166,10 @@
             has_learned_blame: AtomicBool::new(false),
             uninformed_peers: Mutex::default(),
             process_number: rand::random(),
+            streams: Mutex::default(),
+            inquiries: Mutex::default(),
+            inquiry_answered: Notify::new(),
+            peer_link: OnceLock::new(),
             weights: Mutex::default(),
             connections: ConnectionPool::default(),
             retry_budgets: Mutex::default(),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -24,6 +24,7 @@
     registry: Registry,
     _provider: SdkMeterProvider,
     outcomes: Counter<u64>,
+    streams: Counter<u64>,
     pub(crate) retries: Counter<u64>,
     pub(crate) connections: Counter<u64>,
     pub(crate) store_calls: Counter<u64>,
@@ -47,6 +48,7 @@
         let meter = provider.meter("bilberryford.gateway");
         Ok(Self {
             outcomes: meter.u64_counter("bilberryford.gateway.outcomes").build(),
+            streams: meter.u64_counter("bilberryford.gateway.streams").build(),
             retries: meter.u64_counter("bilberryford.gateway.repeats").build(),
             connections: meter.u64_counter("bilberryford.gateway.connections").build(),
             store_calls: meter.u64_counter("bilberryford.gateway.store_calls").build(),
@@ -72,6 +74,11 @@
         }
     }
 
+    /// Counts a stream that began, was taken up, or could not be taken up for the reason `outcome`.
+    pub(crate) fn record_stream(&self, outcome: &'static str) {
+        self.streams.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Encodes all metrics in the Prometheus text format.
     pub(crate) fn text(&self) -> String {
         let mut out = Vec::new();
--- a/crates/gateway/src/peer_loads.rs
+++ b/crates/gateway/src/peer_loads.rs
@@ -6,7 +6,7 @@
 
 use std::{collections::HashMap, net::SocketAddr};
 
-use bilberryford_coord::{BlameReports, SharePlace};
+use bilberryford_coord::{BlameReports, SharePlace, StreamKey, StreamKnowledge, StreamOrigin};
 use bilberryford_types::TimeMs;
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
@@ -216,6 +216,30 @@
     Blame(BlameMessage),
     /// The question of an instance that has just started for what is blamed.
     AskBlame,
+    /// A stream began, or goes on.
+    StreamBegan(StreamReport),
+    /// The question where a stream began.
+    AskStream(StreamKey),
+    /// The answer to such a question.
+    Stream(StreamAnswer),
+}
+
+/// Where a stream began.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct StreamReport {
+    /// The stream.
+    pub(crate) key: StreamKey,
+    /// The service and the build of the endpoint that began it.
+    pub(crate) origin: StreamOrigin,
+}
+
+/// What the sender knows of a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct StreamAnswer {
+    /// The stream.
+    pub(crate) key: StreamKey,
+    /// What is known of its origin.
+    pub(crate) knowledge: StreamKnowledge,
 }
 
 /// The occasion of a message on blame.
@@ -361,6 +385,13 @@
         1 + self.peers.values().filter(is_live).count() as u64
     }
 
+    /// Returns true if `instance` is a live peer.
+    pub fn is_live(&self, instance: &str, now_ms: TimeMs) -> bool {
+        let liveness_ms = self.liveness_ms();
+        let peer = self.peers.get(instance);
+        peer.is_some_and(|peer| now_ms.since(peer.received_ms) < liveness_ms)
+    }
+
     /// Returns true if another instance recently reported that it can check API keys.
     pub fn can_any_check_keys(&self, now_ms: TimeMs) -> bool {
         let mut fresh =
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -101,6 +101,8 @@
     pub min_weight_version: Option<u64>,
     /// The weight version that is preferred over older ones that may still be used.
     pub preferred_weight_version: Option<u64>,
+    /// The only build that may serve the request: it began the stream that the request goes on with.
+    pub build: Option<&'a Build>,
     /// Endpoints that already received this request.
     pub tried: &'a [EndpointId],
     /// True if it is the trial of something that may crash its endpoint.
@@ -138,6 +140,8 @@
     AllClosed,
     /// No endpoint has a weight version that may be used.
     OldWeights,
+    /// No endpoint has the build that has to serve the request.
+    OtherBuild,
 }
 
 /// The outcome of a placement.
@@ -168,12 +172,19 @@
     if candidates.is_empty() {
         return Choice::none(Reason::NoEndpoint);
     }
+    let has_build =
+        |candidate: &Candidate| request.build.is_none_or(|build| candidate.build == *build);
+    let with_build: Vec<usize> =
+        (0..candidates.len()).filter(|&index| has_build(&candidates[index])).collect();
+    if with_build.is_empty() {
+        return Choice::none(Reason::OtherBuild);
+    }
     let has_weights = |candidate: &Candidate| match request.min_weight_version {
         Some(min) => candidate.weight_version.is_some_and(|version| version >= min),
         None => true,
     };
     let with_weights: Vec<usize> =
-        (0..candidates.len()).filter(|&index| has_weights(&candidates[index])).collect();
+        with_build.into_iter().filter(|&index| has_weights(&candidates[index])).collect();
     if with_weights.is_empty() {
         return Choice::none(Reason::OldWeights);
     }
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -37,6 +37,8 @@
     pub(crate) build: Option<Build>,
     /// The attempt that brought the first event of the stream that the request takes up; empty if it names none.
     pub(crate) resumes: Option<String>,
+    /// The age of the record of where that stream began.
+    pub(crate) stream_age_ms: Option<TimeMs>,
     pub(crate) placed: &'static str,
     pub(crate) attempts: u32,
     pub(crate) notes: Vec<&'static str>,
@@ -118,6 +120,7 @@
             endpoint = record.endpoint.as_ref().map_or("", |id| id.as_str()),
             build = record.build.as_ref().map_or("", |build| build.as_str()),
             resumes = text(&record.resumes),
+            stream_age_ms = record.stream_age_ms.map_or(0, |age| age.get()),
             placed = record.placed,
             attempts = record.attempts,
             notes = notes.as_str(),
--- a/crates/gateway/tests/decisions/cache_index.rs
+++ b/crates/gateway/tests/decisions/cache_index.rs
@@ -269,6 +269,7 @@
             })
             .collect();
         let request = PlacementRequest {
+            build: None,
             prompt: Some(PromptShape {
                 tokens: 11_400,
                 memory_tokens: 11_500,
--- a/crates/gateway/tests/decisions/placement.rs
+++ b/crates/gateway/tests/decisions/placement.rs
@@ -33,6 +33,7 @@
 fn call(tie_break_seed: u64) -> PlacementRequest<'static> {
     PlacementRequest {
         prompt: None,
+        build: None,
         min_weight_version: None,
         preferred_weight_version: None,
         tried: &[],
