The build of a stream is that of the endpoint that answers, not of its entry

Change: an instance asks the endpoint for its own report before it sends a continuation, and compares the start that it states with the entry. A stream that begins at an endpoint of which a connection was lost since it was listed is recorded only after such a report. An endpoint that names another start keeps its other work; its build is unknown. Not covered: an endpoint that starts anew while this instance has no connection to it, for streams that begin there before its new entry comes.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -187,11 +187,18 @@
         let mut in_flight =
             InFlight::new(&self.gateway, &candidate, &self.features, self.rank(), demand, is_trial);
         self.record.endpoint = Some(candidate.id.clone());
-        self.record.build = Some(candidate.build.clone());
+        self.record.build.clone_from(&candidate.build);
         self.record.placed = reason.into();
         let Some(connection) = self.take_connection(&candidate, progress).await else {
             return after_setback(progress, Setback::Unsent);
         };
+        if self.stream.required_build().is_some()
+            && !self.gateway.confirm_build(&candidate, &self.service).await
+        {
+            self.record.notes.push("build_unconfirmed");
+            progress.tried.push(candidate.id.clone());
+            return after_setback(progress, Setback::Unsent);
+        }
         if let Some(obstacle) = self.gateway.last_obstacle(&candidate) {
             self.record.notes.push(obstacle.into());
             let now_ms = self.gateway.clock.now();
--- a/crates/gateway/src/forward/answer.rs
+++ b/crates/gateway/src/forward/answer.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use bilberryford_coord::StreamOrigin;
 use bilberryford_types::ErrorKind;
 use http_body_util::{BodyExt, Limited};
 use hyper::{
@@ -22,6 +21,7 @@
     features::ResponseStage,
     filters::StreamPart,
     in_flight::InFlight,
+    placement::Candidate,
     relay::{Relay, record_success, relay_body},
     responses::{ErrorResponse, ResponseBody, full_body},
 };
@@ -50,7 +50,7 @@
             head.headers.remove(header::CONTENT_LENGTH);
         }
         if head.status.is_success() {
-            self.record_stream();
+            self.record_stream(in_flight.candidate());
         }
         let gateway = self.gateway.clone();
         let record = std::mem::take(&mut self.record);
@@ -70,16 +70,17 @@
 
     /// Records where the stream of the response began, before its first event is passed on. From here on, the request
     /// is not sent to another endpoint.
-    fn record_stream(&self) {
-        let (key, origin, outcome) = match (&self.stream, &self.record.build) {
-            (StreamPart::Beginning(key), Some(build)) => {
-                (*key, StreamOrigin::new(&self.service, build), "begun")
+    fn record_stream(&self, candidate: &Candidate) {
+        match &self.stream {
+            StreamPart::None => {}
+            StreamPart::Beginning(key) => {
+                self.gateway.record_stream_beginning(*key, candidate, &self.service);
             }
-            (StreamPart::Continuation { key, origin, .. }, _) => (*key, *origin, "continued"),
-            _ => return,
-        };
-        self.gateway.metrics.record_stream(outcome);
-        tell_stream(&self.gateway, key, origin);
+            StreamPart::Continuation { key, origin, .. } => {
+                self.gateway.metrics.record_stream("continued");
+                tell_stream(&self.gateway, *key, *origin);
+            }
+        }
     }
 
     pub(super) async fn buffer_response(
--- a/crates/gateway/src/forward/send.rs
+++ b/crates/gateway/src/forward/send.rs
@@ -72,6 +72,7 @@
                 }
                 self.record.notes.push("no_connection");
                 progress.tried.push(candidate.id.clone());
+                self.gateway.doubt_build(&candidate.id);
                 self.gateway.update_health(&candidate.id, "no_connection", |health, now_ms| {
                     health.record_failure(now_ms, true);
                 });
@@ -133,7 +134,10 @@
                 in_flight.record_loss(ResponseStage::NoHead);
                 SendOutcome::Lost("no_answer")
             }
-            Ok(Err(error)) if error.message().is_some() => SendOutcome::Unsent,
+            Ok(Err(error)) if error.message().is_some() => {
+                self.gateway.doubt_build(&candidate.id);
+                SendOutcome::Unsent
+            }
             Ok(Err(error)) => {
                 log::debug!(endpoint:% = candidate.id, error:% = error.error(); "answer lost");
                 in_flight.record_loss(ResponseStage::NoHead);
--- a/crates/gateway/src/gateway/blame.rs
+++ b/crates/gateway/src/gateway/blame.rs
@@ -58,6 +58,7 @@
     ) {
         let now_ms = self.clock.now();
         let incarnation = candidate.incarnation;
+        self.doubt_build(&candidate.id);
         if let Some(suppressed) = self.request_log.take_loss_record(now_ms) {
             let stage_name: &'static str = stage.into();
             log::info!(
--- a/crates/gateway/src/gateway/endpoint_access.rs
+++ b/crates/gateway/src/gateway/endpoint_access.rs
@@ -8,6 +8,7 @@
     connections::connection_share,
     controllers::record_changes,
     health::{CircuitState, EndpointHealth},
+    local_state::BuildStanding,
     obstacle::{Obstacle, SendFacts, obstacle},
     part_plan::PrefixFacts,
     peer_loads::EndpointTag,
@@ -51,7 +52,8 @@
                     id: record.id.clone(),
                     incarnation,
                     address: record.address,
-                    build: record.build.clone(),
+                    build: (state.build_standing != BuildStanding::Refuted)
+                        .then(|| record.build.clone()),
                     is_local: record.data_centre == self.settings.data_centre,
                     circuit: if is_loading { CircuitState::Open } else { circuit },
                     obstacle: obstacle(
--- a/crates/gateway/src/gateway/streams.rs
+++ b/crates/gateway/src/gateway/streams.rs
@@ -1,10 +1,15 @@
-//! Which endpoints may go on with a stream.
+//! Which endpoints may go on with a stream, and which build begins one.
 
-use bilberryford_coord::StreamOrigin;
-use bilberryford_types::{Build, PoolName};
+use std::sync::Arc;
+
+use bilberryford_coord::{StreamKey, StreamOrigin};
+use bilberryford_types::{Build, EndpointId, PoolName};
 
 use super::Gateway;
-use crate::deployment::Route;
+use crate::{
+    controllers::tell_stream, deployment::Route, local_state::BuildStanding,
+    peer_loads::EndpointTag, placement::Candidate,
+};
 
 impl Gateway {
     /// Returns the service and the build of `origin`, if the route leads to the service and an endpoint of the build is
@@ -22,4 +27,92 @@
         })?;
         Some((record.service.clone(), record.build.clone()))
     }
+
+    /// Records that a connection to an endpoint was lost, so that the endpoint may have started anew with another build.
+    pub(crate) fn doubt_build(&self, endpoint: &EndpointId) {
+        if let Some(state) = self.local.lock().get_mut(endpoint)
+            && state.build_standing == BuildStanding::AsListed
+        {
+            state.build_standing = BuildStanding::Doubtful;
+        }
+    }
+
+    fn build_standing(&self, endpoint: &EndpointId) -> BuildStanding {
+        self.local.lock().get(endpoint).map(|state| state.build_standing).unwrap_or_default()
+    }
+
+    /// Asks an engine whether it is the incarnation that its entry describes. Returns false if it is not, or if it does
+    /// not say.
+    ///
+    /// An endpoint ends but once, so that the answer holds for all connections that were opened before and still serve.
+    /// Endpoints of services without engines make no reports; their entries count.
+    pub(crate) async fn confirm_build(&self, candidate: &Candidate, service: &PoolName) -> bool {
+        if !self.has_engines(service) {
+            return true;
+        }
+        let report = self.orders.report(candidate.address, &candidate.id).await;
+        let Some(started_ms) = report.and_then(|report| report.started_ms) else {
+            log::debug!(endpoint:% = candidate.id; "endpoint does not state its incarnation");
+            return false;
+        };
+        let is_listed =
+            EndpointTag::new(candidate.id.as_str(), started_ms) == candidate.incarnation;
+        let standing = if is_listed { BuildStanding::AsListed } else { BuildStanding::Refuted };
+        let before = self.set_build_standing(candidate, standing);
+        if !is_listed && before != Some(BuildStanding::Refuted) {
+            log::warn!(
+                target: "belief", endpoint:% = candidate.id, listed:% = candidate.incarnation,
+                started:% = started_ms;
+                "endpoint is another incarnation than its entry; its build is unknown"
+            );
+        }
+        is_listed
+    }
+
+    /// Sets the standing of an incarnation's build and returns the one before; none if another one is listed by now.
+    fn set_build_standing(
+        &self,
+        candidate: &Candidate,
+        standing: BuildStanding,
+    ) -> Option<BuildStanding> {
+        let mut local = self.local.lock();
+        let state = local.get_mut(&candidate.id)?;
+        let is_subject =
+            EndpointTag::new(candidate.id.as_str(), state.started_ms) == candidate.incarnation;
+        is_subject.then(|| std::mem::replace(&mut state.build_standing, standing))
+    }
+
+    fn has_engines(&self, service: &PoolName) -> bool {
+        let deployment = self.deployment.load();
+        let service = deployment.as_ref().and_then(|deployment| deployment.service(service));
+        service.is_some_and(|service| service.engine.is_some())
+    }
+
+    /// Records that the candidate begins a stream. A stream of which the build is not certain stays unknown, and is refused
+    /// when it is taken up.
+    pub(crate) fn record_stream_beginning(
+        self: &Arc<Self>,
+        key: StreamKey,
+        candidate: &Candidate,
+        service: &PoolName,
+    ) {
+        let Some(build) = &candidate.build else { return };
+        let origin = StreamOrigin::new(service, build);
+        self.metrics.record_stream("begun");
+        if self.build_standing(&candidate.id) == BuildStanding::AsListed {
+            return tell_stream(self, key, origin);
+        }
+        let (gateway, candidate, service) = (self.clone(), candidate.clone(), service.clone());
+        tokio::spawn(async move {
+            if gateway.confirm_build(&candidate, &service).await {
+                tell_stream(&gateway, key, origin);
+            } else {
+                gateway.metrics.record_stream("begun_unconfirmed");
+                log::info!(
+                    target: "belief", stream:% = key, endpoint:% = candidate.id;
+                    "stream can't be taken up: the build that began it is not certain"
+                );
+            }
+        });
+    }
 }
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -84,6 +84,10 @@
         }
     }
 
+    pub(crate) fn candidate(&self) -> &Candidate {
+        &self.candidate
+    }
+
     pub(crate) fn endpoint(&self) -> &EndpointId {
         &self.candidate.id
     }
--- a/crates/gateway/src/local_state.rs
+++ b/crates/gateway/src/local_state.rs
@@ -8,6 +8,20 @@
     slowness::Slowness,
 };
 
+/// Whether the endpoint at an address is the incarnation that its entry describes.
+///
+/// An endpoint may start again under its id and address with another build while its entry is still the old one.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) enum BuildStanding {
+    /// Nothing speaks against it.
+    #[default]
+    AsListed,
+    /// A connection to it was lost since it was listed, or since its own report last confirmed the entry.
+    Doubtful,
+    /// Its own report names another start than the entry.
+    Refuted,
+}
+
 /// The state of this instance for one endpoint.
 #[derive(Debug, Default)]
 pub(crate) struct LocalState {
@@ -27,6 +41,8 @@
     pub(crate) loading_until_ms: Option<TimeMs>,
     /// The time until which it takes no request of this instance, on its own word.
     pub(crate) closed_until_ms: Option<TimeMs>,
+    /// Whether its build is the one in its entry.
+    pub(crate) build_standing: BuildStanding,
 }
 
 impl LocalState {
@@ -38,6 +54,7 @@
         self.slowness = Slowness::default();
         self.loading_until_ms = None;
         self.closed_until_ms = None;
+        self.build_standing = BuildStanding::AsListed;
     }
 
     pub(crate) fn is_loading(&self, now_ms: TimeMs) -> bool {
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -51,8 +51,8 @@
     pub incarnation: EndpointTag,
     /// Its address.
     pub address: SocketAddr,
-    /// The build of its software.
-    pub build: Build,
+    /// The build of its software; none if its entry describes another incarnation.
+    pub build: Option<Build>,
     /// True if it is in the data centre of this instance.
     pub is_local: bool,
     /// The state of its circuit.
@@ -172,8 +172,9 @@
     if candidates.is_empty() {
         return Choice::none(Reason::NoEndpoint);
     }
-    let has_build =
-        |candidate: &Candidate| request.build.is_none_or(|build| candidate.build == *build);
+    let has_build = |candidate: &Candidate| {
+        request.build.is_none() || candidate.build.as_ref() == request.build
+    };
     let with_build: Vec<usize> =
         (0..candidates.len()).filter(|&index| has_build(&candidates[index])).collect();
     if with_build.is_empty() {
--- a/crates/gateway/src/translation.rs
+++ b/crates/gateway/src/translation.rs
@@ -237,6 +237,8 @@
 /// The report of an engine on itself.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct EngineReport {
+    /// The start time of its incarnation, as in its entry; none if it does not state one.
+    pub started_ms: Option<TimeMs>,
     /// True while an order is in progress.
     pub is_busy: bool,
     /// The number of orders that it accepted since its start.
--- a/crates/gateway/tests/decisions/cache_index.rs
+++ b/crates/gateway/tests/decisions/cache_index.rs
@@ -256,7 +256,7 @@
                 incarnation: EndpointTag::new(&last.to_string(), TimeMs(1)),
                 address: address(last),
                 is_local: true,
-                build: "v1".parse().expect("a build"),
+                build: Some("v1".parse().expect("a build")),
                 circuit: CircuitState::Closed,
                 obstacle: None,
                 in_flight: 2,
--- a/crates/gateway/tests/decisions/placement.rs
+++ b/crates/gateway/tests/decisions/placement.rs
@@ -13,7 +13,7 @@
         id: format!("e{index}").parse().expect("an id"),
         incarnation: EndpointTag::new(&format!("e{index}"), TimeMs(1)),
         address: ([10, 0, 0, index], 80).into(),
-        build: "v1".parse().expect("a build"),
+        build: Some("v1".parse().expect("a build")),
         is_local: false,
         circuit: CircuitState::Closed,
         obstacle: None,
