A model of streams over a fleet in the middle of roll-outs

3, 9, 99, 301 and 1,000 instances; loss 1% and 20%, delays to 200 ms, views that lag and differ by one, instances that are frozen, cut off, killed a third at once or all; one roll-out, three overlapping builds, a roll-back; beside it (placed as new) and each instance's own memory.

--- /dev/null
+++ b/crates/coord/tests/stream_model.rs
@@ -0,0 +1,399 @@
+//! Streams that callers take up over a simulated fleet in the middle of roll-outs: instances lose and delay datagrams, see
+//! different peers, freeze, are cut off, killed a third at once, or all.
+//!
+//! `cargo test --release -p bilberryford-coord --test stream_model -- --nocapture` prints a line for each case;
+//! `STREAM_MODEL_SEEDS=20` plays more seeds.
+
+use std::collections::BinaryHeap;
+
+use bilberryford_coord::{
+    InquiryStep, StreamInquiry, StreamKeeper, StreamKey, StreamKnowledge, StreamOrigin,
+    StreamRecords, ranked_keepers,
+};
+use bilberryford_types::TimeMs;
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use rstest::rstest;
+
+const DAY_MS: u64 = 30_000;
+const MAX_STREAM_MS: u64 = 4_000;
+/// The share of the streams that break off without a fault of an instance, as when an endpoint crashes.
+const BREAKS: f64 = 0.1;
+const KEEPERS: usize = 4;
+/// The time after which a killed instance serves again, with nothing in memory.
+const RESTART_MS: u64 = 800;
+const FAULT_MS: u64 = 2_000;
+/// The delay after which an instance sees what the others list.
+const MAX_LISTING_LAG_MS: u64 = 1_000;
+/// The size of a report, a question or an answer with its headers, in bytes.
+const DATAGRAM_BYTES: u64 = 28 + 26;
+
+/// The streams a second: fewer in a large fleet, where each one takes a rank of all instances.
+fn streams_per_s(instances: usize) -> u64 {
+    if instances < 100 { 100 } else { 20 }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Faults {
+    None,
+    /// A third of the instances is killed at once, three times.
+    ThirdKilled,
+    /// An instance in ten is frozen, and one in ten cut off from all others, by turns.
+    FrozenAndCut,
+    /// All instances are killed at once.
+    AllKilled,
+}
+
+/// The builds that serve, from a time on.
+type RollOuts = &'static [(u64, &'static [&'static str])];
+
+const ONE: RollOuts = &[(0, &["v1"]), (5_000, &["v1", "v2"]), (20_000, &["v2"])];
+const OVERLAPPING: RollOuts =
+    &[(0, &["v1"]), (4_000, &["v1", "v2"]), (8_000, &["v1", "v2", "v3"]), (16_000, &["v2", "v3"])];
+const ROLLED_BACK: RollOuts = &[(0, &["v1"]), (5_000, &["v1", "v2"]), (14_000, &["v1"])];
+
+/// How an instance finds out where a stream began.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Method {
+    /// It does not: the request is placed like any other.
+    AsNew,
+    /// From its own memory.
+    OwnMemory,
+    /// From its own memory, or that of the stream's keepers.
+    Keepers,
+}
+
+struct Instance {
+    records: StreamRecords,
+    down_until_ms: u64,
+    frozen_until_ms: u64,
+    cut_until_ms: u64,
+    listing_lag_ms: u64,
+    /// The instances that it does not list yet, or no longer.
+    unseen: usize,
+}
+
+impl Instance {
+    fn is_up(&self, now_ms: u64) -> bool {
+        now_ms >= self.down_until_ms && now_ms >= self.frozen_until_ms
+    }
+
+    fn is_reachable(&self, now_ms: u64) -> bool {
+        self.is_up(now_ms) && now_ms >= self.cut_until_ms
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Action {
+    Begin { number: u64 },
+    Deliver { to: usize, number: u64 },
+    Break { number: u64 },
+    TakeUp { number: u64 },
+    Fault { number: u64 },
+}
+
+#[derive(Debug, Default, Clone, Copy)]
+struct Totals {
+    taken_up: u64,
+    went_on: u64,
+    mixed: u64,
+    refused_though_possible: u64,
+    build_gone: u64,
+    datagrams: u64,
+}
+
+struct Fleet {
+    instances: Vec<Instance>,
+    names: Vec<String>,
+    roll_outs: RollOuts,
+    method: Method,
+    loss: f64,
+    max_delay_ms: u64,
+    /// The first instance, the build and the end of each stream.
+    streams: Vec<Option<(usize, &'static str, u64)>>,
+    random: StdRng,
+    queue: BinaryHeap<std::cmp::Reverse<(u64, Action)>>,
+    totals: Totals,
+}
+
+fn key(number: u64) -> StreamKey {
+    StreamKey::new("team", &number.to_string())
+}
+
+fn origin(build: &str) -> StreamOrigin {
+    StreamOrigin::new(&"pool".parse().expect("a service"), &build.parse().expect("a build"))
+}
+
+impl Fleet {
+    fn builds(&self, instance: usize, now_ms: u64) -> &'static [&'static str] {
+        let seen_ms = now_ms.saturating_sub(self.instances[instance].listing_lag_ms);
+        let in_force = self.roll_outs.iter().rev().find(|(from_ms, _)| *from_ms <= seen_ms);
+        in_force.expect("a build from the start").1
+    }
+
+    fn push(&mut self, at_ms: u64, action: Action) {
+        self.queue.push(std::cmp::Reverse((at_ms, action)));
+    }
+
+    fn pick_up_instance(&mut self, now_ms: u64) -> Option<usize> {
+        let up: Vec<usize> =
+            (0..self.instances.len()).filter(|&at| self.instances[at].is_up(now_ms)).collect();
+        (!up.is_empty()).then(|| up[self.random.random_range(0..up.len())])
+    }
+
+    /// The instances in the order of the keepers, as `viewer` sees it, without itself.
+    fn ranked(&self, viewer: usize, number: u64) -> Vec<usize> {
+        let unseen = self.instances[viewer].unseen;
+        let seen: Vec<usize> = (0..self.instances.len()).filter(|at| *at != unseen).collect();
+        let centres = ["a", "b", "c", "d"];
+        let keepers: Vec<_> = seen
+            .iter()
+            .map(|&at| StreamKeeper { name: &self.names[at], data_centre: Some(centres[at % 4]) })
+            .collect();
+        ranked_keepers(&keepers, &key(number)).into_iter().map(|index| seen[index]).collect()
+    }
+
+    fn is_lost(&mut self) -> bool {
+        self.totals.datagrams += 1;
+        self.random.random_bool(self.loss)
+    }
+
+    fn tell(&mut self, from: usize, number: u64, build: &str, now_ms: u64) {
+        self.instances[from].records.record(key(number), origin(build), TimeMs(now_ms));
+        if self.method != Method::Keepers {
+            return;
+        }
+        for to in self.ranked(from, number).into_iter().take(KEEPERS).filter(|to| *to != from) {
+            let is_cut = now_ms < self.instances[from].cut_until_ms;
+            if !self.is_lost() && !is_cut {
+                let delay_ms = self.random.random_range(1..=self.max_delay_ms);
+                self.push(now_ms + delay_ms, Action::Deliver { to, number });
+            }
+        }
+    }
+
+    /// Returns what the instance finds out about a stream.
+    fn find(&mut self, at: usize, number: u64, mut now_ms: u64) -> StreamKnowledge {
+        let key = key(number);
+        let own = self.instances[at].records.knowledge(&key, TimeMs(now_ms));
+        if own != StreamKnowledge::Unknown || self.method != Method::Keepers {
+            return own;
+        }
+        let mut peers = self.ranked(at, number);
+        peers.retain(|peer| *peer != at);
+        let mut inquiry = StreamInquiry::new(peers);
+        loop {
+            match inquiry.step(TimeMs(now_ms)) {
+                InquiryStep::Exhausted => return StreamKnowledge::Unknown,
+                InquiryStep::Wait(until_ms) => now_ms = until_ms.get(),
+                InquiryStep::Ask(peers) => {
+                    for peer in peers {
+                        let is_lost = self.is_lost() || self.is_lost();
+                        let is_heard = self.instances[at].is_reachable(now_ms)
+                            && self.instances[peer].is_reachable(now_ms);
+                        if is_lost || !is_heard {
+                            continue;
+                        }
+                        let records = &self.instances[peer].records;
+                        let answer = records.knowledge(&key, TimeMs(now_ms));
+                        inquiry.record_answer(peer);
+                        if answer != StreamKnowledge::Unknown {
+                            return self.instances[at].records.apply(key, answer, TimeMs(now_ms));
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    fn begin(&mut self, number: u64, now_ms: u64) {
+        let Some(at) = self.pick_up_instance(now_ms) else { return };
+        let builds = self.builds(at, now_ms);
+        let build = builds[self.random.random_range(0..builds.len())];
+        let ends_ms = now_ms + self.random.random_range(200..MAX_STREAM_MS);
+        self.streams[number as usize] = Some((at, build, ends_ms));
+        self.tell(at, number, build, now_ms);
+        if self.random.random_bool(BREAKS) {
+            let breaks_ms = self.random.random_range(now_ms..ends_ms);
+            self.push(breaks_ms, Action::Break { number });
+        }
+    }
+
+    fn take_up(&mut self, number: u64, now_ms: u64) {
+        let Some((_, build, ends_ms)) = self.streams[number as usize] else { return };
+        let Some(at) = self.pick_up_instance(now_ms) else { return };
+        self.totals.taken_up += 1;
+        let builds = self.builds(at, now_ms);
+        let is_possible = builds.contains(&build);
+        let chosen = match (self.method, self.find(at, number, now_ms)) {
+            (Method::AsNew, _) => Some(builds[self.random.random_range(0..builds.len())]),
+            (_, StreamKnowledge::Known(known)) => {
+                builds.iter().copied().find(|build| origin(build) == known)
+            }
+            _ => None,
+        };
+        match chosen {
+            Some(chosen) if chosen == build => {
+                self.totals.went_on += 1;
+                self.tell(at, number, build, now_ms);
+                self.streams[number as usize] = Some((at, build, ends_ms + MAX_STREAM_MS / 2));
+            }
+            Some(_) => self.totals.mixed += 1,
+            None if is_possible => self.totals.refused_though_possible += 1,
+            None => self.totals.build_gone += 1,
+        }
+    }
+
+    /// Callers whose streams an instance passes on take them up elsewhere.
+    fn break_streams_of(&mut self, at: usize, now_ms: u64) {
+        for number in 0..self.streams.len() {
+            let is_open =
+                matches!(self.streams[number], Some((of, _, ends)) if of == at && ends > now_ms);
+            if is_open {
+                self.push(now_ms, Action::Break { number: number as u64 });
+            }
+        }
+    }
+
+    fn kill(&mut self, at: usize, now_ms: u64) {
+        self.instances[at].records = StreamRecords::default();
+        self.instances[at].down_until_ms = now_ms + RESTART_MS;
+        self.break_streams_of(at, now_ms);
+    }
+
+    fn fault(&mut self, faults: Faults, number: u64, now_ms: u64) {
+        let count = self.instances.len();
+        match faults {
+            Faults::None => {}
+            Faults::ThirdKilled => (0..count)
+                .filter(|at| (*at as u64 + number).is_multiple_of(3))
+                .for_each(|at| self.kill(at, now_ms)),
+            Faults::AllKilled => (0..count).for_each(|at| self.kill(at, now_ms)),
+            Faults::FrozenAndCut => {
+                for at in 0..count {
+                    match self.random.random_range(0..10) {
+                        0 => {
+                            self.instances[at].frozen_until_ms = now_ms + FAULT_MS;
+                            self.break_streams_of(at, now_ms);
+                        }
+                        1 => self.instances[at].cut_until_ms = now_ms + FAULT_MS,
+                        _ => {}
+                    }
+                }
+            }
+        }
+    }
+
+    fn play(&mut self, faults: Faults) {
+        for number in 0..DAY_MS / 1_000 * streams_per_s(self.instances.len()) {
+            let at_ms = self.random.random_range(0..DAY_MS);
+            self.push(at_ms, Action::Begin { number });
+            self.streams.push(None);
+        }
+        for (number, at_ms) in (6_000..DAY_MS).step_by(4_000).enumerate() {
+            self.push(at_ms, Action::Fault { number: number as u64 });
+        }
+        while let Some(std::cmp::Reverse((now_ms, action))) = self.queue.pop() {
+            match action {
+                Action::Begin { number } => self.begin(number, now_ms),
+                Action::Deliver { to, number } => {
+                    let (_, build, _) = self.streams[number as usize].expect("a stream");
+                    let instance = &mut self.instances[to];
+                    if instance.frozen_until_ms > now_ms {
+                        // The datagram waits in the socket until the thaw.
+                        let thaw_ms = instance.frozen_until_ms;
+                        self.push(thaw_ms, action);
+                    } else if instance.is_reachable(now_ms) {
+                        instance.records.record(key(number), origin(build), TimeMs(now_ms));
+                    }
+                }
+                Action::Break { number } => {
+                    let pause_ms = self.random.random_range(30..300);
+                    self.push(now_ms + pause_ms, Action::TakeUp { number });
+                }
+                Action::TakeUp { number } => self.take_up(number, now_ms),
+                Action::Fault { number } => self.fault(faults, number, now_ms),
+            }
+        }
+    }
+}
+
+fn play(
+    instances: usize,
+    roll_outs: RollOuts,
+    faults: Faults,
+    loss: f64,
+    method: Method,
+    seed: u64,
+) -> Totals {
+    let mut random = StdRng::seed_from_u64(seed);
+    let fleet = (0..instances).map(|_| Instance {
+        records: StreamRecords::default(),
+        down_until_ms: 0,
+        frozen_until_ms: 0,
+        cut_until_ms: 0,
+        listing_lag_ms: random.random_range(0..MAX_LISTING_LAG_MS),
+        unseen: random.random_range(0..instances),
+    });
+    let mut fleet = Fleet {
+        instances: fleet.collect(),
+        names: (0..instances).map(|at| format!("entry-{at}")).collect(),
+        roll_outs,
+        method,
+        loss,
+        max_delay_ms: if loss > 0.05 { 200 } else { 5 },
+        streams: Vec::new(),
+        random,
+        queue: BinaryHeap::new(),
+        totals: Totals::default(),
+    };
+    fleet.play(faults);
+    fleet.totals
+}
+
+fn seeds() -> u64 {
+    std::env::var("STREAM_MODEL_SEEDS").ok().and_then(|text| text.parse().ok()).unwrap_or(1)
+}
+
+/// No stream is mixed, and of those that could go on at least half do, whatever fails, unless all instances do at once.
+#[rstest]
+fn streams_go_on_at_their_build_or_are_refused(
+    #[values(3, 9, 99, 301, 1_000)] instances: usize,
+    #[values(Faults::None, Faults::ThirdKilled, Faults::FrozenAndCut, Faults::AllKilled)]
+    faults: Faults,
+    #[values(0.01, 0.2)] loss: f64,
+) {
+    for (name, roll_outs) in
+        [("one", ONE), ("overlapping", OVERLAPPING), ("rolled back", ROLLED_BACK)]
+    {
+        for method in [Method::AsNew, Method::OwnMemory, Method::Keepers] {
+            let mut totals = Totals::default();
+            for seed in 0..seeds() {
+                let played = play(instances, roll_outs, faults, loss, method, seed);
+                totals.taken_up += played.taken_up;
+                totals.went_on += played.went_on;
+                totals.mixed += played.mixed;
+                totals.refused_though_possible += played.refused_though_possible;
+                totals.build_gone += played.build_gone;
+                totals.datagrams += played.datagrams;
+            }
+            let begun = DAY_MS / 1_000 * streams_per_s(instances) * seeds();
+            println!(
+                "{instances} instances, {faults:?}, loss {loss}, {name}, {method:?}: taken up {}, went on {}, \
+                 mixed {}, refused though possible {}, build gone {}, bytes for each stream {}",
+                totals.taken_up,
+                totals.went_on,
+                totals.mixed,
+                totals.refused_though_possible,
+                totals.build_gone,
+                totals.datagrams * DATAGRAM_BYTES / begun,
+            );
+            if method != Method::Keepers {
+                continue;
+            }
+            assert_eq!(totals.mixed, 0, "{totals:?}");
+            if faults != Faults::AllKilled {
+                assert!(totals.went_on >= totals.refused_though_possible, "{totals:?}");
+            }
+        }
+    }
+}
