Weights that a suspended instance reads at its thaw are dated before the suspension

A reader's answer that was read after a suspension was dated late as well. Change: a trace of when the process ran, written at the interval of the questions to readers; weights are dated at the last time before which nothing was unread; answers of readers are counted from the question, and the lowest bound of a watch from before the suspension.

--- a/crates/gateway/src/controllers/shared_view.rs
+++ b/crates/gateway/src/controllers/shared_view.rs
@@ -129,6 +129,7 @@
 pub(super) async fn ask(gateway: &Gateway, socket: &UdpSocket, addresses: &PeerAddresses) {
     loop {
         let now_ms = gateway.clock.now();
+        gateway.run_trace.lock().record(now_ms);
         let questions = {
             let listed = addresses.lock();
             let is_small = listed.len() <= MAX_REGION_READERS;
@@ -220,7 +221,9 @@
     }
     for weights in answer.weights {
         let SeenWeights { model, version, age_ms, max_age_ms } = weights;
-        record_weights(gateway, model.clone(), version, now_ms.since(age_ms));
+        // Counted from the question, since this process may have been suspended since the answer.
+        let seen_ms = passed_on_confirmation(asked_ms, age_ms);
+        record_weights(gateway, model.clone(), version, seen_ms);
         if let Some(max_age_ms) = max_age_ms {
             let not_before_ms = passed_on_confirmation(asked_ms, max_age_ms);
             record_not_before(gateway, &model, version, not_before_ms);
--- a/crates/gateway/src/controllers/weights.rs
+++ b/crates/gateway/src/controllers/weights.rs
@@ -14,6 +14,11 @@
 
 pub(super) struct WeightHandler;
 
+/// A time before which no weights were published that this process reads only now.
+fn unread_since(gateway: &Gateway) -> TimeMs {
+    gateway.run_trace.lock().unread_since(gateway.clock.now())
+}
+
 fn record_published_weights(gateway: &Gateway, body: &[u8], is_first_list: bool) {
     let target = match gateway.translation.decode_weights(body) {
         Ok(target) => target,
@@ -22,7 +27,7 @@
             return;
         }
     };
-    let now_ms = gateway.clock.now();
+    let now_ms = unread_since(gateway);
     let is_unknown =
         gateway.weights.lock().get(&target.model).is_none_or(|published| published.newest() == 0);
     let bound_ms = gateway.bounds().weights_propagation_ms;
@@ -36,13 +41,14 @@
 
 /// Records since when weights that a watch returned can have been published.
 ///
-/// The watch returns them at once, unless this process was suspended or its connections were held up. Either would have
-/// kept it from confirming the configuration, so that the publication is no older than the last confirmation.
+/// The watch returns them at once, unless this process was suspended or its connections were held up. The latter would
+/// have kept it from confirming the configuration, so that the publication is no older than the last confirmation. After a
+/// suspension, the confirmation may have come first.
 fn record_watched_weights(gateway: &Gateway, body: &[u8]) {
     let Ok(target) = gateway.translation.decode_weights(body) else { return };
     let now_ms = gateway.clock.now();
     let Some(age_ms) = gateway.keys.lock().age_ms(now_ms) else { return };
-    let not_before_ms = now_ms.since(age_ms).since(WATCH_GAP_MS);
+    let not_before_ms = now_ms.since(age_ms).min(unread_since(gateway)).since(WATCH_GAP_MS);
     record_not_before(gateway, &target.model, target.version, not_before_ms);
 }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -42,6 +42,7 @@
     request_log::RequestLog,
     retry_budget::{RetryBudget, RetryLimits},
     rollout::PublishedWeights,
+    run_trace::RunTrace,
     settings::{Bounds, GatewaySettings, SettingChange},
     translation::{PromptPart, TranslateCaches, TranslateOrders, Translation},
 };
@@ -87,6 +88,8 @@
     /// The era of the store that this instance has reacted to.
     seen_era: Mutex<Option<StoreEra>>,
     pub(crate) read_mode: ReadMode,
+    /// When this process ran.
+    pub(crate) run_trace: Mutex<RunTrace>,
     pub(crate) local: Mutex<HashMap<EndpointId, LocalState>>,
     pub(crate) peers: Mutex<PeerLoads>,
     /// The number of peers that the store lists; none before the first list.
@@ -154,6 +157,7 @@
             readers: Mutex::default(),
             seen_era: Mutex::default(),
             read_mode: ReadMode::default(),
+            run_trace: Mutex::default(),
             local: Mutex::default(),
             peers: Mutex::default(),
             listed_peers: Mutex::default(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -38,6 +38,7 @@
 mod responses;
 mod retry_budget;
 mod rollout;
+mod run_trace;
 mod server;
 mod settings;
 mod slowness;
@@ -72,6 +73,7 @@
 pub use readers::{ReaderSelection, passed_on_confirmation};
 pub use retry_budget::{RetryBudget, RetryLimits};
 pub use rollout::{EngineWeights, PublishedWeights, WeightOrder, WeightPlan, plan_weights};
+pub use run_trace::RunTrace;
 pub use server::{ServeError, serve};
 pub use settings::{Bounds, GatewaySettings, SettingChange, setting_change};
 pub use slowness::Slowness;
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -17,6 +17,7 @@
     mod readers;
     mod retry_budget;
     mod rollout;
+    mod run_trace;
     mod settings;
     mod slowness;
 }
