--- a/crates/coord/src/blame.rs
+++ b/crates/coord/src/blame.rs
@@ -3,55 +3,58 @@
 //! A request, or one part of a prompt whatever else the prompt holds, may crash each endpoint that begins to respond to
 //! it. Two kinds of evidence are weighed for each [`Feature`]:
 //!
-//! * A **crash** accuses the features of all requests that were in flight at the incarnation and had not been answered. It
+//! * A **crash** counts against the features of all requests that were in flight at the incarnation and had not been answered. It
 //!   counts once for each incarnation, however many instances report it. Crashes at almost the same moment are one event,
 //!   since an outage may end many endpoints: it takes three events, or two with five crashes.
 //! * An **answer** speaks for the features that it was made on, at any instance. A request is cleared by its first
 //!   answer; a part by more than [`ANSWERS_PER_CRASH`] answers for each of its crashes, so that one that crashes only
 //!   some of its runs is found as well.
 //!
-//! A feature with [`CRASH_LIMIT`] crashes that its answers don't outweigh is convicted, and its crashes speak against no
+//! A feature with [`CRASH_LIMIT`] crashes that its answers don't outweigh is quarantined, and its crashes speak against no
 //! other feature any more: requests that shared a batch or a part with it are not refused with it. Parts that the evidence
-//! can't tell apart, since they came together each time, are convicted together; a request that has only some of them
-//! tries those. When the term of a conviction ends, a single run tries the feature again.
+//! can't tell apart, since they came together each time, are quarantined together; a request that has only some of them
+//! tries those. When the term of a quarantine ends, a single run tries the feature again.
 //!
-//! Instances report crashes, answers and convictions to each other. All of them only grow, so a report may be lost,
+//! Instances report crashes, answers and quarantines to each other. All of them only grow, so a report may be lost,
 //! repeated or late. See `docs/design/poison.md`.
 //!
 //! # Invariant
 //!
-//! A lost connection counts only together with the unplanned end of that incarnation. A convicted feature is never
+//! A lost connection counts only together with the unplanned end of that incarnation. A quarantined feature is never
 //! evicted to make room.
 
-mod accused;
 mod answers;
-mod conviction;
+mod decision;
 mod evidence;
 mod feature;
+mod feature_evidence;
+mod quarantine;
 mod reports;
-mod verdict;
 
 use std::collections::BTreeMap;
 
 use bilberryford_types::TimeMs;
 
 pub use self::{
-    accused::ANSWERS_PER_CRASH,
+    decision::BlameDecision,
     feature::{Feature, FeatureKind},
-    reports::{AnswerReport, BlameReports, ConvictionReport, CrashReport},
-    verdict::Verdict,
+    feature_evidence::ANSWERS_PER_CRASH,
+    reports::{AnswerReport, BlameReports, CrashReport, QuarantineReport},
+};
+use self::{
+    evidence::CORRELATION_MS, feature_evidence::FeatureEvidence, quarantine::QuarantineEntry,
+    reports::NEWS_MS,
 };
-use self::{accused::Accused, conviction::Conviction, evidence::CORRELATION_MS, reports::NEWS_MS};
 
-/// The crashes that convict a feature, if they are apart in time: one more than an unrelated one in the same batches
+/// The crashes that quarantine a feature, if they are apart in time: one more than an unrelated one in the same batches
 /// usually sees.
 pub const CRASH_LIMIT: usize = 3;
-/// The crashes that convict a part if they came in two events.
+/// The crashes that quarantine a part if they came in two events.
 const MANY_CRASHES: usize = 5;
 /// How long a crash that completes the evidence waits for the reports of other instances on it, in milliseconds.
 const SETTLE_MS: TimeMs = TimeMs(50);
-/// How long an accused feature is remembered after its last crash, in milliseconds.
-const ACCUSED_MS: TimeMs = TimeMs(600_000);
+/// How long a suspected feature is remembered after its last crash, in milliseconds.
+const EVIDENCE_MS: TimeMs = TimeMs(600_000);
 /// How long an end is remembered, in milliseconds: a request at a silent endpoint is lost only at its deadline.
 const END_MEMORY_MS: TimeMs = TimeMs(60_000);
 
@@ -79,10 +82,10 @@
         answers: u32,
     },
     /// It is refused from now on.
-    Convicted {
+    Quarantined {
         /// The feature.
         feature: Feature,
-        /// The crashes that convict it.
+        /// The crashes that quarantine it.
         crashes: usize,
         /// The answers that speak for it.
         answers: u32,
@@ -90,11 +93,11 @@
         first_crash_age_ms: TimeMs,
         /// How long it is refused.
         term_ms: TimeMs,
-        /// True if a peer convicted it.
+        /// True if a peer quarantined it.
         is_reported: bool,
     },
-    /// Answers lifted its conviction.
-    Acquitted {
+    /// Answers lifted its quarantine.
+    Cleared {
         /// The feature.
         feature: Feature,
         /// The answers that speak for it.
@@ -131,15 +134,15 @@
     ended_ms: BTreeMap<I, TimeMs>,
     /// The incarnations that said that they leave.
     departed_ms: BTreeMap<I, TimeMs>,
-    accused: BTreeMap<Feature, Accused<I>>,
-    convicted: BTreeMap<Feature, Conviction<I>>,
-    /// Incarnations whose crashes a convicted feature explains.
+    evidence: BTreeMap<Feature, FeatureEvidence<I>>,
+    quarantined: BTreeMap<Feature, QuarantineEntry<I>>,
+    /// Incarnations whose crashes a quarantined feature explains.
     explained_ms: BTreeMap<I, TimeMs>,
     /// The times until which a trial that this instance runs holds off another one.
     trials_until_ms: BTreeMap<Feature, TimeMs>,
-    /// The convictions that a trial at this instance lifted, to be reported.
-    acquitted_ms: BTreeMap<Feature, TimeMs>,
-    /// The time from which the evidence is complete enough to convict.
+    /// The quarantines that a trial at this instance lifted, to be reported.
+    cleared_ms: BTreeMap<Feature, TimeMs>,
+    /// The time from which the evidence is complete enough to quarantine.
     ripe_ms: Option<TimeMs>,
     has_news: bool,
 }
@@ -155,11 +158,11 @@
             losses_len: 0,
             ended_ms: Default::default(),
             departed_ms: Default::default(),
-            accused: Default::default(),
-            convicted: Default::default(),
+            evidence: Default::default(),
+            quarantined: Default::default(),
             explained_ms: Default::default(),
             trials_until_ms: Default::default(),
-            acquitted_ms: Default::default(),
+            cleared_ms: Default::default(),
             ripe_ms: None,
             has_news: false,
         }
@@ -174,15 +177,17 @@
 
     /// What there is to do at `now_ms`, if nothing new happens.
     pub fn agenda(&self, now_ms: TimeMs) -> BlameAgenda {
-        let is_new = |accused: &Accused<I>| {
-            accused.has_crashes() && now_ms.since(accused.last_ms()) < NEWS_MS
+        let is_new = |evidence: &FeatureEvidence<I>| {
+            evidence.has_crashes() && now_ms.since(evidence.last_ms()) < NEWS_MS
         };
-        let is_unreported = |conviction: &Conviction<I>| conviction.reported_ms.is_none();
-        if self.ripe_ms.is_some() || self.convicted.values().any(is_unreported) {
+        let is_unreported = |quarantine: &QuarantineEntry<I>| quarantine.reported_ms.is_none();
+        if self.ripe_ms.is_some() || self.quarantined.values().any(is_unreported) {
             BlameAgenda::Weigh
-        } else if !self.acquitted_ms.is_empty() || self.accused.values().any(is_new) {
+        } else if !self.cleared_ms.is_empty() || self.evidence.values().any(is_new) {
             BlameAgenda::Report
-        } else if !self.convicted.is_empty() || self.accused.values().any(Accused::is_repeated) {
+        } else if !self.quarantined.is_empty()
+            || self.evidence.values().any(FeatureEvidence::is_repeated)
+        {
             BlameAgenda::Repeat
         } else {
             BlameAgenda::Nothing
@@ -193,7 +198,7 @@
     pub fn expire(&mut self, now_ms: TimeMs) {
         self.ended_ms.retain(|_, at_ms| now_ms.since(*at_ms) < END_MEMORY_MS);
         self.departed_ms.retain(|_, at_ms| now_ms.since(*at_ms) < END_MEMORY_MS);
-        self.explained_ms.retain(|_, at_ms| now_ms.since(*at_ms) < ACCUSED_MS);
+        self.explained_ms.retain(|_, at_ms| now_ms.since(*at_ms) < EVIDENCE_MS);
         for losses in self.losses.values_mut() {
             losses.retain(|loss| now_ms.since(loss.at_ms) <= CORRELATION_MS);
         }
@@ -201,18 +206,18 @@
         self.losses_len = self.losses.values().map(Vec::len).sum();
         self.trials_until_ms.retain(|_, until_ms| now_ms < *until_ms);
         // A feature that nobody has sent since its term ended is forgotten.
-        self.convicted
-            .retain(|_, conviction| now_ms < conviction.until_ms.after(TimeMs(conviction.term_ms)));
-        let convicted = &self.convicted;
-        self.accused.retain(|feature, accused| {
-            convicted.contains_key(feature) || now_ms.since(accused.last_ms()) < ACCUSED_MS
+        self.quarantined
+            .retain(|_, quarantine| now_ms < quarantine.until_ms.after(TimeMs(quarantine.term_ms)));
+        let quarantined = &self.quarantined;
+        self.evidence.retain(|feature, evidence| {
+            quarantined.contains_key(feature) || now_ms.since(evidence.last_ms()) < EVIDENCE_MS
         });
     }
 
-    /// The convicted features with the time until each may be tried again.
-    pub fn convicted(&self, now_ms: TimeMs) -> impl Iterator<Item = (Feature, TimeMs)> {
-        self.convicted
+    /// The quarantined features with the time until each may be tried again.
+    pub fn quarantined(&self, now_ms: TimeMs) -> impl Iterator<Item = (Feature, TimeMs)> {
+        self.quarantined
             .iter()
-            .map(move |(feature, conviction)| (*feature, conviction.until_ms.since(now_ms)))
+            .map(move |(feature, quarantine)| (*feature, quarantine.until_ms.since(now_ms)))
     }
 }
--- a/crates/coord/src/blame/verdict.rs
+++ b/crates/coord/src/blame/decision.rs
@@ -2,7 +2,7 @@
 
 use bilberryford_types::TimeMs;
 
-use super::{Blame, Feature, FeatureKind, SETTLE_MS, conviction::REQUEST_TERM_MS};
+use super::{Blame, Feature, FeatureKind, SETTLE_MS, quarantine::REQUEST_TERM_MS};
 
 /// How long a suspect runs apart after its last crash, in milliseconds: less than the time in which instances in touch
 /// have to stop it, since the one that tries it may get no request with it.
@@ -14,7 +14,7 @@
 
 /// What may be done with a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Verdict {
+pub enum BlameDecision {
     /// It may run.
     Run,
     /// It may run apart from other work, as the only trial of a suspect or of a feature whose term has ended.
@@ -29,7 +29,7 @@
     },
     /// It must not run.
     Refuse {
-        /// The convicted feature.
+        /// The quarantined feature.
         feature: Feature,
         /// The time until it may be tried again.
         left_ms: TimeMs,
@@ -39,28 +39,28 @@
 impl<I: Copy + Ord> Blame<I> {
     /// Says what may be done with a request that has `features`. `is_trier` is true if this instance is the one that
     /// tries a feature whose term has ended.
-    pub fn verdict(
+    pub fn decide(
         &self,
         features: &[Feature],
         is_trier: impl Fn(Feature) -> bool,
         now_ms: TimeMs,
-    ) -> Verdict {
+    ) -> BlameDecision {
         let mut tried: Option<Feature> = None;
         let mut is_suspect = false;
         let mut has_single = false;
         for feature in features.iter().copied() {
-            match self.convicted.get(&feature) {
-                Some(conviction) if conviction.until_ms > now_ms => {
-                    if conviction.comes_with(features) {
-                        let left_ms = conviction.until_ms.since(now_ms);
-                        return Verdict::Refuse { feature, left_ms };
+            match self.quarantined.get(&feature) {
+                Some(quarantine) if quarantine.until_ms > now_ms => {
+                    if quarantine.comes_with(features) {
+                        let left_ms = quarantine.until_ms.since(now_ms);
+                        return BlameDecision::Refuse { feature, left_ms };
                     }
                     has_single = true;
                 }
                 Some(_) => {}
                 None => {
                     if let Some(left_ms) = self.settling_ms(feature, now_ms) {
-                        return Verdict::Refuse { feature, left_ms };
+                        return BlameDecision::Refuse { feature, left_ms };
                     }
                     if !self.is_suspect(feature, now_ms) {
                         continue;
@@ -69,30 +69,32 @@
                 }
             }
             if self.is_on_trial(feature, now_ms) {
-                return Verdict::Wait { feature, left_ms: SUSPECT_RETRY_MS };
+                return BlameDecision::Wait { feature, left_ms: SUSPECT_RETRY_MS };
             }
             // One of several decides which instance tries them, so that not each of them names another one.
             tried = Some(tried.map_or(feature, |other| other.min(feature)));
         }
         match tried {
-            None => Verdict::Run,
+            None => BlameDecision::Run,
             // It comes without the parts that it came with before, which is rare: each instance may try it.
-            Some(feature) if has_single || is_trier(feature) => Verdict::Trial(feature),
-            Some(feature) if is_suspect => Verdict::Wait { feature, left_ms: SUSPECT_RETRY_MS },
-            Some(feature) => Verdict::Refuse { feature, left_ms: TRIAL_MS },
+            Some(feature) if has_single || is_trier(feature) => BlameDecision::Trial(feature),
+            Some(feature) if is_suspect => {
+                BlameDecision::Wait { feature, left_ms: SUSPECT_RETRY_MS }
+            }
+            Some(feature) => BlameDecision::Refuse { feature, left_ms: TRIAL_MS },
         }
     }
 
-    /// The time for which a feature is refused whose evidence is complete and not weighed yet. A request is convicted
+    /// The time for which a feature is refused whose evidence is complete and not weighed yet. A request is quarantined
     /// whatever the other reports are; of parts, another one may explain the crashes.
     pub(super) fn settling_ms(&self, feature: Feature, now_ms: TimeMs) -> Option<TimeMs> {
-        let accused = self.accused.get(&feature)?;
-        accused.convictable_since_ms(feature.kind())?;
+        let evidence = self.evidence.get(&feature)?;
+        evidence.quarantinable_since_ms(feature.kind())?;
         match feature.kind() {
             FeatureKind::Request => Some(TimeMs(REQUEST_TERM_MS)),
             FeatureKind::Part => {
-                let left_ms = self.ripe_at_ms(feature, accused)?.since(now_ms);
-                (accused.answers() == 0 && left_ms <= SETTLE_MS).then_some(SETTLE_MS)
+                let left_ms = self.ripe_at_ms(feature, evidence)?.since(now_ms);
+                (evidence.answers() == 0 && left_ms <= SETTLE_MS).then_some(SETTLE_MS)
             }
         }
     }
@@ -101,10 +103,10 @@
     /// else along. A request is no suspect: its caller repeats it a few times at most, each time after its end.
     pub(super) fn is_suspect(&self, feature: Feature, now_ms: TimeMs) -> bool {
         feature.kind() == FeatureKind::Part
-            && self.accused.get(&feature).is_some_and(|accused| {
-                accused.is_repeated()
-                    && accused.answers() == 0
-                    && now_ms.since(accused.last_ms()) < SUSPECT_MS
+            && self.evidence.get(&feature).is_some_and(|evidence| {
+                evidence.is_repeated()
+                    && evidence.answers() == 0
+                    && now_ms.since(evidence.last_ms()) < SUSPECT_MS
             })
     }
 
@@ -115,7 +117,7 @@
     /// Reserves the trial of what `features` has to try.
     pub fn start_trial(&mut self, features: &[Feature], now_ms: TimeMs) {
         for feature in features {
-            if self.convicted.contains_key(feature) {
+            if self.quarantined.contains_key(feature) {
                 self.trials_until_ms.insert(*feature, now_ms.after(TRIAL_MS));
             } else if self.is_suspect(*feature, now_ms) {
                 self.trials_until_ms.insert(*feature, now_ms.after(SUSPECT_MS));
@@ -123,11 +125,11 @@
         }
     }
 
-    /// The first of `features` that is convicted, so that its unanswered runs are to be withdrawn.
-    pub fn convicted_of(&self, features: &[Feature]) -> Option<Feature> {
+    /// The first of `features` that is quarantined, so that its unanswered runs are to be withdrawn.
+    pub fn quarantined_of(&self, features: &[Feature]) -> Option<Feature> {
         let is_in_term = |feature: &Feature| {
-            self.convicted.get(feature).is_some_and(|conviction| {
-                !conviction.has_term_ended && conviction.comes_with(features)
+            self.quarantined.get(feature).is_some_and(|quarantine| {
+                !quarantine.has_term_ended && quarantine.comes_with(features)
             })
         };
         features.iter().copied().find(is_in_term)
--- a/crates/coord/src/blame/evidence.rs
+++ b/crates/coord/src/blame/evidence.rs
@@ -4,15 +4,15 @@
 
 use super::{
     Blame, BlameChange, Feature, FeatureKind, Loss,
-    accused::{Accused, Crash},
-    conviction::Conviction,
+    feature_evidence::{Crash, FeatureEvidence},
+    quarantine::QuarantineEntry,
 };
 
 /// The longest time from a loss to the end of its incarnation, in milliseconds: the entry of an endpoint in the list
 /// expires some seconds after a crash.
 pub(super) const CORRELATION_MS: TimeMs = TimeMs(6_000);
-/// The most features that are accused at a time. Beyond them, those with the oldest single crash are forgotten first.
-const MAX_ACCUSED: usize = 4_096;
+/// The most features that are suspected at a time. Beyond them, those with the oldest single crash are forgotten first.
+const MAX_FEATURES: usize = 4_096;
 /// The most losses that wait for the end of their incarnations.
 const MAX_LOSSES: usize = 4_096;
 
@@ -26,17 +26,17 @@
                 self.answers_seen = self.answers_seen.saturating_add(1);
                 self.answers.add(*feature, now_ms);
             }
-            let is_tried = |conviction: &Conviction<I>| {
-                conviction.has_term_ended || !conviction.comes_with(features)
+            let is_tried = |quarantine: &QuarantineEntry<I>| {
+                quarantine.has_term_ended || !quarantine.comes_with(features)
             };
-            if self.convicted.get(feature).is_some_and(is_tried) {
-                self.acquitted_ms.insert(*feature, now_ms);
-                changes.extend(self.acquit(*feature, now_ms));
+            if self.quarantined.get(feature).is_some_and(is_tried) {
+                self.cleared_ms.insert(*feature, now_ms);
+                changes.extend(self.clear(*feature, now_ms));
             }
-            if let Some(accused) = self.accused.get_mut(feature) {
-                accused.record_answer();
-                // What may be convicted soon can't wait for the next report.
-                self.has_news |= accused.is_repeated() && !accused.is_outweighed(feature.kind());
+            if let Some(evidence) = self.evidence.get_mut(feature) {
+                evidence.record_answer();
+                // What may be quarantined soon can't wait for the next report.
+                self.has_news |= evidence.is_repeated() && !evidence.is_outweighed(feature.kind());
                 changes.extend(self.weigh_answers(*feature, now_ms));
             }
         }
@@ -55,7 +55,7 @@
             return Vec::new();
         }
         if self.ended_ms.contains_key(&incarnation) {
-            return self.accuse(features, incarnation, now_ms, now_ms);
+            return self.count_crash(features, incarnation, now_ms, now_ms);
         }
         if self.losses_len < MAX_LOSSES {
             self.losses_len += 1;
@@ -83,25 +83,25 @@
         {
             return Vec::new();
         }
-        self.accuse_lost(incarnation, now_ms)
+        self.count_losses(incarnation, now_ms)
     }
 
-    /// Records that a ready incarnation is no longer listed. It accuses what was lost before; an endpoint that leaves
+    /// Records that a ready incarnation is no longer listed. It counts against what was lost before; an endpoint that leaves
     /// without saying so may go on for a while.
     pub fn record_removal(&mut self, incarnation: I, now_ms: TimeMs) -> Vec<BlameChange> {
-        self.accuse_lost(incarnation, now_ms)
+        self.count_losses(incarnation, now_ms)
     }
 
-    pub(super) fn accuse_lost(&mut self, incarnation: I, now_ms: TimeMs) -> Vec<BlameChange> {
+    pub(super) fn count_losses(&mut self, incarnation: I, now_ms: TimeMs) -> Vec<BlameChange> {
         let losses = self.take_losses(incarnation);
         let coincident =
             losses.into_iter().filter(|loss| now_ms.since(loss.at_ms) <= CORRELATION_MS);
         coincident
-            .flat_map(|loss| self.accuse(&loss.features, incarnation, loss.at_ms, now_ms))
+            .flat_map(|loss| self.count_crash(&loss.features, incarnation, loss.at_ms, now_ms))
             .collect()
     }
 
-    /// Records that an incarnation leaves as planned: what is lost with it accuses nothing.
+    /// Records that an incarnation leaves as planned: what is lost with it counts against nothing.
     pub fn record_departure(&mut self, incarnation: I, now_ms: TimeMs) {
         self.departed_ms.insert(incarnation, now_ms);
         self.take_losses(incarnation);
@@ -114,7 +114,7 @@
     }
 
     /// Counts a crash that this instance observed against each of `features`.
-    pub(super) fn accuse(
+    pub(super) fn count_crash(
         &mut self,
         features: &[Feature],
         incarnation: I,
@@ -122,13 +122,13 @@
         now_ms: TimeMs,
     ) -> Vec<BlameChange> {
         let crash = Crash { incarnation, at_ms, reported_ms: None, is_local: true };
-        // The convicted features of the request explain the crash to the others.
-        let is_convicted = |feature: &Feature| self.convicted.contains_key(feature);
-        let convicted: Vec<_> = features.iter().copied().filter(is_convicted).collect();
-        if !convicted.is_empty() {
-            let mut changes = self.free_alike(&convicted, features, now_ms);
+        // The quarantined features of the request explain the crash to the others.
+        let is_quarantined = |feature: &Feature| self.quarantined.contains_key(feature);
+        let quarantined: Vec<_> = features.iter().copied().filter(is_quarantined).collect();
+        if !quarantined.is_empty() {
+            let mut changes = self.free_alike(&quarantined, features, now_ms);
             let added =
-                convicted.iter().flat_map(|feature| self.add_crash(*feature, crash, now_ms));
+                quarantined.iter().flat_map(|feature| self.add_crash(*feature, crash, now_ms));
             changes.extend(added);
             return changes;
         }
@@ -141,46 +141,46 @@
         crash: Crash<I>,
         now_ms: TimeMs,
     ) -> Vec<BlameChange> {
-        if self.convicted.contains_key(&feature) {
-            return self.add_crash_to_convicted(feature, crash, now_ms);
+        if self.quarantined.contains_key(&feature) {
+            return self.add_crash_to_quarantined(feature, crash, now_ms);
         }
         if self.explained_ms.contains_key(&crash.incarnation) || !self.make_room(feature, now_ms) {
             return Vec::new();
         }
-        let accused = self.accused.entry(feature).or_default();
+        let evidence = self.evidence.entry(feature).or_default();
         let answers = &mut self.answers;
-        if !accused.add(crash, feature.kind(), || answers.count(feature, now_ms), now_ms) {
+        if !evidence.add(crash, feature.kind(), || answers.count(feature, now_ms), now_ms) {
             return Vec::new();
         }
         self.has_news |= crash.is_local;
         let mut changes: Vec<_> = self.weigh_answers(feature, now_ms).into_iter().collect();
-        if let Some(accused) = self.accused.get(&feature) {
-            if accused.crashes().len() == 2 && !accused.is_outweighed(feature.kind()) {
-                changes.push(BlameChange::Suspected { feature, answers: accused.answers() });
+        if let Some(evidence) = self.evidence.get(&feature) {
+            if evidence.crashes().len() == 2 && !evidence.is_outweighed(feature.kind()) {
+                changes.push(BlameChange::Suspected { feature, answers: evidence.answers() });
             }
-            let ripe_ms = self.ripe_at_ms(feature, accused);
+            let ripe_ms = self.ripe_at_ms(feature, evidence);
             self.ripe_ms = self.ripe_ms.into_iter().chain(ripe_ms).min();
         }
         changes
     }
 
     /// Makes room for a feature, and returns false if there is none: of the features with a single crash, the quarter that
-    /// was accused longest ago is forgotten.
+    /// was suspected longest ago is forgotten.
     pub(super) fn make_room(&mut self, feature: Feature, now_ms: TimeMs) -> bool {
-        if self.accused.len() < MAX_ACCUSED || self.accused.contains_key(&feature) {
+        if self.evidence.len() < MAX_FEATURES || self.evidence.contains_key(&feature) {
             return true;
         }
         self.expire(now_ms);
-        let is_weak = |feature: &Feature, accused: &Accused<I>| {
-            !accused.is_repeated() && !self.convicted.contains_key(feature)
+        let is_weak = |feature: &Feature, evidence: &FeatureEvidence<I>| {
+            !evidence.is_repeated() && !self.quarantined.contains_key(feature)
         };
-        let weak = self.accused.iter().filter(|(feature, accused)| is_weak(feature, accused));
+        let weak = self.evidence.iter().filter(|(feature, evidence)| is_weak(feature, evidence));
         let mut weak: Vec<_> =
-            weak.map(|(feature, accused)| (accused.last_ms(), *feature)).collect();
+            weak.map(|(feature, evidence)| (evidence.last_ms(), *feature)).collect();
         weak.sort_unstable();
-        for (_, feature) in weak.into_iter().take(MAX_ACCUSED / 4) {
-            self.accused.remove(&feature);
+        for (_, feature) in weak.into_iter().take(MAX_FEATURES / 4) {
+            self.evidence.remove(&feature);
         }
-        self.accused.len() < MAX_ACCUSED
+        self.evidence.len() < MAX_FEATURES
     }
 }
--- a/crates/coord/src/blame/accused.rs
+++ b/crates/coord/src/blame/feature_evidence.rs
@@ -18,7 +18,7 @@
 const SPACING_MS: TimeMs = TimeMs(100);
 /// How long crashes that are outweighed by answers count beside new ones, in milliseconds.
 const OUTWEIGHED_MS: TimeMs = TimeMs(20_000);
-/// The crashes ahead for which answers are reported, so that a further crash does not convict before they have come.
+/// The crashes ahead for which answers are reported, so that a further crash does not quarantine before they have come.
 const REPORTED_AHEAD: u32 = 4;
 /// The most crashes that are remembered of a feature.
 const MAX_CRASHES: usize = 64;
@@ -63,7 +63,7 @@
 
 /// The crashes and answers of a feature.
 #[derive(Debug, Clone)]
-pub(super) struct Accused<I> {
+pub(super) struct FeatureEvidence<I> {
     crashes: Vec<Crash<I>>,
     /// Incarnations whose crashes were cleared; late reports of them are ignored.
     cleared: BTreeSet<I>,
@@ -77,7 +77,7 @@
     last_ms: TimeMs,
 }
 
-impl<I> Default for Accused<I> {
+impl<I> Default for FeatureEvidence<I> {
     fn default() -> Self {
         Self {
             crashes: Vec::new(),
@@ -92,7 +92,7 @@
     }
 }
 
-impl<I: Copy + Ord> Accused<I> {
+impl<I: Copy + Ord> FeatureEvidence<I> {
     pub(super) fn crashes(&self) -> &[Crash<I>] {
         &self.crashes
     }
@@ -249,8 +249,8 @@
         events >= CRASH_LIMIT || events + 1 >= CRASH_LIMIT && self.crashes.len() >= MANY_CRASHES
     }
 
-    /// The time since which the evidence suffices to convict; none if it does not.
-    pub(super) fn convictable_since_ms(&self, kind: FeatureKind) -> Option<TimeMs> {
+    /// The time since which the evidence suffices to quarantine; none if it does not.
+    pub(super) fn quarantinable_since_ms(&self, kind: FeatureKind) -> Option<TimeMs> {
         self.enough_since_ms.filter(|_| self.has_enough_crashes(kind) && !self.is_outweighed(kind))
     }
 
--- a/crates/coord/src/blame/reports.rs
+++ b/crates/coord/src/blame/reports.rs
@@ -7,13 +7,13 @@
 
 use super::{
     Blame, BlameChange, Feature,
-    accused::{Answers, Crash},
-    conviction::Conviction,
+    feature_evidence::{Answers, Crash},
+    quarantine::QuarantineEntry,
 };
 
-/// The most parts that a reported conviction names as alike.
+/// The most parts that a reported quarantine names as alike.
 const MAX_NAMED_ALIKE: usize = 4;
-/// How long a new crash, conviction or acquittal is part of every report, in milliseconds: several messages.
+/// How long a new crash, quarantine or clearing is part of every report, in milliseconds: several messages.
 pub(super) const NEWS_MS: TimeMs = TimeMs(2_500);
 /// The interval at which repeated evidence is reported once more, in milliseconds: peers start and reconnect.
 const REPEAT_MS: TimeMs = TimeMs(2_000);
@@ -21,12 +21,12 @@
 const REPORTERS: usize = 3;
 /// How long an instance that is no reporter waits for the report of one, in milliseconds.
 pub(super) const OVERDUE_MS: TimeMs = TimeMs(150);
-/// The entries of a message that a conviction counts as, for its size.
-const CONVICTION_ENTRIES: usize = 4;
-/// The most incarnations that a reported conviction names.
+/// The entries of a message that a quarantine counts as, for its size.
+const QUARANTINE_ENTRIES: usize = 4;
+/// The most incarnations that a reported quarantine names.
 const MAX_NAMED_INCARNATIONS: usize = 8;
 
-/// A crash that accuses a feature.
+/// A crash that counts against a feature.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashReport<I> {
     /// The feature.
@@ -37,7 +37,7 @@
     pub age_ms: u32,
 }
 
-/// The answers on an accused feature at the sender, since its start.
+/// The answers on a suspected feature at the sender, since its start.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AnswerReport {
     /// The feature.
@@ -50,14 +50,14 @@
 
 /// A feature that the sender refuses.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ConvictionReport<I> {
+pub struct QuarantineReport<I> {
     /// The feature.
     pub feature: Feature,
     /// How much longer it is refused.
     pub left_ms: u32,
     /// The length of its term.
     pub term_ms: u32,
-    /// Some of the incarnations whose crashes convicted it.
+    /// Some of the incarnations whose crashes quarantined it.
     pub incarnations: Vec<I>,
     /// The parts that the evidence can't tell apart from it.
     pub alike: Vec<Feature>,
@@ -71,9 +71,9 @@
     /// Answers at the sender.
     pub answers: Vec<AnswerReport>,
     /// Features that the sender refuses.
-    pub convictions: Vec<ConvictionReport<I>>,
-    /// Features that the sender's trial acquitted.
-    pub acquitted: Vec<Feature>,
+    pub quarantines: Vec<QuarantineReport<I>>,
+    /// Features that the sender's trial cleared.
+    pub cleared: Vec<Feature>,
 }
 
 impl<I> Default for BlameReports<I> {
@@ -81,8 +81,8 @@
         Self {
             crashes: Vec::new(),
             answers: Vec::new(),
-            convictions: Vec::new(),
-            acquitted: Vec::new(),
+            quarantines: Vec::new(),
+            cleared: Vec::new(),
         }
     }
 }
@@ -92,8 +92,8 @@
     pub fn is_empty(&self) -> bool {
         self.crashes.is_empty()
             && self.answers.is_empty()
-            && self.convictions.is_empty()
-            && self.acquitted.is_empty()
+            && self.quarantines.is_empty()
+            && self.cleared.is_empty()
     }
 }
 
@@ -121,23 +121,23 @@
         now_ms: TimeMs,
     ) -> BlameReports<I> {
         let mut left = limit;
-        let convictions = self.take_convictions(&mut left, &rank, now_ms);
+        let quarantines = self.take_quarantines(&mut left, &rank, now_ms);
         let mut crashes = Vec::new();
         let mut answers = Vec::new();
         // What may be decided first comes first.
-        let mut by_evidence: Vec<_> = self.accused.iter_mut().collect();
-        by_evidence.sort_by_key(|(_, accused)| std::cmp::Reverse(accused.crashes().len()));
-        for (feature, accused) in by_evidence {
+        let mut by_evidence: Vec<_> = self.evidence.iter_mut().collect();
+        by_evidence.sort_by_key(|(_, evidence)| std::cmp::Reverse(evidence.crashes().len()));
+        for (feature, evidence) in by_evidence {
             let is_reporter = || rank(*feature) < REPORTERS;
             if left > 0
-                && let Some(counted) = accused.take_answer_report(feature.kind(), is_reporter)
+                && let Some(counted) = evidence.take_answer_report(feature.kind(), is_reporter)
             {
                 left -= 1;
                 let Answers { since, earlier } = counted;
                 answers.push(AnswerReport { feature: *feature, since, earlier });
             }
-            let is_repeated = accused.is_repeated();
-            let due = accused.crashes_mut().iter_mut().filter(|crash| {
+            let is_repeated = evidence.is_repeated();
+            let due = evidence.crashes_mut().iter_mut().filter(|crash| {
                 crash.is_local
                     && crash.reported_ms != Some(now_ms)
                     && crash.reported_ms.is_none_or(|at_ms| {
@@ -155,56 +155,56 @@
                 });
             }
         }
-        self.acquitted_ms.retain(|_, at_ms| now_ms.since(*at_ms) < NEWS_MS);
-        let acquitted = self.acquitted_ms.keys().copied().take(left).collect();
-        BlameReports { crashes, answers, convictions, acquitted }
+        self.cleared_ms.retain(|_, at_ms| now_ms.since(*at_ms) < NEWS_MS);
+        let cleared = self.cleared_ms.keys().copied().take(left).collect();
+        BlameReports { crashes, answers, quarantines, cleared }
     }
 
-    fn take_convictions(
+    fn take_quarantines(
         &mut self,
         left: &mut usize,
         rank: impl Fn(Feature) -> usize,
         now_ms: TimeMs,
-    ) -> Vec<ConvictionReport<I>> {
+    ) -> Vec<QuarantineReport<I>> {
         let due: Vec<_> = self
-            .convicted
+            .quarantined
             .iter()
-            .filter(|(feature, conviction)| {
+            .filter(|(feature, quarantine)| {
                 let rank = || rank(**feature);
-                match conviction.reported_ms {
+                match quarantine.reported_ms {
                     Some(at_ms) => now_ms.since(at_ms) >= REPEAT_MS && rank() == 0,
                     // The first ones report what all of them find out; they may lack the evidence.
-                    None => rank() < REPORTERS || conviction.is_overdue(now_ms),
+                    None => rank() < REPORTERS || quarantine.is_overdue(now_ms),
                 }
             })
             .map(|(feature, _)| *feature)
-            .take(*left / CONVICTION_ENTRIES)
+            .take(*left / QUARANTINE_ENTRIES)
             .collect();
-        *left -= due.len() * CONVICTION_ENTRIES;
+        *left -= due.len() * QUARANTINE_ENTRIES;
         for feature in &due {
-            if let Some(conviction) = self.convicted.get_mut(feature) {
-                conviction.reported_ms = Some(now_ms);
+            if let Some(quarantine) = self.quarantined.get_mut(feature) {
+                quarantine.reported_ms = Some(now_ms);
             }
         }
-        due.into_iter().filter_map(|feature| self.conviction_report(feature, now_ms)).collect()
+        due.into_iter().filter_map(|feature| self.quarantine_report(feature, now_ms)).collect()
     }
 
-    fn conviction_report(&self, feature: Feature, now_ms: TimeMs) -> Option<ConvictionReport<I>> {
-        let conviction = self.convicted.get(&feature)?;
-        let incarnations = conviction.incarnations.iter().copied().take(MAX_NAMED_INCARNATIONS);
-        Some(ConvictionReport {
+    fn quarantine_report(&self, feature: Feature, now_ms: TimeMs) -> Option<QuarantineReport<I>> {
+        let quarantine = self.quarantined.get(&feature)?;
+        let incarnations = quarantine.incarnations.iter().copied().take(MAX_NAMED_INCARNATIONS);
+        Some(QuarantineReport {
             feature,
-            left_ms: u32::try_from(conviction.until_ms.since(now_ms).get()).unwrap_or(u32::MAX),
-            term_ms: u32::try_from(conviction.term_ms).unwrap_or(u32::MAX),
+            left_ms: u32::try_from(quarantine.until_ms.since(now_ms).get()).unwrap_or(u32::MAX),
+            term_ms: u32::try_from(quarantine.term_ms).unwrap_or(u32::MAX),
             incarnations: incarnations.collect(),
-            alike: conviction.alike.iter().copied().take(MAX_NAMED_ALIKE).collect(),
+            alike: quarantine.alike.iter().copied().take(MAX_NAMED_ALIKE).collect(),
         })
     }
 
-    /// The convictions, at most `limit`, for an instance that has just started.
-    pub fn convictions(&self, limit: usize, now_ms: TimeMs) -> Vec<ConvictionReport<I>> {
-        let features = self.convicted.keys().take(limit);
-        features.filter_map(|feature| self.conviction_report(*feature, now_ms)).collect()
+    /// The quarantines, at most `limit`, for an instance that has just started.
+    pub fn quarantines(&self, limit: usize, now_ms: TimeMs) -> Vec<QuarantineReport<I>> {
+        let features = self.quarantined.keys().take(limit);
+        features.filter_map(|feature| self.quarantine_report(*feature, now_ms)).collect()
     }
 
     /// Applies the reports of `peer`, a number that is new with each of its starts.
@@ -217,14 +217,14 @@
         let mut changes = Vec::new();
         // Answers first: they may speak against what follows.
         for report in &reports.answers {
-            if let Some(accused) = self.accused.get_mut(&report.feature) {
+            if let Some(evidence) = self.evidence.get_mut(&report.feature) {
                 let AnswerReport { since, earlier, .. } = *report;
-                accused.record_peer_answers(peer, Answers { since, earlier });
+                evidence.record_peer_answers(peer, Answers { since, earlier });
                 changes.extend(self.weigh_answers(report.feature, now_ms));
             }
         }
-        for report in &reports.convictions {
-            changes.extend(self.apply_conviction(report, now_ms));
+        for report in &reports.quarantines {
+            changes.extend(self.apply_quarantine(report, now_ms));
         }
         for report in &reports.crashes {
             changes.extend(self.record_end(report.incarnation, now_ms));
@@ -235,33 +235,33 @@
                 reported_ms: None,
             };
             changes.extend(self.add_crash(report.feature, crash, now_ms));
-            if let Some(accused) = self.accused.get_mut(&report.feature)
-                && (!accused.has_crashes() || accused.is_outweighed(report.feature.kind()))
+            if let Some(evidence) = self.evidence.get_mut(&report.feature)
+                && (!evidence.has_crashes() || evidence.is_outweighed(report.feature.kind()))
             {
-                accused.has_refuted_report = true;
+                evidence.has_refuted_report = true;
             }
         }
-        for feature in &reports.acquitted {
-            let conviction = self.convicted.get(feature);
-            let is_tried = |conviction: &Conviction<I>| {
-                conviction.until_ms.since(now_ms) < NEWS_MS || !conviction.alike.is_empty()
+        for feature in &reports.cleared {
+            let quarantine = self.quarantined.get(feature);
+            let is_tried = |quarantine: &QuarantineEntry<I>| {
+                quarantine.until_ms.since(now_ms) < NEWS_MS || !quarantine.alike.is_empty()
             };
-            if conviction.is_some_and(is_tried) {
-                changes.extend(self.acquit(*feature, now_ms));
+            if quarantine.is_some_and(is_tried) {
+                changes.extend(self.clear(*feature, now_ms));
             }
         }
         changes
     }
 
-    fn apply_conviction(
+    fn apply_quarantine(
         &mut self,
-        report: &ConvictionReport<I>,
+        report: &QuarantineReport<I>,
         now_ms: TimeMs,
     ) -> Option<BlameChange> {
         let feature = report.feature;
         let incarnations: BTreeSet<I> = report.incarnations.iter().copied().collect();
         let until_ms = now_ms.after(TimeMs(report.left_ms.into()));
-        if let Some(known) = self.convicted.get_mut(&feature) {
+        if let Some(known) = self.quarantined.get_mut(&feature) {
             let is_new =
                 incarnations.iter().any(|incarnation| !known.incarnations.contains(incarnation));
             known.incarnations.extend(&incarnations);
@@ -277,11 +277,11 @@
             }
             return None;
         }
-        if !self.has_room_to_convict() || !self.make_room(feature, now_ms) {
+        if !self.has_room_to_quarantine() || !self.make_room(feature, now_ms) {
             return None;
         }
         let crashes = incarnations.len();
-        let accused = self.accused.entry(feature).or_default();
+        let evidence = self.evidence.entry(feature).or_default();
         for incarnation in &incarnations {
             let crash = Crash {
                 incarnation: *incarnation,
@@ -290,23 +290,23 @@
                 reported_ms: None,
             };
             let answers = &mut self.answers;
-            accused.add(crash, feature.kind(), || answers.count(feature, now_ms), now_ms);
+            evidence.add(crash, feature.kind(), || answers.count(feature, now_ms), now_ms);
         }
-        if accused.is_outweighed(feature.kind()) {
+        if evidence.is_outweighed(feature.kind()) {
             // The sender lacks answers that speak for the feature.
-            accused.has_refuted_report = true;
+            evidence.has_refuted_report = true;
             return None;
         }
         self.explain(&incarnations, now_ms);
         let alike = report.alike.clone();
-        let conviction =
-            Conviction::new(incarnations, alike, report.term_ms.into(), until_ms, now_ms);
-        self.convicted.insert(feature, conviction);
-        if let Some(conviction) = self.convicted.get_mut(&feature) {
+        let quarantine =
+            QuarantineEntry::new(incarnations, alike, report.term_ms.into(), until_ms, now_ms);
+        self.quarantined.insert(feature, quarantine);
+        if let Some(quarantine) = self.quarantined.get_mut(&feature) {
             // The sender has reported it to all.
-            conviction.reported_ms = Some(now_ms);
+            quarantine.reported_ms = Some(now_ms);
         }
-        Some(BlameChange::Convicted {
+        Some(BlameChange::Quarantined {
             feature,
             crashes,
             answers: 0,
--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -36,8 +36,8 @@
 pub use admission::{AdmissionController, AdmissionDecision, AdmissionRequest, ShedReason};
 pub use attempt::{Attempt, AttemptState, NotRun, Planned, Sent, Settled};
 pub use blame::{
-    ANSWERS_PER_CRASH, AnswerReport, Blame, BlameAgenda, BlameChange, BlameReports, CRASH_LIMIT,
-    ConvictionReport, CrashReport, Feature, FeatureKind, Verdict,
+    ANSWERS_PER_CRASH, AnswerReport, Blame, BlameAgenda, BlameChange, BlameDecision, BlameReports,
+    CRASH_LIMIT, CrashReport, Feature, FeatureKind, QuarantineReport,
 };
 pub use cell::{Cell, CellId, Cells, MAX_CELL_ENDPOINTS};
 pub use concurrency::{ConcurrencyLimit, QueueReport};
--- a/crates/coord/tests/blame.rs
+++ b/crates/coord/tests/blame.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashSet;
 
-use bilberryford_coord::{Blame, BlameChange, BlameReports, Feature, Verdict};
+use bilberryford_coord::{Blame, BlameChange, BlameDecision, BlameReports, Feature};
 use bilberryford_types::TimeMs;
 use rstest::rstest;
 
@@ -62,7 +62,7 @@
     }
 
     fn refuses(&self, feature: Feature) -> bool {
-        matches!(self.blame.verdict(&[feature], |_| false, self.now()), Verdict::Refuse { .. })
+        matches!(self.blame.decide(&[feature], |_| false, self.now()), BlameDecision::Refuse { .. })
     }
 
     fn reports(&mut self) -> BlameReports<Incarnation> {
@@ -76,26 +76,26 @@
     }
 }
 
-fn is_conviction(change: &BlameChange) -> bool {
-    matches!(change, BlameChange::Convicted { .. })
+fn is_quarantine(change: &BlameChange) -> bool {
+    matches!(change, BlameChange::Quarantined { .. })
 }
 
 #[test]
-fn a_request_is_convicted_by_its_third_crash() {
+fn a_request_is_quarantined_by_its_third_crash() {
     let mut instance = Instance::at(1_000);
     let poison = request("poison");
     for incarnation in 1..=2 {
         instance.crash(&[poison], incarnation);
         assert!(!instance.refuses(poison));
     }
-    assert!(instance.crash(&[poison], 3).iter().any(is_conviction));
+    assert!(instance.crash(&[poison], 3).iter().any(is_quarantine));
     assert!(instance.refuses(poison));
     assert!(!instance.refuses(request("another")));
 }
 
 /// No two of the requests are alike; they share the part and, with sound ones, all their other parts.
 #[test]
-fn a_part_is_convicted_by_crashes_of_requests_that_share_nothing_else() {
+fn a_part_is_quarantined_by_crashes_of_requests_that_share_nothing_else() {
     let mut instance = Instance::at(1_000);
     let (dead, system) = (part("dead"), part("system"));
     for incarnation in 1..=3u32 {
@@ -154,23 +154,23 @@
     let mut instance = Instance::at(1_000);
     let (suspect, below) = (part("suspect"), part("below"));
     instance.crash(&[request("1"), suspect, below], 1);
-    assert_eq!(instance.blame.verdict(&[suspect], |_| false, instance.now()), Verdict::Run);
+    assert_eq!(instance.blame.decide(&[suspect], |_| false, instance.now()), BlameDecision::Run);
     instance.crash(&[request("2"), suspect, below], 2);
     let features = [request("3"), suspect, below];
-    let elsewhere = instance.blame.verdict(&features, |_| false, instance.now());
-    assert!(matches!(elsewhere, Verdict::Wait { .. }), "{elsewhere:?}");
+    let elsewhere = instance.blame.decide(&features, |_| false, instance.now());
+    assert!(matches!(elsewhere, BlameDecision::Wait { .. }), "{elsewhere:?}");
     // Instances agree by one of the suspects, so that not each of them names another instance.
     let names_one = |feature| feature == suspect.min(below);
-    let trial = instance.blame.verdict(&features, names_one, instance.now());
-    assert_eq!(trial, Verdict::Trial(suspect.min(below)));
+    let trial = instance.blame.decide(&features, names_one, instance.now());
+    assert_eq!(trial, BlameDecision::Trial(suspect.min(below)));
     let now = instance.now();
     instance.blame.start_trial(&features, now);
     for features in [&[suspect], &[below]] {
-        let second = instance.blame.verdict(features, |_| true, now);
-        assert!(matches!(second, Verdict::Wait { .. }), "{second:?}");
+        let second = instance.blame.decide(features, |_| true, now);
+        assert!(matches!(second, BlameDecision::Wait { .. }), "{second:?}");
     }
     instance.answer(&features, 1);
-    assert_eq!(instance.blame.verdict(&[suspect], |_| false, instance.now()), Verdict::Run);
+    assert_eq!(instance.blame.decide(&[suspect], |_| false, instance.now()), BlameDecision::Run);
 }
 
 #[test]
@@ -180,11 +180,11 @@
     instance.crash(&[suspect], 1);
     instance.crash(&[suspect], 2);
     instance.pass(5_000);
-    assert_eq!(instance.blame.verdict(&[suspect], |_| false, instance.now()), Verdict::Run);
+    assert_eq!(instance.blame.decide(&[suspect], |_| false, instance.now()), BlameDecision::Run);
 }
 
 #[test]
-fn planned_ends_accuse_nothing() {
+fn planned_ends_count_against_nothing() {
     let mut instance = Instance::at(1_000);
     let sound = [request("sound"), part("sound")];
     for incarnation in 1..=6 {
@@ -223,7 +223,7 @@
 
 /// A part that many requests share is in flight wherever endpoints fail.
 #[test]
-fn endpoints_that_fail_together_convict_no_part() {
+fn endpoints_that_fail_together_quarantine_no_part() {
     let mut instance = Instance::at(1_000);
     let popular = part("popular");
     for incarnation in 1..=40u32 {
@@ -270,7 +270,7 @@
 
 /// One that crashes half of its runs.
 #[test]
-fn a_part_that_crashes_now_and_then_is_convicted() {
+fn a_part_that_crashes_now_and_then_is_quarantined() {
     let mut instance = Instance::at(1_000);
     let flaky = part("flaky");
     for incarnation in 1..=3 {
@@ -300,9 +300,9 @@
     assert!(!instance.refuses(neighbour));
 }
 
-/// A part below the deadly one is accused with it each time; it is served again wherever it comes without it.
+/// A part below the deadly one is suspected with it each time; it is served again wherever it comes without it.
 #[test]
-fn what_rides_with_a_convicted_part_is_not_convicted_later() {
+fn what_rides_with_a_quarantined_part_is_not_quarantined_later() {
     let mut instance = Instance::at(1_000);
     let (dead, below) = (part("dead"), part("below"));
     instance.crash(&[request("1"), dead], 1);
@@ -311,7 +311,7 @@
     }
     assert!(instance.refuses(dead));
     assert!(!instance.refuses(below));
-    // A run that was under way when the part was convicted.
+    // A run that was under way when the part was quarantined.
     instance.crash(&[request("5"), dead, below], 5);
     instance.crash(&[request("6"), below], 6);
     instance.crash(&[request("7"), below], 7);
@@ -319,51 +319,51 @@
 }
 
 /// Two parts that come together each time: the evidence can't tell which of them crashes endpoints.
-fn convict_two_parts_together() -> (Instance, Feature, Feature) {
+fn quarantine_two_parts_together() -> (Instance, Feature, Feature) {
     let mut instance = Instance::at(1_000);
     let (dead, other) = (part("dead"), part("other"));
     for incarnation in 1..=3 {
         instance.crash(&[request(&incarnation.to_string()), other, dead], incarnation);
     }
     assert!(matches!(
-        instance.blame.verdict(&[other, dead], |_| true, instance.now()),
-        Verdict::Refuse { .. }
+        instance.blame.decide(&[other, dead], |_| true, instance.now()),
+        BlameDecision::Refuse { .. }
     ));
     (instance, dead, other)
 }
 
 #[test]
-fn a_part_that_came_with_the_deadly_one_is_acquitted_by_an_answer_without_it() {
-    let (mut instance, dead, other) = convict_two_parts_together();
+fn a_part_that_came_with_the_deadly_one_is_cleared_by_an_answer_without_it() {
+    let (mut instance, dead, other) = quarantine_two_parts_together();
     let alone = [request("sound"), other];
-    let verdict = instance.blame.verdict(&alone, |_| false, instance.now());
-    assert_eq!(verdict, Verdict::Trial(other));
+    let decision = instance.blame.decide(&alone, |_| false, instance.now());
+    assert_eq!(decision, BlameDecision::Trial(other));
     instance.answer(&alone, 1);
-    assert_eq!(instance.blame.verdict(&alone, |_| false, instance.now()), Verdict::Run);
+    assert_eq!(instance.blame.decide(&alone, |_| false, instance.now()), BlameDecision::Run);
     assert!(instance.refuses(dead), "it is the only one left");
-    // A peer that convicted both on its own learns of it.
-    let (mut peer, ..) = convict_two_parts_together();
+    // A peer that quarantined both on its own learns of it.
+    let (mut peer, ..) = quarantine_two_parts_together();
     let reports = instance.reports();
     peer.apply(1, &reports);
-    assert_eq!(peer.blame.verdict(&alone, |_| false, peer.now()), Verdict::Run);
+    assert_eq!(peer.blame.decide(&alone, |_| false, peer.now()), BlameDecision::Run);
     assert!(peer.refuses(dead));
 }
 
-/// Guards against a conviction that only instances know which leave its report to others.
+/// Guards against a quarantine that only instances know which leave its report to others.
 #[test]
-fn a_conviction_is_reported_by_an_instance_that_is_no_reporter_unless_another_one_does() {
-    let (mut instance, dead, other) = convict_two_parts_together();
+fn a_quarantine_is_reported_by_an_instance_that_is_no_reporter_unless_another_one_does() {
+    let (mut instance, dead, other) = quarantine_two_parts_together();
     let take = |instance: &mut Instance| {
         let now = instance.now();
-        instance.blame.take_reports(usize::MAX, |_| 7, now).convictions
+        instance.blame.take_reports(usize::MAX, |_| 7, now).quarantines
     };
     assert!(take(&mut instance).is_empty(), "a reporter may do it");
     instance.pass(200);
     assert!(instance.blame.has_news());
     let features: Vec<_> = take(&mut instance).into_iter().map(|report| report.feature).collect();
     assert!(features.contains(&dead) && features.contains(&other), "{features:?}");
-    let (mut second, ..) = convict_two_parts_together();
-    let (mut reporter, ..) = convict_two_parts_together();
+    let (mut second, ..) = quarantine_two_parts_together();
+    let (mut reporter, ..) = quarantine_two_parts_together();
     let reports = reporter.reports();
     second.apply(1, &reports);
     second.pass(500);
@@ -383,19 +383,19 @@
         instance.blame.record_end(incarnation, now);
     }
     instance.pass(200);
-    let both = instance.blame.verdict(&[system, dead], |_| true, instance.now());
-    assert!(matches!(both, Verdict::Refuse { .. }), "{both:?}");
+    let both = instance.blame.decide(&[system, dead], |_| true, instance.now());
+    assert!(matches!(both, BlameDecision::Refuse { .. }), "{both:?}");
     let sound = [request("sound"), system];
-    let verdict = instance.blame.verdict(&sound, |_| false, instance.now());
-    assert_eq!(verdict, Verdict::Trial(system));
+    let decision = instance.blame.decide(&sound, |_| false, instance.now());
+    assert_eq!(decision, BlameDecision::Trial(system));
     instance.answer(&sound, 1);
-    assert_eq!(instance.blame.verdict(&sound, |_| false, instance.now()), Verdict::Run);
+    assert_eq!(instance.blame.decide(&sound, |_| false, instance.now()), BlameDecision::Run);
     assert!(instance.refuses(dead));
 }
 
 /// With five crashes, an instance that has just started and has few answers does not wait for more of them.
 #[test]
-fn many_crashes_convict_soon_after_a_start() {
+fn many_crashes_quarantine_soon_after_a_start() {
     let mut instance = Instance::default();
     let dead = part("dead");
     for incarnation in 1..=5 {
@@ -407,10 +407,10 @@
 }
 
 #[test]
-fn a_crash_without_the_other_part_acquits_the_other_part() {
-    let (mut instance, dead, other) = convict_two_parts_together();
+fn a_crash_without_the_other_part_clears_the_other_part() {
+    let (mut instance, dead, other) = quarantine_two_parts_together();
     instance.crash(&[request("4"), dead], 4);
-    assert_eq!(instance.blame.verdict(&[other], |_| false, instance.now()), Verdict::Run);
+    assert_eq!(instance.blame.decide(&[other], |_| false, instance.now()), BlameDecision::Run);
     assert!(instance.refuses(dead));
 }
 
@@ -418,7 +418,7 @@
 #[rstest]
 #[case::all_received(1)]
 #[case::one_in_seven_received(7)]
-fn instances_convict_a_request_together(#[case] one_in: u64) {
+fn instances_quarantine_a_request_together(#[case] one_in: u64) {
     let mut instances = [Instance::at(0), Instance::at(0), Instance::at(0)];
     let poison = request("poison");
     let mut sent = 0u64;
@@ -468,22 +468,23 @@
     (1..=3).for_each(|incarnation| {
         instance.crash(&[dead], incarnation);
     });
-    let Verdict::Refuse { left_ms, .. } = instance.blame.verdict(&[dead], |_| true, instance.now())
+    let BlameDecision::Refuse { left_ms, .. } =
+        instance.blame.decide(&[dead], |_| true, instance.now())
     else {
         panic!("the part is not refused");
     };
     assert!(instance.pass(left_ms.get()).contains(&BlameChange::TermEnded { feature: dead }));
     assert!(instance.refuses(dead), "only the instance that tries it runs it");
-    let verdict = instance.blame.verdict(&[dead], |_| true, instance.now());
-    assert_eq!(verdict, Verdict::Trial(dead));
+    let decision = instance.blame.decide(&[dead], |_| true, instance.now());
+    assert_eq!(decision, BlameDecision::Trial(dead));
     let now = instance.now();
     instance.blame.start_trial(&[dead], now);
-    let second = instance.blame.verdict(&[dead], |_| true, now);
-    assert!(matches!(second, Verdict::Wait { .. }), "{second:?}");
+    let second = instance.blame.decide(&[dead], |_| true, now);
+    assert!(matches!(second, BlameDecision::Wait { .. }), "{second:?}");
     // The trial crashes: the next term is much longer, so that few trials crash in a day.
     instance.crash(&[dead], 4);
-    let Verdict::Refuse { left_ms: next_ms, .. } =
-        instance.blame.verdict(&[dead], |_| true, instance.now())
+    let BlameDecision::Refuse { left_ms: next_ms, .. } =
+        instance.blame.decide(&[dead], |_| true, instance.now())
     else {
         panic!("the part is not refused");
     };
@@ -491,17 +492,17 @@
     instance.pass(next_ms.get());
     instance.answer(&[dead], 1);
     assert!(!instance.refuses(dead));
-    assert!(instance.reports().acquitted.contains(&dead));
+    assert!(instance.reports().cleared.contains(&dead));
 }
 
-/// The number of features that the next reports accuse.
-fn accused_features(instance: &mut Instance) -> usize {
+/// The number of features with crashes in the next reports.
+fn evidence_features(instance: &mut Instance) -> usize {
     let crashes = instance.reports().crashes;
     crashes.iter().map(|crash| crash.feature).collect::<HashSet<_>>().len()
 }
 
 #[test]
-fn memory_is_bounded_and_a_convicted_feature_stays() {
+fn memory_is_bounded_and_a_quarantined_feature_stays() {
     let mut instance = Instance::at(1_000);
     let dead = part("dead");
     (1..=3).for_each(|incarnation| {
@@ -513,7 +514,7 @@
     }
     let now = instance.now();
     instance.blame.record_end(9, now);
-    assert!(accused_features(&mut instance) <= 4_096);
+    assert!(evidence_features(&mut instance) <= 4_096);
     for incarnation in 10..60 {
         let now = instance.now();
         let parts: Vec<_> = (0..200).map(|id| part(&format!("{incarnation}-{id}"))).collect();
@@ -522,7 +523,7 @@
         instance.pass(1);
     }
     assert!(instance.refuses(dead));
-    assert!(accused_features(&mut instance) <= 4_096);
+    assert!(evidence_features(&mut instance) <= 4_096);
     instance.pass(1_300_000);
     let now = instance.now();
     instance.blame.expire(now);
--- a/crates/coord/tests/blame_model.rs
+++ b/crates/coord/tests/blame_model.rs
@@ -10,7 +10,7 @@
     rc::Rc,
 };
 
-use bilberryford_coord::{Blame, BlameAgenda, BlameChange, BlameReports, Feature, Verdict};
+use bilberryford_coord::{Blame, BlameAgenda, BlameChange, BlameDecision, BlameReports, Feature};
 use bilberryford_types::TimeMs;
 use rand::{RngExt, SeedableRng, rngs::StdRng, seq::IndexedRandom};
 use rstest::rstest;
@@ -144,12 +144,12 @@
     crashes: usize,
     crashes_by_culprit: usize,
     /// The crashes until all instances refused each culprit.
-    crashes_until_convicted: Option<usize>,
+    crashes_until_quarantined: Option<usize>,
     /// The runs of each culprit that began too late, at most.
     late_runs: usize,
     sound: usize,
     sound_refused: usize,
-    falsely_convicted: HashSet<Feature>,
+    falsely_quarantined: HashSet<Feature>,
     false_ms: u64,
 }
 
@@ -162,7 +162,7 @@
     next_id: u64,
     events: BinaryHeap<Reverse<(u64, u64)>>,
     by_id: HashMap<u64, Event>,
-    convicted_since_ms: HashMap<Feature, u64>,
+    quarantined_since_ms: HashMap<Feature, u64>,
     culprits: HashMap<Feature, CulpritRecord>,
     random: StdRng,
     now_ms: u64,
@@ -189,7 +189,7 @@
             next_id: 1_000_000,
             events: BinaryHeap::new(),
             by_id: HashMap::new(),
-            convicted_since_ms: HashMap::new(),
+            quarantined_since_ms: HashMap::new(),
             culprits: HashMap::new(),
             random: StdRng::seed_from_u64(seed),
             now_ms: 0,
@@ -228,17 +228,17 @@
         instance.active_until_ms = self.now_ms + 3_000;
         for change in changes {
             match change {
-                BlameChange::Convicted { feature, .. } => {
+                BlameChange::Quarantined { feature, .. } => {
                     if !self.culprits().contains(&feature) {
-                        self.outcome.falsely_convicted.insert(feature);
-                        self.convicted_since_ms.entry(feature).or_insert(self.now_ms);
+                        self.outcome.falsely_quarantined.insert(feature);
+                        self.quarantined_since_ms.entry(feature).or_insert(self.now_ms);
                     }
                     self.withdraw(at);
-                    self.note_conviction();
+                    self.note_quarantine();
                 }
-                BlameChange::Acquitted { feature, .. } => {
-                    self.note_conviction();
-                    if let Some(since_ms) = self.convicted_since_ms.remove(&feature) {
+                BlameChange::Cleared { feature, .. } => {
+                    self.note_quarantine();
+                    if let Some(since_ms) = self.quarantined_since_ms.remove(&feature) {
                         self.outcome.false_ms = self.outcome.false_ms.max(self.now_ms - since_ms);
                     }
                 }
@@ -247,25 +247,27 @@
         }
     }
 
-    /// Withdraws the unanswered runs of what an instance has convicted.
+    /// Withdraws the unanswered runs of what an instance has quarantined.
     fn withdraw(&mut self, at: usize) {
         let blame = &self.instances[at].blame;
         self.runs.retain(|_, run| {
-            run.instance != at || run.is_answered || blame.convicted_of(&run.features).is_none()
+            run.instance != at || run.is_answered || blame.quarantined_of(&run.features).is_none()
         });
     }
 
-    fn note_conviction(&mut self) {
+    fn note_quarantine(&mut self) {
         let culprits = self.culprits();
         let below = Feature::of_part("m", "below");
         let refuses_all = |instance: &Instance| {
-            culprits.iter().all(|culprit| instance.blame.convicted_of(&[*culprit, below]).is_some())
+            culprits
+                .iter()
+                .all(|culprit| instance.blame.quarantined_of(&[*culprit, below]).is_some())
         };
-        if self.outcome.crashes_until_convicted.is_none()
+        if self.outcome.crashes_until_quarantined.is_none()
             && !culprits.is_empty()
             && self.instances.iter().all(refuses_all)
         {
-            self.outcome.crashes_until_convicted = Some(self.outcome.crashes_by_culprit);
+            self.outcome.crashes_until_quarantined = Some(self.outcome.crashes_by_culprit);
         }
     }
 
@@ -364,15 +366,15 @@
             let key = feature.to_string().bytes().map(usize::from).sum::<usize>();
             live[key % live.len()] == at
         };
-        let verdict = self.instances[at].blame.verdict(&features, is_trier, TimeMs(self.now_ms));
+        let decision = self.instances[at].blame.decide(&features, is_trier, TimeMs(self.now_ms));
         self.outcome.sound += usize::from(culprit.is_none());
-        let is_apart = match verdict {
-            Verdict::Run => false,
-            Verdict::Trial(_) => {
+        let is_apart = match decision {
+            BlameDecision::Run => false,
+            BlameDecision::Trial(_) => {
                 self.instances[at].blame.start_trial(&features, TimeMs(self.now_ms));
                 true
             }
-            Verdict::Wait { .. } | Verdict::Refuse { .. } => {
+            BlameDecision::Wait { .. } | BlameDecision::Refuse { .. } => {
                 self.outcome.sound_refused += usize::from(culprit.is_none());
                 return;
             }
@@ -491,7 +493,7 @@
         let now_ms = self.now_ms;
         let number = self.next_id;
         let peer = (at + 1) % self.case.instances;
-        let known = self.instances[peer].blame.convictions(16, TimeMs(now_ms));
+        let known = self.instances[peer].blame.quarantines(16, TimeMs(now_ms));
         let instance = &mut self.instances[at];
         instance.excused_until_ms = now_ms + for_ms + EXCUSED_MS;
         match kind {
@@ -501,7 +503,7 @@
                 let excused_until_ms = instance.excused_until_ms;
                 *instance = Instance::new(number);
                 instance.excused_until_ms = excused_until_ms;
-                let reports = BlameReports { convictions: known, ..BlameReports::default() };
+                let reports = BlameReports { quarantines: known, ..BlameReports::default() };
                 self.runs.retain(|_, run| run.instance != at);
                 self.change(at, |blame, now_ms| blame.apply_reports(0, &reports, now_ms));
             }
@@ -539,7 +541,7 @@
         }
         let late_runs = self.culprits.values().map(|record| record.late_runs);
         self.outcome.late_runs = late_runs.max().unwrap_or(0);
-        for since_ms in self.convicted_since_ms.values() {
+        for since_ms in self.quarantined_since_ms.values() {
             self.outcome.false_ms = self.outcome.false_ms.max(DAY_MS - since_ms);
         }
         self.outcome
@@ -554,17 +556,17 @@
     let most = |figure: &dyn Fn(&Outcome) -> usize| outcomes.iter().map(figure).max().unwrap_or(0);
     let sum = |figure: &dyn Fn(&Outcome) -> usize| outcomes.iter().map(figure).sum::<usize>();
     println!(
-        "{name}, {} instances: crashes {} (by other causes too {}), until convicted {}, not convicted {}, late runs {}, \
-         sound refused {} of {}, falsely convicted {} for {} ms",
+        "{name}, {} instances: crashes {} (by other causes too {}), until quarantined {}, not quarantined {}, late runs {}, \
+         sound refused {} of {}, falsely quarantined {} for {} ms",
         case.instances,
         most(&|outcome| outcome.crashes_by_culprit),
         most(&|outcome| outcome.crashes),
-        most(&|outcome| outcome.crashes_until_convicted.unwrap_or(0)),
-        outcomes.iter().filter(|outcome| outcome.crashes_until_convicted.is_none()).count(),
+        most(&|outcome| outcome.crashes_until_quarantined.unwrap_or(0)),
+        outcomes.iter().filter(|outcome| outcome.crashes_until_quarantined.is_none()).count(),
         most(&|outcome| outcome.late_runs),
         sum(&|outcome| outcome.sound_refused),
         sum(&|outcome| outcome.sound),
-        most(&|outcome| outcome.falsely_convicted.len()),
+        most(&|outcome| outcome.falsely_quarantined.len()),
         most(&|outcome| outcome.false_ms as usize),
     );
     outcomes
@@ -598,7 +600,7 @@
     let outcomes = play(&format!("{culprit:?} {share}"), case);
     for outcome in &outcomes {
         assert!(outcome.late_runs <= MAX_LATE_RUNS, "{outcome:?}");
-        assert!(outcome.crashes_until_convicted.is_some(), "{outcome:?}");
+        assert!(outcome.crashes_until_quarantined.is_some(), "{outcome:?}");
     }
     assert_sound_requests_run(&outcomes, MAX_REFUSED_SHARE);
 }
@@ -625,15 +627,15 @@
 }
 
 #[rstest]
-fn a_part_that_crashes_half_of_its_runs_is_convicted(#[values(3, 9, 99)] instances: usize) {
+fn a_part_that_crashes_half_of_its_runs_is_quarantined(#[values(3, 9, 99)] instances: usize) {
     let case = Case { share: 0.1, chance: 0.5, ..Case::new(instances, Culprit::Part) };
     let outcomes = play("Part 0.1, chance 0.5", case);
-    let missed = outcomes.iter().filter(|outcome| outcome.crashes_until_convicted.is_none());
+    let missed = outcomes.iter().filter(|outcome| outcome.crashes_until_quarantined.is_none());
     assert!(missed.count() * 10 <= outcomes.len(), "it is to be found on nine days of ten");
     assert_sound_requests_run(&outcomes, MAX_REFUSED_SHARE);
 }
 
-/// Endpoints that crash by other causes convict nothing for long.
+/// Endpoints that crash by other causes quarantine nothing for long.
 #[rstest]
 fn crashes_by_other_causes_shut_nobody_out(
     #[values(0.1, 1.0, 10.0, 60.0)] other_per_min: f64,
--- a/crates/gateway/src/controllers/blame.rs
+++ b/crates/gateway/src/controllers/blame.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, sync::atomic::Ordering, time::Duration};
 
-use bilberryford_coord::{BlameAgenda, BlameReports, ConvictionReport};
+use bilberryford_coord::{BlameAgenda, BlameReports, QuarantineReport};
 use bilberryford_types::TimeMs;
 use rand::seq::IndexedRandom;
 use tokio::{
@@ -18,10 +18,10 @@
 
 /// The most reports in one message, so that it fits into one datagram.
 const MAX_REPORTS_PER_MESSAGE: usize = 48;
-/// The most convictions in one message, at up to 105 bytes each.
-const MAX_CONVICTIONS_PER_MESSAGE: usize = 12;
-/// The most convictions in the answer to an instance that has just started; it learns of further ones as they are repeated.
-const MAX_CONVICTIONS_IN_ANSWER: usize = 96;
+/// The most quarantines in one message, at up to 105 bytes each.
+const MAX_QUARANTINES_PER_MESSAGE: usize = 12;
+/// The most quarantines in the answer to an instance that has just started; it learns of further ones as they are repeated.
+const MAX_QUARANTINES_IN_ANSWER: usize = 96;
 /// The shortest interval between two messages, so that many crashes at once cause few messages.
 const MIN_REPORT_INTERVAL: Duration = Duration::from_millis(20);
 /// The interval at which evidence is weighed while any is open.
@@ -71,15 +71,15 @@
 /// Answers the question of an instance that has just started. The last message ends its wait.
 pub(super) async fn answer(gateway: &Gateway, socket: &UdpSocket, from: SocketAddr) {
     let now_ms = gateway.clock.now();
-    let convictions = gateway.blame.lock().convictions(MAX_CONVICTIONS_IN_ANSWER, now_ms);
+    let quarantines = gateway.blame.lock().quarantines(MAX_QUARANTINES_IN_ANSWER, now_ms);
     let mut parts: Vec<_> =
-        convictions.chunks(MAX_CONVICTIONS_PER_MESSAGE).map(<[_]>::to_vec).collect();
+        quarantines.chunks(MAX_QUARANTINES_PER_MESSAGE).map(<[_]>::to_vec).collect();
     let last = parts.pop().unwrap_or_default();
     for part in parts {
         send_message(
             socket,
             &[from],
-            &message(gateway, convictions_only(part), BlameOccasion::News),
+            &message(gateway, quarantines_only(part), BlameOccasion::News),
         )
         .await;
     }
@@ -87,19 +87,19 @@
         true => BlameOccasion::InformedAnswer,
         false => BlameOccasion::UninformedAnswer,
     };
-    let answer = message(gateway, convictions_only(last), occasion);
+    let answer = message(gateway, quarantines_only(last), occasion);
     send_message(socket, &[from], &answer).await;
 }
 
-fn convictions_only(convictions: Vec<ConvictionReport<EndpointTag>>) -> BlameReports<EndpointTag> {
-    BlameReports { convictions, ..BlameReports::default() }
+fn quarantines_only(quarantines: Vec<QuarantineReport<EndpointTag>>) -> BlameReports<EndpointTag> {
+    BlameReports { quarantines, ..BlameReports::default() }
 }
 
 fn finish_learning(gateway: &Gateway, source: &'static str) {
     if !gateway.has_learned_blame.swap(true, Ordering::Relaxed) {
-        let convicted = gateway.blame.lock().convicted(gateway.clock.now()).count();
+        let quarantined = gateway.blame.lock().quarantined(gateway.clock.now()).count();
         log::info!(
-            target: "belief", source = source, quarantined = convicted;
+            target: "belief", source = source, quarantined = quarantined;
             "quarantined features learned"
         );
     }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -11,7 +11,7 @@
 
 use std::sync::Arc;
 
-use bilberryford_coord::Verdict;
+use bilberryford_coord::BlameDecision;
 use bilberryford_types::{EndpointId, ErrorKind, PoolName, TimeMs};
 use bytes::Bytes;
 use hyper::{
@@ -266,18 +266,20 @@
 
     /// Refuses a request that has a quarantined feature, or one that another request is trying.
     fn check_blame(&mut self, progress: &mut Progress) -> Result<(), ErrorResponse> {
-        let (feature, kind, left_ms) = match self.gateway.take_verdict(&self.features) {
-            Verdict::Run => return Ok(()),
+        let (feature, kind, left_ms) = match self.gateway.take_decision(&self.features) {
+            BlameDecision::Run => return Ok(()),
             // The trial that it waits for may be its own.
-            Verdict::Wait { .. } if progress.is_apart => return Ok(()),
-            Verdict::Trial(feature) => {
+            BlameDecision::Wait { .. } if progress.is_apart => return Ok(()),
+            BlameDecision::Trial(feature) => {
                 progress.is_apart = true;
                 self.record.notes.push("apart");
                 self.record.blamed = Some(self.features.describe(feature));
                 return Ok(());
             }
-            Verdict::Wait { feature, left_ms } => (feature, ErrorKind::SuspectRunning, left_ms),
-            Verdict::Refuse { feature, left_ms } => (feature, ErrorKind::HeldBack, left_ms),
+            BlameDecision::Wait { feature, left_ms } => {
+                (feature, ErrorKind::SuspectRunning, left_ms)
+            }
+            BlameDecision::Refuse { feature, left_ms } => (feature, ErrorKind::HeldBack, left_ms),
         };
         self.record.notes.push("held_back");
         self.record.blamed = Some(self.features.describe(feature));
--- a/crates/gateway/src/forward/send.rs
+++ b/crates/gateway/src/forward/send.rs
@@ -119,7 +119,7 @@
             let head_timeout = Duration::from_millis(head_timeout_ms.get());
             let result = tokio::select! {
                 result = timeout(head_timeout, sending.as_mut()) => result,
-                feature = self.gateway.conviction_of(&self.features) => {
+                feature = self.gateway.quarantine_of(&self.features) => {
                     return SendOutcome::Withdrawn(feature);
                 }
             };
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -98,10 +98,10 @@
     pub(crate) limits_changed: Notify,
     started_ms: TimeMs,
     pub(crate) blame: Mutex<Blame<EndpointTag>>,
-    /// Notified when peers should hear of a crash, an answer or a conviction at once.
+    /// Notified when peers should hear of a crash, an answer or a quarantine at once.
     pub(crate) blame_changed: Notify,
-    /// The number of convictions so far, for those that wait for one.
-    convictions: watch::Sender<u64>,
+    /// The number of quarantines so far, for those that wait for one.
+    quarantines: watch::Sender<u64>,
     /// True once this instance knows what its peers blame, or has none that could know.
     pub(crate) has_learned_blame: AtomicBool,
     /// The peers that answered the question for what is blamed, and have just started as well.
@@ -166,7 +166,7 @@
             started_ms: Clock.now(),
             blame: Mutex::default(),
             blame_changed: Notify::new(),
-            convictions: watch::Sender::new(0),
+            quarantines: watch::Sender::new(0),
             has_learned_blame: AtomicBool::new(false),
             uninformed_peers: Mutex::default(),
             process_number: rand::random(),
--- a/crates/gateway/src/gateway/blame.rs
+++ b/crates/gateway/src/gateway/blame.rs
@@ -5,7 +5,7 @@
     time::Duration,
 };
 
-use bilberryford_coord::{Blame, BlameAgenda, BlameChange, Feature, Verdict};
+use bilberryford_coord::{Blame, BlameAgenda, BlameChange, BlameDecision, Feature};
 use bilberryford_types::TimeMs;
 use tokio::time::sleep;
 
@@ -31,15 +31,15 @@
     }
 
     /// Says what may be done with a request, and reserves its trial if it is one.
-    pub(crate) fn take_verdict(&self, features: &RequestFeatures) -> Verdict {
+    pub(crate) fn take_decision(&self, features: &RequestFeatures) -> BlameDecision {
         let now_ms = self.clock.now();
         let is_trier = |feature: Feature| self.rank_for(feature) == 0;
         let mut blame = self.blame.lock();
-        let verdict = blame.verdict(features.all(), is_trier, now_ms);
-        if matches!(verdict, Verdict::Trial(_)) {
+        let decision = blame.decide(features.all(), is_trier, now_ms);
+        if matches!(decision, BlameDecision::Trial(_)) {
             blame.start_trial(features.all(), now_ms);
         }
-        verdict
+        decision
     }
 
     /// The place of this instance among the live ones in the rendezvous order of a feature.
@@ -79,14 +79,14 @@
         }
     }
 
-    /// Waits until a feature of a request is convicted, so that its run is withdrawn unless it has been answered.
-    pub(crate) async fn conviction_of(&self, features: &RequestFeatures) -> Feature {
-        let mut convictions = self.convictions.subscribe();
+    /// Waits until a feature of a request is quarantined, so that its run is withdrawn unless it has been answered.
+    pub(crate) async fn quarantine_of(&self, features: &RequestFeatures) -> Feature {
+        let mut quarantines = self.quarantines.subscribe();
         loop {
-            if let Some(feature) = self.blame.lock().convicted_of(features.all()) {
+            if let Some(feature) = self.blame.lock().quarantined_of(features.all()) {
                 return feature;
             }
-            if convictions.changed().await.is_err() {
+            if quarantines.changed().await.is_err() {
                 // The sender lives as long as this gateway.
                 std::future::pending::<()>().await;
             }
@@ -130,7 +130,7 @@
                 target: "belief", feature:% = feature, kind:% = feature.kind(), crashes = 2,
                 answers = answers; "feature suspected of crashing endpoints"
             ),
-            BlameChange::Convicted {
+            BlameChange::Quarantined {
                 feature,
                 crashes,
                 answers,
@@ -139,7 +139,7 @@
                 is_reported,
             } => {
                 self.metrics.quarantined.add(1, &[]);
-                self.convictions.send_modify(|convictions| *convictions += 1);
+                self.quarantines.send_modify(|quarantines| *quarantines += 1);
                 log::warn!(
                     target: "belief", feature:% = feature, kind:% = feature.kind(),
                     crashes = crashes, answers = answers,
@@ -148,9 +148,9 @@
                     "feature quarantined: requests with it are refused"
                 );
             }
-            BlameChange::Acquitted { feature, answers } => log::warn!(
+            BlameChange::Cleared { feature, answers } => log::warn!(
                 target: "belief", feature:% = feature, kind:% = feature.kind(), answers = answers;
-                "feature acquitted: requests with it run again"
+                "feature cleared: requests with it run again"
             ),
             BlameChange::TermEnded { feature } => log::info!(
                 target: "belief", feature:% = feature, kind:% = feature.kind();
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -90,7 +90,7 @@
                 }
                 _ => tokio::select! {
                     frame = timeout(wait, self.incoming.frame()) => frame.ok(),
-                    feature = self.gateway.conviction_of(self.in_flight.features()) => {
+                    feature = self.gateway.quarantine_of(self.in_flight.features()) => {
                         self.record.blamed = Some(self.in_flight.features().describe(feature));
                         self.finish("held_back", true);
                         return Some(Err(io::ErrorKind::ConnectionAborted.into()));
