--- a/crates/coord/tests/blame.rs
+++ b/crates/coord/tests/blame.rs
@@ -147,7 +147,6 @@
     assert!(harmless.iter().all(|feature| !instance.refuses(*feature)));
 }
 
-/// An endpoint that leaves cuts what it has not finished; one that is removed from the list may leave unannounced.
 /// A part with two crashes and no answer: its next crash is to name it and take nothing else along.
 #[test]
 fn one_run_at_a_time_tries_a_suspect_and_an_answer_ends_that() {
@@ -183,6 +182,7 @@
     assert_eq!(instance.blame.decide(&[suspect], |_| false, instance.now()), BlameDecision::Run);
 }
 
+/// An endpoint that leaves cuts what it has not finished; one that is removed from the list may leave unannounced.
 #[test]
 fn planned_ends_count_against_nothing() {
     let mut instance = Instance::at(1_000);
@@ -529,3 +529,120 @@
     instance.blame.expire(now);
     assert!(instance.reports().crashes.is_empty());
 }
+
+/// A peer that does not know of the quarantine reports the crash against all parts of the request.
+#[test]
+fn a_crash_that_a_quarantined_part_explains_counts_against_no_other_part_when_a_peer_reports_it() {
+    let mut instance = Instance::at(1_000);
+    let (dead, below) = (part("dead"), part("below"));
+    for incarnation in 1..=3 {
+        instance.crash(&[request(&incarnation.to_string()), dead], incarnation);
+    }
+    instance.crash(&[request("4"), dead, below], 4);
+    let mut peer = Instance::at(1_000);
+    peer.crash(&[request("4"), dead, below], 4);
+    instance.apply(7, &peer.reports());
+    instance.crash(&[request("5"), below], 5);
+    instance.crash(&[request("6"), below], 6);
+    assert!(instance.refuses(dead));
+    assert!(!instance.refuses(below), "two crashes without the quarantined part");
+}
+
+#[test]
+fn a_quarantine_that_a_peer_reports_is_weighed_with_the_answers_here() {
+    let (mut instance, mut peer) = (Instance::at(1_000), Instance::at(1_000));
+    let popular = part("popular");
+    for incarnation in 1..=3 {
+        peer.crash(&[request(&incarnation.to_string()), popular], incarnation);
+    }
+    assert!(peer.refuses(popular));
+    let mut reports = peer.reports();
+    reports.crashes.clear();
+    assert!(!reports.quarantines.is_empty());
+    instance.answer(&[popular], 30);
+    instance.apply(7, &reports);
+    instance.pass(500);
+    assert!(!instance.refuses(popular));
+    let mut without_answers = Instance::at(1_000);
+    without_answers.apply(7, &reports);
+    assert!(without_answers.refuses(popular));
+}
+
+/// Many instances lose requests with a part in the same moment; the second moment is enough with five crashes.
+#[rstest]
+#[case::five_crashes(3, 2, true)]
+#[case::four_crashes(2, 2, false)]
+fn two_events_quarantine_a_part_with_five_crashes(
+    #[case] first: u32,
+    #[case] second: u32,
+    #[case] is_refused: bool,
+) {
+    let mut instance = Instance::at(1_000);
+    let dead = part("dead");
+    let mut incarnation = 0;
+    for crashes in [first, second] {
+        let now = instance.now();
+        for _ in 0..crashes {
+            incarnation += 1;
+            let own = request(&incarnation.to_string());
+            instance.blame.record_loss(&[own, dead], incarnation, now);
+            instance.blame.record_end(incarnation, now);
+        }
+        instance.pass(500);
+    }
+    assert_eq!(instance.refuses(dead), is_refused);
+}
+
+/// Answers of a peer that are under way when the third crash is seen come before the decision.
+#[rstest]
+#[case::never_answered_here(0, 40)]
+#[case::answered_here(2, 150)]
+fn evidence_that_is_complete_waits_for_the_answers_of_peers(
+    #[case] own_answers: usize,
+    #[case] delay_ms: u64,
+) {
+    let (mut instance, mut peer) = (Instance::at(1_000), Instance::at(1_000));
+    let popular = part("popular");
+    peer.answer(&[popular], 12);
+    instance.crash(&[request("1"), popular], 1);
+    instance.crash(&[request("2"), popular], 2);
+    instance.answer(&[popular], own_answers);
+    peer.crash(&[request("other"), popular], 1);
+    let now = instance.now();
+    instance.blame.record_loss(&[request("3"), popular], 3, now);
+    instance.blame.record_end(3, now);
+    let mut changes = instance.pass(delay_ms);
+    changes.extend(instance.apply(7, &peer.reports()));
+    changes.extend(instance.pass(1_000));
+    assert!(!changes.iter().any(is_quarantine), "{changes:?}");
+}
+
+/// A message has room for a few reports only.
+#[test]
+fn the_feature_with_most_crashes_is_reported_first() {
+    let mut pair = [part("first"), part("second")];
+    pair.sort();
+    let [once, twice] = pair;
+    let mut instance = Instance::at(1_000);
+    instance.crash(&[once], 1);
+    instance.crash(&[twice], 2);
+    instance.crash(&[twice], 3);
+    let now = instance.now();
+    let reports = instance.blame.take_reports(1, |_| 0, now);
+    assert_eq!(reports.crashes.len(), 1);
+    assert_eq!(reports.crashes[0].feature, twice);
+}
+
+/// A part that was sound and answered often begins to crash endpoints.
+#[test]
+fn crashes_that_answers_outweighed_long_ago_are_set_aside_with_them() {
+    let mut instance = Instance::at(1_000);
+    let changed = part("changed");
+    instance.crash(&[request("old"), changed], 1);
+    instance.answer(&[changed], 200);
+    instance.pass(60_000);
+    for incarnation in 2..=4 {
+        instance.crash(&[request(&incarnation.to_string()), changed], incarnation);
+    }
+    assert!(instance.refuses(changed));
+}
