The gateway goes on with a stream that its endpoint breaks off

What callers saw: an answer that stopped whenever an endpoint crashed in the middle of it, also where the route may be resumed; phones then come back by themselves, some never. Change: of a stream that may be resumed only whole events are passed on; when its endpoint breaks it off, the same response continues after the last one at another endpoint of the build that began it, as a further attempt of the route within the budget of retries. Not where the content was younger than 250 ms (it may have crashed its endpoint), the origin is not certain, or the attempts are used up.

--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -128,6 +128,7 @@
         service,
         team,
         stream,
+        last_event_id: None,
         deadline_ms,
         method: head.method,
         uri: head.uri,
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -7,8 +7,11 @@
 
 mod answer;
 mod choose;
+mod go_on;
 mod send;
 
+pub(crate) use go_on::StreamContinuation;
+
 use std::sync::Arc;
 
 use bilberryford_coord::BlameDecision;
@@ -59,6 +62,7 @@
 ];
 
 /// A request that is ready to be forwarded.
+#[derive(Clone)]
 pub(crate) struct Forward {
     pub(crate) gateway: Arc<Gateway>,
     pub(crate) facts: CallerFacts,
@@ -66,6 +70,8 @@
     pub(crate) service: PoolName,
     pub(crate) team: Option<Arc<Team>>,
     pub(crate) stream: StreamPart,
+    /// The last event that the caller has, if the gateway itself goes on with the stream.
+    pub(crate) last_event_id: Option<String>,
     pub(crate) deadline_ms: TimeMs,
     pub(crate) method: Method,
     pub(crate) uri: Uri,
@@ -92,7 +98,7 @@
 }
 
 /// The attempts of a request so far.
-#[derive(Default)]
+#[derive(Default, Clone)]
 struct Progress {
     /// The endpoints to avoid in further attempts.
     tried: Vec<EndpointId>,
@@ -149,9 +155,16 @@
 
     /// Makes attempts until one has a response or no further attempt is allowed.
     pub(crate) async fn run(
+        self,
+    ) -> Result<Response<ResponseBody>, (ErrorResponse, RequestRecord)> {
+        self.run_after(Progress::default()).await
+    }
+
+    /// Makes attempts after those of `progress`.
+    async fn run_after(
         mut self,
+        mut progress: Progress,
     ) -> Result<Response<ResponseBody>, (ErrorResponse, RequestRecord)> {
-        let mut progress = Progress::default();
         loop {
             match self.attempt(&mut progress).await {
                 Ok(Some(response)) => return Ok(response),
--- a/crates/gateway/src/forward/answer.rs
+++ b/crates/gateway/src/forward/answer.rs
@@ -12,17 +12,17 @@
 };
 use tokio::time::timeout;
 
-use super::{Forward, Progress, remove_hop_by_hop};
+use super::{Forward, Progress, StreamContinuation, remove_hop_by_hop};
 use crate::{
     connections::Connection,
     controllers::tell_stream,
     deployment::RetryPolicy,
-    event_stream::{EventPosition, is_event_stream},
+    event_stream::{EventBuffer, EventPosition, is_event_stream},
     features::ResponseStage,
     filters::StreamPart,
     in_flight::InFlight,
     placement::Candidate,
-    relay::{Relay, record_success, relay_body},
+    relay::{Relay, RelayedEvents, record_success, relay_body},
     responses::{ErrorResponse, ResponseBody, full_body},
 };
 
@@ -44,14 +44,24 @@
         if self.route.retry_policy != RetryPolicy::Stream && is_small {
             return self.buffer_response(progress, head, incoming, connection, in_flight).await;
         }
-        let event_position = is_event_stream(&head.headers).then(EventPosition::default);
-        if event_position.is_some() {
+        let is_stream = is_event_stream(&head.headers);
+        if is_stream {
             // A body with a length could not be broken off at its end.
             head.headers.remove(header::CONTENT_LENGTH);
         }
         if head.status.is_success() {
             self.record_stream(in_flight.candidate());
         }
+        let may_go_on = is_stream && head.status.is_success() && self.may_retry(progress);
+        let continuation =
+            may_go_on.then(|| StreamContinuation::new(self.clone(), progress.clone())).flatten();
+        let events = match continuation {
+            Some(continuation) => {
+                RelayedEvents::Resumable(EventBuffer::default(), Box::new(continuation))
+            }
+            None if is_stream => RelayedEvents::Final(EventPosition::default()),
+            None => RelayedEvents::None,
+        };
         let gateway = self.gateway.clone();
         let record = std::mem::take(&mut self.record);
         let relay = Relay {
@@ -60,7 +70,7 @@
             connection: Some(connection),
             in_flight,
             deadline_ms: self.deadline_ms,
-            event_position,
+            events,
             record,
             is_success: head.status.is_success(),
             is_finished: false,
--- a/crates/gateway/src/forward/send.rs
+++ b/crates/gateway/src/forward/send.rs
@@ -197,6 +197,7 @@
             rank: self.facts.prompt.is_some().then(|| self.rank()),
             cache_scope: scope.as_deref(),
             weight_version: candidate.weight_version,
+            last_event_id: self.last_event_id.as_deref(),
             fetch: &plan.fetch,
             save: &plan.save,
         };
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -59,7 +59,7 @@
 };
 pub use endpoint_limits::{EndpointLimits, LimitChange, LimitReport, LimitSharers, LimitStatement};
 pub use endpoints::{EndpointRecord, EndpointState, EndpointTable, ServedModel};
-pub use event_stream::EventPosition;
+pub use event_stream::{EventBuffer, EventPosition};
 pub use gateway::{Gateway, SetupError};
 pub use health::{CircuitState, EndpointHealth};
 pub use key_validity::KeyValidity;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -11,8 +11,9 @@
 
 use crate::{
     connections::Connection,
-    event_stream::EventPosition,
+    event_stream::{EventBuffer, EventPosition},
     features::ResponseStage,
+    forward::StreamContinuation,
     gateway::{ANSWER_AGE_MS, Gateway},
     health::EndpointHealth,
     in_flight::InFlight,
@@ -28,14 +29,32 @@
     pub(crate) connection: Option<Connection>,
     pub(crate) in_flight: InFlight,
     pub(crate) deadline_ms: TimeMs,
-    /// The position in a stream of events; none for other responses.
-    pub(crate) event_position: Option<EventPosition>,
+    pub(crate) events: RelayedEvents,
     pub(crate) record: RequestRecord,
     /// True if its status states that the endpoint ran the request.
     pub(crate) is_success: bool,
     pub(crate) is_finished: bool,
 }
 
+/// The events of a response.
+pub(crate) enum RelayedEvents {
+    /// The response is no stream of events.
+    None,
+    /// The stream ends with this response.
+    Final(EventPosition),
+    /// The stream may go on at another endpoint.
+    Resumable(EventBuffer, Box<StreamContinuation>),
+}
+
+/// The next part of a relayed body.
+enum Chunk {
+    Data(Bytes),
+    /// The response ends here, incomplete.
+    Failed(io::Error),
+    /// The endpoint broke the response off.
+    BrokenOff(io::Error),
+}
+
 impl Relay {
     fn finish(&mut self, outcome: &'static str, is_failure: bool) {
         if !std::mem::replace(&mut self.is_finished, true) {
@@ -64,7 +83,44 @@
     }
 
     fn is_inside_event(&self) -> bool {
-        self.event_position.is_some_and(|position| position.is_inside_event())
+        match &self.events {
+            RelayedEvents::None => false,
+            RelayedEvents::Final(position) => position.is_inside_event(),
+            RelayedEvents::Resumable(buffer, _) => buffer.is_inside_event(),
+        }
+    }
+
+    /// Reads the next bytes of the response, and returns those that are to be passed on.
+    fn read_events(&mut self, data: Bytes) -> Bytes {
+        match &mut self.events {
+            RelayedEvents::None => data,
+            RelayedEvents::Final(position) => {
+                position.read(&data);
+                data
+            }
+            RelayedEvents::Resumable(buffer, _) => buffer.push(&data),
+        }
+    }
+
+    /// Goes on with a stream that the endpoint broke off, and returns the rest of it; none if it ends here.
+    async fn go_on(mut self) -> Option<ResponseBody> {
+        let now_ms = self.gateway.clock.now();
+        let content_age_ms = self.record.first_byte_ms.map(|at_ms| now_ms.since(at_ms));
+        let rest = match std::mem::replace(&mut self.events, RelayedEvents::None) {
+            RelayedEvents::Resumable(buffer, continuation) => {
+                let last_event_id = buffer.last_event_id().map(str::to_owned);
+                match last_event_id {
+                    Some(id) => continuation.go_on(id, content_age_ms).await,
+                    None => None,
+                }
+            }
+            RelayedEvents::None | RelayedEvents::Final(_) => None,
+        };
+        match rest {
+            Some(_) => self.finish("went_on_elsewhere", false),
+            None => self.finish("answer_cut", true),
+        }
+        rest
     }
 
     /// Records that the endpoint broke the response off.
@@ -75,10 +131,10 @@
         self.gateway.update_health(endpoint, "answer_cut", |health, now_ms| {
             health.record_failure(now_ms, false);
         });
-        self.finish("answer_cut", true);
+        self.connection = None;
     }
 
-    async fn next_chunk(&mut self) -> Option<io::Result<Bytes>> {
+    async fn next_chunk(&mut self) -> Option<Chunk> {
         loop {
             let time_left_ms = self.deadline_ms.since(self.gateway.clock.now());
             let wait = Duration::from_millis(time_left_ms.get());
@@ -93,7 +149,7 @@
                     feature = self.gateway.quarantine_of(self.in_flight.features()) => {
                         self.record.blamed = Some(self.in_flight.features().describe(feature));
                         self.finish("held_back", true);
-                        return Some(Err(io::ErrorKind::ConnectionAborted.into()));
+                        return Some(Chunk::Failed(io::ErrorKind::ConnectionAborted.into()));
                     }
                 },
             };
@@ -104,11 +160,11 @@
                         self.in_flight.record_loss(ResponseStage::Head);
                     }
                     self.finish("deadline_in_answer", true);
-                    return Some(Err(io::ErrorKind::TimedOut.into()));
+                    return Some(Chunk::Failed(io::ErrorKind::TimedOut.into()));
                 }
                 Some(Some(Err(error))) => {
                     self.break_off();
-                    return Some(Err(io::Error::other(error)));
+                    return Some(Chunk::BrokenOff(io::Error::other(error)));
                 }
                 Some(Some(Ok(frame))) => {
                     let Ok(data) = frame.into_data() else { continue };
@@ -124,20 +180,20 @@
                         }
                         Some(_) => {}
                     }
-                    if let Some(position) = &mut self.event_position {
-                        position.read(&data);
-                    }
+                    let data = self.read_events(data);
                     // The server asks for nothing after the last byte of a body whose length it knows.
                     if self.incoming.is_end_stream() && !self.is_inside_event() {
                         self.complete();
                     }
-                    return Some(Ok(data));
+                    if !data.is_empty() {
+                        return Some(Chunk::Data(data));
+                    }
                 }
                 Some(None) if self.is_inside_event() => {
                     self.break_off();
                     // The server writes what came before while the body is pending, and nothing after an error.
                     yield_now().await;
-                    return Some(Err(io::ErrorKind::UnexpectedEof.into()));
+                    return Some(Chunk::BrokenOff(io::ErrorKind::UnexpectedEof.into()));
                 }
                 Some(None) => {
                     self.complete();
@@ -154,13 +210,40 @@
     }
 }
 
+/// A body that is being streamed: from the endpoint, or as the rest of a stream that goes on at another one.
+enum RelayState {
+    Relaying(Box<Relay>),
+    WentOn(ResponseBody),
+}
+
+type RelayItem = (io::Result<Frame<Bytes>>, Option<RelayState>);
+
+async fn next_item(mut state: RelayState) -> Option<RelayItem> {
+    loop {
+        match state {
+            RelayState::Relaying(mut relay) => match relay.next_chunk().await? {
+                Chunk::Data(data) => {
+                    return Some((Ok(Frame::data(data)), Some(RelayState::Relaying(relay))));
+                }
+                Chunk::Failed(error) => return Some((Err(error), None)),
+                Chunk::BrokenOff(error) => match relay.go_on().await {
+                    Some(rest) => state = RelayState::WentOn(rest),
+                    None => return Some((Err(error), None)),
+                },
+            },
+            RelayState::WentOn(mut rest) => {
+                let frame = rest.frame().await?;
+                let is_last = frame.is_err();
+                return Some((frame, (!is_last).then_some(RelayState::WentOn(rest))));
+            }
+        }
+    }
+}
+
 /// The streamed body, which ends with an error if the response is incomplete.
 pub(crate) fn relay_body(relay: Relay) -> ResponseBody {
-    let items = stream::unfold(Some(relay), |relay| async move {
-        let mut relay = relay?;
-        let item = relay.next_chunk().await?;
-        let is_last = item.is_err();
-        Some((item.map(Frame::data), (!is_last).then_some(relay)))
+    let items = stream::unfold(Some(RelayState::Relaying(Box::new(relay))), |state| async move {
+        next_item(state?).await
     });
     StreamBody::new(items).boxed_unsync()
 }
--- a/crates/gateway/src/translation.rs
+++ b/crates/gateway/src/translation.rs
@@ -70,6 +70,8 @@
     pub cache_scope: Option<&'a str>,
     /// The weight version that the engine must have loaded.
     pub weight_version: Option<u64>,
+    /// The last event that the caller has of a stream that the gateway itself goes on with.
+    pub last_event_id: Option<&'a str>,
     /// The sources from which the engine fetches cached parts; one entry for each part of the prompt, or empty.
     pub fetch: &'a [Option<PartSource>],
     /// The stores to which the engine saves parts after their prefill; one entry for each part of the prompt, or empty.
