--- a/crates/coord/src/blame.rs
+++ b/crates/coord/src/blame.rs
@@ -71,7 +71,7 @@
     Nothing,
 }
 
-/// A change of what is believed of a feature, for the log.
+/// A change of what is known of a feature, for the log.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum BlameChange {
     /// Its second crash was counted.
--- a/crates/coord/src/blame/feature_evidence.rs
+++ b/crates/coord/src/blame/feature_evidence.rs
@@ -70,7 +70,7 @@
     own: Tally,
     peers: BTreeMap<u64, Tally>,
     reported: Answers,
-    /// True if peers should hear of the answers although no crash is left to weigh.
+    /// True if the answers are to be reported to peers although no crash is left to weigh.
     pub(super) has_refuted_report: bool,
     /// The time of the crash that made the evidence suffice.
     enough_since_ms: Option<TimeMs>,
--- a/crates/coord/src/stream.rs
+++ b/crates/coord/src/stream.rs
@@ -2,8 +2,8 @@
 //!
 //! Endpoints of two builds may serve one service side by side, and what one build has begun only that build can continue.
 //! The caller names the attempt that brought its first event, and may come to any instance: the one that passed the
-//! event on may be dead, cut off or started anew. That instance therefore tells a few others before the event leaves
-//! ([`ranked_keepers`]), and an instance that does not know a stream asks them ([`StreamInquiry`]).
+//! event on may be dead, cut off or restarted. That instance therefore reports the origin to a few others before the
+//! event leaves ([`ranked_keepers`]), and an instance that does not know a stream asks them ([`StreamInquiry`]).
 //!
 //! Load pattern: an endpoint and a third of the instances crash in the middle of a roll-out, and within 100 ms dozens of
 //! callers take their streams up at the instances that are left. See `docs/design/streams.md`.
--- a/crates/gateway/src/controllers/peers.rs
+++ b/crates/gateway/src/controllers/peers.rs
@@ -68,7 +68,7 @@
 /// The peers that the store lists, by name.
 pub(super) type PeerAddresses = Arc<Mutex<HashMap<ObjectName, ListedPeer>>>;
 
-/// The socket for messages to peers, and the peers, for requests that tell or ask them something.
+/// The socket for messages to peers and the list of peers, for requests that have to report or ask something.
 pub(crate) struct PeerLink {
     pub(super) socket: Arc<UdpSocket>,
     pub(super) addresses: PeerAddresses,
--- a/crates/gateway/src/controllers/streams.rs
+++ b/crates/gateway/src/controllers/streams.rs
@@ -1,4 +1,4 @@
-//! Tells other instances where streams began, and asks them for streams that callers take up here.
+//! Reports to other instances where streams began, and asks them for streams that callers take up here.
 
 use std::{net::SocketAddr, time::Duration};
 
@@ -45,11 +45,10 @@
     ranked.collect()
 }
 
-/// Records that a stream began at `origin`, or goes on there, and tells its keepers.
+/// Records that a stream began at `origin`, or goes on there, and reports it to its keepers.
 ///
-/// The messages are handed to the socket before this returns, so that the caller can't come back with an event of which
-/// no other instance has been told.
-pub(crate) fn tell_stream(gateway: &Gateway, key: StreamKey, origin: StreamOrigin) {
+/// The messages are handed to the socket before this returns, so that no event leaves before the report of its stream.
+pub(crate) fn report_stream(gateway: &Gateway, key: StreamKey, origin: StreamOrigin) {
     let now_ms = gateway.clock.now();
     gateway.streams.lock().record(key, origin, now_ms);
     let Some(link) = gateway.peer_link.get() else { return };
@@ -66,9 +65,9 @@
         if peer == own_address {
             continue;
         }
-        // A peer that is not told answers that it does not know the stream; the others may.
+        // A peer without the report answers that it does not know the stream; the others may.
         if let Err(error) = link.socket.try_send_to(&bytes, peer) {
-            log::debug!(peer:% = peer, error:% = error; "can't tell a peer of a stream");
+            log::debug!(peer:% = peer, error:% = error; "can't report a stream to a peer");
         }
     }
 }
--- a/crates/gateway/src/forward/answer.rs
+++ b/crates/gateway/src/forward/answer.rs
@@ -15,7 +15,7 @@
 use super::{Forward, Progress, StreamContinuation, remove_hop_by_hop};
 use crate::{
     connections::Connection,
-    controllers::tell_stream,
+    controllers::report_stream,
     deployment::RetryPolicy,
     event_stream::{EventBuffer, EventPosition, is_event_stream},
     features::ResponseStage,
@@ -88,7 +88,7 @@
             }
             StreamPart::Continuation { key, origin, .. } => {
                 self.gateway.metrics.record_stream("continued");
-                tell_stream(&self.gateway, *key, *origin);
+                report_stream(&self.gateway, *key, *origin);
             }
         }
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -98,7 +98,7 @@
     pub(crate) limits_changed: Notify,
     started_ms: TimeMs,
     pub(crate) blame: Mutex<Blame<EndpointTag>>,
-    /// Notified when peers should hear of a crash, an answer or a quarantine at once.
+    /// Notified when a crash, an answer or a quarantine is to be reported to peers at once.
     pub(crate) blame_changed: Notify,
     /// The number of quarantines so far, for those that wait for one.
     quarantines: watch::Sender<u64>,
--- a/crates/gateway/src/gateway/streams.rs
+++ b/crates/gateway/src/gateway/streams.rs
@@ -7,7 +7,7 @@
 
 use super::Gateway;
 use crate::{
-    controllers::tell_stream, deployment::Route, local_state::BuildStanding,
+    controllers::report_stream, deployment::Route, local_state::BuildStanding,
     peer_loads::EndpointTag, placement::Candidate,
 };
 
@@ -100,12 +100,12 @@
         let origin = StreamOrigin::new(service, build);
         self.metrics.record_stream("begun");
         if self.build_standing(&candidate.id) == BuildStanding::AsListed {
-            return tell_stream(self, key, origin);
+            return report_stream(self, key, origin);
         }
         let (gateway, candidate, service) = (self.clone(), candidate.clone(), service.clone());
         tokio::spawn(async move {
             if gateway.confirm_build(&candidate, &service).await {
-                tell_stream(&gateway, key, origin);
+                report_stream(&gateway, key, origin);
             } else {
                 gateway.metrics.record_stream("begun_unconfirmed");
                 log::info!(
--- a/crates/gateway/src/rollout.rs
+++ b/crates/gateway/src/rollout.rs
@@ -88,7 +88,7 @@
 /// The published versions of one model's weights, each with the time from which its bound is counted.
 ///
 /// An instance that starts can't know when a version was published, and assumes that most of the bound has passed.
-/// Others that saw the publication tell it a time before which it was not, and the versions before.
+/// Others that saw the publication report a time before which it was not, and the versions before.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct PublishedWeights {
     versions: Vec<PublishedVersion>,
