--- a/crates/gateway/src/run_trace.rs
+++ b/crates/gateway/src/run_trace.rs
@@ -19,7 +19,7 @@
 }
 
 impl RunTrace {
-    /// Records that the process runs at `now_ms`. To be called at an interval of less than [`MAX_GAP_MS`].
+    /// Records that the process runs at `now_ms`. To be called every 450 ms at least.
     pub fn record(&mut self, now_ms: TimeMs) {
         if self.last_ms != TimeMs(0) && now_ms.since(self.last_ms) > MAX_GAP_MS {
             let begin_ms = self.catching_up_since(now_ms).unwrap_or(self.last_ms);
