Weights are dated at the time of reading unless the process was suspended

Now a gap of over 450 ms since the last record shows the suspension where the record is not written yet. A suspension below 450 ms is not seen, as before the trace.

--- a/crates/gateway/src/run_trace.rs
+++ b/crates/gateway/src/run_trace.rs
@@ -28,9 +28,12 @@
         self.last_ms = self.last_ms.max(now_ms);
     }
 
-    /// Returns a time before which nothing happened that the process reads only at `now_ms`.
+    /// Returns a time before which nothing happened that the process reads only at `now_ms`: the begin of a suspension that
+    /// it still catches up with, or else `now_ms` itself.
     pub fn unread_since(&self, now_ms: TimeMs) -> TimeMs {
-        let last_ms = if self.last_ms == TimeMs(0) { now_ms } else { self.last_ms };
+        // After a suspension, what arrived meanwhile may be read before the trace is written.
+        let is_suspended = self.last_ms != TimeMs(0) && now_ms.since(self.last_ms) > MAX_GAP_MS;
+        let last_ms = if is_suspended { self.last_ms } else { now_ms };
         self.catching_up_since(now_ms).unwrap_or(last_ms).min(now_ms)
     }
 
