Review, case 4: streams joined from two versions of a worker's software (ORDER)

A worker that starts anew under its id with the first endpoint of a new build is recorded with the old build until its entry comes, and the stream is taken up at a worker of the old one.

--- a/review/standins/src/http.rs
+++ b/review/standins/src/http.rs
@@ -2,9 +2,10 @@
 
 use std::{
     io::{self, Read, Write},
-    net::{SocketAddr, TcpListener, TcpStream},
-    sync::Arc,
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+    sync::{Arc, Mutex},
     thread,
+    time::Duration,
 };
 
 /// A request or a response: its first line, its headers and its body.
@@ -132,6 +133,8 @@
 pub enum Reply {
     /// Sends a response and keeps the connection.
     Send(u16, Vec<(String, String)>, Vec<u8>),
+    /// Sends a stream of events in chunks, with a pause before each.
+    Events(Vec<(String, String)>, Vec<String>, Duration),
     /// Leaves the request unanswered until its sender closes the connection.
     Silence,
 }
@@ -166,6 +169,21 @@
                     return;
                 }
             }
+            Reply::Events(headers, events, pause) => {
+                let mut head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n".to_owned();
+                for (name, value) in headers {
+                    head.push_str(&format!("{name}: {value}\r\n"));
+                }
+                head.push_str("\r\n");
+                let chunks = events.iter().map(|event| format!("{:x}\r\n{event}\r\n", event.len()));
+                let texts = std::iter::once(head).chain(chunks).chain(["0\r\n\r\n".to_owned()]);
+                for text in texts {
+                    thread::sleep(pause);
+                    if writer.write_all(text.as_bytes()).is_err() {
+                        return;
+                    }
+                }
+            }
             Reply::Silence => {
                 // Reads until the other side closes.
                 let _ = reader.message();
@@ -175,16 +193,41 @@
     }
 }
 
+/// The open connections of a server.
+#[derive(Clone, Default)]
+pub struct Connections(Arc<Mutex<Vec<TcpStream>>>);
+
+impl Connections {
+    /// Closes all of them, as the end of the server's process does.
+    pub fn close_all(&self) {
+        for stream in self.0.lock().unwrap().drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+}
+
 /// Serves `handler` on a free port of `ip`, with a thread for each connection, until the process ends.
 pub fn serve(
     ip: &str,
     handler: impl Fn(&Message) -> Reply + Send + Sync + 'static,
+) -> io::Result<SocketAddr> {
+    serve_with(ip, Connections::default(), handler)
+}
+
+/// The same, with the connections in the hands of the caller.
+pub fn serve_with(
+    ip: &str,
+    connections: Connections,
+    handler: impl Fn(&Message) -> Reply + Send + Sync + 'static,
 ) -> io::Result<SocketAddr> {
     let listener = TcpListener::bind((ip, 0))?;
     let address = listener.local_addr()?;
     let handler = Arc::new(handler);
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
+            if let Ok(stream) = stream.try_clone() {
+                connections.0.lock().unwrap().push(stream);
+            }
             let handler = handler.clone();
             thread::spawn(move || serve_connection(stream, handler.as_ref()));
         }
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -7,6 +7,7 @@
 mod lease;
 mod memory;
 mod platform;
+mod versions;
 mod wall;
 
 use std::process::ExitCode;
@@ -26,6 +27,7 @@
         "entry" => wall::run(wall::Change::Entry, trouble),
         "isolated" => wall::run(wall::Change::Isolated, trouble),
         "lease" => lease::run(trouble),
+        "versions" => versions::run(trouble),
         _ => Err(std::io::Error::other("no such case")),
     };
     match outcome {
--- a/review/standins/src/platform.rs
+++ b/review/standins/src/platform.rs
@@ -113,7 +113,7 @@
                     let metadata = json::field(&body, "Metadata").unwrap_or("{}");
                     (*status, json::number(metadata, "Rev").unwrap_or(0))
                 }
-                Reply::Silence => (0, 0),
+                Reply::Events(..) | Reply::Silence => (0, 0),
             };
             record.write(format!(
                 "store: {} {kind}, if at {:?}, {}: {status}, now at {rev}",
