A renewal of a lease changes its record, and one that others can't see extends nothing

Cause: a renewal wrote the record as it was, and the store keeps the version of an object that a write leaves unchanged. Other instances take a version that stays for 4.3 s as the sign of a holder that is gone, and their conditional write succeeds. Ruled out: a holder that stops renewing and a late write; the stores in the tests neither delay a holder nor lose a response. The log named neither renewals nor the version that an acquisition rests on; lines for a free and a lost lease and for an invisible renewal are added.

Change: the record counts its renewals; a renewal that leaves the version as it was extends nothing. Why it holds: each renewal moves the version that others count from, whatever the store does with equal writes, and permits never outlast a version that others can't see. An older record without the count reads as zero.

One test of a stand-in wrote equal contents 4,100 times to move versions; its contents differ now.

--- a/crates/coord/src/lease.rs
+++ b/crates/coord/src/lease.rs
@@ -11,6 +11,9 @@
 //! the object's version, and stops a margin before its end. Another instance measures the duration from *after* it
 //! first read that version, and its conditional update fails if the version has changed. Its measurement therefore
 //! starts later and ends later, whatever was lost, delayed or paused in between.
+//!
+//! A store may keep the version of an object that a write leaves as it is. Each renewal therefore changes the record, and
+//! one that leaves the version as it was extends nothing.
 
 use bilberryford_types::{Fencing, Incarnation, InstanceId, ObjectVersion, StoreEra, TimeMs};
 use serde::{Deserialize, Serialize};
@@ -33,6 +36,10 @@
     pub fencing: Fencing,
     /// The duration that the holder uses; others wait at least that long, even if their own is shorter.
     pub duration_ms: TimeMs,
+    /// The number of renewals since the acquisition. It makes the content of each renewal differ from the one before, so
+    /// that the store gives the object a new version.
+    #[serde(default)]
+    pub renewals: u64,
 }
 
 /// The lease's object as read from the platform.
@@ -129,6 +136,8 @@
 pub struct Held {
     fencing: Fencing,
     version: ObjectVersion,
+    /// The number of renewals in the object at `version`.
+    renewals: u64,
     acquired_at: TimeMs,
     /// The start of the call that wrote the current version; the duration counts from it.
     counted_from: TimeMs,
@@ -214,6 +223,7 @@
         let held = Held {
             fencing,
             version,
+            renewals: 0,
             acquired_at: started,
             counted_from: started,
             unconfirmed: None,
@@ -285,6 +295,7 @@
             holder: Some(self.holder.clone()),
             fencing: Fencing((last_fencing.get() + 1).max(floor)),
             duration_ms: self.terms.duration,
+            renewals: 0,
         };
         let update = LeaseUpdate { expected, record };
         let lease = self.with_state(Acquiring { update: update.clone(), started: now });
@@ -384,7 +395,14 @@
     /// Applies the outcome of a renewal.
     pub fn on_renewal(self, result: LeaseWriteOutcome, now: TimeMs) -> RenewalOutcome {
         match result {
-            LeaseWriteOutcome::Applied(version) => self.extend(version, now),
+            // Others still count from this version, so that the lease may be free to them.
+            LeaseWriteOutcome::Applied(version) if version == self.state.version => {
+                RenewalOutcome::ReadBack(self)
+            }
+            LeaseWriteOutcome::Applied(version) => {
+                let renewals = self.state.renewals + 1;
+                self.extend(version, renewals, now)
+            }
             LeaseWriteOutcome::Conflict | LeaseWriteOutcome::Unknown => {
                 RenewalOutcome::ReadBack(self)
             }
@@ -402,16 +420,17 @@
         if object.version == self.state.version {
             return RenewalOutcome::Held(self);
         }
-        self.extend(object.version, now)
+        self.extend(object.version, object.record.renewals, now)
     }
 
     /// Extends the lease after a renewal was applied. The version was written by the first unconfirmed renewal or a
     /// later one, so counting from the start of the first is safe.
-    fn extend(mut self, version: ObjectVersion, now: TimeMs) -> RenewalOutcome {
+    fn extend(mut self, version: ObjectVersion, renewals: u64, now: TimeMs) -> RenewalOutcome {
         if is_of_other_era(self.state.fencing, version) {
             return RenewalOutcome::Lost(self.into_watching());
         }
         self.state.version = version;
+        self.state.renewals = renewals;
         if let Some(started) = self.state.unconfirmed.take() {
             self.state.counted_from = started;
         }
@@ -429,8 +448,12 @@
     }
 
     fn update(&self, holder: Option<LeaseHolder>) -> LeaseUpdate {
-        let record =
-            LeaseRecord { holder, fencing: self.state.fencing, duration_ms: self.terms.duration };
+        let record = LeaseRecord {
+            holder,
+            fencing: self.state.fencing,
+            duration_ms: self.terms.duration,
+            renewals: self.state.renewals + 1,
+        };
         LeaseUpdate { expected: self.state.version, record }
     }
 }
--- a/crates/coord/tests/lease.rs
+++ b/crates/coord/tests/lease.rs
@@ -23,6 +23,7 @@
         holder: name.map(holder),
         fencing: Fencing(fencing),
         duration_ms: TERMS.duration,
+        renewals: 0,
     };
     LeaseObject { version: ObjectVersion::new(version), record }
 }
@@ -155,6 +156,40 @@
     assert!(held("a", 0).permit(TimeMs(3_000), true).is_none());
 }
 
+/// Guards against two holders: a store keeps the version of an object that a write leaves as it is, and others take an
+/// unchanged version for a holder that is gone.
+#[test]
+fn each_renewal_changes_the_record() {
+    let mut lease = held("a", 0);
+    let mut written = Vec::new();
+    for (now, version) in [(1_000, 2), (2_000, 3), (3_000, 4)] {
+        let (renewing, update) = lease.renew(TimeMs(now)).unwrap();
+        written.push(update.record);
+        let outcome = renewing
+            .on_renewal(LeaseWriteOutcome::Applied(ObjectVersion::new(version)), TimeMs(now));
+        let RenewalOutcome::Held(renewed) = outcome else {
+            panic!("an applied renewal lost the lease")
+        };
+        lease = renewed;
+    }
+    assert!(written.windows(2).all(|pair| pair[0] != pair[1]), "{written:?}");
+}
+
+/// Guards against a holder that acts on a renewal which nobody else can see.
+#[test]
+fn a_renewal_that_left_the_version_as_it_was_extends_nothing() {
+    let held = held("a", 0);
+    let (version, stops_at) = (held.version(), held.stops_at());
+    let (lease, update) = held.renew(TimeMs(1_500)).unwrap();
+    let unchanged = LeaseObject { version, record: update.record };
+    let renewal = match lease.on_renewal(LeaseWriteOutcome::Applied(version), TimeMs(1_600)) {
+        RenewalOutcome::ReadBack(lease) => lease.reconcile(Some(&unchanged), TimeMs(1_700)),
+        other => other,
+    };
+    let RenewalOutcome::Held(lease) = renewal else { panic!("the lease was lost before its end") };
+    assert_eq!(lease.stops_at(), stops_at);
+}
+
 /// One order sent under a permit, in the time of the simulation.
 #[derive(Debug)]
 struct Order {
@@ -209,14 +244,19 @@
 }
 
 impl World {
-    /// The store compares revisions, and knows nothing of the era in which a writer read them.
+    /// The store compares revisions, and knows nothing of the era in which a writer read them. A write that changes nothing
+    /// leaves the revision as it is.
     fn apply(&mut self, update: &LeaseUpdate) -> LeaseWriteOutcome {
         let current = self.object.as_ref().map_or(0, |object| object.version.revision());
         if current != update.expected.revision() {
             return LeaseWriteOutcome::Conflict;
         }
-        self.last_version += 1;
-        let version = ObjectVersion::in_era(self.era, self.last_version);
+        let is_change = self.object.as_ref().is_none_or(|object| object.record != update.record);
+        if is_change {
+            self.last_version += 1;
+        }
+        let revision = if is_change { self.last_version } else { current };
+        let version = ObjectVersion::in_era(self.era, revision);
         self.object = Some(LeaseObject { version, record: update.record.clone() });
         let is_of_era =
             update.expected == ObjectVersion::ABSENT || update.expected.era() == self.era;
--- a/crates/gateway/src/controllers/weight_orders.rs
+++ b/crates/gateway/src/controllers/weight_orders.rs
@@ -188,6 +188,13 @@
                 lease
             }
             WatchOutcome::Acquire { lease, update } => {
+                let taken_from = object.as_ref().and_then(|object| object.record.holder.as_ref());
+                log::info!(
+                    target: "belief", fencing:% = update.record.fencing,
+                    taken_from:? = taken_from.map(|holder| (&holder.instance, holder.incarnation)),
+                    version:% = update.expected;
+                    "lease for weight orders is free"
+                );
                 let outcome = match lease.on_write(self.write_lease(&update).await) {
                     AcquireOutcome::ReadBack(lease) => {
                         let object = self.read_lease().await.ok().flatten();
@@ -221,10 +228,24 @@
             }
             if self.now().since(renewed_ms) >= lease.terms().renew_every() {
                 renewed_ms = self.now();
+                let (fencing, version) = (lease.fencing(), lease.version());
                 lease = match self.renew(lease).await {
                     Ok(lease) => lease,
-                    Err(lease) => return lease,
+                    Err(lease) => {
+                        log::warn!(
+                            target: "belief", fencing:% = fencing, version:% = version;
+                            "lease for weight orders lost"
+                        );
+                        return lease;
+                    }
                 };
+                if lease.version() == version {
+                    log::warn!(
+                        target: "belief", fencing:% = fencing, version:% = version,
+                        stops_in_ms = lease.stops_at().since(self.now()).get();
+                        "renewal of the lease for weight orders not visible to others"
+                    );
+                }
             }
             for (target, engines) in pending_rollouts {
                 if !self.send_orders(&lease, &target, &engines).await {
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -1,6 +1,7 @@
 //! The platform: an object API with versions, conditional updates and watches, and a list of instances that may lag.
 //!
-//! The wire format is that of `bilberryford_platform::wire`. Every call is counted; a watch counts once however long it
+//! The wire format is that of `bilberryford_platform::wire`. A write that changes nothing leaves the object's version as it
+//! is and is no change to watches. Every call is counted; a watch counts once however long it
 //! waits. Faults that can be injected: an outage, slow calls, a rate limit, responses lost after the write took effect,
 //! writes that take effect late, and a list that lags or is frozen.
 
@@ -116,11 +117,16 @@
     fn write(&self, write: WriteRequest) -> Result<u64, u64> {
         let mut state = self.state.lock();
         let key = (write.kind.clone(), write.name.clone());
-        let current = state.objects.get(&key).map_or(0, |stored| stored.version);
+        let stored = state.objects.get(&key);
+        let current = stored.map_or(0, |stored| stored.version);
+        let is_change = stored.map(|stored| &stored.body) != write.body.as_ref();
         if current != write.expected {
             state.stats.conflicts += 1;
             return Err(current);
         }
+        if !is_change {
+            return Ok(current);
+        }
         state.version += 1;
         let version = state.version;
         match &write.body {
--- a/crates/standins/tests/object_store.rs
+++ b/crates/standins/tests/object_store.rs
@@ -148,6 +148,16 @@
     assert!(third > second, "a version was used twice");
 }
 
+#[tokio::test]
+async fn a_write_that_changes_nothing_leaves_the_version_as_it_is() {
+    let setup = Setup::new(Faults::default());
+    let first = setup.put(Precondition::Absent, "one").await.unwrap();
+    let second = setup.put(Precondition::Version(first), "one").await.unwrap();
+    assert_eq!(second, first);
+    let watch = setup.store.watch(ObjectKind::Order, first, TimeMs(0)).await.unwrap();
+    assert!(watch.changes.is_empty(), "{watch:?}");
+}
+
 #[tokio::test]
 async fn a_write_under_the_same_precondition_fences_a_late_one() {
     let faults = Faults { delay_writes: 1, delay_ms: 150, ..Faults::default() };
@@ -171,8 +181,9 @@
     let setup = Setup::new(Faults::default());
     let mut version = setup.put(Precondition::Absent, "one").await.unwrap();
     let first = version;
-    for _ in 0..4_100 {
-        version = setup.put(Precondition::Version(version), "more").await.unwrap();
+    for number in 0..4_100 {
+        let body = ["odd", "even"][number % 2];
+        version = setup.put(Precondition::Version(version), body).await.unwrap();
     }
     let watch = setup.store.watch(ObjectKind::Order, first, TimeMs(0)).await;
     assert_eq!(watch, Err(PlatformError::Compacted));
