A planned stop gives each waiting request a response, and passes no late one on

Cause of what was reproduced: when the time for a stop runs out, connections are closed whatever is under way on them. A request that waits in the queue of its endpoint, or for its next attempt, was cut without a byte, and a request that came on a connection accepted at the last moment (up to 3.2 s after the signal) was passed on and then cut.

Change: 0.4 s before the limit, requests without a response get `stopped_while_running` (502, may have run) in both front ends. A request that the gateway reads once its listener is closed is refused as `shutting_down` (503, not run, Retry-After 0) if its deadline lies after that moment. Streams that are cut are logged as `stopped_in_answer`, no longer as a caller that left.

--- a/crates/callers/src/lib.rs
+++ b/crates/callers/src/lib.rs
@@ -6,7 +6,8 @@
 //! A planned stop loses requests in two places if nothing prevents it: closing the listener resets connections that the
 //! kernel has accepted, and hyper closes a connection on which it has read nothing, whatever the socket holds by then.
 //! [`serve_callers`] therefore accepts what waits before it closes the listener, gives a new connection the time for its
-//! first request, and looks for unread bytes before it ends an idle one. See `docs/design/shutdown.md`.
+//! first request, and looks for unread bytes before it ends an idle one. A request that still has no response when the
+//! time for a stop runs out gets a final one instead of a closed connection. See `docs/design/shutdown.md`.
 
 mod connection;
 mod stream;
@@ -31,6 +32,10 @@
 /// How long connections are accepted after the first packet of further ones is dropped: a round trip, and the time that the
 /// kernel of a busy machine takes to process the last packet of a handshake.
 const HANDSHAKE_TIME: Duration = Duration::from_millis(100);
+/// The time in which the last responses are written, after those that are not ready were given up: the part of a short
+/// drain that [`ANSWER_TIME_DIVISOR`] leaves.
+const ANSWER_TIME: Duration = Duration::from_millis(400);
+const ANSWER_TIME_DIVISOR: u32 = 4;
 /// A packet filter that drops the first packet of a connection and accepts all others. Its input begins with the TCP header.
 const DROP_SYN: [SockFilter; 5] = [
     SockFilter::new(LOAD_BYTE, 0, 0, TCP_FLAGS_OFFSET),
@@ -55,6 +60,20 @@
 const TCP_SYN: u32 = 0x02;
 const TCP_ACK: u32 = 0x10;
 
+/// The stages of a planned stop, which the server and its embedder share.
+#[derive(Debug, Clone, Default)]
+pub struct StopStages {
+    /// Cancelled by the embedder: no connection is accepted any more, and kept ones end after their response.
+    pub closing: CancellationToken,
+    /// Cancelled by the server shortly before it closes all connections: a request without a response gets a final one.
+    pub ending: CancellationToken,
+}
+
+/// The time from the close of the listener to the end of the last response that is not given up.
+pub fn response_time(drain_timeout: Duration) -> Duration {
+    drain_timeout - ANSWER_TIME.min(drain_timeout / ANSWER_TIME_DIVISOR)
+}
+
 /// Responds to the requests of callers.
 pub trait Respond: Send + Sync + 'static {
     /// The body of a response. An error in it ends the connection, so that a truncated response never looks complete.
@@ -65,7 +84,8 @@
     /// The limits on a connection that is accepted now.
     fn connection_limits(&self) -> ConnectionLimits;
 
-    /// Responds to a request of the caller at `from`.
+    /// Responds to a request of the caller at `from`. Once [`StopStages::ending`] is cancelled, what is not ready is given up
+    /// and the response says so, since the connection is closed soon after.
     fn respond(
         &self,
         request: Request<Incoming>,
@@ -73,25 +93,33 @@
     ) -> impl Future<Output = Response<Self::Body>> + Send;
 }
 
-/// Accepts connections until `shutdown` is cancelled, then waits up to `drain_timeout` for the requests in progress.
+/// Accepts connections until the stop begins, then waits up to `drain_timeout` for the requests in progress.
 pub async fn serve_callers<R: Respond>(
     responder: Arc<R>,
     listener: TcpListener,
-    shutdown: CancellationToken,
+    stop: StopStages,
     drain_timeout: Duration,
 ) {
     let mut connections = JoinSet::new();
     let accept = |connections: &mut JoinSet<()>, stream, from| {
-        connections.spawn(serve_connection(responder.clone(), stream, from, shutdown.clone()));
+        connections.spawn(serve_connection(responder.clone(), stream, from, stop.closing.clone()));
     };
-    accept_until(&listener, shutdown.cancelled(), &mut connections, accept).await;
+    accept_until(&listener, stop.closing.cancelled(), &mut connections, accept).await;
     refuse_new(&listener);
     accept_until(&listener, sleep(HANDSHAKE_TIME), &mut connections, accept).await;
     for (stream, from) in take_waiting(listener) {
         accept(&mut connections, stream, from);
     }
-    let drained = async { while connections.join_next().await.is_some() {} };
-    if timeout(drain_timeout, drained).await.is_err() {
+    let response_time = response_time(drain_timeout);
+    if timeout(response_time, join_all(&mut connections)).await.is_ok() {
+        return;
+    }
+    log::info!(
+        target: "life", left = connections.len();
+        "stop is due; requests without a response get a final one"
+    );
+    stop.ending.cancel();
+    if timeout(drain_timeout - response_time, join_all(&mut connections)).await.is_err() {
         log::warn!(
             target: "life", left = connections.len();
             "drain timed out; closing the remaining connections"
@@ -99,6 +127,10 @@
     }
 }
 
+async fn join_all(connections: &mut JoinSet<()>) {
+    while connections.join_next().await.is_some() {}
+}
+
 /// Accepts connections until `end`.
 async fn accept_until(
     listener: &TcpListener,
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -73,7 +73,19 @@
     let routed = identify(gateway, deployment.as_deref(), &request, &mut record);
     let mut abort_recorder = AbortRecorder { gateway, record: Some(record.clone()) };
     let result = match routed {
-        Ok(routed) => forward_request(gateway, routed, request, record).await,
+        Ok(routed) if gateway.stops_before(routed.deadline_ms) => {
+            Err((ErrorResponse::new(ErrorKind::ShuttingDown), record))
+        }
+        Ok(routed) => {
+            let interrupted = record.clone();
+            tokio::select! {
+                biased;
+                result = forward_request(gateway, routed, request, record) => result,
+                () = gateway.stop_stages.ending.cancelled() => {
+                    Err((ErrorResponse::new(ErrorKind::StoppedWhileRunning), interrupted))
+                }
+            }
+        }
         Err(error) => Err((error, record)),
     };
     abort_recorder.record = None;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -15,13 +15,11 @@
 use std::{
     collections::{BTreeSet, HashMap, HashSet},
     net::SocketAddr,
-    sync::{
-        Arc, OnceLock,
-        atomic::{AtomicBool, Ordering},
-    },
+    sync::{Arc, OnceLock, atomic::AtomicBool},
 };
 
 use arc_swap::{ArcSwap, ArcSwapOption};
+use bilberryford_callers::StopStages;
 use bilberryford_coord::{Blame, BuildHistory, FairShares, StreamKey, StreamRecords};
 use bilberryford_platform::ObjectStore;
 use bilberryford_types::{Bytes, EndpointId, ModelName, PoolName, StoreEra, TimeMs};
@@ -145,7 +143,10 @@
     fair_shares: Mutex<HashMap<PoolName, FairShares>>,
     pub(crate) metrics: Metrics,
     pub(crate) request_log: RequestLog,
-    is_stopping: AtomicBool,
+    /// The stages of a planned stop.
+    pub(crate) stop_stages: StopStages,
+    /// The time at which responses that are not ready are given up; set once a planned stop has begun.
+    stop_due_ms: OnceLock<TimeMs>,
 }
 
 impl Gateway {
@@ -212,7 +213,8 @@
             fair_shares: Mutex::default(),
             metrics: Metrics::new()?,
             request_log: RequestLog::default(),
-            is_stopping: AtomicBool::new(false),
+            stop_stages: StopStages::default(),
+            stop_due_ms: OnceLock::new(),
         })
     }
 
@@ -251,12 +253,25 @@
             && self.knows_evacuations()
     }
 
-    pub(crate) fn stop(&self) {
-        self.is_stopping.store(true, Ordering::Relaxed);
+    /// Begins a planned stop, in which responses that are not ready in `due_in_ms` are given up. A later call changes nothing.
+    pub(crate) fn stop(&self, due_in_ms: TimeMs) {
+        self.stop_due_ms.get_or_init(|| self.clock.now().after(due_in_ms));
     }
 
     pub(crate) fn is_stopping(&self) -> bool {
-        self.is_stopping.load(Ordering::Relaxed)
+        self.stop_due_ms.get().is_some()
+    }
+
+    /// True for a request that comes after the time in which callers go elsewhere by themselves, and that may take longer
+    /// than this instance has left.
+    pub(crate) fn stops_before(&self, deadline_ms: TimeMs) -> bool {
+        self.stop_stages.closing.is_cancelled()
+            && self.stop_due_ms.get().is_some_and(|due_ms| deadline_ms > *due_ms)
+    }
+
+    /// True once responses that are not ready are given up, since the process exits.
+    pub(crate) fn is_stop_due(&self) -> bool {
+        self.stop_stages.ending.is_cancelled()
     }
 
     fn retry_limits(&self) -> RetryLimits {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -211,7 +211,9 @@
 
 impl Drop for Relay {
     fn drop(&mut self) {
-        self.finish("caller_left_in_answer", true);
+        let outcome =
+            if self.gateway.is_stop_due() { "stopped_in_answer" } else { "caller_left_in_answer" };
+        self.finish(outcome, true);
     }
 }
 
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -2,12 +2,12 @@
 
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
-use bilberryford_callers::serve_callers;
+use bilberryford_callers::{response_time, serve_callers};
+use bilberryford_types::TimeMs;
 use poem::{
     IntoResponse, Route, Server, endpoint::make_sync, get, http::StatusCode, listener::TcpAcceptor,
 };
 use tokio::{net::TcpListener, time::sleep};
-use tokio_util::sync::CancellationToken;
 
 use crate::{callers::GatewayResponder, controllers, gateway::Gateway};
 
@@ -63,16 +63,17 @@
         ready:% = settings.ready_listen;
         "started"
     );
-    let shutdown = CancellationToken::new();
     let grace = Duration::from_millis(gateway.bounds().grace_ms.get());
     let drain_timeout = grace.saturating_sub(READINESS_DELAY + EXIT_RESERVE);
     let responder = Arc::new(GatewayResponder(gateway.clone()));
-    let server = tokio::spawn(serve_callers(responder, callers, shutdown.clone(), drain_timeout));
+    let stages = gateway.stop_stages.clone();
+    let server = tokio::spawn(serve_callers(responder, callers, stages.clone(), drain_timeout));
     stop.await;
-    gateway.stop();
+    let ends_in = READINESS_DELAY + response_time(drain_timeout);
+    gateway.stop(TimeMs(ends_in.as_millis() as u64));
     log::info!(target: "life", "stopping");
     sleep(READINESS_DELAY).await;
-    shutdown.cancel();
+    stages.closing.cancel();
     server.await?;
     log::info!(target: "life", "stopped");
     Ok(())
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -2,7 +2,7 @@
 
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
-use bilberryford_callers::{ConnectionLimits, Respond, serve_callers};
+use bilberryford_callers::{ConnectionLimits, Respond, StopStages, serve_callers};
 use bilberryford_peer::{PeerRuntime, PeerTraffic};
 use bilberryford_types::{ErrorKind, EventKind, HybridTime};
 use bytes::Bytes;
@@ -21,7 +21,6 @@
     task::{JoinHandle, JoinSet},
     time::{Instant, sleep, timeout},
 };
-use tokio_util::sync::CancellationToken;
 
 use crate::{
     api::ResponseFormat,
@@ -76,13 +75,15 @@
     address: SocketAddr,
     peers: PeerRuntime,
     controllers: JoinSet<()>,
-    shutdown: CancellationToken,
+    stop: StopStages,
     server: JoinHandle<()>,
 }
 
 /// Responds to callers through the routes.
 struct RouteResponder<E> {
+    node: Arc<Node>,
     routes: E,
+    stop: StopStages,
     address: SocketAddr,
 }
 
@@ -100,7 +101,15 @@
     ) -> hyper::Response<Self::Body> {
         let (local, remote) = (LocalAddr(self.address.into()), RemoteAddr(from.into()));
         let request = Request::from((request, local, remote, Scheme::HTTP));
-        self.routes.get_response(request).await.into()
+        let response = tokio::select! {
+            biased;
+            response = self.routes.get_response(request) => response,
+            () = self.stop.ending.cancelled() => {
+                let refusal = Refusal::of(ErrorKind::StoppedWhileRunning);
+                shutdown::close_when_leaving(&self.node, refusal.into_response())
+            }
+        };
+        response.into()
     }
 }
 
@@ -123,13 +132,18 @@
     node.set_peers(peers.client());
     let controllers = controllers::start(&node, peer_address);
     let limit = Duration::from_millis(node.settings.drain_limit.get());
-    let responder = Arc::new(RouteResponder { routes: routes(node.clone()), address });
-    let shutdown = CancellationToken::new();
-    let server = tokio::spawn(serve_callers(responder, listener, shutdown.clone(), limit));
+    let stop = StopStages::default();
+    let responder = RouteResponder {
+        node: node.clone(),
+        routes: routes(node.clone()),
+        stop: stop.clone(),
+        address,
+    };
+    let server = tokio::spawn(serve_callers(Arc::new(responder), listener, stop.clone(), limit));
     node.events.write(EventKind::Started, |event| {
         event.detail = format!("http {address}, peers {peer_address}")
     });
-    Ok(RunningInstance { node, address, peers, controllers, shutdown, server })
+    Ok(RunningInstance { node, address, peers, controllers, stop, server })
 }
 
 impl RunningInstance {
@@ -155,13 +169,13 @@
     ///
     /// [`ServeError::Server`] when the server failed.
     pub async fn shut_down(self) -> Result<(), ServeError> {
-        let Self { node, shutdown, server, controllers, peers, .. } = self;
+        let Self { node, stop, server, controllers, peers, .. } = self;
         node.events.write(EventKind::Stopping, |_| {});
         node.mark_leaving();
         let drain_delay = sleep(Duration::from_millis(node.settings.drain_delay.get()));
         tokio::join!(shutdown::notify_peers(&node, peers.address()), drain_delay);
         let until = Instant::now() + Duration::from_millis(node.settings.drain_limit.get());
-        shutdown.cancel();
+        stop.closing.cancel();
         let result = server.await;
         shutdown::wait_for_requests(&node, until).await;
         node.orders.wait_drained().await;
--- a/crates/types/src/kind.rs
+++ b/crates/types/src/kind.rs
@@ -176,6 +176,8 @@
     PlatformDown: 503 No Never SameKey RetryAfter::FixedMs(5_000), "orders can't be recorded now; try again with the same key";
     /// The instance is shutting down.
     ShuttingDown: 503 No Never Yes RetryAfter::FixedMs(0), "this instance is leaving; send the request again";
+    /// The instance had to exit before the response began.
+    StoppedWhileRunning: 502 Maybe Never Yes RetryAfter::FixedMs(0), "this instance stopped while the request was under way";
     /// An internal error of bilberryford.
     Internal: 500 Maybe Never Yes RetryAfter::FixedMs(1_000), "an internal fault";
 }
--- a/tests/all/shutdown.rs
+++ b/tests/all/shutdown.rs
@@ -9,6 +9,7 @@
 };
 
 use bilberryford_standins::{
+    engine::Faults,
     load::{Caller, Outcome},
     persistent::call_at_once,
 };
@@ -190,3 +191,31 @@
     assert!(cut.is_empty(), "{} requests cut, {answered} answered: {cut:?}", cut.len());
     assert!(answered > CALLERS, "only {answered} requests");
 }
+
+/// A prompt whose engine has sent nothing when the drain ends gets a complete response, not a closed connection.
+#[tokio::test]
+async fn a_prompt_without_a_response_at_the_end_of_a_drain_gets_a_final_one() {
+    let options = ["--drain-delay-ms", "100", "--drain-limit-ms", "1000"];
+    let mut deployment = Deployment::start_with(1, &fast_engine(), &options).await.unwrap();
+    for engine in &deployment.engines {
+        engine.0.set_faults(Faults { mute_starts: u32::MAX, ..Faults::default() });
+    }
+    let caller = Caller::new(deployment.client.clone(), KEY, &["v1"]);
+    let leaving = deployment.instances.remove(0);
+    let url = leaving.url();
+    let waiting =
+        tokio::spawn(
+            async move { caller.prompt(&url, "assistant", "a b", 20, false).await.outcome },
+        );
+    eventually(|| async {
+        let started = deployment.engines.iter().map(|engine| engine.0.stats().started).sum::<u64>();
+        (started > 0).then_some(())
+    })
+    .await
+    .expect("the prompt reaches an engine");
+    let is_clean = tokio::task::spawn_blocking(move || leaving.stop(STOP_LIMIT)).await.unwrap();
+    assert!(is_clean, "the instance did not stop within the limit");
+    let outcome = waiting.await.unwrap();
+    let Outcome::Refused { status, ran, kind } = outcome else { panic!("{outcome:?}") };
+    assert_eq!((status, ran.as_str(), kind.as_str()), (502, "maybe", "stopped_while_running"));
+}
