A response without an id on a kept connection is not taken for that of the present request

Reported by other operators, not seen here: a faulty endpoint writes an earlier refusal once more on a kept connection; callers are told "not run" for a request that runs (REFUSED), or it goes to a second endpoint (TWICE). It can happen here.

Cause: a response counted as misplaced only if it had the id of another request. One without an id was taken for the present one's. A request that comes back to the endpoint that refused it (newer weights than listed) could meet a copy with its own id on another kept connection. Ruled out: `serve`, which uses a connection again only where the attempt's id is repeated, and orders to engines, each on a new connection.

Change: on a connection that carried other requests, a response without an id is lost, whatever its status. A request without an id, and one that the endpoint has refused before, gets a new connection.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -105,6 +105,8 @@
 struct Progress {
     /// The endpoints to avoid in further attempts.
     tried: Vec<EndpointId>,
+    /// The endpoints that stated that they did not run it.
+    refused_by: Vec<EndpointId>,
     /// The attempts that reached an endpoint, including refused ones.
     sent_attempts: u32,
     /// The attempts that an endpoint may have run.
@@ -344,6 +346,7 @@
         connection: Connection,
     ) -> Result<Option<Response<ResponseBody>>, ErrorResponse> {
         progress.sent_attempts += 1;
+        progress.refused_by.push(candidate.id.clone());
         drop(connection);
         self.record.notes.push(if facts.is_misdirected { "misdirected" } else { "refused" });
         let has_newer_weights = facts.is_misdirected && self.infer_newer_weights(candidate);
--- a/crates/gateway/src/forward/send.rs
+++ b/crates/gateway/src/forward/send.rs
@@ -58,8 +58,11 @@
         if self.gateway.connections.has_lost_idle(&candidate.id, now_ms) {
             self.gateway.suspect_restart(candidate.incarnation, ColdSource::ConnectionLost);
         }
-        // After a pooled connection turned out to be closed, open a new one.
+        // After a pooled connection turned out to be closed, open a new one. A response on a pooled one is matched by the id of
+        // its request, so that a request without an id, or one that the endpoint has refused before, needs a new one too.
         if progress.unsent_attempts == 0
+            && self.facts.request_id.is_some()
+            && !progress.refused_by.contains(&candidate.id)
             && let Some(connection) =
                 self.gateway.connections.reuse(&candidate.id, max_idle_ms, now_ms)
         {
@@ -172,8 +175,11 @@
         if facts.is_leaving && !facts.is_misdirected {
             self.gateway.record_departure(candidate.incarnation);
         }
-        let is_for_other_request =
-            facts.request_id.is_some() && facts.request_id != self.facts.request_id;
+        let is_for_other_request = match &facts.request_id {
+            Some(_) => facts.request_id != self.facts.request_id,
+            // Endpoints repeat the id: without one, it may be a copy of a response to an earlier request.
+            None => connection.is_reused,
+        };
         // Only the endpoint's own response to this request shows that its limit has ended.
         let is_own = !is_for_other_request && (facts.is_signed || facts.is_not_run);
         if !facts.is_misdirected && is_own {
@@ -183,7 +189,7 @@
             self.gateway.record_limit(candidate, facts.limit, sent_ms);
         }
         if is_for_other_request {
-            // This response belongs to an earlier request. The connection is dropped, since its own may still arrive.
+            // This response may belong to an earlier request. The connection is dropped, since its own may still arrive.
             return SendOutcome::Lost("answer_of_another");
         }
         if let Some(keep_alive_ms) = keep_alive_timeout_ms(response.headers()) {
