A stream that has begun on old weights is not cut at their bound

Callers saw: a stream breaks off in the middle of its answer, long before its deadline, with its endpoint sound.

Cause: a request must not begin on old weights after their bound. The deadline that was told to the engine ended 0.3 s before it, which drops queued requests and cuts running ones.

Change: a request that is predicted to begin well before the bound keeps the caller's deadline, and its sender closes the connection if no content has come by then. Others are told the bound as before.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -256,6 +256,13 @@
                 self.record.blamed = Some(self.features.describe(feature));
                 Err(ErrorResponse::new(ErrorKind::EndpointLost))
             }
+            SendOutcome::NotBegun => {
+                progress.sent_attempts += 1;
+                progress.possible_runs += 1;
+                progress.tried.push(candidate.id.clone());
+                self.record.notes.push("old_weights");
+                self.after_loss(progress)
+            }
             SendOutcome::Lost(reason) => {
                 progress.sent_attempts += 1;
                 progress.possible_runs += 1;
--- a/crates/gateway/src/forward/answer.rs
+++ b/crates/gateway/src/forward/answer.rs
@@ -62,6 +62,7 @@
             None if is_stream => RelayedEvents::Final(EventPosition::default()),
             None => RelayedEvents::None,
         };
+        let must_begin_by_ms = self.must_begin_by_ms(in_flight.candidate());
         let gateway = self.gateway.clone();
         let record = std::mem::take(&mut self.record);
         let relay = Relay {
@@ -70,6 +71,7 @@
             connection: Some(connection),
             in_flight,
             deadline_ms: self.deadline_ms,
+            must_begin_by_ms,
             events,
             record,
             is_success: head.status.is_success(),
--- a/crates/gateway/src/forward/choose.rs
+++ b/crates/gateway/src/forward/choose.rs
@@ -218,14 +218,10 @@
         true
     }
 
-    /// The time in which an engine with older weights may work on this request, without limit for the newest weights.
-    ///
-    /// A request in such an engine's queue must not start after the bound for new weights.
-    pub(super) fn old_weights_left_ms(&self, candidate: &Candidate) -> TimeMs {
-        let prompt = self.facts.prompt.as_ref().zip(candidate.weight_version);
-        let left = prompt
-            .and_then(|(prompt, version)| self.gateway.old_weights_left_ms(&prompt.model, version));
-        left.unwrap_or(TimeMs(u64::MAX))
+    /// The time by which this request must begin at an engine with older weights; none for the newest weights.
+    pub(super) fn must_begin_by_ms(&self, candidate: &Candidate) -> Option<TimeMs> {
+        let (prompt, version) = self.facts.prompt.as_ref().zip(candidate.weight_version)?;
+        self.gateway.old_weights_until_ms(&prompt.model, version)
     }
 
     /// The scope of cached parts: the model, the weights, the allowed regions and, for an isolated team, the team.
--- a/crates/gateway/src/forward/send.rs
+++ b/crates/gateway/src/forward/send.rs
@@ -19,6 +19,7 @@
     part_plan::PartPlan,
     placement::Candidate,
     request_log::PromptRecord,
+    rollout::engine_time_ms,
     translation::{ForwardFacts, ResponseFacts},
 };
 
@@ -40,6 +41,8 @@
     NotRun(ResponseFacts, Connection),
     /// A feature of the request was quarantined before its response began; the connection is closed.
     Withdrawn(Feature),
+    /// The request did not begin before the weights of its engine became too old; the connection is closed.
+    NotBegun,
     /// The request may have run, and there is no response to it; with the note for the request log.
     Lost(&'static str),
 }
@@ -95,7 +98,15 @@
         in_flight: &mut InFlight,
         progress: &Progress,
     ) -> SendOutcome {
-        let time_left_ms = self.time_left_ms().min(self.old_weights_left_ms(candidate));
+        let must_begin_by_ms = self.must_begin_by_ms(candidate);
+        let time_left_ms = match must_begin_by_ms {
+            None => self.time_left_ms(),
+            Some(by_ms) => {
+                let predicted_ms = in_flight.predicted_ms.unwrap_or_default();
+                let start_left_ms = by_ms.since(self.gateway.clock.now());
+                engine_time_ms(self.time_left_ms(), start_left_ms, predicted_ms)
+            }
+        };
         let mut plan = self.part_plan(candidate);
         self.record.prompt = PromptRecord {
             tokens: self.facts.prompt.as_ref().map_or(0, |prompt| prompt.input_tokens.get().into()),
@@ -127,13 +138,21 @@
         let sent_ms = self.gateway.clock.now();
         tokio::pin!(sending);
         let result = loop {
-            let head_timeout = Duration::from_millis(head_timeout_ms.get());
+            let now_ms = self.gateway.clock.now();
+            let start_left_ms = must_begin_by_ms.map(|by_ms| by_ms.since(now_ms));
+            let wait_ms = start_left_ms.unwrap_or(head_timeout_ms).min(head_timeout_ms);
+            let head_timeout = Duration::from_millis(wait_ms.get());
             let result = tokio::select! {
                 result = timeout(head_timeout, sending.as_mut()) => result,
                 feature = self.gateway.quarantine_of(&self.features) => {
                     return SendOutcome::Withdrawn(feature);
                 }
             };
+            let is_too_late =
+                must_begin_by_ms.is_some_and(|by_ms| self.gateway.clock.now() >= by_ms);
+            if result.is_err() && is_too_late {
+                return SendOutcome::NotBegun;
+            }
             // An endpoint that responds to other requests is alive, and a retry would lose the place in its queue.
             let is_alive = self.gateway.has_received_since(&candidate.id, sent_ms);
             if result.is_ok() || !is_alive || self.time_left_ms() < MIN_TIME_LEFT_MS {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -59,7 +59,7 @@
 const PREFER_NEW_WEIGHTS_MS: TimeMs = TimeMs(1_000);
 /// How long before the bound requests stop going to engines with older weights, in milliseconds: they may queue there.
 const OLD_WEIGHTS_MARGIN_MS: TimeMs = TimeMs(2_000);
-/// How long before the bound the deadline of requests at engines with older weights is, in milliseconds.
+/// How long before the bound requests at engines with older weights must have begun, in milliseconds.
 const OLD_WEIGHTS_END_MS: TimeMs = TimeMs(300);
 
 /// An error in the set-up of a gateway.
@@ -387,11 +387,10 @@
         self.keys.lock().confirm(started_ms);
     }
 
-    /// How long an engine with `version` may work on a request that starts now, if newer weights are published.
-    pub(crate) fn old_weights_left_ms(&self, model: &ModelName, version: u64) -> Option<TimeMs> {
+    /// The time from which requests must not begin at an engine with `version`; none while no newer weights are published.
+    pub(crate) fn old_weights_until_ms(&self, model: &ModelName, version: u64) -> Option<TimeMs> {
         let bound_ms = self.bounds().weights_propagation_ms.since(OLD_WEIGHTS_END_MS);
-        let until_ms = self.weights.lock().get(model)?.usable_until(version, bound_ms)?;
-        Some(until_ms.since(self.clock.now()))
+        self.weights.lock().get(model)?.usable_until(version, bound_ms)
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -93,7 +93,8 @@
 pub use regions::{DataCentreRegions, RegionLimit, RegionSet};
 pub use retry_budget::{RetryBudget, RetryLimits};
 pub use rollout::{
-    EngineWeights, PublishedVersion, PublishedWeights, WeightOrder, WeightPlan, plan_weights,
+    EngineWeights, PublishedVersion, PublishedWeights, WeightOrder, WeightPlan, engine_time_ms,
+    plan_weights,
 };
 pub use run_trace::RunTrace;
 pub use server::{ServeError, serve};
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -30,6 +30,8 @@
     pub(crate) connection: Option<Connection>,
     pub(crate) in_flight: InFlight,
     pub(crate) deadline_ms: TimeMs,
+    /// The time by which its first content must have come, since its engine has older weights.
+    pub(crate) must_begin_by_ms: Option<TimeMs>,
     pub(crate) events: RelayedEvents,
     pub(crate) record: RequestRecord,
     /// True if its status states that the endpoint ran the request.
@@ -139,7 +141,11 @@
 
     async fn next_chunk(&mut self) -> Option<Chunk> {
         loop {
-            let time_left_ms = self.deadline_ms.since(self.gateway.clock.now());
+            let until_ms = match self.must_begin_by_ms {
+                Some(by_ms) if self.record.first_byte_ms.is_none() => by_ms.min(self.deadline_ms),
+                _ => self.deadline_ms,
+            };
+            let time_left_ms = until_ms.since(self.gateway.clock.now());
             let wait = Duration::from_millis(time_left_ms.get());
             // A timeout does not end a wait for what is always there.
             let frame = match time_left_ms {
@@ -157,6 +163,10 @@
                 },
             };
             match frame {
+                None if until_ms < self.deadline_ms => {
+                    self.finish("old_weights", true);
+                    return Some(Chunk::Failed(io::ErrorKind::TimedOut.into()));
+                }
                 None => {
                     if self.record.first_byte_ms.is_none() {
                         // An endpoint that ended silently shows no other sign.
--- a/crates/gateway/tests/decisions/rollout.rs
+++ b/crates/gateway/tests/decisions/rollout.rs
@@ -1,5 +1,6 @@
-use bilberryford_gateway::{EngineWeights, PublishedWeights, plan_weights};
+use bilberryford_gateway::{EngineWeights, PublishedWeights, engine_time_ms, plan_weights};
 use bilberryford_types::{EndpointId, TimeMs};
+use rstest::rstest;
 
 fn engine(name: &str, version: Option<u64>) -> EngineWeights {
     EngineWeights {
@@ -103,3 +104,20 @@
     assert!(!weights.record_published(2, TimeMs(18_000)));
     assert_eq!(weights.usable_until(1, TimeMs(10_000)), Some(TimeMs(25_000)));
 }
+
+/// Guards against a response that is cut at the bound for new weights although it began long before.
+#[rstest]
+#[case::begins_at_once(15_000, 3_200, 0, 15_000)]
+#[case::begins_in_time(15_000, 3_200, 1_300, 15_000)]
+#[case::may_begin_too_late(15_000, 3_200, 1_400, 3_200)]
+#[case::the_bound_is_over(15_000, 0, 0, 0)]
+#[case::the_caller_leaves_sooner(2_000, 3_200, 1_400, 2_000)]
+fn a_request_that_begins_in_time_on_old_weights_keeps_its_deadline(
+    #[case] time_left_ms: u64,
+    #[case] start_left_ms: u64,
+    #[case] predicted_ms: u64,
+    #[case] expected_ms: u64,
+) {
+    let time_ms = engine_time_ms(TimeMs(time_left_ms), TimeMs(start_left_ms), TimeMs(predicted_ms));
+    assert_eq!(time_ms, TimeMs(expected_ms));
+}
