A prompt goes only to engines whose weights are known

Cause: an entry without Models was used, and without a version of weights a prompt has no scope of its cached parts, which the engine takes for the one that all share. Ruled out: a published version; once one is named, placement asks for it.

Change: placement of a prompt in a service with engines needs a version of weights, whatever is published.

--- a/crates/gateway/src/forward/choose.rs
+++ b/crates/gateway/src/forward/choose.rs
@@ -119,6 +119,9 @@
         }
         let (min_weight_version, preferred_weight_version) =
             model.map_or((None, None), |model| self.gateway.weight_constraints(model));
+        // Without a version of weights, the prompt's cached parts have no scope, and other teams could use them.
+        let needs_weights = model.is_some() && self.gateway.has_engines(&self.service);
+        let min_weight_version = min_weight_version.or(needs_weights.then_some(0));
         let parts = self.facts.prompt.as_ref().map_or(&[][..], |prompt| &prompt.parts);
         let regions = self.allowed_regions.as_ref();
         self.gateway.fill_prefix_facts(&mut candidates, parts, regions, |candidate| {
--- a/crates/gateway/src/gateway/streams.rs
+++ b/crates/gateway/src/gateway/streams.rs
@@ -123,7 +123,7 @@
         Some(std::mem::replace(&mut state.build_standing, standing))
     }
 
-    fn has_engines(&self, service: &PoolName) -> bool {
+    pub(crate) fn has_engines(&self, service: &PoolName) -> bool {
         let deployment = self.deployment.load();
         let service = deployment.as_ref().and_then(|deployment| deployment.service(service));
         service.is_some_and(|service| service.engine.is_some())
