Bodies of requests take room that all share, and one without room is refused at once

Cause: each body had a limit, all together had none, and the memory of the process was not read from the settings. Ruled out: copies for further attempts (bodies are shared) and buffers of connections (36 more of them take no hundred MiB).

Change: a quarter of the memory is the room for bodies, half of it for those above 256 KiB. Room is taken before the body is read if its length is known, and kept until the request ends; without room, 503, not run, Retry-After 1 s. Both front ends use it. Bodies are read into one buffer.

--- a/crates/callers/src/lib.rs
+++ b/crates/callers/src/lib.rs
@@ -9,6 +9,7 @@
 //! first request, and looks for unread bytes before it ends an idle one. A request that still has no response when the
 //! time for a stop runs out gets a final one instead of a closed connection. See `docs/design/shutdown.md`.
 
+mod bodies;
 mod connection;
 mod stream;
 
@@ -23,6 +24,7 @@
 };
 use tokio_util::sync::CancellationToken;
 
+pub use crate::bodies::{BodyReservation, BodyRoom, ReadBodyError, read_body};
 use crate::connection::serve_connection;
 pub use crate::connection::{ConnectionLimits, set_socket_options};
 
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -2,10 +2,9 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use bilberryford_callers::{ConnectionLimits, Respond};
+use bilberryford_callers::{ConnectionLimits, ReadBodyError, Respond, read_body};
 use bilberryford_coord::Feature;
-use bilberryford_types::ErrorKind;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use bilberryford_types::{ErrorKind, TimeMs};
 use hyper::{
     Request, Response,
     body::Incoming,
@@ -22,6 +21,9 @@
     responses::{ErrorResponse, ResponseBody},
 };
 
+/// The retry delay of a body that found no room, in milliseconds: uploads on slow links take seconds.
+const BODY_RETRY_MS: TimeMs = TimeMs(1_000);
+
 /// Responds to the requests of callers through the filter chain.
 pub(crate) struct GatewayResponder(pub(crate) Arc<Gateway>);
 
@@ -109,15 +111,23 @@
         Err(error) => return Err((error, record)),
     };
     record.team = team.as_ref().map(|team| team.name.to_string());
-    let max_bytes = gateway.limits().max_body_bytes.get() as usize;
+    let max_bytes = gateway.limits().max_body_bytes.get();
     let (head, body) = request.into_parts();
     let body_timeout = Duration::from_millis(deadline_ms.since(gateway.clock.now()).get());
-    let body = match timeout(body_timeout, Limited::new(body, max_bytes).collect()).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+    let reading = read_body(&gateway.body_room, body, max_bytes);
+    let (body, reservation) = match timeout(body_timeout, reading).await {
+        Ok(Ok(read)) => read,
+        Ok(Err(ReadBodyError::TooLong { .. })) => {
             return Err((ErrorResponse::new(ErrorKind::TooLarge), record));
         }
-        Ok(Err(_)) => return Err((ErrorResponse::new(ErrorKind::BodyCut), record)),
+        Ok(Err(ReadBodyError::NoRoom { .. })) => {
+            record.notes.push("no_room_for_body");
+            let error = ErrorResponse::with_retry_after(ErrorKind::Overloaded, BODY_RETRY_MS);
+            return Err((error, record));
+        }
+        Ok(Err(ReadBodyError::Cut(_))) => {
+            return Err((ErrorResponse::new(ErrorKind::BodyCut), record));
+        }
         Err(_) => return Err((ErrorResponse::new(ErrorKind::BodySlow), record)),
     };
     let stream =
@@ -147,6 +157,7 @@
         uri: head.uri,
         headers,
         body,
+        _reservation: Arc::new(reservation),
         features,
         record,
     };
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -14,6 +14,7 @@
 
 use std::sync::Arc;
 
+use bilberryford_callers::BodyReservation;
 use bilberryford_coord::BlameDecision;
 use bilberryford_types::{EndpointId, ErrorKind, PoolName, TimeMs};
 use bytes::Bytes;
@@ -80,6 +81,8 @@
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// The room that the body takes.
+    pub(crate) _reservation: Arc<BodyReservation>,
     pub(crate) features: Arc<RequestFeatures>,
     pub(crate) record: RequestRecord,
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -19,7 +19,7 @@
 };
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use bilberryford_callers::StopStages;
+use bilberryford_callers::{BodyRoom, StopStages};
 use bilberryford_coord::{Blame, BuildHistory, FairShares, StreamKey, StreamRecords};
 use bilberryford_platform::ObjectStore;
 use bilberryford_types::{Bytes, EndpointId, ModelName, PoolName, StoreEra, TimeMs};
@@ -143,6 +143,8 @@
     fair_shares: Mutex<HashMap<PoolName, FairShares>>,
     pub(crate) metrics: Metrics,
     pub(crate) request_log: RequestLog,
+    /// The room for the bodies of requests.
+    pub(crate) body_room: Arc<BodyRoom>,
     /// The stages of a planned stop.
     pub(crate) stop_stages: StopStages,
     /// The time at which responses that are not ready are given up; set once a planned stop has begun.
@@ -162,6 +164,7 @@
         orders: Arc<dyn TranslateOrders>,
         caches: Arc<dyn TranslateCaches>,
     ) -> Result<Self, SetupError> {
+        let body_room = BodyRoom::new(settings.memory);
         Ok(Self {
             keys: Mutex::new(KeyValidity::new(settings.bounds.key_revocation_ms)),
             bounds: ArcSwap::from_pointee(settings.bounds),
@@ -213,6 +216,7 @@
             fair_shares: Mutex::default(),
             metrics: Metrics::new()?,
             request_log: RequestLog::default(),
+            body_room,
             stop_stages: StopStages::default(),
             stop_due_ms: OnceLock::new(),
         })
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -2,7 +2,7 @@
 
 use std::{fmt, net::SocketAddr};
 
-use bilberryford_types::{DataCentreId, InstanceId, TimeMs};
+use bilberryford_types::{Bytes, DataCentreId, InstanceId, TimeMs};
 
 use crate::regions::DataCentreRegions;
 
@@ -62,6 +62,8 @@
     pub peer_listen: SocketAddr,
     /// The path of the readiness check.
     pub ready_path: &'static str,
+    /// The memory beyond which the process is ended.
+    pub memory: Bytes,
     /// The limits that the deployment sets.
     pub bounds: Bounds,
 }
@@ -99,6 +101,7 @@
             setting_change("listen", &self.listen, &new.listen),
             setting_change("ready_listen", &self.ready_listen, &new.ready_listen),
             setting_change("peer_listen", &self.peer_listen, &new.peer_listen),
+            setting_change("memory", &self.memory, &new.memory),
             setting_change("lease_ms", &old_bounds.lease_ms, &new_bounds.lease_ms),
             setting_change(
                 "evacuation_ms",
--- a/crates/gateway/tests/decisions/settings.rs
+++ b/crates/gateway/tests/decisions/settings.rs
@@ -1,7 +1,7 @@
 //! What of the settings changes while an instance runs.
 
 use bilberryford_gateway::{Bounds, DataCentreRegions, GatewaySettings};
-use bilberryford_types::TimeMs;
+use bilberryford_types::{Bytes, TimeMs};
 use rstest::rstest;
 
 fn settings() -> GatewaySettings {
@@ -14,6 +14,7 @@
         ready_listen: ([10, 0, 0, 1], 81).into(),
         peer_listen: ([10, 0, 0, 1], 82).into(),
         ready_path: "/ready",
+        memory: Bytes(1 << 30),
         bounds: Bounds {
             key_revocation_ms: TimeMs(5_000),
             config_propagation_ms: TimeMs(2_000),
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -9,13 +9,14 @@
 };
 
 use arc_swap::ArcSwapOption;
+use bilberryford_callers::BodyRoom;
 use bilberryford_coord::{ConfigOfferOutcome, ConfigStamp, VersionedConfig};
 use bilberryford_peer::PeerClient;
 use bilberryford_platform::{
     HttpPlatform, HttpPlatformConfig, InstanceList, ObjectStore, PlatformError,
 };
 use bilberryford_types::{
-    AttemptId, Digest, EventKind, Generation, Incarnation, RequestId, TimeMs,
+    AttemptId, Bytes, Digest, EventKind, Generation, Incarnation, RequestId, TimeMs,
 };
 use parking_lot::{Mutex, RwLock};
 
@@ -43,6 +44,9 @@
 /// The time limit for opening a connection to an endpoint, in milliseconds.
 const CONNECT_TIMEOUT_MS: u64 = 1_000;
 
+/// The memory of the machines that `serve` is made for, by which the room for bodies is measured.
+const MEMORY: Bytes = Bytes(256 * 1024 * 1024);
+
 /// The shared state of one instance.
 pub(crate) struct Node {
     pub(crate) settings: NodeSettings,
@@ -66,6 +70,8 @@
     pub(crate) leases: HeldLeases,
     pub(crate) admission: AdmissionState,
     pub(crate) weights: Weights,
+    /// The room for the bodies of requests.
+    pub(crate) body_room: Arc<BodyRoom>,
     in_force: ArcSwapOption<InForce>,
     peers: RwLock<Option<PeerClient>>,
     leaving: AtomicBool,
@@ -123,6 +129,7 @@
             leases: HeldLeases::default(),
             admission: AdmissionState::new(TimeMs(0)),
             weights: Weights::default(),
+            body_room: BodyRoom::new(MEMORY),
             in_force: ArcSwapOption::empty(),
             peers: RwLock::new(None),
             leaving: AtomicBool::new(false),
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -41,6 +41,8 @@
 const HEADER_TIMEOUT: Duration = Duration::from_secs(75);
 /// The most bytes of a request that are held before its headers are complete: room for headers that are refused by name.
 const MAX_BUFFER_BYTES: usize = 4 * MAX_HEADER_BYTES;
+/// The size of a body whose length is not known in advance, for the room that it takes.
+const UNKNOWN_BODY_BYTES: u64 = 64 * 1024;
 /// The time limit for receiving a request's body, in milliseconds.
 const BODY_TIMEOUT_MS: u64 = 10_000;
 
@@ -282,9 +284,12 @@
     request: &Request,
     body: Body,
 ) -> Response {
-    let result = match check_headers(request.headers()) {
-        Ok(()) => read_body(node, body).await,
-        Err(kind) => Err(kind),
+    let max_bytes = node.settings.max_body_bytes as u64;
+    let reservation = node.body_room.reserve(expected_bytes(request.headers()).min(max_bytes));
+    let result = match (check_headers(request.headers()), &reservation) {
+        (Ok(()), Some(_)) => read_body(node, body).await,
+        (Ok(()), None) => Err(ErrorKind::Overloaded),
+        (Err(kind), _) => Err(kind),
     };
     match result {
         Ok(body) => {
@@ -307,6 +312,12 @@
     }
 }
 
+/// The bytes of the body that the headers announce.
+fn expected_bytes(headers: &HeaderMap) -> u64 {
+    let length = headers.get(header::CONTENT_LENGTH).and_then(|value| value.to_str().ok());
+    length.and_then(|length| length.parse().ok()).unwrap_or(UNKNOWN_BODY_BYTES)
+}
+
 fn check_headers(headers: &HeaderMap) -> Result<(), ErrorKind> {
     let bytes: usize = headers.iter().map(|(name, value)| name.as_str().len() + value.len()).sum();
     if headers.len() > MAX_HEADERS || bytes > MAX_HEADER_BYTES {
