--- a/crates/gateway/src/controllers/config.rs
+++ b/crates/gateway/src/controllers/config.rs
@@ -25,6 +25,20 @@
 /// fails.
 const CONFIRM_PERCENT_OF_REVOCATION: u64 = 45;
 
+/// How a configuration was learned.
+#[derive(Debug, Clone, Copy, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+enum ConfigSource {
+    List,
+    Watch,
+    /// The periodic read that confirms the version in force.
+    Confirmation,
+    /// A read of a version that a reader named, from a copy that may be old.
+    StaleRead,
+    /// A linearizable read of a version that a reader named.
+    NamedRead,
+}
+
 pub(super) struct ConfigHandler;
 
 impl WatchHandler for ConfigHandler {
@@ -41,7 +55,7 @@
         started_ms: TimeMs,
     ) {
         for object in objects.into_iter().filter(|object| object.name.as_str() == CONFIG_NAME) {
-            apply_config(gateway, &object.body, Some(started_ms));
+            apply_config(gateway, &object.body, Some(started_ms), ConfigSource::List);
         }
     }
 
@@ -49,18 +63,27 @@
         let of_config =
             changes.changes.into_iter().filter(|change| change.name.as_str() == CONFIG_NAME);
         for body in of_config.filter_map(|change| change.body) {
-            apply_config(gateway, &body, None);
+            apply_config(gateway, &body, None, ConfigSource::Watch);
         }
     }
 }
 
 /// Applies a configuration if it is newer. `confirmed_ms` is the start of the linearizable read that returned it.
-fn apply_config(gateway: &Gateway, body: &[u8], confirmed_ms: Option<TimeMs>) {
+fn apply_config(
+    gateway: &Gateway,
+    body: &[u8],
+    confirmed_ms: Option<TimeMs>,
+    source: ConfigSource,
+) {
     gateway.observe_era();
     let deployment = match gateway.translation.decode_deployment(body) {
         Ok(deployment) => deployment,
         Err(error) => {
-            log::error!(target: "belief", error:% = error; "configuration can't be decoded");
+            log::error!(
+                target: "belief", error:% = error, source = <&str>::from(source),
+                kept:% = version_in_force(gateway).unwrap_or_default();
+                "configuration can't be decoded"
+            );
             return;
         }
     };
@@ -71,7 +94,9 @@
         gateway.deployment.store(Some(Arc::new(deployment)));
         log::info!(
             target: "belief", version:% = version,
-            before = in_force.map_or(0, |version| version.get());
+            before = in_force.map_or(0, |version| version.get()),
+            source = <&str>::from(source),
+            view_age_ms = gateway.confirmation_age_ms().unwrap_or_default().get();
             "configuration adopted"
         );
         if in_force.is_none() {
@@ -109,7 +134,7 @@
     let Some(key) = config_key() else { return };
     gateway.metrics.store_calls.add(1, &[]);
     match gateway.store.get_stale(&key).await {
-        Ok(Some(object)) => apply_config(gateway, &object.body, None),
+        Ok(Some(object)) => apply_config(gateway, &object.body, None, ConfigSource::StaleRead),
         Ok(None) => log::debug!("a read that may be old found no configuration"),
         Err(error) => {
             log::debug!(error:% = error; "can't read the configuration that a reader named")
@@ -121,7 +146,9 @@
     gateway.metrics.store_calls.add(1, &[]);
     let started_ms = gateway.clock.now();
     match gateway.store.get(&key).await {
-        Ok(Some(object)) => apply_config(gateway, &object.body, Some(started_ms)),
+        Ok(Some(object)) => {
+            apply_config(gateway, &object.body, Some(started_ms), ConfigSource::NamedRead);
+        }
         Ok(None) => log::warn!(version = version; "the store has no configuration"),
         Err(error) => {
             log::debug!(error:% = error; "can't read the configuration that a reader named")
@@ -158,7 +185,7 @@
                 gateway.confirm_keys(started_ms);
             }
             Ok(Some(object)) => {
-                apply_config(&gateway, &object.body, Some(started_ms));
+                apply_config(&gateway, &object.body, Some(started_ms), ConfigSource::Confirmation);
                 confirmed_version = Some(object.version);
             }
             Ok(None) => log::debug!("the store has no configuration yet"),
--- a/crates/gateway/src/controllers/shared_view.rs
+++ b/crates/gateway/src/controllers/shared_view.rs
@@ -36,6 +36,8 @@
 /// The number of listed instances up to which all data centres share their readers. Beyond it each has its own, since the
 /// questions of all would be too many for two instances, and traffic between data centres is charged for.
 const MAX_REGION_READERS: usize = 40;
+/// The lateness of a timer from which it is reported, in milliseconds.
+const REPORTED_LAG_MS: TimeMs = TimeMs(250);
 /// The largest size of the changes in one answer, in bytes.
 const MAX_CHANGES_BYTES: usize = 6_000;
 
@@ -96,13 +98,11 @@
 }
 
 impl ReadMode {
-    fn set_reads_store(&self, reads_store: bool) {
-        let is_change = self.0.send_if_modified(|reads| {
+    /// Returns true if that is a change.
+    fn set_reads_store(&self, reads_store: bool) -> bool {
+        self.0.send_if_modified(|reads| {
             std::mem::replace(&mut reads.everything, reads_store) != reads_store
-        });
-        if is_change {
-            log::info!(target: "belief", reads_store = reads_store; "source of the store's state");
-        }
+        })
     }
 
     /// Sets whether the endpoints have to be read once, since a reader can't pass on what this instance lacks.
@@ -150,15 +150,34 @@
         let question = PeerMessage::AskView(ViewQuestion { asked_ms: now_ms, endpoints_to });
         send_message(socket, &questions, &question).await;
         let pause_ms = rand::rng().random_range(ASK_INTERVAL_MS * 3 / 4..=ASK_INTERVAL_MS);
+        let due_ms = gateway.clock.now().after(TimeMs(pause_ms));
         sleep(Duration::from_millis(pause_ms)).await;
+        record_lag(gateway, due_ms);
         update_read_mode(gateway, gateway.clock.now());
     }
 }
 
+/// Records how late a timer fired that was due at `due_ms`.
+fn record_lag(gateway: &Gateway, due_ms: TimeMs) {
+    let lag_ms = gateway.clock.now().since(due_ms);
+    gateway.metrics.record_timer_lag(lag_ms);
+    if lag_ms >= REPORTED_LAG_MS {
+        log::warn!(target: "belief", lag_ms = lag_ms.get(); "process runs late");
+    }
+}
+
 /// Starts or ends the reads of the store, according to the readers that answer.
 fn update_read_mode(gateway: &Gateway, now_ms: TimeMs) {
-    let reads_store = gateway.readers.lock().reads_store(now_ms, ANSWER_EXPIRY_MS);
-    gateway.read_mode.set_reads_store(reads_store);
+    let reason = gateway.readers.lock().reason_to_read(now_ms, ANSWER_EXPIRY_MS);
+    if gateway.read_mode.set_reads_store(reason.is_some()) {
+        log::info!(
+            target: "belief", reads_store = reason.is_some(),
+            why = reason.map_or("readers_answer", <&str>::from),
+            view_age_ms = gateway.confirmation_age_ms().unwrap_or_default().get(),
+            contact_age_ms = gateway.store_contact_age_ms().unwrap_or_default().get();
+            "source of the store's state"
+        );
+    }
 }
 
 /// Answers a question of another instance.
--- a/crates/gateway/src/filters/identify.rs
+++ b/crates/gateway/src/filters/identify.rs
@@ -56,6 +56,7 @@
         return Err(ErrorResponse::new(kind));
     };
     record.route = Some(route.name.clone());
+    record.timeout_ms = Some(route.timeout_ms);
     let Some(service) = route.service(rand::random()) else {
         return Err(ErrorResponse::new(ErrorKind::NoEndpoint));
     };
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -388,9 +388,17 @@
     /// Records that a linearizable read that started at `started_ms`, here or at a reader, confirmed the configuration.
     pub(crate) fn confirm_keys(&self, started_ms: TimeMs) {
         self.observe_era();
+        if let Some(age_ms) = self.confirmation_age_ms() {
+            self.metrics.record_config_age(age_ms);
+        }
         self.keys.lock().confirm(started_ms);
     }
 
+    /// The time since the last confirmation of the configuration in force; none before the first.
+    pub(crate) fn confirmation_age_ms(&self) -> Option<TimeMs> {
+        self.keys.lock().age_ms(self.clock.now())
+    }
+
     /// The time from which requests must not begin at an engine with `version`; none while no newer weights are published.
     pub(crate) fn old_weights_until_ms(&self, model: &ModelName, version: u64) -> Option<TimeMs> {
         let bound_ms = self.bounds().weights_propagation_ms.since(OLD_WEIGHTS_END_MS);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -89,7 +89,7 @@
     RankTokens, UsageMessage, report_interval_ms,
 };
 pub use placement::{Candidate, Choice, PlacementRequest, PromptShape, Reason, place};
-pub use readers::{ReaderSelection, passed_on_confirmation};
+pub use readers::{ReadReason, ReaderSelection, passed_on_confirmation};
 pub use regions::{DataCentreRegions, RegionLimit, RegionSet};
 pub use retry_budget::{RetryBudget, RetryLimits};
 pub use rollout::{
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -48,6 +48,8 @@
     pub(crate) cold_endpoints: Gauge<u64>,
     first_byte_s: Histogram<f64>,
     first_token_ratio: Histogram<f64>,
+    config_age_s: Histogram<f64>,
+    timer_lag_s: Histogram<f64>,
 }
 
 impl Metrics {
@@ -91,6 +93,16 @@
                 .f64_histogram("bilberryford.gateway.first_token_ratio")
                 .with_boundaries(RATIO_BOUNDS.to_vec())
                 .build(),
+            config_age_s: meter
+                .f64_histogram("bilberryford.gateway.config_age")
+                .with_unit("s")
+                .with_boundaries(LATENCY_BOUNDS_S.to_vec())
+                .build(),
+            timer_lag_s: meter
+                .f64_histogram("bilberryford.gateway.timer_lag")
+                .with_unit("s")
+                .with_boundaries(LATENCY_BOUNDS_S.to_vec())
+                .build(),
             registry,
             _provider: provider,
         })
@@ -109,6 +121,16 @@
         self.first_token_ratio.record(took_ms.get() as f64 / predicted_ms as f64, &[]);
     }
 
+    /// Records how old the confirmation of the configuration was when the next one came.
+    pub(crate) fn record_config_age(&self, age_ms: TimeMs) {
+        self.config_age_s.record(age_ms.get() as f64 / 1_000.0, &[]);
+    }
+
+    /// Records how much later than asked for a timer fired, which shows a process that lacks processor time.
+    pub(crate) fn record_timer_lag(&self, lag_ms: TimeMs) {
+        self.timer_lag_s.record(lag_ms.get() as f64 / 1_000.0, &[]);
+    }
+
     /// Counts a stream that began, was taken up, or could not be taken up for the reason `outcome`.
     pub(crate) fn record_stream(&self, outcome: &'static str) {
         self.streams.add(1, &[KeyValue::new("outcome", outcome)]);
--- a/crates/gateway/src/readers.rs
+++ b/crates/gateway/src/readers.rs
@@ -33,6 +33,18 @@
     asked_ms.since(age_ms).since(CLOCK_MARGIN_MS)
 }
 
+/// Why an instance reads the store itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum ReadReason {
+    /// It is one of the first, or too few of those that precede it read the store.
+    TooFewReaders,
+    /// Another instance asks it.
+    IsAsked,
+    /// No reader gave a usable answer for a while.
+    NoAnswer,
+}
+
 /// A listed instance that precedes the own one in rendezvous order.
 #[derive(Debug, Clone)]
 struct ReaderCandidate {
@@ -131,12 +143,23 @@
         self.asked_ms = Some(now_ms);
     }
 
-    /// Returns true if this instance reads the store: it is one of the first, another instance asks it, or no reader
-    /// answered within `expiry_ms`.
-    pub fn reads_store(&self, now_ms: TimeMs, expiry_ms: TimeMs) -> bool {
+    /// Returns why this instance reads the store at `now_ms`; none if readers read it for this instance. An answer counts
+    /// for `expiry_ms`.
+    pub fn reason_to_read(&self, now_ms: TimeMs, expiry_ms: TimeMs) -> Option<ReadReason> {
         let is_within = |at: Option<TimeMs>, span| at.is_some_and(|at| now_ms.since(at) < span);
-        self.responsive().count() < self.readers
-            || is_within(self.asked_ms, ASKED_MS)
-            || !is_within(self.answered_ms, expiry_ms)
+        if self.responsive().count() < self.readers {
+            Some(ReadReason::TooFewReaders)
+        } else if is_within(self.asked_ms, ASKED_MS) {
+            Some(ReadReason::IsAsked)
+        } else if !is_within(self.answered_ms, expiry_ms) {
+            Some(ReadReason::NoAnswer)
+        } else {
+            None
+        }
+    }
+
+    /// Returns true if this instance reads the store at `now_ms`.
+    pub fn reads_store(&self, now_ms: TimeMs, expiry_ms: TimeMs) -> bool {
+        self.reason_to_read(now_ms, expiry_ms).is_some()
     }
 }
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -68,6 +68,8 @@
     pub(crate) blamed: Option<String>,
     pub(crate) config_version: Option<Generation>,
     pub(crate) key_age_ms: Option<TimeMs>,
+    /// The timeout of the route.
+    pub(crate) timeout_ms: Option<TimeMs>,
     /// The version of the store up to which the table of endpoints was complete at the last placement.
     pub(crate) endpoints_version: Option<ObjectVersion>,
     /// The time from the store's last reply on endpoints to the last placement.
@@ -165,6 +167,7 @@
             parts = parts.as_str(),
             config_version = record.config_version.map_or(0, |version| version.get()),
             key_age_ms = record.key_age_ms.map_or(0, |age| age.get()),
+            timeout_ms = record.timeout_ms.map_or(0, |timeout| timeout.get()),
             endpoints_version:% = record.endpoints_version.unwrap_or_default(),
             endpoints_age_ms = record.endpoints_age_ms.map_or(0, |age| age.get()),
             elapsed_ms = now_ms.since(record.started_ms).get(),
