Test, red: a change of the configuration is not in force in time where all readers are lost

A model of 9, 31, 91 and 301 instances keeps their views with the decisions of the gateway: readers confirm, the others ask them, calls fail once in twenty and never twice in a row, and each message waits up to 60 ms for the processor. The readers of a data centre are refused, silent, suspended or restarted right after one of them confirmed the configuration, and a change is written at that moment.

The decision when an instance reads for itself moves to a module of its own, unchanged.

--- a/crates/gateway/src/controllers/config.rs
+++ b/crates/gateway/src/controllers/config.rs
@@ -12,19 +12,13 @@
 use tokio::time::sleep;
 
 use super::list_watch::{Backoff, WatchHandler};
-use crate::gateway::Gateway;
+use crate::{
+    gateway::Gateway,
+    propagation::{ConfirmationStep, PropagationLimits},
+};
 
 /// The name of the object with the newest configuration.
 const CONFIG_NAME: &str = "main";
-/// The longest interval of the confirming reads, in percent of the bound for new configurations: a change that the
-/// watch missed is still in force within the bound.
-const CONFIRM_PERCENT_OF_PROPAGATION: u64 = 70;
-/// The interval at which an instance whose readers confirm the configuration checks that they still do.
-const CONFIRMATION_CHECK_INTERVAL: Duration = Duration::from_millis(300);
-/// The longest interval of the confirming reads, in percent of the bound for revocations: keys stay valid if one read
-/// fails.
-const CONFIRM_PERCENT_OF_REVOCATION: u64 = 45;
-
 /// How a configuration was learned.
 #[derive(Debug, Clone, Copy, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
@@ -115,15 +109,6 @@
     gateway.deployment.load().as_ref().map(|deployment| deployment.version().get())
 }
 
-/// The longest interval of the confirming reads.
-pub(super) fn confirm_interval_ms(gateway: &Gateway) -> TimeMs {
-    let bounds = gateway.bounds();
-    let propagation_limit_ms =
-        bounds.config_propagation_ms.get() * CONFIRM_PERCENT_OF_PROPAGATION / 100;
-    let revocation_limit_ms = bounds.key_revocation_ms.get() * CONFIRM_PERCENT_OF_REVOCATION / 100;
-    TimeMs(propagation_limit_ms.min(revocation_limit_ms).max(100))
-}
-
 fn config_key() -> Option<ObjectKey> {
     Some(ObjectKey::new(ObjectKind::Config, CONFIG_NAME.parse().ok()?))
 }
@@ -156,13 +141,6 @@
     }
 }
 
-/// Returns true if this instance does not read the store and its last confirmation is younger than one and a half intervals.
-fn is_confirmed_by_readers(gateway: &Gateway) -> bool {
-    let age_ms = gateway.keys.lock().age_ms(gateway.clock.now());
-    let limit_ms = TimeMs(confirm_interval_ms(gateway).get() * 3 / 2);
-    !gateway.read_mode.reads_store() && age_ms.is_some_and(|age_ms| age_ms < limit_ms)
-}
-
 /// Reads the configuration periodically, to confirm that the version in force is the newest. An instance whose readers
 /// confirm it often enough makes no call.
 pub(super) async fn run_confirmation(gateway: Arc<Gateway>) {
@@ -170,8 +148,12 @@
     let mut backoff = Backoff::default();
     let mut confirmed_version: Option<ObjectVersion> = None;
     loop {
-        if is_confirmed_by_readers(&gateway) {
-            sleep(CONFIRMATION_CHECK_INTERVAL).await;
+        let limits = PropagationLimits::from(gateway.bounds());
+        let reads_store = gateway.read_mode.reads_store();
+        if let ConfirmationStep::Wait(wait_ms) =
+            limits.next_step(reads_store, gateway.confirmation_age_ms())
+        {
+            sleep(Duration::from_millis(wait_ms.get())).await;
             continue;
         }
         gateway.metrics.store_calls.add(1, &[]);
@@ -196,7 +178,7 @@
             }
         }
         backoff.reset();
-        let max_interval_ms = confirm_interval_ms(&gateway).get();
+        let max_interval_ms = limits.confirm_interval_ms().get();
         // The jitter keeps instances from reading at the same time.
         let pause_ms = rand::rng().random_range(max_interval_ms * 3 / 4..=max_interval_ms);
         // In a new era the first read that confirms must not wait for the interval as well.
--- a/crates/gateway/src/controllers/shared_view.rs
+++ b/crates/gateway/src/controllers/shared_view.rs
@@ -24,8 +24,8 @@
 };
 use crate::{
     change_log::MissedChanges, evacuation::EvacuationView, gateway::Gateway,
-    peer_loads::PeerMessage, readers::passed_on_confirmation, rollout::PublishedVersion,
-    store_contact::RecoveryLimits,
+    peer_loads::PeerMessage, propagation::PropagationLimits, readers::passed_on_confirmation,
+    rollout::PublishedVersion, store_contact::RecoveryLimits,
 };
 
 /// The interval between two questions, in milliseconds. It bounds how much later than a reader this instance learns of
@@ -225,8 +225,9 @@
     let asked_ms = answer.asked_ms;
     let now_ms = gateway.clock.now();
     let limits = RecoveryLimits::from(gateway.bounds());
+    let propagation = PropagationLimits::from(gateway.bounds());
     let confirmed_age_ms =
-        answer.confirmed_age_ms.filter(|age_ms| *age_ms <= limits.max_view_age_ms());
+        answer.confirmed_age_ms.filter(|age_ms| *age_ms <= propagation.max_confirmation_age_ms());
     // An answer that was under way for long says nothing of the reader's present state.
     if asked_ms > now_ms || now_ms.since(asked_ms) >= ANSWER_EXPIRY_MS {
         return;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -36,6 +36,7 @@
 mod part_values;
 mod peer_loads;
 mod placement;
+mod propagation;
 mod readers;
 mod regions;
 mod relay;
@@ -89,6 +90,7 @@
     RankTokens, UsageMessage, report_interval_ms,
 };
 pub use placement::{Candidate, Choice, PlacementRequest, PromptShape, Reason, place};
+pub use propagation::{ConfirmationStep, PropagationLimits};
 pub use readers::{ReadReason, ReaderSelection, passed_on_confirmation};
 pub use regions::{DataCentreRegions, RegionLimit, RegionSet};
 pub use retry_budget::{RetryBudget, RetryLimits};
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -20,6 +20,7 @@
     mod obstacle;
     mod peer_loads;
     mod placement;
+    mod propagation;
     mod readers;
     mod regions;
     mod retry_budget;
