An instance reads the configuration once its view has three quarters of the bound

Callers saw a confirmed change that was not in force in time: a request was handled as only an older configuration allows, up to half a second after the bound, at instances that were in touch with the store.

Cause: the age of a view was checked when an answer of a reader came, and not when it was used. An answer could be 0.5 s younger than the bound and then be relied on for 1.6 s more, until no reader had answered for that long; an instance read for itself at one and a half intervals of a reader (3.15 s where the bound is 3 s), looked at every 300 ms; and a call that failed came on top. Ruled out for this fault: processes that run late.

Each path now has one limit, on the age of what is used: three quarters of the bound of configurations. Readers confirm at half of the bound in place of 70 percent, so that what they pass on stays below it.

--- a/crates/gateway/src/propagation.rs
+++ b/crates/gateway/src/propagation.rs
@@ -8,16 +8,15 @@
 
 use crate::settings::Bounds;
 
-/// The longest interval of the confirming reads, in percent of the bound for new configurations: a change that the
-/// watch missed is still in force within the bound.
-const CONFIRM_PERCENT_OF_PROPAGATION: u64 = 70;
-/// The longest interval of the confirming reads, in percent of the bound for revocations: keys stay valid if one read
-/// fails.
+/// The longest interval of the confirming reads of a reader, in percent of the bound for new configurations.
+const CONFIRM_PERCENT_OF_PROPAGATION: u64 = 50;
+/// The same in percent of the bound for revocations: keys stay valid if one read fails.
 const CONFIRM_PERCENT_OF_REVOCATION: u64 = 45;
-/// The interval at which an instance whose readers confirm the configuration checks that they still do, in milliseconds.
+/// The age of the last confirmation at which any instance reads for itself, in percent of the bound for new configurations.
+/// The rest is for a call that fails, its backoff, and a process that runs late.
+const MAX_AGE_PERCENT: u64 = 75;
+/// The longest time until an instance decides again, since it may have become a reader, in milliseconds.
 const CHECK_INTERVAL_MS: TimeMs = TimeMs(300);
-/// How much less than the bound the confirmation of a reader may lag, in milliseconds.
-const VIEW_MARGIN_MS: TimeMs = TimeMs(500);
 
 /// What an instance does next to keep its configuration confirmed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -35,14 +34,12 @@
     pub config_propagation_ms: TimeMs,
     /// The time within which a revoked key must be refused.
     pub key_revocation_ms: TimeMs,
-    /// How long a leaving endpoint serves new requests after its departure is listed.
-    pub endpoint_drain_ms: TimeMs,
 }
 
 impl From<Bounds> for PropagationLimits {
     fn from(bounds: Bounds) -> Self {
-        let Bounds { config_propagation_ms, key_revocation_ms, endpoint_drain_ms, .. } = bounds;
-        Self { config_propagation_ms, key_revocation_ms, endpoint_drain_ms }
+        let Bounds { config_propagation_ms, key_revocation_ms, .. } = bounds;
+        Self { config_propagation_ms, key_revocation_ms }
     }
 }
 
@@ -55,17 +52,22 @@
         TimeMs(of_propagation_ms.min(of_revocation_ms).max(100))
     }
 
-    /// The longest age of a confirmation that is accepted from a reader.
+    /// The longest age of the last confirmation, own or passed on, at which the configuration is not read again.
+    ///
+    /// # Invariant
+    ///
+    /// An instance whose calls reach the store has begun a read by the time its last confirmation has this age, whatever its
+    /// readers do.
     pub fn max_confirmation_age_ms(&self) -> TimeMs {
-        self.endpoint_drain_ms.min(self.config_propagation_ms).since(VIEW_MARGIN_MS)
+        TimeMs(self.config_propagation_ms.get() * MAX_AGE_PERCENT / 100)
     }
 
     /// What an instance does whose last confirmation is `age_ms` old; none before the first.
     pub fn next_step(&self, reads_store: bool, age_ms: Option<TimeMs>) -> ConfirmationStep {
-        let limit_ms = TimeMs(self.confirm_interval_ms().get() * 3 / 2);
+        let max_age_ms = self.max_confirmation_age_ms();
         match age_ms {
-            Some(age_ms) if !reads_store && age_ms < limit_ms => {
-                ConfirmationStep::Wait(CHECK_INTERVAL_MS)
+            Some(age_ms) if !reads_store && age_ms < max_age_ms => {
+                ConfirmationStep::Wait(max_age_ms.since(age_ms).min(CHECK_INTERVAL_MS))
             }
             _ => ConfirmationStep::Read,
         }
--- a/crates/gateway/tests/decisions/propagation.rs
+++ b/crates/gateway/tests/decisions/propagation.rs
@@ -124,7 +124,6 @@
             limits: PropagationLimits {
                 config_propagation_ms: bound_ms,
                 key_revocation_ms: TimeMs(5_000),
-                endpoint_drain_ms: bound_ms,
             },
             recovery: RecoveryLimits {
                 in_touch_ms: TimeMs(deployment.in_touch_ms),
@@ -568,3 +567,21 @@
     let bound_ms = deployment.bound_ms;
     assert!(slowest_ms <= bound_ms, "in force after {slowest_ms} ms, the bound is {bound_ms} ms");
 }
+
+/// On a calm day the reads of the configuration are those of the readers, whatever the number of instances.
+#[rstest]
+fn a_calm_day_costs_the_reads_of_the_readers(
+    #[values(SMALL, MEDIUM, GROWN, LARGE)] deployment: Deployment,
+) {
+    /// The readers of a data centre.
+    const READERS: u64 = 2;
+    let mut day = Day::new(deployment, 7);
+    day.run_for(20_000);
+    let reads = |day: &Day| day.instances.iter().map(|instance| instance.reads).sum::<u64>();
+    let before = reads(&day);
+    day.run_for(DAY_MS);
+    let interval_ms = day.limits.confirm_interval_ms().get() * 3 / 4;
+    let of_readers = READERS * deployment.data_centres as u64 * DAY_MS / interval_ms;
+    let made = reads(&day) - before;
+    assert!(made <= of_readers * 3 / 2, "{made} reads, those of the readers are {of_readers}");
+}
