An instance reads the endpoints once the contact that it knows of is too old, whatever its readers do

The same cause as for the configuration: the age of a reader's contact with the store was checked when its answer came, and the time without an answer was added to it. A departure could be known 2,584 ms after it where the bound is 2,000, 3,391 where it is 3,000 and 4,161 where it is 4,000 (readers::an_instance_whose_readers_fall_silent_reads_the_endpoints_in_time, red in 3 of 3 cases with the new condition off). Now the contact that is used has the same limit as the one that is accepted, three quarters of the shortest bound.

--- a/crates/gateway/src/controllers/shared_view.rs
+++ b/crates/gateway/src/controllers/shared_view.rs
@@ -23,9 +23,14 @@
     weights::{record_not_before, record_weights},
 };
 use crate::{
-    change_log::MissedChanges, evacuation::EvacuationView, gateway::Gateway,
-    peer_loads::PeerMessage, propagation::PropagationLimits, readers::passed_on_confirmation,
-    rollout::PublishedVersion, store_contact::RecoveryLimits,
+    change_log::MissedChanges,
+    evacuation::EvacuationView,
+    gateway::Gateway,
+    peer_loads::PeerMessage,
+    propagation::PropagationLimits,
+    readers::{ReadReason, passed_on_confirmation},
+    rollout::PublishedVersion,
+    store_contact::RecoveryLimits,
 };
 
 /// The interval between two questions, in milliseconds. It bounds how much later than a reader this instance learns of
@@ -168,13 +173,16 @@
 
 /// Starts or ends the reads of the store, according to the readers that answer.
 fn update_read_mode(gateway: &Gateway, now_ms: TimeMs) {
+    let contact_age_ms = gateway.store_contact_age_ms();
+    let has_old_contact = RecoveryLimits::from(gateway.bounds()).must_read(contact_age_ms);
     let reason = gateway.readers.lock().reason_to_read(now_ms, ANSWER_EXPIRY_MS);
+    let reason = reason.or_else(|| has_old_contact.then_some(ReadReason::OldContact));
     if gateway.read_mode.set_reads_store(reason.is_some()) {
         log::info!(
             target: "belief", reads_store = reason.is_some(),
             why = reason.map_or("readers_answer", <&str>::from),
             view_age_ms = gateway.confirmation_age_ms().unwrap_or_default().get(),
-            contact_age_ms = gateway.store_contact_age_ms().unwrap_or_default().get();
+            contact_age_ms = contact_age_ms.unwrap_or_default().get();
             "source of the store's state"
         );
     }
--- a/crates/gateway/src/readers.rs
+++ b/crates/gateway/src/readers.rs
@@ -43,6 +43,8 @@
     IsAsked,
     /// No reader gave a usable answer for a while.
     NoAnswer,
+    /// The store's last reply, to this instance or to a reader, is too old.
+    OldContact,
 }
 
 /// A listed instance that precedes the own one in rendezvous order.
--- a/crates/gateway/src/store_contact.rs
+++ b/crates/gateway/src/store_contact.rs
@@ -17,9 +17,9 @@
 /// The shortest outage in which an entry can lapse, in heartbeat intervals: it lapses after three of them without a
 /// heartbeat, and the last one may have been due when the outage began.
 const LAPSE_HEARTBEATS: u64 = 2;
-/// How much less than the shortest bound of a change the view of a reader may lag, in milliseconds: the interval of the
-/// questions, and a read of the store after the first answer that is too old.
-const VIEW_MARGIN_MS: TimeMs = TimeMs(500);
+/// How old the store's last reply to a reader may be, in percent of the shortest bound of a change. The rest is for the interval of the
+/// questions, and for a list of the store.
+const MAX_VIEW_PERCENT: u64 = 75;
 
 /// The limits that a deployment sets for the return of entries.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -35,10 +35,16 @@
 }
 
 impl RecoveryLimits {
-    /// The longest age of the store's last reply, and of the last confirmation of the configuration, at which the view of
-    /// a reader may be relied on.
+    /// The longest age of the store's last reply at which the view of a reader may be relied on.
     pub fn max_view_age_ms(&self) -> TimeMs {
-        self.endpoint_drain_ms.min(self.config_propagation_ms).since(VIEW_MARGIN_MS)
+        let bound_ms = self.endpoint_drain_ms.min(self.config_propagation_ms);
+        TimeMs(bound_ms.get() * MAX_VIEW_PERCENT / 100)
+    }
+
+    /// Returns true if an instance has to read the store, since the last reply that it knows of is too old, whatever its readers
+    /// do. `contact_age_ms` is none before the first reply.
+    pub fn must_read(&self, contact_age_ms: Option<TimeMs>) -> bool {
+        contact_age_ms.is_none_or(|age_ms| age_ms > self.max_view_age_ms())
     }
 }
 
--- a/crates/gateway/tests/decisions/propagation.rs
+++ b/crates/gateway/tests/decisions/propagation.rs
@@ -214,7 +214,9 @@
 
     fn reads_store(&self, number: usize) -> bool {
         let instance = &self.instances[number];
-        instance.readers.reads_store(TimeMs(self.now_ms), TimeMs(ANSWER_EXPIRY_MS))
+        let now = TimeMs(self.now_ms);
+        instance.readers.reads_store(now, TimeMs(ANSWER_EXPIRY_MS))
+            || self.recovery.must_read(instance.contact.contact_age_ms(now))
     }
 
     fn run_watch(&mut self, number: usize) {
--- a/crates/gateway/tests/decisions/readers.rs
+++ b/crates/gateway/tests/decisions/readers.rs
@@ -443,3 +443,65 @@
         assert!(known_ms <= bound_ms, "the change is known {known_ms} ms after the cut");
     }
 }
+
+/// The readers of an instance lose the store, and fall silent while their view is still accepted: the time without an answer
+/// must not add to the age of the last one. A departure is known in time.
+#[rstest]
+#[case::small_deployment(2_000, 1_000)]
+#[case::grown_deployment(3_000, 1_500)]
+#[case::large_deployment(4_000, 2_000)]
+fn an_instance_whose_readers_fall_silent_reads_the_endpoints_in_time(
+    #[case] bound_ms: u64,
+    #[case] confirm_ms: u64,
+) {
+    const CUT_MS: u64 = 10_000;
+    /// The time of a list of the store.
+    const LIST_MS: u64 = 50;
+    let limits = RecoveryLimits {
+        in_touch_ms: TimeMs(3_000),
+        heartbeat_ms: TimeMs(1_200),
+        endpoint_drain_ms: TimeMs(bound_ms),
+        config_propagation_ms: TimeMs(bound_ms),
+    };
+    let names: Vec<_> = (0..20).map(name).collect();
+    let listed = || names.iter().enumerate().map(|(at, name)| (name.as_str(), address(at)));
+    let mut random = StdRng::seed_from_u64(55);
+    for _ in 0..2_000 {
+        // The instance that comes last in the order of readers.
+        let mut asker = ReaderSelection::default();
+        for name in &names {
+            asker.set_instances(name, listed());
+            if asker.next_questions(TimeMs(0)).len() == 2 {
+                break;
+            }
+        }
+        let replied_ms = CUT_MS - random.random_range(0..confirm_ms);
+        let mut reader = EndpointTable::default();
+        reader.record_contact(TimeMs(replied_ms), limits);
+        let mut table = EndpointTable::default();
+        let silent_ms = CUT_MS + random.random_range(0..bound_ms);
+        let mut now_ms = CUT_MS - 2_000;
+        loop {
+            let asked_ms = TimeMs(now_ms);
+            for to in asker.next_questions(asked_ms) {
+                let age_ms = reader.contact_age_to_pass_on_ms(asked_ms.after(TimeMs(1)));
+                if now_ms < silent_ms
+                    && let Some(age_ms) = age_ms
+                {
+                    let now = asked_ms.after(TimeMs(2));
+                    let is_usable = table.record_passed_on_contact(asked_ms, age_ms, now, limits);
+                    asker.record_answer(to, asked_ms, is_usable);
+                }
+            }
+            now_ms += random.random_range(ASK_MS * 3 / 4..=ASK_MS);
+            let now = TimeMs(now_ms);
+            let reads =
+                asker.reads_store(now, EXPIRY_MS) || limits.must_read(table.contact_age_ms(now));
+            if now_ms > CUT_MS && reads {
+                break;
+            }
+        }
+        let known_ms = now_ms + LIST_MS - CUT_MS;
+        assert!(known_ms <= bound_ms, "a departure is known {known_ms} ms after it");
+    }
+}
