A configuration that can't be decoded does not confirm the one before it

Callers could use a revoked key for as long as the store held a configuration that this build can't decode: the periodic read compared the version of the stored object with the one that it had seen last, decoded or not, and confirmed the configuration in force.

Now only a version that was decoded is remembered. The configuration before it is kept, and its keys are refused as not ready from the bound of revocations on, until one that can be decoded is stored; the error line comes with each read.

Red before: keys::a_configuration_that_cannot_be_decoded_confirms_no_key (the revoked key is accepted for the 10 s of the wait; bound 1.5 s).

--- a/crates/gateway/src/controllers/config.rs
+++ b/crates/gateway/src/controllers/config.rs
@@ -63,12 +63,14 @@
 }
 
 /// Applies a configuration if it is newer. `confirmed_ms` is the start of the linearizable read that returned it.
+///
+/// Returns false if it can't be decoded: it may have revoked any key, so that the one before it is kept and not confirmed.
 fn apply_config(
     gateway: &Gateway,
     body: &[u8],
     confirmed_ms: Option<TimeMs>,
     source: ConfigSource,
-) {
+) -> bool {
     gateway.observe_era();
     let deployment = match gateway.translation.decode_deployment(body) {
         Ok(deployment) => deployment,
@@ -78,7 +80,7 @@
                 kept:% = version_in_force(gateway).unwrap_or_default();
                 "configuration can't be decoded"
             );
-            return;
+            return false;
         }
     };
     let in_force = gateway.deployment.load().as_ref().map(|deployment| deployment.version());
@@ -102,6 +104,7 @@
     {
         gateway.confirm_keys(started_ms);
     }
+    true
 }
 
 /// The version of the configuration in force.
@@ -119,7 +122,9 @@
     let Some(key) = config_key() else { return };
     gateway.metrics.store_calls.add(1, &[]);
     match gateway.store.get_stale(&key).await {
-        Ok(Some(object)) => apply_config(gateway, &object.body, None, ConfigSource::StaleRead),
+        Ok(Some(object)) => {
+            apply_config(gateway, &object.body, None, ConfigSource::StaleRead);
+        }
         Ok(None) => log::debug!("a read that may be old found no configuration"),
         Err(error) => {
             log::debug!(error:% = error; "can't read the configuration that a reader named")
@@ -167,8 +172,13 @@
                 gateway.confirm_keys(started_ms);
             }
             Ok(Some(object)) => {
-                apply_config(&gateway, &object.body, Some(started_ms), ConfigSource::Confirmation);
-                confirmed_version = Some(object.version);
+                let is_decoded = apply_config(
+                    &gateway,
+                    &object.body,
+                    Some(started_ms),
+                    ConfigSource::Confirmation,
+                );
+                confirmed_version = is_decoded.then_some(object.version);
             }
             Ok(None) => log::debug!("the store has no configuration yet"),
             Err(error) => {
