A view older than the bound of configurations denies nothing

Callers of a route or key that had been added could get 404 or 401, which no caller repeats, from an instance that had not confirmed its configuration for longer than changes may take: what is missing was denied for as long as keys are valid (4.6 s), which is longer than the bound of configurations of most deployments (2 to 4 s). Now such a request is refused as not ready (503), with a time to come back, since another instance may know more. What the view has is served as before.

Red before: keys::a_view_older_than_its_bound_denies_nothing (the route is denied until no key is valid any more).

--- a/crates/gateway/src/filters/authorize.rs
+++ b/crates/gateway/src/filters/authorize.rs
@@ -36,12 +36,23 @@
     if !deployment.has_teams() || route.is_public {
         return Ok(None);
     }
-    let now_ms = gateway.clock.now();
-    if !gateway.keys.lock().is_valid(now_ms) {
-        let can_peer_check_keys = gateway.peers.lock().can_any_check_keys(now_ms);
-        let wait_ms = if can_peer_check_keys { RETRY_ELSEWHERE_MS } else { RETRY_NOWHERE_MS };
-        return Err(ErrorResponse::with_retry_after(ErrorKind::NotReady, wait_ms));
+    if !gateway.keys.lock().is_valid(gateway.clock.now()) {
+        return Err(not_ready(gateway));
     }
-    let team = facts.key.as_deref().and_then(|key| deployment.team(key));
-    team.cloned().map(Some).ok_or(ErrorResponse::new(ErrorKind::Unauthenticated))
+    match facts.key.as_deref() {
+        None => Err(ErrorResponse::new(ErrorKind::Unauthenticated)),
+        Some(key) => match deployment.team(key) {
+            Some(team) => Ok(Some(team.clone())),
+            // An outdated configuration can't prove that a key does not exist.
+            None if !gateway.proves_absence() => Err(not_ready(gateway)),
+            None => Err(ErrorResponse::new(ErrorKind::Unauthenticated)),
+        },
+    }
+}
+
+/// The response to a request that the configuration of this instance is too old to decide on.
+pub(super) fn not_ready(gateway: &Gateway) -> ErrorResponse {
+    let can_peer_check_keys = gateway.peers.lock().can_any_check_keys(gateway.clock.now());
+    let wait_ms = if can_peer_check_keys { RETRY_ELSEWHERE_MS } else { RETRY_NOWHERE_MS };
+    ErrorResponse::with_retry_after(ErrorKind::NotReady, wait_ms)
 }
--- a/crates/gateway/src/filters/identify.rs
+++ b/crates/gateway/src/filters/identify.rs
@@ -5,6 +5,7 @@
 use bilberryford_types::{ErrorKind, PoolName, TimeMs};
 use hyper::{Request, body::Incoming, header};
 
+use super::authorize::not_ready;
 use crate::{
     deployment::{Deployment, Route},
     gateway::Gateway,
@@ -51,9 +52,10 @@
     let host = host.or_else(|| request.uri().host()).unwrap_or_default();
     let Some(route) = deployment.route(host, request.uri().path()) else {
         // An outdated configuration can't prove that a route does not exist.
-        let is_confirmed = gateway.keys.lock().is_valid(gateway.clock.now());
-        let kind = if is_confirmed { ErrorKind::NotFound } else { ErrorKind::NotReady };
-        return Err(ErrorResponse::new(kind));
+        return Err(match gateway.proves_absence() {
+            true => ErrorResponse::new(ErrorKind::NotFound),
+            false => not_ready(gateway),
+        });
     };
     record.route = Some(route.name.clone());
     record.timeout_ms = Some(route.timeout_ms);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -45,6 +45,7 @@
     part_values::PartValues,
     peer_loads::{EndpointTag, PeerLoads, PendingEngineParts, StorePartsMessage},
     placement::Candidate,
+    propagation::PropagationLimits,
     readers::ReaderSelection,
     regions::{RegionLimit, RegionSet},
     request_log::RequestLog,
@@ -394,6 +395,11 @@
         self.keys.lock().confirm(started_ms);
     }
 
+    /// Returns true if a request may be denied since the configuration in force lacks its route or key.
+    pub(crate) fn proves_absence(&self) -> bool {
+        PropagationLimits::from(self.bounds()).proves_absence(self.confirmation_age_ms())
+    }
+
     /// The time since the last confirmation of the configuration in force; none before the first.
     pub(crate) fn confirmation_age_ms(&self) -> Option<TimeMs> {
         self.keys.lock().age_ms(self.clock.now())
--- a/crates/gateway/src/propagation.rs
+++ b/crates/gateway/src/propagation.rs
@@ -62,6 +62,12 @@
         TimeMs(self.config_propagation_ms.get() * MAX_AGE_PERCENT / 100)
     }
 
+    /// Returns true if a route or key that the configuration lacks does not exist, as far as an instance can know whose last
+    /// confirmation is `age_ms` old: what was added before is in force by now.
+    pub fn proves_absence(&self, age_ms: Option<TimeMs>) -> bool {
+        age_ms.is_some_and(|age_ms| age_ms < self.config_propagation_ms)
+    }
+
     /// What an instance does whose last confirmation is `age_ms` old; none before the first.
     pub fn next_step(&self, reads_store: bool, age_ms: Option<TimeMs>) -> ConfirmationStep {
         let max_age_ms = self.max_confirmation_age_ms();
