--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -7,6 +7,7 @@
 mod bad_input;
 mod command_line;
 mod config;
+mod cut_answers;
 mod leases;
 mod logs;
 mod membership;
