serve: a request that comes late in a drain is passed on only if it ends in time

Callers whose request came after the listener had been closed, the first one of a connection that was accepted at the last moment, had it passed on whatever its deadline, and could get 'stopped_while_running' at the end of the drain for an order that may not be repeated. The gateway refuses such a request since; serve did not, since nothing but its server knew when the drain ends.

The deadline filter now refuses it at once as 'shutting_down' (503, not run), so that its caller goes to another instance.

--- a/crates/node/src/filters/deadline.rs
+++ b/crates/node/src/filters/deadline.rs
@@ -1,4 +1,4 @@
-//! Sets the deadline of the request from the caller's time limit.
+//! Sets the deadline of the request from the caller's time limit, and refuses one that this instance may not live to see.
 
 use std::sync::Arc;
 
@@ -28,6 +28,9 @@
     match requested.filter(|requested| requested.get() > 0) {
         Some(requested) => {
             ctx.timeout = requested.min(node.settings.max_deadline);
+            if node.stops_before(ctx.timeout) {
+                return Err(ctx.refuse(ErrorKind::ShuttingDown));
+            }
             Ok(Flow::Next)
         }
         None => Err(ctx.refuse(ErrorKind::BadDeadline)),
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -2,7 +2,7 @@
 
 use std::{
     sync::{
-        Arc,
+        Arc, OnceLock,
         atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
     },
     time::{Duration, Instant},
@@ -75,6 +75,8 @@
     in_force: ArcSwapOption<InForce>,
     peers: RwLock<Option<PeerClient>>,
     leaving: AtomicBool,
+    /// The time at which responses that are not ready are given up; set once no connection is accepted any more.
+    stop_due: OnceLock<Instant>,
     in_flight: AtomicU32,
     id_counter: AtomicU64,
     started: Instant,
@@ -132,6 +134,7 @@
             body_room: BodyRoom::new(MEMORY),
             in_force: ArcSwapOption::empty(),
             peers: RwLock::new(None),
+            stop_due: OnceLock::new(),
             leaving: AtomicBool::new(false),
             in_flight: AtomicU32::new(0),
             id_counter: AtomicU64::new(0),
@@ -202,6 +205,18 @@
         self.leaving.load(Ordering::Acquire)
     }
 
+    /// Sets when responses that are not ready are given up. A later call changes nothing.
+    pub(crate) fn set_stop_due(&self, due: Instant) {
+        self.stop_due.get_or_init(|| due);
+    }
+
+    /// True for a request that comes once no connection is accepted any more, and that may take longer than this instance has
+    /// left.
+    pub(crate) fn stops_before(&self, timeout: TimeMs) -> bool {
+        let deadline = Instant::now() + Duration::from_millis(timeout.get());
+        self.stop_due.get().is_some_and(|due| deadline > *due)
+    }
+
     /// Marks the instance as shutting down and has peers notified at once.
     pub(crate) fn mark_leaving(&self) {
         self.leaving.store(true, Ordering::Release);
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -2,7 +2,7 @@
 
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
-use bilberryford_callers::{ConnectionLimits, Respond, StopStages, serve_callers};
+use bilberryford_callers::{ConnectionLimits, Respond, StopStages, response_time, serve_callers};
 use bilberryford_peer::{PeerRuntime, PeerTraffic};
 use bilberryford_types::{ErrorKind, EventKind, HybridTime};
 use bytes::Bytes;
@@ -176,7 +176,9 @@
         node.mark_leaving();
         let drain_delay = sleep(Duration::from_millis(node.settings.drain_delay.get()));
         tokio::join!(shutdown::notify_peers(&node, peers.address()), drain_delay);
-        let until = Instant::now() + Duration::from_millis(node.settings.drain_limit.get());
+        let limit = Duration::from_millis(node.settings.drain_limit.get());
+        let until = Instant::now() + limit;
+        node.set_stop_due((Instant::now() + response_time(limit)).into_std());
         stop.closing.cancel();
         let result = server.await;
         shutdown::wait_for_requests(&node, until).await;
--- a/tests/all/shutdown.rs
+++ b/tests/all/shutdown.rs
@@ -1,6 +1,7 @@
 //! Replaces every instance under load, behind a load balancer that polls `/readyz`.
 
 use std::{
+    net::SocketAddr,
     sync::{
         Arc, RwLock,
         atomic::{AtomicBool, AtomicU32, Ordering},
@@ -14,6 +15,13 @@
     persistent::call_at_once,
 };
 
+use rstest::rstest;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    time::{interval, timeout},
+};
+
 use crate::support::{Deployment, KEY, eventually, fast_engine};
 
 /// Longest time for one instance to stop.
@@ -27,6 +35,8 @@
 /// Tokens of a stream that takes longer than [`DRAIN_DELAY_MS`], at 2 ms each.
 const LONG_TOKENS: u32 = 1_200;
 
+const PROMPT: &str = r#"{"model":"assistant","prompt":"which tin?","max_tokens":4,"stream":true}"#;
+
 /// State shared by the load balancer and the callers.
 #[derive(Default)]
 struct Shared {
@@ -219,3 +229,53 @@
     let Outcome::Refused { status, ran, kind } = outcome else { panic!("{outcome:?}") };
     assert_eq!((status, ran.as_str(), kind.as_str()), (502, "maybe", "stopped_while_running"));
 }
+
+/// Connects until the instance establishes no more connections, and returns the last one that it accepted.
+async fn last_connection(address: SocketAddr) -> TcpStream {
+    /// Much longer than a connection takes on one machine. The first packet of a later one is dropped.
+    const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
+    let mut last = None;
+    let mut attempts = interval(Duration::from_millis(5));
+    while let Ok(Ok(stream)) = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+        last = Some(stream);
+        attempts.tick().await;
+    }
+    last.expect("a connection before the stop")
+}
+
+/// A request that comes after the listener was closed is passed on only if it ends before the process does. Its caller goes to
+/// another instance otherwise, also with an order.
+#[rstest]
+#[case::order_that_may_end_too_late("/services/desk/orders", "{\"tins\":2}", 60_000, "503", 0)]
+#[case::order_that_ends_in_time("/services/desk/orders", "{\"tins\":2}", 300, "200", 1)]
+#[case::prompt_that_may_end_too_late("/v1/completions", PROMPT, 60_000, "503", 0)]
+#[tokio::test]
+async fn a_request_that_comes_late_in_a_drain_is_passed_on_only_if_it_ends_in_time(
+    #[case] path: &str,
+    #[case] body: &str,
+    #[case] timeout_ms: u64,
+    #[case] status: &str,
+    #[case] passed_on: u64,
+) {
+    let options = ["--drain-delay-ms", "100", "--drain-limit-ms", "2000"];
+    let mut deployment = Deployment::start_with(1, &fast_engine(), &options).await.unwrap();
+    let leaving = deployment.instances.remove(0);
+    let address = leaving.url().trim_start_matches("http://").parse().expect("an address");
+    let text = format!(
+        "POST {path} HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {KEY}\r\nbilberryford-timeout-ms: {timeout_ms}\r\nidempotency-key: o-1\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    let stopping = tokio::task::spawn_blocking(move || leaving.stop(STOP_LIMIT));
+    let mut stream = last_connection(address).await;
+    stream.write_all(text.as_bytes()).await.expect("the request is written");
+    let mut response = String::new();
+    let reading = stream.read_to_string(&mut response);
+    let _ = timeout(STOP_LIMIT, reading).await.expect("the end of the response");
+    assert!(response.starts_with(&format!("HTTP/1.1 {status}")), "{response:?}");
+    assert!(status == "200" || response.contains("bilberryford-ran: no"), "{response:?}");
+    let orders: u64 =
+        deployment.services[0].0.stats().orders.values().map(|count| u64::from(*count)).sum();
+    let runs: u64 = deployment.engines.iter().map(|engine| engine.0.stats().started).sum();
+    assert_eq!(orders + runs, passed_on);
+    assert!(stopping.await.unwrap(), "the instance did not stop within the limit");
+}
