--- a/crates/gateway/tests/decisions/readers.rs
+++ b/crates/gateway/tests/decisions/readers.rs
@@ -399,6 +399,15 @@
     }
 }
 
+fn recovery_limits(bound_ms: u64) -> RecoveryLimits {
+    RecoveryLimits {
+        in_touch_ms: TimeMs(3_000),
+        heartbeat_ms: TimeMs(1_200),
+        endpoint_drain_ms: TimeMs(bound_ms),
+        config_propagation_ms: TimeMs(bound_ms),
+    }
+}
+
 /// Both readers are cut off from the store at once, and a change is made right after that. An instance that asks them is
 /// in touch itself, so that it has to rely on them no longer than the bound of the change allows.
 #[rstest]
@@ -411,12 +420,7 @@
     const CUT_MS: u64 = 10_000;
     /// The time of a list of the store.
     const LIST_MS: u64 = 50;
-    let limits = RecoveryLimits {
-        in_touch_ms: TimeMs(3_000),
-        heartbeat_ms: TimeMs(1_200),
-        endpoint_drain_ms: TimeMs(bound_ms),
-        config_propagation_ms: TimeMs(bound_ms),
-    };
+    let limits = recovery_limits(bound_ms);
     let mut random = StdRng::seed_from_u64(27);
     for _ in 0..2_000 {
         // The last replies to the two readers, which confirm the configuration at their intervals.
@@ -457,12 +461,7 @@
     const CUT_MS: u64 = 10_000;
     /// The time of a list of the store.
     const LIST_MS: u64 = 50;
-    let limits = RecoveryLimits {
-        in_touch_ms: TimeMs(3_000),
-        heartbeat_ms: TimeMs(1_200),
-        endpoint_drain_ms: TimeMs(bound_ms),
-        config_propagation_ms: TimeMs(bound_ms),
-    };
+    let limits = recovery_limits(bound_ms);
     let names: Vec<_> = (0..20).map(name).collect();
     let listed = || names.iter().enumerate().map(|(at, name)| (name.as_str(), address(at)));
     let mut random = StdRng::seed_from_u64(55);
