A view is read again while its keys are valid, where keys expire before the bound of configurations

Found by reading the diff: the limit on the age of a view was three quarters of the bound of configurations only. With 11 s for those and 5 s for revocations, an instance whose readers are lost would have refused all keys from 4.6 s on and read at 8.25 s.

--- a/crates/gateway/tests/decisions/propagation.rs
+++ b/crates/gateway/tests/decisions/propagation.rs
@@ -3,6 +3,8 @@
 
 mod model;
 
+use bilberryford_gateway::{ConfirmationStep, KeyValidity, PropagationLimits};
+use bilberryford_types::TimeMs;
 use rstest::rstest;
 
 use self::model::{Cut, DAY_MS, Day, Deployment, GROWN, LARGE, MEDIUM, SMALL};
@@ -118,3 +120,24 @@
     let made = day.reads() - before;
     assert!(made <= of_readers * 3 / 2, "{made} reads, those of the readers are {of_readers}");
 }
+
+/// Where keys expire before the bound of configurations, a view is read again while its keys are still valid, also after a call
+/// that fails.
+#[rstest]
+fn a_view_is_read_again_before_its_keys_expire(
+    #[values(2_000, 3_000, 4_000, 11_000)] config_propagation_ms: u64,
+    #[values(3_000, 5_000, 8_000)] key_revocation_ms: u64,
+) {
+    /// The longest backoff after a failed call, and a read.
+    const RETRY_MS: TimeMs = TimeMs(200);
+    let (config_propagation_ms, key_revocation_ms) =
+        (TimeMs(config_propagation_ms), TimeMs(key_revocation_ms));
+    let limits = PropagationLimits { config_propagation_ms, key_revocation_ms };
+    let mut keys = KeyValidity::new(key_revocation_ms);
+    keys.confirm(TimeMs(0));
+    let mut now_ms = TimeMs(0);
+    while let ConfirmationStep::Wait(wait_ms) = limits.next_step(false, keys.age_ms(now_ms)) {
+        now_ms = now_ms.after(wait_ms);
+    }
+    assert!(keys.is_valid(now_ms.after(RETRY_MS)), "read at {now_ms}");
+}
