--- a/crates/gateway/src/controllers/config.rs
+++ b/crates/gateway/src/controllers/config.rs
@@ -19,6 +19,7 @@
 
 /// The name of the object with the newest configuration.
 const CONFIG_NAME: &str = "main";
+
 /// How a configuration was learned.
 #[derive(Debug, Clone, Copy, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
--- a/crates/gateway/src/controllers/shared_view.rs
+++ b/crates/gateway/src/controllers/shared_view.rs
@@ -103,7 +103,7 @@
 }
 
 impl ReadMode {
-    /// Returns true if that is a change.
+    /// Sets whether this instance reads everything from the store, and returns true if it did the opposite before.
     fn set_reads_store(&self, reads_store: bool) -> bool {
         self.0.send_if_modified(|reads| {
             std::mem::replace(&mut reads.everything, reads_store) != reads_store
--- a/crates/gateway/src/filters/authorize.rs
+++ b/crates/gateway/src/filters/authorize.rs
@@ -23,7 +23,8 @@
 ///
 /// # Errors
 ///
-/// `NotReady` if this instance can't check keys at the moment, `Unauthenticated` if the key is missing or unknown.
+/// `NotReady` if this instance can't check keys at the moment, or does not know the key and may lack newer ones;
+/// `Unauthenticated` if the key is missing or unknown.
 pub(crate) fn authorize(
     gateway: &Gateway,
     facts: &CallerFacts,
@@ -39,14 +40,14 @@
     if !gateway.keys.lock().is_valid(gateway.clock.now()) {
         return Err(not_ready(gateway));
     }
-    match facts.key.as_deref() {
-        None => Err(ErrorResponse::new(ErrorKind::Unauthenticated)),
-        Some(key) => match deployment.team(key) {
-            Some(team) => Ok(Some(team.clone())),
-            // An outdated configuration can't prove that a key does not exist.
-            None if !gateway.proves_absence() => Err(not_ready(gateway)),
-            None => Err(ErrorResponse::new(ErrorKind::Unauthenticated)),
-        },
+    let Some(key) = facts.key.as_deref() else {
+        return Err(ErrorResponse::new(ErrorKind::Unauthenticated));
+    };
+    match deployment.team(key) {
+        Some(team) => Ok(Some(team.clone())),
+        None if gateway.proves_absence() => Err(ErrorResponse::new(ErrorKind::Unauthenticated)),
+        // An outdated configuration can't prove that a key does not exist.
+        None => Err(not_ready(gateway)),
     }
 }
 
--- a/crates/gateway/src/filters/identify.rs
+++ b/crates/gateway/src/filters/identify.rs
@@ -52,9 +52,10 @@
     let host = host.or_else(|| request.uri().host()).unwrap_or_default();
     let Some(route) = deployment.route(host, request.uri().path()) else {
         // An outdated configuration can't prove that a route does not exist.
-        return Err(match gateway.proves_absence() {
-            true => ErrorResponse::new(ErrorKind::NotFound),
-            false => not_ready(gateway),
+        return Err(if gateway.proves_absence() {
+            ErrorResponse::new(ErrorKind::NotFound)
+        } else {
+            not_ready(gateway)
         });
     };
     record.route = Some(route.name.clone());
