--- a/crates/gateway/src/propagation.rs
+++ b/crates/gateway/src/propagation.rs
@@ -12,7 +12,8 @@
 const CONFIRM_PERCENT_OF_PROPAGATION: u64 = 50;
 /// The same in percent of the bound for revocations: keys stay valid if one read fails.
 const CONFIRM_PERCENT_OF_REVOCATION: u64 = 45;
-/// The age of the last confirmation at which any instance reads for itself, in percent of the shorter bound. The rest is for a call that fails, its backoff, and a process that runs late.
+/// The age of the last confirmation at which any instance reads for itself, in percent of the shorter bound. The rest is for
+/// a call that fails, its backoff, and a process that runs late.
 const MAX_AGE_PERCENT: u64 = 75;
 /// The longest time until an instance decides again, since it may have become a reader, in milliseconds.
 const CHECK_INTERVAL_MS: TimeMs = TimeMs(300);
