One decision when an instance reads the store, and one limit on the age of its view

The condition for an old contact with the store was added beside the decision on readers, and written again in both models; it is now part of ReaderSelection::reason_to_read, and reads_store, which only tests called, is gone. Three quarters of a bound stood in two modules. Confirmations lock the keys once in place of twice.

Ruled out: sharing the delivery of messages between the two models, whose messages and stores differ.

--- a/crates/gateway/src/controllers/shared_view.rs
+++ b/crates/gateway/src/controllers/shared_view.rs
@@ -23,14 +23,9 @@
     weights::{record_not_before, record_weights},
 };
 use crate::{
-    change_log::MissedChanges,
-    evacuation::EvacuationView,
-    gateway::Gateway,
-    peer_loads::PeerMessage,
-    propagation::PropagationLimits,
-    readers::{ReadReason, passed_on_confirmation},
-    rollout::PublishedVersion,
-    store_contact::RecoveryLimits,
+    change_log::MissedChanges, evacuation::EvacuationView, gateway::Gateway,
+    peer_loads::PeerMessage, propagation::PropagationLimits, readers::passed_on_confirmation,
+    rollout::PublishedVersion, store_contact::RecoveryLimits,
 };
 
 /// The interval between two questions, in milliseconds. It bounds how much later than a reader this instance learns of
@@ -175,8 +170,7 @@
 fn update_read_mode(gateway: &Gateway, now_ms: TimeMs) {
     let contact_age_ms = gateway.store_contact_age_ms();
     let has_old_contact = RecoveryLimits::from(gateway.bounds()).must_read(contact_age_ms);
-    let reason = gateway.readers.lock().reason_to_read(now_ms, ANSWER_EXPIRY_MS);
-    let reason = reason.or_else(|| has_old_contact.then_some(ReadReason::OldContact));
+    let reason = gateway.readers.lock().reason_to_read(now_ms, ANSWER_EXPIRY_MS, has_old_contact);
     if gateway.read_mode.set_reads_store(reason.is_some()) {
         log::info!(
             target: "belief", reads_store = reason.is_some(),
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -389,10 +389,11 @@
     /// Records that a linearizable read that started at `started_ms`, here or at a reader, confirmed the configuration.
     pub(crate) fn confirm_keys(&self, started_ms: TimeMs) {
         self.observe_era();
-        if let Some(age_ms) = self.confirmation_age_ms() {
+        let mut keys = self.keys.lock();
+        if let Some(age_ms) = keys.age_ms(self.clock.now()) {
             self.metrics.record_config_age(age_ms);
         }
-        self.keys.lock().confirm(started_ms);
+        keys.confirm(started_ms);
     }
 
     /// Returns true if a request may be denied since the configuration in force lacks its route or key.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -62,6 +62,10 @@
             .map_err(|error| MetricsError { reason: error.to_string() })?;
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
         let meter = provider.meter("bilberryford.gateway");
+        let seconds = |name: &'static str| {
+            let histogram = meter.f64_histogram(name).with_unit("s");
+            histogram.with_boundaries(LATENCY_BOUNDS_S.to_vec()).build()
+        };
         Ok(Self {
             outcomes: meter.u64_counter("bilberryford.gateway.outcomes").build(),
             streams: meter.u64_counter("bilberryford.gateway.streams").build(),
@@ -84,25 +88,13 @@
                 .u64_gauge("bilberryford.gateway.evacuated_data_centres")
                 .build(),
             cold_endpoints: meter.u64_gauge("bilberryford.gateway.cold_endpoints").build(),
-            first_byte_s: meter
-                .f64_histogram("bilberryford.gateway.first_byte")
-                .with_unit("s")
-                .with_boundaries(LATENCY_BOUNDS_S.to_vec())
-                .build(),
+            first_byte_s: seconds("bilberryford.gateway.first_byte"),
             first_token_ratio: meter
                 .f64_histogram("bilberryford.gateway.first_token_ratio")
                 .with_boundaries(RATIO_BOUNDS.to_vec())
                 .build(),
-            config_age_s: meter
-                .f64_histogram("bilberryford.gateway.config_age")
-                .with_unit("s")
-                .with_boundaries(LATENCY_BOUNDS_S.to_vec())
-                .build(),
-            timer_lag_s: meter
-                .f64_histogram("bilberryford.gateway.timer_lag")
-                .with_unit("s")
-                .with_boundaries(LATENCY_BOUNDS_S.to_vec())
-                .build(),
+            config_age_s: seconds("bilberryford.gateway.config_age"),
+            timer_lag_s: seconds("bilberryford.gateway.timer_lag"),
             registry,
             _provider: provider,
         })
--- a/crates/gateway/src/propagation.rs
+++ b/crates/gateway/src/propagation.rs
@@ -12,12 +12,17 @@
 const CONFIRM_PERCENT_OF_PROPAGATION: u64 = 50;
 /// The same in percent of the bound for revocations: keys stay valid if one read fails.
 const CONFIRM_PERCENT_OF_REVOCATION: u64 = 45;
-/// The age of the last confirmation at which any instance reads for itself, in percent of the shorter bound. The rest is for
-/// a call that fails, its backoff, and a process that runs late.
+/// The age of a view at which any instance reads for itself, in percent of the bound of changes. The rest is for the interval
+/// of the questions, a call that fails, its backoff, and a process that runs late.
 const MAX_AGE_PERCENT: u64 = 75;
 /// The longest time until an instance decides again, since it may have become a reader, in milliseconds.
 const CHECK_INTERVAL_MS: TimeMs = TimeMs(300);
 
+/// The longest age of a view, own or passed on, at which it is not read again, if changes have to be known within `bound_ms`.
+pub(crate) fn max_view_age_ms(bound_ms: TimeMs) -> TimeMs {
+    TimeMs(bound_ms.get() * MAX_AGE_PERCENT / 100)
+}
+
 /// What an instance does next to keep its configuration confirmed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ConfirmationStep {
@@ -59,8 +64,7 @@
     /// An instance whose calls reach the store has begun a read by the time its last confirmation has this age, whatever its
     /// readers do.
     pub fn max_confirmation_age_ms(&self) -> TimeMs {
-        let bound_ms = self.config_propagation_ms.min(self.key_revocation_ms);
-        TimeMs(bound_ms.get() * MAX_AGE_PERCENT / 100)
+        max_view_age_ms(self.config_propagation_ms.min(self.key_revocation_ms))
     }
 
     /// Returns true if a route or key that the configuration lacks does not exist, as far as an instance can know whose last
--- a/crates/gateway/src/readers.rs
+++ b/crates/gateway/src/readers.rs
@@ -146,8 +146,13 @@
     }
 
     /// Returns why this instance reads the store at `now_ms`; none if readers read it for this instance. An answer counts
-    /// for `expiry_ms`.
-    pub fn reason_to_read(&self, now_ms: TimeMs, expiry_ms: TimeMs) -> Option<ReadReason> {
+    /// for `expiry_ms`. The store's last reply that the instance knows of may be too old beside that, whatever its readers do.
+    pub fn reason_to_read(
+        &self,
+        now_ms: TimeMs,
+        expiry_ms: TimeMs,
+        has_old_contact: bool,
+    ) -> Option<ReadReason> {
         let is_within = |at: Option<TimeMs>, span| at.is_some_and(|at| now_ms.since(at) < span);
         if self.responsive().count() < self.readers {
             Some(ReadReason::TooFewReaders)
@@ -156,12 +161,7 @@
         } else if !is_within(self.answered_ms, expiry_ms) {
             Some(ReadReason::NoAnswer)
         } else {
-            None
+            has_old_contact.then_some(ReadReason::OldContact)
         }
     }
-
-    /// Returns true if this instance reads the store at `now_ms`.
-    pub fn reads_store(&self, now_ms: TimeMs, expiry_ms: TimeMs) -> bool {
-        self.reason_to_read(now_ms, expiry_ms).is_some()
-    }
 }
--- a/crates/gateway/src/store_contact.rs
+++ b/crates/gateway/src/store_contact.rs
@@ -7,7 +7,7 @@
 
 use bilberryford_types::TimeMs;
 
-use crate::{readers::passed_on_confirmation, settings::Bounds};
+use crate::{propagation::max_view_age_ms, readers::passed_on_confirmation, settings::Bounds};
 
 /// How long after the store's first reply an entry may be missing, in milliseconds: its owner writes it again within two
 /// seconds.
@@ -17,9 +17,6 @@
 /// The shortest outage in which an entry can lapse, in heartbeat intervals: it lapses after three of them without a
 /// heartbeat, and the last one may have been due when the outage began.
 const LAPSE_HEARTBEATS: u64 = 2;
-/// How old the store's last reply to a reader may be, in percent of the shortest bound of a change. The rest is for the interval of the
-/// questions, and for a list of the store.
-const MAX_VIEW_PERCENT: u64 = 75;
 
 /// The limits that a deployment sets for the return of entries.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -37,8 +34,7 @@
 impl RecoveryLimits {
     /// The longest age of the store's last reply at which the view of a reader may be relied on.
     pub fn max_view_age_ms(&self) -> TimeMs {
-        let bound_ms = self.endpoint_drain_ms.min(self.config_propagation_ms);
-        TimeMs(bound_ms.get() * MAX_VIEW_PERCENT / 100)
+        max_view_age_ms(self.endpoint_drain_ms.min(self.config_propagation_ms))
     }
 
     /// Returns true if an instance has to read the store, since the last reply that it knows of is too old, whatever its readers
--- a/crates/gateway/tests/decisions/propagation/model.rs
+++ b/crates/gateway/tests/decisions/propagation/model.rs
@@ -1,18 +1,19 @@
 //! A model of instances that keep their views with the decisions of the gateway. Messages and calls take time and wait for the
 //! processor, and one call in twenty fails.
 
-use std::net::SocketAddr;
+mod instance;
 
 use bilberryford_gateway::{
-    ConfirmationStep, EndpointTable, KeyValidity, PropagationLimits, ReaderSelection,
-    RecoveryLimits, passed_on_confirmation,
+    ConfirmationStep, PropagationLimits, RecoveryLimits, passed_on_confirmation,
 };
 use bilberryford_types::TimeMs;
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
+pub(super) use self::instance::{Cut, Deployment, GROWN, LARGE, MEDIUM, SMALL};
+use self::instance::{Instance, WatchState};
+use crate::decisions::readers::{ASK_MS, EXPIRY_MS, address};
+
 const STEP_MS: u64 = 20;
-const ASK_MS: u64 = 400;
-const ANSWER_EXPIRY_MS: u64 = 1_600;
 /// How long a call of a silent store takes to fail, and a watch to notice it.
 const SILENCE_MS: u64 = 900;
 const WATCH_SILENCE_MS: u64 = 2_000;
@@ -22,63 +23,6 @@
 const FIRST_WATCH_DELAY_MS: u64 = 900;
 pub(super) const DAY_MS: u64 = 60_000;
 
-/// The figures of a deployment.
-#[derive(Clone, Copy)]
-pub(super) struct Deployment {
-    pub(super) instances: usize,
-    pub(super) data_centres: usize,
-    in_touch_ms: u64,
-    pub(super) bound_ms: u64,
-}
-
-pub(super) const SMALL: Deployment =
-    Deployment { instances: 9, data_centres: 1, in_touch_ms: 3_000, bound_ms: 2_000 };
-pub(super) const MEDIUM: Deployment =
-    Deployment { instances: 31, data_centres: 1, in_touch_ms: 4_000, bound_ms: 3_000 };
-pub(super) const GROWN: Deployment =
-    Deployment { instances: 91, data_centres: 3, in_touch_ms: 4_000, bound_ms: 3_000 };
-pub(super) const LARGE: Deployment =
-    Deployment { instances: 301, data_centres: 5, in_touch_ms: 5_000, bound_ms: 4_000 };
-
-/// How the store treats an instance that it does not serve.
-#[derive(Clone, Copy, PartialEq)]
-pub(super) enum Cut {
-    Refused,
-    Silent,
-}
-
-/// The watch of the configuration.
-#[derive(Clone, Copy)]
-enum WatchState {
-    /// Waits until the instance reads the store.
-    Idle,
-    /// Lists at this time.
-    ListsAt(u64),
-    /// Watches from this time, and fails at that.
-    Watches { from_ms: u64, fails_ms: u64 },
-}
-
-struct Instance {
-    readers: ReaderSelection,
-    keys: KeyValidity,
-    contact: EndpointTable,
-    version: u64,
-    watch: WatchState,
-    /// The version of the last change that the watch returned.
-    watched: u64,
-    backoff: u32,
-    next_contact_ms: u64,
-    next_confirmation_ms: u64,
-    confirmation_failures: u32,
-    next_ask_ms: u64,
-    cut: Option<(Cut, u64)>,
-    suspended_until_ms: u64,
-    /// The last moment at which something disturbed it.
-    disturbed_ms: u64,
-    has_failed_call: bool,
-    reads: u64,
-}
-
 enum Message {
     Question { from: usize, to: usize, asked_ms: u64 },
     Answer { from: usize, to: usize, asked_ms: u64, view: View },
@@ -107,14 +51,6 @@
     pub(super) now_ms: u64,
 }
 
-fn address(number: usize) -> SocketAddr {
-    ([10, 0, 0, 1], 1_000 + number as u16).into()
-}
-
-fn name(number: usize) -> String {
-    format!("front-{number}")
-}
-
 impl Day {
     pub(super) fn new(deployment: Deployment, seed: u64) -> Self {
         let bound_ms = TimeMs(deployment.bound_ms);
@@ -143,31 +79,8 @@
 
     /// A process that has just started.
     fn start(&mut self, number: usize) -> Instance {
-        let mut readers = ReaderSelection::default();
-        let data_centres = self.deployment.data_centres;
-        let names: Vec<_> = (0..self.deployment.instances)
-            .filter(|other| other % data_centres == number % data_centres)
-            .map(|other| (name(other), address(other)))
-            .collect();
-        readers.set_instances(&name(number), names.iter().map(|(name, at)| (name.as_str(), *at)));
-        Instance {
-            readers,
-            keys: KeyValidity::new(TimeMs(5_000)),
-            contact: EndpointTable::default(),
-            version: 0,
-            watch: WatchState::ListsAt(self.now_ms),
-            watched: 0,
-            backoff: 0,
-            next_contact_ms: self.now_ms,
-            next_confirmation_ms: self.now_ms,
-            confirmation_failures: 0,
-            next_ask_ms: self.now_ms + self.random.random_range(0..ASK_MS),
-            cut: None,
-            suspended_until_ms: 0,
-            disturbed_ms: self.now_ms,
-            has_failed_call: false,
-            reads: 0,
-        }
+        let next_ask_ms = self.now_ms + self.below(ASK_MS);
+        Instance::start(number, self.deployment, self.now_ms, next_ask_ms)
     }
 
     pub(super) fn below(&mut self, limit: u64) -> u64 {
@@ -187,6 +100,12 @@
         self.under_way.push((self.now_ms + delay_ms + lag_ms, message));
     }
 
+    /// Sends the reply to a read that begins now; only a linearizable one confirms the version.
+    fn reply(&mut self, to: usize, delay_ms: u64, is_linearizable: bool) {
+        let (started_ms, version) = (self.now_ms, self.newest());
+        self.send(delay_ms, Message::Read { to, started_ms, version, is_linearizable });
+    }
+
     /// Makes a call, and returns when it fails, if it does. One call in twenty fails, but no two of an instance in a row.
     fn fails_at(&mut self, number: usize) -> Option<u64> {
         let fails_by_chance = self.below(20) == 0;
@@ -214,8 +133,8 @@
     fn reads_store(&self, number: usize) -> bool {
         let instance = &self.instances[number];
         let now = TimeMs(self.now_ms);
-        instance.readers.reads_store(now, TimeMs(ANSWER_EXPIRY_MS))
-            || self.recovery.must_read(instance.contact.contact_age_ms(now))
+        let has_old_contact = self.recovery.must_read(instance.contact.contact_age_ms(now));
+        instance.readers.reason_to_read(now, EXPIRY_MS, has_old_contact).is_some()
     }
 
     fn run_watch(&mut self, number: usize) {
@@ -232,18 +151,9 @@
                         WatchState::ListsAt(failed_ms + self.backoff_ms(failures))
                     }
                     None => {
-                        let version = self.newest();
-                        self.send(
-                            10,
-                            Message::Read {
-                                to: number,
-                                started_ms: now_ms,
-                                version,
-                                is_linearizable: true,
-                            },
-                        );
+                        self.reply(number, 10, true);
                         self.instances[number].backoff = 0;
-                        self.instances[number].watched = version;
+                        self.instances[number].watched = self.newest();
                         let from_ms = now_ms + FIRST_WATCH_DELAY_MS;
                         WatchState::Watches { from_ms, fails_ms: u64::MAX }
                     }
@@ -266,11 +176,7 @@
                     let from_ms = now_ms + 100;
                     self.instances[number].watch =
                         WatchState::Watches { from_ms, fails_ms: u64::MAX };
-                    let (to, version) = (number, newest);
-                    self.send(
-                        5,
-                        Message::Read { to, started_ms: 0, version, is_linearizable: false },
-                    );
+                    self.reply(number, 5, false);
                 } else if !self.reads_store(number) {
                     self.instances[number].watch = WatchState::Idle;
                 }
@@ -313,11 +219,7 @@
             self.instances[number].confirmation_failures += 1;
             failed_ms + self.backoff_ms(failures)
         } else {
-            let version = self.newest();
-            self.send(
-                10,
-                Message::Read { to: number, started_ms: now_ms, version, is_linearizable: true },
-            );
+            self.reply(number, 10, true);
             self.instances[number].confirmation_failures = 0;
             let interval_ms = self.limits.confirm_interval_ms().get();
             now_ms + interval_ms * 3 / 4 + self.below(interval_ms / 4)
@@ -355,7 +257,7 @@
                 self.send(1, Message::Answer { from: to, to: from, asked_ms, view });
             }
             Message::Answer { from, to, asked_ms, view } => {
-                if self.now_ms - asked_ms < ANSWER_EXPIRY_MS {
+                if self.now_ms - asked_ms < EXPIRY_MS.get() {
                     self.apply_view(from, to, TimeMs(asked_ms), view);
                 }
             }
@@ -387,8 +289,7 @@
             instance.keys.confirm(passed_on_confirmation(asked_ms, age_ms));
         } else if self.fails_at(to).is_none() {
             // The first read may be old, so that the version comes with the second one.
-            let (started_ms, version) = (self.now_ms, self.newest());
-            self.send(20, Message::Read { to, started_ms, version, is_linearizable: true });
+            self.reply(to, 20, true);
         }
     }
 
--- a/crates/gateway/tests/decisions/readers.rs
+++ b/crates/gateway/tests/decisions/readers.rs
@@ -10,10 +10,10 @@
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use rstest::rstest;
 
-const EXPIRY_MS: TimeMs = TimeMs(1_600);
+pub(super) const EXPIRY_MS: TimeMs = TimeMs(1_600);
 const BOUND_MS: TimeMs = TimeMs(5_000);
 const STEP_MS: u64 = 50;
-const ASK_MS: u64 = 400;
+pub(super) const ASK_MS: u64 = 400;
 const CONFIRM_MS: u64 = 2_000;
 /// The round trip of a read of the store.
 const READ_MS: u64 = 100;
@@ -40,11 +40,11 @@
 
 const CALM: Network = Network { loss_percent: 1, delay_percent: 0 };
 
-fn address(number: usize) -> SocketAddr {
+pub(super) fn address(number: usize) -> SocketAddr {
     ([10, 0, 0, 1], 1_000 + number as u16).into()
 }
 
-fn name(number: usize) -> String {
+pub(super) fn name(number: usize) -> String {
     format!("front-{number}")
 }
 
@@ -251,7 +251,8 @@
                 .keys
                 .age_ms(TimeMs(now_ms))
                 .is_none_or(|age_ms| age_ms.get() >= CONFIRM_MS * 3 / 2);
-            let reads = instance.readers.reads_store(TimeMs(now_ms), EXPIRY_MS) || is_stale;
+            let reason = instance.readers.reason_to_read(TimeMs(now_ms), EXPIRY_MS, false);
+            let reads = reason.is_some() || is_stale;
             if reads && instance.next_read_ms <= now_ms {
                 instance.next_read_ms = now_ms + CONFIRM_MS;
                 instance.calls += 1;
@@ -494,9 +495,9 @@
             }
             now_ms += random.random_range(ASK_MS * 3 / 4..=ASK_MS);
             let now = TimeMs(now_ms);
-            let reads =
-                asker.reads_store(now, EXPIRY_MS) || limits.must_read(table.contact_age_ms(now));
-            if now_ms > CUT_MS && reads {
+            let has_old_contact = limits.must_read(table.contact_age_ms(now));
+            let reason = asker.reason_to_read(now, EXPIRY_MS, has_old_contact);
+            if now_ms > CUT_MS && reason.is_some() {
                 break;
             }
         }
