Tests of cut responses and of stops share their set-up; serve takes the time of its stop once

The end of a drain and the time of the final responses count from one moment, and a request reads the clock for them only while an instance stops.

Ruled out: one function for both front ends that decides whether a request ends in time, since they keep time in different types.

--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -213,8 +213,8 @@
     /// True for a request that comes once no connection is accepted any more, and that may take longer than this instance has
     /// left.
     pub(crate) fn stops_before(&self, timeout: TimeMs) -> bool {
-        let deadline = Instant::now() + Duration::from_millis(timeout.get());
-        self.stop_due.get().is_some_and(|due| deadline > *due)
+        let timeout = Duration::from_millis(timeout.get());
+        self.stop_due.get().is_some_and(|due| Instant::now() + timeout > *due)
     }
 
     /// Marks the instance as shutting down and has peers notified at once.
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -177,11 +177,11 @@
         let drain_delay = sleep(Duration::from_millis(node.settings.drain_delay.get()));
         tokio::join!(shutdown::notify_peers(&node, peers.address()), drain_delay);
         let limit = Duration::from_millis(node.settings.drain_limit.get());
-        let until = Instant::now() + limit;
-        node.set_stop_due((Instant::now() + response_time(limit)).into_std());
+        let closing_at = Instant::now();
+        node.set_stop_due((closing_at + response_time(limit)).into_std());
         stop.closing.cancel();
         let result = server.await;
-        shutdown::wait_for_requests(&node, until).await;
+        shutdown::wait_for_requests(&node, closing_at + limit).await;
         node.orders.wait_drained().await;
         shutdown::wait_for_lease_release(&node).await;
         drop(controllers);
--- a/crates/standins/src/misbehaving.rs
+++ b/crates/standins/src/misbehaving.rs
@@ -129,7 +129,12 @@
     }
 }
 
-async fn read_request(stream: &mut TcpStream) -> io::Result<String> {
+/// Reads a request whose body has a length, and returns its head and its body.
+///
+/// # Errors
+///
+/// The operating system's error, or [`io::ErrorKind::InvalidData`] if the head is too long.
+pub async fn read_request(stream: &mut TcpStream) -> io::Result<(String, Vec<u8>)> {
     let mut head = Vec::new();
     while !head.ends_with(b"\r\n\r\n") {
         head.push(stream.read_u8().await?);
@@ -144,7 +149,7 @@
     });
     let mut body = vec![0; length.unwrap_or(0)];
     stream.read_exact(&mut body).await?;
-    Ok(head)
+    Ok((head, body))
 }
 
 async fn send(stream: &mut TcpStream, counters: &Counters, bytes: &[u8]) -> io::Result<()> {
@@ -191,7 +196,7 @@
     stream.set_nodelay(true)?;
     let mut last: Option<String> = None;
     loop {
-        let request = read_request(&mut stream).await?;
+        let (request, _) = read_request(&mut stream).await?;
         counters.requests.fetch_add(1, Ordering::SeqCst);
         let response = sound(&request);
         if misbehaviour == Misbehaviour::LateSecondCopy {
--- a/crates/standins/src/persistent.rs
+++ b/crates/standins/src/persistent.rs
@@ -7,6 +7,8 @@
     time::Duration,
 };
 
+use tokio::time::{interval, timeout};
+
 /// The longest wait for a response.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -57,6 +59,21 @@
     }
 }
 
+/// Connects until `address` establishes no more connections, as an instance that stops does, and returns the last one.
+pub async fn last_connection(address: SocketAddr) -> Option<tokio::net::TcpStream> {
+    /// Much longer than a connection takes on one machine. The first packet of a later one is dropped.
+    const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
+    let mut last = None;
+    let mut attempts = interval(Duration::from_millis(5));
+    while let Ok(Ok(stream)) =
+        timeout(CONNECT_TIMEOUT, tokio::net::TcpStream::connect(address)).await
+    {
+        last = Some(stream);
+        attempts.tick().await;
+    }
+    last
+}
+
 /// Runs `callers` callers at once until `address` refuses connections, and returns the sum of their outcomes.
 pub fn call_at_once(address: SocketAddr, request: &str, callers: usize) -> CallOutcomes {
     /// The pauses between connecting and sending, in milliseconds.
--- a/tests/all/cut_answers.rs
+++ b/tests/all/cut_answers.rs
@@ -10,7 +10,7 @@
     },
 };
 
-use bilberryford_standins::load::Outcome;
+use bilberryford_standins::{load::Outcome, misbehaving::read_request};
 use rstest::rstest;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -117,17 +117,7 @@
     steps: &[Step],
     next_step: &AtomicUsize,
 ) -> io::Result<()> {
-    let mut head = Vec::new();
-    while !head.ends_with(b"\r\n\r\n") {
-        head.push(caller.read_u8().await?);
-    }
-    let text = String::from_utf8_lossy(&head).into_owned();
-    let length = text.lines().find_map(|line| {
-        let (name, value) = line.split_once(':')?;
-        name.eq_ignore_ascii_case("content-length").then(|| value.trim().parse().ok()).flatten()
-    });
-    let mut body = vec![0; length.unwrap_or(0)];
-    caller.read_exact(&mut body).await?;
+    let (text, body) = read_request(&mut caller).await?;
     let mut upstream = TcpStream::connect(endpoint).await?;
     let closing = text.replacen("\r\n", "\r\nConnection: close\r\n", 1);
     upstream.write_all(closing.as_bytes()).await?;
@@ -216,7 +206,7 @@
     }
 }
 
-/// The response to an order is cut: the caller is not told that it is whole, and the order runs once.
+/// A truncated response to an order is reported as one of unknown outcome, and the order runs once.
 #[rstest]
 #[tokio::test]
 async fn a_cut_response_to_an_order_is_not_passed_on_as_whole(
--- a/tests/all/shutdown.rs
+++ b/tests/all/shutdown.rs
@@ -1,7 +1,6 @@
 //! Replaces every instance under load, behind a load balancer that polls `/readyz`.
 
 use std::{
-    net::SocketAddr,
     sync::{
         Arc, RwLock,
         atomic::{AtomicBool, AtomicU32, Ordering},
@@ -12,14 +11,12 @@
 use bilberryford_standins::{
     engine::Faults,
     load::{Caller, Outcome},
-    persistent::call_at_once,
+    persistent::{call_at_once, last_connection},
 };
-
 use rstest::rstest;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpStream,
-    time::{interval, timeout},
+    time::timeout,
 };
 
 use crate::support::{Deployment, KEY, eventually, fast_engine};
@@ -230,19 +227,6 @@
     assert_eq!((status, ran.as_str(), kind.as_str()), (502, "maybe", "stopped_while_running"));
 }
 
-/// Connects until the instance establishes no more connections, and returns the last one that it accepted.
-async fn last_connection(address: SocketAddr) -> TcpStream {
-    /// Much longer than a connection takes on one machine. The first packet of a later one is dropped.
-    const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
-    let mut last = None;
-    let mut attempts = interval(Duration::from_millis(5));
-    while let Ok(Ok(stream)) = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
-        last = Some(stream);
-        attempts.tick().await;
-    }
-    last.expect("a connection before the stop")
-}
-
 /// A request that comes after the listener was closed is passed on only if it ends before the process does. Its caller goes to
 /// another instance otherwise, also with an order.
 #[rstest]
@@ -266,7 +250,7 @@
         body.len()
     );
     let stopping = tokio::task::spawn_blocking(move || leaving.stop(STOP_LIMIT));
-    let mut stream = last_connection(address).await;
+    let mut stream = last_connection(address).await.expect("a connection before the stop");
     stream.write_all(text.as_bytes()).await.expect("the request is written");
     let mut response = String::new();
     let reading = stream.read_to_string(&mut response);
