The last lines of a log are written before the process exits

Lines go through a queue to a writer thread, and the exit of the process did not wait for it: the lines of the last moments of a stop, which tell what was given up, were lost. Ruled out: dropped lines (the queue reports them) and SIGKILL (exits with status 0 only are counted).

--- a/src/main.rs
+++ b/src/main.rs
@@ -22,6 +22,7 @@
         Command::Status(options) => commands::status::run(&options),
         Command::KeyDigest(options) => commands::key_digest::run(&options),
     };
+    logging::flush();
     match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
