The end of a connection leaves no request unread, and cuts no response on its way

What callers saw: at a stop of their instance, a request that was sent on a kept connection while a response was on its way got no answer, some of them sent seconds before SIGTERM; and a large response that its caller read slowly was cut, though the endpoint had completed it and the instance had logged it as answered.

Cause: hyper ends a connection after the last response (a graceful stop, or `Connection: close`), whatever lies in its buffer or in the socket behind it. The request there gets no answer, and the close of a socket with unread bytes resets the connection, which discards what the caller has not received of the response. Class: a connection is ended while a whole request lies unread on it.

Change, in crates/callers, so that both front ends have it: - The requests of a connection are served in rounds; what is unread at the end of a round begins the next one. It is refused (503, not run) once a response has announced the end of the connection, and served otherwise. The rest of a body that was not read to its end is never taken for a request (`RequestEnd`), nor is what follows a request with `Connection: close`. - Then the instance ends its own direction and waits for the end of the caller's, 5 s or to the end of the stop at most, and reads nothing but the rest of a refused body. - A request of which a part has come on a kept connection is waited for, 0.5 s at most. Looked at beside it: idle and header time-outs end a connection on which no whole request lies; refusals before the body was read keep their response now (the rest is read and dropped, 512 KiB at most); connections to endpoints carry one request at a time.

--- a/crates/callers/src/bodies.rs
+++ b/crates/callers/src/bodies.rs
@@ -154,3 +154,24 @@
     }
     Ok((read.freeze(), reservation))
 }
+
+/// Reads and drops the body of a request that is refused, so that the requests behind it can be told apart. Returns false if it
+/// is longer than `max_bytes` or ends early.
+pub async fn discard_body<B>(mut body: B, max_bytes: u64) -> bool
+where
+    B: Body<Data = bytes::Bytes> + Unpin,
+{
+    let mut left = max_bytes;
+    while let Some(frame) = body.frame().await {
+        let bytes = match frame.map(hyper::body::Frame::into_data) {
+            Ok(Ok(data)) => data.len() as u64,
+            Ok(Err(_)) => 0,
+            Err(_) => return false,
+        };
+        match left.checked_sub(bytes) {
+            Some(rest) => left = rest,
+            None => return false,
+        }
+    }
+    true
+}
--- a/crates/callers/src/connection.rs
+++ b/crates/callers/src/connection.rs
@@ -1,7 +1,12 @@
 //! One connection of a caller, from its acceptance to its end.
+//!
+//! hyper ends a connection after the last response that it is told of, whatever was sent behind the request. The requests of a
+//! connection are therefore served in rounds: what is unread at the end of a round begins the next one, and the socket is
+//! closed once nothing is left. See `docs/design/shutdown.md`.
 
 use std::{
     convert::Infallible,
+    future::poll_fn,
     io,
     net::SocketAddr,
     sync::{
@@ -11,7 +16,11 @@
     time::Duration,
 };
 
-use hyper::{server::conn::http1, service::service_fn};
+use bytes::Bytes;
+use http::Extensions;
+use hyper::{
+    HeaderMap, Request, Version, body::Body, header, server::conn::http1, service::service_fn,
+};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{
@@ -20,7 +29,10 @@
 };
 use tokio_util::sync::CancellationToken;
 
-use crate::{Respond, stream::SharedStream};
+use crate::{
+    Caller, Respond, StopStages,
+    stream::{CallerStream, SharedStream},
+};
 
 /// How long bytes to a caller may stay unacknowledged before the connection is closed.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(5);
@@ -28,7 +40,7 @@
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// The smallest buffer of a connection that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
-/// How long a new connection is kept for its first request after the instance has begun to close connections.
+/// How long a new connection, or the rest of a request, is waited for after the instance has begun to close connections.
 const FIRST_REQUEST_TIME: Duration = Duration::from_millis(500);
 /// The interval at which a connection that is to be closed is examined.
 const EXAMINATION_INTERVAL: Duration = Duration::from_millis(2);
@@ -42,29 +54,89 @@
     pub max_header_bytes: usize,
 }
 
-/// What is known of a connection beside hyper.
-struct ConnectionState {
+/// Marks the end of a request's body, as an extension of the request.
+///
+/// # Invariant
+///
+/// What follows on the connection is taken for a further request only after the mark is set, so that the rest of a body is never
+/// taken for one.
+#[derive(Debug, Clone, Default)]
+pub struct RequestEnd(Arc<AtomicBool>);
+
+impl RequestEnd {
+    /// States that the body of the request with these extensions was read to its end.
+    pub fn mark_reached(extensions: &Extensions) {
+        if let Some(end) = extensions.get::<Self>() {
+            end.0.store(true, Ordering::Relaxed);
+        }
+    }
+
+    fn is_reached(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+/// What is known of a round of requests beside hyper.
+struct Round {
     stream: SharedStream,
-    accepted_at: Instant,
+    began_at: Instant,
     had_request: AtomicBool,
     /// True while a request is responded to. Further requests may wait in the socket meanwhile.
     is_busy: AtomicBool,
+    /// True once the caller has announced that it sends no further request.
+    is_last: AtomicBool,
+    last_end: parking_lot::Mutex<RequestEnd>,
 }
 
-impl ConnectionState {
+impl Round {
+    fn new(stream: SharedStream) -> Arc<Self> {
+        Arc::new(Self {
+            stream,
+            began_at: Instant::now(),
+            had_request: AtomicBool::new(false),
+            is_busy: AtomicBool::new(false),
+            is_last: AtomicBool::new(false),
+            last_end: parking_lot::Mutex::default(),
+        })
+    }
+
+    /// Records that hyper has read the head of a request, and marks it as the one being responded to.
+    fn begin<B: Body>(self: &Arc<Self>, request: &mut Request<B>) -> BusyGuard {
+        let end = RequestEnd(Arc::new(AtomicBool::new(request.body().is_end_stream())));
+        let is_last = announces_end(request.headers()) || request.version() < Version::HTTP_11;
+        self.is_last.store(is_last, Ordering::Relaxed);
+        *self.last_end.lock() = end.clone();
+        request.extensions_mut().insert(end);
+        self.had_request.store(true, Ordering::Relaxed);
+        self.is_busy.store(true, Ordering::Relaxed);
+        BusyGuard(self.clone())
+    }
+
     /// True if a request may be on its way or is waiting to be read, so that the connection must not be closed yet.
     fn expects_request(&self) -> bool {
         if self.is_busy.load(Ordering::Relaxed) {
             return false;
         }
         let is_new = !self.had_request.load(Ordering::Relaxed)
-            && self.accepted_at.elapsed() < FIRST_REQUEST_TIME;
+            && self.began_at.elapsed() < FIRST_REQUEST_TIME;
         is_new || self.stream.has_unread()
     }
+
+    /// True if what follows on the connection is a further request.
+    fn may_be_followed(&self) -> bool {
+        self.had_request.load(Ordering::Relaxed)
+            && !self.is_last.load(Ordering::Relaxed)
+            && self.is_read()
+    }
+
+    /// True unless the body of a request was not read to its end.
+    fn is_read(&self) -> bool {
+        !self.had_request.load(Ordering::Relaxed) || self.last_end.lock().is_reached()
+    }
 }
 
-/// Marks the connection as busy until it is dropped.
-struct BusyGuard(Arc<ConnectionState>);
+/// Marks a round as busy until it is dropped.
+struct BusyGuard(Arc<Round>);
 
 impl Drop for BusyGuard {
     fn drop(&mut self) {
@@ -72,6 +144,12 @@
     }
 }
 
+/// True if the sender of these headers announces that it ends the connection.
+fn announces_end(headers: &HeaderMap) -> bool {
+    let values = headers.get_all(header::CONNECTION).iter().filter_map(|value| value.to_str().ok());
+    values.flat_map(|value| value.split(',')).any(|name| name.trim().eq_ignore_ascii_case("close"))
+}
+
 /// Enables the detection of dead peers and disables Nagle's algorithm, since a token must be sent as soon as it is written.
 /// A peer that leaves bytes unacknowledged for `unacknowledged`, or reads none for so long, counts as dead.
 ///
@@ -91,56 +169,96 @@
     responder: Arc<R>,
     stream: TcpStream,
     from: SocketAddr,
-    shutdown: CancellationToken,
+    stop: StopStages,
 ) {
     if let Err(error) = set_socket_options(&stream, UNACKNOWLEDGED_TIMEOUT) {
         log::debug!(error:% = error; "can't set the socket options of a caller's connection");
     }
     let stream = SharedStream::new(stream);
-    let state = Arc::new(ConnectionState {
-        stream: stream.clone(),
-        accepted_at: Instant::now(),
-        had_request: AtomicBool::new(false),
-        is_busy: AtomicBool::new(false),
-    });
+    let mut caller = Caller { from, is_told_to_leave: false };
+    let mut unread = Bytes::new();
+    // The rest of a refused body would keep its sender from reading the response.
+    let discards = loop {
+        let round = Round::new(stream.clone());
+        let served = serve_round(&responder, &round, &mut caller, unread, &stop.closing).await;
+        unread = match served {
+            Ok(rest) => rest,
+            Err(error) => {
+                log::debug!(error:% = error; "a caller's connection failed");
+                // hyper has responded to a request that it can't read.
+                if error.is_parse() {
+                    break true;
+                }
+                return;
+            }
+        };
+        let has_more = !unread.is_empty() || stream.has_unread();
+        if !has_more || !round.may_be_followed() {
+            break !round.is_read();
+        }
+        log::debug!(caller:% = from; "a request waits behind the last response of a connection");
+    };
+    if let Err(error) = stream.end_writing() {
+        log::debug!(error:% = error; "can't end a caller's connection");
+        return;
+    }
+    // The close of a socket with unread bytes resets the connection, which discards the end of a response on its way. A request that
+    // comes now is left unread, which tells its caller that it was not run.
+    tokio::select! {
+        () = stream.discard(), if discards => {}
+        () = stream.wait_for_end(), if !discards => {}
+        () = sleep(UNACKNOWLEDGED_TIMEOUT) => {}
+        () = stop.ending.cancelled() => {}
+    }
+}
+
+/// Serves requests until hyper ends the connection, and returns what it has read beyond the last one.
+async fn serve_round<R: Respond>(
+    responder: &Arc<R>,
+    round: &Arc<Round>,
+    caller: &mut Caller,
+    unread: Bytes,
+    closing: &CancellationToken,
+) -> hyper::Result<Bytes> {
     let limits = responder.connection_limits();
-    let service = service_fn(|request| {
-        let (responder, state) = (responder.clone(), state.clone());
-        async move {
-            state.had_request.store(true, Ordering::Relaxed);
-            state.is_busy.store(true, Ordering::Relaxed);
-            let guard = BusyGuard(state);
-            let response = responder.respond(request, from).await;
+    let is_told_to_leave = Arc::new(AtomicBool::new(caller.is_told_to_leave));
+    let is_told = is_told_to_leave.clone();
+    let from = caller.from;
+    let service = service_fn(move |mut request| {
+        let guard = round.begin(&mut request);
+        let (responder, is_told) = (responder.clone(), is_told.clone());
+        Box::pin(async move {
+            let caller = Caller { from, is_told_to_leave: is_told.load(Ordering::Relaxed) };
+            let response = responder.respond(request, caller).await;
+            is_told.fetch_or(announces_end(response.headers()), Ordering::Relaxed);
             drop(guard);
             Ok::<_, Infallible>(response)
-        }
+        })
     });
-    let connection = http1::Builder::new()
+    let stream = CallerStream::new(unread, round.stream.clone());
+    let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.header_timeout)
         .max_buf_size(limits.max_header_bytes.max(MIN_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(connection);
-    let ended = tokio::select! {
-        ended = connection.as_mut() => ended,
-        () = shutdown.cancelled() => {
-            let is_ended = tokio::select! {
-                biased;
-                ended = connection.as_mut() => Some(ended),
-                () = wait_while(|| state.expects_request()) => None,
-            };
-            match is_ended {
-                Some(ended) => ended,
-                None => {
-                    connection.as_mut().graceful_shutdown();
-                    connection.await
-                }
-            }
-        }
+    let is_ended = tokio::select! {
+        biased;
+        ended = poll_fn(|cx| connection.poll_without_shutdown(cx)) => Some(ended),
+        () = async {
+            closing.cancelled().await;
+            wait_while(|| round.expects_request()).await;
+        } => None,
     };
-    if let Err(error) = ended {
-        log::debug!(error:% = error; "a caller's connection failed");
+    match is_ended {
+        Some(ended) => ended?,
+        None => {
+            std::pin::Pin::new(&mut connection).graceful_shutdown();
+            poll_fn(|cx| connection.poll_without_shutdown(cx)).await?;
+        }
     }
+    caller.is_told_to_leave = is_told_to_leave.load(Ordering::Relaxed);
+    let parts = connection.into_parts();
+    Ok(parts.io.into_inner().into_unread(parts.read_buf))
 }
 
 async fn wait_while(is_met: impl Fn() -> bool) {
--- a/crates/callers/src/lib.rs
+++ b/crates/callers/src/lib.rs
@@ -6,7 +6,7 @@
 //! A planned stop loses requests in two places if nothing prevents it: closing the listener resets connections that the
 //! kernel has accepted, and hyper closes a connection on which it has read nothing, whatever the socket holds by then.
 //! [`serve_callers`] therefore accepts what waits before it closes the listener, gives a new connection the time for its
-//! first request, and looks for unread bytes before it ends an idle one. A request that still has no response when the
+//! first request, looks for unread bytes before it ends one, and responds to the requests that it finds. A request that still has no response when the
 //! time for a stop runs out gets a final one instead of a closed connection. See `docs/design/shutdown.md`.
 
 mod bodies;
@@ -24,9 +24,9 @@
 };
 use tokio_util::sync::CancellationToken;
 
-pub use crate::bodies::{BodyReservation, BodyRoom, ReadBodyError, read_body};
+pub use crate::bodies::{BodyReservation, BodyRoom, ReadBodyError, discard_body, read_body};
 use crate::connection::serve_connection;
-pub use crate::connection::{ConnectionLimits, set_socket_options};
+pub use crate::connection::{ConnectionLimits, RequestEnd, set_socket_options};
 
 /// The delay after a failed accept, for example when file descriptors have run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -76,6 +76,16 @@
     drain_timeout - ANSWER_TIME.min(drain_timeout / ANSWER_TIME_DIVISOR)
 }
 
+/// The sender of a request.
+#[derive(Debug, Clone, Copy)]
+pub struct Caller {
+    /// Its address.
+    pub from: SocketAddr,
+    /// True if an earlier response on the connection announced its end. The request was sent all the same, or crossed that
+    /// response, and is refused: it must not be run on this connection.
+    pub is_told_to_leave: bool,
+}
+
 /// Responds to the requests of callers.
 pub trait Respond: Send + Sync + 'static {
     /// The body of a response. An error in it ends the connection, so that a truncated response never looks complete.
@@ -86,12 +96,12 @@
     /// The limits on a connection that is accepted now.
     fn connection_limits(&self) -> ConnectionLimits;
 
-    /// Responds to a request of the caller at `from`. Once [`StopStages::ending`] is cancelled, what is not ready is given up
+    /// Responds to a request. Its [`RequestEnd`] is to be marked once its body was read. Once [`StopStages::ending`] is cancelled, what is not ready is given up
     /// and the response says so, since the connection is closed soon after.
     fn respond(
         &self,
         request: Request<Incoming>,
-        from: SocketAddr,
+        caller: Caller,
     ) -> impl Future<Output = Response<Self::Body>> + Send;
 }
 
@@ -104,7 +114,7 @@
 ) {
     let mut connections = JoinSet::new();
     let accept = |connections: &mut JoinSet<()>, stream, from| {
-        connections.spawn(serve_connection(responder.clone(), stream, from, stop.closing.clone()));
+        connections.spawn(serve_connection(responder.clone(), stream, from, stop.clone()));
     };
     accept_until(&listener, stop.closing.cancelled(), &mut connections, accept).await;
     refuse_new(&listener);
--- a/crates/callers/src/stream.rs
+++ b/crates/callers/src/stream.rs
@@ -6,14 +6,24 @@
     pin::Pin,
     sync::Arc,
     task::{Context, Poll, ready},
+    time::Duration,
 };
 
+use bytes::Bytes;
 use socket2::SockRef;
 use tokio::{
-    io::{AsyncRead, AsyncWrite, ReadBuf},
+    io::{AsyncRead, AsyncWrite, Interest, ReadBuf},
     net::TcpStream,
+    time::sleep,
 };
 
+/// The interval at which a connection that has ended is examined for the end of its peer, while bytes lie unread on it.
+const END_EXAMINATION_INTERVAL: Duration = Duration::from_millis(20);
+/// The size of one read of bytes that are dropped.
+const DISCARD_BUFFER_BYTES: usize = 4 * 1024;
+/// The most bytes that are read for a connection which has ended: those that were on their way on a fast link.
+const MAX_DISCARDED_BYTES: usize = 512 * 1024;
+
 /// A shared TCP stream.
 #[derive(Debug, Clone)]
 pub(crate) struct SharedStream(Arc<TcpStream>);
@@ -28,6 +38,36 @@
         let mut byte = [MaybeUninit::uninit()];
         SockRef::from(&*self.0).peek(&mut byte).is_ok_and(|bytes| bytes > 0)
     }
+
+    /// Sends the end of the stream behind what was written.
+    ///
+    /// # Errors
+    ///
+    /// The operating system's error, for example if the peer has reset the connection.
+    pub(crate) fn end_writing(&self) -> io::Result<()> {
+        SockRef::from(&*self.0).shutdown(std::net::Shutdown::Write)
+    }
+
+    /// Waits until the peer ends the stream, and reads nothing.
+    pub(crate) async fn wait_for_end(&self) {
+        while self.0.ready(Interest::READABLE).await.is_ok_and(|ready| !ready.is_read_closed()) {
+            sleep(END_EXAMINATION_INTERVAL).await;
+        }
+    }
+
+    /// Reads and drops what comes until the peer ends the stream, or has sent [`MAX_DISCARDED_BYTES`].
+    pub(crate) async fn discard(&self) {
+        let mut buffer = [0; DISCARD_BUFFER_BYTES];
+        let mut left = MAX_DISCARDED_BYTES;
+        while left > 0 && self.0.readable().await.is_ok() {
+            match self.0.try_read(&mut buffer) {
+                Ok(0) => return,
+                Ok(bytes) => left = left.saturating_sub(bytes),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(_) => return,
+            }
+        }
+    }
 }
 
 impl AsyncRead for SharedStream {
@@ -92,6 +132,69 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(SockRef::from(&*self.0).shutdown(std::net::Shutdown::Write))
+        Poll::Ready(self.end_writing())
+    }
+}
+
+/// A connection's stream that begins with bytes which were read before.
+#[derive(Debug)]
+pub(crate) struct CallerStream {
+    unread: Bytes,
+    stream: SharedStream,
+}
+
+impl CallerStream {
+    pub(crate) fn new(unread: Bytes, stream: SharedStream) -> Self {
+        Self { unread, stream }
+    }
+
+    /// The bytes that are still unread, behind those that a reader has `read` and not used.
+    pub(crate) fn into_unread(self, read: Bytes) -> Bytes {
+        if self.unread.is_empty() { read } else { Bytes::from([read, self.unread].concat()) }
+    }
+}
+
+impl AsyncRead for CallerStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        if self.unread.is_empty() {
+            return Pin::new(&mut self.stream).poll_read(cx, buf);
+        }
+        let bytes = self.unread.len().min(buf.remaining());
+        buf.put_slice(&self.unread.split_to(bytes));
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for CallerStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 }
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -1,8 +1,10 @@
 //! Responds to callers' requests: the filter chain, and the error responses of the gateway itself.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
-use bilberryford_callers::{ConnectionLimits, ReadBodyError, Respond, read_body};
+use bilberryford_callers::{
+    Caller, ConnectionLimits, ReadBodyError, RequestEnd, Respond, discard_body, read_body,
+};
 use bilberryford_coord::Feature;
 use bilberryford_types::{ErrorKind, TimeMs};
 use hyper::{
@@ -24,6 +26,9 @@
 /// The retry delay of a body that found no room, in milliseconds: uploads on slow links take seconds.
 const BODY_RETRY_MS: TimeMs = TimeMs(1_000);
 
+/// The time limit for the body of a request that is refused while the instance stops.
+const REFUSED_BODY_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// Responds to the requests of callers through the filter chain.
 pub(crate) struct GatewayResponder(pub(crate) Arc<Gateway>);
 
@@ -40,12 +45,8 @@
         }
     }
 
-    async fn respond(
-        &self,
-        request: Request<Incoming>,
-        _from: SocketAddr,
-    ) -> Response<ResponseBody> {
-        serve_request(&self.0, request).await
+    async fn respond(&self, request: Request<Incoming>, caller: Caller) -> Response<ResponseBody> {
+        serve_request(&self.0, request, caller).await
     }
 }
 
@@ -68,6 +69,7 @@
 async fn serve_request(
     gateway: &Arc<Gateway>,
     request: Request<Incoming>,
+    caller: Caller,
 ) -> Response<ResponseBody> {
     let mut record = RequestRecord { started_ms: gateway.clock.now(), ..RequestRecord::default() };
     record.key_age_ms = gateway.keys.lock().age_ms(record.started_ms);
@@ -75,7 +77,8 @@
     let routed = identify(gateway, deployment.as_deref(), &request, &mut record);
     let mut abort_recorder = AbortRecorder { gateway, record: Some(record.clone()) };
     let result = match routed {
-        Ok(routed) if gateway.stops_before(routed.deadline_ms) => {
+        Ok(routed) if caller.is_told_to_leave || gateway.stops_before(routed.deadline_ms) => {
+            discard_refused(gateway, request).await;
             Err((ErrorResponse::new(ErrorKind::ShuttingDown), record))
         }
         Ok(routed) => {
@@ -99,6 +102,16 @@
     response
 }
 
+/// Reads the body of a request that is refused, if it comes soon.
+async fn discard_refused(gateway: &Gateway, request: Request<Incoming>) {
+    let max_bytes = gateway.limits().max_body_bytes.get();
+    let (head, body) = request.into_parts();
+    let reading = timeout(REFUSED_BODY_TIMEOUT, discard_body(body, max_bytes));
+    if reading.await.is_ok_and(|is_read| is_read) {
+        RequestEnd::mark_reached(&head.extensions);
+    }
+}
+
 async fn forward_request(
     gateway: &Arc<Gateway>,
     routed: RoutedRequest,
@@ -130,6 +143,7 @@
         }
         Err(_) => return Err((ErrorResponse::new(ErrorKind::BodySlow), record)),
     };
+    RequestEnd::mark_reached(&head.extensions);
     let stream =
         match take_up(gateway, &facts, &route, team.as_deref(), &mut service, &mut record).await {
             Ok(stream) => stream,
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -2,7 +2,9 @@
 
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
-use bilberryford_callers::{ConnectionLimits, Respond, StopStages, response_time, serve_callers};
+use bilberryford_callers::{
+    Caller, ConnectionLimits, RequestEnd, Respond, StopStages, response_time, serve_callers,
+};
 use bilberryford_peer::{PeerRuntime, PeerTraffic};
 use bilberryford_types::{ErrorKind, EventKind, HybridTime};
 use bytes::Bytes;
@@ -99,9 +101,13 @@
     async fn respond(
         &self,
         request: hyper::Request<Incoming>,
-        from: SocketAddr,
+        caller: Caller,
     ) -> hyper::Response<Self::Body> {
-        let (local, remote) = (LocalAddr(self.address.into()), RemoteAddr(from.into()));
+        if caller.is_told_to_leave {
+            let refusal = Refusal::of(ErrorKind::ShuttingDown).into_response();
+            return shutdown::close_when_leaving(&self.node, refusal).into();
+        }
+        let (local, remote) = (LocalAddr(self.address.into()), RemoteAddr(caller.from.into()));
         let request = Request::from((request, local, remote, Scheme::HTTP));
         let response = tokio::select! {
             biased;
@@ -289,7 +295,7 @@
     let max_bytes = node.settings.max_body_bytes as u64;
     let reservation = node.body_room.reserve(expected_bytes(request.headers()).min(max_bytes));
     let result = match (check_headers(request.headers()), &reservation) {
-        (Ok(()), Some(_)) => read_body(node, body).await,
+        (Ok(()), Some(_)) => read_body(node, request, body).await,
         (Ok(()), None) => Err(ErrorKind::Overloaded),
         (Err(kind), _) => Err(kind),
     };
@@ -328,10 +334,13 @@
     Ok(())
 }
 
-async fn read_body(node: &Node, body: Body) -> Result<Bytes, ErrorKind> {
+async fn read_body(node: &Node, request: &Request, body: Body) -> Result<Bytes, ErrorKind> {
     let limit = Duration::from_millis(BODY_TIMEOUT_MS);
     match timeout(limit, body.into_bytes_limit(node.settings.max_body_bytes)).await {
-        Ok(Ok(body)) => Ok(body),
+        Ok(Ok(body)) => {
+            RequestEnd::mark_reached(request.extensions());
+            Ok(body)
+        }
         Ok(Err(ReadBodyError::PayloadTooLarge)) => Err(ErrorKind::TooLarge),
         Ok(Err(_)) | Err(_) => Err(ErrorKind::BodyCut),
     }
--- a/tests/all/shutdown.rs
+++ b/tests/all/shutdown.rs
@@ -263,3 +263,30 @@
     assert_eq!(orders + runs, passed_on);
     assert!(stopping.await.unwrap(), "the instance did not stop within the limit");
 }
+
+/// A request that was sent while a response was on its way is not left without one when the instance stops.
+#[tokio::test]
+async fn a_request_behind_a_response_gets_one_at_a_stop() {
+    let options = ["--drain-delay-ms", "100", "--drain-limit-ms", "8000"];
+    let spec = bilberryford_standins::engine::EngineSpec { token_gap_ms: 2, ..fast_engine() };
+    let mut deployment = Deployment::start_with(1, &spec, &options).await.unwrap();
+    let leaving = deployment.instances.remove(0);
+    let address: std::net::SocketAddr =
+        leaving.url().trim_start_matches("http://").parse().expect("an address");
+    let prompt = PROMPT.replace("\"max_tokens\":4", "\"max_tokens\":300");
+    let text = format!(
+        "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {KEY}\r\nbilberryford-timeout-ms: 6000\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{prompt}",
+        prompt.len()
+    );
+    let mut stream = tokio::net::TcpStream::connect(address).await.expect("a connection");
+    stream.write_all(text.as_bytes()).await.expect("the request is written");
+    stream.readable().await.expect("the response begins");
+    stream.write_all(b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n").await.expect("the next one");
+    let stopping = tokio::task::spawn_blocking(move || leaving.stop(STOP_LIMIT));
+    let mut responses = String::new();
+    let reading = timeout(STOP_LIMIT, stream.read_to_string(&mut responses));
+    reading.await.expect("the end of the connection").expect("no reset");
+    assert!(responses.starts_with("HTTP/1.1 200"), "{responses:?}");
+    assert_eq!(responses.matches("HTTP/1.1 ").count(), 2, "{responses:?}");
+    assert!(stopping.await.unwrap(), "the instance did not stop within the limit");
+}
