One budget of bytes for responses and the bodies of requests

What callers saw: 12 to 24 requests of a sound service cut in 6 s, as the process passed its memory (160 MiB, 300 callers: 2 ends; 512 MiB, 1,000 callers that read slowly: 1 end;, released build).

Cause: each response was bounded, hyper's read-ahead of 417 KB and as much that waits for the caller, and their sum was not. Ruled out by the same runs: heads, interim responses, trailers and extensions of chunks (29 to 104 MiB of 160), small chunks (34 MiB).

Change: ByteBudget, a third of the memory, in the room beside the bodies of requests, which are a part of it now. The connection of a response counts what it reads and what is passed on, reads ahead less as the budget fills, and is ended if it holds most when the budget is full, with a line (endpoint, bytes, limit); its endpoint's circuit opens. What holds nothing may always read, so that none waits for itself. hyper reads 64 KiB ahead, and 256 KiB without content end a response (1 MiB before its head until now).

Partial: `serve`'s responses, and the reports, lists, events and messages of peers, are bounded each and not counted.

--- a/crates/callers/src/bodies.rs
+++ b/crates/callers/src/bodies.rs
@@ -16,6 +16,8 @@
 use hyper::body::Body;
 use parking_lot::Mutex;
 
+use crate::budget::{ByteBudget, HeldBytes};
+
 /// The part of the memory of an instance that bodies may take, as a divisor.
 const MEMORY_DIVISOR: u64 = 4;
 /// The part of the room that large bodies may take, as a divisor.
@@ -24,17 +26,18 @@
 const LARGE_BODY_BYTES: u64 = 256 * 1024;
 
 #[derive(Debug, Default)]
-struct HeldBytes {
+struct BodyBytes {
     all: u64,
     large: u64,
 }
 
-/// The room for the bodies of all requests of an instance.
+/// The room for the bodies of all requests of an instance, as a part of its budget of bytes.
 #[derive(Debug)]
 pub struct BodyRoom {
+    budget: Arc<ByteBudget>,
     max_bytes: u64,
     max_large_bytes: u64,
-    held: Mutex<HeldBytes>,
+    held: Mutex<BodyBytes>,
 }
 
 /// The room that one body takes until this is dropped.
@@ -42,6 +45,7 @@
 pub struct BodyReservation {
     room: Arc<BodyRoom>,
     bytes: u64,
+    held: HeldBytes,
 }
 
 /// Why a body was not read.
@@ -70,16 +74,17 @@
 }
 
 impl BodyRoom {
-    /// Creates the room in an instance with this memory.
-    pub fn new(memory: Bytes) -> Arc<Self> {
+    /// Creates the room in an instance with this memory and budget.
+    pub fn new(memory: Bytes, budget: Arc<ByteBudget>) -> Arc<Self> {
         let max_bytes = memory.get() / MEMORY_DIVISOR;
         let max_large_bytes = max_bytes / LARGE_BODIES_DIVISOR;
-        Arc::new(Self { max_bytes, max_large_bytes, held: Mutex::default() })
+        Arc::new(Self { budget, max_bytes, max_large_bytes, held: Mutex::default() })
     }
 
     /// Takes room for a body of this size; none if there is too little.
     pub fn reserve(self: &Arc<Self>, bytes: u64) -> Option<BodyReservation> {
-        let mut reservation = BodyReservation { room: self.clone(), bytes: 0 };
+        let held = self.budget.take(0);
+        let mut reservation = BodyReservation { room: self.clone(), bytes: 0, held };
         reservation.grow_to(bytes).then_some(reservation)
     }
 
@@ -95,17 +100,19 @@
     fn grow_to(&mut self, bytes: u64) -> bool {
         let mut held = self.room.held.lock();
         let others =
-            HeldBytes { all: held.all - self.bytes, large: held.large - large_part(self.bytes) };
+            BodyBytes { all: held.all - self.bytes, large: held.large - large_part(self.bytes) };
         let fits = others.all == 0
             || others.all + bytes <= self.room.max_bytes
                 && (large_part(bytes) == 0
                     || others.large == 0
                     || others.large + bytes <= self.room.max_large_bytes);
-        if fits {
-            *held = HeldBytes { all: others.all + bytes, large: others.large + large_part(bytes) };
+        let more_bytes = bytes.saturating_sub(self.bytes);
+        if fits && (self.held.try_grow(more_bytes) || others.all == 0) {
+            *held = BodyBytes { all: others.all + bytes, large: others.large + large_part(bytes) };
             self.bytes = bytes;
+            return true;
         }
-        fits
+        false
     }
 }
 
--- a/crates/callers/src/lib.rs
+++ b/crates/callers/src/lib.rs
@@ -10,6 +10,7 @@
 //! time for a stop runs out gets a final one instead of a closed connection. See `docs/design/shutdown.md`.
 
 mod bodies;
+mod budget;
 mod connection;
 mod stream;
 
@@ -24,9 +25,12 @@
 };
 use tokio_util::sync::CancellationToken;
 
-pub use crate::bodies::{BodyReservation, BodyRoom, ReadBodyError, discard_body, read_body};
 use crate::connection::serve_connection;
 pub use crate::connection::{ConnectionLimits, RequestEnd, set_socket_options};
+pub use crate::{
+    bodies::{BodyReservation, BodyRoom, ReadBodyError, discard_body, read_body},
+    budget::{ByteBudget, HeldBytes, HeldResponse},
+};
 
 /// The delay after a failed accept, for example when file descriptors have run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -6,7 +6,7 @@
 
 use std::{collections::HashMap, io, net::SocketAddr, time::Duration};
 
-use bilberryford_callers::set_socket_options;
+use bilberryford_callers::{HeldResponse, set_socket_options};
 use bilberryford_coord::SharePlace;
 use bilberryford_types::{EndpointId, TimeMs};
 use bytes::Bytes;
@@ -19,7 +19,7 @@
 
 use crate::{
     clock::Clock,
-    head_limit::{HeadLimit, HeadLimitedStream},
+    response_meter::{MeteredStream, ResponseMeter},
 };
 
 /// The timeout for connecting: a few round trips within a region and the endpoint's time to accept.
@@ -30,6 +30,8 @@
 const DEFAULT_IDLE_TIMEOUT_MS: TimeMs = TimeMs(4_000);
 /// The idle time within which no endpoint is expected to close a connection, in milliseconds.
 const MIN_EXPECTED_IDLE_MS: TimeMs = TimeMs(1_500);
+/// The most bytes that hyper reads ahead on a connection, and the longest head of a response.
+const MAX_BUFFER_BYTES: usize = 64 * 1024;
 /// The most idle connections per endpoint.
 const MAX_IDLE_CONNECTIONS: usize = 32;
 
@@ -54,14 +56,19 @@
     pub(crate) is_reused: bool,
     /// When it was opened.
     pub(crate) opened_ms: TimeMs,
-    /// The limit on the head of the next response.
-    pub(crate) head_limit: HeadLimit,
+    /// Counts the bytes of its responses.
+    pub(crate) meter: ResponseMeter,
     idle_timeout_ms: TimeMs,
     /// hyper's task of the connection, which ends with it: hyper itself goes on to read a response of which it has no head.
     _task: AbortOnDropHandle<()>,
 }
 
 impl Connection {
+    /// True if its response was ended since the budget of bytes was full.
+    pub(crate) fn is_over_budget(&self) -> bool {
+        self.meter.held().is_ended()
+    }
+
     /// Lowers the idle timeout to fit the endpoint's own, `keep_alive_ms`.
     pub(crate) fn limit_idle_time(&mut self, keep_alive_ms: TimeMs) {
         // Half of it, so that a request does not cross with the endpoint closing the connection.
@@ -117,6 +124,7 @@
         if connection.sender.is_closed() {
             return;
         }
+        connection.meter.drained();
         let mut idle = self.idle.lock();
         let pooled = idle.entry(endpoint.clone()).or_default();
         if pooled.len() < MAX_IDLE_CONNECTIONS {
@@ -147,30 +155,32 @@
     !matches!(connecting, Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused)
 }
 
-/// Opens a connection.
+/// Opens a connection, whose responses count as `held`.
 ///
 /// # Errors
 ///
 /// The operating system's error, or `TimedOut`. No request bytes were sent in either case.
-pub(crate) async fn connect(address: SocketAddr) -> io::Result<Connection> {
+pub(crate) async fn connect(address: SocketAddr, held: HeldResponse) -> io::Result<Connection> {
     let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
         .await
         .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
     set_socket_options(&stream, UNACKNOWLEDGED_TIMEOUT)?;
-    let head_limit = HeadLimit::new();
-    let stream = HeadLimitedStream { stream, limit: head_limit.clone() };
-    let (sender, connection) =
-        http1::handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
+    let meter = ResponseMeter::new(held);
+    let stream = MeteredStream { stream, meter: meter.clone() };
+    let handshake =
+        http1::Builder::new().max_buf_size(MAX_BUFFER_BYTES).handshake(TokioIo::new(stream));
+    let (sender, connection) = handshake.await.map_err(io::Error::other)?;
     let task = tokio::spawn(async move {
         if let Err(error) = connection.await {
             log::debug!(address:% = address, error:% = error; "connection to an endpoint failed");
         }
     });
+    meter.held().end_with(task.abort_handle());
     Ok(Connection {
         sender,
         is_reused: false,
         opened_ms: Clock.now(),
-        head_limit,
+        meter,
         idle_timeout_ms: DEFAULT_IDLE_TIMEOUT_MS,
         _task: AbortOnDropHandle::new(task),
     })
--- a/crates/gateway/src/forward/answer.rs
+++ b/crates/gateway/src/forward/answer.rs
@@ -104,6 +104,10 @@
         mut in_flight: InFlight,
     ) -> Result<Option<Response<ResponseBody>>, ErrorResponse> {
         let left = Duration::from_millis(self.time_left_ms().get());
+        let max_bytes = incoming.size_hint().upper().unwrap_or(MAX_BUFFERED_BYTES);
+        let _held = self.gateway.byte_budget.take(max_bytes);
+        // What is read is held here, and counted already.
+        connection.meter.begin();
         let reading = Limited::new(incoming, MAX_BUFFERED_BYTES as usize).collect();
         let body = match timeout(left, reading).await {
             Err(_) => return Err(ErrorResponse::new(ErrorKind::DeadlineWhileRunning)),
--- a/crates/gateway/src/forward/send.rs
+++ b/crates/gateway/src/forward/send.rs
@@ -72,7 +72,8 @@
             return Some(connection);
         }
         self.gateway.metrics.connections.add(1, &[]);
-        match connect(candidate.address).await {
+        let held = self.gateway.byte_budget.register(candidate.id.to_string());
+        match connect(candidate.address, held).await {
             Ok(connection) => Some(connection),
             Err(error) => {
                 log::debug!(endpoint:% = candidate.id, error:% = error; "can't connect");
@@ -133,7 +134,7 @@
             time_left_ms
         };
         self.record.attempts += 1;
-        connection.head_limit.begin();
+        connection.meter.begin();
         let sending = connection.sender.try_send_request(request);
         let sent_ms = self.gateway.clock.now();
         tokio::pin!(sending);
@@ -176,7 +177,7 @@
                 SendOutcome::Lost("connection_lost")
             }
             Ok(Ok(response)) => {
-                connection.head_limit.end();
+                connection.meter.end_head();
                 self.classify_response(response, connection, candidate, sent_ms)
             }
         }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -19,7 +19,7 @@
 };
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use bilberryford_callers::{BodyRoom, StopStages};
+use bilberryford_callers::{BodyRoom, ByteBudget, StopStages};
 use bilberryford_coord::{Blame, BuildHistory, FairShares, StreamKey, StreamRecords};
 use bilberryford_platform::ObjectStore;
 use bilberryford_types::{Bytes, EndpointId, ModelName, PoolName, StoreEra, TimeMs};
@@ -144,6 +144,8 @@
     fair_shares: Mutex<HashMap<PoolName, FairShares>>,
     pub(crate) metrics: Metrics,
     pub(crate) request_log: RequestLog,
+    /// The bytes that messages may take.
+    pub(crate) byte_budget: Arc<ByteBudget>,
     /// The room for the bodies of requests.
     pub(crate) body_room: Arc<BodyRoom>,
     /// The stages of a planned stop.
@@ -165,7 +167,8 @@
         orders: Arc<dyn TranslateOrders>,
         caches: Arc<dyn TranslateCaches>,
     ) -> Result<Self, SetupError> {
-        let body_room = BodyRoom::new(settings.memory);
+        let byte_budget = ByteBudget::of_memory(settings.memory);
+        let body_room = BodyRoom::new(settings.memory, byte_budget.clone());
         Ok(Self {
             keys: Mutex::new(KeyValidity::new(settings.bounds.key_revocation_ms)),
             bounds: ArcSwap::from_pointee(settings.bounds),
@@ -217,6 +220,7 @@
             fair_shares: Mutex::default(),
             metrics: Metrics::new()?,
             request_log: RequestLog::default(),
+            byte_budget,
             body_room,
             stop_stages: StopStages::default(),
             stop_due_ms: OnceLock::new(),
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -1,6 +1,6 @@
 //! Streams an endpoint's response body to the caller.
 
-use std::{io, sync::Arc, time::Duration};
+use std::{future::poll_fn, io, pin::pin, sync::Arc, task::Poll, time::Duration};
 
 use bilberryford_types::TimeMs;
 use bytes::Bytes;
@@ -126,16 +126,37 @@
         rest
     }
 
-    /// Records that the endpoint broke the response off.
+    /// The next frame of the response. While it is waited for, nothing of the response is held.
+    async fn next_frame(
+        incoming: &mut Incoming,
+        connection: Option<&Connection>,
+    ) -> Option<hyper::Result<Frame<Bytes>>> {
+        let mut frame = pin!(incoming.frame());
+        poll_fn(|cx| {
+            let polled = frame.as_mut().poll(cx);
+            if let (Poll::Pending, Some(connection)) = (&polled, connection) {
+                connection.meter.drained();
+            }
+            polled
+        })
+        .await
+    }
+
+    /// Records that the endpoint broke the response off, or that it was ended since the budget of bytes was full.
     fn break_off(&mut self) {
         let now_ms = self.gateway.clock.now();
         self.in_flight.record_loss(ResponseStage::after_head(self.record.first_byte_ms, now_ms));
         let incarnation = self.in_flight.candidate().incarnation;
         self.gateway.suspect_restart(incarnation, ColdSource::ConnectionLost);
         let endpoint = self.in_flight.endpoint();
-        self.gateway.update_health(endpoint, "answer_cut", |health, now_ms| {
-            health.record_failure(now_ms, false);
+        let is_over_budget = self.connection.as_ref().is_some_and(Connection::is_over_budget);
+        let reason = if is_over_budget { "over_budget" } else { "answer_cut" };
+        self.gateway.update_health(endpoint, reason, |health, now_ms| {
+            health.record_failure(now_ms, is_over_budget);
         });
+        if is_over_budget {
+            self.record.notes.push(reason);
+        }
         self.connection = None;
     }
 
@@ -151,10 +172,12 @@
             let frame = match time_left_ms {
                 TimeMs(0) => None,
                 _ if self.record.first_byte_ms.is_some() => {
-                    timeout(wait, self.incoming.frame()).await.ok()
+                    timeout(wait, Self::next_frame(&mut self.incoming, self.connection.as_ref()))
+                        .await
+                        .ok()
                 }
                 _ => tokio::select! {
-                    frame = timeout(wait, self.incoming.frame()) => frame.ok(),
+                    frame = timeout(wait, Self::next_frame(&mut self.incoming, self.connection.as_ref())) => frame.ok(),
                     feature = self.gateway.quarantine_of(self.in_flight.features()) => {
                         self.record.blamed = Some(self.in_flight.features().describe(feature));
                         self.finish("held_back", true);
@@ -181,6 +204,9 @@
                 }
                 Some(Some(Ok(frame))) => {
                     let Ok(data) = frame.into_data() else { continue };
+                    if let Some(connection) = &self.connection {
+                        connection.meter.pass(data.len());
+                    }
                     self.gateway.record_received(self.in_flight.endpoint());
                     let now_ms = self.gateway.clock.now();
                     match self.record.first_byte_ms {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -9,7 +9,7 @@
 };
 
 use arc_swap::ArcSwapOption;
-use bilberryford_callers::BodyRoom;
+use bilberryford_callers::{BodyRoom, ByteBudget};
 use bilberryford_coord::{ConfigOfferOutcome, ConfigStamp, VersionedConfig};
 use bilberryford_peer::PeerClient;
 use bilberryford_platform::{
@@ -131,7 +131,7 @@
             leases: HeldLeases::default(),
             admission: AdmissionState::new(TimeMs(0)),
             weights: Weights::default(),
-            body_room: BodyRoom::new(MEMORY),
+            body_room: BodyRoom::new(MEMORY, ByteBudget::of_memory(MEMORY)),
             in_force: ArcSwapOption::empty(),
             peers: RwLock::new(None),
             stop_due: OnceLock::new(),
--- a/crates/standins/src/misbehaving.rs
+++ b/crates/standins/src/misbehaving.rs
@@ -29,7 +29,9 @@
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 
 /// A way to misbehave.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display, strum::VariantArray)]
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, strum::Display, strum::EnumString, strum::VariantArray,
+)]
 #[strum(serialize_all = "snake_case")]
 pub enum Misbehaviour {
     /// Each response is sent once more when the next request of the connection has come, before its own.
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -2,7 +2,8 @@
 
 use std::{path::Path, time::Duration};
 
-use bilberryford_soak::{Fault, SoakPlan, run};
+use bilberryford_soak::{Fault, FloodPlan, Reading, SoakPlan, run, run_flood};
+use bilberryford_standins::misbehaving::Misbehaviour;
 use rstest::rstest;
 use strum::VariantArray;
 
@@ -37,3 +38,39 @@
     assert!(report.stops() >= 4 && report.answered() >= 200, "seed {seed}\n{report}");
     println!("seed {seed}\n{report}");
 }
+
+/// The floods are played one at a time, since each one takes all cores that it gets.
+static FLOODS: tokio::sync::Mutex<()> = tokio::sync::Mutex::const_new(());
+
+/// Endpoints that send without end cost the process no more than its memory, and the callers of others no request.
+#[rstest]
+#[case::no_length(Misbehaviour::EndlessUnframedBody, false, 300, Reading::Fast, 160, 111)]
+#[case::chunks(Misbehaviour::EndlessBody, false, 64, Reading::Fast, 110, 112)]
+#[case::events_read_slowly(Misbehaviour::EndlessUnframedBody, true, 300, Reading::Slow, 160, 113)]
+#[case::nothing_read(Misbehaviour::EndlessUnframedBody, false, 400, Reading::Never, 160, 114)]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_response_without_end_does_not_end_the_process(
+    #[case] misbehaviour: Misbehaviour,
+    #[case] is_stream: bool,
+    #[case] callers: usize,
+    #[case] reading: Reading,
+    #[case] memory_mb: u64,
+    #[case] network: u8,
+) {
+    let _only = FLOODS.lock().await;
+    let plan = FloodPlan {
+        binary: env!("CARGO_BIN_EXE_bilberryford").into(),
+        misbehaviour,
+        is_stream,
+        callers,
+        reading,
+        memory_mb,
+        duration: Duration::from_secs(5),
+        network,
+        folder: Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("flood-{network}")),
+    };
+    let report = run_flood(&plan).await.expect("the flood runs");
+    assert_eq!(report.ends, 0, "{report}");
+    assert!(!report.cut.iter().any(|request| request.cut.is_lost()), "{report} {:?}", report.cut);
+    assert!(report.answered > 0, "{report}");
+}
