An engine whose report is lost or garbled is asked again for its incarnation

Traced before: while endpoints garble their answers, reports among them, a stream begins, its endpoint is asked once for its incarnation, and the stream is not recorded when that one report is garbled.

Ruled out: recording the build without the endpoint's word (a stream could then go on at another build), and asking without a limit (a stream and, where it is taken up, a request wait for the answer).

Change: up to four questions within 0.4 s, the time limit of one. Where the endpoint is silent, there is one question as before.

--- a/crates/gateway/src/gateway/streams.rs
+++ b/crates/gateway/src/gateway/streams.rs
@@ -11,6 +11,11 @@
     local_state::BuildStanding, peer_loads::EndpointTag, placement::Candidate,
 };
 
+/// How often an engine is asked for the time of its start, and the time after which it is not asked again, in milliseconds: a
+/// stream or a request waits for the answer.
+const MAX_START_QUESTIONS: u32 = 4;
+const START_QUESTIONS_MS: TimeMs = TimeMs(400);
+
 impl Gateway {
     /// Returns the service and the build of `origin`, if the route leads to the service and an endpoint of the build is
     /// ready.
@@ -84,9 +89,7 @@
         if !self.has_engines(service) {
             return true;
         }
-        let asked_ms = self.clock.now();
-        let report = self.orders.report(candidate.address, &candidate.id).await;
-        let Some(started_ms) = report.and_then(|report| report.started_ms) else {
+        let Some((asked_ms, started_ms)) = self.ask_for_start(candidate).await else {
             log::debug!(endpoint:% = candidate.id; "endpoint does not state its incarnation");
             return false;
         };
@@ -104,6 +107,23 @@
         is_listed
     }
 
+    /// Asks an engine for the time of its start, again if its report is lost or garbled. Returns it after the time of the
+    /// question; none if the engine does not say.
+    async fn ask_for_start(&self, candidate: &Candidate) -> Option<(TimeMs, TimeMs)> {
+        let first_asked_ms = self.clock.now();
+        for _ in 0..MAX_START_QUESTIONS {
+            let asked_ms = self.clock.now();
+            if asked_ms.since(first_asked_ms) >= START_QUESTIONS_MS {
+                break;
+            }
+            let report = self.orders.report(candidate.address, &candidate.id).await;
+            if let Some(started_ms) = report.and_then(|report| report.started_ms) {
+                return Some((asked_ms, started_ms));
+            }
+        }
+        None
+    }
+
     /// Sets the standing of an incarnation's build by its word of `asked_ms`, and returns the one before; none if another
     /// one is listed by now.
     fn set_build_standing(
