A caller that closes late holds a stop up for a second at most

Change: 1 s while nothing lies unread on the connection, where its close resets nothing, and 5 s otherwise. Read as a newcomer: the stream that begins with unread bytes is tokio's own chain and join in place of 50 lines, and `is_end_announced` is named after what was sent.

--- a/crates/callers/src/bodies.rs
+++ b/crates/callers/src/bodies.rs
@@ -162,8 +162,8 @@
     Ok((read.freeze(), reservation))
 }
 
-/// Reads and drops the body of a request that is refused, so that the requests behind it can be told apart. Returns false if it
-/// is longer than `max_bytes` or ends early.
+/// Reads and drops the body of a request that is refused, so that the start of the next request is known. Returns false if it is
+/// longer than `max_bytes` or ends early.
 pub async fn discard_body<B>(mut body: B, max_bytes: u64) -> bool
 where
     B: Body<Data = bytes::Bytes> + Unpin,
--- a/crates/callers/src/connection.rs
+++ b/crates/callers/src/connection.rs
@@ -1,13 +1,13 @@
 //! One connection of a caller, from its acceptance to its end.
 //!
-//! hyper ends a connection after the last response that it is told of, whatever was sent behind the request. The requests of a
+//! hyper ends a connection after its last response, whatever was sent behind the request. The requests of a
 //! connection are therefore served in rounds: what is unread at the end of a round begins the next one, and the socket is
 //! closed once nothing is left. See `docs/design/shutdown.md`.
 
 use std::{
     convert::Infallible,
     future::poll_fn,
-    io,
+    io::{self, Cursor},
     net::SocketAddr,
     sync::{
         Arc,
@@ -24,15 +24,13 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{
+    io::{AsyncReadExt, join},
     net::TcpStream,
-    time::{Instant, sleep},
+    time::{Instant, sleep, timeout},
 };
 use tokio_util::sync::CancellationToken;
 
-use crate::{
-    Caller, Respond, StopStages,
-    stream::{CallerStream, SharedStream},
-};
+use crate::{Caller, Respond, StopStages, stream::SharedStream};
 
 /// How long bytes to a caller may stay unacknowledged before the connection is closed.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(5);
@@ -42,6 +40,8 @@
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 /// How long a new connection, or the rest of a request, is waited for after the instance has begun to close connections.
 const FIRST_REQUEST_TIME: Duration = Duration::from_millis(500);
+/// How long the end of a caller's direction is waited for while nothing lies unread: callers that close late hold a stop up.
+const QUIET_END_TIME: Duration = Duration::from_secs(1);
 /// The interval at which a connection that is to be closed is examined.
 const EXAMINATION_INTERVAL: Duration = Duration::from_millis(2);
 
@@ -175,7 +175,7 @@
         log::debug!(error:% = error; "can't set the socket options of a caller's connection");
     }
     let stream = SharedStream::new(stream);
-    let mut caller = Caller { from, is_told_to_leave: false };
+    let mut caller = Caller { from, is_end_announced: false };
     let mut unread = Bytes::new();
     // The rest of a refused body would keep its sender from reading the response.
     let discards = loop {
@@ -203,11 +203,10 @@
         return;
     }
     // The close of a socket with unread bytes resets the connection, which discards the end of a response on its way. A request that
-    // comes now is left unread, which tells its caller that it was not run.
+    // comes now is left unread: it is not run, and its caller may send it again.
     tokio::select! {
-        () = stream.discard(), if discards => {}
-        () = stream.wait_for_end(), if !discards => {}
-        () = sleep(UNACKNOWLEDGED_TIMEOUT) => {}
+        _ = timeout(UNACKNOWLEDGED_TIMEOUT, stream.discard()), if discards => {}
+        () = stream.wait_for_end(QUIET_END_TIME, UNACKNOWLEDGED_TIMEOUT), if !discards => {}
         () = stop.ending.cancelled() => {}
     }
 }
@@ -221,21 +220,22 @@
     closing: &CancellationToken,
 ) -> hyper::Result<Bytes> {
     let limits = responder.connection_limits();
-    let is_told_to_leave = Arc::new(AtomicBool::new(caller.is_told_to_leave));
-    let is_told = is_told_to_leave.clone();
+    let is_end_announced = Arc::new(AtomicBool::new(caller.is_end_announced));
+    let announced = is_end_announced.clone();
     let from = caller.from;
     let service = service_fn(move |mut request| {
         let guard = round.begin(&mut request);
-        let (responder, is_told) = (responder.clone(), is_told.clone());
+        let (responder, announced) = (responder.clone(), announced.clone());
         Box::pin(async move {
-            let caller = Caller { from, is_told_to_leave: is_told.load(Ordering::Relaxed) };
+            let caller = Caller { from, is_end_announced: announced.load(Ordering::Relaxed) };
             let response = responder.respond(request, caller).await;
-            is_told.fetch_or(announces_end(response.headers()), Ordering::Relaxed);
+            announced.fetch_or(announces_end(response.headers()), Ordering::Relaxed);
             drop(guard);
             Ok::<_, Infallible>(response)
         })
     });
-    let stream = CallerStream::new(unread, round.stream.clone());
+    let reader = Cursor::new(unread).chain(round.stream.clone());
+    let stream = join(reader, round.stream.clone());
     let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.header_timeout)
@@ -256,9 +256,13 @@
             poll_fn(|cx| connection.poll_without_shutdown(cx)).await?;
         }
     }
-    caller.is_told_to_leave = is_told_to_leave.load(Ordering::Relaxed);
-    let parts = connection.into_parts();
-    Ok(parts.io.into_inner().into_unread(parts.read_buf))
+    caller.is_end_announced = is_end_announced.load(Ordering::Relaxed);
+    let http1::Parts { io, read_buf, .. } = connection.into_parts();
+    let (reader, _) = io.into_inner().into_inner();
+    let (unread, _) = reader.into_inner();
+    let position = usize::try_from(unread.position()).unwrap_or(usize::MAX);
+    let left = unread.into_inner().slice(position..);
+    Ok(if left.is_empty() { read_buf } else { Bytes::from([read_buf, left].concat()) })
 }
 
 async fn wait_while(is_met: impl Fn() -> bool) {
--- a/crates/callers/src/lib.rs
+++ b/crates/callers/src/lib.rs
@@ -87,7 +87,7 @@
     pub from: SocketAddr,
     /// True if an earlier response on the connection announced its end. The request was sent all the same, or crossed that
     /// response, and is refused: it must not be run on this connection.
-    pub is_told_to_leave: bool,
+    pub is_end_announced: bool,
 }
 
 /// Responds to the requests of callers.
--- a/crates/callers/src/stream.rs
+++ b/crates/callers/src/stream.rs
@@ -9,12 +9,11 @@
     time::Duration,
 };
 
-use bytes::Bytes;
 use socket2::SockRef;
 use tokio::{
     io::{AsyncRead, AsyncWrite, Interest, ReadBuf},
     net::TcpStream,
-    time::sleep,
+    time::{Instant, sleep, timeout},
 };
 
 /// The interval at which a connection that has ended is examined for the end of its peer, while bytes lie unread on it.
@@ -48,10 +47,18 @@
         SockRef::from(&*self.0).shutdown(std::net::Shutdown::Write)
     }
 
-    /// Waits until the peer ends the stream, and reads nothing.
-    pub(crate) async fn wait_for_end(&self) {
-        while self.0.ready(Interest::READABLE).await.is_ok_and(|ready| !ready.is_read_closed()) {
-            sleep(END_EXAMINATION_INTERVAL).await;
+    /// Waits until the peer ends the stream, and reads nothing: for `quiet` while nothing lies unread, and for `longest` otherwise.
+    pub(crate) async fn wait_for_end(&self, quiet: Duration, longest: Duration) {
+        let began_at = Instant::now();
+        loop {
+            let limit = if self.has_unread() { longest } else { quiet };
+            let left = limit.saturating_sub(began_at.elapsed());
+            match timeout(left, self.0.ready(Interest::READABLE)).await {
+                Ok(Ok(ready)) if !ready.is_read_closed() && !left.is_zero() => {
+                    sleep(END_EXAMINATION_INTERVAL).await;
+                }
+                _ => return,
+            }
         }
     }
 
@@ -135,66 +142,3 @@
         Poll::Ready(self.end_writing())
     }
 }
-
-/// A connection's stream that begins with bytes which were read before.
-#[derive(Debug)]
-pub(crate) struct CallerStream {
-    unread: Bytes,
-    stream: SharedStream,
-}
-
-impl CallerStream {
-    pub(crate) fn new(unread: Bytes, stream: SharedStream) -> Self {
-        Self { unread, stream }
-    }
-
-    /// The bytes that are still unread, behind those that a reader has `read` and not used.
-    pub(crate) fn into_unread(self, read: Bytes) -> Bytes {
-        if self.unread.is_empty() { read } else { Bytes::from([read, self.unread].concat()) }
-    }
-}
-
-impl AsyncRead for CallerStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        if self.unread.is_empty() {
-            return Pin::new(&mut self.stream).poll_read(cx, buf);
-        }
-        let bytes = self.unread.len().min(buf.remaining());
-        buf.put_slice(&self.unread.split_to(bytes));
-        Poll::Ready(Ok(()))
-    }
-}
-
-impl AsyncWrite for CallerStream {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, bytes)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        slices: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, slices)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
-    }
-}
--- a/crates/callers/tests/connections.rs
+++ b/crates/callers/tests/connections.rs
@@ -83,10 +83,10 @@
             RequestEnd::mark_reached(&head.extensions);
         }
         let mut response = self.0.respond_at(&path).await;
-        if caller.is_told_to_leave {
+        if caller.is_end_announced {
             *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
         }
-        if is_unread || path == "/large" || caller.is_told_to_leave {
+        if is_unread || path == "/large" || caller.is_end_announced {
             let close = header::HeaderValue::from_static("close");
             response.headers_mut().insert(header::CONNECTION, close);
         }
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -77,7 +77,7 @@
     let routed = identify(gateway, deployment.as_deref(), &request, &mut record);
     let mut abort_recorder = AbortRecorder { gateway, record: Some(record.clone()) };
     let result = match routed {
-        Ok(routed) if caller.is_told_to_leave || gateway.stops_before(routed.deadline_ms) => {
+        Ok(routed) if caller.is_end_announced || gateway.stops_before(routed.deadline_ms) => {
             discard_refused(gateway, request).await;
             Err((ErrorResponse::new(ErrorKind::ShuttingDown), record))
         }
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -103,7 +103,7 @@
         request: hyper::Request<Incoming>,
         caller: Caller,
     ) -> hyper::Response<Self::Body> {
-        if caller.is_told_to_leave {
+        if caller.is_end_announced {
             let refusal = Refusal::of(ErrorKind::ShuttingDown).into_response();
             return shutdown::close_when_leaving(&self.node, refusal).into();
         }
