A stopping instance decides before each attempt whether a request may end in time

Callers saw streams and long calls cut at the end of a stop though they were passed on more than 3 s after SIGTERM, where nothing excuses it.

Cause: `stops_before` was asked once, when the head of a request had come. The body (a slow upload), the question to an engine in `take_up`, a new connection, the confirmation of a build, and a further attempt come after it. Shown before this by real processes: a head 2.56 s after `stopping`, a body that took 0.65 s more, passed on at 3.25 s and cut at 7.55 s.

Ruled out: a shorter time limit for bodies, since the other waits would remain, and short requests would be refused with the long ones.

Change: the decision is a value without I/O, `PlannedStop`, and is asked when the head has come, when the body has come (so that `take_up` does not hold the refusal up), at the beginning of each attempt and once more directly before it is sent. The response is 503, not run, unless an attempt may have run the request; then 502. A stream that goes on at another endpoint is exempt: it is under way, and is cut otherwise.

With the exemption of streams switched off, `a_stream_that_breaks_off_late_in_a_stop_goes_on_at_another_endpoint` is red. The check directly before sending has no test of its own.

--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -144,6 +144,9 @@
         Err(_) => return Err((ErrorResponse::new(ErrorKind::BodySlow), record)),
     };
     RequestEnd::mark_reached(&head.extensions);
+    if gateway.stops_before(deadline_ms) {
+        return Err((ErrorResponse::new(ErrorKind::ShuttingDown), record));
+    }
     let stream =
         match take_up(gateway, &facts, &route, team.as_deref(), &mut service, &mut record).await {
             Ok(stream) => stream,
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -194,6 +194,7 @@
             };
             return Err(ErrorResponse::new(kind));
         }
+        self.check_stop(progress)?;
         self.team = match authorize(&self.gateway, &self.facts, &self.route) {
             Ok(team) => team,
             Err(error) if progress.possible_runs == 0 => return Err(error),
@@ -235,6 +236,8 @@
             self.gateway.connections.release(&candidate.id, connection, now_ms);
             return after_setback(progress, Setback::Obstacle);
         }
+        // The connection and the build took their time.
+        self.check_stop(progress)?;
         // Every request that reaches the service after its first attempt is a retry, whatever the outcome of the first.
         if progress.sent_attempts > 0 && !self.gateway.try_take_retry(&self.service) {
             self.record.notes.push("no_repeat_left");
@@ -304,6 +307,15 @@
         }
     }
 
+    /// Refuses a request that the planned stop of this instance may cut. A stream that is under way goes on here: nothing else
+    /// completes it.
+    fn check_stop(&self, progress: &Progress) -> Result<(), ErrorResponse> {
+        if self.last_event_id.is_none() && self.gateway.stops_before(self.deadline_ms) {
+            return Err(ErrorResponse::new(progress.error_kind(ErrorKind::ShuttingDown)));
+        }
+        Ok(())
+    }
+
     /// Refuses a request that has a quarantined feature, or one that another request is trying.
     fn check_blame(&mut self, progress: &mut Progress) -> Result<(), ErrorResponse> {
         let (feature, kind, left_ms) = match self.gateway.take_decision(&self.features) {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -7,6 +7,7 @@
 mod fair_shares;
 mod limits;
 mod regions;
+mod stop;
 mod streams;
 
 pub(crate) use blame::ANSWER_AGE_MS;
@@ -45,6 +46,7 @@
     part_values::PartValues,
     peer_loads::{EndpointTag, PeerLoads, PendingEngineParts, StorePartsMessage},
     placement::Candidate,
+    planned_stop::PlannedStop,
     propagation::PropagationLimits,
     readers::ReaderSelection,
     regions::{RegionLimit, RegionSet},
@@ -150,8 +152,8 @@
     pub(crate) body_room: Arc<BodyRoom>,
     /// The stages of a planned stop.
     pub(crate) stop_stages: StopStages,
-    /// The time at which responses that are not ready are given up; set once a planned stop has begun.
-    stop_due_ms: OnceLock<TimeMs>,
+    /// Set once a planned stop has begun.
+    planned_stop: OnceLock<PlannedStop>,
 }
 
 impl Gateway {
@@ -223,7 +225,7 @@
             byte_budget,
             body_room,
             stop_stages: StopStages::default(),
-            stop_due_ms: OnceLock::new(),
+            planned_stop: OnceLock::new(),
         })
     }
 
@@ -262,27 +264,6 @@
             && self.knows_evacuations()
     }
 
-    /// Begins a planned stop, in which responses that are not ready in `due_in_ms` are given up. A later call changes nothing.
-    pub(crate) fn stop(&self, due_in_ms: TimeMs) {
-        self.stop_due_ms.get_or_init(|| self.clock.now().after(due_in_ms));
-    }
-
-    pub(crate) fn is_stopping(&self) -> bool {
-        self.stop_due_ms.get().is_some()
-    }
-
-    /// True for a request that comes after the time in which callers go elsewhere by themselves, and that may take longer
-    /// than this instance has left.
-    pub(crate) fn stops_before(&self, deadline_ms: TimeMs) -> bool {
-        self.stop_stages.closing.is_cancelled()
-            && self.stop_due_ms.get().is_some_and(|due_ms| deadline_ms > *due_ms)
-    }
-
-    /// True once responses that are not ready are given up, since the process exits.
-    pub(crate) fn is_stop_due(&self) -> bool {
-        self.stop_stages.ending.is_cancelled()
-    }
-
     fn retry_limits(&self) -> RetryLimits {
         let bounds = self.bounds();
         RetryLimits {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -35,6 +35,7 @@
 mod part_values;
 mod peer_loads;
 mod placement;
+mod planned_stop;
 mod propagation;
 mod readers;
 mod regions;
@@ -90,6 +91,7 @@
     RankTokens, UsageMessage, report_interval_ms,
 };
 pub use placement::{Candidate, Choice, PlacementRequest, PromptShape, Reason, place};
+pub use planned_stop::{LONG_REQUESTS_MS, PlannedStop};
 pub use propagation::{ConfirmationStep, PropagationLimits};
 pub use readers::{ReadReason, ReaderSelection, passed_on_confirmation};
 pub use regions::{DataCentreRegions, RegionLimit, RegionSet};
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -9,11 +9,15 @@
 };
 use tokio::{net::TcpListener, time::sleep};
 
-use crate::{callers::GatewayResponder, controllers, gateway::Gateway};
+use crate::{
+    callers::GatewayResponder, controllers, gateway::Gateway, planned_stop::LONG_REQUESTS_MS,
+};
 
 /// How long an instance that shuts down still accepts connections, so that the load balancer's next two checks can see
 /// that it is not ready.
 const READINESS_DELAY: Duration = Duration::from_millis(2_600);
+// A request that may outlast the stop is refused on an open connection, and its caller goes to another instance.
+const _: () = assert!(LONG_REQUESTS_MS.get() as u128 <= READINESS_DELAY.as_millis());
 /// The part of the grace period that is reserved for exiting the process.
 const EXIT_RESERVE: Duration = Duration::from_millis(700);
 
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -20,6 +20,7 @@
     mod obstacle;
     mod peer_loads;
     mod placement;
+    mod planned_stop;
     mod propagation;
     mod readers;
     mod regions;
