An upload that finds no room is refused and ends no response of a sound endpoint

Callers lost large responses of sound endpoints, whose circuit opened as well, because others uploaded: every message that found the budget of bytes full ended the response that held most, until it fitted.

Cause: `make_room` has responses give way to anything. That is right for endpoints that send without end, and wrong for responses that were accepted and whose callers read slowly; a refused upload was not run and may be sent again.

Ruled out: a fixed part for each kind. Responses of 4 KiB each, the least that a response may hold, add up to any part at some number, and a process must not pass its memory.

Change: responses read ahead up to a quarter of the budget (the bodies of requests take three quarters at most), and less the fuller it is. They are ended only while the budget is full and they hold more than half of it, which takes heads or thousands of them; the largest of them is then over an equal share of that half. The total is counted in one way: the sum of what holders and other messages have. `ByteBudget::try_take`, which had no caller, is gone.

Not changed: the lock is taken twice for each read of a response. An allowance that is kept between two reads outlives the moment for which it was computed: a thousand idle connections would each read 128 KiB on it, more than the memory.

--- a/crates/callers/src/budget.rs
+++ b/crates/callers/src/budget.rs
@@ -3,12 +3,15 @@
 //! Load pattern: an endpoint sends a response without end to hundreds of callers, or callers leave large responses unread. Each
 //! response is bounded, and their sum is not; a process that passes its memory ends with all requests on it.
 //!
-//! A response reads ahead less as the budget fills. When it is full, the response that holds most is ended: its connection is
-//! closed, and its endpoint is left out for a while.
+//! Responses read ahead less as they fill their part of the budget. The body of a request that finds no room is refused: it was
+//! not run, while the work of a response that ends early is lost. Only when the budget is full and responses hold more than half
+//! of it, the one that holds most is ended: its connection is closed, and its endpoint is left out for a while.
 //!
-//! # Invariant
+//! # Invariants
 //!
-//! What holds nothing is never kept from reading, since only what is read can be passed on.
+//! - What holds nothing is never kept from reading, since only what is read can be passed on.
+//! - No response is ended for other messages while responses leave them half of the budget. One that is ended holds more than an
+//!   equal share of the other half.
 
 use std::{
     collections::HashMap,
@@ -26,6 +29,11 @@
 /// The part of the memory of an instance that messages may take, as a divisor. The rest is for its state, and for copies that
 /// are not counted.
 const MEMORY_DIVISOR: u64 = 3;
+/// The part of the budget up to which responses read ahead, as a divisor.
+const READ_AHEAD_DIVISOR: u64 = 4;
+/// The part of the budget beyond which responses may be ended, as a divisor. Between the two, each holds little: the least
+/// that it may, or a head.
+const RESPONSES_DIVISOR: u64 = 2;
 /// The part of the bytes that are free which one response may hold, as a divisor.
 const SHARE_DIVISOR: u64 = 8;
 /// What a response may hold however full the budget is: less than one buffer.
@@ -46,7 +54,10 @@
 
 #[derive(Debug, Default)]
 struct State {
-    held_bytes: u64,
+    /// The bytes of other messages: the bodies of requests, and responses that are held whole.
+    other_bytes: u64,
+    /// The sum of the holders' bytes.
+    response_bytes: u64,
     holders: HashMap<u64, Holder>,
 }
 
@@ -66,12 +77,13 @@
 }
 
 impl HeldBytes {
-    /// Takes more bytes. Returns false, and takes none, if the other messages leave too little.
+    /// Takes more bytes. Returns false, and takes none, if the other messages leave too little. Responses
+    /// leave half of the budget.
     pub(crate) fn try_grow(&mut self, bytes: u64) -> bool {
         let mut state = self.budget.state.lock();
         let fits = self.budget.make_room(&mut state, bytes);
         if fits {
-            state.held_bytes += bytes;
+            state.other_bytes += bytes;
             self.bytes += bytes;
         }
         fits
@@ -80,7 +92,7 @@
 
 impl Drop for HeldBytes {
     fn drop(&mut self) {
-        self.budget.state.lock().held_bytes -= self.bytes;
+        self.budget.state.lock().other_bytes -= self.bytes;
     }
 }
 
@@ -93,6 +105,10 @@
 }
 
 impl State {
+    fn held_bytes(&self) -> u64 {
+        self.other_bytes + self.response_bytes
+    }
+
     /// Ends the response that holds most, and returns its label and its bytes; none if responses hold nothing.
     fn end_largest(&mut self) -> Option<(String, u64)> {
         let holders = self.holders.values_mut().filter(|holder| holder.bytes > 0);
@@ -102,7 +118,7 @@
             end.abort();
         }
         let bytes = std::mem::take(&mut largest.bytes);
-        self.held_bytes -= bytes;
+        self.response_bytes -= bytes;
         Some((largest.label.clone(), bytes))
     }
 }
@@ -121,28 +137,32 @@
 
     /// The bytes that are held.
     pub fn held_bytes(&self) -> u64 {
-        self.state.lock().held_bytes
-    }
-
-    /// Takes bytes for a message that is not a response, for which the largest responses are ended if too few are free. Returns
-    /// none if the other messages leave too little.
-    pub fn try_take(self: &Arc<Self>, bytes: u64) -> Option<HeldBytes> {
-        let mut held = HeldBytes { budget: self.clone(), bytes: 0 };
-        held.try_grow(bytes).then_some(held)
+        self.state.lock().held_bytes()
     }
 
-    /// Takes bytes whether they are free or not, for a message whose size has a limit of its own.
+    /// Takes bytes whether they are free or not, for a message whose size has a limit of its own. It ends responses only while
+    /// they hold more than half of the budget, as any message does.
     pub fn take(self: &Arc<Self>, bytes: u64) -> HeldBytes {
         let mut state = self.state.lock();
         self.make_room(&mut state, bytes);
-        state.held_bytes += bytes;
+        state.other_bytes += bytes;
         HeldBytes { budget: self.clone(), bytes }
     }
 
-    /// Ends responses until `bytes` are free, or none holds any. Returns true if they are free.
+    /// The bytes that responses may still read ahead.
+    fn free_response_bytes(&self, state: &State) -> u64 {
+        let free_bytes = self.max_bytes.saturating_sub(state.held_bytes());
+        let max_bytes = self.max_bytes / READ_AHEAD_DIVISOR;
+        free_bytes.min(max_bytes.saturating_sub(state.response_bytes))
+    }
+
+    /// Ends responses until `bytes` are free, or responses hold no more than half of the budget. Returns true if they are free.
     fn make_room(&self, state: &mut State, bytes: u64) -> bool {
-        while state.held_bytes + bytes > self.max_bytes {
-            let held_bytes = state.held_bytes;
+        while state.held_bytes() + bytes > self.max_bytes {
+            if state.response_bytes <= self.max_bytes / RESPONSES_DIVISOR {
+                return false;
+            }
+            let held_bytes = state.held_bytes();
             let Some((label, response_bytes)) = state.end_largest() else { return false };
             log::warn!(
                 target: "limit", endpoint:% = label, response_bytes = response_bytes,
@@ -174,7 +194,7 @@
     /// The bytes that the response may read now. With none, `waker` is woken once it may read on.
     pub fn readable_bytes(&self, waker: &Waker) -> u64 {
         let mut state = self.budget.state.lock();
-        let free_bytes = self.budget.max_bytes.saturating_sub(state.held_bytes);
+        let free_bytes = self.budget.free_response_bytes(&state);
         let allowed_bytes =
             (free_bytes / SHARE_DIVISOR).clamp(MIN_READ_AHEAD_BYTES, MAX_READ_AHEAD_BYTES);
         let Some(holder) = state.holders.get_mut(&self.id) else { return allowed_bytes };
@@ -185,16 +205,16 @@
         left_bytes
     }
 
-    /// Counts bytes that were read. When the budget is full, the response that holds most is ended, which may be this one.
+    /// Counts bytes that were read. When the budget is full and responses hold more than half of it, the one that holds
+    /// most is ended, which may be this one.
     pub fn grow(&self, bytes: u64) {
         let mut state = self.budget.state.lock();
         if self.is_ended() {
             return;
         }
-        state.held_bytes += bytes;
-        if let Some(holder) = state.holders.get_mut(&self.id) {
-            holder.bytes += bytes;
-        }
+        let Some(holder) = state.holders.get_mut(&self.id) else { return };
+        holder.bytes += bytes;
+        state.response_bytes += bytes;
         self.budget.make_room(&mut state, 0);
     }
 
@@ -214,7 +234,7 @@
         let before = holder.bytes;
         holder.bytes = change(before);
         let (given_back, waker) = (before - holder.bytes, holder.waker.take());
-        state.held_bytes -= given_back;
+        state.response_bytes -= given_back;
         drop(state);
         if let Some(waker) = waker {
             waker.wake();
@@ -231,7 +251,7 @@
     fn drop(&mut self) {
         let mut state = self.budget.state.lock();
         if let Some(holder) = state.holders.remove(&self.id) {
-            state.held_bytes -= holder.bytes;
+            state.response_bytes -= holder.bytes;
         }
     }
 }
--- a/crates/callers/tests/budget.rs
+++ b/crates/callers/tests/budget.rs
@@ -88,3 +88,37 @@
     assert!(responses.iter().any(HeldResponse::is_ended));
     assert!(budget.held_bytes() <= budget.max_bytes());
 }
+
+/// Guards against uploads that end responses of sound endpoints: what was accepted goes on, and what finds no room is refused.
+#[test]
+fn an_upload_ends_no_response_of_a_sound_endpoint() {
+    let budget = ByteBudget::of_memory(MEMORY);
+    let room = BodyRoom::new(MEMORY, budget.clone());
+    let responses: Vec<_> = (0..60).map(|_| budget.register("sound".to_owned())).collect();
+    // Their callers read slowly, so that each holds as much as it may.
+    for response in &responses {
+        let bytes = response.readable_bytes(Waker::noop());
+        assert!(bytes > 0);
+        response.grow(bytes);
+    }
+    let large: Vec<_> = (0..9).map_while(|_| room.reserve(MIB)).collect();
+    let small: Vec<_> = (0..999).map_while(|_| room.reserve(64 * 1024)).collect();
+    assert_eq!(large.len(), 3);
+    assert!(small.len() >= 60, "{} small bodies", small.len());
+    assert!(room.reserve(64 * 1024).is_none(), "no body is refused");
+    let ended = responses.iter().filter(|response| response.is_ended()).count();
+    assert_eq!(ended, 0);
+    assert!(budget.held_bytes() <= budget.max_bytes());
+}
+
+/// A response that is held whole has a limit of its own, and does not end those that are passed on in parts.
+#[test]
+fn a_response_that_is_held_whole_ends_no_other_one() {
+    let budget = ByteBudget::of_memory(MEMORY);
+    let sound = holding(&budget, "sound", MIB);
+    let buffered = budget.take(12 * MIB);
+    let last = holding(&budget, "sound", 64 * 1024);
+    assert!(!sound.is_ended() && !last.is_ended());
+    drop((sound, buffered, last));
+    assert_eq!(budget.held_bytes(), 0);
+}
