`serve` no longer reports a call as not run after an attempt that may have run

Callers of an idempotent service call got `bilberryford-ran: no` though it had run: its response was cut, and the second endpoint refused it.

Cause: each retry has a typed attempt that was not sent, and its refusal speaks of itself alone; the attempts before it were forgotten. The same holds for a deadline that passes before the retry. Ruled out: orders, which are not retried once sent.

Change: the loop keeps the error of an attempt that may have run, and ends with it. Found while looking for places where a further attempt is made late in a stop.

--- a/crates/node/src/filters/service.rs
+++ b/crates/node/src/filters/service.rs
@@ -45,11 +45,12 @@
 async fn call_service(node: &Arc<Node>, ctx: &mut Context) -> Result<Flow, Refusal> {
     let mut attempt = ctx.take_attempt()?;
     let mut tried = Vec::new();
+    // The error of an earlier attempt that may have run.
+    let mut lost = None;
     node.count_first_attempt(&ctx.team()?.name, &ctx.endpoint()?.pool);
     loop {
         if ctx.time_left() == TimeMs(0) {
-            record_outcome(node, ctx, OrderState::NotRun).await;
-            return Err(attempt.refuse(ErrorKind::DeadlineBeforeRun).into());
+            return Err(end_unsent(node, ctx, attempt, ErrorKind::DeadlineBeforeRun, lost).await);
         }
         let endpoint = ctx.endpoint()?;
         let outcome = try_once(node, ctx, &endpoint, attempt).await?;
@@ -66,23 +67,40 @@
                 ctx.endpoint = Some(next);
             }
             (Outcome::Unsent(unsent, error), None) => {
-                record_outcome(node, ctx, OrderState::NotRun).await;
-                return Err(unsent.refuse(error.kind()).into());
+                return Err(end_unsent(node, ctx, unsent, error.kind(), lost).await);
             }
-            (Outcome::Lost(_), Some(next)) => {
+            (Outcome::Lost(error), Some(next)) => {
+                lost = Some(error);
                 attempt = Attempt::new(node.next_attempt());
                 ctx.endpoint = Some(next);
             }
-            (Outcome::Lost(error), _) => {
-                let kind =
-                    if ctx.intent.is_some() { ErrorKind::OrderInDoubt } else { error.kind() };
-                record_outcome(node, ctx, OrderState::InDoubt).await;
-                return Err(Refusal::after_send(kind, Ran::Maybe));
-            }
+            (Outcome::Lost(error), None) => return Err(end_lost(node, ctx, &error).await),
         }
     }
 }
 
+/// Ends a call whose last attempt was not sent. It did not run unless an earlier attempt may have.
+async fn end_unsent(
+    node: &Node,
+    ctx: &mut Context,
+    unsent: Attempt<Planned>,
+    kind: ErrorKind,
+    lost: Option<EndpointError>,
+) -> Refusal {
+    if let Some(error) = lost {
+        return end_lost(node, ctx, &error).await;
+    }
+    record_outcome(node, ctx, OrderState::NotRun).await;
+    unsent.refuse(kind).into()
+}
+
+/// Ends a call of which an attempt may have run.
+async fn end_lost(node: &Node, ctx: &mut Context, error: &EndpointError) -> Refusal {
+    let kind = if ctx.intent.is_some() { ErrorKind::OrderInDoubt } else { error.kind() };
+    record_outcome(node, ctx, OrderState::InDoubt).await;
+    Refusal::after_send(kind, Ran::Maybe)
+}
+
 /// Returns the endpoint for a retry, if the outcome allows one; takes the retry from the budgets.
 fn endpoint_for_retry(
     node: &Node,
--- a/tests/all/cut_answers.rs
+++ b/tests/all/cut_answers.rs
@@ -18,7 +18,7 @@
     task::JoinHandle,
 };
 
-use crate::support::{Deployment, eventually, fast_engine, loopback};
+use crate::support::{Deployment, KEY, eventually, fast_engine, loopback};
 
 /// What the proxy does with the responses to the requests that run or resume something, in their order.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -68,6 +68,7 @@
 
 const ERROR: &str = "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 12\r\nConnection: close\r\n\r\nforeign-text";
 const REFUSAL: &str = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 12\r\nConnection: close\r\n\r\nforeign-text";
+const DRAINING: &str = "HTTP/1.1 503 Service Unavailable\r\nendpoint-state: draining\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
 const OTHER_EVENT: &str = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: 20\r\nConnection: close\r\n\r\ndata: foreign-text\n\n";
 const NO_HTTP: &str = "foreign-text\r\n\r\nforeign-text";
 
@@ -228,3 +229,18 @@
     let orders = deployment.services[0].0.stats().orders;
     assert!(orders.values().all(|count| *count == 1), "{orders:?}");
 }
+
+/// "Not run" has to be true of every attempt, also of one whose response was cut before another endpoint refused the call.
+#[tokio::test]
+async fn a_call_that_may_have_run_is_not_reported_as_not_run_after_a_refused_retry() {
+    let mut deployment = Deployment::start(1, &fast_engine()).await.unwrap();
+    deployment.add_service().await.unwrap();
+    let steps = [Step::Cut(Cut::BeforeHead), Step::Replace(DRAINING)];
+    let _proxies = put_before(&mut deployment, &steps).await;
+    let request = deployment.client.get(format!("{}/services/desk/stock/tin", deployment.url(0)));
+    let request = request.bearer_auth(KEY).header("bilberryford-timeout-ms", 5_000);
+    let response = request.send().await.expect("a response");
+    assert_eq!(response.headers()["bilberryford-ran"], "maybe", "{response:?}");
+    let lookups: u64 = deployment.services.iter().map(|(service, _)| service.stats().lookups).sum();
+    assert!(lookups >= 1, "the first attempt runs");
+}
