One line and one count for each request without a complete response

An incomplete response was only an outcome in the request log, which doesn't say who ended it; `break_off` dropped the error of the connection; the line `response lost with its connection` was also written where no connection failed: at the head time-out of an attempt (`no_answer`) and at a deadline without content.

Change: `response_end.rs` has the closed lists of reasons, deciders and phases of a stop. Each request that ends without a complete response (its body fails or is dropped, or it is dropped before a head) is one line `request ended without a complete response` of target `response`, and one count in `bilberryford_gateway_response_ends_total`: reason, who decided it, phase and age of the stop, stage, endpoint and incarnation, status and bytes passed on, age of the content, text of the error with its causes. It is a warning where this instance or its stop decided it. The lines have a limit of 50 a second each for those that the instance ended and the others. Losses at endpoints carry the error too, and those without a failed connection have the message `response given up, since nothing came in time`.

Not reached: 256 KiB without content after a head. What is no content counts as held, and a response reads 128 KiB ahead at most, so that the connection waits until the deadline instead.

--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -15,11 +15,12 @@
 use tokio::time::timeout;
 
 use crate::{
-    features::RequestFeatures,
+    features::{RequestFeatures, ResponseStage},
     filters::{RoutedRequest, authorize, identify, take_up},
     forward::{Forward, remove_hop_by_hop},
     gateway::Gateway,
     request_log::RequestRecord,
+    response_end::{EndReason, ResponseEnd},
     responses::{ErrorResponse, ResponseBody},
 };
 
@@ -58,7 +59,18 @@
 
 impl Drop for AbortRecorder<'_> {
     fn drop(&mut self) {
-        if let Some(record) = self.record.take() {
+        if let Some(mut record) = self.record.take() {
+            let attempt = record.last_attempt.lock().take();
+            record.endpoint = attempt.as_ref().map(|attempt| attempt.endpoint.clone());
+            let end = ResponseEnd {
+                reason: EndReason::of_drop(self.gateway),
+                stage: ResponseStage::NoHead,
+                incarnation: attempt.map(|attempt| attempt.incarnation),
+                status: None,
+                content_bytes: 0,
+                error: "",
+            };
+            end.record(self.gateway, &record);
             let now_ms = self.gateway.clock.now();
             self.gateway.request_log.write(&record, "caller_left", true, now_ms);
             self.gateway.metrics.record_outcome("caller_left", None);
--- a/crates/gateway/src/features.rs
+++ b/crates/gateway/src/features.rs
@@ -40,6 +40,25 @@
     }
 }
 
+/// How the response to a request that its endpoint may have begun to run was lost.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub(crate) enum Loss<'a> {
+    /// Its connection failed, with this error.
+    Connection(&'a str),
+    /// It was given up at the time limit of its attempt. An endpoint that ended silently shows no other sign.
+    Silence,
+}
+
+impl Loss<'_> {
+    pub(crate) fn error(&self) -> &str {
+        match self {
+            Self::Connection(error) => error,
+            Self::Silence => "",
+        }
+    }
+}
+
 /// The features of one request.
 #[derive(Debug)]
 pub(crate) struct RequestFeatures {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -217,8 +217,7 @@
         if self.facts.prompt.is_some() {
             self.announce(&candidate, demand);
         }
-        self.record.endpoint = Some(candidate.id.clone());
-        self.record.build.clone_from(&candidate.build);
+        self.record.place(&candidate);
         self.record.placed = reason.into();
         let Some(connection) = self.take_connection(&candidate, progress).await else {
             return after_setback(progress, Setback::Unsent);
--- a/crates/gateway/src/forward/answer.rs
+++ b/crates/gateway/src/forward/answer.rs
@@ -19,11 +19,12 @@
     controllers::report_stream,
     deployment::RetryPolicy,
     event_stream::{EventBuffer, EventPosition, is_event_stream},
-    features::ResponseStage,
+    features::{Loss, ResponseStage},
     filters::StreamPart,
     in_flight::InFlight,
     placement::Candidate,
     relay::{Relay, RelayedEvents, record_success, relay_body},
+    response_end::error_text,
     responses::{ErrorResponse, ResponseBody, full_body},
 };
 
@@ -74,7 +75,9 @@
             must_begin_by_ms,
             events,
             record,
-            is_success: head.status.is_success(),
+            status: head.status,
+            passed_bytes: 0,
+            broken_off: None,
             is_finished: false,
         };
         Ok(Some(Response::from_parts(head, relay_body(relay))))
@@ -114,7 +117,8 @@
             Ok(Err(error)) => {
                 log::debug!(error:% = error; "response truncated");
                 self.record.notes.push("answer_cut");
-                in_flight.record_loss(ResponseStage::Head);
+                let text = error_text(error.as_ref());
+                in_flight.record_loss(ResponseStage::Head, Loss::Connection(&text));
                 // A body that is too large says nothing of its endpoint.
                 if !error.is::<LengthLimitError>() {
                     let incarnation = in_flight.candidate().incarnation;
--- a/crates/gateway/src/forward/send.rs
+++ b/crates/gateway/src/forward/send.rs
@@ -14,11 +14,12 @@
     cold_endpoints::ColdSource,
     connections::{Connection, connect},
     deployment::RetryPolicy,
-    features::ResponseStage,
+    features::{Loss, ResponseStage},
     in_flight::InFlight,
     part_plan::PartPlan,
     placement::Candidate,
     request_log::PromptRecord,
+    response_end::error_text,
     rollout::engine_time_ms,
     translation::{ForwardFacts, ResponseFacts},
 };
@@ -162,7 +163,7 @@
         };
         match result {
             Err(_) => {
-                in_flight.record_loss(ResponseStage::NoHead);
+                in_flight.record_loss(ResponseStage::NoHead, Loss::Silence);
                 SendOutcome::Lost("no_answer")
             }
             Ok(Err(error)) if error.message().is_some() => {
@@ -171,9 +172,10 @@
                 SendOutcome::Unsent
             }
             Ok(Err(error)) => {
-                log::debug!(endpoint:% = candidate.id, error:% = error.error(); "answer lost");
+                let error = error_text(error.error());
+                log::debug!(endpoint:% = candidate.id, error = error.as_str(); "answer lost");
                 self.gateway.suspect_restart(candidate.incarnation, ColdSource::ConnectionLost);
-                in_flight.record_loss(ResponseStage::NoHead);
+                in_flight.record_loss(ResponseStage::NoHead, Loss::Connection(&error));
                 SendOutcome::Lost("connection_lost")
             }
             Ok(Ok(response)) => {
--- a/crates/gateway/src/gateway/blame.rs
+++ b/crates/gateway/src/gateway/blame.rs
@@ -12,7 +12,7 @@
 use super::Gateway;
 use crate::{
     connections::accepts_connections,
-    features::{RequestFeatures, ResponseStage},
+    features::{Loss, RequestFeatures, ResponseStage},
     peer_loads::EndpointTag,
     placement::Candidate,
 };
@@ -48,25 +48,31 @@
         self.peers.lock().rendezvous_rank(local, &feature.key())
     }
 
-    /// Records that a request was lost with its connection to an endpoint that may have begun to run it, at `stage` of
-    /// its response.
+    /// Records that the response of an endpoint that may have begun to run the request was lost, at `stage` of the
+    /// response.
     pub(crate) fn record_request_loss(
         self: &Arc<Self>,
         candidate: &Candidate,
         features: &RequestFeatures,
         stage: ResponseStage,
+        loss: Loss<'_>,
     ) {
         let now_ms = self.clock.now();
         let incarnation = candidate.incarnation;
         self.doubt_build(&candidate.id);
         if let Some(suppressed) = self.request_log.take_loss_record(now_ms) {
-            let stage_name: &'static str = stage.into();
+            let (stage_name, loss_name): (&'static str, &'static str) = (stage.into(), loss.into());
+            let message = match loss {
+                Loss::Connection(_) => "response lost with its connection",
+                Loss::Silence => "response given up, since nothing came in time",
+            };
             log::info!(
                 target: "belief", request = features.request_id(), endpoint:% = candidate.id,
                 incarnation:% = incarnation, fingerprint:% = features.request(),
                 parts = features.parts_text().as_str(), stage = stage_name,
-                content_age_ms = stage.content_age_ms().map_or(0, TimeMs::get), left_out = suppressed;
-                "response lost with its connection"
+                content_age_ms = stage.content_age_ms().map_or(0, TimeMs::get), loss = loss_name,
+                error = loss.error(), left_out = suppressed;
+                "{message}"
             );
         }
         if stage.content_age_ms().is_some_and(|age_ms| age_ms >= ANSWER_AGE_MS) {
--- a/crates/gateway/src/gateway/stop.rs
+++ b/crates/gateway/src/gateway/stop.rs
@@ -15,6 +15,11 @@
         self.planned_stop.get().is_some()
     }
 
+    /// The time since a planned stop began; none before one.
+    pub(crate) fn stop_age_ms(&self) -> Option<TimeMs> {
+        self.planned_stop.get().map(|stop| stop.age_ms(self.clock.now()))
+    }
+
     /// True if a request with this deadline must not be sent to an endpoint any more, since the stop may cut it. A request waits
     /// for its body, for a connection and for earlier attempts, so that this is asked again wherever one is about to be sent.
     pub(crate) fn stops_before(&self, deadline_ms: TimeMs) -> bool {
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     cache_index::holder_at,
-    features::{RequestFeatures, ResponseStage},
+    features::{Loss, RequestFeatures, ResponseStage},
     gateway::Gateway,
     part_plan::Transfer,
     placement::Candidate,
@@ -101,9 +101,9 @@
         &self.features
     }
 
-    /// Records that its connection broke after the endpoint may have started it, at `stage` of its response.
-    pub(crate) fn record_loss(&self, stage: ResponseStage) {
-        self.gateway.record_request_loss(&self.candidate, &self.features, stage);
+    /// Records that its response was lost after the endpoint may have started it, at `stage` of the response.
+    pub(crate) fn record_loss(&self, stage: ResponseStage, loss: Loss<'_>) {
+        self.gateway.record_request_loss(&self.candidate, &self.features, stage, loss);
     }
 
     /// Records that its response is complete, or went on for a while after its first content.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -41,6 +41,7 @@
 mod regions;
 mod relay;
 mod request_log;
+mod response_end;
 mod response_meter;
 mod responses;
 mod retry_budget;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -8,7 +8,11 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 
-use crate::part_values::{PartAccount, SaveOutcome};
+use crate::{
+    features::ResponseStage,
+    part_values::{PartAccount, SaveOutcome},
+    response_end::{EndReason, StopPhase},
+};
 
 /// The bucket bounds of the latency histograms, in seconds.
 const LATENCY_BOUNDS_S: [f64; 12] =
@@ -30,6 +34,7 @@
     registry: Registry,
     _provider: SdkMeterProvider,
     outcomes: Counter<u64>,
+    response_ends: Counter<u64>,
     streams: Counter<u64>,
     part_tokens: Counter<u64>,
     evicted_parts: Counter<u64>,
@@ -68,6 +73,7 @@
         };
         Ok(Self {
             outcomes: meter.u64_counter("bilberryford.gateway.outcomes").build(),
+            response_ends: meter.u64_counter("bilberryford.gateway.response_ends").build(),
             streams: meter.u64_counter("bilberryford.gateway.streams").build(),
             part_tokens: meter.u64_counter("bilberryford.gateway.part_tokens").build(),
             evicted_parts: meter.u64_counter("bilberryford.gateway.evicted_parts").build(),
@@ -107,6 +113,22 @@
         }
     }
 
+    /// Counts a request that ended without a complete response.
+    pub(crate) fn record_response_end(
+        &self,
+        reason: EndReason,
+        phase: StopPhase,
+        stage: ResponseStage,
+    ) {
+        let labels: [(&'static str, &'static str); 4] = [
+            ("reason", reason.into()),
+            ("decided_by", reason.decider().into()),
+            ("phase", phase.into()),
+            ("stage", stage.into()),
+        ];
+        self.response_ends.add(1, &labels.map(|(name, value)| KeyValue::new(name, value)));
+    }
+
     /// Records the error of a prediction: the time to first token, divided by the predicted time.
     pub(crate) fn record_first_token(&self, predicted_ms: TimeMs, took_ms: TimeMs) {
         let predicted_ms = predicted_ms.get().max(1);
--- a/crates/gateway/src/planned_stop.rs
+++ b/crates/gateway/src/planned_stop.rs
@@ -13,6 +13,7 @@
 /// A planned stop that has begun.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PlannedStop {
+    began_ms: TimeMs,
     refuses_long_from_ms: TimeMs,
     due_ms: TimeMs,
 }
@@ -21,11 +22,17 @@
     /// A stop that begins at `now_ms`, and gives up responses that are not ready in `due_in_ms`.
     pub fn new(now_ms: TimeMs, due_in_ms: TimeMs) -> Self {
         Self {
+            began_ms: now_ms,
             refuses_long_from_ms: now_ms.after(LONG_REQUESTS_MS),
             due_ms: now_ms.after(due_in_ms),
         }
     }
 
+    /// The time since it began.
+    pub fn age_ms(&self, now_ms: TimeMs) -> TimeMs {
+        now_ms.since(self.began_ms)
+    }
+
     /// True if a request with this deadline may be sent to an endpoint at `now_ms`.
     pub fn allows(&self, deadline_ms: TimeMs, now_ms: TimeMs) -> bool {
         now_ms < self.refuses_long_from_ms || deadline_ms <= self.due_ms
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -6,19 +6,23 @@
 use bytes::Bytes;
 use futures::stream;
 use http_body_util::{BodyExt, StreamBody};
-use hyper::body::{Body as _, Frame, Incoming};
+use hyper::{
+    StatusCode,
+    body::{Body as _, Frame, Incoming},
+};
 use tokio::{task::yield_now, time::timeout};
 
 use crate::{
     cold_endpoints::ColdSource,
     connections::Connection,
     event_stream::{EventBuffer, EventPosition},
-    features::ResponseStage,
+    features::{Loss, ResponseStage},
     forward::StreamContinuation,
     gateway::{ANSWER_AGE_MS, Gateway},
     health::EndpointHealth,
     in_flight::InFlight,
     request_log::RequestRecord,
+    response_end::{EndReason, ResponseEnd, error_text},
     responses::ResponseBody,
 };
 
@@ -34,8 +38,12 @@
     pub(crate) must_begin_by_ms: Option<TimeMs>,
     pub(crate) events: RelayedEvents,
     pub(crate) record: RequestRecord,
-    /// True if its status states that the endpoint ran the request.
-    pub(crate) is_success: bool,
+    /// The status of the response.
+    pub(crate) status: StatusCode,
+    /// The bytes of content that were passed on.
+    pub(crate) passed_bytes: u64,
+    /// Why the endpoint broke the response off, with the text of the error.
+    pub(crate) broken_off: Option<(EndReason, String)>,
     pub(crate) is_finished: bool,
 }
 
@@ -69,12 +77,33 @@
         }
     }
 
+    fn stage(&self) -> ResponseStage {
+        ResponseStage::after_head(self.record.first_byte_ms, self.gateway.clock.now())
+    }
+
+    /// Records that the caller gets no complete response.
+    fn end_incomplete(&mut self, outcome: &'static str, reason: EndReason, error: &str) {
+        if self.is_finished {
+            return;
+        }
+        let end = ResponseEnd {
+            reason,
+            stage: self.stage(),
+            incarnation: Some(self.in_flight.candidate().incarnation),
+            status: Some(self.status),
+            content_bytes: self.passed_bytes,
+            error,
+        };
+        end.record(&self.gateway, &self.record);
+        self.finish(outcome, true);
+    }
+
     /// Records that the response is complete.
     fn complete(&mut self) {
         if self.is_finished {
             return;
         }
-        if self.is_success {
+        if self.status.is_success() {
             self.in_flight.record_answer();
         }
         let endpoint = self.in_flight.endpoint();
@@ -121,7 +150,12 @@
         };
         match rest {
             Some(_) => self.finish("went_on_elsewhere", false),
-            None => self.finish("answer_cut", true),
+            None => {
+                let broken_off = self.broken_off.take();
+                let (reason, error) =
+                    broken_off.unwrap_or((EndReason::ConnectionFailed, String::new()));
+                self.end_incomplete("answer_cut", reason, &error);
+            }
         }
         rest
     }
@@ -143,13 +177,13 @@
     }
 
     /// Records that the endpoint broke the response off, or that it was ended since the budget of bytes was full.
-    fn break_off(&mut self) {
-        let now_ms = self.gateway.clock.now();
-        self.in_flight.record_loss(ResponseStage::after_head(self.record.first_byte_ms, now_ms));
+    fn break_off(&mut self, reason: EndReason, error: String) {
+        self.in_flight.record_loss(self.stage(), Loss::Connection(&error));
         let incarnation = self.in_flight.candidate().incarnation;
         self.gateway.suspect_restart(incarnation, ColdSource::ConnectionLost);
         let endpoint = self.in_flight.endpoint();
-        let is_over_budget = self.connection.as_ref().is_some_and(Connection::is_over_budget);
+        let is_over_budget = reason == EndReason::OverBudget;
+        self.broken_off = Some((reason, error));
         let reason = if is_over_budget { "over_budget" } else { "answer_cut" };
         self.gateway.update_health(endpoint, reason, |health, now_ms| {
             health.record_failure(now_ms, is_over_budget);
@@ -160,6 +194,14 @@
         self.connection = None;
     }
 
+    fn failure_reason(&self, error: &hyper::Error) -> EndReason {
+        if self.connection.as_ref().is_some_and(Connection::is_over_budget) {
+            EndReason::OverBudget
+        } else {
+            EndReason::of_connection(error)
+        }
+    }
+
     async fn next_chunk(&mut self) -> Option<Chunk> {
         loop {
             let until_ms = match self.must_begin_by_ms {
@@ -180,26 +222,26 @@
                     frame = timeout(wait, Self::next_frame(&mut self.incoming, self.connection.as_ref())) => frame.ok(),
                     feature = self.gateway.quarantine_of(self.in_flight.features()) => {
                         self.record.blamed = Some(self.in_flight.features().describe(feature));
-                        self.finish("held_back", true);
+                        self.end_incomplete("held_back", EndReason::Quarantined, "");
                         return Some(Chunk::Failed(io::ErrorKind::ConnectionAborted.into()));
                     }
                 },
             };
             match frame {
                 None if until_ms < self.deadline_ms => {
-                    self.finish("old_weights", true);
+                    self.end_incomplete("old_weights", EndReason::OldWeights, "");
                     return Some(Chunk::Failed(io::ErrorKind::TimedOut.into()));
                 }
                 None => {
                     if self.record.first_byte_ms.is_none() {
                         // An endpoint that ended silently shows no other sign.
-                        self.in_flight.record_loss(ResponseStage::Head);
+                        self.in_flight.record_loss(ResponseStage::Head, Loss::Silence);
                     }
-                    self.finish("deadline_in_answer", true);
+                    self.end_incomplete("deadline_in_answer", EndReason::Deadline, "");
                     return Some(Chunk::Failed(io::ErrorKind::TimedOut.into()));
                 }
                 Some(Some(Err(error))) => {
-                    self.break_off();
+                    self.break_off(self.failure_reason(&error), error_text(&error));
                     return Some(Chunk::BrokenOff(io::Error::other(error)));
                 }
                 Some(Some(Ok(frame))) => {
@@ -216,7 +258,9 @@
                             self.record.prompt.first_token_ms =
                                 self.record.prompt.predicted_ms.map(|_| took_ms);
                         }
-                        Some(at_ms) if self.is_success && now_ms.since(at_ms) >= ANSWER_AGE_MS => {
+                        Some(at_ms)
+                            if self.status.is_success() && now_ms.since(at_ms) >= ANSWER_AGE_MS =>
+                        {
                             self.in_flight.record_answer();
                         }
                         Some(_) => {}
@@ -227,11 +271,13 @@
                         self.complete();
                     }
                     if !data.is_empty() {
+                        self.passed_bytes += data.len() as u64;
                         return Some(Chunk::Data(data));
                     }
                 }
                 Some(None) if self.is_inside_event() => {
-                    self.break_off();
+                    let text = "the stream ends inside an event".to_owned();
+                    self.break_off(EndReason::EndedInsideEvent, text);
                     // The server writes what came before while the body is pending, and nothing after an error.
                     yield_now().await;
                     return Some(Chunk::BrokenOff(io::ErrorKind::UnexpectedEof.into()));
@@ -247,9 +293,12 @@
 
 impl Drop for Relay {
     fn drop(&mut self) {
-        let outcome =
-            if self.gateway.is_stop_due() { "stopped_in_answer" } else { "caller_left_in_answer" };
-        self.finish(outcome, true);
+        let reason = EndReason::of_drop(&self.gateway);
+        let outcome = match reason {
+            EndReason::StopEnded => "stopped_in_answer",
+            _ => "caller_left_in_answer",
+        };
+        self.end_incomplete(outcome, reason, "");
     }
 }
 
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -4,10 +4,12 @@
 //! formatted, since that takes processor time, which is scarce when the request rate is highest. Successful requests
 //! have the lower limit. Each record contains the number of records that were suppressed before it.
 
+use std::sync::Arc;
+
 use bilberryford_types::{Build, EndpointId, Generation, ObjectVersion, TimeMs};
 use parking_lot::Mutex;
 
-use crate::part_values::PartAccount;
+use crate::{part_values::PartAccount, peer_loads::EndpointTag, placement::Candidate};
 
 /// The most records per second for requests with a complete response.
 const MAX_ANSWERED_PER_S: u64 = 20;
@@ -15,6 +17,9 @@
 const MAX_FAILED_PER_S: u64 = 100;
 /// The most records per second for responses that were lost with their connections.
 const MAX_LOSSES_PER_S: u64 = 50;
+/// The most records per second for requests without a complete response that this instance ended, and for those that
+/// others did.
+const MAX_ENDS_PER_S: u64 = 50;
 
 /// The most shared parts in one record.
 const MAX_LOGGED_PARTS: usize = 8;
@@ -48,6 +53,13 @@
     pub(crate) level_ms: u64,
 }
 
+/// The last endpoint of a request.
+#[derive(Debug, Clone)]
+pub(crate) struct Attempted {
+    pub(crate) endpoint: EndpointId,
+    pub(crate) incarnation: EndpointTag,
+}
+
 /// The log record of one request.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct RequestRecord {
@@ -80,6 +92,18 @@
     pub(crate) share: ShareRecord,
     pub(crate) started_ms: TimeMs,
     pub(crate) first_byte_ms: Option<TimeMs>,
+    /// Where the request was placed last. Copies share it, so that one that is kept from before the first attempt knows it.
+    pub(crate) last_attempt: Arc<Mutex<Option<Attempted>>>,
+}
+
+impl RequestRecord {
+    /// Records where the request is placed.
+    pub(crate) fn place(&mut self, candidate: &Candidate) {
+        self.endpoint = Some(candidate.id.clone());
+        self.build.clone_from(&candidate.build);
+        *self.last_attempt.lock() =
+            Some(Attempted { endpoint: candidate.id.clone(), incarnation: candidate.incarnation });
+    }
 }
 
 #[derive(Debug, Default)]
@@ -115,6 +139,8 @@
     answered: Mutex<RecordLimiter>,
     failed: Mutex<RecordLimiter>,
     losses: Mutex<RecordLimiter>,
+    ends_by_instance: Mutex<RecordLimiter>,
+    ends_by_others: Mutex<RecordLimiter>,
 }
 
 impl RequestLog {
@@ -123,6 +149,13 @@
         self.losses.lock().take(now_ms, MAX_LOSSES_PER_S)
     }
 
+    /// Takes one record of a request without a complete response from the limit, and returns the number that was suppressed
+    /// before it. Callers that leave in large numbers suppress none that the instance ended.
+    pub(crate) fn take_end_record(&self, is_of_instance: bool, now_ms: TimeMs) -> Option<u64> {
+        let limiter = if is_of_instance { &self.ends_by_instance } else { &self.ends_by_others };
+        limiter.lock().take(now_ms, MAX_ENDS_PER_S)
+    }
+
     /// Writes the record of a request that ended with `outcome`, or counts it as suppressed.
     pub(crate) fn write(
         &self,
--- a/crates/gateway/src/response_meter.rs
+++ b/crates/gateway/src/response_meter.rs
@@ -24,6 +24,19 @@
 /// hyper reads ahead by less than half of it.
 const MAX_OVERHEAD_BYTES: u64 = 256 * 1024;
 
+/// A connection was ended since too much of what it read was no content.
+#[derive(Debug, thiserror::Error)]
+#[error("{limit_bytes} bytes without any content of a response")]
+pub(crate) struct TooMuchOverhead {
+    limit_bytes: u64,
+}
+
+impl TooMuchOverhead {
+    pub(crate) fn is_cause_of(error: &io::Error) -> bool {
+        error.get_ref().is_some_and(|cause| cause.is::<Self>())
+    }
+}
+
 /// Counts the bytes of a connection.
 #[derive(Debug, Clone)]
 pub(crate) struct ResponseMeter {
@@ -109,8 +122,8 @@
         let bytes = part.filled().len();
         buf.advance(bytes);
         if bytes > 0 && !self.meter.read(bytes as u64) {
-            let text = format!("{MAX_OVERHEAD_BYTES} bytes without any content of a response");
-            return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, text)));
+            let error = TooMuchOverhead { limit_bytes: MAX_OVERHEAD_BYTES };
+            return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, error)));
         }
         Poll::Ready(Ok(()))
     }
