--- a/crates/gateway/tests/decisions/planned_stop.rs
+++ b/crates/gateway/tests/decisions/planned_stop.rs
@@ -1,4 +1,4 @@
-use bilberryford_gateway::{LONG_REQUESTS_MS, PlannedStop};
+use bilberryford_gateway::PlannedStop;
 use bilberryford_types::TimeMs;
 use rstest::rstest;
 
