Report ends of callers' connections that may cost a response

Each end inside a response, on what is no request, or with unacknowledged or unread bytes is one line of target connection and one count of connection_ends, by reason and by who decided it, at gateway and serve. The line has the phase of the stop, the last request, the time since the last write, the bytes in both queues of the socket and the error. Ends behind complete, acknowledged responses write nothing. At most 50 lines a second. A report is made when the connection's task is dropped, so that tasks aborted at the limit of a stop and panics are covered as well.

Where a kernel has no diagnostics the numbers are -1.

tests/ends.rs of the crate: 10 cases, green. connection_failed has no case: no error of that kind was brought about.

--- a/crates/callers/src/connection.rs
+++ b/crates/callers/src/connection.rs
@@ -30,7 +30,12 @@
 };
 use tokio_util::sync::CancellationToken;
 
-use crate::{Caller, Respond, StopStages, stream::SharedStream};
+use crate::{
+    Caller, Respond, StopStages,
+    ends::{EndLog, EndReporter},
+    response_state::ResponseState,
+    stream::SharedStream,
+};
 
 /// How long bytes to a caller may stay unacknowledged before the connection is closed.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(5);
@@ -81,7 +86,7 @@
     stream: SharedStream,
     began_at: Instant,
     had_request: AtomicBool,
-    /// True while a request is responded to. Further requests may wait in the socket meanwhile.
+    /// True until the head of a response is there. Further requests may wait in the socket meanwhile.
     is_busy: AtomicBool,
     /// True once the caller has announced that it sends no further request.
     is_last: AtomicBool,
@@ -170,23 +175,31 @@
     stream: TcpStream,
     from: SocketAddr,
     stop: StopStages,
+    log: Arc<EndLog>,
 ) {
     if let Err(error) = set_socket_options(&stream, UNACKNOWLEDGED_TIMEOUT) {
         log::debug!(error:% = error; "can't set the socket options of a caller's connection");
     }
     let stream = SharedStream::new(stream);
     let mut caller = Caller { from, is_end_announced: false };
+    let mut reporter =
+        EndReporter::new(responder.clone(), log, stop.clone(), caller, stream.clone());
+    let state = reporter.state.clone();
     let mut unread = Bytes::new();
     // The rest of a refused body would keep its sender from reading the response.
     let discards = loop {
         let round = Round::new(stream.clone());
-        let served = serve_round(&responder, &round, &mut caller, unread, &stop.closing).await;
+        let served =
+            serve_round(&responder, &round, &state, &mut caller, unread, &stop.closing).await;
         unread = match served {
             Ok(rest) => rest,
             Err(error) => {
                 log::debug!(error:% = error; "a caller's connection failed");
                 // hyper has responded to a request that it can't read.
-                if error.is_parse() {
+                let is_parse = error.is_parse();
+                reporter.fail(error);
+                if is_parse {
+                    unread = Bytes::new();
                     break true;
                 }
                 return;
@@ -209,12 +222,14 @@
         () = stream.wait_for_end(QUIET_END_TIME, UNACKNOWLEDGED_TIMEOUT), if !discards => {}
         () = stop.ending.cancelled() => {}
     }
+    reporter.close(unread.len() as u64);
 }
 
 /// Serves requests until hyper ends the connection, and returns what it has read beyond the last one.
 async fn serve_round<R: Respond>(
     responder: &Arc<R>,
     round: &Arc<Round>,
+    state: &Arc<ResponseState>,
     caller: &mut Caller,
     unread: Bytes,
     closing: &CancellationToken,
@@ -225,13 +240,15 @@
     let from = caller.from;
     let service = service_fn(move |mut request| {
         let guard = round.begin(&mut request);
+        let response_guard = state.begin(request.extensions_mut());
+        let method = request.method().clone();
         let (responder, announced) = (responder.clone(), announced.clone());
         Box::pin(async move {
             let caller = Caller { from, is_end_announced: announced.load(Ordering::Relaxed) };
             let response = responder.respond(request, caller).await;
             announced.fetch_or(announces_end(response.headers()), Ordering::Relaxed);
             drop(guard);
-            Ok::<_, Infallible>(response)
+            Ok::<_, Infallible>(response_guard.watch(&method, response))
         })
     });
     let reader = Cursor::new(unread).chain(round.stream.clone());
--- /dev/null
+++ b/crates/callers/src/ends.rs
@@ -0,0 +1,298 @@
+//! Reports the ends of connections that may have kept a response, or a request, from its receiver.
+//!
+//! A connection that ends behind a complete response, all of which its caller has acknowledged, is not reported.
+
+use std::{
+    error::Error as _,
+    io,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use parking_lot::Mutex;
+
+use crate::{Caller, Respond, StopStages, response_state::ResponseState, stream::SharedStream};
+
+/// The most log lines on ends of connections in a second.
+const MAX_LINES_PER_S: u64 = 50;
+
+/// Why a connection ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, strum::Display, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum EndReason {
+    /// The caller ended its direction inside a response.
+    CallerLeft,
+    /// The caller, or something between, reset the connection inside a response.
+    Reset,
+    /// Bytes of a response stayed unacknowledged, or unread, for too long.
+    NotAcknowledged,
+    /// Another error of the operating system inside a response.
+    ConnectionFailed,
+    /// The responder ended a response before its end.
+    ResponseFailed,
+    /// What the caller sent is no request. It has a response that says so.
+    InvalidRequest,
+    /// The connection was closed while bytes of a response were unacknowledged.
+    ClosedUnacknowledged,
+    /// The connection was closed while bytes behind the last request were unread.
+    ClosedUnread,
+    /// The connection was closed at the limit of a stop, inside a response.
+    StopLimit,
+    /// The task of the connection panicked.
+    Panicked,
+}
+
+/// Who decided that a connection ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum EndDecision {
+    /// The caller, or what lies between.
+    Caller,
+    /// The instance.
+    Instance,
+    /// The stop of the instance.
+    Stop,
+}
+
+/// The phase of a planned stop.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum StopPhase {
+    /// The instance accepts connections.
+    Serving,
+    /// Connections end after their response.
+    Closing,
+    /// What has no response is given up.
+    Ending,
+}
+
+/// The end of a connection that may have cost its caller something.
+#[derive(Debug, Clone)]
+pub struct ConnectionEnd {
+    /// Why it ended.
+    pub reason: EndReason,
+    /// Who decided it.
+    pub decided_by: EndDecision,
+    /// The phase of the stop at the end.
+    pub phase: StopPhase,
+    /// The label of the last request.
+    pub request: String,
+    /// The time since bytes were last written; none if there were none.
+    pub since_write: Option<Duration>,
+    /// The bytes that were written and that the caller had not acknowledged; none if they are not known.
+    pub unacknowledged_bytes: Option<u64>,
+    /// The bytes that lay unread; none if they are not known.
+    pub unread_bytes: Option<u64>,
+    /// The error of the connection; empty if it was closed.
+    pub error: String,
+}
+
+/// How the service of a connection ended.
+#[derive(Debug)]
+enum Outcome {
+    /// Its task was given up, or panicked.
+    GivenUp,
+    /// It was closed, with this number of bytes that were read and not used.
+    Closed {
+        /// The bytes behind the last request that had been read.
+        unused_bytes: u64,
+    },
+    Failed(hyper::Error),
+}
+
+/// Limits the log lines of all connections of a server.
+#[derive(Debug)]
+pub(crate) struct EndLog {
+    state: Mutex<LogState>,
+}
+
+#[derive(Debug)]
+struct LogState {
+    second_began_at: Instant,
+    lines: u64,
+    suppressed: u64,
+}
+
+impl EndLog {
+    pub(crate) fn new() -> Arc<Self> {
+        let state = LogState { second_began_at: Instant::now(), lines: 0, suppressed: 0 };
+        Arc::new(Self { state: Mutex::new(state) })
+    }
+
+    /// Takes a line from the limit, and returns the number of those that were suppressed before it.
+    fn take(&self) -> Option<u64> {
+        let mut state = self.state.lock();
+        if state.second_began_at.elapsed() >= Duration::from_secs(1) {
+            state.second_began_at = Instant::now();
+            state.lines = 0;
+        }
+        if state.lines >= MAX_LINES_PER_S {
+            state.suppressed += 1;
+            return None;
+        }
+        state.lines += 1;
+        Some(std::mem::take(&mut state.suppressed))
+    }
+
+    fn write(&self, end: &ConnectionEnd, caller: Caller) {
+        let Some(suppressed) = self.take() else { return };
+        let level = match end.decided_by {
+            EndDecision::Caller => log::Level::Info,
+            EndDecision::Instance | EndDecision::Stop => log::Level::Warn,
+        };
+        // -1 is a number that is not known: 0 would state that there is none.
+        let known =
+            |bytes: Option<u64>| bytes.and_then(|bytes| i64::try_from(bytes).ok()).unwrap_or(-1);
+        log::log!(
+            target: "connection", level,
+            reason:% = end.reason, decided_by:% = end.decided_by, phase:% = end.phase,
+            request = end.request.as_str(), caller:% = caller.from,
+            since_write_ms = known(end.since_write.map(|time| time.as_millis() as u64)),
+            unacknowledged_bytes = known(end.unacknowledged_bytes),
+            unread_bytes = known(end.unread_bytes),
+            error = end.error.as_str(), left_out = suppressed;
+            "connection ended early"
+        );
+    }
+}
+
+/// Reports the end of a connection when it is dropped, also with its task.
+pub(crate) struct EndReporter<R: Respond> {
+    responder: Arc<R>,
+    log: Arc<EndLog>,
+    stop: StopStages,
+    caller: Caller,
+    stream: SharedStream,
+    pub(crate) state: Arc<ResponseState>,
+    outcome: Outcome,
+}
+
+impl<R: Respond> EndReporter<R> {
+    pub(crate) fn new(
+        responder: Arc<R>,
+        log: Arc<EndLog>,
+        stop: StopStages,
+        caller: Caller,
+        stream: SharedStream,
+    ) -> Self {
+        let (state, outcome) = (Arc::default(), Outcome::GivenUp);
+        Self { responder, log, stop, caller, stream, state, outcome }
+    }
+
+    /// Records that hyper has ended the connection with an error.
+    pub(crate) fn fail(&mut self, error: hyper::Error) {
+        self.outcome = Outcome::Failed(error);
+    }
+
+    /// Records that the connection is closed behind its last response.
+    pub(crate) fn close(&mut self, unused_bytes: u64) {
+        self.outcome = Outcome::Closed { unused_bytes };
+    }
+
+    fn phase(&self) -> StopPhase {
+        if self.stop.ending.is_cancelled() {
+            StopPhase::Ending
+        } else if self.stop.closing.is_cancelled() {
+            StopPhase::Closing
+        } else {
+            StopPhase::Serving
+        }
+    }
+
+    /// The end of the connection; none if it cost nothing.
+    fn end(&self) -> Option<ConnectionEnd> {
+        let queues = self.stream.queues().ok();
+        let unacknowledged_bytes = queues.map(|queues| queues.unacknowledged_bytes);
+        let mut unread_bytes = queues.map(|queues| queues.unread_bytes);
+        let is_cut = self.state.is_incomplete() || self.stream.is_write_blocked();
+        let phase = self.phase();
+        let by_instance = match phase {
+            StopPhase::Serving => EndDecision::Instance,
+            StopPhase::Closing | StopPhase::Ending => EndDecision::Stop,
+        };
+        let closed = |unread_bytes: Option<u64>| {
+            let reason = if unacknowledged_bytes.is_some_and(|bytes| bytes > 0) {
+                EndReason::ClosedUnacknowledged
+            } else if unread_bytes.is_some_and(|bytes| bytes > 0) {
+                EndReason::ClosedUnread
+            } else {
+                return None;
+            };
+            Some((reason, by_instance))
+        };
+        let (reason, decided_by) = match &self.outcome {
+            Outcome::GivenUp if std::thread::panicking() => {
+                (EndReason::Panicked, EndDecision::Instance)
+            }
+            Outcome::GivenUp if is_cut => (EndReason::StopLimit, EndDecision::Stop),
+            Outcome::GivenUp => closed(unread_bytes)?,
+            Outcome::Closed { unused_bytes } => {
+                unread_bytes = unread_bytes.map(|bytes| bytes + unused_bytes);
+                closed(unread_bytes)?
+            }
+            Outcome::Failed(error) => match classify(error) {
+                failed @ (EndReason::InvalidRequest | EndReason::ResponseFailed, _) => failed,
+                failed if is_cut => failed,
+                _ => closed(unread_bytes)?,
+            },
+        };
+        let error = match &self.outcome {
+            Outcome::Failed(error) => describe(error),
+            Outcome::GivenUp | Outcome::Closed { .. } => String::new(),
+        };
+        Some(ConnectionEnd {
+            reason,
+            decided_by,
+            phase,
+            request: self.state.label(),
+            since_write: self.stream.since_write(),
+            unacknowledged_bytes,
+            unread_bytes,
+            error,
+        })
+    }
+}
+
+impl<R: Respond> Drop for EndReporter<R> {
+    fn drop(&mut self) {
+        if let Some(end) = self.end() {
+            self.responder.record_end(&end);
+            self.log.write(&end, self.caller);
+        }
+    }
+}
+
+/// The reason of a connection's error, and who decided it.
+fn classify(error: &hyper::Error) -> (EndReason, EndDecision) {
+    if error.is_parse() {
+        return (EndReason::InvalidRequest, EndDecision::Caller);
+    }
+    if error.is_user() {
+        return (EndReason::ResponseFailed, EndDecision::Instance);
+    }
+    if error.is_incomplete_message() {
+        return (EndReason::CallerLeft, EndDecision::Caller);
+    }
+    let source = error.source().and_then(|source| source.downcast_ref::<io::Error>());
+    match source.map(io::Error::kind) {
+        Some(io::ErrorKind::TimedOut) => (EndReason::NotAcknowledged, EndDecision::Instance),
+        Some(
+            io::ErrorKind::ConnectionReset
+            | io::ErrorKind::ConnectionAborted
+            | io::ErrorKind::BrokenPipe,
+        ) => (EndReason::Reset, EndDecision::Caller),
+        _ => (EndReason::ConnectionFailed, EndDecision::Instance),
+    }
+}
+
+/// The text of an error with its causes.
+fn describe(error: &hyper::Error) -> String {
+    let mut text = error.to_string();
+    let mut source = error.source();
+    while let Some(cause) = source {
+        text.push_str(": ");
+        text.push_str(&cause.to_string());
+        source = cause.source();
+    }
+    text
+}
--- a/crates/callers/src/lib.rs
+++ b/crates/callers/src/lib.rs
@@ -12,6 +12,9 @@
 mod bodies;
 mod budget;
 mod connection;
+mod ends;
+mod response_state;
+mod socket_queues;
 mod stream;
 
 use std::{io, net::SocketAddr, pin::pin, sync::Arc, time::Duration};
@@ -25,12 +28,14 @@
 };
 use tokio_util::sync::CancellationToken;
 
-use crate::connection::serve_connection;
 pub use crate::connection::{ConnectionLimits, RequestEnd, set_socket_options};
 pub use crate::{
     bodies::{BodyReservation, BodyRoom, ReadBodyError, discard_body, read_body},
     budget::{ByteBudget, HeldBytes, HeldResponse},
+    ends::{ConnectionEnd, EndDecision, EndReason, StopPhase},
+    response_state::RequestLabel,
 };
+use crate::{connection::serve_connection, ends::EndLog};
 
 /// The delay after a failed accept, for example when file descriptors have run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -95,6 +100,7 @@
     /// The body of a response. An error in it ends the connection, so that a truncated response never looks complete.
     type Body: hyper::body::Body<Data: Send, Error: Into<Box<dyn std::error::Error + Send + Sync>>>
         + Send
+        + Unpin
         + 'static;
 
     /// The limits on a connection that is accepted now.
@@ -107,6 +113,9 @@
         request: Request<Incoming>,
         caller: Caller,
     ) -> impl Future<Output = Response<Self::Body>> + Send;
+
+    /// Records the end of a connection that may have cost its caller a response. Its line is in the log.
+    fn record_end(&self, end: &ConnectionEnd);
 }
 
 /// Accepts connections until the stop begins, then waits up to `drain_timeout` for the requests in progress.
@@ -116,9 +125,16 @@
     stop: StopStages,
     drain_timeout: Duration,
 ) {
+    let log = EndLog::new();
     let mut connections = JoinSet::new();
     let accept = |connections: &mut JoinSet<()>, stream, from| {
-        connections.spawn(serve_connection(responder.clone(), stream, from, stop.clone()));
+        connections.spawn(serve_connection(
+            responder.clone(),
+            stream,
+            from,
+            stop.clone(),
+            log.clone(),
+        ));
     };
     accept_until(&listener, stop.closing.cancelled(), &mut connections, accept).await;
     refuse_new(&listener);
--- a/crates/callers/tests/connections.rs
+++ b/crates/callers/tests/connections.rs
@@ -11,7 +11,8 @@
 };
 
 use bilberryford_callers::{
-    Caller, ConnectionLimits, RequestEnd, Respond, StopStages, discard_body, serve_callers,
+    Caller, ConnectionEnd, ConnectionLimits, RequestEnd, Respond, StopStages, discard_body,
+    serve_callers,
 };
 use bytes::Bytes;
 use futures::{StreamExt, stream};
@@ -92,6 +93,8 @@
         }
         response
     }
+
+    fn record_end(&self, _end: &ConnectionEnd) {}
 }
 
 struct Server {
--- /dev/null
+++ b/crates/callers/tests/ends.rs
@@ -0,0 +1,229 @@
+//! Each end of a connection that may have cost its caller a response is reported with its reason, and no other end is.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use bilberryford_callers::{
+    Caller, ConnectionEnd, ConnectionLimits, EndDecision, EndReason, RequestEnd, RequestLabel,
+    Respond, StopPhase, StopStages, serve_callers,
+};
+use bytes::Bytes;
+use futures::{StreamExt, stream};
+use http_body_util::{BodyExt, Full, StreamBody, combinators::UnsyncBoxBody};
+use hyper::{Request, Response, body::Frame, body::Incoming};
+use parking_lot::Mutex;
+use rstest::rstest;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpSocket, TcpStream},
+    task::JoinHandle,
+    time::timeout,
+};
+
+const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
+const DRAIN_TIMEOUT: Duration = Duration::from_secs(1);
+/// Larger than the receive buffer of the test, and small enough for the send buffer of the server.
+const HELD_BYTES: usize = 256 * 1024;
+/// Larger than the buffers of the kernel on both sides.
+const LARGE_BYTES: usize = 16 * 1024 * 1024;
+const LABEL: &str = "request-7";
+
+type TestBody = UnsyncBoxBody<Bytes, std::io::Error>;
+
+/// Responds by the path of a request, and keeps what is reported.
+#[derive(Default)]
+struct Responder(Mutex<Vec<ConnectionEnd>>);
+
+struct SharedResponder(Arc<Responder>);
+
+fn full(body: Vec<u8>) -> TestBody {
+    Full::new(body.into()).map_err(|never| match never {}).boxed_unsync()
+}
+
+/// A body whose first frame is followed by `rest`.
+fn begun(
+    rest: impl futures::Stream<Item = std::io::Result<Frame<Bytes>>> + Send + 'static,
+) -> TestBody {
+    let first = stream::once(async { Ok(Frame::data(Bytes::from_static(b"begin"))) });
+    StreamBody::new(first.chain(rest)).boxed_unsync()
+}
+
+impl Respond for SharedResponder {
+    type Body = TestBody;
+
+    fn connection_limits(&self) -> ConnectionLimits {
+        ConnectionLimits { header_timeout: WAIT_TIMEOUT, max_header_bytes: 16 * 1024 }
+    }
+
+    async fn respond(&self, request: Request<Incoming>, _caller: Caller) -> Response<TestBody> {
+        RequestLabel::set(request.extensions(), LABEL);
+        RequestEnd::mark_reached(request.extensions());
+        Response::new(match request.uri().path() {
+            "/endless" => begun(stream::pending()),
+            "/fails" => begun(stream::once(async {
+                tokio::task::yield_now().await;
+                Err(std::io::Error::other("broken off"))
+            })),
+            "/held" => full(vec![b'x'; HELD_BYTES]),
+            "/large" => full(vec![b'x'; LARGE_BYTES]),
+            "/panics" => begun(stream::once(async { panic!("a fault of the responder") })),
+            _ => full(b"ok".to_vec()),
+        })
+    }
+
+    fn record_end(&self, end: &ConnectionEnd) {
+        self.0.0.lock().push(end.clone());
+    }
+}
+
+struct Server {
+    responder: Arc<Responder>,
+    address: SocketAddr,
+    stop: StopStages,
+    task: JoinHandle<()>,
+}
+
+impl Server {
+    async fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let (responder, stop) = (Arc::new(Responder::default()), StopStages::default());
+        let shared = Arc::new(SharedResponder(responder.clone()));
+        let task = tokio::spawn(serve_callers(shared, listener, stop.clone(), DRAIN_TIMEOUT));
+        Self { responder, address, stop, task }
+    }
+
+    /// Connects with a small receive buffer, and sends requests.
+    async fn call(&self, requests: &str) -> TcpStream {
+        let socket = TcpSocket::new_v4().expect("a socket");
+        socket.set_recv_buffer_size(4 * 1024).expect("a small buffer");
+        let mut stream = socket.connect(self.address).await.expect("a connection");
+        stream.write_all(requests.as_bytes()).await.expect("the requests are written");
+        stream
+    }
+
+    async fn wait_for_end(&self) -> ConnectionEnd {
+        let polling = async {
+            loop {
+                if let Some(end) = self.responder.0.lock().pop() {
+                    return end;
+                }
+                tokio::task::yield_now().await;
+            }
+        };
+        timeout(WAIT_TIMEOUT, polling).await.expect("a report")
+    }
+}
+
+fn request(path: &str) -> String {
+    format!("GET {path} HTTP/1.1\r\nHost: x\r\n\r\n")
+}
+
+fn last_request(path: &str) -> String {
+    request(path).replace("Host: x", "Host: x\r\nConnection: close")
+}
+
+/// Waits until a response has begun.
+async fn wait_for_response(stream: &mut TcpStream) {
+    let mut read = Vec::new();
+    while !read.ends_with(b"\r\n\r\n") {
+        let reading = timeout(WAIT_TIMEOUT, stream.read_u8());
+        read.push(reading.await.expect("in time").expect("the response begins"));
+    }
+}
+
+/// What happens to a connection once its response has begun.
+#[derive(Debug, Clone, Copy)]
+enum Act {
+    Nothing,
+    Close,
+    Reset,
+    Stop,
+}
+
+#[rstest]
+#[case::closed_by_the_caller("/endless", Act::Close, EndReason::CallerLeft, EndDecision::Caller)]
+#[case::reset("/large", Act::Reset, EndReason::Reset, EndDecision::Caller)]
+#[case::broken_off("/fails", Act::Nothing, EndReason::ResponseFailed, EndDecision::Instance)]
+#[case::not_read("/large", Act::Nothing, EndReason::NotAcknowledged, EndDecision::Instance)]
+#[case::limit_of_a_stop("/endless", Act::Stop, EndReason::StopLimit, EndDecision::Stop)]
+#[case::a_panic("/panics", Act::Nothing, EndReason::Panicked, EndDecision::Instance)]
+#[tokio::test]
+async fn an_end_inside_a_response_is_reported(
+    #[case] path: &str,
+    #[case] act: Act,
+    #[case] reason: EndReason,
+    #[case] decided_by: EndDecision,
+) {
+    let server = Server::start().await;
+    let mut stream = server.call(&request(path)).await;
+    if !matches!(act, Act::Nothing) {
+        wait_for_response(&mut stream).await;
+    }
+    match act {
+        Act::Nothing => {}
+        Act::Close => stream.shutdown().await.expect("the end is sent"),
+        Act::Reset => stream.set_zero_linger().expect("an option"),
+        Act::Stop => server.stop.closing.cancel(),
+    }
+    let kept = (!matches!(act, Act::Reset)).then_some(stream);
+    let end = server.wait_for_end().await;
+    assert_eq!((end.reason, end.decided_by), (reason, decided_by), "{end:?}");
+    assert_eq!(end.request, LABEL);
+    let is_in_stop = matches!(act, Act::Stop);
+    assert_eq!(end.phase, if is_in_stop { StopPhase::Ending } else { StopPhase::Serving });
+    let has_error = !matches!(reason, EndReason::StopLimit | EndReason::Panicked);
+    assert_eq!(!end.error.is_empty(), has_error, "{end:?}");
+    drop(kept);
+}
+
+#[tokio::test]
+async fn a_close_before_a_response_is_acknowledged_is_reported() {
+    let server = Server::start().await;
+    let mut stream = server.call(&last_request("/held")).await;
+    wait_for_response(&mut stream).await;
+    let end = server.wait_for_end().await;
+    assert_eq!(end.reason, EndReason::ClosedUnacknowledged, "{end:?}");
+    assert_eq!(end.decided_by, EndDecision::Instance);
+    let unacknowledged = end.unacknowledged_bytes.expect("the kernel's number") as usize;
+    assert!((1..=HELD_BYTES).contains(&unacknowledged), "{end:?}");
+    assert!(end.since_write.is_some_and(|time| time >= Duration::from_millis(900)), "{end:?}");
+}
+
+#[tokio::test]
+async fn a_close_with_unread_bytes_is_reported() {
+    let server = Server::start().await;
+    let behind = request("/behind");
+    let stream = server.call(&(last_request("/ok") + &behind)).await;
+    let end = server.wait_for_end().await;
+    assert_eq!(end.reason, EndReason::ClosedUnread, "{end:?}");
+    assert_eq!(end.unread_bytes, Some(behind.len() as u64), "{end:?}");
+    drop(stream);
+}
+
+#[tokio::test]
+async fn what_is_no_request_is_reported() {
+    let server = Server::start().await;
+    let stream = server.call("no request\r\n\r\n").await;
+    drop(stream);
+    let end = server.wait_for_end().await;
+    assert_eq!((end.reason, end.request.as_str()), (EndReason::InvalidRequest, ""), "{end:?}");
+}
+
+/// The ends of connections whose responses are complete and acknowledged.
+#[tokio::test]
+async fn ends_that_cost_nothing_are_not_reported() {
+    let server = Server::start().await;
+    let mut idle = Vec::new();
+    for text in [request("/ok"), last_request("/ok"), request("/held").replace("GET", "HEAD")] {
+        for is_closed in [true, false] {
+            let mut stream = server.call(&text).await;
+            wait_for_response(&mut stream).await;
+            if !is_closed {
+                idle.push(stream);
+            }
+        }
+    }
+    server.stop.closing.cancel();
+    timeout(WAIT_TIMEOUT, server.task).await.expect("the stop ends").expect("no panic");
+    assert!(server.responder.0.lock().is_empty(), "{:?}", server.responder.0.lock());
+}
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -3,7 +3,8 @@
 use std::{sync::Arc, time::Duration};
 
 use bilberryford_callers::{
-    Caller, ConnectionLimits, ReadBodyError, RequestEnd, Respond, discard_body, read_body,
+    Caller, ConnectionEnd, ConnectionLimits, ReadBodyError, RequestEnd, RequestLabel, Respond,
+    discard_body, read_body,
 };
 use bilberryford_coord::Feature;
 use bilberryford_types::{ErrorKind, TimeMs};
@@ -49,6 +50,10 @@
     async fn respond(&self, request: Request<Incoming>, caller: Caller) -> Response<ResponseBody> {
         serve_request(&self.0, request, caller).await
     }
+
+    fn record_end(&self, end: &ConnectionEnd) {
+        self.0.metrics.record_connection_end(end);
+    }
 }
 
 /// Writes the log record of a request whose caller disconnects before the response.
@@ -87,6 +92,9 @@
     record.key_age_ms = gateway.keys.lock().age_ms(record.started_ms);
     let deployment = gateway.deployment.load_full();
     let routed = identify(gateway, deployment.as_deref(), &request, &mut record);
+    if let Some(id) = &record.request_id {
+        RequestLabel::set(request.extensions(), id);
+    }
     let mut abort_recorder = AbortRecorder { gateway, record: Some(record.clone()) };
     let result = match routed {
         Ok(routed) if caller.is_end_announced || gateway.stops_before(routed.deadline_ms) => {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,5 +1,6 @@
 //! The gateway's metrics, through OpenTelemetry.
 
+use bilberryford_callers::ConnectionEnd;
 use bilberryford_types::TimeMs;
 use opentelemetry::{
     KeyValue,
@@ -41,6 +42,7 @@
     evicted_tokens: Counter<u64>,
     saves_without_room: Counter<u64>,
     contended: Counter<u64>,
+    connection_ends: Counter<u64>,
     pub(crate) retries: Counter<u64>,
     pub(crate) connections: Counter<u64>,
     pub(crate) store_calls: Counter<u64>,
@@ -82,6 +84,7 @@
                 .u64_counter("bilberryford.gateway.saves_without_room")
                 .build(),
             contended: meter.u64_counter("bilberryford.gateway.contended").build(),
+            connection_ends: meter.u64_counter("bilberryford.gateway.connection_ends").build(),
             retries: meter.u64_counter("bilberryford.gateway.repeats").build(),
             connections: meter.u64_counter("bilberryford.gateway.connections").build(),
             store_calls: meter.u64_counter("bilberryford.gateway.store_calls").build(),
@@ -129,6 +132,14 @@
         self.response_ends.add(1, &labels.map(|(name, value)| KeyValue::new(name, value)));
     }
 
+    /// Counts the end of a caller's connection that may have cost a response.
+    pub(crate) fn record_connection_end(&self, end: &ConnectionEnd) {
+        let (reason, decided_by): (&'static str, &'static str) =
+            (end.reason.into(), end.decided_by.into());
+        let labels = [KeyValue::new("reason", reason), KeyValue::new("decided_by", decided_by)];
+        self.connection_ends.add(1, &labels);
+    }
+
     /// Records the error of a prediction: the time to first token, divided by the predicted time.
     pub(crate) fn record_first_token(&self, predicted_ms: TimeMs, took_ms: TimeMs) {
         let predicted_ms = predicted_ms.get().max(1);
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -1,5 +1,6 @@
 //! OpenTelemetry instruments of the instance.
 
+use bilberryford_callers::ConnectionEnd;
 use bilberryford_coord::{OrderState, RetryClass};
 use bilberryford_types::ErrorKind;
 use opentelemetry::{
@@ -30,6 +31,7 @@
     pub(crate) cached_tokens: Counter<u64>,
     pub(crate) recomputed_tokens: Counter<u64>,
     pub(crate) orders: Counter<u64>,
+    connection_ends: Counter<u64>,
     pub(crate) observed: Observed,
     pub(crate) link_bytes: Counter<u64>,
     pub(crate) write_backs_dropped: Counter<u64>,
@@ -72,6 +74,7 @@
             cached_tokens: meter.u64_counter("bilberryford.cached_tokens").build(),
             recomputed_tokens: meter.u64_counter("bilberryford.recomputed_tokens").build(),
             orders: meter.u64_counter("bilberryford.orders").build(),
+            connection_ends: meter.u64_counter("bilberryford.connection_ends").build(),
             observed: Observed::new(&meter),
             link_bytes: meter.u64_counter("bilberryford.link_bytes").build(),
             write_backs_dropped: meter.u64_counter("bilberryford.write_backs_dropped").build(),
@@ -107,6 +110,14 @@
         self.retries.add(1, &[class_label(class)]);
     }
 
+    /// Counts the end of a caller's connection that may have cost a response.
+    pub(crate) fn count_connection_end(&self, end: &ConnectionEnd) {
+        let (reason, decided_by): (&'static str, &'static str) =
+            (end.reason.into(), end.decided_by.into());
+        let labels = [KeyValue::new("reason", reason), KeyValue::new("decided_by", decided_by)];
+        self.connection_ends.add(1, &labels);
+    }
+
     /// Counts an order by durable outcome.
     pub(crate) fn count_order_outcome(&self, state: &OrderState) {
         let outcome = match state {
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -3,7 +3,8 @@
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
 use bilberryford_callers::{
-    Caller, ConnectionLimits, RequestEnd, Respond, StopStages, response_time, serve_callers,
+    Caller, ConnectionEnd, ConnectionLimits, RequestEnd, Respond, StopStages, response_time,
+    serve_callers,
 };
 use bilberryford_peer::{PeerRuntime, PeerTraffic};
 use bilberryford_types::{ErrorKind, EventKind, HybridTime};
@@ -119,6 +120,10 @@
         };
         response.into()
     }
+
+    fn record_end(&self, end: &ConnectionEnd) {
+        self.node.metrics.count_connection_end(end);
+    }
 }
 
 /// Starts an instance: binds its addresses, then starts the peer thread, the controllers and the HTTP server.
