Keep a connection open while its last response is on its way

Callers saw a response cut that was complete at its endpoint and logged as answered. The instance ended its direction after the last response and closed the socket after 1 s of quiet; a caller that still read, itself or behind a link that buffers, sent its next request on the connection, met the closed socket, and the reset discarded the rest.

The time counts from the last write now: 2 s, and as long as a slow caller (16 KiB/s) takes, 5 s at most, longer while the caller goes on acknowledging. Ruled out: acknowledgement as the sign of delivery, since a link that buffers acknowledges at once (second case of the test); 5 s for each connection, with which leases::a_lease_holder_that_stops_releases_the_lease_immediately was red (5.02 s, the bound is 5 s): a caller that does not close, and was last sent a few bytes, held the exit up.

serve_callers returns once all responses are complete, with the connections that linger: serve releases its leases before it waits for those.

slow_readers::a_response_that_is_read_for_seconds_at_a_stop_is_not_cut, red before: a slow caller is cut after 364,600 of 524,288 bytes and 2.1 s, one behind a link that buffers after 350,129; both green now. ends::a_close_before_a_response_is_acknowledged_is_reported asserted the close after 1 s; it now goes through both ways in which such a response is given up. A failure reported before is no longer overwritten by the close behind it (the case of what is no request passed by chance).

--- a/crates/callers/src/connection.rs
+++ b/crates/callers/src/connection.rs
@@ -34,19 +34,15 @@
     Caller, Respond, StopStages,
     ends::{EndLog, EndReporter},
     response_state::ResponseState,
-    stream::SharedStream,
+    stream::{PeerEnd, SharedStream, UNACKNOWLEDGED_TIMEOUT},
 };
 
-/// How long bytes to a caller may stay unacknowledged before the connection is closed.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(5);
 /// The interval between TCP keep-alive probes on an idle connection.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// The smallest buffer of a connection that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 /// How long a new connection, or the rest of a request, is waited for after the instance has begun to close connections.
 const FIRST_REQUEST_TIME: Duration = Duration::from_millis(500);
-/// How long the end of a caller's direction is waited for while nothing lies unread: callers that close late hold a stop up.
-const QUIET_END_TIME: Duration = Duration::from_secs(1);
 /// The interval at which a connection that is to be closed is examined.
 const EXAMINATION_INTERVAL: Duration = Duration::from_millis(2);
 
@@ -170,13 +166,44 @@
     )
 }
 
+/// A connection whose responses are complete, and whose caller has not closed it.
+///
+/// The close of a socket with unread bytes, or on which a request arrives, resets the connection, which discards what is on its way
+/// to the caller.
+pub(crate) struct LingeringConnection<R: Respond> {
+    stream: SharedStream,
+    reporter: EndReporter<R>,
+    /// True if the rest of a refused body is read, which would keep its sender from reading the response.
+    discards: bool,
+    unused_bytes: u64,
+}
+
+impl<R: Respond> LingeringConnection<R> {
+    /// Waits for the end of the caller's direction, and closes the connection. A request that comes now is left unread: it is not
+    /// run, and its caller may send it again.
+    pub(crate) async fn close(mut self) {
+        if self.discards {
+            let _ = timeout(UNACKNOWLEDGED_TIMEOUT, self.stream.discard()).await;
+            self.reporter.close(self.unused_bytes);
+            return;
+        }
+        match self.stream.wait_for_end().await {
+            PeerEnd::None => self.reporter.close(self.unused_bytes),
+            PeerEnd::Ended => self.reporter.leave(),
+            PeerEnd::Failed(error) => self.reporter.fail_behind(error),
+        }
+    }
+}
+
+/// Responds to the requests of a connection. Returns it once the responses are complete and the end of the stream is sent, unless
+/// it has failed.
 pub(crate) async fn serve_connection<R: Respond>(
     responder: Arc<R>,
     stream: TcpStream,
     from: SocketAddr,
     stop: StopStages,
     log: Arc<EndLog>,
-) {
+) -> Option<LingeringConnection<R>> {
     if let Err(error) = set_socket_options(&stream, UNACKNOWLEDGED_TIMEOUT) {
         log::debug!(error:% = error; "can't set the socket options of a caller's connection");
     }
@@ -186,7 +213,6 @@
         EndReporter::new(responder.clone(), log, stop.clone(), caller, stream.clone());
     let state = reporter.state.clone();
     let mut unread = Bytes::new();
-    // The rest of a refused body would keep its sender from reading the response.
     let discards = loop {
         let round = Round::new(stream.clone());
         let served =
@@ -202,7 +228,7 @@
                     unread = Bytes::new();
                     break true;
                 }
-                return;
+                return None;
             }
         };
         let has_more = !unread.is_empty() || stream.has_unread();
@@ -213,16 +239,11 @@
     };
     if let Err(error) = stream.end_writing() {
         log::debug!(error:% = error; "can't end a caller's connection");
-        return;
-    }
-    // The close of a socket with unread bytes resets the connection, which discards the end of a response on its way. A request that
-    // comes now is left unread: it is not run, and its caller may send it again.
-    tokio::select! {
-        _ = timeout(UNACKNOWLEDGED_TIMEOUT, stream.discard()), if discards => {}
-        () = stream.wait_for_end(QUIET_END_TIME, UNACKNOWLEDGED_TIMEOUT), if !discards => {}
-        () = stop.ending.cancelled() => {}
+        reporter.close(unread.len() as u64);
+        return None;
     }
-    reporter.close(unread.len() as u64);
+    let unused_bytes = unread.len() as u64;
+    Some(LingeringConnection { stream, reporter, discards, unused_bytes })
 }
 
 /// Serves requests until hyper ends the connection, and returns what it has read beyond the last one.
--- a/crates/callers/src/ends.rs
+++ b/crates/callers/src/ends.rs
@@ -97,6 +97,10 @@
         /// The bytes behind the last request that had been read.
         unused_bytes: u64,
     },
+    /// The caller ended its direction behind a complete response.
+    Left,
+    /// The connection failed behind a complete response.
+    FailedBehind(io::Error),
     Failed(hyper::Error),
 }
 
@@ -184,9 +188,25 @@
         self.outcome = Outcome::Failed(error);
     }
 
-    /// Records that the connection is closed behind its last response.
+    /// Records that the connection is closed behind its last response, and its caller has not ended its direction.
     pub(crate) fn close(&mut self, unused_bytes: u64) {
-        self.outcome = Outcome::Closed { unused_bytes };
+        self.set_unless_failed(Outcome::Closed { unused_bytes });
+    }
+
+    /// Records that the caller has ended its direction behind a complete response.
+    pub(crate) fn leave(&mut self) {
+        self.set_unless_failed(Outcome::Left);
+    }
+
+    /// Records that the connection has failed behind a complete response.
+    pub(crate) fn fail_behind(&mut self, error: io::Error) {
+        self.set_unless_failed(Outcome::FailedBehind(error));
+    }
+
+    fn set_unless_failed(&mut self, outcome: Outcome) {
+        if !matches!(self.outcome, Outcome::Failed(_)) {
+            self.outcome = outcome;
+        }
     }
 
     fn phase(&self) -> StopPhase {
@@ -201,6 +221,10 @@
 
     /// The end of the connection; none if it cost nothing.
     fn end(&self) -> Option<ConnectionEnd> {
+        // Nothing is asked of the kernel for the usual ends.
+        if matches!(self.outcome, Outcome::Left) {
+            return None;
+        }
         let queues = self.stream.queues().ok();
         let unacknowledged_bytes = queues.map(|queues| queues.unacknowledged_bytes);
         let mut unread_bytes = queues.map(|queues| queues.unread_bytes);
@@ -230,6 +254,11 @@
                 unread_bytes = unread_bytes.map(|bytes| bytes + unused_bytes);
                 closed(unread_bytes)?
             }
+            // A reset behind a response is one of the ways in which callers close.
+            Outcome::FailedBehind(error) if error.kind() == io::ErrorKind::TimedOut => {
+                (EndReason::NotAcknowledged, EndDecision::Instance)
+            }
+            Outcome::Left | Outcome::FailedBehind(_) => return None,
             Outcome::Failed(error) => match classify(error) {
                 failed @ (EndReason::InvalidRequest | EndReason::ResponseFailed, _) => failed,
                 failed if is_cut => failed,
@@ -238,7 +267,8 @@
         };
         let error = match &self.outcome {
             Outcome::Failed(error) => describe(error),
-            Outcome::GivenUp | Outcome::Closed { .. } => String::new(),
+            Outcome::FailedBehind(error) => error.to_string(),
+            Outcome::GivenUp | Outcome::Closed { .. } | Outcome::Left => String::new(),
         };
         Some(ConnectionEnd {
             reason,
--- a/crates/callers/src/lib.rs
+++ b/crates/callers/src/lib.rs
@@ -24,7 +24,7 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     task::JoinSet,
-    time::{sleep, timeout},
+    time::{Instant, sleep, timeout, timeout_at},
 };
 use tokio_util::sync::CancellationToken;
 
@@ -35,7 +35,10 @@
     ends::{ConnectionEnd, EndDecision, EndReason, StopPhase},
     response_state::RequestLabel,
 };
-use crate::{connection::serve_connection, ends::EndLog};
+use crate::{
+    connection::{LingeringConnection, serve_connection},
+    ends::EndLog,
+};
 
 /// The delay after a failed accept, for example when file descriptors have run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -118,45 +121,101 @@
     fn record_end(&self, end: &ConnectionEnd);
 }
 
-/// Accepts connections until the stop begins, then waits up to `drain_timeout` for the requests in progress.
+/// Connections whose responses are complete, and whose callers have not closed them. They are closed when this is dropped.
+#[derive(Debug)]
+#[must_use = "a response may be on its way, and the close of its connection discards it"]
+pub struct LingeringConnections {
+    connections: JoinSet<()>,
+    until: Instant,
+}
+
+impl LingeringConnections {
+    /// Waits for the callers to close them, up to the limit of the stop.
+    pub async fn close(mut self) {
+        let closing = join_all(&mut self.connections);
+        if timeout_at(self.until, closing).await.is_err() {
+            log::info!(
+                target: "life", left = self.connections.len();
+                "closing connections that their callers have not closed"
+            );
+        }
+    }
+}
+
+/// The connections of a server.
+struct Connections<R: Respond> {
+    responder: Arc<R>,
+    stop: StopStages,
+    log: Arc<EndLog>,
+    serving: JoinSet<Option<LingeringConnection<R>>>,
+    lingering: JoinSet<()>,
+}
+
+impl<R: Respond> Connections<R> {
+    fn accept(&mut self, stream: TcpStream, from: SocketAddr) {
+        let (responder, stop, log) = (self.responder.clone(), self.stop.clone(), self.log.clone());
+        self.serving.spawn(serve_connection(responder, stream, from, stop, log));
+    }
+
+    /// Waits for the end of one connection's responses, or one that lingers. Returns false if none is left of the first.
+    async fn join_next(&mut self) -> bool {
+        tokio::select! {
+            Some(_) = self.lingering.join_next() => true,
+            served = self.serving.join_next() => match served {
+                Some(served) => {
+                    if let Ok(Some(connection)) = served {
+                        self.lingering.spawn(connection.close());
+                    }
+                    true
+                }
+                None => false,
+            }
+        }
+    }
+
+    /// Waits until all responses are complete.
+    async fn respond_to_all(&mut self) {
+        while self.join_next().await {}
+    }
+}
+
+/// Accepts connections until the stop begins, then waits up to `drain_timeout` for the requests in progress. Returns the
+/// connections on which responses may be on their way.
 pub async fn serve_callers<R: Respond>(
     responder: Arc<R>,
     listener: TcpListener,
     stop: StopStages,
     drain_timeout: Duration,
-) {
-    let log = EndLog::new();
-    let mut connections = JoinSet::new();
-    let accept = |connections: &mut JoinSet<()>, stream, from| {
-        connections.spawn(serve_connection(
-            responder.clone(),
-            stream,
-            from,
-            stop.clone(),
-            log.clone(),
-        ));
+) -> LingeringConnections {
+    let mut connections = Connections {
+        responder,
+        stop: stop.clone(),
+        log: EndLog::new(),
+        serving: JoinSet::new(),
+        lingering: JoinSet::new(),
     };
-    accept_until(&listener, stop.closing.cancelled(), &mut connections, accept).await;
+    accept_until(&listener, stop.closing.cancelled(), &mut connections).await;
     refuse_new(&listener);
-    accept_until(&listener, sleep(HANDSHAKE_TIME), &mut connections, accept).await;
+    accept_until(&listener, sleep(HANDSHAKE_TIME), &mut connections).await;
     for (stream, from) in take_waiting(listener) {
-        accept(&mut connections, stream, from);
+        connections.accept(stream, from);
     }
+    let until = Instant::now() + drain_timeout;
     let response_time = response_time(drain_timeout);
-    if timeout(response_time, join_all(&mut connections)).await.is_ok() {
-        return;
-    }
-    log::info!(
-        target: "life", left = connections.len();
-        "stop is due; requests without a response get a final one"
-    );
-    stop.ending.cancel();
-    if timeout(drain_timeout - response_time, join_all(&mut connections)).await.is_err() {
-        log::warn!(
-            target: "life", left = connections.len();
-            "drain timed out; closing the remaining connections"
+    if timeout(response_time, connections.respond_to_all()).await.is_err() {
+        log::info!(
+            target: "life", left = connections.serving.len();
+            "stop is due; requests without a response get a final one"
         );
+        stop.ending.cancel();
+        if timeout_at(until, connections.respond_to_all()).await.is_err() {
+            log::warn!(
+                target: "life", left = connections.serving.len();
+                "drain timed out; closing the remaining connections"
+            );
+        }
     }
+    LingeringConnections { connections: connections.lingering, until }
 }
 
 async fn join_all(connections: &mut JoinSet<()>) {
@@ -164,23 +223,22 @@
 }
 
 /// Accepts connections until `end`.
-async fn accept_until(
+async fn accept_until<R: Respond>(
     listener: &TcpListener,
     end: impl Future<Output = ()>,
-    connections: &mut JoinSet<()>,
-    accept: impl Fn(&mut JoinSet<()>, TcpStream, SocketAddr),
+    connections: &mut Connections<R>,
 ) {
     let mut end = pin!(end);
     loop {
         tokio::select! {
             accepted = listener.accept() => match accepted {
-                Ok((stream, from)) => accept(connections, stream, from),
+                Ok((stream, from)) => connections.accept(stream, from),
                 Err(error) => {
                     log::warn!(error:% = error; "can't accept a connection");
                     sleep(ACCEPT_RETRY_DELAY).await;
                 }
             },
-            Some(_) = connections.join_next() => {}
+            true = connections.join_next() => {}
             () = end.as_mut() => return,
         }
     }
--- a/crates/callers/src/stream.rs
+++ b/crates/callers/src/stream.rs
@@ -22,6 +22,16 @@
 
 use crate::socket_queues::{SocketQueues, socket_queues};
 
+/// How long bytes that were written may be on their way at most.
+pub(crate) const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(5);
+/// How long bytes may be on their way however few they are. A link that buffers acknowledges them before they arrive.
+const DELIVERY_TIME: Duration = Duration::from_secs(2);
+/// How fast the slowest peers read.
+const SLOWEST_READ_BYTES_PER_S: f64 = 16.0 * 1024.0;
+/// How long what the peer sends may take to cross the end of a connection.
+const CROSSING_TIME: Duration = Duration::from_secs(1);
+/// The time in which a peer that still reads has to acknowledge more bytes.
+const PROGRESS_INTERVAL: Duration = Duration::from_secs(1);
 /// The interval at which a connection that has ended is examined for the end of its peer, while bytes lie unread on it.
 const END_EXAMINATION_INTERVAL: Duration = Duration::from_millis(20);
 /// The size of one read of bytes that are dropped.
@@ -29,10 +39,37 @@
 /// The most bytes that are read for a connection which has ended: those that were on their way on a fast link.
 const MAX_DISCARDED_BYTES: usize = 512 * 1024;
 
+/// How a peer has ended its direction.
+#[derive(Debug)]
+pub(crate) enum PeerEnd {
+    /// It has not.
+    None,
+    Ended,
+    /// The connection has failed.
+    Failed(io::Error),
+}
+
+#[derive(Debug, Clone, Copy)]
+struct LastWrite {
+    at: Instant,
+    /// When all that was written has been read, by a peer that reads slowly.
+    read_by: Instant,
+}
+
+impl LastWrite {
+    /// A write after `before`, now.
+    fn after(before: Option<Self>, bytes: usize) -> Self {
+        let at = Instant::now();
+        let began_at = before.map_or(at, |before| before.read_by).max(at + DELIVERY_TIME);
+        let read_time = Duration::from_secs_f64(bytes as f64 / SLOWEST_READ_BYTES_PER_S);
+        Self { at, read_by: (began_at + read_time).min(at + UNACKNOWLEDGED_TIMEOUT) }
+    }
+}
+
 #[derive(Debug)]
 struct Shared {
     socket: TcpStream,
-    written_at: Mutex<Option<Instant>>,
+    last_write: Mutex<Option<LastWrite>>,
     /// True while bytes wait for room in the socket.
     is_write_blocked: AtomicBool,
     is_writing_ended: AtomicBool,
@@ -46,7 +83,7 @@
     pub(crate) fn new(socket: TcpStream) -> Self {
         Self(Arc::new(Shared {
             socket,
-            written_at: Mutex::default(),
+            last_write: Mutex::default(),
             is_write_blocked: AtomicBool::new(false),
             is_writing_ended: AtomicBool::new(false),
         }))
@@ -54,7 +91,7 @@
 
     /// The time since bytes were last written; none if there were none.
     pub(crate) fn since_write(&self) -> Option<Duration> {
-        self.0.written_at.lock().map(|at| at.elapsed())
+        self.0.last_write.lock().map(|write| write.at.elapsed())
     }
 
     /// True while bytes wait for room in the socket.
@@ -91,17 +128,34 @@
         Ok(())
     }
 
-    /// Waits until the peer ends the stream, and reads nothing: for `quiet` while nothing lies unread, and for `longest` otherwise.
-    pub(crate) async fn wait_for_end(&self, quiet: Duration, longest: Duration) {
-        let began_at = Instant::now();
+    /// Waits until the peer ends the stream, and reads nothing. Gives up once nothing that was written can be on its way any
+    /// more, and nothing that the peer has sent can have crossed the end.
+    pub(crate) async fn wait_for_end(&self) -> PeerEnd {
+        let ended_at = Instant::now();
+        let mut unacknowledged_bytes = u64::MAX;
+        let mut until = self.0.last_write.lock().map_or(ended_at, |write| write.read_by);
         loop {
-            let limit = if self.has_unread() { longest } else { quiet };
-            let left = limit.saturating_sub(began_at.elapsed());
+            let crossing = if self.has_unread() { UNACKNOWLEDGED_TIMEOUT } else { CROSSING_TIME };
+            let left = until.max(ended_at + crossing).saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                // A peer that goes on reading has acknowledged bytes since the last look.
+                let left_bytes = self.queues().map_or(0, |queues| queues.unacknowledged_bytes);
+                if left_bytes == 0 || left_bytes >= unacknowledged_bytes {
+                    return PeerEnd::None;
+                }
+                unacknowledged_bytes = left_bytes;
+                until = Instant::now() + PROGRESS_INTERVAL;
+                continue;
+            }
             match timeout(left, self.0.socket.ready(Interest::READABLE)).await {
-                Ok(Ok(ready)) if !ready.is_read_closed() && !left.is_zero() => {
-                    sleep(END_EXAMINATION_INTERVAL).await;
+                Ok(Ok(ready)) if !ready.is_read_closed() => sleep(END_EXAMINATION_INTERVAL).await,
+                Ok(_) => {
+                    return match self.0.socket.take_error() {
+                        Ok(None) => PeerEnd::Ended,
+                        Ok(Some(error)) | Err(error) => PeerEnd::Failed(error),
+                    };
                 }
-                _ => return,
+                Err(_) => {}
             }
         }
     }
@@ -154,9 +208,10 @@
                     self.0.is_write_blocked.store(true, Ordering::Relaxed);
                 }
                 result => {
-                    if result.is_ok() {
+                    if let Ok(bytes) = result {
                         self.0.is_write_blocked.store(false, Ordering::Relaxed);
-                        *self.0.written_at.lock() = Some(Instant::now());
+                        let mut last_write = self.0.last_write.lock();
+                        *last_write = Some(LastWrite::after(*last_write, bytes));
                     }
                     return Poll::Ready(result);
                 }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -78,7 +78,7 @@
     log::info!(target: "life", "stopping");
     sleep(READINESS_DELAY).await;
     stages.closing.cancel();
-    server.await?;
+    server.await?.close().await;
     log::info!(target: "life", "stopped");
     Ok(())
 }
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -3,8 +3,8 @@
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
 use bilberryford_callers::{
-    Caller, ConnectionEnd, ConnectionLimits, RequestEnd, Respond, StopStages, response_time,
-    serve_callers,
+    Caller, ConnectionEnd, ConnectionLimits, LingeringConnections, RequestEnd, Respond, StopStages,
+    response_time, serve_callers,
 };
 use bilberryford_peer::{PeerRuntime, PeerTraffic};
 use bilberryford_types::{ErrorKind, EventKind, HybridTime};
@@ -81,7 +81,7 @@
     peers: PeerRuntime,
     controllers: JoinSet<()>,
     stop: StopStages,
-    server: JoinHandle<()>,
+    server: JoinHandle<LingeringConnections>,
 }
 
 /// Responds to callers through the routes.
@@ -196,6 +196,14 @@
         node.orders.wait_drained().await;
         shutdown::wait_for_lease_release(&node).await;
         drop(controllers);
+        // Callers that close late hold up no lease.
+        let result = match result {
+            Ok(connections) => {
+                connections.close().await;
+                Ok(())
+            }
+            Err(error) => Err(error),
+        };
         node.events.write(EventKind::Stopped, |event| {
             event.detail = format!("{} in flight", node.in_flight())
         });
