Leave requests unread while the response before them is on its way

Refusing it earlier was ruled out, since responses come in order.

The reader of a connection passes nothing on from the end of a request to the end of its response, and looks for the caller's end without reading. The request then lies in the socket, and the reset at the end of the stop tells its caller that it was not read. What came in one read with the request before it is read as ever.

It also mends a caller that leaves behind a further request: hyper stops looking once it has read ahead, so that its run went on until a write failed.

--- a/crates/callers/src/connection.rs
+++ b/crates/callers/src/connection.rs
@@ -17,23 +17,21 @@
 };
 
 use bytes::Bytes;
-use http::Extensions;
-use hyper::{
-    HeaderMap, Request, Version, body::Body, header, server::conn::http1, service::service_fn,
-};
+use hyper::{server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{
     io::{AsyncReadExt, join},
     net::TcpStream,
-    time::{Instant, sleep, timeout},
+    time::{sleep, timeout},
 };
 use tokio_util::sync::CancellationToken;
 
 use crate::{
     Caller, Respond, StopStages,
     ends::{EndLog, EndReporter},
-    response_state::ResponseState,
+    gated_reader::GatedReader,
+    round::{Round, announces_end},
     stream::{PeerEnd, SharedStream, UNACKNOWLEDGED_TIMEOUT},
 };
 
@@ -41,8 +39,6 @@
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// The smallest buffer of a connection that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
-/// How long a new connection, or the rest of a request, is waited for after the instance has begun to close connections.
-const FIRST_REQUEST_TIME: Duration = Duration::from_millis(500);
 /// The interval at which a connection that is to be closed is examined.
 const EXAMINATION_INTERVAL: Duration = Duration::from_millis(2);
 
@@ -55,102 +51,6 @@
     pub max_header_bytes: usize,
 }
 
-/// Marks the end of a request's body, as an extension of the request.
-///
-/// # Invariant
-///
-/// What follows on the connection is taken for a further request only after the mark is set, so that the rest of a body is never
-/// taken for one.
-#[derive(Debug, Clone, Default)]
-pub struct RequestEnd(Arc<AtomicBool>);
-
-impl RequestEnd {
-    /// States that the body of the request with these extensions was read to its end.
-    pub fn mark_reached(extensions: &Extensions) {
-        if let Some(end) = extensions.get::<Self>() {
-            end.0.store(true, Ordering::Relaxed);
-        }
-    }
-
-    fn is_reached(&self) -> bool {
-        self.0.load(Ordering::Relaxed)
-    }
-}
-
-/// What is known of a round of requests beside hyper.
-struct Round {
-    stream: SharedStream,
-    began_at: Instant,
-    had_request: AtomicBool,
-    /// True until the head of a response is there. Further requests may wait in the socket meanwhile.
-    is_busy: AtomicBool,
-    /// True once the caller has announced that it sends no further request.
-    is_last: AtomicBool,
-    last_end: parking_lot::Mutex<RequestEnd>,
-}
-
-impl Round {
-    fn new(stream: SharedStream) -> Arc<Self> {
-        Arc::new(Self {
-            stream,
-            began_at: Instant::now(),
-            had_request: AtomicBool::new(false),
-            is_busy: AtomicBool::new(false),
-            is_last: AtomicBool::new(false),
-            last_end: parking_lot::Mutex::default(),
-        })
-    }
-
-    /// Records that hyper has read the head of a request, and marks it as the one being responded to.
-    fn begin<B: Body>(self: &Arc<Self>, request: &mut Request<B>) -> BusyGuard {
-        let end = RequestEnd(Arc::new(AtomicBool::new(request.body().is_end_stream())));
-        let is_last = announces_end(request.headers()) || request.version() < Version::HTTP_11;
-        self.is_last.store(is_last, Ordering::Relaxed);
-        *self.last_end.lock() = end.clone();
-        request.extensions_mut().insert(end);
-        self.had_request.store(true, Ordering::Relaxed);
-        self.is_busy.store(true, Ordering::Relaxed);
-        BusyGuard(self.clone())
-    }
-
-    /// True if a request may be on its way or is waiting to be read, so that the connection must not be closed yet.
-    fn expects_request(&self) -> bool {
-        if self.is_busy.load(Ordering::Relaxed) {
-            return false;
-        }
-        let is_new = !self.had_request.load(Ordering::Relaxed)
-            && self.began_at.elapsed() < FIRST_REQUEST_TIME;
-        is_new || self.stream.has_unread()
-    }
-
-    /// True if what follows on the connection is a further request.
-    fn may_be_followed(&self) -> bool {
-        self.had_request.load(Ordering::Relaxed)
-            && !self.is_last.load(Ordering::Relaxed)
-            && self.is_read()
-    }
-
-    /// True unless the body of a request was not read to its end.
-    fn is_read(&self) -> bool {
-        !self.had_request.load(Ordering::Relaxed) || self.last_end.lock().is_reached()
-    }
-}
-
-/// Marks a round as busy until it is dropped.
-struct BusyGuard(Arc<Round>);
-
-impl Drop for BusyGuard {
-    fn drop(&mut self) {
-        self.0.is_busy.store(false, Ordering::Relaxed);
-    }
-}
-
-/// True if the sender of these headers announces that it ends the connection.
-fn announces_end(headers: &HeaderMap) -> bool {
-    let values = headers.get_all(header::CONNECTION).iter().filter_map(|value| value.to_str().ok());
-    values.flat_map(|value| value.split(',')).any(|name| name.trim().eq_ignore_ascii_case("close"))
-}
-
 /// Enables the detection of dead peers and disables Nagle's algorithm, since a token must be sent as soon as it is written.
 /// A peer that leaves bytes unacknowledged for `unacknowledged`, or reads none for so long, counts as dead.
 ///
@@ -214,9 +114,8 @@
     let state = reporter.state.clone();
     let mut unread = Bytes::new();
     let discards = loop {
-        let round = Round::new(stream.clone());
-        let served =
-            serve_round(&responder, &round, &state, &mut caller, unread, &stop.closing).await;
+        let round = Round::new(stream.clone(), state.clone());
+        let served = serve_round(&responder, &round, &mut caller, unread, &stop.closing).await;
         unread = match served {
             Ok(rest) => rest,
             Err(error) => {
@@ -250,7 +149,6 @@
 async fn serve_round<R: Respond>(
     responder: &Arc<R>,
     round: &Arc<Round>,
-    state: &Arc<ResponseState>,
     caller: &mut Caller,
     unread: Bytes,
     closing: &CancellationToken,
@@ -261,18 +159,16 @@
     let from = caller.from;
     let service = service_fn(move |mut request| {
         let guard = round.begin(&mut request);
-        let response_guard = state.begin(request.extensions_mut());
         let method = request.method().clone();
         let (responder, announced) = (responder.clone(), announced.clone());
         Box::pin(async move {
             let caller = Caller { from, is_end_announced: announced.load(Ordering::Relaxed) };
             let response = responder.respond(request, caller).await;
             announced.fetch_or(announces_end(response.headers()), Ordering::Relaxed);
-            drop(guard);
-            Ok::<_, Infallible>(response_guard.watch(&method, response))
+            Ok::<_, Infallible>(guard.watch(&method, response))
         })
     });
-    let reader = Cursor::new(unread).chain(round.stream.clone());
+    let reader = Cursor::new(unread).chain(GatedReader::new(round.clone()));
     let stream = join(reader, round.stream.clone());
     let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
--- a/crates/callers/src/lib.rs
+++ b/crates/callers/src/lib.rs
@@ -13,7 +13,9 @@
 mod budget;
 mod connection;
 mod ends;
+mod gated_reader;
 mod response_state;
+mod round;
 mod socket_queues;
 mod stream;
 
@@ -28,12 +30,13 @@
 };
 use tokio_util::sync::CancellationToken;
 
-pub use crate::connection::{ConnectionLimits, RequestEnd, set_socket_options};
+pub use crate::connection::{ConnectionLimits, set_socket_options};
 pub use crate::{
     bodies::{BodyReservation, BodyRoom, ReadBodyError, discard_body, read_body},
     budget::{ByteBudget, HeldBytes, HeldResponse},
     ends::{ConnectionEnd, EndDecision, EndReason, StopPhase},
     response_state::RequestLabel,
+    round::RequestEnd,
 };
 use crate::{
     connection::{LingeringConnection, serve_connection},
--- a/crates/callers/src/response_state.rs
+++ b/crates/callers/src/response_state.rs
@@ -6,7 +6,7 @@
         Arc,
         atomic::{AtomicU8, Ordering},
     },
-    task::{Context, Poll, ready},
+    task::{Context, Poll, Waker, ready},
 };
 
 use http::{Extensions, HeaderMap, Method, Response, StatusCode, header};
@@ -47,11 +47,17 @@
 pub(crate) struct ResponseState {
     stage: AtomicU8,
     label: Mutex<RequestLabel>,
+    /// Woken once the response is over.
+    waker: Mutex<Option<Waker>>,
 }
 
 impl ResponseState {
     fn set(&self, stage: Stage) {
         self.stage.store(stage as u8, Ordering::Relaxed);
+        let waker = self.waker.lock().take();
+        if let Some(waker) = waker {
+            waker.wake();
+        }
     }
 
     fn is(&self, stage: Stage) -> bool {
@@ -67,6 +73,16 @@
         ResponseGuard { state: self.clone(), is_complete: false }
     }
 
+    /// True while a response is awaited or handed over.
+    pub(crate) fn is_responding(&self) -> bool {
+        self.is(Stage::Responding)
+    }
+
+    /// Wakes `waker` once the response is over.
+    pub(crate) fn wake_after(&self, waker: &Waker) {
+        *self.waker.lock() = Some(waker.clone());
+    }
+
     /// True if the last response was not handed over to its end.
     pub(crate) fn is_incomplete(&self) -> bool {
         !self.is(Stage::Idle)
--- a/crates/callers/src/stream.rs
+++ b/crates/callers/src/stream.rs
@@ -3,7 +3,7 @@
 use std::{
     io,
     mem::MaybeUninit,
-    pin::Pin,
+    pin::{Pin, pin},
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -39,6 +39,15 @@
 /// The most bytes that are read for a connection which has ended: those that were on their way on a fast link.
 const MAX_DISCARDED_BYTES: usize = 512 * 1024;
 
+/// What lies ahead on a connection.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum Ahead {
+    /// Bytes, and no end as far as it is known.
+    Bytes,
+    /// The end of the peer's stream, maybe behind bytes.
+    End,
+}
+
 /// How a peer has ended its direction.
 #[derive(Debug)]
 pub(crate) enum PeerEnd {
@@ -117,6 +126,29 @@
         SockRef::from(&self.0.socket).peek(&mut byte).is_ok_and(|bytes| bytes > 0)
     }
 
+    /// Looks at what lies ahead without reading it. The task is woken when bytes or an end come, but not for an end behind bytes that
+    /// lay there before.
+    pub(crate) fn poll_ahead(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ahead>> {
+        let socket = &self.0.socket;
+        loop {
+            ready!(socket.poll_read_ready(cx))?;
+            let mut byte = [MaybeUninit::uninit()];
+            let look = || SockRef::from(socket).peek(&mut byte);
+            match socket.try_io(Interest::READABLE, look) {
+                Ok(0) => return Poll::Ready(Ok(Ahead::End)),
+                Ok(_) => break,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) => return Poll::Ready(Err(error)),
+            }
+        }
+        match pin!(socket.ready(Interest::READABLE)).poll(cx)? {
+            Poll::Ready(ready) if ready.is_read_closed() => {
+                Poll::Ready(socket.take_error()?.map_or(Ok(Ahead::End), Err))
+            }
+            _ => Poll::Ready(Ok(Ahead::Bytes)),
+        }
+    }
+
     /// Sends the end of the stream behind what was written.
     ///
     /// # Errors
--- a/crates/callers/tests/connections.rs
+++ b/crates/callers/tests/connections.rs
@@ -77,6 +77,10 @@
     async fn respond(&self, request: Request<Incoming>, caller: Caller) -> Response<Self::Body> {
         let path = request.uri().path().to_owned();
         self.0.paths.lock().push(path.clone());
+        if path == "/echo" {
+            let body = request.into_body().map_err(|error| panic!("{error}"));
+            return Response::new(body.boxed_unsync());
+        }
         let is_unread = path == "/unread";
         if !is_unread {
             let (head, body) = request.into_parts();
@@ -198,6 +202,34 @@
     assert_eq!(rest.matches("HTTP/1.1").count(), 1, "{rest}");
 }
 
+/// A body may be uploaded while the response to it is on its way.
+#[tokio::test]
+async fn a_body_is_read_while_its_response_is_on_its_way() {
+    let server = Server::start().await;
+    let mut stream = TcpStream::connect(server.address).await.expect("a connection");
+    write(&mut stream, "POST /echo HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\nfirst").await;
+    let begun = read_until(&mut stream, "first").await;
+    assert!(begun.starts_with("HTTP/1.1 200"), "{begun}");
+    write(&mut stream, "other").await;
+    read_until(&mut stream, "other").await;
+}
+
+#[tokio::test]
+async fn a_body_that_waits_for_an_interim_response_is_read() {
+    let server = Server::start().await;
+    let mut stream = TcpStream::connect(server.address).await.expect("a connection");
+    let text = request("/next").replace("Host: x", "Host: x\r\nExpect: 100-continue");
+    let (head, body) = text.split_once("\r\n\r\n").expect("a head");
+    for _ in 0..2 {
+        write(&mut stream, &format!("{head}\r\n\r\n")).await;
+        let interim = "HTTP/1.1 100 Continue\r\n\r\n";
+        assert_eq!(read_until(&mut stream, interim).await, interim);
+        write(&mut stream, body).await;
+        let response = read_until(&mut stream, "ok").await;
+        assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+    }
+}
+
 /// What follows a body that was not read is its rest, whatever it looks like.
 #[tokio::test]
 async fn the_rest_of_a_refused_body_is_not_taken_for_a_request() {
--- a/crates/callers/tests/ends.rs
+++ b/crates/callers/tests/ends.rs
@@ -210,6 +210,48 @@
     }
 }
 
+/// A request behind a response that is cut was not read, so that its caller may send it again.
+#[tokio::test]
+async fn a_request_behind_a_response_that_a_stop_cuts_is_left_unread() {
+    let server = Server::start().await;
+    let mut stream = server.call(&request("/endless")).await;
+    wait_for_response(&mut stream).await;
+    let behind = request("/behind");
+    stream.write_all(behind.as_bytes()).await.expect("the request is written");
+    server.stop().await;
+    let end = server.wait_for_end().await;
+    assert_eq!(end.reason, EndReason::StopLimit, "{end:?}");
+    assert_eq!(end.unread_bytes, Some(behind.len() as u64), "{end:?}");
+    let mut rest = Vec::new();
+    let reading = timeout(WAIT_TIMEOUT, stream.read_to_end(&mut rest));
+    let error = reading.await.expect("the end in time").expect_err("a reset");
+    assert_eq!(error.kind(), std::io::ErrorKind::ConnectionReset);
+}
+
+/// A caller that leaves inside a response is noticed soon, also behind bytes that are left unread.
+#[rstest]
+#[case::ended(false, EndReason::CallerLeft)]
+#[case::reset(true, EndReason::Reset)]
+#[tokio::test]
+async fn a_caller_that_leaves_behind_an_unread_request_is_noticed(
+    #[case] is_reset: bool,
+    #[case] reason: EndReason,
+) {
+    let server = Server::start().await;
+    let mut stream = server.call(&request("/endless")).await;
+    wait_for_response(&mut stream).await;
+    stream.write_all(request("/behind").as_bytes()).await.expect("the request is written");
+    if is_reset {
+        stream.set_zero_linger().expect("an option");
+        drop(stream);
+    } else {
+        stream.shutdown().await.expect("the end is sent");
+    }
+    let noticing = timeout(Duration::from_millis(500), server.wait_for_end());
+    let end = noticing.await.expect("within half a second");
+    assert_eq!((end.reason, end.decided_by), (reason, EndDecision::Caller), "{end:?}");
+}
+
 #[tokio::test]
 async fn a_close_with_unread_bytes_is_reported() {
     let server = Server::start().await;
