`serve` decides before each attempt of a call whether it may end before the stop

Callers of an order whose endpoint refused it late in a drain got 502 `stopped_while_running`, which promises nothing, since a further attempt was made that could not end in time.

`stops_before` was asked once, in the deadline's filter; the record of an order and earlier attempts take time after it. Uploads are not concerned: the filter runs when the body has come.

Change: it is asked before each attempt of a call; the response is 503, not run, unless an attempt may have run. Prompts are left out: what runs at the limit can be resumed elsewhere by its id.

--- a/crates/node/src/filters/service.rs
+++ b/crates/node/src/filters/service.rs
@@ -49,8 +49,14 @@
     let mut lost = None;
     node.count_first_attempt(&ctx.team()?.name, &ctx.endpoint()?.pool);
     loop {
-        if ctx.time_left() == TimeMs(0) {
-            return Err(end_unsent(node, ctx, attempt, ErrorKind::DeadlineBeforeRun, lost).await);
+        // Asked before each attempt: the record of an order and earlier attempts take time.
+        let too_late = match ctx.time_left() {
+            TimeMs(0) => Some(ErrorKind::DeadlineBeforeRun),
+            left if node.stops_before(left) => Some(ErrorKind::ShuttingDown),
+            _ => None,
+        };
+        if let Some(kind) = too_late {
+            return Err(end_unsent(node, ctx, attempt, kind, lost).await);
         }
         let endpoint = ctx.endpoint()?;
         let outcome = try_once(node, ctx, &endpoint, attempt).await?;
--- a/tests/all/shutdown.rs
+++ b/tests/all/shutdown.rs
@@ -12,7 +12,9 @@
     engine::Faults,
     load::{Caller, Outcome},
     persistent::{call_at_once, last_connection},
+    service,
 };
+use bilberryford_types::{Event, EventKind};
 use rstest::rstest;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -290,3 +292,39 @@
     assert_eq!(responses.matches("HTTP/1.1 ").count(), 2, "{responses:?}");
     assert!(stopping.await.unwrap(), "the instance did not stop within the limit");
 }
+
+/// Guards against a further attempt in a drain that is given up at its end, when nothing may be promised any more.
+#[rstest]
+#[case::may_end_too_late(60_000, "shutting_down")]
+#[case::ends_in_time(1_500, "order_in_doubt")]
+#[tokio::test]
+async fn a_further_attempt_late_in_a_drain_is_made_only_if_it_ends_in_time(
+    #[case] timeout_ms: u64,
+    #[case] kind: &str,
+) {
+    let options = ["--drain-delay-ms", "500", "--drain-limit-ms", "2000"];
+    let mut deployment = Deployment::start_with(1, &fast_engine(), &options).await.unwrap();
+    deployment.add_service().await.unwrap();
+    // The refusal comes once the listener is closed, and a second one after the end of the drain.
+    for (service, _) in &deployment.services {
+        let faults = service::Faults { slow_ms: 1_200, draining: true, ..Default::default() };
+        service.set_faults(faults);
+    }
+    let url = format!("{}/services/desk/orders", deployment.url(0));
+    let request = deployment.client.post(url).bearer_auth(KEY);
+    let request = request
+        .header("bilberryford-timeout-ms", timeout_ms)
+        .header("idempotency-key", "o-1")
+        .header("content-type", "application/json")
+        .body("{\"tins\":2}");
+    let calling = tokio::spawn(request.send());
+    let is_sent = |event: &Event| event.kind == EventKind::Dispatched;
+    deployment.all_have_event(&[0], is_sent).await.expect("the order is dispatched");
+    let leaving = deployment.instances.remove(0);
+    let stopping = tokio::task::spawn_blocking(move || leaving.stop(STOP_LIMIT));
+    let response = calling.await.unwrap().expect("a response");
+    let head = format!("{} {:?}", response.status(), response.headers());
+    let text = head + &response.text().await.expect("a complete response");
+    assert!(text.contains(kind), "{text}");
+    assert!(stopping.await.unwrap(), "the instance did not stop within the limit");
+}
