--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -92,7 +92,7 @@
     RankTokens, UsageMessage, report_interval_ms,
 };
 pub use placement::{Candidate, Choice, PlacementRequest, PromptShape, Reason, place};
-pub use planned_stop::{LONG_REQUESTS_MS, PlannedStop};
+pub use planned_stop::PlannedStop;
 pub use propagation::{ConfirmationStep, PropagationLimits};
 pub use readers::{ReadReason, ReaderSelection, passed_on_confirmation};
 pub use regions::{DataCentreRegions, RegionLimit, RegionSet};
