--- a/crates/callers/src/connection.rs
+++ b/crates/callers/src/connection.rs
@@ -75,7 +75,6 @@
     reporter: EndReporter<R>,
     /// True if the rest of a refused body is read, which would keep its sender from reading the response.
     discards: bool,
-    unused_bytes: u64,
 }
 
 impl<R: Respond> LingeringConnection<R> {
@@ -84,11 +83,11 @@
     pub(crate) async fn close(mut self) {
         if self.discards {
             let _ = timeout(UNACKNOWLEDGED_TIMEOUT, self.stream.discard()).await;
-            self.reporter.close(self.unused_bytes);
+            self.reporter.close();
             return;
         }
         match self.stream.wait_for_end().await {
-            PeerEnd::None => self.reporter.close(self.unused_bytes),
+            PeerEnd::None => self.reporter.close(),
             PeerEnd::Ended => self.reporter.leave(),
             PeerEnd::Failed(error) => self.reporter.fail_behind(error),
         }
@@ -138,11 +137,13 @@
     };
     if let Err(error) = stream.end_writing() {
         log::debug!(error:% = error; "can't end a caller's connection");
-        reporter.close(unread.len() as u64);
+        reporter.close();
         return None;
     }
-    let unused_bytes = unread.len() as u64;
-    Some(LingeringConnection { stream, reporter, discards, unused_bytes })
+    // What follows a body that was not read is its rest.
+    let unused_bytes = if discards { 0 } else { unread.len() as u64 };
+    reporter.end_writing(unused_bytes);
+    Some(LingeringConnection { stream, reporter, discards })
 }
 
 /// Serves requests until hyper ends the connection, and returns what it has read beyond the last one.
--- a/crates/callers/src/ends.rs
+++ b/crates/callers/src/ends.rs
@@ -83,6 +83,8 @@
     pub unacknowledged_bytes: Option<u64>,
     /// The bytes that lay unread; none if they are not known.
     pub unread_bytes: Option<u64>,
+    /// True if bytes lay unread when the instance ended its direction. Others came later: they have crossed the end.
+    pub was_unread_at_end: bool,
     /// The error of the connection; empty if it was closed.
     pub error: String,
 }
@@ -92,11 +94,8 @@
 enum Outcome {
     /// Its task was given up, or panicked.
     GivenUp,
-    /// It was closed, with this number of bytes that were read and not used.
-    Closed {
-        /// The bytes behind the last request that had been read.
-        unused_bytes: u64,
-    },
+    /// It was closed.
+    Closed,
     /// The caller ended its direction behind a complete response.
     Left,
     /// The connection failed behind a complete response.
@@ -154,6 +153,7 @@
             since_write_ms = known(end.since_write.map(|time| time.as_millis() as u64)),
             unacknowledged_bytes = known(end.unacknowledged_bytes),
             unread_bytes = known(end.unread_bytes),
+            was_unread_at_end = end.was_unread_at_end,
             error = end.error.as_str(), left_out = suppressed;
             "connection ended early"
         );
@@ -169,6 +169,9 @@
     stream: SharedStream,
     pub(crate) state: Arc<ResponseState>,
     outcome: Outcome,
+    /// The bytes behind the last request that had been read when the instance ended its direction.
+    unused_bytes: u64,
+    was_unread_at_end: bool,
 }
 
 impl<R: Respond> EndReporter<R> {
@@ -180,7 +183,23 @@
         stream: SharedStream,
     ) -> Self {
         let (state, outcome) = (Arc::default(), Outcome::GivenUp);
-        Self { responder, log, stop, caller, stream, state, outcome }
+        Self {
+            responder,
+            log,
+            stop,
+            caller,
+            stream,
+            state,
+            outcome,
+            unused_bytes: 0,
+            was_unread_at_end: false,
+        }
+    }
+
+    /// Records that the instance has just ended its direction, with bytes that were read and not used.
+    pub(crate) fn end_writing(&mut self, unused_bytes: u64) {
+        self.unused_bytes = unused_bytes;
+        self.was_unread_at_end = unused_bytes > 0 || self.stream.has_unread();
     }
 
     /// Records that hyper has ended the connection with an error.
@@ -189,8 +208,8 @@
     }
 
     /// Records that the connection is closed behind its last response, and its caller has not ended its direction.
-    pub(crate) fn close(&mut self, unused_bytes: u64) {
-        self.set_unless_failed(Outcome::Closed { unused_bytes });
+    pub(crate) fn close(&mut self) {
+        self.set_unless_failed(Outcome::Closed);
     }
 
     /// Records that the caller has ended its direction behind a complete response.
@@ -227,14 +246,14 @@
         }
         let queues = self.stream.queues().ok();
         let unacknowledged_bytes = queues.map(|queues| queues.unacknowledged_bytes);
-        let mut unread_bytes = queues.map(|queues| queues.unread_bytes);
+        let unread_bytes = queues.map(|queues| queues.unread_bytes + self.unused_bytes);
         let is_cut = self.state.is_incomplete() || self.stream.is_write_blocked();
         let phase = self.phase();
         let by_instance = match phase {
             StopPhase::Serving => EndDecision::Instance,
             StopPhase::Closing | StopPhase::Ending => EndDecision::Stop,
         };
-        let closed = |unread_bytes: Option<u64>| {
+        let closed = || {
             let reason = if unacknowledged_bytes.is_some_and(|bytes| bytes > 0) {
                 EndReason::ClosedUnacknowledged
             } else if unread_bytes.is_some_and(|bytes| bytes > 0) {
@@ -249,11 +268,7 @@
                 (EndReason::Panicked, EndDecision::Instance)
             }
             Outcome::GivenUp if is_cut => (EndReason::StopLimit, EndDecision::Stop),
-            Outcome::GivenUp => closed(unread_bytes)?,
-            Outcome::Closed { unused_bytes } => {
-                unread_bytes = unread_bytes.map(|bytes| bytes + unused_bytes);
-                closed(unread_bytes)?
-            }
+            Outcome::GivenUp | Outcome::Closed => closed()?,
             // A reset behind a response is one of the ways in which callers close.
             Outcome::FailedBehind(error) if error.kind() == io::ErrorKind::TimedOut => {
                 (EndReason::NotAcknowledged, EndDecision::Instance)
@@ -262,13 +277,13 @@
             Outcome::Failed(error) => match classify(error) {
                 failed @ (EndReason::InvalidRequest | EndReason::ResponseFailed, _) => failed,
                 failed if is_cut => failed,
-                _ => closed(unread_bytes)?,
+                _ => closed()?,
             },
         };
         let error = match &self.outcome {
             Outcome::Failed(error) => describe(error),
             Outcome::FailedBehind(error) => error.to_string(),
-            Outcome::GivenUp | Outcome::Closed { .. } | Outcome::Left => String::new(),
+            Outcome::GivenUp | Outcome::Closed | Outcome::Left => String::new(),
         };
         Some(ConnectionEnd {
             reason,
@@ -278,6 +293,7 @@
             since_write: self.stream.since_write(),
             unacknowledged_bytes,
             unread_bytes,
+            was_unread_at_end: self.was_unread_at_end,
             error,
         })
     }
--- a/crates/callers/tests/ends.rs
+++ b/crates/callers/tests/ends.rs
@@ -252,14 +252,29 @@
     assert_eq!((end.reason, end.decided_by), (reason, EndDecision::Caller), "{end:?}");
 }
 
+/// A request that came before the instance ended its direction is told from one that has crossed the end.
+#[rstest]
+#[case::behind_the_last_request(true)]
+#[case::crossed_the_end(false)]
 #[tokio::test]
-async fn a_close_with_unread_bytes_is_reported() {
+async fn a_close_with_unread_bytes_is_reported(#[case] is_early: bool) {
     let server = Server::start().await;
     let behind = request("/behind");
-    let stream = server.call(&(last_request("/ok") + &behind)).await;
+    let text = if is_early { last_request("/ok") + &behind } else { request("/ok") };
+    let mut stream = server.call(&text).await;
+    if !is_early {
+        wait_for_response(&mut stream).await;
+        server.stop.closing.cancel();
+        let mut rest = Vec::new();
+        let reading = timeout(WAIT_TIMEOUT, stream.read_to_end(&mut rest));
+        reading.await.expect("the end in time").expect("no reset");
+        stream.write_all(behind.as_bytes()).await.expect("the request is written");
+    }
+    server.stop().await;
     let end = server.wait_for_end().await;
     assert_eq!(end.reason, EndReason::ClosedUnread, "{end:?}");
     assert_eq!(end.unread_bytes, Some(behind.len() as u64), "{end:?}");
+    assert_eq!(end.was_unread_at_end, is_early, "{end:?}");
     drop(stream);
 }
 
