State the bytes that lay unread when an instance ended its direction

A request that lies there when the end is sent would have had no line either. It has one now, whoever closes first, with the number of bytes.

--- a/crates/callers/src/ends.rs
+++ b/crates/callers/src/ends.rs
@@ -83,8 +83,8 @@
     pub unacknowledged_bytes: Option<u64>,
     /// The bytes that lay unread; none if they are not known.
     pub unread_bytes: Option<u64>,
-    /// True if bytes lay unread when the instance ended its direction. Others came later: they have crossed the end.
-    pub was_unread_at_end: bool,
+    /// The bytes that lay unread when the instance ended its direction. Others came later: they have crossed the end.
+    pub unread_at_end_bytes: u64,
     /// The error of the connection; empty if it was closed.
     pub error: String,
 }
@@ -153,7 +153,7 @@
             since_write_ms = known(end.since_write.map(|time| time.as_millis() as u64)),
             unacknowledged_bytes = known(end.unacknowledged_bytes),
             unread_bytes = known(end.unread_bytes),
-            was_unread_at_end = end.was_unread_at_end,
+            unread_at_end_bytes = end.unread_at_end_bytes,
             error = end.error.as_str(), left_out = suppressed;
             "connection ended early"
         );
@@ -171,7 +171,7 @@
     outcome: Outcome,
     /// The bytes behind the last request that had been read when the instance ended its direction.
     unused_bytes: u64,
-    was_unread_at_end: bool,
+    unread_at_end_bytes: u64,
 }
 
 impl<R: Respond> EndReporter<R> {
@@ -192,14 +192,19 @@
             state,
             outcome,
             unused_bytes: 0,
-            was_unread_at_end: false,
+            unread_at_end_bytes: 0,
         }
     }
 
     /// Records that the instance has just ended its direction, with bytes that were read and not used.
     pub(crate) fn end_writing(&mut self, unused_bytes: u64) {
         self.unused_bytes = unused_bytes;
-        self.was_unread_at_end = unused_bytes > 0 || self.stream.has_unread();
+        self.unread_at_end_bytes = unused_bytes;
+        if self.stream.has_unread() {
+            // At least the byte that was seen.
+            self.unread_at_end_bytes +=
+                self.stream.queues().map_or(1, |queues| queues.unread_bytes);
+        }
     }
 
     /// Records that hyper has ended the connection with an error.
@@ -241,7 +246,7 @@
     /// The end of the connection; none if it cost nothing.
     fn end(&self) -> Option<ConnectionEnd> {
         // Nothing is asked of the kernel for the usual ends.
-        if matches!(self.outcome, Outcome::Left) {
+        if matches!(self.outcome, Outcome::Left) && self.unread_at_end_bytes == 0 {
             return None;
         }
         let queues = self.stream.queues().ok();
@@ -256,7 +261,7 @@
         let closed = || {
             let reason = if unacknowledged_bytes.is_some_and(|bytes| bytes > 0) {
                 EndReason::ClosedUnacknowledged
-            } else if unread_bytes.is_some_and(|bytes| bytes > 0) {
+            } else if self.unread_at_end_bytes > 0 || unread_bytes.is_some_and(|bytes| bytes > 0) {
                 EndReason::ClosedUnread
             } else {
                 return None;
@@ -268,12 +273,12 @@
                 (EndReason::Panicked, EndDecision::Instance)
             }
             Outcome::GivenUp if is_cut => (EndReason::StopLimit, EndDecision::Stop),
-            Outcome::GivenUp | Outcome::Closed => closed()?,
+            Outcome::GivenUp | Outcome::Closed | Outcome::Left => closed()?,
             // A reset behind a response is one of the ways in which callers close.
             Outcome::FailedBehind(error) if error.kind() == io::ErrorKind::TimedOut => {
                 (EndReason::NotAcknowledged, EndDecision::Instance)
             }
-            Outcome::Left | Outcome::FailedBehind(_) => return None,
+            Outcome::FailedBehind(_) => return None,
             Outcome::Failed(error) => match classify(error) {
                 failed @ (EndReason::InvalidRequest | EndReason::ResponseFailed, _) => failed,
                 failed if is_cut => failed,
@@ -293,7 +298,7 @@
             since_write: self.stream.since_write(),
             unacknowledged_bytes,
             unread_bytes,
-            was_unread_at_end: self.was_unread_at_end,
+            unread_at_end_bytes: self.unread_at_end_bytes,
             error,
         })
     }
