The limits of a stop count from the close of the listener

Test: responses_are_given_up_in_time_after_the_close_of_the_listener, with the clock paused: 102 ms late before, green after.

--- a/crates/callers/src/lib.rs
+++ b/crates/callers/src/lib.rs
@@ -26,7 +26,7 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     task::JoinSet,
-    time::{Instant, sleep, timeout, timeout_at},
+    time::{Instant, sleep, timeout_at},
 };
 use tokio_util::sync::CancellationToken;
 
@@ -198,14 +198,16 @@
         lingering: JoinSet::new(),
     };
     accept_until(&listener, stop.closing.cancelled(), &mut connections).await;
+    // All limits count from one moment, so that late timers don't add up.
+    let closing_at = Instant::now();
     refuse_new(&listener);
     accept_until(&listener, sleep(HANDSHAKE_TIME), &mut connections).await;
     for (stream, from) in take_waiting(listener) {
         connections.accept(stream, from);
     }
-    let until = Instant::now() + drain_timeout;
-    let response_time = response_time(drain_timeout);
-    if timeout(response_time, connections.respond_to_all()).await.is_err() {
+    let until = closing_at + drain_timeout;
+    let due_at = closing_at + response_time(drain_timeout);
+    if timeout_at(due_at, connections.respond_to_all()).await.is_err() {
         log::info!(
             target: "life", left = connections.serving.len();
             "stop is due; requests without a response get a final one"
--- a/crates/callers/tests/connections.rs
+++ b/crates/callers/tests/connections.rs
@@ -12,7 +12,7 @@
 
 use bilberryford_callers::{
     Caller, ConnectionEnd, ConnectionLimits, RequestEnd, Respond, StopStages, discard_body,
-    serve_callers,
+    response_time, serve_callers,
 };
 use bytes::Bytes;
 use futures::{StreamExt, stream};
@@ -24,7 +24,7 @@
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpSocket, TcpStream},
     sync::Notify,
-    time::timeout,
+    time::{Instant, pause, timeout},
 };
 
 const WAIT_TIMEOUT: Duration = Duration::from_secs(10);
@@ -295,3 +295,18 @@
     }
     assert_eq!(ended.into_inner(), 20);
 }
+
+/// The time in which handshakes end is not added to the limit of a stop.
+#[tokio::test]
+async fn responses_are_given_up_in_time_after_the_close_of_the_listener() {
+    let server = Server::start().await;
+    let mut connection = TcpStream::connect(server.address).await.expect("a connection");
+    write(&mut connection, &request("/slow")).await;
+    read_until(&mut connection, "begin").await;
+    pause();
+    let closing_at = Instant::now();
+    server.stop.closing.cancel();
+    server.stop.ending.cancelled().await;
+    let late = closing_at.elapsed().saturating_sub(response_time(DRAIN_TIMEOUT));
+    assert!(late < Duration::from_millis(5), "{late:?} late");
+}
