The head of a streamed response is passed on with its first content

What callers saw: a status 200, no event, and a closed connection, though nothing had been delivered. The head of a streamed response was passed on as soon as it came; whatever ended the response before its first content (the connection to the endpoint, the bound of old weights, a quarantine, the budget of bytes, the deadline, the limit of a stop) could then only close the caller's connection.

Change: `Relay::begin` waits for the first content that `read_events` lets through, for a resumable stream its first complete event, or for the complete end, and only then the response is handed to the server. What ends it before is classified like a loss before the head: another attempt within the limits of the route and the retry budget, 502 otherwise, 504 at the deadline, 502 at the limit of a stop. Nothing states "not run". The bound of old weights and quarantines are asked only there, so that a response that has begun has no such end any more, and the two reasons leave the list of `response_end.rs`. A stream is recorded with its keepers when its first event is there, still before it leaves, so that a second attempt at another build contradicts nothing. A caller that leaves meanwhile drops the connection to the endpoint as before; its end is recorded by the request, with stage `head`. A body that fails is pending once before its error, since the server writes nothing after an error and the first content may be as old as that.

Ruled out: passing the head on and going on elsewhere behind it. The second response has headers of its own, and an error has no status left.

Not tested: a second attempt after the bound of old weights, and the budget of bytes before the first content.

--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -67,9 +67,10 @@
         if let Some(mut record) = self.record.take() {
             let attempt = record.last_attempt.lock().take();
             record.endpoint = attempt.as_ref().map(|attempt| attempt.endpoint.clone());
+            let has_head = attempt.as_ref().is_some_and(|attempt| attempt.has_head);
             let end = ResponseEnd {
                 reason: EndReason::of_drop(self.gateway),
-                stage: ResponseStage::NoHead,
+                stage: if has_head { ResponseStage::Head } else { ResponseStage::NoHead },
                 incarnation: attempt.map(|attempt| attempt.incarnation),
                 status: None,
                 content_bytes: 0,
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -15,7 +15,7 @@
 use std::sync::Arc;
 
 use bilberryford_callers::BodyReservation;
-use bilberryford_coord::BlameDecision;
+use bilberryford_coord::{BlameDecision, Feature};
 use bilberryford_types::{EndpointId, ErrorKind, PoolName, TimeMs};
 use bytes::Bytes;
 use hyper::{
@@ -256,11 +256,7 @@
             SendOutcome::NotRun(facts, connection) => {
                 self.after_refusal(progress, &candidate, &facts, connection)
             }
-            SendOutcome::Withdrawn(feature) => {
-                self.record.notes.push("held_back");
-                self.record.blamed = Some(self.features.describe(feature));
-                Err(ErrorResponse::new(ErrorKind::EndpointLost))
-            }
+            SendOutcome::Withdrawn(feature) => Err(self.withdraw(feature)),
             SendOutcome::NotBegun => {
                 progress.sent_attempts += 1;
                 progress.possible_runs += 1;
@@ -337,6 +333,13 @@
         Err(ErrorResponse::with_retry_after(progress.error_kind(kind), left_ms))
     }
 
+    /// The error of a request that is withdrawn from its endpoint, since one of its features was quarantined.
+    fn withdraw(&mut self, feature: Feature) -> ErrorResponse {
+        self.record.notes.push("held_back");
+        self.record.blamed = Some(self.features.describe(feature));
+        ErrorResponse::new(ErrorKind::EndpointLost)
+    }
+
     fn may_retry(&self, progress: &Progress) -> bool {
         self.route.is_idempotent()
             && !progress.is_apart
--- a/crates/gateway/src/forward/answer.rs
+++ b/crates/gateway/src/forward/answer.rs
@@ -23,7 +23,7 @@
     filters::StreamPart,
     in_flight::InFlight,
     placement::Candidate,
-    relay::{Relay, RelayedEvents, record_success, relay_body},
+    relay::{NotBegun, Relay, RelayedEvents, record_success},
     response_end::error_text,
     responses::{ErrorResponse, ResponseBody, full_body},
 };
@@ -51,9 +51,7 @@
             // A body with a length could not be broken off at its end.
             head.headers.remove(header::CONTENT_LENGTH);
         }
-        if head.status.is_success() {
-            self.record_stream(in_flight.candidate(), connection.opened_ms);
-        }
+        let (candidate, opened_ms) = (in_flight.candidate().clone(), connection.opened_ms);
         let may_go_on = is_stream && head.status.is_success() && self.may_retry(progress);
         let continuation = may_go_on.then(|| StreamContinuation::new(self, progress)).flatten();
         let events = match continuation {
@@ -63,8 +61,9 @@
             None if is_stream => RelayedEvents::Final(EventPosition::default()),
             None => RelayedEvents::None,
         };
-        let must_begin_by_ms = self.must_begin_by_ms(in_flight.candidate());
+        let must_begin_by_ms = self.must_begin_by_ms(&candidate);
         let gateway = self.gateway.clone();
+        self.record.record_head();
         let record = std::mem::take(&mut self.record);
         let relay = Relay {
             gateway,
@@ -77,10 +76,43 @@
             record,
             status: head.status,
             passed_bytes: 0,
-            broken_off: None,
+            has_begun: false,
             is_finished: false,
         };
-        Ok(Some(Response::from_parts(head, relay_body(relay))))
+        match relay.begin().await {
+            Ok(body) => {
+                if head.status.is_success() {
+                    self.record_stream(&candidate, opened_ms);
+                }
+                Ok(Some(Response::from_parts(head, body)))
+            }
+            Err((not_begun, record)) => {
+                self.record = record;
+                self.after_head(progress, not_begun)
+            }
+        }
+    }
+
+    /// Classifies a response that ended between its head and its first content.
+    fn after_head(
+        &mut self,
+        progress: &Progress,
+        not_begun: NotBegun,
+    ) -> Result<Option<Response<ResponseBody>>, ErrorResponse> {
+        // What came is no content of the next attempt.
+        self.record.first_byte_ms = None;
+        match not_begun {
+            NotBegun::Withdrawn(feature) => Err(self.withdraw(feature)),
+            NotBegun::Deadline => Err(ErrorResponse::new(ErrorKind::DeadlineWhileRunning)),
+            NotBegun::OldWeights => {
+                self.record.notes.push("old_weights");
+                self.after_loss(progress)
+            }
+            NotBegun::BrokenOff => {
+                self.record.notes.push("answer_cut");
+                self.after_loss(progress)
+            }
+        }
     }
 
     /// Records where the stream of the response began, before its first event is passed on. From here on, the request
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -1,7 +1,11 @@
 //! Streams an endpoint's response body to the caller.
+//!
+//! The head of a response is passed on together with its first content. Whatever ends the response before then has delivered
+//! nothing, and is treated like a loss before the head: by another attempt, or by a complete error response.
 
 use std::{future::poll_fn, io, pin::pin, sync::Arc, task::Poll, time::Duration};
 
+use bilberryford_coord::Feature;
 use bilberryford_types::TimeMs;
 use bytes::Bytes;
 use futures::stream;
@@ -42,8 +46,8 @@
     pub(crate) status: StatusCode,
     /// The bytes of content that were passed on.
     pub(crate) passed_bytes: u64,
-    /// Why the endpoint broke the response off, with the text of the error.
-    pub(crate) broken_off: Option<(EndReason, String)>,
+    /// True once there is content to pass on. Until then, the end of the request is recorded by who waits for the response.
+    pub(crate) has_begun: bool,
     pub(crate) is_finished: bool,
 }
 
@@ -57,13 +61,32 @@
     Resumable(EventBuffer, Box<StreamContinuation>),
 }
 
-/// The next part of a relayed body.
+/// What comes of a part of a response.
 enum Chunk {
+    /// Content to pass on.
     Data(Bytes),
-    /// The response ends here, incomplete.
-    Failed(io::Error),
+    /// Nothing to pass on yet.
+    Nothing,
+    /// The response is complete.
+    End,
     /// The endpoint broke the response off.
-    BrokenOff(io::Error),
+    BrokenOff(BrokenOff),
+}
+
+/// Why and with which error an endpoint broke a response off.
+pub(crate) struct BrokenOff {
+    reason: EndReason,
+    error: String,
+}
+
+/// Why a response ended before there was any content to pass on.
+pub(crate) enum NotBegun {
+    BrokenOff,
+    /// A feature of the request was quarantined.
+    Withdrawn(Feature),
+    /// No content came before the weights of the engine became too old.
+    OldWeights,
+    Deadline,
 }
 
 impl Relay {
@@ -82,7 +105,7 @@
     }
 
     /// Records that the caller gets no complete response.
-    fn end_incomplete(&mut self, outcome: &'static str, reason: EndReason, error: &str) {
+    fn end_incomplete(&mut self, reason: EndReason, error: &str) {
         if self.is_finished {
             return;
         }
@@ -95,6 +118,12 @@
             error,
         };
         end.record(&self.gateway, &self.record);
+        let outcome = match reason {
+            EndReason::Deadline => "deadline_in_answer",
+            EndReason::StopEnded => "stopped_in_answer",
+            EndReason::CallerLeft => "caller_left_in_answer",
+            _ => "answer_cut",
+        };
         self.finish(outcome, true);
     }
 
@@ -135,7 +164,7 @@
     }
 
     /// Goes on with a stream that the endpoint broke off, and returns the rest of it; none if it ends here.
-    async fn go_on(mut self) -> Option<ResponseBody> {
+    async fn go_on(mut self, broken_off: &BrokenOff) -> Option<ResponseBody> {
         let now_ms = self.gateway.clock.now();
         let content_age_ms = self.record.first_byte_ms.map(|at_ms| now_ms.since(at_ms));
         let rest = match std::mem::replace(&mut self.events, RelayedEvents::None) {
@@ -150,48 +179,49 @@
         };
         match rest {
             Some(_) => self.finish("went_on_elsewhere", false),
-            None => {
-                let broken_off = self.broken_off.take();
-                let (reason, error) =
-                    broken_off.unwrap_or((EndReason::ConnectionFailed, String::new()));
-                self.end_incomplete("answer_cut", reason, &error);
-            }
+            None => self.end_incomplete(broken_off.reason, &broken_off.error),
         }
         rest
     }
 
-    /// The next frame of the response. While it is waited for, nothing of the response is held.
+    /// The next frame of the response, or none if it does not come in time. While it is waited for, nothing of the response is
+    /// held.
     async fn next_frame(
         incoming: &mut Incoming,
         connection: Option<&Connection>,
-    ) -> Option<hyper::Result<Frame<Bytes>>> {
+        time_left_ms: TimeMs,
+    ) -> Option<Option<hyper::Result<Frame<Bytes>>>> {
+        // A timeout does not end a wait for what is always there.
+        if time_left_ms == TimeMs(0) {
+            return None;
+        }
         let mut frame = pin!(incoming.frame());
-        poll_fn(|cx| {
+        let frame = poll_fn(|cx| {
             let polled = frame.as_mut().poll(cx);
             if let (Poll::Pending, Some(connection)) = (&polled, connection) {
                 connection.meter.drained();
             }
             polled
-        })
-        .await
+        });
+        timeout(Duration::from_millis(time_left_ms.get()), frame).await.ok()
     }
 
     /// Records that the endpoint broke the response off, or that it was ended since the budget of bytes was full.
-    fn break_off(&mut self, reason: EndReason, error: String) {
+    fn break_off(&mut self, reason: EndReason, error: String) -> BrokenOff {
         self.in_flight.record_loss(self.stage(), Loss::Connection(&error));
         let incarnation = self.in_flight.candidate().incarnation;
         self.gateway.suspect_restart(incarnation, ColdSource::ConnectionLost);
         let endpoint = self.in_flight.endpoint();
         let is_over_budget = reason == EndReason::OverBudget;
-        self.broken_off = Some((reason, error));
-        let reason = if is_over_budget { "over_budget" } else { "answer_cut" };
-        self.gateway.update_health(endpoint, reason, |health, now_ms| {
+        let health_reason = if is_over_budget { "over_budget" } else { "answer_cut" };
+        self.gateway.update_health(endpoint, health_reason, |health, now_ms| {
             health.record_failure(now_ms, is_over_budget);
         });
         if is_over_budget {
-            self.record.notes.push(reason);
+            self.record.notes.push(health_reason);
         }
         self.connection = None;
+        BrokenOff { reason, error }
     }
 
     fn failure_reason(&self, error: &hyper::Error) -> EndReason {
@@ -202,108 +232,116 @@
         }
     }
 
-    async fn next_chunk(&mut self) -> Option<Chunk> {
-        loop {
-            let until_ms = match self.must_begin_by_ms {
-                Some(by_ms) if self.record.first_byte_ms.is_none() => by_ms.min(self.deadline_ms),
-                _ => self.deadline_ms,
-            };
+    /// Waits until there is content to pass on, or the response is complete. Returns the body, or why there is none with the
+    /// request's record.
+    pub(crate) async fn begin(mut self) -> Result<ResponseBody, (NotBegun, RequestRecord)> {
+        let not_begun = loop {
+            let has_content = self.record.first_byte_ms.is_some();
+            let begin_by_ms = self.must_begin_by_ms.filter(|_| !has_content);
+            let until_ms =
+                begin_by_ms.map_or(self.deadline_ms, |by_ms| by_ms.min(self.deadline_ms));
             let time_left_ms = until_ms.since(self.gateway.clock.now());
-            let wait = Duration::from_millis(time_left_ms.get());
-            // A timeout does not end a wait for what is always there.
-            let frame = match time_left_ms {
-                TimeMs(0) => None,
-                _ if self.record.first_byte_ms.is_some() => {
-                    timeout(wait, Self::next_frame(&mut self.incoming, self.connection.as_ref()))
-                        .await
-                        .ok()
+            let connection = self.connection.as_ref();
+            let frame = tokio::select! {
+                frame = Self::next_frame(&mut self.incoming, connection, time_left_ms) => frame,
+                feature = self.gateway.quarantine_of(self.in_flight.features()), if !has_content => {
+                    break NotBegun::Withdrawn(feature);
                 }
-                _ => tokio::select! {
-                    frame = timeout(wait, Self::next_frame(&mut self.incoming, self.connection.as_ref())) => frame.ok(),
-                    feature = self.gateway.quarantine_of(self.in_flight.features()) => {
-                        self.record.blamed = Some(self.in_flight.features().describe(feature));
-                        self.end_incomplete("held_back", EndReason::Quarantined, "");
-                        return Some(Chunk::Failed(io::ErrorKind::ConnectionAborted.into()));
-                    }
-                },
             };
-            match frame {
-                None if until_ms < self.deadline_ms => {
-                    self.end_incomplete("old_weights", EndReason::OldWeights, "");
-                    return Some(Chunk::Failed(io::ErrorKind::TimedOut.into()));
-                }
-                None => {
-                    if self.record.first_byte_ms.is_none() {
-                        // An endpoint that ended silently shows no other sign.
-                        self.in_flight.record_loss(ResponseStage::Head, Loss::Silence);
-                    }
-                    self.end_incomplete("deadline_in_answer", EndReason::Deadline, "");
-                    return Some(Chunk::Failed(io::ErrorKind::TimedOut.into()));
-                }
-                Some(Some(Err(error))) => {
-                    self.break_off(self.failure_reason(&error), error_text(&error));
-                    return Some(Chunk::BrokenOff(io::Error::other(error)));
+            let Some(frame) = frame else {
+                if until_ms < self.deadline_ms {
+                    break NotBegun::OldWeights;
                 }
-                Some(Some(Ok(frame))) => {
-                    let Ok(data) = frame.into_data() else { continue };
-                    if let Some(connection) = &self.connection {
-                        connection.meter.pass(data.len());
-                    }
-                    self.gateway.record_received(self.in_flight.endpoint());
-                    let now_ms = self.gateway.clock.now();
-                    match self.record.first_byte_ms {
-                        None => {
-                            self.record.first_byte_ms = Some(now_ms);
-                            let took_ms = self.in_flight.record_first_byte();
-                            self.record.prompt.first_token_ms =
-                                self.record.prompt.predicted_ms.map(|_| took_ms);
-                        }
-                        Some(at_ms)
-                            if self.status.is_success() && now_ms.since(at_ms) >= ANSWER_AGE_MS =>
-                        {
-                            self.in_flight.record_answer();
-                        }
-                        Some(_) => {}
-                    }
-                    let data = self.read_events(data);
-                    // The server asks for nothing after the last byte of a body whose length it knows.
-                    if self.incoming.is_end_stream() && !self.is_inside_event() {
-                        self.complete();
-                    }
-                    if !data.is_empty() {
-                        self.passed_bytes += data.len() as u64;
-                        return Some(Chunk::Data(data));
-                    }
+                if !has_content {
+                    // An endpoint that ended silently shows no other sign.
+                    self.in_flight.record_loss(ResponseStage::Head, Loss::Silence);
                 }
-                Some(None) if self.is_inside_event() => {
-                    let text = "the stream ends inside an event".to_owned();
-                    self.break_off(EndReason::EndedInsideEvent, text);
-                    // The server writes what came before while the body is pending, and nothing after an error.
-                    yield_now().await;
-                    return Some(Chunk::BrokenOff(io::ErrorKind::UnexpectedEof.into()));
-                }
-                Some(None) => {
-                    self.complete();
-                    return None;
+                break NotBegun::Deadline;
+            };
+            match self.read(frame) {
+                Chunk::Data(data) => {
+                    self.has_begun = true;
+                    return Ok(body_of(Some(RelayState::Beginning(data, Box::new(self)))));
                 }
+                Chunk::Nothing => {}
+                Chunk::End => return Ok(body_of(None)),
+                Chunk::BrokenOff(_) => break NotBegun::BrokenOff,
+            }
+        };
+        Err((not_begun, std::mem::take(&mut self.record)))
+    }
+
+    /// The next part of a response that has begun.
+    async fn next_chunk(&mut self) -> Option<Chunk> {
+        let time_left_ms = self.deadline_ms.since(self.gateway.clock.now());
+        let connection = self.connection.as_ref();
+        let frame = Self::next_frame(&mut self.incoming, connection, time_left_ms).await?;
+        Some(self.read(frame))
+    }
+
+    fn read(&mut self, frame: Option<hyper::Result<Frame<Bytes>>>) -> Chunk {
+        match frame {
+            Some(Ok(frame)) => {
+                frame.into_data().map_or(Chunk::Nothing, |data| self.read_data(data))
+            }
+            Some(Err(error)) => {
+                let reason = self.failure_reason(&error);
+                Chunk::BrokenOff(self.break_off(reason, error_text(&error)))
+            }
+            None if self.is_inside_event() => {
+                let text = "the stream ends inside an event".to_owned();
+                Chunk::BrokenOff(self.break_off(EndReason::EndedInsideEvent, text))
+            }
+            None => {
+                self.complete();
+                Chunk::End
             }
         }
     }
+
+    fn read_data(&mut self, data: Bytes) -> Chunk {
+        if let Some(connection) = &self.connection {
+            connection.meter.pass(data.len());
+        }
+        self.gateway.record_received(self.in_flight.endpoint());
+        let now_ms = self.gateway.clock.now();
+        match self.record.first_byte_ms {
+            None => {
+                self.record.first_byte_ms = Some(now_ms);
+                let took_ms = self.in_flight.record_first_byte();
+                self.record.prompt.first_token_ms =
+                    self.record.prompt.predicted_ms.map(|_| took_ms);
+            }
+            Some(at_ms) if self.status.is_success() && now_ms.since(at_ms) >= ANSWER_AGE_MS => {
+                self.in_flight.record_answer();
+            }
+            Some(_) => {}
+        }
+        let data = self.read_events(data);
+        // The server asks for nothing after the last byte of a body whose length it knows.
+        if self.incoming.is_end_stream() && !self.is_inside_event() {
+            self.complete();
+        }
+        if data.is_empty() {
+            return Chunk::Nothing;
+        }
+        self.passed_bytes += data.len() as u64;
+        Chunk::Data(data)
+    }
 }
 
 impl Drop for Relay {
     fn drop(&mut self) {
-        let reason = EndReason::of_drop(&self.gateway);
-        let outcome = match reason {
-            EndReason::StopEnded => "stopped_in_answer",
-            _ => "caller_left_in_answer",
-        };
-        self.end_incomplete(outcome, reason, "");
+        if self.has_begun {
+            self.end_incomplete(EndReason::of_drop(&self.gateway), "");
+        }
     }
 }
 
 /// A body that is being streamed: from the endpoint, or as the rest of a stream that goes on at another one.
 enum RelayState {
+    /// Its first content.
+    Beginning(Bytes, Box<Relay>),
     Relaying(Box<Relay>),
     WentOn(ResponseBody),
 }
@@ -313,15 +351,23 @@
 async fn next_item(mut state: RelayState) -> Option<RelayItem> {
     loop {
         match state {
-            RelayState::Relaying(mut relay) => match relay.next_chunk().await? {
-                Chunk::Data(data) => {
+            RelayState::Beginning(data, relay) => {
+                return Some((Ok(Frame::data(data)), Some(RelayState::Relaying(relay))));
+            }
+            RelayState::Relaying(mut relay) => match relay.next_chunk().await {
+                Some(Chunk::Data(data)) => {
                     return Some((Ok(Frame::data(data)), Some(RelayState::Relaying(relay))));
                 }
-                Chunk::Failed(error) => return Some((Err(error), None)),
-                Chunk::BrokenOff(error) => match relay.go_on().await {
+                Some(Chunk::Nothing) => state = RelayState::Relaying(relay),
+                Some(Chunk::End) => return None,
+                Some(Chunk::BrokenOff(broken_off)) => match relay.go_on(&broken_off).await {
                     Some(rest) => state = RelayState::WentOn(rest),
-                    None => return Some((Err(error), None)),
+                    None => return Some(failed(io::Error::other(broken_off.error)).await),
                 },
+                None => {
+                    relay.end_incomplete(EndReason::Deadline, "");
+                    return Some(failed(io::ErrorKind::TimedOut.into()).await);
+                }
             },
             RelayState::WentOn(mut rest) => {
                 let frame = rest.frame().await?;
@@ -332,11 +378,15 @@
     }
 }
 
+/// The end of an incomplete body. The server writes what came before while the body is pending, and nothing after an error.
+async fn failed(error: io::Error) -> RelayItem {
+    yield_now().await;
+    (Err(error), None)
+}
+
 /// The streamed body, which ends with an error if the response is incomplete.
-pub(crate) fn relay_body(relay: Relay) -> ResponseBody {
-    let items = stream::unfold(Some(RelayState::Relaying(Box::new(relay))), |state| async move {
-        next_item(state?).await
-    });
+fn body_of(state: Option<RelayState>) -> ResponseBody {
+    let items = stream::unfold(state, |state| async move { next_item(state?).await });
     StreamBody::new(items).boxed_unsync()
 }
 
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -58,6 +58,8 @@
 pub(crate) struct Attempted {
     pub(crate) endpoint: EndpointId,
     pub(crate) incarnation: EndpointTag,
+    /// True if the head of a response has come, which waits for its first content.
+    pub(crate) has_head: bool,
 }
 
 /// The log record of one request.
@@ -101,8 +103,18 @@
     pub(crate) fn place(&mut self, candidate: &Candidate) {
         self.endpoint = Some(candidate.id.clone());
         self.build.clone_from(&candidate.build);
-        *self.last_attempt.lock() =
-            Some(Attempted { endpoint: candidate.id.clone(), incarnation: candidate.incarnation });
+        *self.last_attempt.lock() = Some(Attempted {
+            endpoint: candidate.id.clone(),
+            incarnation: candidate.incarnation,
+            has_head: false,
+        });
+    }
+
+    /// Records that the head of a response has come.
+    pub(crate) fn record_head(&self) {
+        if let Some(attempt) = self.last_attempt.lock().as_mut() {
+            attempt.has_head = true;
+        }
     }
 }
 
--- a/crates/gateway/src/response_end.rs
+++ b/crates/gateway/src/response_end.rs
@@ -30,10 +30,6 @@
     TooMuchOverhead,
     /// The response held most when the budget of bytes was full.
     OverBudget,
-    /// A feature of the request was quarantined before the first content.
-    Quarantined,
-    /// The first content did not come before the bound of the engine's weights.
-    OldWeights,
     /// The deadline of the request passed.
     Deadline,
     /// The caller closed its connection.
@@ -62,9 +58,7 @@
             Self::ConnectionTimedOut
             | Self::Malformed
             | Self::TooMuchOverhead
-            | Self::OverBudget
-            | Self::Quarantined
-            | Self::OldWeights => Decider::Instance,
+            | Self::OverBudget => Decider::Instance,
             Self::Deadline | Self::CallerLeft => Decider::Caller,
             Self::StopEnded => Decider::Stop,
         }
