An endpoint's error late in a stop is passed on where no further attempt is made

A 5xx of an endpoint that the route allows to repeat was dropped for a further attempt, which a stop that ends before the deadline refuses: the caller got a 502 of the instance in place of the endpoint's response. Found by reading, after the decision before each attempt (A stopping instance decides before each attempt).

Test: shutdown::an_error_of_an_endpoint_late_in_a_stop_is_passed_on, 502 before.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -281,7 +281,10 @@
                 if let Some(closed_for_ms) = facts.closed_for_ms {
                     self.gateway.record_closure(&candidate.id, closed_for_ms);
                 }
-                if response.status().is_server_error() && self.may_retry(progress) {
+                if response.status().is_server_error()
+                    && self.may_retry(progress)
+                    && !self.may_be_cut()
+                {
                     self.record.notes.push("endpoint_error");
                     self.gateway.update_health(
                         &candidate.id,
@@ -302,10 +305,15 @@
         }
     }
 
-    /// Refuses a request that the planned stop of this instance may cut. A stream that is under way goes on here: nothing else
-    /// completes it.
+    /// True if an attempt that is sent now may be cut by the planned stop of this instance, so that none is made. A stream that
+    /// is under way goes on here: nothing else completes it.
+    fn may_be_cut(&self) -> bool {
+        self.last_event_id.is_none() && self.gateway.stops_before(self.deadline_ms)
+    }
+
+    /// Refuses a request that the planned stop of this instance may cut.
     fn check_stop(&self, progress: &Progress) -> Result<(), ErrorResponse> {
-        if self.last_event_id.is_none() && self.gateway.stops_before(self.deadline_ms) {
+        if self.may_be_cut() {
             return Err(ErrorResponse::new(progress.error_kind(ErrorKind::ShuttingDown)));
         }
         Ok(())
