An instance that knows no history of weights avoids engines two versions behind

It counts the bound of an engine two versions behind from the newest one, and prefers that engine, which is idle since all other instances avoid it. Half a second later a reader passes on when the version in between was published, the bound for the engine is over, and the streams are closed.

Ruled out: refusing prompts until the history is known, since every start in a rolling restart would cost them. Engines one version behind stay in use, and older ones where there is no other.

Test: an_instance_that_knows_no_history_of_weights_avoids_engines_two_versions_behind, red without the new constraint.

--- a/crates/gateway/src/forward/choose.rs
+++ b/crates/gateway/src/forward/choose.rs
@@ -117,11 +117,11 @@
             let kind = progress.error_kind(ErrorKind::RegionUnavailable);
             return Err(ErrorResponse::new(kind));
         }
-        let (min_weight_version, preferred_weight_version) =
-            model.map_or((None, None), |model| self.gateway.weight_constraints(model));
+        let mut weights =
+            model.map(|model| self.gateway.weight_constraints(model)).unwrap_or_default();
         // Without a version of weights, the prompt's cached parts have no scope, and other teams could use them.
         let needs_weights = model.is_some() && self.gateway.has_engines(&self.service);
-        let min_weight_version = min_weight_version.or(needs_weights.then_some(0));
+        weights.min = weights.min.or(needs_weights.then_some(0));
         let parts = self.facts.prompt.as_ref().map_or(&[][..], |prompt| &prompt.parts);
         let regions = self.allowed_regions.as_ref();
         self.gateway.fill_prefix_facts(&mut candidates, parts, regions, |candidate| {
@@ -136,8 +136,7 @@
         let memory_tokens = prompt.map_or(0, |prompt| prompt.memory_tokens);
         let request = PlacementRequest {
             prompt,
-            min_weight_version,
-            preferred_weight_version,
+            weights,
             build: self.stream.required_build(),
             tried: &progress.tried,
             is_apart: progress.is_apart,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -45,7 +45,7 @@
     part_plan::{LocatedParts, TargetEngine},
     part_values::PartValues,
     peer_loads::{EndpointTag, PeerLoads, PendingEngineParts, StorePartsMessage},
-    placement::Candidate,
+    placement::{Candidate, WeightConstraints},
     planned_stop::PlannedStop,
     propagation::PropagationLimits,
     readers::ReaderSelection,
@@ -337,14 +337,18 @@
         deployment.as_ref().and_then(|deployment| deployment.token_bytes()).unwrap_or_default()
     }
 
-    /// The lowest weight version on which a request may start now, and the preferred version.
-    pub(crate) fn weight_constraints(&self, model: &ModelName) -> (Option<u64>, Option<u64>) {
+    /// The weight versions on which a request may start now.
+    pub(crate) fn weight_constraints(&self, model: &ModelName) -> WeightConstraints {
         let now_ms = self.clock.now();
         let weights = self.weights.lock();
-        let Some(published) = weights.get(model) else { return (None, None) };
+        let Some(published) = weights.get(model) else { return WeightConstraints::default() };
         let bound_ms = self.bounds().weights_propagation_ms.since(OLD_WEIGHTS_MARGIN_MS);
         let is_preferred = published.age_ms(now_ms) >= PREFER_NEW_WEIGHTS_MS;
-        (published.required(now_ms, bound_ms), is_preferred.then(|| published.newest()))
+        WeightConstraints {
+            min: published.required(now_ms, bound_ms),
+            certain: published.certain_from(),
+            preferred: is_preferred.then(|| published.newest()),
+        }
     }
 
     /// Notices that the store came back from a copy, before anything that it says now is relied on.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -91,7 +91,9 @@
     EndpointLoad, EndpointTag, EngineParts, LoadMessage, PeerLoad, PeerLoads, PendingEngineParts,
     RankTokens, UsageMessage, report_interval_ms,
 };
-pub use placement::{Candidate, Choice, PlacementRequest, PromptShape, Reason, place};
+pub use placement::{
+    Candidate, Choice, PlacementRequest, PromptShape, Reason, WeightConstraints, place,
+};
 pub use planned_stop::PlannedStop;
 pub use propagation::{ConfirmationStep, PropagationLimits};
 pub use readers::{ReadReason, ReaderSelection, passed_on_confirmation};
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -92,15 +92,25 @@
     pub shared_part: Option<&'a str>,
 }
 
+/// The weight versions on which a prompt may start.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct WeightConstraints {
+    /// The oldest version that may be used.
+    pub min: Option<u64>,
+    /// The oldest version of which this instance knows until when it may be used. Older ones are used only where no endpoint
+    /// has it or a newer one.
+    pub certain: Option<u64>,
+    /// The version that is preferred over older ones that may still be used.
+    pub preferred: Option<u64>,
+}
+
 /// A request to place.
 #[derive(Debug, Clone, Copy)]
 pub struct PlacementRequest<'a> {
     /// The prompt; none for a plain call.
     pub prompt: Option<PromptShape<'a>>,
-    /// The oldest weight version that may be used.
-    pub min_weight_version: Option<u64>,
-    /// The weight version that is preferred over older ones that may still be used.
-    pub preferred_weight_version: Option<u64>,
+    /// The weight versions on which it may start.
+    pub weights: WeightConstraints,
     /// The only build that may serve the request: it began the stream that the request goes on with.
     pub build: Option<&'a Build>,
     /// Endpoints that already received this request.
@@ -184,15 +194,18 @@
     if with_build.is_empty() {
         return Choice::none(Reason::OtherBuild);
     }
-    let has_weights = |candidate: &Candidate| match request.min_weight_version {
-        Some(min) => candidate.weight_version.is_some_and(|version| version >= min),
+    let has_weights = |index: &usize, min: Option<u64>| match min {
+        Some(min) => candidates[*index].weight_version.is_some_and(|version| version >= min),
         None => true,
     };
-    let with_weights: Vec<usize> =
-        with_build.into_iter().filter(|&index| has_weights(&candidates[index])).collect();
+    let mut with_weights = with_build;
+    with_weights.retain(|index| has_weights(index, request.weights.min));
     if with_weights.is_empty() {
         return Choice::none(Reason::OldWeights);
     }
+    if with_weights.iter().any(|index| has_weights(index, request.weights.certain)) {
+        with_weights.retain(|index| has_weights(index, request.weights.certain));
+    }
     let untried: Vec<usize> = with_weights
         .into_iter()
         .filter(|&index| !request.tried.contains(&candidates[index].id))
@@ -302,7 +315,8 @@
         let candidate = &candidates[index];
         let affinity_penalty = if home.is_some() && home != Some(index) { HOME_TOKENS } else { 0 };
         let is_old = request
-            .preferred_weight_version
+            .weights
+            .preferred
             .is_some_and(|preferred| candidate.weight_version < Some(preferred));
         let weights_penalty = if is_old { OLD_WEIGHTS_TOKENS } else { 0 };
         let lacks_memory =
--- a/crates/gateway/src/rollout.rs
+++ b/crates/gateway/src/rollout.rs
@@ -158,6 +158,12 @@
         self.versions.iter().rev().find(is_due).map(|published| published.version)
     }
 
+    /// The oldest version of which the time of its successor is known; none while no version is published. An instance that has
+    /// just started lists only the newest version, so that one in between may have ended the use of older ones.
+    pub fn certain_from(&self) -> Option<u64> {
+        self.versions.first().map(|oldest| oldest.version.saturating_sub(1))
+    }
+
     /// The time from which requests must not start on `version`; none while no newer one is published.
     pub fn usable_until(&self, version: u64, bound_ms: TimeMs) -> Option<TimeMs> {
         let newer = self.versions.iter().find(|published| published.version > version);
--- a/crates/gateway/tests/decisions/cache_index.rs
+++ b/crates/gateway/tests/decisions/cache_index.rs
@@ -4,7 +4,7 @@
     CacheChange, CacheChanges, CacheScope, Candidate, CircuitState, DataCentreRegions, EndpointTag,
     HolderKind, HolderTraits, HolderView, LocatedParts, PartKey, PartSource, PartTag, PartUpdate,
     PendingEngineParts, PlacementRequest, PromptPart, PromptShape, RegionLimit, RegionSet,
-    TargetEngine, place, plan_parts,
+    TargetEngine, WeightConstraints, place, plan_parts,
 };
 use bilberryford_types::{Bytes, BytesPerSec, DataCentreId, TimeMs, Tokens};
 use rstest::rstest;
@@ -355,8 +355,7 @@
                 memory_tokens: 11_500,
                 shared_part: Some("subject"),
             }),
-            min_weight_version: None,
-            preferred_weight_version: None,
+            weights: WeightConstraints::default(),
             tried: &[],
             is_apart: false,
             tie_break_seed: 7,
--- a/crates/gateway/tests/decisions/cost_replay.rs
+++ b/crates/gateway/tests/decisions/cost_replay.rs
@@ -4,7 +4,8 @@
 
 use bilberryford_gateway::{
     Candidate, CircuitState, EndpointTag, PeerLoad, PlacedPrompt, PlacedPrompts, PlacementRequest,
-    PrefixFacts, PromptShape, Slowness, SpeedReport, Speeds, is_announced, place,
+    PrefixFacts, PromptShape, Slowness, SpeedReport, Speeds, WeightConstraints, is_announced,
+    place,
 };
 use bilberryford_types::TimeMs;
 use rand::{RngExt, SeedableRng, rngs::StdRng};
@@ -153,8 +154,7 @@
                 }
                 let request = PlacementRequest {
                     prompt: Some(PromptShape { tokens, memory_tokens: tokens, shared_part: None }),
-                    min_weight_version: None,
-                    preferred_weight_version: None,
+                    weights: WeightConstraints::default(),
                     build: None,
                     tried: &[],
                     is_apart: false,
--- a/crates/gateway/tests/decisions/placement.rs
+++ b/crates/gateway/tests/decisions/placement.rs
@@ -2,7 +2,7 @@
 
 use bilberryford_gateway::{
     Candidate, CircuitState, EndpointTag, Obstacle, PlacementRequest, PrefixFacts, PromptShape,
-    Reason, connection_share, place,
+    PublishedWeights, Reason, WeightConstraints, connection_share, place,
 };
 use bilberryford_types::TimeMs;
 use rand::{RngExt, SeedableRng, rngs::StdRng};
@@ -34,8 +34,7 @@
     PlacementRequest {
         prompt: None,
         build: None,
-        min_weight_version: None,
-        preferred_weight_version: None,
+        weights: WeightConstraints::default(),
         tried: &[],
         is_apart: false,
         tie_break_seed,
@@ -149,7 +148,10 @@
 #[test]
 fn engines_below_the_required_weight_version_are_excluded() {
     let mut pool = pool(3);
-    let required = PlacementRequest { min_weight_version: Some(2), ..prompt("part", 0) };
+    let required = PlacementRequest {
+        weights: WeightConstraints { min: Some(2), ..Default::default() },
+        ..prompt("part", 0)
+    };
     assert_eq!(place(&pool, &required).reason, Reason::OldWeights);
     pool[1].weight_version = Some(2);
     assert_eq!(place(&pool, &required).index, Some(1));
@@ -162,8 +164,10 @@
     let mut counts = [0, 0];
     for tie_break_seed in 0..9 {
         let part = tie_break_seed.to_string();
-        let request =
-            PlacementRequest { preferred_weight_version: Some(2), ..prompt(&part, tie_break_seed) };
+        let request = PlacementRequest {
+            weights: WeightConstraints { preferred: Some(2), ..Default::default() },
+            ..prompt(&part, tie_break_seed)
+        };
         let choice = place(&pool, &request);
         let index = choice.index.expect("an engine");
         pool[index].waiting_tokens += choice.work_tokens;
@@ -171,10 +175,44 @@
     }
     assert!(counts[1] >= 3 && counts[0] >= 3, "{counts:?}");
     assert_eq!(counts[1] + counts[0], 9);
-    let first = PlacementRequest { preferred_weight_version: Some(2), ..prompt("x", 0) };
+    let first = PlacementRequest {
+        weights: WeightConstraints { preferred: Some(2), ..Default::default() },
+        ..prompt("x", 0)
+    };
     assert!(place(&partly_upgraded(), &first).index < Some(3));
 }
 
+/// Guards against a stream at an engine whose weights were superseded long ago: an instance that has just started knows only the
+/// newest of three versions, and the engine is idle since all others avoid it.
+#[test]
+fn an_instance_that_knows_no_history_of_weights_avoids_engines_two_versions_behind() {
+    let mut published = PublishedWeights::default();
+    published.record_published(3, TimeMs(1_000));
+    let weights = WeightConstraints { certain: published.certain_from(), ..Default::default() };
+    let mut pool = pool(9);
+    for engine in &mut pool[1..] {
+        engine.weight_version = Some(3);
+        engine.waiting_tokens = 100_000;
+    }
+    for seed in 0..90 {
+        let request = PlacementRequest { weights, ..prompt("x", seed) };
+        assert_ne!(place(&pool, &request).index, Some(0));
+    }
+    // The one before the newest may still be used, and so may the oldest where there is no other.
+    pool[0].weight_version = Some(2);
+    let is_used = |seed| {
+        let request = PlacementRequest { weights, ..prompt("x", seed) };
+        place(&pool, &request).index == Some(0)
+    };
+    assert!((0..90).any(is_used));
+    pool.truncate(1);
+    pool[0].weight_version = Some(1);
+    assert_eq!(place(&pool, &PlacementRequest { weights, ..prompt("x", 0) }).index, Some(0));
+    // A reader passes the versions before on.
+    published.record_published(2, TimeMs(500));
+    assert_eq!(published.certain_from(), Some(1));
+}
+
 fn partly_upgraded() -> Vec<Candidate> {
     let mut pool = pool(9);
     pool.iter_mut().take(3).for_each(|engine| engine.weight_version = Some(2));
