--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -3,10 +3,11 @@
 use std::{path::Path, time::Duration};
 
 use bilberryford_soak::{
-    Cut, Deployment, Fault, FloodPlan, LinkPlan, Reading, SoakPlan, run, run_flood,
+    Cut, Deployment, Fault, FloodPlan, LinkPlan, Preset, Reading, SoakPlan, run, run_flood,
 };
 use bilberryford_standins::misbehaving::Misbehaviour;
 use rstest::rstest;
+use strum::VariantArray;
 
 /// A request that an instance has read or passed on has a complete response, through stops, reloads and changes in series.
 #[rstest]
@@ -41,6 +42,29 @@
     println!("seed {seed}\n{report}");
 }
 
+/// The same at deployments of the users' shapes, beside crashes, freezes, kills and cut links, which excuse what they touch.
+#[rstest]
+#[case::fleet(Preset::GbhFleet, 3, 93)]
+#[tokio::test(flavor = "multi_thread")]
+async fn no_request_is_lost_beside_unplanned_faults(
+    #[case] preset: Preset,
+    #[case] seed: u64,
+    #[case] network: u8,
+) {
+    let plan = SoakPlan {
+        binary: env!("CARGO_BIN_EXE_bilberryford").into(),
+        seed,
+        duration: Duration::from_secs(18),
+        deployment: preset.deployment(),
+        network,
+        faults: Fault::VARIANTS.to_vec(),
+        folder: Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{preset}-{seed}")),
+    };
+    let report = run(&plan).await.expect("the soak runs");
+    assert!(report.is_sound(), "seed {seed}\n{report}");
+    assert!(report.stops() >= 9 && report.answered() >= 200, "seed {seed}\n{report}");
+}
+
 /// The floods are played one at a time, since each one takes all cores that it gets.
 static FLOODS: tokio::sync::Mutex<()> = tokio::sync::Mutex::const_new(());
 
