The first content of a stream is its first complete event

Callers got a status 200 and a cut stream without any event where the endpoint sent a comment, or a part of an event, and then failed or fell silent: any bytes counted as content, for streams that can't go on even a part of an event. A comment also ended the wait for a quarantine and for the bound of old weights.

Ruled out: passing comments on at once. They promise nothing that another attempt could keep.

Change: a response begins with its first complete event, or 64 KiB; the limit for silence of an attempt covers the head and the first content, and an endpoint that responds to others keeps its place as before.

--- a/crates/gateway/src/event_stream.rs
+++ b/crates/gateway/src/event_stream.rs
@@ -32,6 +32,7 @@
     line: Line,
     is_after_carriage_return: bool,
     is_inside_event: bool,
+    has_event: bool,
 }
 
 impl EventPosition {
@@ -46,7 +47,9 @@
         match (byte, self.line) {
             _ if ends_line_of_before => {}
             // An empty line ends the event.
-            (b'\n' | b'\r', Line::Empty) => self.is_inside_event = false,
+            (b'\n' | b'\r', Line::Empty) => {
+                self.has_event |= std::mem::take(&mut self.is_inside_event);
+            }
             (b'\n' | b'\r', _) => self.line = Line::Empty,
             (b':', Line::Empty) => self.line = Line::Comment,
             (_, Line::Empty) => {
@@ -61,6 +64,11 @@
     pub fn is_inside_event(&self) -> bool {
         self.is_inside_event
     }
+
+    /// Returns true once an event is complete. A comment is none.
+    pub fn has_event(&self) -> bool {
+        self.has_event
+    }
 }
 
 /// The events of a stream that may go on at another endpoint: only complete ones are passed on, since the next endpoint
@@ -101,6 +109,11 @@
         self.position.is_inside_event()
     }
 
+    /// Returns true once an event is complete, or a part of one was passed on.
+    pub fn has_event(&self) -> bool {
+        self.position.has_event() || self.has_passed_part
+    }
+
     /// The id of the last event that was passed on; none if the stream can't go on after it.
     pub fn last_event_id(&self) -> Option<&str> {
         self.last_event_id.as_deref().filter(|_| !self.has_passed_part)
--- a/crates/gateway/src/forward/answer.rs
+++ b/crates/gateway/src/forward/answer.rs
@@ -79,7 +79,9 @@
             has_begun: false,
             is_finished: false,
         };
-        match relay.begin().await {
+        let silence_ms =
+            self.may_retry(progress).then(|| self.silence_limit_ms(self.time_left_ms()));
+        match relay.begin(silence_ms).await {
             Ok(body) => {
                 if head.status.is_success() {
                     self.record_stream(&candidate, opened_ms);
@@ -108,6 +110,10 @@
                 self.record.notes.push("old_weights");
                 self.after_loss(progress)
             }
+            NotBegun::Silent => {
+                self.record.notes.push("no_answer");
+                self.after_loss(progress)
+            }
             NotBegun::BrokenOff => {
                 self.record.notes.push("answer_cut");
                 self.after_loss(progress)
--- a/crates/gateway/src/forward/send.rs
+++ b/crates/gateway/src/forward/send.rs
@@ -24,9 +24,9 @@
     translation::{ForwardFacts, ResponseFacts},
 };
 
-/// The timeout for the response head of a request that can be retried, in target latencies of its route. It is at most
-/// half of the time that is left.
-const HEAD_TIMEOUT_TARGETS: u64 = 3;
+/// How long an endpoint may send nothing of a response to a request that can be retried, in target latencies of its route. It
+/// is at most half of the time that is left.
+const SILENCE_LIMIT_TARGETS: u64 = 3;
 /// The longest idle time of a pooled connection for a request that may run only once, in milliseconds.
 const MAX_IDLE_NO_RETRY_MS: TimeMs = TimeMs(1_500);
 /// The longest idle time of a pooled connection for a request that can be retried, in milliseconds.
@@ -49,6 +49,12 @@
 }
 
 impl Forward {
+    /// How long an endpoint may send nothing of a response, where another attempt is allowed.
+    pub(super) fn silence_limit_ms(&self, time_left_ms: TimeMs) -> TimeMs {
+        let targets_ms = self.route.target_latency_ms.get() * SILENCE_LIMIT_TARGETS;
+        TimeMs(targets_ms.min(time_left_ms.get() / 2).max(MIN_TIME_LEFT_MS.get()))
+    }
+
     pub(super) async fn take_connection(
         &mut self,
         candidate: &Candidate,
@@ -128,12 +134,8 @@
         let may_retry_later = self.route.is_idempotent()
             && progress.possible_runs + 1 < self.route.max_attempts
             && progress.sent_attempts + 1 < MAX_SENT_ATTEMPTS;
-        let head_timeout_ms = if may_retry_later {
-            let targets_ms = self.route.target_latency_ms.get() * HEAD_TIMEOUT_TARGETS;
-            TimeMs(targets_ms.min(time_left_ms.get() / 2).max(MIN_TIME_LEFT_MS.get()))
-        } else {
-            time_left_ms
-        };
+        let head_timeout_ms =
+            if may_retry_later { self.silence_limit_ms(time_left_ms) } else { time_left_ms };
         self.record.attempts += 1;
         connection.meter.begin();
         let sending = connection.sender.try_send_request(request);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -7,7 +7,7 @@
 
 use bilberryford_coord::Feature;
 use bilberryford_types::TimeMs;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures::stream;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::{
@@ -30,6 +30,9 @@
     responses::ResponseBody,
 };
 
+/// The most bytes before the first event that are kept from the caller.
+const MAX_FIRST_BYTES: usize = 64 * 1024;
+
 /// A response that is being streamed. Dropping it before its end closes the connection to the endpoint, which cancels
 /// the request there.
 pub(crate) struct Relay {
@@ -86,6 +89,8 @@
     Withdrawn(Feature),
     /// No content came before the weights of the engine became too old.
     OldWeights,
+    /// The endpoint sent nothing for too long.
+    Silent,
     Deadline,
 }
 
@@ -151,6 +156,16 @@
         }
     }
 
+    /// True once the response has content: for a stream of events, a complete one. An endpoint may send comments while a request
+    /// waits.
+    fn has_content(&self) -> bool {
+        match &self.events {
+            RelayedEvents::None => true,
+            RelayedEvents::Final(position) => position.has_event(),
+            RelayedEvents::Resumable(buffer, _) => buffer.has_event(),
+        }
+    }
+
     /// Reads the next bytes of the response, and returns those that are to be passed on.
     fn read_events(&mut self, data: Bytes) -> Bytes {
         match &mut self.events {
@@ -233,39 +248,63 @@
     }
 
     /// Waits until there is content to pass on, or the response is complete. Returns the body, or why there is none with the
-    /// request's record.
-    pub(crate) async fn begin(mut self) -> Result<ResponseBody, (NotBegun, RequestRecord)> {
+    /// request's record. Where another attempt is allowed, `silence_ms` is how long an endpoint may send nothing at all.
+    pub(crate) async fn begin(
+        mut self,
+        silence_ms: Option<TimeMs>,
+    ) -> Result<ResponseBody, (NotBegun, RequestRecord)> {
+        let mut first = BytesMut::new();
+        let mut asked_ms = self.gateway.clock.now();
         let not_begun = loop {
-            let has_content = self.record.first_byte_ms.is_some();
-            let begin_by_ms = self.must_begin_by_ms.filter(|_| !has_content);
+            let silent_until_ms = silence_ms.map(|silence_ms| asked_ms.after(silence_ms));
+            let limits_ms = [self.must_begin_by_ms, silent_until_ms];
             let until_ms =
-                begin_by_ms.map_or(self.deadline_ms, |by_ms| by_ms.min(self.deadline_ms));
+                limits_ms.into_iter().flatten().fold(self.deadline_ms, |until, at| until.min(at));
             let time_left_ms = until_ms.since(self.gateway.clock.now());
             let connection = self.connection.as_ref();
             let frame = tokio::select! {
                 frame = Self::next_frame(&mut self.incoming, connection, time_left_ms) => frame,
-                feature = self.gateway.quarantine_of(self.in_flight.features()), if !has_content => {
+                feature = self.gateway.quarantine_of(self.in_flight.features()) => {
                     break NotBegun::Withdrawn(feature);
                 }
             };
             let Some(frame) = frame else {
-                if until_ms < self.deadline_ms {
+                if until_ms < self.deadline_ms && Some(until_ms) == self.must_begin_by_ms {
                     break NotBegun::OldWeights;
                 }
-                if !has_content {
-                    // An endpoint that ended silently shows no other sign.
-                    self.in_flight.record_loss(ResponseStage::Head, Loss::Silence);
+                // An endpoint that responds to other requests is alive, and another attempt would lose the place in its queue.
+                let endpoint = self.in_flight.endpoint();
+                if until_ms < self.deadline_ms
+                    && self.gateway.has_received_since(endpoint, asked_ms)
+                {
+                    asked_ms = self.gateway.clock.now();
+                    continue;
                 }
-                break NotBegun::Deadline;
+                // An endpoint that ended silently shows no other sign.
+                self.in_flight.record_loss(ResponseStage::Head, Loss::Silence);
+                break if until_ms < self.deadline_ms {
+                    NotBegun::Silent
+                } else {
+                    NotBegun::Deadline
+                };
             };
-            match self.read(frame) {
+            let is_over = match self.read(frame) {
                 Chunk::Data(data) => {
-                    self.has_begun = true;
-                    return Ok(body_of(Some(RelayState::Beginning(data, Box::new(self)))));
+                    first.extend_from_slice(&data);
+                    false
                 }
-                Chunk::Nothing => {}
-                Chunk::End => return Ok(body_of(None)),
+                Chunk::Nothing => false,
+                Chunk::End => true,
                 Chunk::BrokenOff(_) => break NotBegun::BrokenOff,
+            };
+            let is_due = self.has_content() || first.len() > MAX_FIRST_BYTES;
+            if !first.is_empty() && (is_over || is_due) {
+                self.has_begun = true;
+                let state = RelayState::Beginning(first.freeze(), Box::new(self));
+                return Ok(body_of(Some(state)));
+            }
+            if is_over {
+                return Ok(body_of(None));
             }
         };
         Err((not_begun, std::mem::take(&mut self.record)))
@@ -305,7 +344,9 @@
         }
         self.gateway.record_received(self.in_flight.endpoint());
         let now_ms = self.gateway.clock.now();
+        let data = self.read_events(data);
         match self.record.first_byte_ms {
+            None if !self.has_content() => {}
             None => {
                 self.record.first_byte_ms = Some(now_ms);
                 let took_ms = self.in_flight.record_first_byte();
@@ -317,7 +358,6 @@
             }
             Some(_) => {}
         }
-        let data = self.read_events(data);
         // The server asks for nothing after the last byte of a body whose length it knows.
         if self.incoming.is_end_stream() && !self.is_inside_event() {
             self.complete();
