The failure of a body does not discard what was passed on before it

A caller that had sent its next request lost the content of a response whose body failed late (the endpoint broke off, the deadline, the budget): of 256 KiB that lay in the socket it got 4,005 bytes and a reset.

A connection whose response the responder ends early (an error of hyper with is_user) now ends its direction and waits for its caller as others do. hyper is gone by then and writes nothing more, so that a chunked body stays without its end. Reading the next request before the close was ruled out: it would count as read, and is not run. Errors of the connection itself still close it at once.

The end is reported when the wait is over, once, with the phase of the stop at the failure.

Not mended: content that hyper still holds when the body fails, because the socket has no room, is dropped as before.

Red before, green after: ends::the_failure_of_a_body_does_not_discard_what_was_passed_on (ConnectionReset behind 4,005 bytes). The other tests of crates/callers: green.

--- a/crates/callers/src/connection.rs
+++ b/crates/callers/src/connection.rs
@@ -66,7 +66,7 @@
     )
 }
 
-/// A connection whose responses are complete, and whose caller has not closed it.
+/// A connection whose responses are complete, or ended early by the responder, and whose caller has not closed it.
 ///
 /// The close of a socket with unread bytes, or on which a request arrives, resets the connection, which discards what is on its way
 /// to the caller.
@@ -94,8 +94,8 @@
     }
 }
 
-/// Responds to the requests of a connection. Returns it once the responses are complete and the end of the stream is sent, unless
-/// it has failed.
+/// Responds to the requests of a connection. Returns it once the responses are complete, or the responder has ended one early, and
+/// the end of the stream is sent. Returns none if the connection has failed.
 pub(crate) async fn serve_connection<R: Respond>(
     responder: Arc<R>,
     stream: TcpStream,
@@ -119,13 +119,17 @@
             Ok(rest) => rest,
             Err(error) => {
                 log::debug!(error:% = error; "a caller's connection failed");
-                // hyper has responded to a request that it can't read.
-                let is_parse = error.is_parse();
+                let (is_parse, is_user) = (error.is_parse(), error.is_user());
                 reporter.fail(error);
+                unread = Bytes::new();
+                // hyper has responded to a request that it can't read.
                 if is_parse {
-                    unread = Bytes::new();
                     break true;
                 }
+                // The responder ended the body, and what was passed on before may be on its way.
+                if is_user {
+                    break !round.is_read();
+                }
                 return None;
             }
         };
--- a/crates/callers/src/ends.rs
+++ b/crates/callers/src/ends.rs
@@ -169,6 +169,8 @@
     stream: SharedStream,
     pub(crate) state: Arc<ResponseState>,
     outcome: Outcome,
+    /// The phase in which hyper has ended the connection with an error: what is on its way is waited for behind it.
+    failed_in: Option<StopPhase>,
     /// The bytes behind the last request that had been read when the instance ended its direction.
     unused_bytes: u64,
     unread_at_end_bytes: u64,
@@ -191,6 +193,7 @@
             stream,
             state,
             outcome,
+            failed_in: None,
             unused_bytes: 0,
             unread_at_end_bytes: 0,
         }
@@ -209,6 +212,7 @@
 
     /// Records that hyper has ended the connection with an error.
     pub(crate) fn fail(&mut self, error: hyper::Error) {
+        self.failed_in = Some(self.phase());
         self.outcome = Outcome::Failed(error);
     }
 
@@ -253,7 +257,7 @@
         let unacknowledged_bytes = queues.map(|queues| queues.unacknowledged_bytes);
         let unread_bytes = queues.map(|queues| queues.unread_bytes + self.unused_bytes);
         let is_cut = self.state.is_incomplete() || self.stream.is_write_blocked();
-        let phase = self.phase();
+        let phase = self.failed_in.unwrap_or_else(|| self.phase());
         let by_instance = match phase {
             StopPhase::Serving => EndDecision::Instance,
             StopPhase::Closing | StopPhase::Ending => EndDecision::Stop,
--- a/crates/callers/src/lib.rs
+++ b/crates/callers/src/lib.rs
@@ -124,7 +124,7 @@
     fn record_end(&self, end: &ConnectionEnd);
 }
 
-/// Connections whose responses are complete, and whose callers have not closed them. They are closed when this is dropped.
+/// Connections whose responses are complete or have failed, and whose callers have not closed them. They are closed when this is dropped.
 #[derive(Debug)]
 #[must_use = "a response may be on its way, and the close of its connection discards it"]
 pub struct LingeringConnections {
--- a/crates/callers/tests/ends.rs
+++ b/crates/callers/tests/ends.rs
@@ -16,7 +16,7 @@
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpSocket, TcpStream},
     task::JoinHandle,
-    time::timeout,
+    time::{sleep, timeout},
 };
 
 const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
@@ -25,6 +25,8 @@
 const HELD_BYTES: usize = 256 * 1024;
 /// Larger than the buffers of the kernel on both sides.
 const LARGE_BYTES: usize = 16 * 1024 * 1024;
+/// The time from the content of `/fails-held` to its failure.
+const FAILURE_DELAY: Duration = Duration::from_millis(300);
 const LABEL: &str = "request-7";
 
 type TestBody = UnsyncBoxBody<Bytes, std::io::Error>;
@@ -63,6 +65,15 @@
                 tokio::task::yield_now().await;
                 Err(std::io::Error::other("broken off"))
             })),
+            "/fails-held" => {
+                let content = vec![b'x'; HELD_BYTES].into();
+                let frames = stream::once(async { Ok(Frame::data(content)) });
+                let failure = stream::once(async {
+                    sleep(FAILURE_DELAY).await;
+                    Err(std::io::Error::other("broken off"))
+                });
+                StreamBody::new(frames.chain(failure)).boxed_unsync()
+            }
             "/held" => full(vec![b'x'; HELD_BYTES]),
             "/large" => full(vec![b'x'; LARGE_BYTES]),
             "/panics" => begun(stream::once(async { panic!("a fault of the responder") })),
@@ -228,6 +239,30 @@
     assert_eq!(error.kind(), std::io::ErrorKind::ConnectionReset);
 }
 
+/// The close of a connection over a request that lies unread would discard what was passed on before the failure.
+#[tokio::test]
+async fn the_failure_of_a_body_does_not_discard_what_was_passed_on() {
+    let server = Server::start().await;
+    let mut stream = server.call(&request("/fails-held")).await;
+    wait_for_response(&mut stream).await;
+    stream.write_all(request("/next").as_bytes()).await.expect("the request is written");
+    sleep(2 * FAILURE_DELAY).await;
+    let mut read = Vec::new();
+    let reading = timeout(WAIT_TIMEOUT, stream.read_to_end(&mut read));
+    let ended = reading.await.expect("the end in time");
+    let content_bytes = read.iter().filter(|&&byte| byte == b'x').count();
+    assert!(ended.is_ok(), "{ended:?} behind {content_bytes} bytes");
+    assert_eq!(content_bytes, HELD_BYTES);
+    assert!(!read.ends_with(b"0\r\n\r\n"), "the response looks complete");
+    drop(stream);
+    let end = server.wait_for_end().await;
+    let (reason, decided_by) = (EndReason::ResponseFailed, EndDecision::Instance);
+    assert_eq!((end.reason, end.decided_by), (reason, decided_by), "{end:?}");
+    assert_eq!(end.phase, StopPhase::Serving, "{end:?}");
+    server.stop().await;
+    assert!(server.responder.0.lock().is_empty(), "{:?}", server.responder.0.lock());
+}
+
 /// A caller that leaves inside a response is noticed soon, also behind bytes that are left unread.
 #[rstest]
 #[case::ended(false, EndReason::CallerLeft)]
