A response that is complete late in a stop is not cut at the limit of the drain

A caller that read a response slowly lost the rest of it if the response was complete shortly before the limit of a stop and the next request was already sent: of 256 KiB it got 3,997 bytes and a reset. LingeringConnections::close dropped all connections at the limit of the drain, and the close over unread bytes discards what is on its way. No line said so, since no response was under way any more.

Connections that only wait for their callers hold up the exit alone, so that close takes the time that they get beyond the drain: gateway gives 0.5 s of the 0.7 s that its grace period reserves for the exit, and serve 2 s, as long as the release of its leases may take.

Ruled out here: to read and drop what the caller has sent right before the last close, so that it sends no reset. What is read counts as read, and a caller whose connection did not announce its end may not send it again. A caller that needs more than the added time is therefore still cut.

Red before, green after: ends::a_response_that_is_complete_late_in_a_stop_is_read_to_its_end (ConnectionReset behind 3,997 bytes). The other tests of crates/callers and the 18 shutdown tests of platform/tests/gateway: green.

--- a/crates/callers/src/lib.rs
+++ b/crates/callers/src/lib.rs
@@ -133,10 +133,11 @@
 }
 
 impl LingeringConnections {
-    /// Waits for the callers to close them, up to the limit of the stop.
-    pub async fn close(mut self) {
+    /// Waits for the callers to close them, for up to `exit_time` beyond the limit of the stop: a response that is complete
+    /// shortly before that limit is read by then.
+    pub async fn close(mut self, exit_time: Duration) {
         let closing = join_all(&mut self.connections);
-        if timeout_at(self.until, closing).await.is_err() {
+        if timeout_at(self.until + exit_time, closing).await.is_err() {
             log::info!(
                 target: "life", left = self.connections.len();
                 "closing connections that their callers have not closed"
--- a/crates/callers/tests/connections.rs
+++ b/crates/callers/tests/connections.rs
@@ -114,7 +114,7 @@
         let (responder, stop) = (Arc::new(Responder::default()), StopStages::default());
         let shared = Arc::new(SharedResponder(responder.clone()));
         let serving = serve_callers(shared, listener, stop.clone(), DRAIN_TIMEOUT);
-        tokio::spawn(async move { serving.await.close().await });
+        tokio::spawn(async move { serving.await.close(Duration::ZERO).await });
         Self { responder, address, stop }
     }
 
--- a/crates/callers/tests/ends.rs
+++ b/crates/callers/tests/ends.rs
@@ -21,6 +21,8 @@
 
 const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
 const DRAIN_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long callers are waited for beyond the limit of a stop.
+const EXIT_TIME: Duration = Duration::from_secs(1);
 /// Larger than the receive buffer of the test, and small enough for the send buffer of the server.
 const HELD_BYTES: usize = 256 * 1024;
 /// Larger than the buffers of the kernel on both sides.
@@ -59,6 +61,9 @@
     async fn respond(&self, request: Request<Incoming>, _caller: Caller) -> Response<TestBody> {
         RequestLabel::set(request.extensions(), LABEL);
         RequestEnd::mark_reached(request.extensions());
+        if request.uri().path() == "/held-late" {
+            sleep(DRAIN_TIMEOUT / 2).await;
+        }
         Response::new(match request.uri().path() {
             "/endless" => begun(stream::pending()),
             "/fails" => begun(stream::once(async {
@@ -74,7 +79,7 @@
                 });
                 StreamBody::new(frames.chain(failure)).boxed_unsync()
             }
-            "/held" => full(vec![b'x'; HELD_BYTES]),
+            "/held" | "/held-late" => full(vec![b'x'; HELD_BYTES]),
             "/large" => full(vec![b'x'; LARGE_BYTES]),
             "/panics" => begun(stream::once(async { panic!("a fault of the responder") })),
             _ => full(b"ok".to_vec()),
@@ -116,7 +121,7 @@
     async fn stop(&self) {
         self.stop.closing.cancel();
         let task = self.task.lock().take().expect("the first stop");
-        let stopping = async { task.await.expect("no panic").close().await };
+        let stopping = async { task.await.expect("no panic").close(EXIT_TIME).await };
         timeout(WAIT_TIMEOUT, stopping).await.expect("the stop ends");
     }
 
@@ -263,6 +268,23 @@
     assert!(server.responder.0.lock().is_empty(), "{:?}", server.responder.0.lock());
 }
 
+/// A response that is complete late in a stop is not cut at the limit for those that are not complete.
+#[tokio::test]
+async fn a_response_that_is_complete_late_in_a_stop_is_read_to_its_end() {
+    let server = Server::start().await;
+    let mut stream = server.call(&last_request("/held-late")).await;
+    let mut read = Vec::new();
+    let reading = async {
+        wait_for_response(&mut stream).await;
+        stream.write_all(request("/next").as_bytes()).await.expect("the request is written");
+        sleep(DRAIN_TIMEOUT).await;
+        timeout(WAIT_TIMEOUT, stream.read_to_end(&mut read)).await.expect("the end in time")
+    };
+    let (ended, ()) = tokio::join!(reading, server.stop());
+    assert!(ended.is_ok(), "{ended:?} behind {} bytes", read.len());
+    assert_eq!(read.len(), HELD_BYTES);
+}
+
 /// A caller that leaves inside a response is noticed soon, also behind bytes that are left unread.
 #[rstest]
 #[case::ended(false, EndReason::CallerLeft)]
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -20,6 +20,8 @@
 const _: () = assert!(LONG_REQUESTS_MS.get() as u128 <= READINESS_DELAY.as_millis());
 /// The part of the grace period that is reserved for exiting the process.
 const EXIT_RESERVE: Duration = Duration::from_millis(700);
+/// The part of [`EXIT_RESERVE`] that is left once no caller is waited for any more.
+const EXIT_TIME: Duration = Duration::from_millis(200);
 
 /// An error that keeps a gateway from starting or stops it.
 #[derive(Debug, thiserror::Error)]
@@ -78,7 +80,7 @@
     log::info!(target: "life", "stopping");
     sleep(READINESS_DELAY).await;
     stages.closing.cancel();
-    server.await?.close().await;
+    server.await?.close(EXIT_RESERVE - EXIT_TIME).await;
     log::info!(target: "life", "stopped");
     Ok(())
 }
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -196,10 +196,10 @@
         node.orders.wait_drained().await;
         shutdown::wait_for_lease_release(&node).await;
         drop(controllers);
-        // Callers that close late hold up no lease.
+        // Callers that close late hold up no lease, and the exit no longer than leases may.
         let result = match result {
             Ok(connections) => {
-                connections.close().await;
+                connections.close(shutdown::LEASE_RELEASE_TIMEOUT).await;
                 Ok(())
             }
             Err(error) => Err(error),
--- a/crates/node/src/shutdown.rs
+++ b/crates/node/src/shutdown.rs
@@ -15,8 +15,8 @@
 const NOTIFY_TIMEOUT_MS: u64 = 400;
 /// The most peers that are notified directly; the others learn of the shutdown from heartbeats.
 const MAX_NOTIFIED: usize = 64;
-/// The longest wait for leases to be released, in milliseconds.
-const LEASE_RELEASE_TIMEOUT_MS: u64 = 2_000;
+/// The longest wait for leases to be released.
+pub(crate) const LEASE_RELEASE_TIMEOUT: Duration = Duration::from_secs(2);
 /// The interval between checks for requests in flight, in milliseconds.
 const POLL_INTERVAL_MS: u64 = 20;
 
@@ -45,8 +45,7 @@
 
 /// Waits until all leases are released; a lease that can't be released expires by itself.
 pub(crate) async fn wait_for_lease_release(node: &Node) {
-    let limit = Duration::from_millis(LEASE_RELEASE_TIMEOUT_MS);
-    let _ = timeout(limit, node.leases.wait_released()).await;
+    let _ = timeout(LEASE_RELEASE_TIMEOUT, node.leases.wait_released()).await;
 }
 
 /// Adds `Connection: close` to responses of a leaving instance, so that no connection is closed while the caller's
