A request behind a response is left unread until the response is written

A request behind a large response was lost if a stop cut that response: the connection was closed with 0 unread bytes, and nothing told the caller that its request was not run. The gate of the reader opened when hyper had taken the last frame of the body, and not when it was written: hyper held the bytes for which the socket had no room, and read ahead meanwhile.

The gate now stays closed while bytes wait for room in the socket. A write that finds the socket not ready counts as waiting too. hyper does not read again by itself after its flush, since the gated read counts as blocked, so that the write that ends the wait wakes the reader.

Ruled out: to set the end of a response at the flush instead of the hand-over. hyper does not tell its body of a flush, and the report of an end already asks for both.

Red before, green after: ends::a_request_behind_a_response_that_is_being_written_is_left_unread (0 unread bytes in place of 33). connections::a_request_behind_a_response_that_is_written_slowly_gets_one shows that the reader goes on.

--- a/crates/callers/src/round.rs
+++ b/crates/callers/src/round.rs
@@ -96,12 +96,15 @@
 
     /// True while what is unread lies behind a request to which the response is on its way.
     pub(crate) fn is_gated(&self) -> bool {
-        self.responses.is_responding() && self.last_end.lock().is_reached()
+        // hyper holds bytes of a response that was handed over to its end until the socket has room for them.
+        let is_under_way = self.responses.is_responding() || self.stream.is_write_blocked();
+        is_under_way && self.last_end.lock().is_reached()
     }
 
-    /// Wakes the reader once the response is over.
+    /// Wakes the reader when a part of the response is over.
     pub(crate) fn wake_after_response(&self, waker: &Waker) {
         self.responses.wake_after(waker);
+        self.stream.wake_after_write(waker);
     }
 
     /// True unless the body of a request was not read to its end.
--- a/crates/callers/src/stream.rs
+++ b/crates/callers/src/stream.rs
@@ -8,7 +8,7 @@
         Arc,
         atomic::{AtomicBool, Ordering},
     },
-    task::{Context, Poll, ready},
+    task::{Context, Poll, Waker, ready},
     time::Duration,
 };
 
@@ -81,6 +81,8 @@
     last_write: Mutex<Option<LastWrite>>,
     /// True while bytes wait for room in the socket.
     is_write_blocked: AtomicBool,
+    /// Woken once bytes that waited are written.
+    waker: Mutex<Option<Waker>>,
     is_writing_ended: AtomicBool,
 }
 
@@ -94,6 +96,7 @@
             socket,
             last_write: Mutex::default(),
             is_write_blocked: AtomicBool::new(false),
+            waker: Mutex::default(),
             is_writing_ended: AtomicBool::new(false),
         }))
     }
@@ -108,6 +111,21 @@
         self.0.is_write_blocked.load(Ordering::Relaxed)
     }
 
+    /// Wakes `waker` once bytes that wait for room in the socket are written. Others may wait by then.
+    pub(crate) fn wake_after_write(&self, waker: &Waker) {
+        *self.0.waker.lock() = Some(waker.clone());
+    }
+
+    fn set_write_blocked(&self, is_blocked: bool) {
+        let was_blocked = self.0.is_write_blocked.swap(is_blocked, Ordering::Relaxed);
+        if was_blocked && !is_blocked {
+            let waker = self.0.waker.lock().take();
+            if let Some(waker) = waker {
+                waker.wake();
+            }
+        }
+    }
+
     /// The bytes that were not read, and those that the peer has not acknowledged, the end of the stream left out.
     ///
     /// # Errors
@@ -234,14 +252,16 @@
         write: impl Fn(&TcpStream) -> io::Result<usize>,
     ) -> Poll<io::Result<usize>> {
         loop {
-            ready!(self.0.socket.poll_write_ready(cx))?;
+            let Poll::Ready(ready) = self.0.socket.poll_write_ready(cx) else {
+                self.set_write_blocked(true);
+                return Poll::Pending;
+            };
+            ready?;
             match write(&self.0.socket) {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
-                    self.0.is_write_blocked.store(true, Ordering::Relaxed);
-                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 result => {
                     if let Ok(bytes) = result {
-                        self.0.is_write_blocked.store(false, Ordering::Relaxed);
+                        self.set_write_blocked(false);
                         let mut last_write = self.0.last_write.lock();
                         *last_write = Some(LastWrite::after(*last_write, bytes));
                     }
--- a/crates/callers/tests/connections.rs
+++ b/crates/callers/tests/connections.rs
@@ -59,7 +59,7 @@
                 let first = stream::once(async { Ok(Frame::data(Bytes::from_static(b"begin"))) });
                 Response::new(StreamBody::new(first.chain(rest)).boxed_unsync())
             }
-            "/large" => Response::new(body(vec![b'x'; LARGE_BYTES])),
+            "/large" | "/large-kept" => Response::new(body(vec![b'x'; LARGE_BYTES])),
             _ => Response::new(body("ok")),
         }
     }
@@ -202,6 +202,23 @@
     assert_eq!(rest.matches("HTTP/1.1").count(), 1, "{rest}");
 }
 
+/// The reader goes on once the response before is written.
+#[tokio::test]
+async fn a_request_behind_a_response_that_is_written_slowly_gets_one() {
+    let server = Server::start().await;
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.set_recv_buffer_size(4 * 1024).expect("a small buffer");
+    let mut stream = socket.connect(server.address).await.expect("a connection");
+    write(&mut stream, &request("/large-kept")).await;
+    read_until(&mut stream, "\r\n\r\n").await;
+    write(&mut stream, &request("/next")).await;
+    let mut body = vec![0; LARGE_BYTES];
+    timeout(WAIT_TIMEOUT, stream.read_exact(&mut body)).await.expect("in time").expect("the body");
+    let next = read_until(&mut stream, "ok").await;
+    assert!(next.starts_with("HTTP/1.1 200"), "{next}");
+    assert_eq!(server.paths(), ["/large-kept", "/next"]);
+}
+
 /// A body may be uploaded while the response to it is on its way.
 #[tokio::test]
 async fn a_body_is_read_while_its_response_is_on_its_way() {
--- a/crates/callers/tests/ends.rs
+++ b/crates/callers/tests/ends.rs
@@ -29,6 +29,8 @@
 const LARGE_BYTES: usize = 16 * 1024 * 1024;
 /// The time from the content of `/fails-held` to its failure.
 const FAILURE_DELAY: Duration = Duration::from_millis(300);
+/// How long a steady reader waits between its reads.
+const READ_INTERVAL: Duration = Duration::from_millis(10);
 const LABEL: &str = "request-7";
 
 type TestBody = UnsyncBoxBody<Bytes, std::io::Error>;
@@ -285,6 +287,26 @@
     assert_eq!(read.len(), HELD_BYTES);
 }
 
+/// The same holds once the body was handed over to its end, while bytes of it wait for room in the socket.
+#[tokio::test]
+async fn a_request_behind_a_response_that_is_being_written_is_left_unread() {
+    let server = Server::start().await;
+    let mut stream = server.call(&request("/large")).await;
+    wait_for_response(&mut stream).await;
+    let behind = request("/behind");
+    stream.write_all(behind.as_bytes()).await.expect("the request is written");
+    let reading = async {
+        let mut buffer = vec![0; 16 * 1024];
+        while stream.read(&mut buffer).await.is_ok_and(|bytes| bytes > 0) {
+            sleep(READ_INTERVAL).await;
+        }
+    };
+    tokio::join!(reading, server.stop());
+    let end = server.wait_for_end().await;
+    assert_eq!(end.reason, EndReason::StopLimit, "{end:?}");
+    assert_eq!(end.unread_bytes, Some(behind.len() as u64), "{end:?}");
+}
+
 /// A caller that leaves inside a response is noticed soon, also behind bytes that are left unread.
 #[rstest]
 #[case::ended(false, EndReason::CallerLeft)]
