--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -21,7 +21,7 @@
     forward::{Forward, remove_hop_by_hop},
     gateway::Gateway,
     request_log::RequestRecord,
-    response_end::{EndReason, ResponseEnd},
+    response_end::{ResponseEnd, ResponseEndReason},
     responses::{ErrorResponse, ResponseBody},
 };
 
@@ -69,7 +69,7 @@
             record.endpoint = attempt.as_ref().map(|attempt| attempt.endpoint.clone());
             let has_head = attempt.as_ref().is_some_and(|attempt| attempt.has_head);
             let end = ResponseEnd {
-                reason: EndReason::of_drop(self.gateway),
+                reason: ResponseEndReason::of_drop(self.gateway),
                 stage: if has_head { ResponseStage::Head } else { ResponseStage::NoHead },
                 incarnation: attempt.map(|attempt| attempt.incarnation),
                 status: None,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -12,7 +12,7 @@
 use crate::{
     features::ResponseStage,
     part_values::{PartAccount, SaveOutcome},
-    response_end::{EndReason, StopPhase},
+    response_end::{ResponseEndReason, StopPhase},
 };
 
 /// The bucket bounds of the latency histograms, in seconds.
@@ -119,7 +119,7 @@
     /// Counts a request that ended without a complete response.
     pub(crate) fn record_response_end(
         &self,
-        reason: EndReason,
+        reason: ResponseEndReason,
         phase: StopPhase,
         stage: ResponseStage,
     ) {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -3,11 +3,14 @@
 //! The head of a response is passed on together with its first content. Whatever ends the response before then has delivered
 //! nothing, and is treated like a loss before the head: by another attempt, or by a complete error response.
 
+mod first_content;
+
+pub(crate) use first_content::NotBegun;
+
 use std::{future::poll_fn, io, pin::pin, sync::Arc, task::Poll, time::Duration};
 
-use bilberryford_coord::Feature;
 use bilberryford_types::TimeMs;
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures::stream;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::{
@@ -26,13 +29,10 @@
     health::EndpointHealth,
     in_flight::InFlight,
     request_log::RequestRecord,
-    response_end::{EndReason, ResponseEnd, error_text},
+    response_end::{ResponseEnd, ResponseEndReason, error_text},
     responses::ResponseBody,
 };
 
-/// The most bytes before the first event that are kept from the caller.
-const MAX_FIRST_BYTES: usize = 64 * 1024;
-
 /// A response that is being streamed. Dropping it before its end closes the connection to the endpoint, which cancels
 /// the request there.
 pub(crate) struct Relay {
@@ -78,22 +78,10 @@
 
 /// Why and with which error an endpoint broke a response off.
 pub(crate) struct BrokenOff {
-    reason: EndReason,
+    reason: ResponseEndReason,
     error: String,
 }
 
-/// Why a response ended before there was any content to pass on.
-pub(crate) enum NotBegun {
-    BrokenOff,
-    /// A feature of the request was quarantined.
-    Withdrawn(Feature),
-    /// No content came before the weights of the engine became too old.
-    OldWeights,
-    /// The endpoint sent nothing for too long.
-    Silent,
-    Deadline,
-}
-
 impl Relay {
     fn finish(&mut self, outcome: &'static str, is_failure: bool) {
         if !std::mem::replace(&mut self.is_finished, true) {
@@ -110,7 +98,7 @@
     }
 
     /// Records that the caller gets no complete response.
-    fn end_incomplete(&mut self, reason: EndReason, error: &str) {
+    fn end_incomplete(&mut self, reason: ResponseEndReason, error: &str) {
         if self.is_finished {
             return;
         }
@@ -124,9 +112,9 @@
         };
         end.record(&self.gateway, &self.record);
         let outcome = match reason {
-            EndReason::Deadline => "deadline_in_answer",
-            EndReason::StopEnded => "stopped_in_answer",
-            EndReason::CallerLeft => "caller_left_in_answer",
+            ResponseEndReason::Deadline => "deadline_in_answer",
+            ResponseEndReason::StopEnded => "stopped_in_answer",
+            ResponseEndReason::CallerLeft => "caller_left_in_answer",
             _ => "answer_cut",
         };
         self.finish(outcome, true);
@@ -222,12 +210,12 @@
     }
 
     /// Records that the endpoint broke the response off, or that it was ended since the budget of bytes was full.
-    fn break_off(&mut self, reason: EndReason, error: String) -> BrokenOff {
+    fn break_off(&mut self, reason: ResponseEndReason, error: String) -> BrokenOff {
         self.in_flight.record_loss(self.stage(), Loss::Connection(&error));
         let incarnation = self.in_flight.candidate().incarnation;
         self.gateway.suspect_restart(incarnation, ColdSource::ConnectionLost);
         let endpoint = self.in_flight.endpoint();
-        let is_over_budget = reason == EndReason::OverBudget;
+        let is_over_budget = reason == ResponseEndReason::OverBudget;
         let health_reason = if is_over_budget { "over_budget" } else { "answer_cut" };
         self.gateway.update_health(endpoint, health_reason, |health, now_ms| {
             health.record_failure(now_ms, is_over_budget);
@@ -239,77 +227,14 @@
         BrokenOff { reason, error }
     }
 
-    fn failure_reason(&self, error: &hyper::Error) -> EndReason {
+    fn failure_reason(&self, error: &hyper::Error) -> ResponseEndReason {
         if self.connection.as_ref().is_some_and(Connection::is_over_budget) {
-            EndReason::OverBudget
+            ResponseEndReason::OverBudget
         } else {
-            EndReason::of_connection(error)
+            ResponseEndReason::of_connection(error)
         }
     }
 
-    /// Waits until there is content to pass on, or the response is complete. Returns the body, or why there is none with the
-    /// request's record. Where another attempt is allowed, `silence_ms` is how long an endpoint may send nothing at all.
-    pub(crate) async fn begin(
-        mut self,
-        silence_ms: Option<TimeMs>,
-    ) -> Result<ResponseBody, (NotBegun, RequestRecord)> {
-        let mut first = BytesMut::new();
-        let mut asked_ms = self.gateway.clock.now();
-        let not_begun = loop {
-            let silent_until_ms = silence_ms.map(|silence_ms| asked_ms.after(silence_ms));
-            let limits_ms = [self.must_begin_by_ms, silent_until_ms];
-            let until_ms =
-                limits_ms.into_iter().flatten().fold(self.deadline_ms, |until, at| until.min(at));
-            let time_left_ms = until_ms.since(self.gateway.clock.now());
-            let connection = self.connection.as_ref();
-            let frame = tokio::select! {
-                frame = Self::next_frame(&mut self.incoming, connection, time_left_ms) => frame,
-                feature = self.gateway.quarantine_of(self.in_flight.features()) => {
-                    break NotBegun::Withdrawn(feature);
-                }
-            };
-            let Some(frame) = frame else {
-                if until_ms < self.deadline_ms && Some(until_ms) == self.must_begin_by_ms {
-                    break NotBegun::OldWeights;
-                }
-                // An endpoint that responds to other requests is alive, and another attempt would lose the place in its queue.
-                let endpoint = self.in_flight.endpoint();
-                if until_ms < self.deadline_ms
-                    && self.gateway.has_received_since(endpoint, asked_ms)
-                {
-                    asked_ms = self.gateway.clock.now();
-                    continue;
-                }
-                // An endpoint that ended silently shows no other sign.
-                self.in_flight.record_loss(ResponseStage::Head, Loss::Silence);
-                break if until_ms < self.deadline_ms {
-                    NotBegun::Silent
-                } else {
-                    NotBegun::Deadline
-                };
-            };
-            let is_over = match self.read(frame) {
-                Chunk::Data(data) => {
-                    first.extend_from_slice(&data);
-                    false
-                }
-                Chunk::Nothing => false,
-                Chunk::End => true,
-                Chunk::BrokenOff(_) => break NotBegun::BrokenOff,
-            };
-            let is_due = self.has_content() || first.len() > MAX_FIRST_BYTES;
-            if !first.is_empty() && (is_over || is_due) {
-                self.has_begun = true;
-                let state = RelayState::Beginning(first.freeze(), Box::new(self));
-                return Ok(body_of(Some(state)));
-            }
-            if is_over {
-                return Ok(body_of(None));
-            }
-        };
-        Err((not_begun, std::mem::take(&mut self.record)))
-    }
-
     /// The next part of a response that has begun.
     async fn next_chunk(&mut self) -> Option<Chunk> {
         let time_left_ms = self.deadline_ms.since(self.gateway.clock.now());
@@ -329,7 +254,7 @@
             }
             None if self.is_inside_event() => {
                 let text = "the stream ends inside an event".to_owned();
-                Chunk::BrokenOff(self.break_off(EndReason::EndedInsideEvent, text))
+                Chunk::BrokenOff(self.break_off(ResponseEndReason::EndedInsideEvent, text))
             }
             None => {
                 self.complete();
@@ -373,7 +298,7 @@
 impl Drop for Relay {
     fn drop(&mut self) {
         if self.has_begun {
-            self.end_incomplete(EndReason::of_drop(&self.gateway), "");
+            self.end_incomplete(ResponseEndReason::of_drop(&self.gateway), "");
         }
     }
 }
@@ -405,7 +330,7 @@
                     None => return Some(failed(io::Error::other(broken_off.error)).await),
                 },
                 None => {
-                    relay.end_incomplete(EndReason::Deadline, "");
+                    relay.end_incomplete(ResponseEndReason::Deadline, "");
                     return Some(failed(io::ErrorKind::TimedOut.into()).await);
                 }
             },
--- a/crates/gateway/src/response_end.rs
+++ b/crates/gateway/src/response_end.rs
@@ -17,7 +17,7 @@
 /// The reasons for which a request ends without a complete response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
-pub(crate) enum EndReason {
+pub(crate) enum ResponseEndReason {
     /// The connection to the endpoint was reset or closed.
     ConnectionFailed,
     /// The endpoint ended a stream inside an event.
@@ -51,7 +51,7 @@
     Stop,
 }
 
-impl EndReason {
+impl ResponseEndReason {
     pub(crate) fn decider(self) -> Decider {
         match self {
             Self::ConnectionFailed | Self::EndedInsideEvent => Decider::Endpoint,
@@ -113,7 +113,7 @@
 
 /// The end of a request without a complete response.
 pub(crate) struct ResponseEnd<'a> {
-    pub(crate) reason: EndReason,
+    pub(crate) reason: ResponseEndReason,
     pub(crate) stage: ResponseStage,
     pub(crate) incarnation: Option<EndpointTag>,
     /// The status that the caller got.
