--- a/crates/gateway/src/planned_stop.rs
+++ b/crates/gateway/src/planned_stop.rs
@@ -5,9 +5,8 @@
 
 use bilberryford_types::TimeMs;
 
-/// How long after its start a stopping instance still begins requests that may outlast it, in milliseconds. The balancer's next
-/// two checks come within this time, so that later ones come from kept connections. The platform allows for such a request to
-/// be cut only if it was sent within 3 s of the signal, which a process on a busy machine sees late.
+/// How long after its start a stopping instance still begins requests that may outlast it, in milliseconds. The load balancer has
+/// taken the instance out by then, so that later requests come from kept connections.
 pub(crate) const LONG_REQUESTS_MS: TimeMs = TimeMs(2_000);
 
 /// A planned stop that has begun.
