A response with Content-Length: 0 counts as complete

A caller that left behind a complete response of no bytes was reported as caller_left, as if the response had been cut: hyper drops the body of such a response unread, and the guard of a body that does not know its own end took the drop for a cut. A response of which no bytes are to come is now complete when it is handed over.

A reset by the caller does not show the fault, since hyper reports no error for it on an idle connection.

Red before, green after: connections::a_response_without_content_is_complete, case of_no_bytes. The other tests of crates/callers: green.

--- a/crates/callers/src/response_state.rs
+++ b/crates/callers/src/response_state.rs
@@ -114,14 +114,16 @@
         method: &Method,
         response: Response<B>,
     ) -> Response<WatchedBody<B>> {
+        let left_bytes =
+            response.body().size_hint().exact().or_else(|| announced_bytes(response.headers()));
+        // The server drops the body of a response without content unread.
         let has_body = method != Method::HEAD
             && !matches!(response.status(), StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED)
+            && left_bytes != Some(0)
             && !response.body().is_end_stream();
         if !has_body {
             self.complete();
         }
-        let left_bytes =
-            response.body().size_hint().exact().or_else(|| announced_bytes(response.headers()));
         response.map(|inner| WatchedBody { inner, left_bytes, guard: self })
     }
 }
--- a/crates/callers/tests/connections.rs
+++ b/crates/callers/tests/connections.rs
@@ -24,7 +24,8 @@
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpSocket, TcpStream},
     sync::Notify,
-    time::{Instant, pause, timeout},
+    task::JoinHandle,
+    time::{Instant, pause, sleep, timeout},
 };
 
 const WAIT_TIMEOUT: Duration = Duration::from_secs(10);
@@ -36,6 +37,7 @@
 #[derive(Default)]
 struct Responder {
     paths: Mutex<Vec<String>>,
+    ends: Mutex<Vec<ConnectionEnd>>,
     /// Notified when the response to `/slow` may end.
     release: Notify,
 }
@@ -59,6 +61,11 @@
                 let first = stream::once(async { Ok(Frame::data(Bytes::from_static(b"begin"))) });
                 Response::new(StreamBody::new(first.chain(rest)).boxed_unsync())
             }
+            "/empty" => {
+                let body = StreamBody::new(stream::pending()).boxed_unsync();
+                let head = Response::builder().header(header::CONTENT_LENGTH, 0);
+                head.body(body).expect("a response")
+            }
             "/large" | "/large-kept" => Response::new(body(vec![b'x'; LARGE_BYTES])),
             _ => Response::new(body("ok")),
         }
@@ -98,13 +105,16 @@
         response
     }
 
-    fn record_end(&self, _end: &ConnectionEnd) {}
+    fn record_end(&self, end: &ConnectionEnd) {
+        self.0.ends.lock().push(end.clone());
+    }
 }
 
 struct Server {
     responder: Arc<Responder>,
     address: SocketAddr,
     stop: StopStages,
+    serving: JoinHandle<()>,
 }
 
 impl Server {
@@ -114,8 +124,8 @@
         let (responder, stop) = (Arc::new(Responder::default()), StopStages::default());
         let shared = Arc::new(SharedResponder(responder.clone()));
         let serving = serve_callers(shared, listener, stop.clone(), DRAIN_TIMEOUT);
-        tokio::spawn(async move { serving.await.close(Duration::ZERO).await });
-        Self { responder, address, stop }
+        let serving = tokio::spawn(async move { serving.await.close(Duration::ZERO).await });
+        Self { responder, address, stop, serving }
     }
 
     fn paths(&self) -> Vec<String> {
@@ -313,6 +323,25 @@
     assert_eq!(ended.into_inner(), 20);
 }
 
+/// The server asks for no body of a response without content, which is complete all the same: its caller may leave.
+#[rstest]
+#[case::of_no_bytes("POST", "/empty")]
+#[case::to_head("HEAD", "/slow")]
+#[tokio::test]
+async fn a_response_without_content_is_complete(#[case] method: &str, #[case] path: &str) {
+    let server = Server::start().await;
+    let mut stream = TcpStream::connect(server.address).await.expect("a connection");
+    write(&mut stream, &request(path).replace("POST", method)).await;
+    read_until(&mut stream, "\r\n\r\n").await;
+    write(&mut stream, "POST /in-part").await;
+    drop(stream);
+    sleep(Duration::from_millis(100)).await;
+    server.stop.closing.cancel();
+    timeout(WAIT_TIMEOUT, server.serving).await.expect("the stop ends").expect("no panic");
+    let ends = server.responder.ends.lock();
+    assert!(ends.is_empty(), "{ends:?}");
+}
+
 /// The time in which handshakes end is not added to the limit of a stop.
 #[tokio::test]
 async fn responses_are_given_up_in_time_after_the_close_of_the_listener() {
