--- a/crates/callers/src/ends.rs
+++ b/crates/callers/src/ends.rs
@@ -19,7 +19,7 @@
 /// Why a connection ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, strum::Display, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
-pub enum EndReason {
+pub enum ConnectionEndReason {
     /// The caller ended its direction inside a response.
     CallerLeft,
     /// The caller, or something between, reset the connection inside a response.
@@ -70,7 +70,7 @@
 #[derive(Debug, Clone)]
 pub struct ConnectionEnd {
     /// Why it ended.
-    pub reason: EndReason,
+    pub reason: ConnectionEndReason,
     /// Who decided it.
     pub decided_by: EndDecision,
     /// The phase of the stop at the end.
@@ -264,9 +264,9 @@
         };
         let closed = || {
             let reason = if unacknowledged_bytes.is_some_and(|bytes| bytes > 0) {
-                EndReason::ClosedUnacknowledged
+                ConnectionEndReason::ClosedUnacknowledged
             } else if self.unread_at_end_bytes > 0 || unread_bytes.is_some_and(|bytes| bytes > 0) {
-                EndReason::ClosedUnread
+                ConnectionEndReason::ClosedUnread
             } else {
                 return None;
             };
@@ -274,17 +274,20 @@
         };
         let (reason, decided_by) = match &self.outcome {
             Outcome::GivenUp if std::thread::panicking() => {
-                (EndReason::Panicked, EndDecision::Instance)
+                (ConnectionEndReason::Panicked, EndDecision::Instance)
             }
-            Outcome::GivenUp if is_cut => (EndReason::StopLimit, EndDecision::Stop),
+            Outcome::GivenUp if is_cut => (ConnectionEndReason::StopLimit, EndDecision::Stop),
             Outcome::GivenUp | Outcome::Closed | Outcome::Left => closed()?,
             // A reset behind a response is one of the ways in which callers close.
             Outcome::FailedBehind(error) if error.kind() == io::ErrorKind::TimedOut => {
-                (EndReason::NotAcknowledged, EndDecision::Instance)
+                (ConnectionEndReason::NotAcknowledged, EndDecision::Instance)
             }
             Outcome::FailedBehind(_) => return None,
             Outcome::Failed(error) => match classify(error) {
-                failed @ (EndReason::InvalidRequest | EndReason::ResponseFailed, _) => failed,
+                failed @ (
+                    ConnectionEndReason::InvalidRequest | ConnectionEndReason::ResponseFailed,
+                    _,
+                ) => failed,
                 failed if is_cut => failed,
                 _ => closed()?,
             },
@@ -318,25 +321,27 @@
 }
 
 /// The reason of a connection's error, and who decided it.
-fn classify(error: &hyper::Error) -> (EndReason, EndDecision) {
+fn classify(error: &hyper::Error) -> (ConnectionEndReason, EndDecision) {
     if error.is_parse() {
-        return (EndReason::InvalidRequest, EndDecision::Caller);
+        return (ConnectionEndReason::InvalidRequest, EndDecision::Caller);
     }
     if error.is_user() {
-        return (EndReason::ResponseFailed, EndDecision::Instance);
+        return (ConnectionEndReason::ResponseFailed, EndDecision::Instance);
     }
     if error.is_incomplete_message() {
-        return (EndReason::CallerLeft, EndDecision::Caller);
+        return (ConnectionEndReason::CallerLeft, EndDecision::Caller);
     }
     let source = error.source().and_then(|source| source.downcast_ref::<io::Error>());
     match source.map(io::Error::kind) {
-        Some(io::ErrorKind::TimedOut) => (EndReason::NotAcknowledged, EndDecision::Instance),
+        Some(io::ErrorKind::TimedOut) => {
+            (ConnectionEndReason::NotAcknowledged, EndDecision::Instance)
+        }
         Some(
             io::ErrorKind::ConnectionReset
             | io::ErrorKind::ConnectionAborted
             | io::ErrorKind::BrokenPipe,
-        ) => (EndReason::Reset, EndDecision::Caller),
-        _ => (EndReason::ConnectionFailed, EndDecision::Instance),
+        ) => (ConnectionEndReason::Reset, EndDecision::Caller),
+        _ => (ConnectionEndReason::ConnectionFailed, EndDecision::Instance),
     }
 }
 
--- a/crates/callers/src/lib.rs
+++ b/crates/callers/src/lib.rs
@@ -34,7 +34,7 @@
 pub use crate::{
     bodies::{BodyReservation, BodyRoom, ReadBodyError, discard_body, read_body},
     budget::{ByteBudget, HeldBytes, HeldResponse},
-    ends::{ConnectionEnd, EndDecision, EndReason, StopPhase},
+    ends::{ConnectionEnd, ConnectionEndReason, EndDecision, StopPhase},
     response_state::RequestLabel,
     round::RequestEnd,
 };
--- a/crates/callers/tests/ends.rs
+++ b/crates/callers/tests/ends.rs
@@ -3,8 +3,8 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bilberryford_callers::{
-    Caller, ConnectionEnd, ConnectionLimits, EndDecision, EndReason, LingeringConnections,
-    RequestEnd, RequestLabel, Respond, StopPhase, StopStages, serve_callers,
+    Caller, ConnectionEnd, ConnectionEndReason, ConnectionLimits, EndDecision,
+    LingeringConnections, RequestEnd, RequestLabel, Respond, StopPhase, StopStages, serve_callers,
 };
 use bytes::Bytes;
 use futures::{StreamExt, stream};
@@ -167,17 +167,32 @@
 }
 
 #[rstest]
-#[case::closed_by_the_caller("/endless", Act::Close, EndReason::CallerLeft, EndDecision::Caller)]
-#[case::reset("/large", Act::Reset, EndReason::Reset, EndDecision::Caller)]
-#[case::broken_off("/fails", Act::Nothing, EndReason::ResponseFailed, EndDecision::Instance)]
-#[case::not_read("/large", Act::Nothing, EndReason::NotAcknowledged, EndDecision::Instance)]
-#[case::limit_of_a_stop("/endless", Act::Stop, EndReason::StopLimit, EndDecision::Stop)]
-#[case::a_panic("/panics", Act::Nothing, EndReason::Panicked, EndDecision::Instance)]
+#[case::closed_by_the_caller(
+    "/endless",
+    Act::Close,
+    ConnectionEndReason::CallerLeft,
+    EndDecision::Caller
+)]
+#[case::reset("/large", Act::Reset, ConnectionEndReason::Reset, EndDecision::Caller)]
+#[case::broken_off(
+    "/fails",
+    Act::Nothing,
+    ConnectionEndReason::ResponseFailed,
+    EndDecision::Instance
+)]
+#[case::not_read(
+    "/large",
+    Act::Nothing,
+    ConnectionEndReason::NotAcknowledged,
+    EndDecision::Instance
+)]
+#[case::limit_of_a_stop("/endless", Act::Stop, ConnectionEndReason::StopLimit, EndDecision::Stop)]
+#[case::a_panic("/panics", Act::Nothing, ConnectionEndReason::Panicked, EndDecision::Instance)]
 #[tokio::test]
 async fn an_end_inside_a_response_is_reported(
     #[case] path: &str,
     #[case] act: Act,
-    #[case] reason: EndReason,
+    #[case] reason: ConnectionEndReason,
     #[case] decided_by: EndDecision,
 ) {
     let server = Server::start().await;
@@ -197,19 +212,20 @@
     assert_eq!(end.request, LABEL);
     let is_in_stop = matches!(act, Act::Stop);
     assert_eq!(end.phase, if is_in_stop { StopPhase::Ending } else { StopPhase::Serving });
-    let has_error = !matches!(reason, EndReason::StopLimit | EndReason::Panicked);
+    let has_error =
+        !matches!(reason, ConnectionEndReason::StopLimit | ConnectionEndReason::Panicked);
     assert_eq!(!end.error.is_empty(), has_error, "{end:?}");
     drop(kept);
 }
 
 /// A complete response that its caller does not read is reported whether the kernel or a stop gives it up.
 #[rstest]
-#[case::in_service(false, EndReason::NotAcknowledged, EndDecision::Instance)]
-#[case::at_the_limit_of_a_stop(true, EndReason::ClosedUnacknowledged, EndDecision::Stop)]
+#[case::in_service(false, ConnectionEndReason::NotAcknowledged, EndDecision::Instance)]
+#[case::at_the_limit_of_a_stop(true, ConnectionEndReason::ClosedUnacknowledged, EndDecision::Stop)]
 #[tokio::test]
 async fn a_close_before_a_response_is_acknowledged_is_reported(
     #[case] is_stopped: bool,
-    #[case] reason: EndReason,
+    #[case] reason: ConnectionEndReason,
     #[case] decided_by: EndDecision,
 ) {
     let server = Server::start().await;
@@ -238,7 +254,7 @@
     stream.write_all(behind.as_bytes()).await.expect("the request is written");
     server.stop().await;
     let end = server.wait_for_end().await;
-    assert_eq!(end.reason, EndReason::StopLimit, "{end:?}");
+    assert_eq!(end.reason, ConnectionEndReason::StopLimit, "{end:?}");
     assert_eq!(end.unread_bytes, Some(behind.len() as u64), "{end:?}");
     let mut rest = Vec::new();
     let reading = timeout(WAIT_TIMEOUT, stream.read_to_end(&mut rest));
@@ -263,7 +279,7 @@
     assert!(!read.ends_with(b"0\r\n\r\n"), "the response looks complete");
     drop(stream);
     let end = server.wait_for_end().await;
-    let (reason, decided_by) = (EndReason::ResponseFailed, EndDecision::Instance);
+    let (reason, decided_by) = (ConnectionEndReason::ResponseFailed, EndDecision::Instance);
     assert_eq!((end.reason, end.decided_by), (reason, decided_by), "{end:?}");
     assert_eq!(end.phase, StopPhase::Serving, "{end:?}");
     server.stop().await;
@@ -303,18 +319,18 @@
     };
     tokio::join!(reading, server.stop());
     let end = server.wait_for_end().await;
-    assert_eq!(end.reason, EndReason::StopLimit, "{end:?}");
+    assert_eq!(end.reason, ConnectionEndReason::StopLimit, "{end:?}");
     assert_eq!(end.unread_bytes, Some(behind.len() as u64), "{end:?}");
 }
 
 /// A caller that leaves inside a response is noticed soon, also behind bytes that are left unread.
 #[rstest]
-#[case::ended(false, EndReason::CallerLeft)]
-#[case::reset(true, EndReason::Reset)]
+#[case::ended(false, ConnectionEndReason::CallerLeft)]
+#[case::reset(true, ConnectionEndReason::Reset)]
 #[tokio::test]
 async fn a_caller_that_leaves_behind_an_unread_request_is_noticed(
     #[case] is_reset: bool,
-    #[case] reason: EndReason,
+    #[case] reason: ConnectionEndReason,
 ) {
     let server = Server::start().await;
     let mut stream = server.call(&request("/endless")).await;
@@ -356,7 +372,7 @@
     }
     server.stop().await;
     let end = server.wait_for_end().await;
-    assert_eq!(end.reason, EndReason::ClosedUnread, "{end:?}");
+    assert_eq!(end.reason, ConnectionEndReason::ClosedUnread, "{end:?}");
     let bytes = behind.len() as u64;
     assert_eq!(end.unread_at_end_bytes, if is_early { bytes } else { 0 }, "{end:?}");
     // The kernel forgets a connection that both sides have ended.
@@ -370,7 +386,11 @@
     let stream = server.call("no request\r\n\r\n").await;
     drop(stream);
     let end = server.wait_for_end().await;
-    assert_eq!((end.reason, end.request.as_str()), (EndReason::InvalidRequest, ""), "{end:?}");
+    assert_eq!(
+        (end.reason, end.request.as_str()),
+        (ConnectionEndReason::InvalidRequest, ""),
+        "{end:?}"
+    );
 }
 
 /// The ends of connections whose responses are complete and acknowledged.
