Only an instance that listed its first weights is uncertain of older ones

The constraint of counted versions: with gaps in their numbers, an instance that had seen all publications would have left out every engine that had not loaded yet.

Change: an instance records the version that it listed when it started, and is uncertain of those below until it learns, from one that saw the publication, what came before or since when. Meanwhile it uses the newest version that an engine has below the listed one, which that one superseded.

--- a/crates/gateway/src/controllers/weights.rs
+++ b/crates/gateway/src/controllers/weights.rs
@@ -36,7 +36,13 @@
     } else {
         now_ms
     };
-    record_weights(gateway, target.model, target.version, seen_ms);
+    record_weights(gateway, target.model.clone(), target.version, seen_ms);
+    if is_unknown
+        && is_first_list
+        && let Some(published) = gateway.weights.lock().get_mut(&target.model)
+    {
+        published.record_first_listed(target.version);
+    }
 }
 
 /// Records since when weights that a watch returned can have been published.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -346,7 +346,7 @@
         let is_preferred = published.age_ms(now_ms) >= PREFER_NEW_WEIGHTS_MS;
         WeightConstraints {
             min: published.required(now_ms, bound_ms),
-            certain: published.certain_from(),
+            uncertain_below: published.uncertain_below(),
             preferred: is_preferred.then(|| published.newest()),
         }
     }
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -97,9 +97,9 @@
 pub struct WeightConstraints {
     /// The oldest version that may be used.
     pub min: Option<u64>,
-    /// The oldest version of which this instance knows until when it may be used. Older ones are used only where no endpoint
-    /// has it or a newer one.
-    pub certain: Option<u64>,
+    /// A version below which this instance does not know until when older ones may be used. Of those, only the newest one that
+    /// an endpoint has is used: the time of its successor is that of this version.
+    pub uncertain_below: Option<u64>,
     /// The version that is preferred over older ones that may still be used.
     pub preferred: Option<u64>,
 }
@@ -203,8 +203,10 @@
     if with_weights.is_empty() {
         return Choice::none(Reason::OldWeights);
     }
-    if with_weights.iter().any(|index| has_weights(index, request.weights.certain)) {
-        with_weights.retain(|index| has_weights(index, request.weights.certain));
+    if let Some(listed) = request.weights.uncertain_below {
+        let versions = with_weights.iter().filter_map(|index| candidates[*index].weight_version);
+        let previous = versions.filter(|version| *version < listed).max();
+        with_weights.retain(|index| has_weights(index, previous));
     }
     let untried: Vec<usize> = with_weights
         .into_iter()
--- a/crates/gateway/src/rollout.rs
+++ b/crates/gateway/src/rollout.rs
@@ -112,6 +112,8 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct PublishedWeights {
     versions: Vec<PublishedVersion>,
+    /// The version that this instance listed when it started; none if it saw the first one published.
+    first_listed: Option<u64>,
 }
 
 impl PublishedWeights {
@@ -158,10 +160,17 @@
         self.versions.iter().rev().find(is_due).map(|published| published.version)
     }
 
-    /// The oldest version of which the time of its successor is known; none while no version is published. An instance that has
-    /// just started lists only the newest version, so that one in between may have ended the use of older ones.
-    pub fn certain_from(&self) -> Option<u64> {
-        self.versions.first().map(|oldest| oldest.version.saturating_sub(1))
+    /// Records that `version` is the one that this instance listed when it started: of the ones before it knows nothing.
+    pub fn record_first_listed(&mut self, version: u64) {
+        self.first_listed = Some(version);
+    }
+
+    /// The version below which this instance does not know since when others are superseded; none once it has learned that from
+    /// an instance that saw the publication.
+    pub fn uncertain_below(&self) -> Option<u64> {
+        let oldest = self.versions.first()?;
+        let is_first = Some(oldest.version) == self.first_listed;
+        (is_first && oldest.not_before_ms.is_none()).then_some(oldest.version)
     }
 
     /// The time from which requests must not start on `version`; none while no newer one is published.
