--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -21,7 +21,7 @@
 /// The part of the grace period that is reserved for exiting the process.
 const EXIT_RESERVE: Duration = Duration::from_millis(700);
 /// The part of [`EXIT_RESERVE`] that is left once no caller is waited for any more.
-const EXIT_TIME: Duration = Duration::from_millis(200);
+const EXIT_TIME: Duration = Duration::from_millis(400);
 
 /// An error that keeps a gateway from starting or stops it.
 #[derive(Debug, thiserror::Error)]
