--- a/crates/callers/tests/ends.rs
+++ b/crates/callers/tests/ends.rs
@@ -347,7 +347,7 @@
     assert_eq!((end.reason, end.decided_by), (reason, EndDecision::Caller), "{end:?}");
 }
 
-/// A request that came before the instance ended its direction is told from one that has crossed the end.
+/// The report distinguishes a request that came before the end of the direction from one that crossed it.
 #[rstest]
 #[case::behind_the_last_request(true, false)]
 #[case::behind_the_last_request_of_a_caller_that_leaves(true, true)]
