A request that crossed the end of a connection is reported, also if its caller leaves

Callers that send a request while the instance ends its direction get no response to it. The log told this only of connections that the instance closed first: the usual case, a caller that closes once it has seen the end, was left out, and a direction that was never ended was reported as one with no unread bytes.

Now a caller that leaves behind unread bytes is reported as closed_unread, unread_at_end_bytes is -1 where the direction was not ended, and read_ahead_bytes names the unread bytes that hyper had taken.

ends::a_close_with_unread_bytes_is_reported::case_4 was red before (no report within 20 s) and is green. The assertion on unread_at_end_bytes compares the same numbers as before, now with a value that is known.

--- a/crates/callers/src/ends.rs
+++ b/crates/callers/src/ends.rs
@@ -81,10 +81,13 @@
     pub since_write: Option<Duration>,
     /// The bytes that were written and that the caller had not acknowledged; none if they are not known.
     pub unacknowledged_bytes: Option<u64>,
-    /// The bytes that lay unread; none if they are not known.
+    /// The bytes that lay unread; none if their number is not known.
     pub unread_bytes: Option<u64>,
-    /// The bytes that lay unread when the instance ended its direction. Others came later: they have crossed the end.
-    pub unread_at_end_bytes: u64,
+    /// Those of the unread bytes that had been read from the socket, and belong to no request that was begun.
+    pub read_ahead_bytes: u64,
+    /// The bytes that lay unread when the instance ended its direction; none if it has not. Others came later: they have crossed
+    /// the end.
+    pub unread_at_end_bytes: Option<u64>,
     /// The error of the connection; empty if it was closed.
     pub error: String,
 }
@@ -152,8 +155,8 @@
             request = end.request.as_str(), caller:% = caller.from,
             since_write_ms = known(end.since_write.map(|time| time.as_millis() as u64)),
             unacknowledged_bytes = known(end.unacknowledged_bytes),
-            unread_bytes = known(end.unread_bytes),
-            unread_at_end_bytes = end.unread_at_end_bytes,
+            unread_bytes = known(end.unread_bytes), read_ahead_bytes = end.read_ahead_bytes,
+            unread_at_end_bytes = known(end.unread_at_end_bytes),
             error = end.error.as_str(), left_out = suppressed;
             "connection ended early"
         );
@@ -173,7 +176,7 @@
     failed_in: Option<StopPhase>,
     /// The bytes behind the last request that had been read when the instance ended its direction.
     unused_bytes: u64,
-    unread_at_end_bytes: u64,
+    unread_at_end_bytes: Option<u64>,
 }
 
 impl<R: Respond> EndReporter<R> {
@@ -195,19 +198,20 @@
             outcome,
             failed_in: None,
             unused_bytes: 0,
-            unread_at_end_bytes: 0,
+            unread_at_end_bytes: None,
         }
     }
 
     /// Records that the instance has just ended its direction, with bytes that were read and not used.
     pub(crate) fn end_writing(&mut self, unused_bytes: u64) {
         self.unused_bytes = unused_bytes;
-        self.unread_at_end_bytes = unused_bytes;
-        if self.stream.has_unread() {
+        let left_bytes = if self.stream.has_unread() {
             // At least the byte that was seen.
-            self.unread_at_end_bytes +=
-                self.stream.queues().map_or(1, |queues| queues.unread_bytes);
-        }
+            self.stream.queues().map_or(1, |queues| queues.unread_bytes)
+        } else {
+            0
+        };
+        self.unread_at_end_bytes = Some(unused_bytes + left_bytes);
     }
 
     /// Records that hyper has ended the connection with an error.
@@ -249,8 +253,10 @@
 
     /// The end of the connection; none if it cost nothing.
     fn end(&self) -> Option<ConnectionEnd> {
-        // Nothing is asked of the kernel for the usual ends.
-        if matches!(self.outcome, Outcome::Left) && self.unread_at_end_bytes == 0 {
+        // The number of bytes is not asked of the kernel for the usual ends.
+        let has_unread =
+            self.unread_at_end_bytes.is_some_and(|bytes| bytes > 0) || self.stream.has_unread();
+        if matches!(self.outcome, Outcome::Left) && !has_unread {
             return None;
         }
         let queues = self.stream.queues().ok();
@@ -265,7 +271,7 @@
         let closed = || {
             let reason = if unacknowledged_bytes.is_some_and(|bytes| bytes > 0) {
                 ConnectionEndReason::ClosedUnacknowledged
-            } else if self.unread_at_end_bytes > 0 || unread_bytes.is_some_and(|bytes| bytes > 0) {
+            } else if has_unread || unread_bytes.is_some_and(|bytes| bytes > 0) {
                 ConnectionEndReason::ClosedUnread
             } else {
                 return None;
@@ -305,6 +311,7 @@
             since_write: self.stream.since_write(),
             unacknowledged_bytes,
             unread_bytes,
+            read_ahead_bytes: self.unused_bytes,
             unread_at_end_bytes: self.unread_at_end_bytes,
             error,
         })
--- a/crates/callers/tests/ends.rs
+++ b/crates/callers/tests/ends.rs
@@ -352,6 +352,7 @@
 #[case::behind_the_last_request(true, false)]
 #[case::behind_the_last_request_of_a_caller_that_leaves(true, true)]
 #[case::crossed_the_end(false, false)]
+#[case::crossed_the_end_of_a_caller_that_leaves(false, true)]
 #[tokio::test]
 async fn a_close_with_unread_bytes_is_reported(#[case] is_early: bool, #[case] leaves: bool) {
     let server = Server::start().await;
@@ -367,14 +368,16 @@
         stream.write_all(behind.as_bytes()).await.expect("the request is written");
     }
     if leaves {
-        wait_for_response(&mut stream).await;
+        if is_early {
+            wait_for_response(&mut stream).await;
+        }
         stream.shutdown().await.expect("the end is sent");
     }
     server.stop().await;
     let end = server.wait_for_end().await;
     assert_eq!(end.reason, ConnectionEndReason::ClosedUnread, "{end:?}");
     let bytes = behind.len() as u64;
-    assert_eq!(end.unread_at_end_bytes, if is_early { bytes } else { 0 }, "{end:?}");
+    assert_eq!(end.unread_at_end_bytes, Some(if is_early { bytes } else { 0 }), "{end:?}");
     // The kernel forgets a connection that both sides have ended.
     assert!(end.unread_bytes == Some(bytes) || leaves && end.unread_bytes.is_none(), "{end:?}");
     drop(stream);
