A peer that goes on reading is not taken for dead

The instance logs `answered`, then not_acknowledged with `Connection timed out`, 0.3 s after its last write. A request to an endpoint that reads slowly ended in the same way: an order of 128 KiB over a slow link was given up with 502.

Cause: TCP_USER_TIMEOUT, 5 s towards callers and 1.5 s towards endpoints. For a closed window the kernel counts it from the first probe and goes on while the peer reads in small steps, so that such a peer is ended after that time, and a connection whose window was closed before may be ended soon after the window closes again. Shown apart from the product: 12 of 20 connections of a script were reset within 24 s, 10 of them 0.4 to 1.3 s into a response, where no read paused for more than 0.6 s; 0 of the 10 without the option.

Ruled out: a peer that read nothing for the limit (the reader's pauses are shorter), keep-alive (the 10 connections without the limit had it), the close of the socket by the instance (the error is the kernel's).

The limit is kept in the process now: a watch asks the kernel for the unacknowledged bytes, and only a peer that has acknowledged none of them for the same time is dead. It asks nothing once the peer has answered. Idle connections are probed as before, with as many probes as the limit allowed.

Peers that read nothing are still given up (slow_readers, slow_endpoints, ends).

--- a/crates/callers/src/connection.rs
+++ b/crates/callers/src/connection.rs
@@ -9,6 +9,7 @@
     future::poll_fn,
     io::{self, Cursor},
     net::SocketAddr,
+    pin::{Pin, pin},
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -51,18 +52,22 @@
     pub max_header_bytes: usize,
 }
 
-/// Enables the detection of dead peers and disables Nagle's algorithm, since a token must be sent as soon as it is written.
-/// A peer that leaves bytes unacknowledged for `unacknowledged`, or reads none for so long, counts as dead.
+/// Disables Nagle's algorithm, since a token must be sent as soon as it is written, and enables keep-alive probes. The peer of an
+/// idle connection counts as dead once it has answered none for `unanswered`; [`DeliveryWatch`] covers those that are written to.
 ///
 /// # Errors
 ///
 /// The operating system's error for the first option that it rejects.
-pub fn set_socket_options(stream: &TcpStream, unacknowledged: Duration) -> io::Result<()> {
+pub fn set_socket_options(stream: &TcpStream, unanswered: Duration) -> io::Result<()> {
     stream.set_nodelay(true)?;
-    let socket = SockRef::from(stream);
-    socket.set_tcp_user_timeout(Some(unacknowledged))?;
-    socket.set_tcp_keepalive(
-        &TcpKeepalive::new().with_time(KEEPALIVE_INTERVAL).with_interval(KEEPALIVE_INTERVAL),
+    let probes = unanswered.as_secs_f64() / KEEPALIVE_INTERVAL.as_secs_f64();
+    // The first one is sent after an interval.
+    let retries = (probes.ceil() as u32).saturating_sub(1).max(1);
+    SockRef::from(stream).set_tcp_keepalive(
+        &TcpKeepalive::new()
+            .with_time(KEEPALIVE_INTERVAL)
+            .with_interval(KEEPALIVE_INTERVAL)
+            .with_retries(retries),
     )
 }
 
@@ -106,7 +111,13 @@
     if let Err(error) = set_socket_options(&stream, UNACKNOWLEDGED_TIMEOUT) {
         log::debug!(error:% = error; "can't set the socket options of a caller's connection");
     }
-    let stream = SharedStream::new(stream);
+    let stream = match SharedStream::new(stream) {
+        Ok(stream) => stream,
+        Err(error) => {
+            log::debug!(error:% = error; "a caller's connection failed before its first request");
+            return None;
+        }
+    };
     let mut caller = Caller { from, is_end_announced: false };
     let mut reporter =
         EndReporter::new(responder.clone(), log, stop.clone(), caller, stream.clone());
@@ -180,19 +191,27 @@
         .header_read_timeout(limits.header_timeout)
         .max_buf_size(limits.max_header_bytes.max(MIN_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
-    let is_ended = tokio::select! {
-        biased;
-        ended = poll_fn(|cx| connection.poll_without_shutdown(cx)) => Some(ended),
-        () = async {
-            closing.cancelled().await;
-            wait_while(|| round.expects_request()).await;
-        } => None,
-    };
-    match is_ended {
-        Some(ended) => ended?,
-        None => {
-            std::pin::Pin::new(&mut connection).graceful_shutdown();
-            poll_fn(|cx| connection.poll_without_shutdown(cx)).await?;
+    {
+        let mut served = pin!(async {
+            let is_ended = tokio::select! {
+                biased;
+                ended = poll_fn(|cx| connection.poll_without_shutdown(cx)) => Some(ended),
+                () = async {
+                    closing.cancelled().await;
+                    wait_while(|| round.expects_request()).await;
+                } => None,
+            };
+            if let Some(ended) = is_ended {
+                return ended;
+            }
+            Pin::new(&mut connection).graceful_shutdown();
+            poll_fn(|cx| connection.poll_without_shutdown(cx)).await
+        });
+        tokio::select! {
+            biased;
+            ended = &mut served => ended?,
+            // The next write, or the attempt to flush without one, fails.
+            () = round.stream.watch_delivery() => served.await?,
         }
     }
     caller.is_end_announced = is_end_announced.load(Ordering::Relaxed);
--- a/crates/callers/src/lib.rs
+++ b/crates/callers/src/lib.rs
@@ -12,6 +12,7 @@
 mod bodies;
 mod budget;
 mod connection;
+mod delivery;
 mod ends;
 mod gated_reader;
 mod response_state;
@@ -34,6 +35,7 @@
 pub use crate::{
     bodies::{BodyReservation, BodyRoom, ReadBodyError, discard_body, read_body},
     budget::{ByteBudget, HeldBytes, HeldResponse},
+    delivery::DeliveryWatch,
     ends::{ConnectionEnd, ConnectionEndReason, EndDecision, StopPhase},
     response_state::RequestLabel,
     round::RequestEnd,
--- a/crates/callers/src/socket_queues.rs
+++ b/crates/callers/src/socket_queues.rs
@@ -8,7 +8,6 @@
 };
 
 use socket2::{Domain, Protocol, Socket, Type};
-use tokio::net::TcpStream;
 
 // Constants of the kernel's interface, by their names there: AF_NETLINK, NETLINK_SOCK_DIAG, SOCK_DIAG_BY_FAMILY, NLM_F_REQUEST,
 // AF_INET, AF_INET6 and IPPROTO_TCP.
@@ -44,8 +43,7 @@
 /// # Errors
 ///
 /// The operating system's error, for example if the connection has been reset, or the kernel has no diagnostics.
-pub(crate) fn socket_queues(stream: &TcpStream) -> io::Result<SocketQueues> {
-    let (local, peer) = (stream.local_addr()?, stream.peer_addr()?);
+pub(crate) fn socket_queues(local: SocketAddr, peer: SocketAddr) -> io::Result<SocketQueues> {
     let mut socket =
         Socket::new(Domain::from(NETLINK), Type::DGRAM, Some(Protocol::from(SOCKET_DIAGNOSTICS)))?;
     socket.set_read_timeout(Some(ANSWER_TIMEOUT))?;
--- a/crates/callers/src/stream.rs
+++ b/crates/callers/src/stream.rs
@@ -20,7 +20,10 @@
     time::{Instant, sleep, timeout},
 };
 
-use crate::socket_queues::{SocketQueues, socket_queues};
+use crate::{
+    delivery::DeliveryWatch,
+    socket_queues::{SocketQueues, socket_queues},
+};
 
 /// How long bytes that were written may be on their way at most.
 pub(crate) const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(5);
@@ -78,6 +81,7 @@
 #[derive(Debug)]
 struct Shared {
     socket: TcpStream,
+    delivery: DeliveryWatch,
     last_write: Mutex<Option<LastWrite>>,
     /// True while bytes wait for room in the socket.
     is_write_blocked: AtomicBool,
@@ -91,14 +95,25 @@
 pub(crate) struct SharedStream(Arc<Shared>);
 
 impl SharedStream {
-    pub(crate) fn new(socket: TcpStream) -> Self {
-        Self(Arc::new(Shared {
+    /// Shares a stream.
+    ///
+    /// # Errors
+    ///
+    /// The operating system's error, for example if the connection has been reset.
+    pub(crate) fn new(socket: TcpStream) -> io::Result<Self> {
+        Ok(Self(Arc::new(Shared {
+            delivery: DeliveryWatch::new(&socket, UNACKNOWLEDGED_TIMEOUT)?,
             socket,
             last_write: Mutex::default(),
             is_write_blocked: AtomicBool::new(false),
             waker: Mutex::default(),
             is_writing_ended: AtomicBool::new(false),
-        }))
+        })))
+    }
+
+    /// Waits until the peer counts as dead. Writes fail from then on.
+    pub(crate) async fn watch_delivery(&self) {
+        self.0.delivery.run().await;
     }
 
     /// The time since bytes were last written; none if there were none.
@@ -132,7 +147,8 @@
     ///
     /// The operating system's error, for example if the connection has been reset.
     pub(crate) fn queues(&self) -> io::Result<SocketQueues> {
-        let mut queues = socket_queues(&self.0.socket)?;
+        let socket = &self.0.socket;
+        let mut queues = socket_queues(socket.local_addr()?, socket.peer_addr()?)?;
         let end_bytes = u64::from(self.0.is_writing_ended.load(Ordering::Relaxed));
         queues.unacknowledged_bytes = queues.unacknowledged_bytes.saturating_sub(end_bytes);
         Ok(queues)
@@ -190,9 +206,12 @@
             if left.is_zero() {
                 // A peer that goes on reading has acknowledged bytes since the last look.
                 let left_bytes = self.queues().map_or(0, |queues| queues.unacknowledged_bytes);
-                if left_bytes == 0 || left_bytes >= unacknowledged_bytes {
+                if left_bytes == 0 {
                     return PeerEnd::None;
                 }
+                if left_bytes >= unacknowledged_bytes {
+                    return PeerEnd::Failed(io::ErrorKind::TimedOut.into());
+                }
                 unacknowledged_bytes = left_bytes;
                 until = Instant::now() + PROGRESS_INTERVAL;
                 continue;
@@ -251,6 +270,7 @@
         cx: &mut Context<'_>,
         write: impl Fn(&TcpStream) -> io::Result<usize>,
     ) -> Poll<io::Result<usize>> {
+        self.0.delivery.check()?;
         loop {
             let Poll::Ready(ready) = self.0.socket.poll_write_ready(cx) else {
                 self.set_write_blocked(true);
@@ -262,6 +282,7 @@
                 result => {
                     if let Ok(bytes) = result {
                         self.set_write_blocked(false);
+                        self.0.delivery.record_write(bytes);
                         let mut last_write = self.0.last_write.lock();
                         *last_write = Some(LastWrite::after(*last_write, bytes));
                     }
@@ -294,7 +315,7 @@
     }
 
     fn poll_flush(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(Ok(()))
+        Poll::Ready(self.0.delivery.check())
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -4,9 +4,9 @@
 //! connection on which a response to another request arrived. A pool that retries on its own hides both, so this one
 //! uses hyper's connections directly.
 
-use std::{collections::HashMap, io, net::SocketAddr, time::Duration};
+use std::{collections::HashMap, io, net::SocketAddr, pin::pin, sync::Arc, time::Duration};
 
-use bilberryford_callers::{HeldResponse, set_socket_options};
+use bilberryford_callers::{DeliveryWatch, HeldResponse, set_socket_options};
 use bilberryford_coord::SharePlace;
 use bilberryford_types::{EndpointId, TimeMs};
 use bytes::Bytes;
@@ -166,12 +166,20 @@
         .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
     set_socket_options(&stream, UNACKNOWLEDGED_TIMEOUT)?;
     let meter = ResponseMeter::new(held);
-    let stream = MeteredStream { stream, meter: meter.clone() };
+    let delivery = Arc::new(DeliveryWatch::new(&stream, UNACKNOWLEDGED_TIMEOUT)?);
+    let stream = MeteredStream { stream, delivery: delivery.clone(), meter: meter.clone() };
     let handshake =
         http1::Builder::new().max_buf_size(MAX_BUFFER_BYTES).handshake(TokioIo::new(stream));
     let (sender, connection) = handshake.await.map_err(io::Error::other)?;
     let task = tokio::spawn(async move {
-        if let Err(error) = connection.await {
+        let mut connection = pin!(connection);
+        let ended = tokio::select! {
+            biased;
+            ended = &mut connection => ended,
+            // The next write, or the attempt to flush without one, fails.
+            () = delivery.run() => connection.await,
+        };
+        if let Err(error) = ended {
             log::debug!(address:% = address, error:% = error; "connection to an endpoint failed");
         }
     });
--- a/crates/gateway/src/response_meter.rs
+++ b/crates/gateway/src/response_meter.rs
@@ -14,7 +14,7 @@
     task::{Context, Poll, Waker, ready},
 };
 
-use bilberryford_callers::HeldResponse;
+use bilberryford_callers::{DeliveryWatch, HeldResponse};
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
@@ -103,6 +103,7 @@
 #[derive(Debug)]
 pub(crate) struct MeteredStream {
     pub(crate) stream: TcpStream,
+    pub(crate) delivery: Arc<DeliveryWatch>,
     pub(crate) meter: ResponseMeter,
 }
 
@@ -112,6 +113,7 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        self.delivery.check()?;
         let readable_bytes = self.meter.readable_bytes(cx.waker());
         if readable_bytes == 0 {
             return Poll::Pending;
@@ -121,6 +123,9 @@
         ready!(Pin::new(&mut self.stream).poll_read(cx, &mut part))?;
         let bytes = part.filled().len();
         buf.advance(bytes);
+        if bytes > 0 {
+            self.delivery.record_answer();
+        }
         if bytes > 0 && !self.meter.read(bytes as u64) {
             let error = TooMuchOverhead { limit_bytes: MAX_OVERHEAD_BYTES };
             return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, error)));
@@ -135,7 +140,10 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, bytes)
+        self.delivery.check()?;
+        let written = ready!(Pin::new(&mut self.stream).poll_write(cx, bytes))?;
+        self.delivery.record_write(written);
+        Poll::Ready(Ok(written))
     }
 
     fn poll_write_vectored(
@@ -143,7 +151,10 @@
         cx: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, slices)
+        self.delivery.check()?;
+        let written = ready!(Pin::new(&mut self.stream).poll_write_vectored(cx, slices))?;
+        self.delivery.record_write(written);
+        Poll::Ready(Ok(written))
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -151,6 +162,7 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.delivery.check()?;
         Pin::new(&mut self.stream).poll_flush(cx)
     }
 
