A peer that reads slowly into a large buffer is not taken for dead

The kernel's diagnostics tell a closed window whose probes are answered from a peer that is gone: only the latter has the short limits (5 s, 1.5 s towards endpoints). A caller may leave its window closed for 15 s, also behind its last response; an endpoint has the time of its request.

A question that the kernel did not answer ended the watch: it is asked again. Where there are no diagnostics at all, the kernel's limit stays, with one warning. Progress before the watch of a write no longer counts as progress of it.

--- a/crates/callers/src/delivery.rs
+++ b/crates/callers/src/delivery.rs
@@ -1,4 +1,4 @@
-//! Detects peers that leave written bytes unacknowledged, or unread.
+//! Detects peers that are gone, by the bytes that they leave unacknowledged.
 //!
 //! The kernel's own limit, `TCP_USER_TIMEOUT`, counts from the first probe of a closed window and is not reset by a peer that goes on
 //! reading, at times not even between two responses: it ends the connections of peers that read slowly. See
@@ -7,28 +7,55 @@
 use std::{
     io,
     net::SocketAddr,
-    sync::atomic::{AtomicBool, AtomicU64, Ordering},
+    sync::{
+        OnceLock,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
     time::Duration,
 };
 
+use socket2::SockRef;
 use tokio::{
     net::TcpStream,
     sync::Notify,
     time::{Instant, sleep},
 };
 
-use crate::socket_queues::socket_queues;
+use crate::socket_queues::{SocketQueues, socket_queues};
 
 /// How often a connection with unacknowledged bytes is examined within its timeout.
 const EXAMINATIONS: u32 = 4;
 
+/// How long a peer may acknowledge nothing of what was written.
+#[derive(Debug, Clone, Copy)]
+pub struct DeliveryLimits {
+    /// While its kernel does not answer.
+    pub unanswered: Duration,
+    /// While its kernel answers that its window is closed. A window opens again in large steps, for which a peer that reads slowly
+    /// needs seconds. None if something else bounds the time.
+    pub unread: Option<Duration>,
+}
+
+impl DeliveryLimits {
+    /// True if a peer that has acknowledged nothing for `silence` counts as dead.
+    pub(crate) fn is_dead(&self, silence: Duration, queues: &SocketQueues) -> bool {
+        if queues.is_window_closed {
+            self.unread.is_some_and(|limit| silence >= limit)
+        } else {
+            silence >= self.unanswered
+        }
+    }
+}
+
 /// Whether the peer of a connection acknowledges what is written to it.
 #[derive(Debug)]
 pub struct DeliveryWatch {
     local: SocketAddr,
     peer: SocketAddr,
-    timeout: Duration,
+    limits: DeliveryLimits,
     written_bytes: AtomicU64,
+    /// Those that are known to be acknowledged.
+    acknowledged_bytes: AtomicU64,
     written: Notify,
     /// True from bytes of the peer until the next write.
     is_answered: AtomicBool,
@@ -36,17 +63,22 @@
 }
 
 impl DeliveryWatch {
-    /// Watches a connection whose peer counts as dead once it has acknowledged nothing for `timeout`.
+    /// Watches a connection. Where the kernel has no socket diagnostics, its own limit takes the place of the watch.
     ///
     /// # Errors
     ///
     /// The operating system's error, for example if the connection has been reset.
-    pub fn new(stream: &TcpStream, timeout: Duration) -> io::Result<Self> {
+    pub fn new(stream: &TcpStream, limits: DeliveryLimits) -> io::Result<Self> {
+        let (local, peer) = (stream.local_addr()?, stream.peer_addr()?);
+        if !has_diagnostics(local, peer) {
+            SockRef::from(stream).set_tcp_user_timeout(Some(limits.unanswered))?;
+        }
         Ok(Self {
-            local: stream.local_addr()?,
-            peer: stream.peer_addr()?,
-            timeout,
+            local,
+            peer,
+            limits,
             written_bytes: AtomicU64::new(0),
+            acknowledged_bytes: AtomicU64::new(0),
             written: Notify::new(),
             is_answered: AtomicBool::new(false),
             is_dead: AtomicBool::new(false),
@@ -77,6 +109,13 @@
         Ok(())
     }
 
+    /// True if bytes may be on their way to the peer, or wait in its or our kernel.
+    pub fn is_undelivered(&self) -> bool {
+        !self.is_answered.load(Ordering::Relaxed)
+            && socket_queues(self.local, self.peer)
+                .is_ok_and(|queues| queues.unacknowledged_bytes > 0)
+    }
+
     /// Waits until the peer counts as dead.
     pub async fn run(&self) {
         loop {
@@ -88,28 +127,48 @@
         }
     }
 
-    /// Waits until all bytes are acknowledged, or none were for as long as the timeout.
+    /// Waits until all bytes are acknowledged, or the peer counts as dead.
     async fn is_acknowledged(&self) -> bool {
-        let mut acknowledged_bytes = 0;
         let mut progress_at = Instant::now();
         loop {
-            sleep(self.timeout / EXAMINATIONS).await;
+            sleep(self.limits.unanswered / EXAMINATIONS).await;
+            let written_bytes = self.written_bytes.load(Ordering::Relaxed);
             if self.is_answered.load(Ordering::Relaxed) {
+                self.acknowledged_bytes.store(written_bytes, Ordering::Relaxed);
                 return true;
             }
-            let written_bytes = self.written_bytes.load(Ordering::Relaxed);
-            let unacknowledged_bytes = match socket_queues(self.local, self.peer) {
-                Ok(queues) if queues.unacknowledged_bytes > 0 => queues.unacknowledged_bytes,
-                // A connection that the kernel does not know has ended.
-                Ok(_) | Err(_) => return true,
+            let queues = match socket_queues(self.local, self.peer) {
+                Ok(queues) => queues,
+                // The connection has ended.
+                Err(error) if error.kind() == io::ErrorKind::NotFound => return true,
+                Err(error) => {
+                    log::debug!(error:% = error; "can't ask for the queues of a connection");
+                    continue;
+                }
             };
-            let now_bytes = written_bytes.saturating_sub(unacknowledged_bytes);
-            if now_bytes > acknowledged_bytes {
-                acknowledged_bytes = now_bytes;
+            let acknowledged_bytes = written_bytes.saturating_sub(queues.unacknowledged_bytes);
+            let before_bytes =
+                self.acknowledged_bytes.fetch_max(acknowledged_bytes, Ordering::Relaxed);
+            if queues.unacknowledged_bytes == 0 {
+                return true;
+            }
+            if acknowledged_bytes > before_bytes {
                 progress_at = Instant::now();
-            } else if progress_at.elapsed() >= self.timeout {
+            } else if self.limits.is_dead(progress_at.elapsed(), &queues) {
                 return false;
             }
         }
     }
 }
+
+/// True if the kernel can be asked for the queues of a socket, as one connection has shown.
+fn has_diagnostics(local: SocketAddr, peer: SocketAddr) -> bool {
+    static HAS_DIAGNOSTICS: OnceLock<bool> = OnceLock::new();
+    *HAS_DIAGNOSTICS.get_or_init(|| match socket_queues(local, peer) {
+        Err(error) if error.kind() != io::ErrorKind::NotFound => {
+            log::warn!(error:% = error; "no socket diagnostics: the kernel's limit applies to unacknowledged bytes");
+            false
+        }
+        _ => true,
+    })
+}
--- a/crates/callers/src/lib.rs
+++ b/crates/callers/src/lib.rs
@@ -35,7 +35,7 @@
 pub use crate::{
     bodies::{BodyReservation, BodyRoom, ReadBodyError, discard_body, read_body},
     budget::{ByteBudget, HeldBytes, HeldResponse},
-    delivery::DeliveryWatch,
+    delivery::{DeliveryLimits, DeliveryWatch},
     ends::{ConnectionEnd, ConnectionEndReason, EndDecision, StopPhase},
     response_state::RequestLabel,
     round::RequestEnd,
--- a/crates/callers/src/socket_queues.rs
+++ b/crates/callers/src/socket_queues.rs
@@ -24,6 +24,13 @@
 const IDENTITY_BYTES: usize = 48;
 /// The place of the queues in an answer: behind the header, four states and the identity, the expiry.
 const QUEUES_AT: usize = HEADER_BYTES + 4 + IDENTITY_BYTES + 4;
+/// The places of the timer that runs, and of the number of its attempts without an answer.
+const TIMER_AT: usize = HEADER_BYTES + 2;
+const ATTEMPTS_AT: usize = HEADER_BYTES + 3;
+/// The timer of probes while the peer's window is closed.
+const PROBE_TIMER: u8 = 4;
+/// A probe that was just sent has no answer yet.
+const MAX_UNANSWERED_PROBES: u8 = 1;
 /// The bytes of an address in an identity.
 const ADDRESS_BYTES: usize = 16;
 /// The kernel answers at once.
@@ -36,6 +43,8 @@
     pub(crate) unread_bytes: u64,
     /// Written and not acknowledged by the peer. The end of the stream counts as one.
     pub(crate) unacknowledged_bytes: u64,
+    /// True while the peer's window is closed and its kernel answers probes: the peer is there, and has not read.
+    pub(crate) is_window_closed: bool,
 }
 
 /// Asks the kernel for the queues of a connection.
@@ -99,5 +108,7 @@
     Some(SocketQueues {
         unread_bytes: word(QUEUES_AT)?,
         unacknowledged_bytes: word(QUEUES_AT + size_of::<u32>())?,
+        is_window_closed: *answer.get(TIMER_AT)? == PROBE_TIMER
+            && *answer.get(ATTEMPTS_AT)? <= MAX_UNANSWERED_PROBES,
     })
 }
--- a/crates/callers/src/stream.rs
+++ b/crates/callers/src/stream.rs
@@ -21,12 +21,16 @@
 };
 
 use crate::{
-    delivery::DeliveryWatch,
+    delivery::{DeliveryLimits, DeliveryWatch},
     socket_queues::{SocketQueues, socket_queues},
 };
 
-/// How long bytes that were written may be on their way at most.
+/// How long bytes may be on their way at most, unless the peer's window is closed.
 pub(crate) const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(5);
+/// How long a caller may leave its window closed.
+const UNREAD_TIMEOUT: Duration = Duration::from_secs(15);
+const DELIVERY_LIMITS: DeliveryLimits =
+    DeliveryLimits { unanswered: UNACKNOWLEDGED_TIMEOUT, unread: Some(UNREAD_TIMEOUT) };
 /// How long bytes may be on their way however few they are. A link that buffers acknowledges them before they arrive.
 const DELIVERY_TIME: Duration = Duration::from_secs(2);
 /// How fast the slowest peers read.
@@ -102,7 +106,7 @@
     /// The operating system's error, for example if the connection has been reset.
     pub(crate) fn new(socket: TcpStream) -> io::Result<Self> {
         Ok(Self(Arc::new(Shared {
-            delivery: DeliveryWatch::new(&socket, UNACKNOWLEDGED_TIMEOUT)?,
+            delivery: DeliveryWatch::new(&socket, DELIVERY_LIMITS)?,
             socket,
             last_write: Mutex::default(),
             is_write_blocked: AtomicBool::new(false),
@@ -111,9 +115,17 @@
         })))
     }
 
-    /// Waits until the peer counts as dead. Writes fail from then on.
+    /// Waits until the peer counts as dead. Writes fail from then on, and the close resets the connection: what was written is
+    /// discarded.
     pub(crate) async fn watch_delivery(&self) {
         self.0.delivery.run().await;
+        self.reset_on_close();
+    }
+
+    fn reset_on_close(&self) {
+        if let Err(error) = self.0.socket.set_zero_linger() {
+            log::debug!(error:% = error; "can't discard what a peer has not acknowledged");
+        }
     }
 
     /// The time since bytes were last written; none if there were none.
@@ -198,22 +210,27 @@
     /// more, and nothing that the peer has sent can have crossed the end.
     pub(crate) async fn wait_for_end(&self) -> PeerEnd {
         let ended_at = Instant::now();
-        let mut unacknowledged_bytes = u64::MAX;
+        let mut progress_at = self.0.last_write.lock().map_or(ended_at, |write| write.at);
+        // Those of the last look.
+        let mut unacknowledged_bytes = None;
         let mut until = self.0.last_write.lock().map_or(ended_at, |write| write.read_by);
         loop {
             let crossing = if self.has_unread() { UNACKNOWLEDGED_TIMEOUT } else { CROSSING_TIME };
             let left = until.max(ended_at + crossing).saturating_duration_since(Instant::now());
             if left.is_zero() {
                 // A peer that goes on reading has acknowledged bytes since the last look.
-                let left_bytes = self.queues().map_or(0, |queues| queues.unacknowledged_bytes);
-                if left_bytes == 0 {
+                let Ok(queues) = self.queues() else { return PeerEnd::None };
+                if queues.unacknowledged_bytes == 0 {
                     return PeerEnd::None;
                 }
-                if left_bytes >= unacknowledged_bytes {
+                until = Instant::now() + PROGRESS_INTERVAL;
+                let before_bytes = unacknowledged_bytes.replace(queues.unacknowledged_bytes);
+                let Some(before_bytes) = before_bytes else { continue };
+                if queues.unacknowledged_bytes < before_bytes {
+                    progress_at = Instant::now();
+                } else if !queues.is_window_closed || progress_at.elapsed() >= UNREAD_TIMEOUT {
                     return PeerEnd::Failed(io::ErrorKind::TimedOut.into());
                 }
-                unacknowledged_bytes = left_bytes;
-                until = Instant::now() + PROGRESS_INTERVAL;
                 continue;
             }
             match timeout(left, self.0.socket.ready(Interest::READABLE)).await {
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -6,7 +6,7 @@
 
 use std::{collections::HashMap, io, net::SocketAddr, pin::pin, sync::Arc, time::Duration};
 
-use bilberryford_callers::{DeliveryWatch, HeldResponse, set_socket_options};
+use bilberryford_callers::{DeliveryLimits, DeliveryWatch, HeldResponse, set_socket_options};
 use bilberryford_coord::SharePlace;
 use bilberryford_types::{EndpointId, TimeMs};
 use bytes::Bytes;
@@ -26,6 +26,9 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// How long written bytes may stay unacknowledged before the connection is considered dead.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// An endpoint that is there and reads slowly has the time of the request.
+const DELIVERY_LIMITS: DeliveryLimits =
+    DeliveryLimits { unanswered: UNACKNOWLEDGED_TIMEOUT, unread: None };
 /// The idle timeout for endpoints that send no `Keep-Alive` header, in milliseconds: less than common servers have.
 const DEFAULT_IDLE_TIMEOUT_MS: TimeMs = TimeMs(4_000);
 /// The idle time within which no endpoint is expected to close a connection, in milliseconds.
@@ -166,7 +169,7 @@
         .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
     set_socket_options(&stream, UNACKNOWLEDGED_TIMEOUT)?;
     let meter = ResponseMeter::new(held);
-    let delivery = Arc::new(DeliveryWatch::new(&stream, UNACKNOWLEDGED_TIMEOUT)?);
+    let delivery = Arc::new(DeliveryWatch::new(&stream, DELIVERY_LIMITS)?);
     let stream = MeteredStream { stream, delivery: delivery.clone(), meter: meter.clone() };
     let handshake =
         http1::Builder::new().max_buf_size(MAX_BUFFER_BYTES).handshake(TokioIo::new(stream));
--- a/crates/gateway/src/response_meter.rs
+++ b/crates/gateway/src/response_meter.rs
@@ -107,6 +107,17 @@
     pub(crate) meter: ResponseMeter,
 }
 
+impl Drop for MeteredStream {
+    fn drop(&mut self) {
+        // What the endpoint has not taken of a request that was given up must not be run later.
+        if self.delivery.is_undelivered()
+            && let Err(error) = self.stream.set_zero_linger()
+        {
+            log::debug!(error:% = error; "can't discard a request that was given up");
+        }
+    }
+}
+
 impl AsyncRead for MeteredStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
