No part of before a team's isolation is used after it

Cause: the scope of cached parts named the team only while it was isolated. All others had one scope, whatever the set of isolated teams, and neither engines nor stores check teams. So what the team had made there stayed in use.

Ruled out: the propagation of the configuration (the isolated team itself has its own scope at once, and the parts are found under the shared one); a use of the isolated team's own scope by others (none in any run).

Change: the shared scope names the set of isolated teams by a digest of 64 bits of their sorted names, MODEL/VERSION/~DIGEST. No name contains `~`. Without isolated teams, and for an isolated team, the texts are as before, so that such caches stay warm through the roll-out. A shared scope thus has parts only of teams that its set does not isolate, whatever two configurations instances have, in any order. Each attempt takes the sharing from one configuration and keeps it; a team of which the configuration was replaced since its key was checked is judged by the present set. A team without a key counts, since it may have made parts before. By reading, not by a run: an instance of before can't parse the new scope, and leaves such parts of older weights in the stores that it owns until room is short.

Cost: each change of the set makes the shared parts cold once; so does the roll-out of this version where a team is isolated. A team that is isolated from its first configuration on has the same cost.

--- a/crates/gateway/src/cache_scope.rs
+++ b/crates/gateway/src/cache_scope.rs
@@ -2,14 +2,14 @@
 //!
 //! # Invariant
 //!
-//! Parts for different models, weight versions, isolated teams or allowed regions have different scopes, since neither engines nor
+//! Parts for different models, weight versions, teams that share them, or allowed regions have different scopes, since neither engines nor
 //! stores check any of these.
 
 use std::{fmt, str::FromStr};
 
-use bilberryford_types::{ModelName, TeamName};
+use bilberryford_types::ModelName;
 
-use crate::regions::RegionSet;
+use crate::{part_sharing::PartSharing, regions::RegionSet};
 
 /// The scope of a cached part.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
@@ -18,8 +18,8 @@
     pub model: ModelName,
     /// The version of its weights.
     pub weight_version: u64,
-    /// The team, if it shares no cached parts with others.
-    pub team: Option<TeamName>,
+    /// The teams that use the part.
+    pub sharing: PartSharing,
     /// The only regions in which the part may be; none if it may be anywhere.
     pub regions: Option<RegionSet>,
 }
@@ -31,8 +31,7 @@
 
 impl fmt::Display for CacheScope {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}/{}/", self.model, self.weight_version)?;
-        self.team.iter().try_for_each(|team| write!(f, "{team}"))?;
+        write!(f, "{}/{}/{}", self.model, self.weight_version, self.sharing)?;
         self.regions.iter().try_for_each(|regions| write!(f, "/{regions}"))
     }
 }
@@ -44,15 +43,12 @@
         let error = || ScopeError(text.to_owned());
         let mut fields = text.splitn(4, '/');
         let mut field = || fields.next().ok_or_else(error);
-        let (model, version, team) = (field()?, field()?, field()?);
+        let (model, version, sharing) = (field()?, field()?, field()?);
         let regions = field().ok();
         Ok(Self {
             model: model.parse().map_err(|_| error())?,
             weight_version: version.parse().map_err(|_| error())?,
-            team: match team {
-                "" => None,
-                team => Some(team.parse().map_err(|_| error())?),
-            },
+            sharing: sharing.parse().map_err(|_| error())?,
             regions: match regions {
                 None => None,
                 Some(regions) => Some(regions.parse().map_err(|_| error())?),
--- a/crates/gateway/src/deployment.rs
+++ b/crates/gateway/src/deployment.rs
@@ -12,7 +12,7 @@
     Bytes, BytesPerSec, DataCentreId, Generation, PoolName, RequestRate, TeamName, TimeMs,
 };
 
-use crate::regions::RegionSet;
+use crate::{part_sharing::IsolatedTeams, regions::RegionSet};
 
 /// How a request may be retried after an endpoint may have started it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display, strum::EnumString)]
@@ -195,6 +195,7 @@
     services: HashMap<PoolName, Service>,
     teams_by_key: HashMap<String, Arc<Team>>,
     has_teams: bool,
+    isolated_teams: IsolatedTeams,
     limits: CallerLimits,
 }
 
@@ -218,14 +219,18 @@
             routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
         }
         let has_teams = teams.is_some();
+        let teams = teams.unwrap_or_default();
+        // A team without a key is among them, since it may have made parts before.
+        let isolated = teams.iter().map(|(team, _)| team).filter(|team| team.is_isolated);
+        let isolated_teams = isolated.map(|team| team.name.clone()).collect();
         let mut teams_by_key = HashMap::new();
-        for (team, keys) in teams.unwrap_or_default() {
+        for (team, keys) in teams {
             let team = Arc::new(team);
             teams_by_key.extend(keys.into_iter().map(|key| (key, team.clone())));
         }
         let services =
             services.into_iter().map(|service| (service.name.clone(), service)).collect();
-        Self { version, routes_by_host, services, teams_by_key, has_teams, limits }
+        Self { version, routes_by_host, services, teams_by_key, has_teams, isolated_teams, limits }
     }
 
     /// The version, which increases with every change.
@@ -271,6 +276,11 @@
         self.has_teams
     }
 
+    /// The teams that share no cached parts with others.
+    pub const fn isolated_teams(&self) -> &IsolatedTeams {
+        &self.isolated_teams
+    }
+
     /// Looks up the team of an API key.
     pub fn team(&self, key: &str) -> Option<&Arc<Team>> {
         self.teams_by_key.get(key)
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -31,6 +31,7 @@
     filters::{StreamPart, authorize},
     gateway::Gateway,
     in_flight::InFlight,
+    part_sharing::PartSharing,
     placement::{Candidate, Reason},
     regions::RegionSet,
     request_log::RequestRecord,
@@ -76,6 +77,8 @@
     pub(crate) last_event_id: Option<String>,
     /// The only regions in which the present attempt may run; none if it may run anywhere.
     pub(crate) allowed_regions: Option<RegionSet>,
+    /// The teams that use the parts of the present attempt's prompt.
+    pub(crate) sharing: PartSharing,
     pub(crate) deadline_ms: TimeMs,
     pub(crate) method: Method,
     pub(crate) uri: Uri,
@@ -202,6 +205,7 @@
         };
         let team = self.team.as_deref();
         self.allowed_regions = self.gateway.allowed_regions(&self.route, self.uri.path(), team);
+        self.sharing = self.gateway.part_sharing(team);
         if self.facts.prompt.is_some() && !self.gateway.has_learned_blame() {
             return Err(ErrorResponse::new(progress.error_kind(ErrorKind::NotReady)));
         }
--- a/crates/gateway/src/forward/choose.rs
+++ b/crates/gateway/src/forward/choose.rs
@@ -226,15 +226,14 @@
         self.gateway.old_weights_until_ms(&prompt.model, version)
     }
 
-    /// The scope of cached parts: the model, the weights, the allowed regions and, for an isolated team, the team.
+    /// The scope of cached parts: the model, the weights, the teams that share them and the allowed regions.
     pub(super) fn cache_scope(&self, candidate: &Candidate) -> Option<String> {
         let prompt = self.facts.prompt.as_ref()?;
         let version = candidate.weight_version?;
-        let team = self.team.as_ref().filter(|team| team.is_isolated);
         let scope = CacheScope {
             model: prompt.model.clone(),
             weight_version: version,
-            team: team.map(|team| team.name.clone()),
+            sharing: self.sharing.clone(),
             regions: self.allowed_regions.clone(),
         };
         Some(scope.to_string())
--- a/crates/gateway/src/gateway/regions.rs
+++ b/crates/gateway/src/gateway/regions.rs
@@ -1,8 +1,9 @@
-//! In which regions a request may run, and which endpoints are there.
+//! In which regions a request may run, which endpoints are there, and which teams use its cached parts.
 
 use super::Gateway;
 use crate::{
     deployment::{Deployment, Route, Team},
+    part_sharing::PartSharing,
     placement::Candidate,
     regions::RegionSet,
 };
@@ -23,6 +24,14 @@
         RegionSet::of_both(of_route, team.and_then(|team| team.allowed_regions.as_ref()))
     }
 
+    /// The teams that use the parts of a request's prompt by the configuration in force. An attempt keeps the result, so that
+    /// what it finds, fetches and saves has one scope.
+    pub(crate) fn part_sharing(&self, team: Option<&Team>) -> PartSharing {
+        let deployment = self.deployment.load();
+        let isolated = deployment.as_ref().map(|deployment| deployment.isolated_teams());
+        isolated.map(|teams| teams.sharing(team.map(|team| &team.name))).unwrap_or_default()
+    }
+
     /// Leaves out the candidates that are not in one of the regions. Returns false if there were some and none is left.
     pub(crate) fn retain_allowed(
         &self,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,6 +32,7 @@
 mod metrics;
 mod obstacle;
 mod part_plan;
+mod part_sharing;
 mod part_values;
 mod peer_loads;
 mod placement;
@@ -83,6 +84,7 @@
 pub use key_validity::KeyValidity;
 pub use obstacle::{Obstacle, SendFacts, obstacle};
 pub use part_plan::{LocatedParts, PartPlan, PrefixFacts, TargetEngine, Transfer, plan_parts};
+pub use part_sharing::{IsolatedTeams, PartSharing, TeamSetDigest};
 pub use part_values::{
     EvictionStep, LEARNING_MS, PartAccount, PartOutcome, PartUsage, PendingUses, STEP_INTERVAL_MS,
     SaveOutcome, StoreContents, StoreEviction, UseEstimate, UsesReport, grace_ms,
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -15,6 +15,7 @@
     mod event_stream;
     mod fair_shares;
     mod health;
+    mod isolation;
     mod key_validity;
     mod limit_model;
     mod obstacle;
--- a/crates/gateway/tests/decisions/cache_index.rs
+++ b/crates/gateway/tests/decisions/cache_index.rs
@@ -2,9 +2,9 @@
 
 use bilberryford_gateway::{
     CacheChange, CacheChanges, CacheScope, Candidate, CircuitState, DataCentreRegions, EndpointTag,
-    HolderKind, HolderTraits, HolderView, LocatedParts, PartKey, PartSource, PartTag, PartUpdate,
-    PendingEngineParts, PlacementRequest, PromptPart, PromptShape, RegionLimit, RegionSet,
-    TargetEngine, WeightConstraints, place, plan_parts,
+    HolderKind, HolderTraits, HolderView, LocatedParts, PartKey, PartSharing, PartSource, PartTag,
+    PartUpdate, PendingEngineParts, PlacementRequest, PromptPart, PromptShape, RegionLimit,
+    RegionSet, TargetEngine, WeightConstraints, place, plan_parts,
 };
 use bilberryford_types::{Bytes, BytesPerSec, DataCentreId, TimeMs, Tokens};
 use rstest::rstest;
@@ -252,11 +252,11 @@
 }
 
 #[rstest]
-#[case("m/3/", None)]
-#[case("m/3/team", Some("team"))]
-fn scopes_round_trip_through_text(#[case] text: &str, #[case] team: Option<&str>) {
+#[case("m/3/", PartSharing::All)]
+#[case("m/3/team", PartSharing::Only("team".parse().expect("a name")))]
+fn scopes_round_trip_through_text(#[case] text: &str, #[case] sharing: PartSharing) {
     let scope: CacheScope = text.parse().expect("a scope");
-    assert_eq!((scope.weight_version, scope.team.as_ref().map(|t| t.as_str())), (3, team));
+    assert_eq!((scope.weight_version, &scope.sharing), (3, &sharing));
     assert_eq!(scope.to_string(), text);
 }
 
