A stream is recorded with a build only by its endpoint's own word

Cause: without a recorded doubt, the entry counted for a stream that begins, once the process was 10 s old and one build was listed. A doubt is recorded where a request meets a lost connection; a restart that no request met left none. Ruled out: recording the loss of idle connections and of the call for events as doubts instead. That call is renewed after a pause of up to 250 ms, and an instance may have no connection at all, so that the doubt may come after the stream (by reading, not by a run).

Change: the entry never counts alone. A stream is recorded if a report covers its connection (asked for at or after its opening, and of the incarnation that the candidate has); otherwise the engine is asked, in the background after the first content, as it was around roll-outs before. A connection that is used again costs no report. An engine that does not say is asked three times more, a second apart, without holding up a caller. Services without engines are recorded by their entries at once; before, they were by a task that asked nobody.

The stream model takes over: its endpoints start anew from 1.2 s before a build is listed, and it uses covers_connection.

--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -74,6 +74,6 @@
 };
 pub use silence::StallDetector;
 pub use stream::{
-    BuildHistory, InquiryStep, MAX_STREAMS, STREAM_RETENTION_MS, StreamInquiry, StreamKeeper,
-    StreamKey, StreamKnowledge, StreamOrigin, StreamRecords, covers_connection, ranked_keepers,
+    InquiryStep, MAX_STREAMS, STREAM_RETENTION_MS, StreamInquiry, StreamKeeper, StreamKey,
+    StreamKnowledge, StreamOrigin, StreamRecords, covers_connection, ranked_keepers,
 };
--- a/crates/coord/src/stream.rs
+++ b/crates/coord/src/stream.rs
@@ -22,7 +22,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::Xxh3;
 
-pub use builds::{BuildHistory, covers_connection};
+pub use builds::covers_connection;
 pub use inquiry::{InquiryStep, StreamInquiry};
 pub use keepers::{StreamKeeper, ranked_keepers};
 pub use records::{MAX_STREAMS, STREAM_RETENTION_MS, StreamKnowledge, StreamRecords};
--- a/crates/coord/tests/stream_model.rs
+++ b/crates/coord/tests/stream_model.rs
@@ -1,6 +1,6 @@
 //! Streams that callers take up over a simulated fleet in the middle of roll-outs: instances lose and delay datagrams, see
 //! different peers, freeze, are cut off, killed a third at once, or all. Endpoints start again under their ids with another
-//! build while their entries are still the old ones, and tables are filled with other streams.
+//! build while their entries are still the old ones, also with a build that nobody lists yet, and tables are filled with other streams.
 //!
 //! `cargo test --release -p bilberryford-coord --test stream_model -- --nocapture` prints a line for each case;
 //! `STREAM_MODEL_SEEDS=20` plays more seeds.
@@ -8,8 +8,8 @@
 use std::{collections::BinaryHeap, sync::LazyLock};
 
 use bilberryford_coord::{
-    BuildHistory, InquiryStep, MAX_STREAMS, StreamInquiry, StreamKeeper, StreamKey,
-    StreamKnowledge, StreamOrigin, StreamRecords, ranked_keepers,
+    InquiryStep, MAX_STREAMS, StreamInquiry, StreamKeeper, StreamKey, StreamKnowledge,
+    StreamOrigin, StreamRecords, covers_connection, ranked_keepers,
 };
 use bilberryford_types::TimeMs;
 use rand::{RngExt, SeedableRng, rngs::StdRng};
@@ -34,12 +34,10 @@
 /// The share of the streams that begin at an endpoint which has started again under its id with another build, and whose
 /// entry is still the old one.
 const RESTARTED_SHARE: f64 = 0.1;
-/// The share of these restarts that an instance notices by a lost connection, if it has had time to open some.
-const NOTICED_SHARE: f64 = 0.5;
-/// The time after the first entry of a new build in which no endpoint starts again with it: all instances have that entry.
-const RESTART_LAG_MS: u64 = MAX_LISTING_LAG_MS;
-/// The time after its start in which an instance has no connection to lose.
-const NO_CONNECTION_MS: u64 = 3_000;
+/// The time before the first entry of a new build in which endpoints start again with it.
+const UNLISTED_MS: u64 = 1_200;
+/// The longest time for which a connection was open when a stream begins on it.
+const MAX_CONNECTION_AGE_MS: u64 = 4_000;
 /// The size of a report, a question or an answer with its headers, in bytes.
 const DATAGRAM_BYTES: u64 = 28 + 26;
 
@@ -82,7 +80,8 @@
 
 struct Instance {
     records: StreamRecords,
-    builds: BuildHistory,
+    /// When an endpoint last confirmed its entry to the instance.
+    confirmed_ms: Option<TimeMs>,
     started_ms: u64,
     down_until_ms: u64,
     frozen_until_ms: u64,
@@ -227,15 +226,11 @@
 
     /// The build that an endpoint with an entry of build `listed` has: another one if it has started again since.
     fn actual_build(&mut self, listed: &'static str, now_ms: u64) -> &'static str {
-        let (since_ms, serving) = *self
-            .roll_outs
-            .iter()
-            .rev()
-            .find(|(from_ms, _)| *from_ms <= now_ms)
-            .expect("a build from the start");
+        let mut starting =
+            self.roll_outs.iter().rev().filter(|(from_ms, _)| *from_ms <= now_ms + UNLISTED_MS);
+        let (_, serving) = starting.next().expect("a build from the start");
         let others: Vec<_> = serving.iter().copied().filter(|build| *build != listed).collect();
-        let may_restart = now_ms >= since_ms + RESTART_LAG_MS && !others.is_empty();
-        if may_restart && self.random.random_bool(RESTARTED_SHARE) {
+        if !others.is_empty() && self.random.random_bool(RESTARTED_SHARE) {
             return others[self.random.random_range(0..others.len())];
         }
         listed
@@ -243,13 +238,15 @@
 
     /// Returns true if the instance asks the endpoint for its build before it records a stream.
     fn asks_for_build(&mut self, at: usize, is_restarted: bool, now_ms: u64) -> bool {
-        let listed = self.builds(at, now_ms).iter().map(|name| name.parse().expect("a build"));
-        let instance = &mut self.instances[at];
-        instance.builds.record(listed.collect(), TimeMs(now_ms));
-        let uptime_ms = now_ms - instance.started_ms;
-        let has_lost_connection =
-            is_restarted && uptime_ms >= NO_CONNECTION_MS && self.random.random_bool(NOTICED_SHARE);
-        has_lost_connection || instance.builds.may_mislead(TimeMs(uptime_ms), TimeMs(now_ms))
+        let age_ms = self.random.random_range(0..MAX_CONNECTION_AGE_MS);
+        let opened_ms = now_ms.saturating_sub(age_ms).max(self.instances[at].started_ms);
+        let mut word_ms = self.instances[at].confirmed_ms;
+        if is_restarted {
+            // The last word of an endpoint that has started again is older than the connection to the new process.
+            let before_ms = opened_ms.checked_sub(1).map(TimeMs);
+            word_ms = word_ms.zip(before_ms).map(|(word_ms, before_ms)| word_ms.min(before_ms));
+        }
+        !covers_connection(word_ms, TimeMs(opened_ms))
     }
 
     fn begin(&mut self, number: u64, now_ms: u64) {
@@ -261,7 +258,11 @@
         self.streams[number as usize] = Some((at, build, ends_ms));
         let is_restarted = build != listed;
         // The endpoint's own word differs from its entry, so that the stream is not recorded.
-        let is_refuted = self.asks_for_build(at, is_restarted, now_ms) && is_restarted;
+        let asks = self.asks_for_build(at, is_restarted, now_ms);
+        let is_refuted = asks && is_restarted;
+        if asks && !is_restarted {
+            self.instances[at].confirmed_ms = Some(TimeMs(now_ms));
+        }
         if !is_refuted {
             self.tell(at, number, listed, now_ms);
         }
@@ -309,7 +310,7 @@
 
     fn kill(&mut self, at: usize, now_ms: u64) {
         self.instances[at].records = StreamRecords::default();
-        self.instances[at].builds = BuildHistory::default();
+        self.instances[at].confirmed_ms = None;
         self.instances[at].started_ms = now_ms + RESTART_MS;
         self.instances[at].down_until_ms = now_ms + RESTART_MS;
         self.break_streams_of(at, now_ms);
@@ -390,7 +391,7 @@
     let mut random = StdRng::seed_from_u64(seed);
     let fleet = (0..instances).map(|_| Instance {
         records: StreamRecords::default(),
-        builds: BuildHistory::default(),
+        confirmed_ms: None,
         started_ms: 0,
         down_until_ms: 0,
         frozen_until_ms: 0,
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -31,6 +31,7 @@
     filters::{StreamPart, authorize},
     gateway::Gateway,
     in_flight::InFlight,
+    local_state::BuildStanding,
     placement::{Candidate, Reason},
     regions::RegionSet,
     request_log::RequestRecord,
@@ -223,7 +224,8 @@
             return after_setback(progress, Setback::Unsent);
         };
         if self.stream.required_build().is_some()
-            && !self.gateway.confirm_build(&candidate, &self.service).await
+            && self.gateway.confirm_build(&candidate, &self.service).await
+                != BuildStanding::AsListed
         {
             self.record.notes.push("build_unconfirmed");
             progress.tried.push(candidate.id.clone());
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -21,7 +21,7 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use bilberryford_callers::{BodyRoom, ByteBudget, StopStages};
-use bilberryford_coord::{Blame, BuildHistory, FairShares, StreamKey, StreamRecords};
+use bilberryford_coord::{Blame, FairShares, StreamKey, StreamRecords};
 use bilberryford_platform::ObjectStore;
 use bilberryford_types::{Bytes, EndpointId, ModelName, PoolName, StoreEra, TimeMs};
 use parking_lot::Mutex;
@@ -131,8 +131,6 @@
     pub(crate) streams: Mutex<StreamRecords>,
     /// The streams whose endpoints are being asked for their builds; they are recorded, or not, with the reply.
     pub(crate) unconfirmed_streams: Mutex<HashSet<StreamKey>>,
-    /// The builds of each service that were listed.
-    build_histories: Mutex<HashMap<PoolName, BuildHistory>>,
     /// The inquiries of this instance about streams that it does not know, each with the requests that wait for it.
     pub(crate) inquiries: Mutex<HashMap<StreamKey, SharedInquiry>>,
     /// Notified when an inquiry was answered.
@@ -212,7 +210,6 @@
             process_number: rand::random(),
             streams: Mutex::default(),
             unconfirmed_streams: Mutex::default(),
-            build_histories: Mutex::default(),
             inquiries: Mutex::default(),
             inquiry_answered: Notify::new(),
             peer_link: OnceLock::new(),
--- a/crates/gateway/src/gateway/streams.rs
+++ b/crates/gateway/src/gateway/streams.rs
@@ -1,20 +1,33 @@
 //! Which endpoints may go on with a stream, and which build begins one.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use bilberryford_coord::{StreamKey, StreamOrigin, covers_connection};
 use bilberryford_types::{Build, EndpointId, PoolName, TimeMs};
 
 use super::Gateway;
 use crate::{
-    controllers::report_stream, deployment::Route, endpoints::EndpointRecord,
-    local_state::BuildStanding, peer_loads::EndpointTag, placement::Candidate,
+    controllers::report_stream,
+    deployment::Route,
+    endpoints::EndpointRecord,
+    local_state::{BuildStanding, LocalState},
+    peer_loads::EndpointTag,
+    placement::Candidate,
 };
 
 /// How often an engine is asked for the time of its start, and the time after which it is not asked again, in milliseconds: a
 /// stream or a request waits for the answer.
 const MAX_START_QUESTIONS: u32 = 4;
 const START_QUESTIONS_MS: TimeMs = TimeMs(400);
+/// How often an engine that did not state the start of its incarnation when it began a stream is asked again, and the pauses
+/// between.
+const MAX_LATER_QUESTIONS: u32 = 3;
+const LATER_QUESTION_PAUSE: Duration = Duration::from_secs(1);
+
+/// Returns true if the state is that of the candidate's incarnation, and not of one that was listed since.
+fn is_subject(state: &LocalState, candidate: &Candidate) -> bool {
+    EndpointTag::new(candidate.id.as_str(), state.started_ms) == candidate.incarnation
+}
 
 impl Gateway {
     /// Returns the service and the build of `origin`, if the route leads to the service and an endpoint of the build is
@@ -50,48 +63,41 @@
         }
     }
 
-    /// Returns true if the build in the candidate's entry is that of what answers on a connection of `opened_ms`, as far as this
-    /// instance can tell without asking.
+    /// Returns true if the build in the candidate's entry is that of what answers on a connection of `opened_ms`, by the
+    /// endpoint's own word. Entries may be older than their endpoints; those of services without engines count.
     fn is_build_certain(
         &self,
         candidate: &Candidate,
         service: &PoolName,
         opened_ms: TimeMs,
     ) -> bool {
-        let (standing, confirmed_ms) = {
-            let local = self.local.lock();
-            let state = local.get(&candidate.id);
-            state.map(|state| (state.build_standing, state.build_confirmed_ms)).unwrap_or_default()
-        };
-        standing == BuildStanding::AsListed
-            && (covers_connection(confirmed_ms, opened_ms) || !self.may_entries_mislead(service))
-    }
-
-    /// Returns true if an entry of the service may name another build than its endpoint has, without a sign of it here.
-    fn may_entries_mislead(&self, service: &PoolName) -> bool {
-        let now_ms = self.clock.now();
-        let endpoints = self.endpoints.lock();
-        let records = endpoints.records().filter(|record| record.service == *service);
-        let listed = records.map(|record| record.build.clone()).collect();
-        drop(endpoints);
-        let mut histories = self.build_histories.lock();
-        let history = histories.entry(service.clone()).or_default();
-        history.record(listed, now_ms);
-        history.may_mislead(now_ms.since(self.started_ms), now_ms)
+        if !self.has_engines(service) {
+            return true;
+        }
+        let local = self.local.lock();
+        local.get(&candidate.id).is_some_and(|state| {
+            is_subject(state, candidate)
+                && state.build_standing == BuildStanding::AsListed
+                && covers_connection(state.build_confirmed_ms, opened_ms)
+        })
     }
 
-    /// Asks an engine whether it is the incarnation that its entry describes. Returns false if it is not, or if it does
-    /// not say.
+    /// Asks an engine whether it is the incarnation that its entry describes. Returns the standing of its build, which is in
+    /// doubt if it does not say.
     ///
     /// An endpoint ends but once, so that the answer holds for all connections that were opened before and still serve.
     /// Endpoints of services without engines make no reports; their entries count.
-    pub(crate) async fn confirm_build(&self, candidate: &Candidate, service: &PoolName) -> bool {
+    pub(crate) async fn confirm_build(
+        &self,
+        candidate: &Candidate,
+        service: &PoolName,
+    ) -> BuildStanding {
         if !self.has_engines(service) {
-            return true;
+            return BuildStanding::AsListed;
         }
         let Some((asked_ms, started_ms)) = self.ask_for_start(candidate).await else {
             log::debug!(endpoint:% = candidate.id; "endpoint does not state its incarnation");
-            return false;
+            return BuildStanding::Doubtful;
         };
         let is_listed =
             EndpointTag::new(candidate.id.as_str(), started_ms) == candidate.incarnation;
@@ -104,7 +110,7 @@
                 "endpoint is another incarnation than its entry; its build is unknown"
             );
         }
-        is_listed
+        standing
     }
 
     /// Asks an engine for the time of its start, again if its report is lost or garbled. Returns it after the time of the
@@ -134,9 +140,7 @@
     ) -> Option<BuildStanding> {
         let mut local = self.local.lock();
         let state = local.get_mut(&candidate.id)?;
-        let is_subject =
-            EndpointTag::new(candidate.id.as_str(), state.started_ms) == candidate.incarnation;
-        if !is_subject {
+        if !is_subject(state, candidate) {
             return None;
         }
         state.build_confirmed_ms = (standing == BuildStanding::AsListed).then_some(asked_ms);
@@ -167,17 +171,39 @@
         let (gateway, candidate, service) = (self.clone(), candidate.clone(), service.clone());
         self.unconfirmed_streams.lock().insert(key);
         tokio::spawn(async move {
-            if gateway.confirm_build(&candidate, &service).await {
-                report_stream(&gateway, key, origin);
-            } else {
+            let mut standing = gateway.record_if_confirmed(key, &candidate, &service, origin).await;
+            gateway.unconfirmed_streams.lock().remove(&key);
+            gateway.inquiry_answered.notify_waiters();
+            // The listed incarnation was there before the stream, so that a later word holds for it as well.
+            for _ in 0..MAX_LATER_QUESTIONS {
+                if standing != BuildStanding::Doubtful {
+                    break;
+                }
+                tokio::time::sleep(LATER_QUESTION_PAUSE).await;
+                standing = gateway.record_if_confirmed(key, &candidate, &service, origin).await;
+            }
+            if standing != BuildStanding::AsListed {
                 gateway.metrics.record_stream("begun_unconfirmed");
                 log::info!(
                     target: "belief", stream:% = key, endpoint:% = candidate.id;
                     "stream can't be taken up: the build that began it is not certain"
                 );
             }
-            gateway.unconfirmed_streams.lock().remove(&key);
-            gateway.inquiry_answered.notify_waiters();
         });
     }
+
+    /// Records a stream if the endpoint that begins it confirms its entry, and returns the standing of its build.
+    async fn record_if_confirmed(
+        &self,
+        key: StreamKey,
+        candidate: &Candidate,
+        service: &PoolName,
+        origin: StreamOrigin,
+    ) -> BuildStanding {
+        let standing = self.confirm_build(candidate, service).await;
+        if standing == BuildStanding::AsListed {
+            report_stream(self, key, origin);
+        }
+        standing
+    }
 }
