--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -4,9 +4,9 @@
 //! connection on which a response to another request arrived. A pool that retries on its own hides both, so this one
 //! uses hyper's connections directly.
 
-use std::{collections::HashMap, io, net::SocketAddr, time::Duration};
+use std::{collections::HashMap, io, net::SocketAddr, pin::pin, sync::Arc, time::Duration};
 
-use bilberryford_callers::{HeldResponse, set_socket_options};
+use bilberryford_callers::{DeliveryLimits, DeliveryWatch, HeldResponse, set_socket_options};
 use bilberryford_coord::SharePlace;
 use bilberryford_types::{EndpointId, TimeMs};
 use bytes::Bytes;
@@ -26,6 +26,9 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// How long written bytes may stay unacknowledged before the connection is considered dead.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// An endpoint that is there and reads slowly has the time of the request.
+const DELIVERY_LIMITS: DeliveryLimits =
+    DeliveryLimits { unanswered: UNACKNOWLEDGED_TIMEOUT, unread: None };
 /// The idle timeout for endpoints that send no `Keep-Alive` header, in milliseconds: less than common servers have.
 const DEFAULT_IDLE_TIMEOUT_MS: TimeMs = TimeMs(4_000);
 /// The idle time within which no endpoint is expected to close a connection, in milliseconds.
@@ -166,12 +169,20 @@
         .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
     set_socket_options(&stream, UNACKNOWLEDGED_TIMEOUT)?;
     let meter = ResponseMeter::new(held);
-    let stream = MeteredStream { stream, meter: meter.clone() };
+    let delivery = Arc::new(DeliveryWatch::new(&stream, DELIVERY_LIMITS)?);
+    let stream = MeteredStream { stream, delivery: delivery.clone(), meter: meter.clone() };
     let handshake =
         http1::Builder::new().max_buf_size(MAX_BUFFER_BYTES).handshake(TokioIo::new(stream));
     let (sender, connection) = handshake.await.map_err(io::Error::other)?;
     let task = tokio::spawn(async move {
-        if let Err(error) = connection.await {
+        let mut connection = pin!(connection);
+        let ended = tokio::select! {
+            biased;
+            ended = &mut connection => ended,
+            // The next write, or the attempt to flush without one, fails.
+            () = delivery.run() => connection.await,
+        };
+        if let Err(error) = ended {
             log::debug!(address:% = address, error:% = error; "connection to an endpoint failed");
         }
     });
