A holder of the lease for weight orders keeps it until it exits

What callers see: through rolls of SIGTERM, engines get no order for up to 23 s, though new weights have to be in force within 10 s; prompts are then refused or begin on old weights.

(2) Only the two readers of the store compete for it, and a reader that stops remains the one that the others ask: while both stop, nobody competes. (3) An instance that began to compete before SIGTERM acquired the lease after it (0.1 to 0.2 s, three times in the run) and left it at once, which cost all others a further expiry.

Ruled out: the store (sound throughout these runs); instances that have just started and know too little (they take the lease once they have read it for the expiry). Not the cause but seen beside it: renewals come late where an act takes long.

Change: a stop ends neither the holding nor the competition; the lease ends with the process. A stopping instance leaves a free lease to others for 0.8 s (Lease::with_patience), except its own record. (3) can't occur any more.

Remains: one expiry after each exit of a holder.

--- a/crates/coord/src/lease.rs
+++ b/crates/coord/src/lease.rs
@@ -115,6 +115,8 @@
 pub struct Watching {
     first_read: Option<FirstRead>,
     era: StoreEra,
+    /// How long a free lease is left to other instances.
+    patience: TimeMs,
 }
 
 /// A version of the object with the time at which this instance first read it.
@@ -243,23 +245,22 @@
         // In a later era, the object of a holder that still acts may be among what the store lost.
         let may_have_lost_holder = self.state.era > StoreEra(0);
         let Some(object) = found else {
-            if may_have_lost_holder {
-                let (absent, duration) =
-                    (ObjectVersion::in_era(self.state.era, 0), self.terms.duration);
-                return self.wait_or_acquire(absent, duration, Fencing(0), now);
-            }
-            return self.acquire(ObjectVersion::ABSENT, Fencing(0), now);
+            let absent = ObjectVersion::in_era(self.state.era, 0);
+            let duration = if may_have_lost_holder { self.terms.duration } else { TimeMs(0) };
+            return self.wait_or_acquire(absent, duration, Fencing(0), now);
         };
         // A record of this incarnation that is not held here: no one can act under it, so it need not expire.
-        let is_free = object.record.holder.is_none() || self.is_holder_of(&object.record);
-        if is_free && !may_have_lost_holder {
+        let is_own = self.is_holder_of(&object.record);
+        if is_own && !may_have_lost_holder {
             return self.acquire(object.version, object.record.fencing, now);
         }
+        let is_free = object.record.holder.is_none() && !may_have_lost_holder;
         let duration = object.record.duration_ms.max(self.terms.duration);
+        let duration = if is_free { TimeMs(0) } else { duration };
         self.wait_or_acquire(object.version, duration, object.record.fencing, now)
     }
 
-    /// Acquires the lease if its object has had `version` for `duration`.
+    /// Acquires the lease if its object has had `version` for `duration` and the patience beyond it.
     fn wait_or_acquire(
         mut self,
         version: ObjectVersion,
@@ -269,7 +270,7 @@
     ) -> WatchOutcome {
         let first_read = self.state.first_read.filter(|read| read.version == version);
         let first_read = first_read.unwrap_or(FirstRead { version, at: now });
-        let until = first_read.at.after(duration);
+        let until = first_read.at.after(duration).after(self.state.patience);
         if now >= until {
             let expected = if version.revision() == 0 { ObjectVersion::ABSENT } else { version };
             return self.acquire(expected, last_fencing, now);
@@ -285,6 +286,12 @@
         self
     }
 
+    /// Leaves a free lease to other instances for `patience`, since this one may not hold it for long.
+    pub fn with_patience(mut self, patience: TimeMs) -> Self {
+        self.state.patience = patience;
+        self
+    }
+
     fn acquire(self, expected: ObjectVersion, last_fencing: Fencing, now: TimeMs) -> WatchOutcome {
         // In a later era, the record that was found may be older than the last acquisition. Versions only grow.
         let floor = match self.state.era {
--- a/crates/coord/tests/lease.rs
+++ b/crates/coord/tests/lease.rs
@@ -60,6 +60,35 @@
     assert_eq!(acquired, fencing);
 }
 
+/// Guards against a holder that is about to exit where another instance takes the lease.
+#[rstest]
+#[case::absent(None, 800)]
+#[case::released(Some(object(3, None, 7)), 800)]
+#[case::held_by_another(Some(object(3, Some("b"), 7)), 4_800)]
+fn a_patient_instance_leaves_a_free_lease_to_others(
+    #[case] found: Option<LeaseObject>,
+    #[case] free_ms: u64,
+) {
+    let lease = watching("a").with_patience(TimeMs(800));
+    let WatchOutcome::Wait { lease, until } = lease.observe(found.as_ref(), TimeMs(10)) else {
+        panic!("acquired at once");
+    };
+    assert_eq!(until, TimeMs(10 + free_ms));
+    let WatchOutcome::Wait { lease, .. } = lease.observe(found.as_ref(), TimeMs(9 + free_ms))
+    else {
+        panic!("acquired too soon");
+    };
+    assert!(matches!(lease.observe(found.as_ref(), until), WatchOutcome::Acquire { .. }));
+}
+
+/// Guards against a holder that lost its lease and waits, though nobody else may take it yet.
+#[test]
+fn a_patient_instance_takes_its_own_record_back_at_once() {
+    let lease = watching("a").with_patience(TimeMs(800));
+    let own = object(3, Some("a"), 7);
+    assert!(matches!(lease.observe(Some(&own), TimeMs(10)), WatchOutcome::Acquire { .. }));
+}
+
 #[rstest]
 #[case::unchanged_for_the_duration(&[(0, 3), (4_000, 3)], true)]
 #[case::just_before_the_duration(&[(0, 3), (3_999, 3)], false)]
--- a/crates/gateway/src/controllers/weight_orders.rs
+++ b/crates/gateway/src/controllers/weight_orders.rs
@@ -2,7 +2,7 @@
 //!
 //! The lease is acquired only while engines are outdated, so that it causes no calls otherwise. It is never released:
 //! the next holder waits until it has expired, so that the time between the last order of one holder and the first of
-//! the next is at least the deployment's lease bound.
+//! the next is at least the deployment's lease bound. A holder that stops therefore keeps it until it exits.
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
@@ -31,6 +31,8 @@
 const PLAN_INTERVAL: Duration = Duration::from_millis(250);
 /// The longest random delay before an attempt to acquire the lease, in milliseconds.
 const ACQUIRE_JITTER_MS: u64 = 300;
+/// How long a stopping instance leaves a free lease to others, in milliseconds.
+const STOPPING_PATIENCE_MS: TimeMs = TimeMs(800);
 /// How long a holder may send orders after a confirmed renewal, in milliseconds: three renewals fit into it.
 const RENEWAL_WINDOW_MS: TimeMs = TimeMs(1_000);
 /// The margin on top of the lease bound for clocks that run at different rates, in milliseconds.
@@ -128,10 +130,7 @@
     /// Waits until engines are outdated. Only readers of the store compete for the lease, since each attempt of each
     /// instance is a call.
     async fn wait_for_rollout(&self) {
-        while !self.gateway.read_mode.reads_store()
-            || self.pending_rollouts().is_empty()
-            || self.gateway.is_stopping()
-        {
+        while !self.gateway.read_mode.reads_store() || self.pending_rollouts().is_empty() {
             sleep(PLAN_INTERVAL).await;
         }
     }
@@ -181,7 +180,10 @@
                 return lease;
             }
         };
-        match lease.in_era(self.gateway.store.era()).observe(object.as_ref(), self.now()) {
+        // An instance that stops may exit soon. It competes all the same, since others may rely on it to read the store.
+        let patience = if self.gateway.is_stopping() { STOPPING_PATIENCE_MS } else { TimeMs(0) };
+        let lease = lease.in_era(self.gateway.store.era()).with_patience(patience);
+        match lease.observe(object.as_ref(), self.now()) {
             WatchOutcome::Wait { lease, until } => {
                 let wait_ms = until.since(self.now()).get().clamp(50, 1_500);
                 sleep(Duration::from_millis(wait_ms)).await;
@@ -219,10 +221,7 @@
         let mut renewed_ms = self.now();
         loop {
             let pending_rollouts = self.pending_rollouts();
-            if pending_rollouts.is_empty()
-                || self.gateway.is_stopping()
-                || !self.is_of_present_era(&lease)
-            {
+            if pending_rollouts.is_empty() || !self.is_of_present_era(&lease) {
                 // The lease expires instead, since the next holder has to wait for the bound in any case.
                 return self.stop_holding(lease);
             }
