The holder of the lease for weight orders renews while it waits for engines

What callers see: a roll-out of weights stands still or is slow while an engine does not answer, the store writes slowly or the process gets little of a core: the lease is acquired and lost again and again, and no order goes out under it.

Cause: a holder may act for 1 s after the start of a renewal. Renewals and acts took turns in one loop: a report may take 0.4 s, each order 0.4 s, and a step 0.25 s. The interval also counted from the end of the acquisition, not from its start, from which the lease counts.

Change: the controller awaits reports, replies and pauses together with the renewals that fall due meanwhile, and counts from the acquisition's start. An order whose lease is lost while it waits for its reply counts as unanswered. Reading, planning and sending of orders have a file and functions of their own, apart from each other.

--- a/crates/coord/src/lease.rs
+++ b/crates/coord/src/lease.rs
@@ -359,6 +359,11 @@
         self.state.version
     }
 
+    /// The time from which the duration counts: the start of the call that wrote the object's version.
+    pub const fn counted_from(&self) -> TimeMs {
+        self.state.counted_from
+    }
+
     /// The time at which this holder stops acting, unless a renewal succeeds before.
     pub const fn stops_at(&self) -> TimeMs {
         self.state.counted_from.after(self.terms.duration.since(self.terms.margin))
--- a/crates/gateway/src/controllers/weight_orders.rs
+++ b/crates/gateway/src/controllers/weight_orders.rs
@@ -4,7 +4,9 @@
 //! the next holder waits until it has expired, so that the time between the last order of one holder and the first of
 //! the next is at least the deployment's lease bound. A holder that stops therefore keeps it until it exits.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+mod orders;
+
+use std::{collections::HashMap, pin::pin, sync::Arc, time::Duration};
 
 use bilberryford_coord::{
     AcquireOutcome, Held, Lease, LeaseHolder, LeaseObject, LeaseRecord, LeaseTerms, LeaseUpdate,
@@ -13,16 +15,14 @@
 use bilberryford_platform::{ObjectKey, ObjectKind, PlatformError, Precondition};
 use bilberryford_types::{EndpointId, Incarnation, ModelName, ObjectVersion, TimeMs};
 use bytes::Bytes;
-use futures::future::join_all;
+use futures::future::{Either, select};
 use rand::RngExt;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::{
     endpoints::EndpointRecord,
     gateway::Gateway,
-    peer_loads::EndpointTag,
-    rollout::{EngineWeights, plan_weights},
-    translation::{OrderReply, WeightLoad, WeightTarget},
+    translation::{OrderReply, WeightTarget},
 };
 
 /// The name of the lease.
@@ -214,47 +214,101 @@
         }
     }
 
-    async fn hold(&mut self, mut lease: Lease<Held>) -> Lease<Watching> {
+    async fn hold(&mut self, lease: Lease<Held>) -> Lease<Watching> {
         log::info!(
             target: "belief", fencing:% = lease.fencing(); "lease for weight orders acquired"
         );
-        let mut renewed_ms = self.now();
+        // The lease counts from the start of the call that acquired it, however long that took.
+        let mut renewed_ms = lease.counted_from();
+        match self.send_orders(lease, &mut renewed_ms).await {
+            // The lease expires instead, since the next holder has to wait for the bound in any case.
+            Ok(lease) => self.stop_holding(lease),
+            Err(lease) => lease,
+        }
+    }
+
+    /// Sends orders until no engine is outdated or an engine refuses one as fenced. Returns an error if the lease is lost.
+    async fn send_orders(
+        &mut self,
+        mut lease: Lease<Held>,
+        renewed_ms: &mut TimeMs,
+    ) -> Result<Lease<Held>, Lease<Watching>> {
         loop {
             let pending_rollouts = self.pending_rollouts();
             if pending_rollouts.is_empty() || !self.is_of_present_era(&lease) {
-                // The lease expires instead, since the next holder has to wait for the bound in any case.
-                return self.stop_holding(lease);
+                return Ok(lease);
             }
-            if self.now().since(renewed_ms) >= lease.terms().renew_every() {
-                renewed_ms = self.now();
-                let (fencing, version) = (lease.fencing(), lease.version());
-                lease = match self.renew(lease).await {
-                    Ok(lease) => lease,
-                    Err(lease) => {
-                        log::warn!(
-                            target: "belief", fencing:% = fencing, version:% = version;
-                            "lease for weight orders lost"
-                        );
-                        return lease;
+            for (target, engines) in pending_rollouts {
+                let reading = self.read_reports(&target, &engines);
+                let reports;
+                (lease, reports) = self.renewing_during(lease, renewed_ms, reading).await?;
+                for (record, accepted_orders) in self.plan_orders(&target, &engines, reports) {
+                    if !self.is_of_present_era(&lease) {
+                        return Ok(lease);
+                    }
+                    let Some(permit) = self.begin_order(&lease, record) else { continue };
+                    let sending = self.send_order(permit, &target, record, accepted_orders);
+                    let reply;
+                    (lease, reply) = self.renewing_during(lease, renewed_ms, sending).await?;
+                    self.record_reply(&target, record, reply);
+                    if reply == OrderReply::Fenced {
+                        return Ok(lease);
                     }
-                };
-                if lease.version() == version {
-                    log::warn!(
-                        target: "belief", fencing:% = fencing, version:% = version,
-                        stops_in_ms = lease.stops_at().since(self.now()).get();
-                        "renewal of the lease for weight orders not visible to others"
-                    );
                 }
             }
-            for (target, engines) in pending_rollouts {
-                if !self.send_orders(&lease, &target, &engines).await {
-                    return self.stop_holding(lease);
-                }
+            (lease, ()) = self.renewing_during(lease, renewed_ms, sleep(PLAN_INTERVAL)).await?;
+        }
+    }
+
+    /// Awaits `act`, which may wait for engines that do not answer, and renews the lease meanwhile whenever that is due. Returns
+    /// an error if the lease is lost.
+    async fn renewing_during<T>(
+        &self,
+        mut lease: Lease<Held>,
+        renewed_ms: &mut TimeMs,
+        act: impl Future<Output = T>,
+    ) -> Result<(Lease<Held>, T), Lease<Watching>> {
+        let mut act = pin!(act);
+        loop {
+            let due_in_ms = lease.terms().renew_every().since(self.now().since(*renewed_ms));
+            if let Ok(output) = timeout(Duration::from_millis(due_in_ms.get()), &mut act).await {
+                return Ok((lease, output));
             }
-            sleep(PLAN_INTERVAL).await;
+            let renewal = pin!(self.renew_if_due(lease, renewed_ms));
+            lease = match select(renewal, &mut act).await {
+                Either::Left((renewed, _)) => renewed?,
+                Either::Right((output, renewal)) => return Ok((renewal.await?, output)),
+            };
         }
     }
 
+    /// Renews the lease if the last attempt, at `renewed_ms`, is long enough ago. Returns an error if it is lost.
+    async fn renew_if_due(
+        &self,
+        lease: Lease<Held>,
+        renewed_ms: &mut TimeMs,
+    ) -> Result<Lease<Held>, Lease<Watching>> {
+        if self.now().since(*renewed_ms) < lease.terms().renew_every() {
+            return Ok(lease);
+        }
+        *renewed_ms = self.now();
+        let (fencing, version) = (lease.fencing(), lease.version());
+        let lease = self.renew(lease).await.inspect_err(|_| {
+            log::warn!(
+                target: "belief", fencing:% = fencing, version:% = version;
+                "lease for weight orders lost"
+            );
+        })?;
+        if lease.version() == version {
+            log::warn!(
+                target: "belief", fencing:% = fencing, version:% = version,
+                stops_in_ms = lease.stops_at().since(self.now()).get();
+                "renewal of the lease for weight orders not visible to others"
+            );
+        }
+        Ok(lease)
+    }
+
     /// Returns false once the store came back from a copy, which may lack the lease or name another holder.
     fn is_of_present_era(&self, lease: &Lease<Held>) -> bool {
         lease.version().era() == self.gateway.store.era()
@@ -288,120 +342,4 @@
             },
         }
     }
-
-    /// Plans and sends the orders for one model. Returns false if an engine refused an order as fenced.
-    async fn send_orders(
-        &mut self,
-        lease: &Lease<Held>,
-        target: &WeightTarget,
-        engines: &[EndpointRecord],
-    ) -> bool {
-        let reports = join_all(engines.iter().map(|record| {
-            let is_loaded = self
-                .loaded
-                .get(&incarnation_key(record))
-                .is_some_and(|(_, version)| *version >= target.version);
-            let listed = record.weight_version(&target.model);
-            let needs_report = !is_loaded && listed.is_some_and(|version| version < target.version);
-            let orders = self.gateway.orders.clone();
-            async move {
-                if !needs_report {
-                    return None;
-                }
-                orders.report(record.address, &record.id).await
-            }
-        }))
-        .await;
-        let now_ms = self.now();
-        let mut views = Vec::new();
-        for (record, report) in engines.iter().zip(reports) {
-            let listed = record.weight_version(&target.model);
-            let loaded = self.loaded.get(&incarnation_key(record)).map(|(_, version)| *version);
-            let reported = report.as_ref().and_then(|report| {
-                report.models.iter().find(|(model, _)| *model == target.model).map(|(_, v)| *v)
-            });
-            if report.as_ref().is_some_and(|report| report.is_leaving) {
-                let incarnation = EndpointTag::new(record.id.as_str(), record.started_ms);
-                self.gateway.record_departure(incarnation);
-            }
-            let needed_report = loaded.max(listed).is_none_or(|version| version < target.version);
-            if let Some(version) = reported.filter(|version| *version >= target.version) {
-                self.loaded.insert(incarnation_key(record), (now_ms, version));
-                self.record_observed_weights(&record.id, version);
-            }
-            views.push(EngineWeights {
-                id: record.id.clone(),
-                version: if needed_report { reported } else { loaded.max(listed) },
-                is_busy: report.as_ref().is_some_and(|report| report.is_busy),
-                accepted_orders: report.as_ref().map_or(0, |report| report.accepted_orders),
-                ordered_ms: self.ordered_ms.get(&incarnation_key(record)).copied(),
-            });
-        }
-        let plan = plan_weights(&views, target.version, now_ms);
-        for order in plan.orders {
-            let Some(record) = engines.iter().find(|record| record.id == order.id) else {
-                continue;
-            };
-            if !self.send_order(lease, target, record, order.accepted_orders).await {
-                return false;
-            }
-        }
-        true
-    }
-
-    fn record_observed_weights(&self, endpoint: &EndpointId, version: u64) {
-        let mut local = self.gateway.local.lock();
-        let state = local.entry(endpoint.clone()).or_default();
-        state.observed_weights = Some(version);
-        state.loading_until_ms = None;
-    }
-
-    /// Sends one order. Returns false if the engine refused it as fenced, so that the lease is of no more use.
-    async fn send_order(
-        &mut self,
-        lease: &Lease<Held>,
-        target: &WeightTarget,
-        record: &EndpointRecord,
-        accepted_orders: u64,
-    ) -> bool {
-        if !self.is_of_present_era(lease) {
-            return false;
-        }
-        let is_fenced = self.gateway.bounds().are_orders_fenced;
-        let Some(permit) = lease.permit(self.now(), is_fenced) else { return true };
-        let holder = self.gateway.settings.instance.as_str();
-        self.ordered_ms.insert(incarnation_key(record), self.now());
-        let orders = self.gateway.orders.clone();
-        let reply = orders
-            .load_weights(
-                record.address,
-                &record.id,
-                WeightLoad { target, holder, fencing: permit.fencing, accepted_orders },
-            )
-            .await;
-        self.gateway.metrics.orders.add(1, &[]);
-        log::info!(
-            target: "order", endpoint:% = record.id, model:% = target.model,
-            version = target.version, fencing:% = permit.fencing, expected = accepted_orders,
-            reply:% = reply;
-            "weights ordered"
-        );
-        if matches!(reply, OrderReply::Accepted | OrderReply::Unknown) {
-            let until_ms = self.now().after(ASSUMED_LOADING_MS);
-            let mut local = self.gateway.local.lock();
-            local.entry(record.id.clone()).or_default().loading_until_ms = Some(until_ms);
-        }
-        match reply {
-            OrderReply::AlreadyHolds => {
-                self.loaded.insert(incarnation_key(record), (self.now(), target.version));
-                true
-            }
-            OrderReply::Fenced => false,
-            // The next plan is based on the engine's report.
-            OrderReply::Refused
-            | OrderReply::Conflict
-            | OrderReply::Accepted
-            | OrderReply::Unknown => true,
-        }
-    }
 }
--- /dev/null
+++ b/crates/gateway/src/controllers/weight_orders/orders.rs
@@ -0,0 +1,133 @@
+//! Plans orders by the engines' reports and sends them.
+
+use bilberryford_coord::{Held, Lease, Permit};
+use bilberryford_types::EndpointId;
+use futures::future::join_all;
+
+use super::{ASSUMED_LOADING_MS, OrderController, incarnation_key};
+use crate::{
+    endpoints::EndpointRecord,
+    peer_loads::EndpointTag,
+    rollout::{EngineWeights, plan_weights},
+    translation::{EngineReport, OrderReply, WeightLoad, WeightTarget},
+};
+
+impl OrderController {
+    /// Asks the engines that may be outdated for their reports, in the order of `engines`.
+    pub(super) async fn read_reports(
+        &self,
+        target: &WeightTarget,
+        engines: &[EndpointRecord],
+    ) -> Vec<Option<EngineReport>> {
+        join_all(engines.iter().map(|record| {
+            let is_loaded = self
+                .loaded
+                .get(&incarnation_key(record))
+                .is_some_and(|(_, version)| *version >= target.version);
+            let listed = record.weight_version(&target.model);
+            let needs_report = !is_loaded && listed.is_some_and(|version| version < target.version);
+            let orders = self.gateway.orders.clone();
+            async move {
+                if !needs_report {
+                    return None;
+                }
+                orders.report(record.address, &record.id).await
+            }
+        }))
+        .await
+    }
+
+    /// Plans the orders for one model by the engines' reports, each with the number of orders that its engine reports.
+    pub(super) fn plan_orders<'a>(
+        &mut self,
+        target: &WeightTarget,
+        engines: &'a [EndpointRecord],
+        reports: Vec<Option<EngineReport>>,
+    ) -> Vec<(&'a EndpointRecord, u64)> {
+        let now_ms = self.now();
+        let mut views = Vec::new();
+        for (record, report) in engines.iter().zip(reports) {
+            let listed = record.weight_version(&target.model);
+            let loaded = self.loaded.get(&incarnation_key(record)).map(|(_, version)| *version);
+            let reported = report.as_ref().and_then(|report| {
+                report.models.iter().find(|(model, _)| *model == target.model).map(|(_, v)| *v)
+            });
+            if report.as_ref().is_some_and(|report| report.is_leaving) {
+                let incarnation = EndpointTag::new(record.id.as_str(), record.started_ms);
+                self.gateway.record_departure(incarnation);
+            }
+            let needed_report = loaded.max(listed).is_none_or(|version| version < target.version);
+            if let Some(version) = reported.filter(|version| *version >= target.version) {
+                self.loaded.insert(incarnation_key(record), (now_ms, version));
+                self.record_observed_weights(&record.id, version);
+            }
+            views.push(EngineWeights {
+                id: record.id.clone(),
+                version: if needed_report { reported } else { loaded.max(listed) },
+                is_busy: report.as_ref().is_some_and(|report| report.is_busy),
+                accepted_orders: report.as_ref().map_or(0, |report| report.accepted_orders),
+                ordered_ms: self.ordered_ms.get(&incarnation_key(record)).copied(),
+            });
+        }
+        let plan = plan_weights(&views, target.version, now_ms);
+        let find = |id: &EndpointId| engines.iter().find(|record| record.id == *id);
+        let orders = plan.orders.into_iter();
+        orders.filter_map(|order| Some((find(&order.id)?, order.accepted_orders))).collect()
+    }
+
+    fn record_observed_weights(&self, endpoint: &EndpointId, version: u64) {
+        let mut local = self.gateway.local.lock();
+        let state = local.entry(endpoint.clone()).or_default();
+        state.observed_weights = Some(version);
+        state.loading_until_ms = None;
+    }
+
+    /// Returns the permit for an order to send now, and counts the engine as ordered; none if the lease ends too soon.
+    pub(super) fn begin_order(
+        &mut self,
+        lease: &Lease<Held>,
+        record: &EndpointRecord,
+    ) -> Option<Permit> {
+        let is_fenced = self.gateway.bounds().are_orders_fenced;
+        let permit = lease.permit(self.now(), is_fenced)?;
+        self.ordered_ms.insert(incarnation_key(record), self.now());
+        Some(permit)
+    }
+
+    pub(super) async fn send_order(
+        &self,
+        permit: Permit,
+        target: &WeightTarget,
+        record: &EndpointRecord,
+        accepted_orders: u64,
+    ) -> OrderReply {
+        let holder = self.gateway.settings.instance.as_str();
+        let order = WeightLoad { target, holder, fencing: permit.fencing, accepted_orders };
+        let reply = self.gateway.orders.load_weights(record.address, &record.id, order).await;
+        self.gateway.metrics.orders.add(1, &[]);
+        log::info!(
+            target: "order", endpoint:% = record.id, model:% = target.model,
+            version = target.version, fencing:% = permit.fencing, expected = accepted_orders,
+            reply:% = reply;
+            "weights ordered"
+        );
+        reply
+    }
+
+    pub(super) fn record_reply(
+        &mut self,
+        target: &WeightTarget,
+        record: &EndpointRecord,
+        reply: OrderReply,
+    ) {
+        if matches!(reply, OrderReply::Accepted | OrderReply::Unknown) {
+            let until_ms = self.now().after(ASSUMED_LOADING_MS);
+            let mut local = self.gateway.local.lock();
+            local.entry(record.id.clone()).or_default().loading_until_ms = Some(until_ms);
+        }
+        // After any other reply, the next plan is based on the engine's report.
+        if reply == OrderReply::AlreadyHolds {
+            self.loaded.insert(incarnation_key(record), (self.now(), target.version));
+        }
+    }
+}
