--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -13,6 +13,7 @@
 #[rstest]
 #[case::seed_1(1, 91, 100, 200_000_000)]
 #[case::seed_2_slow_machines(2, 92, 25, 10_000_000)]
+#[case::seed_4_slow_links(4, 94, 25, 3_000_000)]
 #[tokio::test(flavor = "multi_thread")]
 async fn no_request_is_lost(
     #[case] seed: u64,
