--- a/crates/callers/src/connection.rs
+++ b/crates/callers/src/connection.rs
@@ -53,7 +53,8 @@
 }
 
 /// Disables Nagle's algorithm, since a token must be sent as soon as it is written, and enables keep-alive probes. The peer of an
-/// idle connection counts as dead once it has answered none for `unanswered`; [`DeliveryWatch`](crate::DeliveryWatch) covers those that are written to.
+/// idle connection counts as dead once it has answered none for `unanswered`. [`DeliveryWatch`](crate::DeliveryWatch) covers
+/// connections that are written to.
 ///
 /// # Errors
 ///
