--- a/crates/callers/src/ends.rs
+++ b/crates/callers/src/ends.rs
@@ -11,7 +11,10 @@
 
 use parking_lot::Mutex;
 
-use crate::{Caller, Respond, StopStages, response_state::ResponseState, stream::SharedStream};
+use crate::{
+    Caller, Respond, StopStages, errors::error_text, response_state::ResponseState,
+    stream::SharedStream,
+};
 
 /// The most log lines on ends of connections in a second.
 const MAX_LINES_PER_S: u64 = 50;
@@ -299,7 +302,7 @@
             },
         };
         let error = match &self.outcome {
-            Outcome::Failed(error) => describe(error),
+            Outcome::Failed(error) => error_text(error),
             Outcome::FailedBehind(error) => error.to_string(),
             Outcome::GivenUp | Outcome::Closed | Outcome::Left => String::new(),
         };
@@ -351,15 +354,3 @@
         _ => (ConnectionEndReason::ConnectionFailed, EndDecision::Instance),
     }
 }
-
-/// The text of an error with its causes.
-fn describe(error: &hyper::Error) -> String {
-    let mut text = error.to_string();
-    let mut source = error.source();
-    while let Some(cause) = source {
-        text.push_str(": ");
-        text.push_str(&cause.to_string());
-        source = cause.source();
-    }
-    text
-}
--- a/crates/callers/src/lib.rs
+++ b/crates/callers/src/lib.rs
@@ -14,6 +14,7 @@
 mod connection;
 mod delivery;
 mod ends;
+mod errors;
 mod gated_reader;
 mod response_state;
 mod round;
@@ -37,6 +38,7 @@
     budget::{ByteBudget, HeldBytes, HeldResponse},
     delivery::{DeliveryLimits, DeliveryWatch},
     ends::{ConnectionEnd, ConnectionEndReason, EndDecision, StopPhase},
+    errors::{error_chain, error_text},
     response_state::RequestLabel,
     round::RequestEnd,
 };
--- a/crates/gateway/src/forward/answer.rs
+++ b/crates/gateway/src/forward/answer.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use bilberryford_callers::error_text;
 use bilberryford_types::{ErrorKind, TimeMs};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::{
@@ -24,7 +25,6 @@
     in_flight::InFlight,
     placement::Candidate,
     relay::{NotBegun, Relay, RelayedEvents, record_success},
-    response_end::error_text,
     responses::{ErrorResponse, ResponseBody, full_body},
 };
 
--- a/crates/gateway/src/forward/send.rs
+++ b/crates/gateway/src/forward/send.rs
@@ -2,6 +2,7 @@
 
 use std::{io, time::Duration};
 
+use bilberryford_callers::error_text;
 use bilberryford_coord::Feature;
 use bilberryford_types::TimeMs;
 use bytes::Bytes;
@@ -19,7 +20,6 @@
     part_plan::PartPlan,
     placement::Candidate,
     request_log::PromptRecord,
-    response_end::error_text,
     rollout::engine_time_ms,
     translation::{ForwardFacts, ResponseFacts},
 };
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -9,6 +9,7 @@
 
 use std::{future::poll_fn, io, pin::pin, sync::Arc, task::Poll, time::Duration};
 
+use bilberryford_callers::error_text;
 use bilberryford_types::TimeMs;
 use bytes::Bytes;
 use futures::stream;
@@ -29,7 +30,7 @@
     health::EndpointHealth,
     in_flight::InFlight,
     request_log::RequestRecord,
-    response_end::{ResponseEnd, ResponseEndReason, error_text},
+    response_end::{ResponseEnd, ResponseEndReason},
     responses::ResponseBody,
 };
 
--- a/crates/gateway/src/response_end.rs
+++ b/crates/gateway/src/response_end.rs
@@ -4,8 +4,9 @@
 //! of this instance ended it, or the instance had to exit. See "A caller says that its answer stopped" in
 //! `docs/OPERATIONS.md`.
 
-use std::{error::Error, io, iter};
+use std::{error::Error, io};
 
+use bilberryford_callers::error_chain;
 use bilberryford_types::TimeMs;
 use hyper::StatusCode;
 
@@ -66,7 +67,7 @@
 
     /// The reason for which a connection to an endpoint failed with `error`.
     pub(crate) fn of_connection(error: &(dyn Error + 'static)) -> Self {
-        let cause = chain(error).find_map(|error| error.downcast_ref::<io::Error>());
+        let cause = error_chain(error).find_map(|error| error.downcast_ref::<io::Error>());
         if cause.is_some_and(TooMuchOverhead::is_cause_of) {
             return Self::TooMuchOverhead;
         }
@@ -159,18 +160,3 @@
         );
     }
 }
-
-/// The error and its causes.
-fn chain<'a>(
-    error: &'a (dyn Error + 'static),
-) -> impl Iterator<Item = &'a (dyn Error + 'static)> + use<'a> {
-    iter::successors(Some(error), |&error| error.source())
-}
-
-/// The text of an error with those of its causes, which hyper leaves out of its own.
-pub(crate) fn error_text(error: &(dyn Error + 'static)) -> String {
-    let mut texts: Vec<_> = chain(error).map(ToString::to_string).collect();
-    // A wrapper may have the text of what it wraps.
-    texts.dedup();
-    texts.join(": ")
-}
