One limiter for log lines of a second

Read of the whole change: EndLog in crates/callers/src/ends.rs had a limiter of its own beside RecordLimiter of crates/gateway/src/request_log.rs, with the same count, limit and number of suppressed lines. It is one LogLimiter in crates/callers now. The limits are as they were; the seconds of EndLog begin at the start of the server and no longer at the first line.

--- a/crates/callers/src/ends.rs
+++ b/crates/callers/src/ends.rs
@@ -9,11 +9,12 @@
     time::{Duration, Instant},
 };
 
+use bilberryford_types::TimeMs;
 use parking_lot::Mutex;
 
 use crate::{
-    Caller, Respond, StopStages, errors::error_text, response_state::ResponseState,
-    stream::SharedStream,
+    Caller, Respond, StopStages, errors::error_text, log_limiter::LogLimiter,
+    response_state::ResponseState, stream::SharedStream,
 };
 
 /// The most log lines on ends of connections in a second.
@@ -112,39 +113,18 @@
 /// Limits the log lines of all connections of a server.
 #[derive(Debug)]
 pub(crate) struct EndLog {
-    state: Mutex<LogState>,
-}
-
-#[derive(Debug)]
-struct LogState {
-    second_began_at: Instant,
-    lines: u64,
-    suppressed: u64,
+    started_at: Instant,
+    limiter: Mutex<LogLimiter>,
 }
 
 impl EndLog {
     pub(crate) fn new() -> Arc<Self> {
-        let state = LogState { second_began_at: Instant::now(), lines: 0, suppressed: 0 };
-        Arc::new(Self { state: Mutex::new(state) })
-    }
-
-    /// Takes a line from the limit, and returns the number of those that were suppressed before it.
-    fn take(&self) -> Option<u64> {
-        let mut state = self.state.lock();
-        if state.second_began_at.elapsed() >= Duration::from_secs(1) {
-            state.second_began_at = Instant::now();
-            state.lines = 0;
-        }
-        if state.lines >= MAX_LINES_PER_S {
-            state.suppressed += 1;
-            return None;
-        }
-        state.lines += 1;
-        Some(std::mem::take(&mut state.suppressed))
+        Arc::new(Self { started_at: Instant::now(), limiter: Mutex::default() })
     }
 
     fn write(&self, end: &ConnectionEnd, caller: Caller) {
-        let Some(suppressed) = self.take() else { return };
+        let now_ms = TimeMs(self.started_at.elapsed().as_millis() as u64);
+        let Some(suppressed) = self.limiter.lock().take(now_ms, MAX_LINES_PER_S) else { return };
         let level = match end.decided_by {
             EndDecision::Caller => log::Level::Info,
             EndDecision::Instance | EndDecision::Stop => log::Level::Warn,
--- a/crates/callers/src/lib.rs
+++ b/crates/callers/src/lib.rs
@@ -16,6 +16,7 @@
 mod ends;
 mod errors;
 mod gated_reader;
+mod log_limiter;
 mod response_state;
 mod round;
 mod socket_queues;
@@ -39,6 +40,7 @@
     delivery::{DeliveryLimits, DeliveryWatch},
     ends::{ConnectionEnd, ConnectionEndReason, EndDecision, StopPhase},
     errors::{error_chain, error_text},
+    log_limiter::LogLimiter,
     response_state::RequestLabel,
     round::RequestEnd,
 };
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -6,6 +6,7 @@
 
 use std::sync::Arc;
 
+use bilberryford_callers::LogLimiter;
 use bilberryford_types::{Build, EndpointId, Generation, ObjectVersion, TimeMs};
 use parking_lot::Mutex;
 
@@ -118,29 +119,6 @@
     }
 }
 
-#[derive(Debug, Default)]
-struct RecordLimiter {
-    second: u64,
-    records: u64,
-    suppressed: u64,
-}
-
-impl RecordLimiter {
-    fn take(&mut self, now_ms: TimeMs, limit: u64) -> Option<u64> {
-        let second = now_ms.get() / 1_000;
-        if self.second != second {
-            self.second = second;
-            self.records = 0;
-        }
-        if self.records >= limit {
-            self.suppressed += 1;
-            return None;
-        }
-        self.records += 1;
-        Some(std::mem::take(&mut self.suppressed))
-    }
-}
-
 fn text(text: &Option<String>) -> &str {
     text.as_deref().unwrap_or_default()
 }
@@ -148,11 +126,11 @@
 /// Writes log records within the rate limits.
 #[derive(Debug, Default)]
 pub(crate) struct RequestLog {
-    answered: Mutex<RecordLimiter>,
-    failed: Mutex<RecordLimiter>,
-    losses: Mutex<RecordLimiter>,
-    ends_by_instance: Mutex<RecordLimiter>,
-    ends_by_others: Mutex<RecordLimiter>,
+    answered: Mutex<LogLimiter>,
+    failed: Mutex<LogLimiter>,
+    losses: Mutex<LogLimiter>,
+    ends_by_instance: Mutex<LogLimiter>,
+    ends_by_others: Mutex<LogLimiter>,
 }
 
 impl RequestLog {
