--- a/crates/callers/src/ends.rs
+++ b/crates/callers/src/ends.rs
@@ -96,6 +96,13 @@
     pub error: String,
 }
 
+impl ConnectionEnd {
+    /// The labels under which ends are counted.
+    pub fn labels(&self) -> [(&'static str, &'static str); 2] {
+        [("reason", self.reason.into()), ("decided_by", self.decided_by.into())]
+    }
+}
+
 /// How the service of a connection ended.
 #[derive(Debug)]
 enum Outcome {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -134,9 +134,7 @@
 
     /// Counts the end of a caller's connection that may have cost a response.
     pub(crate) fn record_connection_end(&self, end: &ConnectionEnd) {
-        let (reason, decided_by): (&'static str, &'static str) =
-            (end.reason.into(), end.decided_by.into());
-        let labels = [KeyValue::new("reason", reason), KeyValue::new("decided_by", decided_by)];
+        let labels = end.labels().map(|(name, value)| KeyValue::new(name, value));
         self.connection_ends.add(1, &labels);
     }
 
