--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -3,12 +3,28 @@
 use std::{path::Path, time::Duration};
 
 use bilberryford_soak::{
-    Deployment, Fault, FloodPlan, LinkPlan, Preset, Reading, SoakPlan, run, run_flood,
+    Deployment, Fault, FloodPlan, LinkPlan, Preset, Reading, SoakPlan, SoakReport, run, run_flood,
 };
 use bilberryford_standins::misbehaving::Misbehaviour;
 use rstest::rstest;
 use strum::VariantArray;
 
+/// Runs a soak that loses no request.
+async fn run_sound(seed: u64, network: u8, deployment: Deployment, faults: &[Fault]) -> SoakReport {
+    let plan = SoakPlan {
+        binary: env!("CARGO_BIN_EXE_bilberryford").into(),
+        seed,
+        duration: Duration::from_secs(18),
+        deployment,
+        network,
+        faults: faults.to_vec(),
+        folder: Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{network}")),
+    };
+    let report = run(&plan).await.expect("the soak runs");
+    assert!(report.is_sound(), "seed {seed}\n{report}");
+    report
+}
+
 /// A request that an instance has read or passed on has a complete response, through stops, reloads and changes in series.
 #[rstest]
 #[case::seed_1(1, 91, 100, 200_000_000)]
@@ -21,21 +37,12 @@
     #[case] share_percent: u64,
     #[case] link_bits_per_s: u64,
 ) {
-    let plan = SoakPlan {
-        binary: env!("CARGO_BIN_EXE_bilberryford").into(),
-        seed,
-        duration: Duration::from_secs(18),
-        deployment: Deployment {
-            share_percent,
-            link: LinkPlan { bits_per_s: link_bits_per_s, latencies: &[] },
-            ..Deployment::plain(8, 120, 8)
-        },
-        network,
-        faults: Fault::PLANNED.to_vec(),
-        folder: Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{seed}")),
+    let deployment = Deployment {
+        share_percent,
+        link: LinkPlan { bits_per_s: link_bits_per_s, latencies: &[] },
+        ..Deployment::plain(8, 120, 8)
     };
-    let report = run(&plan).await.expect("the soak runs");
-    assert!(report.is_sound(), "seed {seed}\n{report}");
+    let report = run_sound(seed, network, deployment, &Fault::PLANNED).await;
     // A run that does nothing shows nothing.
     assert!(report.stops() >= 4 && report.answered() >= 200, "seed {seed}\n{report}");
     println!("seed {seed}\n{report}");
@@ -50,17 +57,7 @@
     #[case] seed: u64,
     #[case] network: u8,
 ) {
-    let plan = SoakPlan {
-        binary: env!("CARGO_BIN_EXE_bilberryford").into(),
-        seed,
-        duration: Duration::from_secs(18),
-        deployment: preset.deployment(),
-        network,
-        faults: Fault::VARIANTS.to_vec(),
-        folder: Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{preset}-{seed}")),
-    };
-    let report = run(&plan).await.expect("the soak runs");
-    assert!(report.is_sound(), "seed {seed}\n{report}");
+    let report = run_sound(seed, network, preset.deployment(), Fault::VARIANTS).await;
     assert!(report.stops() >= 9 && report.answered() >= 200, "seed {seed}\n{report}");
 }
 
