One look at the last write, and one at the bytes that were read

Read of the whole change: wait_for_end locked the last write twice, and the read of an endpoint's connection asked twice whether it got bytes. No behaviour changes.

--- a/crates/callers/src/stream.rs
+++ b/crates/callers/src/stream.rs
@@ -210,10 +210,11 @@
     /// more, and nothing that the peer has sent can have crossed the end.
     pub(crate) async fn wait_for_end(&self) -> PeerEnd {
         let ended_at = Instant::now();
-        let mut progress_at = self.0.last_write.lock().map_or(ended_at, |write| write.at);
+        let last_write = *self.0.last_write.lock();
+        let mut progress_at = last_write.map_or(ended_at, |write| write.at);
         // Those of the last look.
         let mut unacknowledged_bytes = None;
-        let mut until = self.0.last_write.lock().map_or(ended_at, |write| write.read_by);
+        let mut until = last_write.map_or(ended_at, |write| write.read_by);
         loop {
             let crossing = if self.has_unread() { UNACKNOWLEDGED_TIMEOUT } else { CROSSING_TIME };
             let left = until.max(ended_at + crossing).saturating_duration_since(Instant::now());
--- a/crates/gateway/src/response_meter.rs
+++ b/crates/gateway/src/response_meter.rs
@@ -134,10 +134,11 @@
         ready!(Pin::new(&mut self.stream).poll_read(cx, &mut part))?;
         let bytes = part.filled().len();
         buf.advance(bytes);
-        if bytes > 0 {
-            self.delivery.record_answer();
+        if bytes == 0 {
+            return Poll::Ready(Ok(()));
         }
-        if bytes > 0 && !self.meter.read(bytes as u64) {
+        self.delivery.record_answer();
+        if !self.meter.read(bytes as u64) {
             let error = TooMuchOverhead { limit_bytes: MAX_OVERHEAD_BYTES };
             return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, error)));
         }
