SIGHUP at a start no longer ends an instance

Cause: `gateway` installed its handler for SIGHUP after it had read its settings, built three clients and set the gateway up. Until then the system's default action ends the process. An operator, or a platform that rewrites a settings file, does not know how far a process is with its start.

Change: the handler is the first thing that the command installs, and the line `starting` follows it. SIGTERM keeps its default action until the instance accepts connections: nothing is lost by an immediate end.

Measured: reloads::a_hangup_while_an_instance_starts_does_not_end_it holds the process at its settings, which come through a pipe; red before ("SIGHUP ended the process"), green after. It also shows that the signal is kept: the file is read again once the instance runs.

--- a/src/commands/gateway.rs
+++ b/src/commands/gateway.rs
@@ -32,6 +32,10 @@
 }
 
 async fn serve_until_stopped(options: Options) -> miette::Result<()> {
+    // SIGHUP ends a process without a handler, and the platform sends it to instances that are starting as well. SIGTERM may
+    // end one that has accepted nothing yet.
+    let mut hangup = signal(SignalKind::hangup()).into_diagnostic()?;
+    log::info!(target: "life", settings:% = options.settings.display(); "starting");
     let settings = read_settings(&options.settings).into_diagnostic()?;
     let object_store = ObjectStoreClient::new(settings.object_store_address).into_diagnostic()?;
     let engines = EngineClient::new().into_diagnostic()?;
@@ -47,7 +51,6 @@
     .wrap_err("the gateway can't be set up")?;
     let gateway = Arc::new(gateway);
     let mut stop = signal(SignalKind::terminate()).into_diagnostic()?;
-    let mut hangup = signal(SignalKind::hangup()).into_diagnostic()?;
     let (path, reloaded) = (options.settings.clone(), gateway.clone());
     let store_address = settings.object_store_address;
     tokio::spawn(async move {
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -15,6 +15,7 @@
 mod orders;
 mod path;
 mod poison;
+mod reloads;
 mod returning;
 mod rollout;
 mod shutdown;
