A cut response to an HTTP/1.0 caller is reset

A response without a length to an HTTP/1.0 caller ends with its connection. Where it was cut, the connection ended in order, so that what is truncated looked complete: hyper writes such a body without chunks, and after a failure of the body serve_connection sent the end of the stream; at the limit of a stop, and at a panic, the dropped socket did the same.

Ruled out: HTTP/1.1 (hyper chunks what has no length, and writes no last chunk) and responses with a length.

The socket resets on each close from the head of such a response until all of it is written, so that the kernel does it for a process that is killed too. What the caller has not acknowledged by then is discarded.

ends::a_cut_response_that_ends_with_its_connection_does_not_look_complete was red in 4 of 4 cases of 1 run before (the case of a panic then failed on its missing head, and was rewritten to panic behind it); green with the change, as is ..._is_not_reset for complete responses, which was green before. All 26 tests of ends and 16 of connections pass. Not tested: a process that is killed.

--- a/crates/callers/src/connection.rs
+++ b/crates/callers/src/connection.rs
@@ -18,7 +18,7 @@
 };
 
 use bytes::Bytes;
-use hyper::{server::conn::http1, service::service_fn};
+use hyper::{Version, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{
@@ -151,6 +151,10 @@
         }
         log::debug!(caller:% = from; "a request waits behind the last response of a connection");
     };
+    if stream.is_end_significant() && reporter.state.is_incomplete() {
+        log::debug!(caller:% = from; "a response that was to end with its connection is cut; resetting it");
+        return None;
+    }
     if let Err(error) = stream.end_writing() {
         log::debug!(error:% = error; "can't end a caller's connection");
         reporter.close();
@@ -176,13 +180,19 @@
     let from = caller.from;
     let service = service_fn(move |mut request| {
         let guard = round.begin(&mut request);
-        let method = request.method().clone();
+        let (method, version) = (request.method().clone(), request.version());
         let (responder, announced) = (responder.clone(), announced.clone());
+        let stream = round.stream.clone();
         Box::pin(async move {
             let caller = Caller { from, is_end_announced: announced.load(Ordering::Relaxed) };
             let response = responder.respond(request, caller).await;
             announced.fetch_or(announces_end(response.headers()), Ordering::Relaxed);
-            Ok::<_, Infallible>(guard.watch(&method, response))
+            let response = guard.watch(&method, response);
+            // hyper has no other way to state where its body ends.
+            if version < Version::HTTP_11 && response.body().has_unknown_length() {
+                stream.begin_response_until_end();
+            }
+            Ok::<_, Infallible>(response)
         })
     });
     let reader = Cursor::new(unread).chain(GatedReader::new(round.clone()));
--- a/crates/callers/src/response_state.rs
+++ b/crates/callers/src/response_state.rs
@@ -148,6 +148,13 @@
     guard: ResponseGuard,
 }
 
+impl<B> WatchedBody<B> {
+    /// True for content whose size is not known before its end.
+    pub(crate) fn has_unknown_length(&self) -> bool {
+        self.left_bytes.is_none() && !self.guard.is_complete
+    }
+}
+
 impl<B: Body + Unpin> Body for WatchedBody<B> {
     type Data = B::Data;
     type Error = B::Error;
--- a/crates/callers/src/stream.rs
+++ b/crates/callers/src/stream.rs
@@ -92,6 +92,7 @@
     /// Woken once bytes that waited are written.
     waker: Mutex<Option<Waker>>,
     is_writing_ended: AtomicBool,
+    is_end_significant: AtomicBool,
 }
 
 /// A shared TCP stream.
@@ -112,6 +113,7 @@
             is_write_blocked: AtomicBool::new(false),
             waker: Mutex::default(),
             is_writing_ended: AtomicBool::new(false),
+            is_end_significant: AtomicBool::new(false),
         })))
     }
 
@@ -122,6 +124,18 @@
         self.reset_on_close();
     }
 
+    /// Marks a response whose end is the end of the connection as under way. Until [`Self::end_writing`], each close is a reset,
+    /// also that of a process which is killed: an orderly end would make a cut response look complete.
+    pub(crate) fn begin_response_until_end(&self) {
+        self.0.is_end_significant.store(true, Ordering::Relaxed);
+        self.reset_on_close();
+    }
+
+    /// True if the end of the connection is the end of a response.
+    pub(crate) fn is_end_significant(&self) -> bool {
+        self.0.is_end_significant.load(Ordering::Relaxed)
+    }
+
     fn reset_on_close(&self) {
         if let Err(error) = self.0.socket.set_zero_linger() {
             log::debug!(error:% = error; "can't discard what a peer has not acknowledged");
@@ -201,7 +215,11 @@
     ///
     /// The operating system's error, for example if the peer has reset the connection.
     pub(crate) fn end_writing(&self) -> io::Result<()> {
-        SockRef::from(&self.0.socket).shutdown(std::net::Shutdown::Write)?;
+        let socket = SockRef::from(&self.0.socket);
+        if self.is_end_significant() {
+            socket.set_linger(None)?;
+        }
+        socket.shutdown(std::net::Shutdown::Write)?;
         self.0.is_writing_ended.store(true, Ordering::Relaxed);
         Ok(())
     }
--- a/crates/callers/tests/ends.rs
+++ b/crates/callers/tests/ends.rs
@@ -81,8 +81,17 @@
                 });
                 StreamBody::new(frames.chain(failure)).boxed_unsync()
             }
+            "/streamed" => begun(stream::empty()),
+            "/large-streamed" => {
+                let content = vec![b'x'; LARGE_BYTES].into();
+                begun(stream::once(async { Ok(Frame::data(content)) }))
+            }
             "/held" | "/held-late" => full(vec![b'x'; HELD_BYTES]),
             "/large" => full(vec![b'x'; LARGE_BYTES]),
+            "/panics-late" => begun(stream::once(async {
+                sleep(FAILURE_DELAY).await;
+                panic!("a late fault of the responder")
+            })),
             "/panics" => begun(stream::once(async { panic!("a fault of the responder") })),
             _ => full(b"ok".to_vec()),
         })
@@ -148,6 +157,11 @@
     request(path).replace("Host: x", "Host: x\r\nConnection: close")
 }
 
+/// A request whose response is not chunked.
+fn http_1_0_request(path: &str) -> String {
+    request(path).replace("HTTP/1.1", "HTTP/1.0")
+}
+
 /// Waits until a response has begun.
 async fn wait_for_response(stream: &mut TcpStream) {
     let mut read = Vec::new();
@@ -218,6 +232,57 @@
     drop(kept);
 }
 
+/// Guards against a cut response that looks complete: without a length, an orderly end of the connection is its end.
+#[rstest]
+#[case::broken_off("/fails", Act::Nothing, ConnectionEndReason::ResponseFailed)]
+#[case::limit_of_a_stop("/endless", Act::Stop, ConnectionEndReason::StopLimit)]
+#[case::limit_of_a_stop_inside_a_write(
+    "/large-streamed",
+    Act::Stop,
+    ConnectionEndReason::StopLimit
+)]
+#[case::a_panic("/panics-late", Act::Nothing, ConnectionEndReason::Panicked)]
+#[tokio::test]
+async fn a_cut_response_that_ends_with_its_connection_does_not_look_complete(
+    #[case] path: &str,
+    #[case] act: Act,
+    #[case] reason: ConnectionEndReason,
+) {
+    let server = Server::start().await;
+    let mut stream = server.call(&http_1_0_request(path)).await;
+    wait_for_response(&mut stream).await;
+    if matches!(act, Act::Stop) {
+        server.stop().await;
+    }
+    let mut read = Vec::new();
+    let reading = timeout(WAIT_TIMEOUT, stream.read_to_end(&mut read));
+    let ended = reading.await.expect("the end in time");
+    let error = ended.expect_err("a reset");
+    assert_eq!(error.kind(), std::io::ErrorKind::ConnectionReset, "{} bytes", read.len());
+    let end = server.wait_for_end().await;
+    assert_eq!(end.reason, reason, "{end:?}");
+}
+
+/// A complete response without a length has an orderly end, also behind what its caller reads late.
+#[rstest]
+#[case::short("/streamed", b"begin".len())]
+#[case::longer_than_the_buffers("/large-streamed", b"begin".len() + LARGE_BYTES)]
+#[tokio::test]
+async fn a_complete_response_that_ends_with_its_connection_is_not_reset(
+    #[case] path: &str,
+    #[case] expected_bytes: usize,
+) {
+    let server = Server::start().await;
+    let mut stream = server.call(&http_1_0_request(path)).await;
+    wait_for_response(&mut stream).await;
+    sleep(READ_INTERVAL).await;
+    let mut read = Vec::new();
+    let reading = timeout(WAIT_TIMEOUT, stream.read_to_end(&mut read));
+    let ended = reading.await.expect("the end in time");
+    assert!(ended.is_ok(), "{ended:?} behind {} bytes", read.len());
+    assert_eq!(read.len(), expected_bytes);
+}
+
 /// A complete response that its caller does not read is reported whether the kernel or a stop gives it up.
 #[rstest]
 #[case::in_service(false, ConnectionEndReason::NotAcknowledged, EndDecision::Instance)]
