--- a/crates/callers/tests/connections.rs
+++ b/crates/callers/tests/connections.rs
@@ -194,6 +194,24 @@
     assert_eq!(server.paths().len(), 1 + behind);
 }
 
+/// The same holds for requests that were read together with the one before.
+#[rstest]
+#[case::one(1)]
+#[case::three(3)]
+#[tokio::test]
+async fn requests_in_one_write_get_responses_at_a_stop(#[case] behind: usize) {
+    let server = Server::start().await;
+    let mut stream = TcpStream::connect(server.address).await.expect("a connection");
+    write(&mut stream, &(request("/slow") + &request("/next").repeat(behind))).await;
+    read_until(&mut stream, "begin\r\n").await;
+    server.stop.closing.cancel();
+    server.responder.release.notify_one();
+    read_until(&mut stream, "end\r\n0\r\n\r\n").await;
+    let rest = read_to_end(&mut stream).await;
+    assert_eq!(rest.matches("HTTP/1.1 200 OK").count(), behind, "{rest}");
+    assert_eq!(server.paths().len(), 1 + behind);
+}
+
 /// The close of a connection on which a further request lies does not discard a response that its caller reads slowly, and the
 /// request is refused.
 #[tokio::test]
