The replay of stores draws lost reports in a fixed order

Ruled out: an order in the product; the candidates for eviction are sorted, and the sums of uses are kept by part.

Change: the reports are sorted by their store before the draws. Bounds and load are as before.

--- a/crates/gateway/tests/decisions/store_contents.rs
+++ b/crates/gateway/tests/decisions/store_contents.rs
@@ -175,7 +175,10 @@
         }
         if now_ms % STEP_INTERVAL_MS.get() < 10 {
             sequence += 1;
-            for (store, uses) in pending.take() {
+            // The losses are drawn in the order of the reports, which come from a hash map.
+            let mut reports = pending.take();
+            reports.sort_by_key(|(store, _)| *store);
+            for (store, uses) in reports {
                 let index = views.iter().position(|view| view.address() == store).expect("a store");
                 if random.random_range(0..100) >= load.lost_reports_percent {
                     sequence += 1;
