A request that is given up behind an interim response is discarded

An endpoint that sends an interim response (103), or the head of its response, before it reads the body, could read the whole request after it was given up, and run it: 1,048,718 bytes and an orderly end, 1 s after the caller had its response at the deadline.

Cause: a connection that is dropped with unacknowledged bytes is reset, but is_undelivered took bytes of the endpoint since the last write for an answer to all that was written, and did not ask the kernel. What hyper had written to the socket went out behind the close.

The kernel is asked whenever a connection to an endpoint is dropped: once a connection, not once a request. A pooled connection whose early response is complete is reset as well when it expires with unread bytes.

--- a/crates/callers/src/delivery.rs
+++ b/crates/callers/src/delivery.rs
@@ -109,11 +109,10 @@
         Ok(())
     }
 
-    /// True if bytes may be on their way to the peer, or wait in its or our kernel.
+    /// True if bytes may be on their way to the peer, or wait in its or our kernel. The kernel is asked even if the peer has sent bytes
+    /// since the last write: it may respond to what it has read, and leave the rest unread.
     pub fn is_undelivered(&self) -> bool {
-        !self.is_answered.load(Ordering::Relaxed)
-            && socket_queues(self.local, self.peer)
-                .is_ok_and(|queues| queues.unacknowledged_bytes > 0)
+        socket_queues(self.local, self.peer).is_ok_and(|queues| queues.unacknowledged_bytes > 0)
     }
 
     /// Waits until the peer counts as dead.
