Callers that leave no longer crowd out lines on ends by the instance

Cause: all ends of connections shared 50 log lines a second. In the second of that end, 30 callers left and 20 ends by the instance were written; the rest was left out, and the process stopped 0.3 s later, so that no later line stated how many.

Ruled out: an end that is not reported (a failed response always is); a log that drops lines (no line says so); a connection still open at the exit (`stopped` waits for all of them, 4.4 s before its limit).

Change: ends that callers decide have 50 lines a second, and all others have 50 of their own, as the lines on incomplete responses have.

What remains: the number that was left out after the last line of a process is not stated.

--- a/crates/callers/src/ends.rs
+++ b/crates/callers/src/ends.rs
@@ -17,7 +17,7 @@
     response_state::ResponseState, stream::SharedStream,
 };
 
-/// The most log lines on ends of connections in a second.
+/// The most log lines in a second on ends of connections that callers decided, and on the others.
 const MAX_LINES_PER_S: u64 = 50;
 
 /// Why a connection ended.
@@ -121,21 +121,27 @@
 #[derive(Debug)]
 pub(crate) struct EndLog {
     started_at: Instant,
-    limiter: Mutex<LogLimiter>,
+    by_callers: Mutex<LogLimiter>,
+    by_instance: Mutex<LogLimiter>,
 }
 
 impl EndLog {
     pub(crate) fn new() -> Arc<Self> {
-        Arc::new(Self { started_at: Instant::now(), limiter: Mutex::default() })
+        Arc::new(Self {
+            started_at: Instant::now(),
+            by_callers: Mutex::default(),
+            by_instance: Mutex::default(),
+        })
     }
 
     fn write(&self, end: &ConnectionEnd, caller: Caller) {
         let now_ms = TimeMs(self.started_at.elapsed().as_millis() as u64);
-        let Some(suppressed) = self.limiter.lock().take(now_ms, MAX_LINES_PER_S) else { return };
-        let level = match end.decided_by {
-            EndDecision::Caller => log::Level::Info,
-            EndDecision::Instance | EndDecision::Stop => log::Level::Warn,
+        // Callers that leave must not crowd out the lines that tell a lost request from one that was left unread.
+        let (level, limiter) = match end.decided_by {
+            EndDecision::Caller => (log::Level::Info, &self.by_callers),
+            EndDecision::Instance | EndDecision::Stop => (log::Level::Warn, &self.by_instance),
         };
+        let Some(suppressed) = limiter.lock().take(now_ms, MAX_LINES_PER_S) else { return };
         // -1 is a number that is not known: 0 would state that there is none.
         let known =
             |bytes: Option<u64>| bytes.and_then(|bytes| i64::try_from(bytes).ok()).unwrap_or(-1);
