A test deployment ends its instances before its stand-ins

It was found while poison:: and status:: were searched for a way in which one test reaches another.

Cause: the fields of both test deployments were dropped with the platform and the endpoints first and the instances last. For as long as the stand-ins take to stop, the instances write to ports that are free, and another test may get one: its platform would take a quarantine, an order or a status of the other test for its own, since all tests share an environment, names and prompts.

Ruled out, by a trial of 2,400 sockets: a port that a stand-in has reserved is given to no listener and to no outgoing connection.

Change: the instances are the first field. A red run of poison:: or of status::quarantined_requests_are_counted prints the events or the result, where it printed the failed assertion only; the conditions are the same.

--- a/crates/standins/src/deployment.rs
+++ b/crates/standins/src/deployment.rs
@@ -65,8 +65,15 @@
 }
 
 /// A running deployment; dropping it stops all its parts.
+///
+/// # Invariant
+///
+/// Fields are dropped in their order, and the instances come first: the ports of stand-ins that have stopped may be those of
+/// another deployment's by then, whose platform would take the writes of these instances for its own.
 #[derive(Debug)]
 pub struct Deployment {
+    /// The entry instances.
+    pub instances: Vec<Instance>,
     /// Its settings.
     pub spec: DeploymentSpec,
     /// The platform.
@@ -79,8 +86,6 @@
     pub services: Vec<ListedEndpoint<Service>>,
     /// Additional rows of the list, for endpoints that do not exist.
     pub extra_records: Vec<InstanceRecord>,
-    /// The entry instances.
-    pub instances: Vec<Instance>,
     /// The HTTP client that callers share.
     pub client: reqwest::Client,
     started_count: usize,
@@ -102,13 +107,13 @@
         let platform_host = platform.host(loopback())?;
         let client = reqwest::Client::new();
         let mut deployment = Self {
+            instances: Vec::new(),
             spec,
             platform,
             platform_host,
             engines: Vec::new(),
             services: Vec::new(),
             extra_records: Vec::new(),
-            instances: Vec::new(),
             client,
             started_count: 0,
         };
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -8,6 +8,7 @@
 mod command_line;
 mod config;
 mod cut_answers;
+mod isolation;
 mod leases;
 mod logs;
 mod membership;
--- a/tests/all/poison.rs
+++ b/tests/all/poison.rs
@@ -82,13 +82,13 @@
     }));
     let poison = poison();
     let (results, poisoned) = tokio::join!(bystanders, send(&deployment, 0, &poison));
-    assert!(is_quarantined(&poisoned), "{poisoned:?}");
+    if !is_quarantined(&poisoned) {
+        panic!("{poisoned:?}:\n{}", time_line(&deployment).await);
+    }
     for result in results {
         assert_eq!(result.outcome, Outcome::Complete);
     }
-    if crashes(&deployment) != 2 {
-        panic!("{} crashes:\n{}", crashes(&deployment), time_line(&deployment).await);
-    }
+    assert_two_crashes(&deployment).await;
     for number in 0..6 {
         assert_is_served(&deployment, (number + 1) % instances, &bystander(number)).await;
     }
@@ -145,6 +145,13 @@
     }
 }
 
+/// Asserts that engines crashed twice, and otherwise prints the events of all instances.
+async fn assert_two_crashes(deployment: &Deployment) {
+    if crashes(deployment) != 2 {
+        panic!("{} crashes:\n{}", crashes(deployment), time_line(deployment).await);
+    }
+}
+
 /// The events of all instances in the order of their clocks, one a line.
 async fn time_line(deployment: &Deployment) -> String {
     let instances = 0..deployment.instances.len();
@@ -183,7 +190,7 @@
             time_line(&deployment).await
         );
     }
-    assert_eq!(crashes(&deployment), 2);
+    assert_two_crashes(&deployment).await;
 }
 
 /// The endpoint crashes while its instance is paused, and the deadline passes before the instance can observe that.
--- a/tests/all/status.rs
+++ b/tests/all/status.rs
@@ -82,7 +82,9 @@
     let poison = format!("{CRASH_MARKER} twenty-one tins please");
     let caller = deployment.caller();
     let result = caller.prompt(&deployment.url(0), "assistant", &poison, 20, true).await;
-    assert!(matches!(&result.outcome, Outcome::Refused { kind, .. } if kind == "quarantined"));
+    let is_quarantined =
+        matches!(&result.outcome, Outcome::Refused { kind, .. } if kind == "quarantined");
+    assert!(is_quarantined, "{result:?}, {:?}", deployment.events(0).await);
     let text = status_text_once(&platform, "quarantined", json!(1)).await;
     assert!(text.contains("quarantined requests: 1"), "{text}");
 }
--- a/tests/all/support.rs
+++ b/tests/all/support.rs
@@ -37,13 +37,18 @@
 }
 
 /// Stand-ins and instances of one test. Dropping it stops all of them.
+///
+/// # Invariant
+///
+/// Fields are dropped in their order, and the instances come first: the ports of stand-ins that have stopped may be those of
+/// another test's by then, whose platform would take the writes of these instances for its own.
 pub(crate) struct Deployment {
+    pub(crate) instances: Vec<Instance>,
     pub(crate) platform: Arc<Platform>,
     pub(crate) platform_host: ServerHandle,
     pub(crate) engines: Vec<(Arc<Engine>, ServerHandle)>,
     pub(crate) services: Vec<(Arc<Service>, ServerHandle)>,
     pub(crate) stores: Vec<(Arc<StoreService>, ServerHandle)>,
-    pub(crate) instances: Vec<Instance>,
     pub(crate) client: reqwest::Client,
     flags: Vec<String>,
 }
@@ -106,12 +111,12 @@
         let services = vec![service()?];
         let client = reqwest::Client::new();
         let mut deployment = Self {
+            instances: Vec::new(),
             platform,
             platform_host,
             engines,
             services,
             stores: Vec::new(),
-            instances: Vec::new(),
             client,
             flags: flags.iter().map(|flag| (*flag).to_owned()).collect(),
         };
