--- a/tests/all/poison.rs
+++ b/tests/all/poison.rs
@@ -94,6 +94,36 @@
     }
 }
 
+/// An endpoint crashes and is back before its instance, which is paused, has seen that. It then responds only after more than a
+/// second.
+#[tokio::test]
+async fn a_crash_that_shows_late_is_counted() {
+    let spec = EngineSpec { prefill_tokens_per_s: 20, restart_ms: 0, ..fast_engine() };
+    let deployment = Deployment::start(1, &spec).await.unwrap();
+    let poison = poison();
+    let poisoned = send(&deployment, 0, &poison);
+    let freeze = async {
+        let is_sent = |event: &Event| event.kind == EventKind::Dispatched;
+        deployment.all_have_event(&[0], is_sent).await.expect("the request is dispatched");
+        let chosen = eventually(|| async {
+            deployment.engines.iter().find(|(engine, _)| engine.stats().started > 0)
+        });
+        let (engine, _) = chosen.await.expect("the run starts");
+        deployment.instances[0].signal(Signal::SIGSTOP);
+        engine.set_faults(Faults { frozen: true, ..Faults::default() });
+        eventually(|| async { (engine.stats().crashes > 0).then_some(()) }).await.unwrap();
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        deployment.instances[0].signal(Signal::SIGCONT);
+        tokio::time::sleep(Duration::from_millis(1_500)).await;
+        engine.set_faults(Faults::default());
+    };
+    let (poisoned, ()) = tokio::join!(poisoned, freeze);
+    if !is_quarantined(&poisoned) {
+        panic!("{poisoned:?}:\n{}", time_line(&deployment).await);
+    }
+    assert_two_crashes(&deployment).await;
+}
+
 #[tokio::test]
 async fn concurrent_retries_at_all_instances_cause_no_third_crash() {
     let deployment = Deployment::start(3, &engine()).await.unwrap();
