Revert the trial of waits by what shares under their part leave

The test a_due_return_counts_as_used_by_its_share states that a share keeps its standing until its promised return is due; the part on returns contradicts it.

--- a/crates/coord/src/fair_share.rs
+++ b/crates/coord/src/fair_share.rs
@@ -152,18 +152,15 @@
         let level_ms = levels.level_ms(share.rank);
         let sum = self.sum_of(share, now_ms);
         let used_ms = sum.used_ms + self.returns.due_ms(share, now_ms);
-        let standing = match levels.standing(share.rank, used_ms, sum.demand_ms()) {
-            // Its time until then is promised.
-            Standing::Within if self.returns.is_awaited(share, now_ms) => Standing::Over,
-            standing => standing,
-        };
+        let standing = levels.standing(share.rank, used_ms, sum.demand_ms());
         Some(ShareStanding { standing, used_ms, level_ms })
     }
 
-    /// The part of the pool's time that is left to `rank`, per thousand, by more urgent ranks and by the shares of the rank
-    /// that are under their part. It is known without pressure as well, so that the queue of a less urgent rank counts as
-    /// late before it is as long as the target latency.
+    /// The part of the pool's time that more urgent ranks leave to `rank`, per thousand; all of it without pressure.
     pub fn rank_per_mille(&mut self, rank: u8, now_ms: TimeMs) -> u64 {
+        if !self.has_pressure(now_ms) {
+            return 1_000;
+        }
         self.refresh(now_ms);
         let division = self.division.as_ref();
         division.map_or(1_000, |division| division.levels.left_per_mille(rank))
--- a/crates/coord/src/fair_share/returns.rs
+++ b/crates/coord/src/fair_share/returns.rs
@@ -83,12 +83,6 @@
         self.work_ms.range(from..=to).map(|(_, work_ms)| work_ms).sum()
     }
 
-    /// True if a return of the share is promised for later.
-    pub(super) fn is_awaited(&self, share: ShareKey, now_ms: TimeMs) -> bool {
-        let to = (share, TimeMs(u64::MAX), u64::MAX);
-        self.work_ms.range((share, now_ms, 0)..=to).next().is_some()
-    }
-
     /// `own_ms` is the engine time that the share gets here in a window; none if its demand is met.
     pub(super) fn promise(
         &mut self,
--- a/crates/coord/src/fair_share/standing.rs
+++ b/crates/coord/src/fair_share/standing.rs
@@ -25,7 +25,7 @@
     levels_ms: BTreeMap<u8, u64>,
     /// An equal part of the time of each rank.
     equal_ms: BTreeMap<u8, u64>,
-    /// The part of the pool's time that is left to each rank, per thousand.
+    /// The part of the pool's time that more urgent ranks leave to each rank, per thousand.
     left_per_mille: BTreeMap<u8, u64>,
     active: Vec<ShareKey>,
 }
@@ -50,6 +50,7 @@
         let mut equal_ms = BTreeMap::new();
         let mut left_per_mille = BTreeMap::new();
         for (rank, shares) in by_rank {
+            left_per_mille.insert(rank, (left_ms * 1_000).checked_div(whole_ms).unwrap_or(1_000));
             let used_ms: u64 = shares.iter().map(|(_, sum)| sum.used_ms).sum();
             // The shares that a report does not list are small. Their sum is no share of its own.
             let (unlisted, listed): (Vec<_>, Vec<_>) =
@@ -57,17 +58,12 @@
             let unlisted_ms: u64 = unlisted.iter().map(|(_, sum)| sum.used_ms).sum();
             equal_ms
                 .insert(rank, left_ms.saturating_sub(unlisted_ms) / (listed.len() as u64).max(1));
-            let demands_ms: Vec<u64> = listed.iter().map(|(_, sum)| sum.demand_ms()).collect();
-            let mut free_ms = left_ms;
+            let demands_ms = listed.iter().map(|(_, sum)| sum.demand_ms()).collect();
             if let Some(level_ms) =
-                max_min_level_ms(demands_ms.clone(), left_ms.saturating_sub(unlisted_ms))
+                max_min_level_ms(demands_ms, left_ms.saturating_sub(unlisted_ms))
             {
                 levels_ms.insert(rank, level_ms);
-                // These shares are admitted whatever the queue, so that the others wait for what they leave.
-                let under_ms: u64 = demands_ms.iter().filter(|ms| **ms <= level_ms).sum();
-                free_ms = left_ms.saturating_sub(under_ms + unlisted_ms);
             }
-            left_per_mille.insert(rank, (free_ms * 1_000).checked_div(whole_ms).unwrap_or(1_000));
             left_ms = left_ms.saturating_sub(used_ms);
         }
         Self { levels_ms, equal_ms, left_per_mille, active: sums.keys().copied().collect() }
@@ -82,7 +78,7 @@
         self.equal_ms.get(&rank).copied()
     }
 
-    /// The part of the time that is left to `rank` or the next less urgent one with usage.
+    /// The part of the time that more urgent ranks leave to `rank` or the next less urgent one with usage.
     pub(super) fn left_per_mille(&self, rank: u8) -> u64 {
         self.left_per_mille.range(rank..).next().map_or(1_000, |(_, left)| *left)
     }
