A response is framed by its caller's version, not by its endpoint's

What callers saw: an endpoint that responds in HTTP/1.0 without a length and stalls or breaks off. The caller, of HTTP/1.1, got the part that had come and an orderly end, which looks complete. With a further request on the connection, its response followed inside the body of the first one.

Cause: the head of an endpoint's response is passed on with its version, and hyper frames a response by the version in its head: without a length, one in HTTP/1.0 ends with its connection.

Change: the version of a response is HTTP/1.1 before hyper gets it.

--- a/crates/callers/src/connection.rs
+++ b/crates/callers/src/connection.rs
@@ -185,7 +185,9 @@
         let stream = round.stream.clone();
         Box::pin(async move {
             let caller = Caller { from, is_end_announced: announced.load(Ordering::Relaxed) };
-            let response = responder.respond(request, caller).await;
+            let mut response = responder.respond(request, caller).await;
+            // Otherwise hyper would frame it by the version of an endpoint. The version of the request is its own matter.
+            *response.version_mut() = Version::HTTP_11;
             announced.fetch_or(announces_end(response.headers()), Ordering::Relaxed);
             let response = guard.watch(&method, response);
             // hyper has no other way to state where its body ends.
