Eviction leaves the room that a save needs

Cause: since a save needs the part and one block more, and eviction stopped as soon as the largest part fitted. With the free room between the two, neither happened: nine of ten places of a store were taken, a tenth part, used more than all others, was refused as `NoRoom` for 200 s, and no part left.

Change: eviction keeps the spare block free as well.

--- a/crates/gateway/src/cache_index.rs
+++ b/crates/gateway/src/cache_index.rs
@@ -20,8 +20,8 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-pub(crate) use self::room::footprint;
 use self::room::{LeavingParts, PendingSaves};
+pub(crate) use self::room::{SPARE_TOKENS, footprint};
 use crate::{
     part_plan::TargetEngine,
     peer_loads::EndpointTag,
--- a/crates/gateway/src/cache_index/room.rs
+++ b/crates/gateway/src/cache_index/room.rs
@@ -20,7 +20,7 @@
 
 /// The room that a save leaves free, in tokens: how a store rounds a reservation is not specified, and a save that finds no
 /// room is lost.
-const SPARE_TOKENS: u64 = BLOCK_TOKENS;
+pub(crate) const SPARE_TOKENS: u64 = BLOCK_TOKENS;
 /// How long a save counts as in progress, in milliseconds: the prefill and the transfer take less.
 const PENDING_SAVE_MS: TimeMs = TimeMs(4_000);
 /// How long a save counts as in progress after the first token of its request, in milliseconds: the transfer takes less. A
--- a/crates/gateway/src/part_values/eviction.rs
+++ b/crates/gateway/src/part_values/eviction.rs
@@ -18,7 +18,7 @@
 
 use super::{PartUsage, UseEstimate};
 use crate::{
-    cache_index::{PartTag, footprint},
+    cache_index::{PartTag, SPARE_TOKENS, footprint},
     translation::PartKey,
 };
 
@@ -208,7 +208,7 @@
         // What is saved while parts leave has to fit as well.
         let needed = (self.save_rate * grace_ms(Tokens(8_192)).get() as f64) as u64;
         let min_free = needed.min(percent(MAX_FREE_PERCENT)).max(percent(MIN_FREE_PERCENT));
-        let min_free = min_free.max(largest).min(store.capacity_tokens / 4);
+        let min_free = min_free.max(largest + SPARE_TOKENS).min(store.capacity_tokens / 4);
         if free_tokens >= min_free {
             return;
         }
--- a/crates/gateway/tests/decisions/store_contents.rs
+++ b/crates/gateway/tests/decisions/store_contents.rs
@@ -619,3 +619,39 @@
     assert!(store.complete_tokens(&key("subject"), TimeMs(3_500)).is_some());
     assert!(store.complete_tokens(&key("subject"), TimeMs(4_500)).is_none());
 }
+
+/// A store that is short of room for its largest part lets a part leave, or else it takes the part: nine of its ten places are taken, and a
+/// tenth part, used more than all others, is wanted.
+#[test]
+fn a_store_without_room_for_a_wanted_part_lets_one_leave() {
+    let mut full = Full::new();
+    full.parts.remove(&key("part9"));
+    let mut owner = StoreEviction::new(TimeMs(0));
+    for _ in 0..200 {
+        full.usage.record(tag("wanted"), 20, TimeMs(full.now_ms + STEP_INTERVAL_MS.get()));
+        let step = full.steps(&mut owner, 1).remove(0);
+        if !step.announced.is_empty() {
+            return;
+        }
+        let now = TimeMs(full.now_ms);
+        let mut views = [view(1, 16_000)];
+        let parts = full.parts.iter().map(|(key, tokens)| (key.clone(), *tokens)).collect();
+        let snapshot =
+            CacheSnapshot { epoch: 1, next: full.now_ms, parts, ..CacheSnapshot::default() };
+        views[0].apply_snapshot(snapshot, now);
+        let parts = [("wanted", 1_600), ("own", 500)]
+            .map(|(id, tokens)| PromptPart { id: id.to_owned(), tokens: Tokens(tokens) });
+        let engine = TargetEngine {
+            address: ([10, 0, 1, 1], 80).into(),
+            data_centre: None,
+            token_bytes: Bytes(163_840),
+            region_limit: RegionLimit::default(),
+        };
+        let plan = plan_parts(&mut views, SCOPE, &parts, &engine, now);
+        if !plan.pending_saves.is_empty() {
+            return;
+        }
+        assert_eq!(plan.account[0].save, SaveOutcome::NoRoom, "no save for another reason");
+    }
+    panic!("for 200 s no part left, and the wanted one was not saved for want of room");
+}
