Revert "A crash is counted though the endpoint responds late"

The question for a run is asked up to 4 times, so that an endpoint which resets a stream and then says nothing delays the second attempt by up to 12 s (by reading, in the review), not by the 3 s that the message states: too long for a caller whose request may go on elsewhere.

--- a/crates/node/src/follow/stream.rs
+++ b/crates/node/src/follow/stream.rs
@@ -29,9 +29,6 @@
 const TRANSPORT_MARGIN_MS: u64 = 2_000;
 /// The time limit for the response to a resume request, in milliseconds.
 const PROBE_TIMEOUT_MS: u64 = 1_000;
-/// How much longer an endpoint that ended the stream may take to respond, in milliseconds. It may have crashed and be starting
-/// again, which only its response shows.
-const LATE_PROBE_MS: u64 = 2_000;
 /// How often a run is requested again on a new connection that is lost too.
 const MAX_PROBES: u32 = 4;
 /// The wait before it is requested again, in milliseconds.
@@ -221,7 +218,7 @@
             return Err(AttemptFailure::lost(EndpointError::InvalidResponse { reason }));
         }
         let from = self.run.token_count();
-        match self.probe(from, was_lost).await {
+        match self.probe(from).await {
             Ok(Ok(stream)) => {
                 self.mark_responded();
                 self.stall_detector.record_reconnect(self.node.now());
@@ -241,6 +238,7 @@
                 Err(AttemptFailure { is_crash, ..AttemptFailure::lost(error) })
             }
             Err(Elapsed) => {
+                self.suspect_endpoint();
                 let reason = format!("{reason}; no answer on a new connection");
                 Err(AttemptFailure::lost(EndpointError::ResponseLost { reason }))
             }
@@ -249,28 +247,12 @@
 
     /// Requests the rest of the run, again if the new connection is lost as well: an endpoint that is crashing may still
     /// accept connections, and only a refused one, or a run that it does not know, shows that it crashed.
-    async fn probe(
-        &self,
-        from: u32,
-        was_lost: bool,
-    ) -> Result<Result<ChunkStream, EndpointError>, Elapsed> {
+    async fn probe(&self, from: u32) -> Result<Result<ChunkStream, EndpointError>, Elapsed> {
         let mut probes = 0;
         loop {
-            let mut probe =
-                self.endpoint.engine.resume(self.attempt, from, self.transport_timeout());
-            let reply = match timeout(Duration::from_millis(PROBE_TIMEOUT_MS), &mut probe).await {
-                Ok(reply) => reply,
-                Err(_) => {
-                    self.suspect_endpoint();
-                    if !was_lost {
-                        return Err(Elapsed);
-                    }
-                    // A crash that is taken for silence is not counted, and the request may cause a third one.
-                    timeout(Duration::from_millis(LATE_PROBE_MS), probe)
-                        .await
-                        .map_err(|_| Elapsed)?
-                }
-            };
+            let probe = self.endpoint.engine.resume(self.attempt, from, self.transport_timeout());
+            let limit = Duration::from_millis(PROBE_TIMEOUT_MS);
+            let reply = timeout(limit, probe).await.map_err(|_| Elapsed)?;
             probes += 1;
             let is_ambiguous = matches!(reply, Err(EndpointError::ResponseLost { .. }));
             if !is_ambiguous || probes == MAX_PROBES {
