A stop that is late by both its limits passes on what lies ready

Cause: both limits of a stop are moments. A process that stands still over both notices them one after the other, before any task has read what came meanwhile. Instances with an eighth of a core stand still for longer than the 0.4 s between the limits. Class: a limit on waiting that counts time in which nobody could do the work that is waited for.

Change: a limit that is noticed more than 20 ms late is followed by 100 ms in which connections make progress, at both limits, within what is reserved for the exit.

--- a/crates/callers/src/lib.rs
+++ b/crates/callers/src/lib.rs
@@ -29,7 +29,7 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     task::JoinSet,
-    time::{Instant, sleep, timeout_at},
+    time::{Instant, sleep, timeout, timeout_at},
 };
 use tokio_util::sync::CancellationToken;
 
@@ -59,6 +59,10 @@
 /// drain that [`ANSWER_TIME_DIVISOR`] leaves.
 const ANSWER_TIME: Duration = Duration::from_millis(400);
 const ANSWER_TIME_DIVISOR: u32 = 4;
+/// How late a limit may be noticed before the process counts as one that stood still, and the time that it then gets to pass on
+/// what has come: both limits of a stop together stay within what the embedder reserves for the exit.
+const LATE_TIME: Duration = Duration::from_millis(20);
+const CATCH_UP_TIME: Duration = Duration::from_millis(100);
 /// A packet filter that drops the first packet of a connection and accepts all others. Its input begins with the TCP header.
 const DROP_SYN: [SockFilter; 5] = [
     SockFilter::new(LOAD_BYTE, 0, 0, TCP_FLAGS_OFFSET),
@@ -187,6 +191,15 @@
     async fn respond_to_all(&mut self) {
         while self.join_next().await {}
     }
+
+    /// Waits until all responses are complete, up to `limit`. Returns false if some are not.
+    async fn respond_until(&mut self, limit: Instant) -> bool {
+        if timeout_at(limit, self.respond_to_all()).await.is_ok() {
+            return true;
+        }
+        // A process that stood still has not read what came meanwhile.
+        limit.elapsed() > LATE_TIME && timeout(CATCH_UP_TIME, self.respond_to_all()).await.is_ok()
+    }
 }
 
 /// Accepts connections until the stop begins, then waits up to `drain_timeout` for the requests in progress. Returns the
@@ -214,13 +227,13 @@
     }
     let until = closing_at + drain_timeout;
     let due_at = closing_at + response_time(drain_timeout);
-    if timeout_at(due_at, connections.respond_to_all()).await.is_err() {
+    if !connections.respond_until(due_at).await {
         log::info!(
             target: "life", left = connections.serving.len();
             "stop is due; requests without a response get a final one"
         );
         stop.ending.cancel();
-        if timeout_at(until, connections.respond_to_all()).await.is_err() {
+        if !connections.respond_until(until).await {
             log::warn!(
                 target: "life", left = connections.serving.len();
                 "drain timed out; closing the remaining connections"
