--- a/crates/callers/src/connection.rs
+++ b/crates/callers/src/connection.rs
@@ -186,7 +186,7 @@
         Box::pin(async move {
             let caller = Caller { from, is_end_announced: announced.load(Ordering::Relaxed) };
             let mut response = responder.respond(request, caller).await;
-            // Otherwise hyper would frame it by the version of an endpoint. The version of the request is its own matter.
+            // hyper frames a response by the version of its head, which is an endpoint's, and lowers it to the request's.
             *response.version_mut() = Version::HTTP_11;
             announced.fetch_or(announces_end(response.headers()), Ordering::Relaxed);
             let response = guard.watch(&method, response);
--- a/crates/callers/src/lib.rs
+++ b/crates/callers/src/lib.rs
@@ -59,9 +59,10 @@
 /// drain that [`ANSWER_TIME_DIVISOR`] leaves.
 const ANSWER_TIME: Duration = Duration::from_millis(400);
 const ANSWER_TIME_DIVISOR: u32 = 4;
-/// How late a limit may be noticed before the process counts as one that stood still, and the time that it then gets to pass on
-/// what has come: both limits of a stop together stay within what the embedder reserves for the exit.
+/// How late a limit of a stop may be noticed before the process counts as one that stood still.
 const LATE_TIME: Duration = Duration::from_millis(20);
+/// The time that such a process gets to pass on what has come, once for each of the two limits: the embedder reserves more for
+/// the exit.
 const CATCH_UP_TIME: Duration = Duration::from_millis(100);
 /// A packet filter that drops the first packet of a connection and accepts all others. Its input begins with the TCP header.
 const DROP_SYN: [SockFilter; 5] = [
