Inquiries about streams, late answers and unconfirmed endpoints are logged

An inquiry that ends logs its outcome, duration, rounds, the peers that stayed silent and how late its own timers fired; an answer that comes after the end of its inquiry is logged with its delay; a peer that is asked logs its reply or that it withheld one; an endpoint that does not state its incarnation is logged with the number of questions and their duration, and the last line of a stream that can't be taken up with the standing of the build. All lines but the last two are limited in number per second. No decision is changed: the inquiries moved to a file of their own (controllers/streams/inquiries.rs).

--- a/crates/coord/src/stream/inquiry.rs
+++ b/crates/coord/src/stream/inquiry.rs
@@ -43,6 +43,16 @@
         self.pending.retain(|pending| *pending != peer);
     }
 
+    /// The peers that were asked and have not answered.
+    pub fn silent_peers(&self) -> &[P] {
+        &self.pending
+    }
+
+    /// The number of rounds so far.
+    pub const fn rounds(&self) -> usize {
+        self.rounds
+    }
+
     /// Returns what to do at `now_ms`.
     pub fn step(&mut self, now_ms: TimeMs) -> InquiryStep<P> {
         if !self.pending.is_empty() && now_ms < self.round_ends_ms {
--- a/crates/coord/src/stream/records.rs
+++ b/crates/coord/src/stream/records.rs
@@ -15,7 +15,8 @@
 const MIN_RENEWAL_AGE_MS: TimeMs = TimeMs(1_000);
 
 /// What is known of the origin of a stream.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
 pub enum StreamKnowledge {
     /// Nothing.
     Unknown,
--- a/crates/gateway/src/controllers/streams.rs
+++ b/crates/gateway/src/controllers/streams.rs
@@ -1,13 +1,14 @@
-//! Reports to other instances where streams began, and asks them for streams that callers take up here.
+//! Reports to other instances where streams began, and answers their questions.
 
-use std::{net::SocketAddr, time::Duration};
+mod inquiries;
 
-use bilberryford_coord::{
-    InquiryStep, StreamInquiry, StreamKeeper, StreamKey, StreamKnowledge, StreamOrigin,
-    ranked_keepers,
-};
-use tokio::{net::UdpSocket, time::timeout};
+use std::net::SocketAddr;
+
+use bilberryford_coord::{StreamKeeper, StreamKey, StreamKnowledge, StreamOrigin, ranked_keepers};
+use tokio::net::UdpSocket;
 
+pub(super) use self::inquiries::apply_answer;
+pub(crate) use self::inquiries::{StreamInquiries, find_stream};
 use super::peers::{PeerAddresses, encode_message, send_message};
 use crate::{
     gateway::Gateway,
@@ -17,8 +18,6 @@
 /// The instances that keep the record of a stream, beside the one that passes it on: it outlives the loss of a third of a
 /// fleet at once for 98 streams in 100.
 const KEEPERS: usize = 4;
-/// The most inquiries at a time; callers may make up names.
-const MAX_INQUIRIES: usize = 256;
 
 /// The peers in the order in which they keep the record of a stream, those that are live first.
 ///
@@ -95,110 +94,20 @@
     from: SocketAddr,
     key: StreamKey,
 ) {
-    if gateway.unconfirmed_streams.lock().contains(&key) {
+    let now_ms = gateway.clock.now();
+    let is_unconfirmed = gateway.unconfirmed_streams.lock().contains(&key);
+    let knowledge = gateway.streams.lock().knowledge(&key, now_ms);
+    if let Some(suppressed) = gateway.request_log.take_stream_question_record(now_ms) {
+        let reply: &'static str = if is_unconfirmed { "withheld" } else { knowledge.into() };
+        log::info!(
+            target: "belief", stream:% = key, from:% = from, reply = reply, left_out = suppressed;
+            "peer asks for a stream"
+        );
+    }
+    if is_unconfirmed {
         // The peer asks again in its next round, when the endpoint has replied.
         return;
     }
-    let knowledge = gateway.streams.lock().knowledge(&key, gateway.clock.now());
     let answer = PeerMessage::Stream(StreamAnswer { key, knowledge });
     send_message(socket, &[from], &answer).await;
 }
-
-/// Applies the answer to a question of this instance.
-pub(super) fn apply_answer(gateway: &Gateway, from: SocketAddr, answer: &StreamAnswer) {
-    let mut inquiries = gateway.inquiries.lock();
-    let Some(shared) = inquiries.get_mut(&answer.key) else { return };
-    shared.inquiry.record_answer(from);
-    let now_ms = gateway.clock.now();
-    let known = gateway.streams.lock().apply(answer.key, answer.knowledge, now_ms);
-    drop(inquiries);
-    log_contradiction(answer.key, answer.knowledge, known);
-    gateway.inquiry_answered.notify_waiters();
-}
-
-/// An inquiry for all requests of this instance that ask for one stream.
-pub(crate) struct SharedInquiry {
-    inquiry: StreamInquiry<SocketAddr>,
-    waiting_requests: usize,
-}
-
-/// A request's part in an inquiry, which ends with the last request that waits for it.
-struct OpenInquiry<'a> {
-    gateway: &'a Gateway,
-    key: StreamKey,
-}
-
-impl<'a> OpenInquiry<'a> {
-    /// Joins the inquiry about a stream, or begins it with `peers`. Returns none if there are too many.
-    fn join(
-        gateway: &'a Gateway,
-        key: StreamKey,
-        peers: impl FnOnce() -> Vec<SocketAddr>,
-    ) -> Option<Self> {
-        let mut inquiries = gateway.inquiries.lock();
-        if inquiries.len() >= MAX_INQUIRIES && !inquiries.contains_key(&key) {
-            return None;
-        }
-        let shared = inquiries.entry(key).or_insert_with(|| SharedInquiry {
-            inquiry: StreamInquiry::new(peers()),
-            waiting_requests: 0,
-        });
-        shared.waiting_requests += 1;
-        Some(Self { gateway, key })
-    }
-}
-
-impl Drop for OpenInquiry<'_> {
-    fn drop(&mut self) {
-        let mut inquiries = self.gateway.inquiries.lock();
-        let Some(shared) = inquiries.get_mut(&self.key) else { return };
-        shared.waiting_requests -= 1;
-        if shared.waiting_requests == 0 {
-            inquiries.remove(&self.key);
-        }
-    }
-}
-
-/// Returns what is known of a stream, after asking its keepers if this instance does not know it.
-pub(crate) async fn find_stream(gateway: &Gateway, key: StreamKey) -> StreamKnowledge {
-    let mut open = None;
-    loop {
-        let answered = gateway.inquiry_answered.notified();
-        let now_ms = gateway.clock.now();
-        let knowledge = gateway.streams.lock().knowledge(&key, now_ms);
-        if knowledge != StreamKnowledge::Unknown {
-            return knowledge;
-        }
-        if gateway.unconfirmed_streams.lock().contains(&key) {
-            answered.await;
-            continue;
-        }
-        let Some(link) = gateway.peer_link.get() else { return knowledge };
-        if open.is_none() {
-            let peers = || {
-                let mut peers = ranked_peers(gateway, &link.addresses, &key);
-                peers.retain(|peer| *peer != gateway.settings.peer_listen);
-                peers
-            };
-            let Some(joined) = OpenInquiry::join(gateway, key, peers) else { return knowledge };
-            open = Some(joined);
-        }
-        let step = {
-            let mut inquiries = gateway.inquiries.lock();
-            inquiries.get_mut(&key).map(|shared| shared.inquiry.step(now_ms))
-        };
-        match step {
-            Some(InquiryStep::Ask(peers)) => {
-                send_message(&link.socket, &peers, &PeerMessage::AskStream(key)).await;
-            }
-            Some(InquiryStep::Wait(until_ms)) => {
-                let wait = Duration::from_millis(until_ms.since(now_ms).get());
-                // The end of the wait is the end of the round.
-                let _ = timeout(wait, answered).await;
-            }
-            Some(InquiryStep::Exhausted) | None => {
-                return gateway.streams.lock().knowledge(&key, gateway.clock.now());
-            }
-        }
-    }
-}
--- a/crates/gateway/src/filters/take_up.rs
+++ b/crates/gateway/src/filters/take_up.rs
@@ -63,11 +63,12 @@
         return refuse(record, "stream_unnamed");
     };
     let key = key_of(first_request_id);
-    let origin = match find_stream(gateway, key).await {
-        StreamKnowledge::Known(origin) => origin,
-        StreamKnowledge::Unknown => return refuse(record, "stream_unknown"),
-        StreamKnowledge::Contradictory => return refuse(record, "stream_contradictory"),
-    };
+    let origin =
+        match find_stream(gateway, key, record.request_id.as_deref().unwrap_or_default()).await {
+            StreamKnowledge::Known(origin) => origin,
+            StreamKnowledge::Unknown => return refuse(record, "stream_unknown"),
+            StreamKnowledge::Contradictory => return refuse(record, "stream_contradictory"),
+        };
     record.stream_age_ms = gateway.streams.lock().age_ms(&key, gateway.clock.now());
     let Some((home, build)) = gateway.stream_home(origin, route) else {
         return refuse(record, "stream_build_gone");
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -37,7 +37,7 @@
     clock::Clock,
     cold_endpoints::ColdEndpoints,
     connections::ConnectionPool,
-    controllers::{PeerLink, ReadMode, SharedInquiry},
+    controllers::{PeerLink, ReadMode, StreamInquiries},
     cost::Speeds,
     deployment::{CallerLimits, Deployment},
     endpoint_limits::EndpointLimits,
@@ -135,8 +135,8 @@
     pub(crate) streams: Mutex<StreamRecords>,
     /// The streams whose endpoints are being asked for their builds; they are recorded, or not, with the reply.
     pub(crate) unconfirmed_streams: Mutex<HashSet<StreamKey>>,
-    /// The inquiries of this instance about streams that it does not know, each with the requests that wait for it.
-    pub(crate) inquiries: Mutex<HashMap<StreamKey, SharedInquiry>>,
+    /// The inquiries of this instance about streams that it does not know.
+    pub(crate) inquiries: Mutex<StreamInquiries>,
     /// Notified when an inquiry was answered.
     pub(crate) inquiry_answered: Notify,
     /// The link to the peers; none before its socket is bound.
--- a/crates/gateway/src/gateway/streams.rs
+++ b/crates/gateway/src/gateway/streams.rs
@@ -96,7 +96,6 @@
             return BuildStanding::AsListed;
         }
         let Some((asked_ms, started_ms)) = self.ask_for_start(candidate).await else {
-            log::debug!(endpoint:% = candidate.id; "endpoint does not state its incarnation");
             return BuildStanding::Doubtful;
         };
         let is_listed =
@@ -117,16 +116,23 @@
     /// question; none if the engine does not say.
     async fn ask_for_start(&self, candidate: &Candidate) -> Option<(TimeMs, TimeMs)> {
         let first_asked_ms = self.clock.now();
-        for _ in 0..MAX_START_QUESTIONS {
+        let mut questions = 0;
+        while questions < MAX_START_QUESTIONS {
             let asked_ms = self.clock.now();
             if asked_ms.since(first_asked_ms) >= START_QUESTIONS_MS {
                 break;
             }
+            questions += 1;
             let report = self.orders.report(candidate.address, &candidate.id).await;
             if let Some(started_ms) = report.and_then(|report| report.started_ms) {
                 return Some((asked_ms, started_ms));
             }
         }
+        log::info!(
+            target: "belief", endpoint:% = candidate.id, incarnation:% = candidate.incarnation,
+            questions = questions, took_ms = self.clock.now().since(first_asked_ms).get();
+            "endpoint does not state its incarnation"
+        );
         None
     }
 
@@ -185,7 +191,8 @@
             if standing != BuildStanding::AsListed {
                 gateway.metrics.record_stream("begun_unconfirmed");
                 log::info!(
-                    target: "belief", stream:% = key, endpoint:% = candidate.id;
+                    target: "belief", stream:% = key, endpoint:% = candidate.id,
+                    standing = <&'static str>::from(standing);
                     "stream can't be taken up: the build that began it is not certain"
                 );
             }
--- a/crates/gateway/src/local_state.rs
+++ b/crates/gateway/src/local_state.rs
@@ -11,7 +11,8 @@
 /// Whether the endpoint at an address is the incarnation that its entry describes.
 ///
 /// An endpoint may start again under its id and address with another build while its entry is still the old one.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
 pub(crate) enum BuildStanding {
     /// Nothing speaks against it.
     #[default]
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -21,6 +21,9 @@
 /// The most records per second for requests without a complete response that this instance ended, and for those that
 /// others did.
 const MAX_ENDS_PER_S: u64 = 50;
+/// The most records per second for inquiries about streams, and for the questions and late answers of peers.
+const MAX_INQUIRIES_PER_S: u64 = 50;
+const MAX_QUESTIONS_PER_S: u64 = 50;
 
 /// The most shared parts in one record.
 const MAX_LOGGED_PARTS: usize = 8;
@@ -151,6 +154,8 @@
     losses: Mutex<LogLimiter>,
     ends_by_instance: Mutex<LogLimiter>,
     ends_by_others: Mutex<LogLimiter>,
+    stream_inquiries: Mutex<LogLimiter>,
+    stream_questions: Mutex<LogLimiter>,
 }
 
 impl RequestLog {
@@ -166,6 +171,17 @@
         limiter.lock().take(now_ms, MAX_ENDS_PER_S)
     }
 
+    /// Takes one record of an inquiry about a stream from the limit, and returns the number that was suppressed before it.
+    pub(crate) fn take_stream_inquiry_record(&self, now_ms: TimeMs) -> Option<u64> {
+        self.stream_inquiries.lock().take(now_ms, MAX_INQUIRIES_PER_S)
+    }
+
+    /// Takes one record of a peer's question about a stream, or of its late answer, from the limit, and returns the number that
+    /// was suppressed before it.
+    pub(crate) fn take_stream_question_record(&self, now_ms: TimeMs) -> Option<u64> {
+        self.stream_questions.lock().take(now_ms, MAX_QUESTIONS_PER_S)
+    }
+
     /// Writes the record of a request that ended with `outcome`, or counts it as suppressed.
     pub(crate) fn write(
         &self,
