Reports of limits go out at their interval, not at each change of a cold endpoint

Cause: each change of a cold endpoint, and each contact with one while a report on cold endpoints was due, woke the task that reports limits, which sent the limits of all endpoints to all peers, up to 50 times a second. At 91 instances that is 740 kB/s from each, 2.1 MB/s from some, over links of 1.25 MB/s: half of the messages between instances were lost, questions about streams and reports of engines among them.

Ruled out: processor time (timers of refused inquiries fire 2 ms late at most), endpoints that don't answer (per instance, not per endpoint: 2 of 91 instances have 125 of 343 unanswered reports, at nearly all engines, and can't connect either), garbled reports (no malformed one in the phase).

Change: a response that changes a limit has that limit reported at once; all are reported at the interval of the load reports. A cold endpoint wakes the task only when its limit begins or ends. The models had assumed this: cold_model reports limits at the interval alone, limit_model now has the pause and reports what is new alone.

Class: traffic between instances that grows with the fleet times the trouble crowds out the messages that requests wait for.

--- a/crates/gateway/src/endpoint_limits.rs
+++ b/crates/gateway/src/endpoint_limits.rs
@@ -80,6 +80,8 @@
     /// True if this instance takes no more than a part among all listed instances while it sees half of them at most: cut
     /// off from the others, it would take the whole limit in addition to them.
     counts_listed: bool,
+    /// True if a response changed it since the last report, so that the others are to learn of it at once.
+    is_report_due: bool,
 }
 
 impl EndpointLimit {
@@ -121,8 +123,6 @@
 #[derive(Debug, Clone, Default)]
 pub struct EndpointLimits {
     by_endpoint: HashMap<EndpointTag, EndpointLimit>,
-    /// True if a response changed a limit since the last reports, so that the others are to learn of it at once.
-    is_report_due: bool,
 }
 
 impl EndpointLimits {
@@ -141,12 +141,12 @@
             if state.own_statement.is_none_or(|(_, at_ms)| at_ms < sent_ms) {
                 state.own_statement = Some((None, sent_ms));
             }
-            self.is_report_due |= change.is_some();
+            state.is_report_due |= change.is_some();
             return change;
         };
         let change = self.record_stated(endpoint, limit, now_ms, sharers, now_ms);
-        self.is_report_due |= change.is_some();
         if let Some(state) = self.by_endpoint.get_mut(&endpoint) {
+            state.is_report_due |= change.is_some();
             state.own_statement = Some((Some(limit), now_ms));
             // A request of this instance led to the response.
             state.wanted_ms = Some(now_ms);
@@ -194,6 +194,7 @@
             wanted_ms,
             peers: HashMap::new(),
             counts_listed: false,
+            is_report_due: false,
         };
         self.by_endpoint.insert(endpoint, state);
         Some(LimitChange::Stated(limit))
@@ -315,6 +316,11 @@
         self.by_endpoint.get(&endpoint).map(|state| state.rate.rate())
     }
 
+    /// The number of endpoints with a limit, or with one that has ended and is not over yet.
+    pub fn len(&self) -> usize {
+        self.by_endpoint.len()
+    }
+
     /// True if no endpoint states a limit.
     pub fn is_empty(&self) -> bool {
         self.by_endpoint.is_empty()
@@ -322,19 +328,23 @@
 
     /// True if the others are to learn of a change without delay.
     pub fn is_report_due(&self) -> bool {
-        self.is_report_due
+        self.by_endpoint.values().any(|state| state.is_report_due)
     }
 
-    /// The reports for the other instances.
-    pub fn take_reports(&mut self, now_ms: TimeMs) -> Vec<LimitReport> {
-        self.is_report_due = false;
-        let report = |(endpoint, state): (&EndpointTag, &EndpointLimit)| LimitReport {
-            endpoint: *endpoint,
-            statement: state
-                .own_statement
-                .map(|(limit, at_ms)| LimitStatement { limit, age_ms: now_ms.since(at_ms) }),
-            has_requests: state.is_wanted(now_ms),
-        };
-        self.by_endpoint.iter().map(report).collect()
+    /// The reports for the other instances: all, or those that are not to be delayed.
+    pub fn take_reports(&mut self, are_all_due: bool, now_ms: TimeMs) -> Vec<LimitReport> {
+        let due = self.by_endpoint.iter_mut();
+        let due = due.filter(|(_, state)| are_all_due || state.is_report_due);
+        due.map(|(endpoint, state)| {
+            state.is_report_due = false;
+            LimitReport {
+                endpoint: *endpoint,
+                statement: state
+                    .own_statement
+                    .map(|(limit, at_ms)| LimitStatement { limit, age_ms: now_ms.since(at_ms) }),
+                has_requests: state.is_wanted(now_ms),
+            }
+        })
+        .collect()
     }
 }
--- a/crates/gateway/src/gateway/cold.rs
+++ b/crates/gateway/src/gateway/cold.rs
@@ -47,6 +47,8 @@
         drop(cold);
         if change.is_some() || is_due {
             self.cold_changed.notify_one();
+        }
+        if change.is_some() {
             self.limits_changed.notify_one();
         }
         change
--- a/crates/gateway/src/gateway/limits.rs
+++ b/crates/gateway/src/gateway/limits.rs
@@ -130,8 +130,9 @@
         }
     }
 
-    /// Updates this instance's parts of the limits, and returns its reports for the others.
-    pub(crate) fn refresh_limits(&self) -> Vec<LimitReport> {
+    /// Updates this instance's parts of the limits, and returns its reports for the others: all, or those that are not to be
+    /// delayed.
+    pub(crate) fn refresh_limits(&self, are_all_due: bool) -> Vec<LimitReport> {
         let now_ms = self.clock.now();
         let listed: HashSet<EndpointTag> = self.endpoints.lock().tags().collect();
         let over = self.with_sharers(now_ms, |sharers| {
@@ -144,7 +145,7 @@
                 "endpoint's limit is over"
             );
         }
-        self.limits.lock().take_reports(now_ms)
+        self.limits.lock().take_reports(are_all_due, now_ms)
     }
 
     /// Takes one request of this instance's parts of all limits of an endpoint: the one that its incarnation states, and
--- a/crates/gateway/tests/decisions/cold_model.rs
+++ b/crates/gateway/tests/decisions/cold_model.rs
@@ -349,7 +349,7 @@
             let mut reports = Vec::new();
             if is_periodic {
                 limits.refresh(*sharers, |_| true, *now_ms);
-                reports = limits.take_reports(*now_ms);
+                reports = limits.take_reports(true, *now_ms);
             }
             (cold.take_reports(is_periodic, *now_ms), reports)
         });
--- a/crates/gateway/tests/decisions/endpoint_limits.rs
+++ b/crates/gateway/tests/decisions/endpoint_limits.rs
@@ -56,13 +56,30 @@
     let mut limits = EndpointLimits::default();
     limits.apply_report("peer", &report(Some(LIMIT), 0), &First, TimeMs(10_000));
     assert!(limits.own_part(endpoint()).is_some());
-    let reports = limits.take_reports(TimeMs(10_100));
+    let reports = limits.take_reports(true, TimeMs(10_100));
     assert_eq!(reports.iter().map(|report| report.statement).collect::<Vec<_>>(), [None]);
     limits.record_response(endpoint(), Some(LIMIT), TimeMs(10_100), &First, TimeMs(10_200));
-    let reports = limits.take_reports(TimeMs(10_500));
+    let reports = limits.take_reports(true, TimeMs(10_500));
     assert_eq!(reports, [report(Some(LIMIT), 300)]);
 }
 
+/// Guards against reports on all limits whenever one changes: they fill the links of small instances.
+#[test]
+fn a_limit_that_changes_is_reported_at_once_without_the_others() {
+    let others = ["i-1", "i-2", "i-3"].map(|id| EndpointTag::new(id, TimeMs(5)));
+    let mut limits = EndpointLimits::default();
+    for other in others {
+        limits.begin(other, LIMIT, &First, TimeMs(10_000));
+    }
+    assert!(!limits.is_report_due());
+    assert_eq!(limits.take_reports(false, TimeMs(10_010)), []);
+    limits.record_response(endpoint(), Some(LIMIT), TimeMs(10_000), &First, TimeMs(10_020));
+    assert!(limits.is_report_due());
+    assert_eq!(limits.take_reports(false, TimeMs(10_020)), [report(Some(LIMIT), 0)]);
+    assert!(!limits.is_report_due());
+    assert_eq!(limits.take_reports(true, TimeMs(10_030)).len(), 4);
+}
+
 /// The state of an endpoint that left is not kept.
 #[test]
 fn a_limit_is_over_when_its_endpoint_is_gone() {
--- a/crates/gateway/tests/decisions/limit_model.rs
+++ b/crates/gateway/tests/decisions/limit_model.rs
@@ -68,6 +68,8 @@
     cut_until_ms: u64,
     excused_until_ms: u64,
     next_report_ms: u64,
+    /// The earliest time of the next report on what is new alone.
+    next_urgent_ms: u64,
     next_heartbeat_ms: u64,
     first_stated_ms: Option<u64>,
 }
@@ -151,6 +153,7 @@
                 cut_until_ms: 0,
                 excused_until_ms: 0,
                 next_report_ms: 0,
+                next_urgent_ms: 0,
                 next_heartbeat_ms: random.random_range(0..interval_ms),
                 first_stated_ms: None,
             })
@@ -277,9 +280,10 @@
     }
 
     fn send_messages(&mut self, from: usize) {
-        let is_due = self.instances[from].limits.is_report_due();
-        let is_report_time = !self.instances[from].limits.is_empty()
-            && (is_due || self.now_ms >= self.instances[from].next_report_ms);
+        let are_all_due = self.now_ms >= self.instances[from].next_report_ms;
+        let is_due = self.instances[from].limits.is_report_due()
+            && self.now_ms >= self.instances[from].next_urgent_ms;
+        let is_report_time = !self.instances[from].limits.is_empty() && (is_due || are_all_due);
         let is_heartbeat_time = self.now_ms >= self.instances[from].next_heartbeat_ms;
         if !is_report_time && !is_heartbeat_time {
             return;
@@ -288,9 +292,12 @@
         if is_report_time {
             reports = self.with_limits(from, |limits, sharers, now_ms| {
                 limits.refresh(sharers, |_| true, now_ms);
-                limits.take_reports(now_ms)
+                limits.take_reports(are_all_due, now_ms)
             });
-            self.instances[from].next_report_ms = self.now_ms + self.interval_ms;
+            self.instances[from].next_urgent_ms = self.now_ms + self.interval_ms / 5;
+            if are_all_due {
+                self.instances[from].next_report_ms = self.now_ms + self.interval_ms;
+            }
         }
         if is_heartbeat_time {
             self.instances[from].next_heartbeat_ms = self.now_ms + self.interval_ms;
