A stream is reported to its keepers before its endpoint has confirmed its build

Cause: nobody but the instance that began a stream knew of it until its engine had answered, and that instance answered peers with silence or a denial.

Change: such a stream is reported at once with the incarnation that its entry describes, before the first event leaves. Whoever a caller comes to learns of it from a keeper and asks the engine itself; a statement of just that incarnation proves the origin however late it comes, as an endpoint ends but once and was listed before. An engine that names another start refutes it: the stream is then refused at once. Questions come with pauses of 50 ms and more for 5 s, in place of three with pauses of 1 s, and again when a caller takes the stream up.

--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -75,6 +75,6 @@
 pub use silence::StallDetector;
 pub use stream::{
     InquiryStep, MAX_STREAMS, OpenInquiry, STREAM_RETENTION_MS, StreamInquiry, StreamKeeper,
-    StreamKey, StreamKnowledge, StreamOrigin, StreamRecords, covers_connection, displaced_inquiry,
-    ranked_keepers,
+    StreamKey, StreamKnowledge, StreamOrigin, StreamRecords, UnconfirmedOrigin, UnconfirmedStreams,
+    covers_connection, displaced_inquiry, ranked_keepers,
 };
--- a/crates/coord/src/stream.rs
+++ b/crates/coord/src/stream.rs
@@ -17,6 +17,7 @@
 mod inquiry;
 mod keepers;
 mod records;
+mod unconfirmed;
 
 use bilberryford_types::{Build, PoolName};
 use serde::{Deserialize, Serialize};
@@ -26,6 +27,7 @@
 pub use inquiry::{InquiryStep, OpenInquiry, StreamInquiry, displaced_inquiry};
 pub use keepers::{StreamKeeper, ranked_keepers};
 pub use records::{MAX_STREAMS, STREAM_RETENTION_MS, StreamKnowledge, StreamRecords};
+pub use unconfirmed::{UnconfirmedOrigin, UnconfirmedStreams};
 
 /// The length of a key, in bytes: enough that callers can't find two names with one key.
 const KEY_BYTES: usize = 16;
--- a/crates/coord/tests/stream.rs
+++ b/crates/coord/tests/stream.rs
@@ -2,7 +2,8 @@
 
 use bilberryford_coord::{
     InquiryStep, MAX_STREAMS, OpenInquiry, STREAM_RETENTION_MS, StreamInquiry, StreamKeeper,
-    StreamKey, StreamKnowledge, StreamOrigin, StreamRecords, displaced_inquiry, ranked_keepers,
+    StreamKey, StreamKnowledge, StreamOrigin, StreamRecords, UnconfirmedOrigin, UnconfirmedStreams,
+    displaced_inquiry, ranked_keepers,
 };
 use bilberryford_types::TimeMs;
 use rstest::rstest;
@@ -217,3 +218,34 @@
     assert!(open.iter().any(|inquiry| inquiry.team == "red"));
     assert_eq!(displaced_inquiry::<u64>(&[]), None);
 }
+
+fn unconfirmed(build: &str, incarnation: u32) -> UnconfirmedOrigin<u32> {
+    UnconfirmedOrigin { origin: origin(build), incarnation }
+}
+
+#[test]
+fn an_unconfirmed_origin_is_retained_like_a_record_and_the_first_one_stays() {
+    let mut streams = UnconfirmedStreams::default();
+    streams.insert(key("a"), unconfirmed("v1", 1), NOW_MS);
+    streams.insert(key("a"), unconfirmed("v2", 2), NOW_MS.after(TimeMs(10)));
+    assert_eq!(streams.get(&key("a"), NOW_MS), Some(unconfirmed("v1", 1)));
+    let after_ms = NOW_MS.after(STREAM_RETENTION_MS);
+    assert_eq!(streams.get(&key("a"), after_ms), None);
+    streams.insert(key("a"), unconfirmed("v2", 2), after_ms);
+    assert_eq!(streams.get(&key("a"), after_ms), Some(unconfirmed("v2", 2)));
+    for number in 0..=MAX_STREAMS {
+        streams.insert(key(&number.to_string()), unconfirmed("v1", 1), after_ms);
+    }
+    assert!(streams.len() <= MAX_STREAMS);
+}
+
+#[test]
+fn a_refuted_origin_is_not_named_again() {
+    let mut streams = UnconfirmedStreams::default();
+    streams.insert(key("a"), unconfirmed("v1", 1), NOW_MS);
+    streams.refute(&key("a"));
+    streams.insert(key("a"), unconfirmed("v1", 1), NOW_MS);
+    assert_eq!((streams.get(&key("a"), NOW_MS), streams.is_refuted(&key("a"))), (None, true));
+    streams.remove(&key("a"));
+    assert!(streams.is_empty());
+}
--- a/crates/gateway/src/controllers.rs
+++ b/crates/gateway/src/controllers.rs
@@ -24,7 +24,9 @@
 pub(crate) use endpoints::record_changes;
 pub(crate) use peers::{PeerLink, announce_prompt};
 pub(crate) use shared_view::{ReadMode, ViewAnswer, ViewQuestion};
-pub(crate) use streams::{FoundStream, StreamInquiries, TakeUp, find_stream, report_stream};
+pub(crate) use streams::{
+    FoundStream, StreamInquiries, TakeUp, find_stream, report_stream, report_unconfirmed_stream,
+};
 use tokio::task::JoinSet;
 
 use crate::gateway::Gateway;
--- a/crates/gateway/src/controllers/peers.rs
+++ b/crates/gateway/src/controllers/peers.rs
@@ -297,6 +297,9 @@
                 Ok(PeerMessage::AskStream(key)) => {
                     streams::answer(gateway, socket, from, key).await;
                 }
+                Ok(PeerMessage::StreamUnconfirmed(report)) => {
+                    streams::apply_unconfirmed(gateway, from, &report);
+                }
                 Ok(PeerMessage::Usage(message)) => gateway.apply_usage_report(&message),
                 Ok(PeerMessage::Stream(answer)) => streams::apply_answer(gateway, from, &answer),
                 Ok(PeerMessage::PartUses(report)) => evict_parts::apply_uses(gateway, &report),
--- a/crates/gateway/src/controllers/streams.rs
+++ b/crates/gateway/src/controllers/streams.rs
@@ -4,7 +4,9 @@
 
 use std::net::SocketAddr;
 
-use bilberryford_coord::{StreamKeeper, StreamKey, StreamKnowledge, StreamOrigin, ranked_keepers};
+use bilberryford_coord::{
+    StreamKeeper, StreamKey, StreamKnowledge, StreamOrigin, UnconfirmedOrigin, ranked_keepers,
+};
 use tokio::net::UdpSocket;
 
 pub(super) use self::inquiries::apply_answer;
@@ -12,7 +14,7 @@
 use super::peers::{PeerAddresses, encode_message, send_message};
 use crate::{
     gateway::Gateway,
-    peer_loads::{PeerMessage, StreamAnswer, StreamReport},
+    peer_loads::{EndpointTag, PeerMessage, StreamAnswer, StreamReport, UnconfirmedReport},
 };
 
 /// The instances that keep the record of a stream, beside the one that passes it on: it outlives the loss of a third of a
@@ -50,9 +52,26 @@
 pub(crate) fn report_stream(gateway: &Gateway, key: StreamKey, origin: StreamOrigin) {
     let now_ms = gateway.clock.now();
     gateway.streams.lock().record(key, origin, now_ms);
+    gateway.unconfirmed_streams.lock().remove(&key);
+    tell_keepers(gateway, key, &PeerMessage::StreamBegan(StreamReport { key, origin }));
+}
+
+/// Records that a stream began at an endpoint that has not confirmed its build, and reports it to its keepers.
+///
+/// Any of them can ask the endpoint later, so that the stream goes on though this instance dies meanwhile.
+pub(crate) fn report_unconfirmed_stream(
+    gateway: &Gateway,
+    key: StreamKey,
+    origin: UnconfirmedOrigin<EndpointTag>,
+) {
+    let now_ms = gateway.clock.now();
+    gateway.unconfirmed_streams.lock().insert(key, origin, now_ms);
+    tell_keepers(gateway, key, &PeerMessage::StreamUnconfirmed(UnconfirmedReport { key, origin }));
+}
+
+fn tell_keepers(gateway: &Gateway, key: StreamKey, message: &PeerMessage) {
     let Some(link) = gateway.peer_link.get() else { return };
-    let message = PeerMessage::StreamBegan(StreamReport { key, origin });
-    let Some(bytes) = encode_message(&message) else { return };
+    let Some(bytes) = encode_message(message) else { return };
     let own_address = gateway.settings.peer_listen;
     for peer in ranked_peers(gateway, &link.addresses, &key).into_iter().take(KEEPERS) {
         if peer == own_address {
@@ -69,9 +88,29 @@
 pub(super) fn apply_report(gateway: &Gateway, report: &StreamReport) {
     let now_ms = gateway.clock.now();
     let known = gateway.streams.lock().record(report.key, report.origin, now_ms);
+    gateway.unconfirmed_streams.lock().remove(&report.key);
+    gateway.inquiry_answered.notify_waiters();
     log_contradiction(report.key, StreamKnowledge::Known(report.origin), known);
 }
 
+/// Applies a peer's report of a stream whose endpoint has not confirmed its build, or its answer about one.
+///
+/// An answer that names an origin which this instance knows to be refuted counts as a denial.
+pub(super) fn apply_unconfirmed(gateway: &Gateway, from: SocketAddr, report: &UnconfirmedReport) {
+    let now_ms = gateway.clock.now();
+    if gateway.streams.lock().knowledge(&report.key, now_ms) != StreamKnowledge::Unknown {
+        return;
+    }
+    let mut streams = gateway.unconfirmed_streams.lock();
+    streams.insert(report.key, report.origin, now_ms);
+    let is_refuted = streams.is_refuted(&report.key);
+    drop(streams);
+    if is_refuted {
+        gateway.inquiries.lock().record_denial(&report.key, from);
+    }
+    gateway.inquiry_answered.notify_waiters();
+}
+
 /// Logs that `reported` makes what is `known` of a stream contradictory.
 fn log_contradiction(key: StreamKey, reported: StreamKnowledge, known: StreamKnowledge) {
     if known != StreamKnowledge::Contradictory {
@@ -95,19 +134,21 @@
     key: StreamKey,
 ) {
     let now_ms = gateway.clock.now();
-    let is_unconfirmed = gateway.unconfirmed_streams.lock().contains(&key);
     let knowledge = gateway.streams.lock().knowledge(&key, now_ms);
+    let unconfirmed = match knowledge {
+        StreamKnowledge::Unknown => gateway.unconfirmed_streams.lock().get(&key, now_ms),
+        StreamKnowledge::Known(_) | StreamKnowledge::Contradictory => None,
+    };
     if let Some(suppressed) = gateway.request_log.take_stream_question_record(now_ms) {
-        let reply: &'static str = if is_unconfirmed { "withheld" } else { knowledge.into() };
+        let reply = unconfirmed.map_or(knowledge.into(), |_| "unconfirmed");
         log::info!(
             target: "belief", stream:% = key, from:% = from, reply = reply, left_out = suppressed;
             "peer asks for a stream"
         );
     }
-    if is_unconfirmed {
-        // The peer asks again in its next round, when the endpoint has replied.
-        return;
-    }
-    let answer = PeerMessage::Stream(StreamAnswer { key, knowledge });
+    let answer = match unconfirmed {
+        Some(origin) => PeerMessage::StreamUnconfirmed(UnconfirmedReport { key, origin }),
+        None => PeerMessage::Stream(StreamAnswer { key, knowledge }),
+    };
     send_message(socket, &[from], &answer).await;
 }
--- a/crates/gateway/src/controllers/streams/inquiries.rs
+++ b/crates/gateway/src/controllers/streams/inquiries.rs
@@ -6,6 +6,7 @@
 use std::{
     collections::{HashMap, VecDeque},
     net::SocketAddr,
+    sync::Arc,
     time::Duration,
 };
 
@@ -39,6 +40,13 @@
 }
 
 impl StreamInquiries {
+    /// Records that `peer` denied a stream.
+    pub(super) fn record_denial(&mut self, key: &StreamKey, peer: SocketAddr) {
+        if let Some(shared) = self.open.get_mut(key) {
+            shared.inquiry.record_denial(peer);
+        }
+    }
+
     /// Ends an inquiry to have room for a new one.
     fn make_room(&mut self) {
         let open = self.open.iter().map(|(key, shared)| OpenInquiry {
@@ -205,24 +213,25 @@
 /// Returns what is known of a stream, after asking its keepers if this instance does not know it.
 ///
 /// The answer comes as soon as one of them knows the stream or all have denied it. While some are silent, they are asked again
-/// until the request can't wait longer.
-pub(crate) async fn find_stream(gateway: &Gateway, take_up: TakeUp<'_>) -> FoundStream {
+/// until the request can't wait longer. If one knows a stream whose endpoint has not confirmed its build, this instance asks
+/// the endpoint as well.
+pub(crate) async fn find_stream(gateway: &Arc<Gateway>, take_up: TakeUp<'_>) -> FoundStream {
     let TakeUp { key, until_ms, .. } = take_up;
-    let mut open: Option<WaitingRequest<'_>> = None;
+    let mut waiting: Option<WaitingRequest<'_>> = None;
     loop {
         let answered = gateway.inquiry_answered.notified();
         let now_ms = gateway.clock.now();
         let knowledge = gateway.streams.lock().knowledge(&key, now_ms);
         if let Some(found) = FoundStream::of_knowledge(knowledge) {
-            open.inspect(|open| open.log_end(found));
+            waiting.inspect(|waiting| waiting.log_end(found));
             return found;
         }
-        if gateway.unconfirmed_streams.lock().contains(&key) {
-            answered.await;
-            continue;
+        let unconfirmed = gateway.unconfirmed_streams.lock().get(&key, now_ms);
+        if let Some(origin) = unconfirmed {
+            gateway.confirm_stream(key, origin);
         }
         let Some(link) = gateway.peer_link.get() else { return FoundStream::Unanswered };
-        let open = open.get_or_insert_with(|| {
+        let waiting = waiting.get_or_insert_with(|| {
             WaitingRequest::join(gateway, take_up, || {
                 let mut peers = ranked_peers(gateway, &link.addresses, &key);
                 peers.retain(|peer| *peer != gateway.settings.peer_listen);
@@ -235,23 +244,25 @@
             // Without an inquiry, it has ended for those of others.
             shared.map_or(InquiryStep::Unanswered, |shared| shared.inquiry.step(now_ms, until_ms))
         };
-        let found = match step {
+        let wait_until_ms = match step {
             InquiryStep::Ask(peers) => {
                 send_message(&link.socket, &peers, &PeerMessage::AskStream(key)).await;
                 continue;
             }
-            InquiryStep::Wait(until_ms) => {
-                let wait = Duration::from_millis(until_ms.since(now_ms).get());
-                // The end of the wait is the end of the round.
-                let _ = timeout(wait, answered).await;
-                let lag_ms = gateway.clock.now().since(until_ms);
-                open.timer_lag_ms = open.timer_lag_ms.max(lag_ms);
-                continue;
+            InquiryStep::Wait(until_ms) => until_ms,
+            // The endpoint may still confirm what the others don't know.
+            InquiryStep::Denied if unconfirmed.is_some() && now_ms < until_ms => until_ms,
+            InquiryStep::Denied | InquiryStep::Unanswered => {
+                let is_denied = step == InquiryStep::Denied && unconfirmed.is_none();
+                let found = if is_denied { FoundStream::Denied } else { FoundStream::Unanswered };
+                waiting.log_end(found);
+                return found;
             }
-            InquiryStep::Denied => FoundStream::Denied,
-            InquiryStep::Unanswered => FoundStream::Unanswered,
         };
-        open.log_end(found);
-        return found;
+        let wait = Duration::from_millis(wait_until_ms.since(now_ms).get());
+        // The end of the wait is the end of the round.
+        let _ = timeout(wait, answered).await;
+        let lag_ms = gateway.clock.now().since(wait_until_ms);
+        waiting.timer_lag_ms = waiting.timer_lag_ms.max(lag_ms);
     }
 }
--- a/crates/gateway/src/filters/take_up.rs
+++ b/crates/gateway/src/filters/take_up.rs
@@ -1,5 +1,7 @@
 //! Determines whether a request begins a stream or goes on with one, and where that may be.
 
+use std::sync::Arc;
+
 use bilberryford_coord::{StreamKey, StreamOrigin};
 use bilberryford_types::{Build, ErrorKind, PoolName, TimeMs};
 
@@ -55,7 +57,7 @@
 /// The refusal of a stream of which the origin is not known, or is no longer there. The caller can begin again at once, or
 /// soon if peers that may know the stream were silent.
 pub(crate) async fn take_up(
-    gateway: &Gateway,
+    gateway: &Arc<Gateway>,
     request: StreamRequest<'_>,
     service: &mut PoolName,
     record: &mut RequestRecord,
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -228,7 +228,7 @@
             return after_setback(progress, Setback::Unsent);
         };
         if self.stream.required_build().is_some()
-            && self.gateway.confirm_build(&candidate, &self.service).await
+            && self.gateway.confirm_build(&(&candidate).into(), &self.service).await
                 != BuildStanding::AsListed
         {
             self.record.notes.push("build_unconfirmed");
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -25,7 +25,7 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use bilberryford_callers::{BodyRoom, ByteBudget, StopStages};
-use bilberryford_coord::{Blame, FairShares, StreamKey, StreamRecords};
+use bilberryford_coord::{Blame, FairShares, StreamKey, StreamRecords, UnconfirmedStreams};
 use bilberryford_platform::ObjectStore;
 use bilberryford_types::{Bytes, EndpointId, ModelName, PoolName, StoreEra, TimeMs};
 use parking_lot::Mutex;
@@ -133,8 +133,10 @@
     pub(crate) process_number: u64,
     /// Where streams began.
     pub(crate) streams: Mutex<StreamRecords>,
-    /// The streams whose endpoints are being asked for their builds; they are recorded, or not, with the reply.
-    pub(crate) unconfirmed_streams: Mutex<HashSet<StreamKey>>,
+    /// The streams whose endpoints have not confirmed their builds.
+    pub(crate) unconfirmed_streams: Mutex<UnconfirmedStreams<EndpointTag>>,
+    /// Those of them whose endpoints this instance asks.
+    confirming_streams: Mutex<HashSet<StreamKey>>,
     /// The inquiries of this instance about streams that it does not know.
     pub(crate) inquiries: Mutex<StreamInquiries>,
     /// Notified when an inquiry was answered.
@@ -222,6 +224,7 @@
             process_number: rand::random(),
             streams: Mutex::default(),
             unconfirmed_streams: Mutex::default(),
+            confirming_streams: Mutex::default(),
             inquiries: Mutex::default(),
             inquiry_answered: Notify::new(),
             peer_link: OnceLock::new(),
--- a/crates/gateway/src/gateway/streams.rs
+++ b/crates/gateway/src/gateway/streams.rs
@@ -1,13 +1,17 @@
 //! Which endpoints may go on with a stream, and which build begins one.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use bilberryford_coord::{StreamKey, StreamOrigin, covers_connection};
+use bilberryford_coord::{
+    StreamKey, StreamKnowledge, StreamOrigin, UnconfirmedOrigin, covers_connection,
+};
 use bilberryford_types::{Build, EndpointId, PoolName, TimeMs};
 
+use tokio::time::sleep;
+
 use super::Gateway;
 use crate::{
-    controllers::report_stream,
+    controllers::{report_stream, report_unconfirmed_stream},
     deployment::Route,
     endpoints::EndpointRecord,
     local_state::{BuildStanding, LocalState},
@@ -19,14 +23,31 @@
 /// stream or a request waits for the answer.
 const MAX_START_QUESTIONS: u32 = 4;
 const START_QUESTIONS_MS: TimeMs = TimeMs(400);
-/// How often an engine that did not state the start of its incarnation when it began a stream is asked again, and the pauses
-/// between.
-const MAX_LATER_QUESTIONS: u32 = 3;
-const LATER_QUESTION_PAUSE: Duration = Duration::from_secs(1);
-
-/// Returns true if the state is that of the candidate's incarnation, and not of one that was listed since.
-fn is_subject(state: &LocalState, candidate: &Candidate) -> bool {
-    EndpointTag::new(candidate.id.as_str(), state.started_ms) == candidate.incarnation
+/// The pauses between the questions to an engine that has begun a stream and does not state the start of its incarnation: the
+/// first one, by which each is longer than the one before, and the longest.
+const QUESTION_PAUSE_STEP: Duration = Duration::from_millis(50);
+const MAX_QUESTION_PAUSE: Duration = Duration::from_secs(1);
+/// How long it is asked, in milliseconds, unless a caller takes the stream up later.
+const CONFIRMATION_MS: TimeMs = TimeMs(5_000);
+
+/// An endpoint by its entry.
+#[derive(Debug, Clone)]
+pub(crate) struct ListedEndpoint {
+    id: EndpointId,
+    address: SocketAddr,
+    incarnation: EndpointTag,
+}
+
+impl From<&Candidate> for ListedEndpoint {
+    fn from(candidate: &Candidate) -> Self {
+        let Candidate { id, address, incarnation, .. } = candidate;
+        Self { id: id.clone(), address: *address, incarnation: *incarnation }
+    }
+}
+
+/// Returns true if the state is that of the listed incarnation, and not of one that was listed since.
+fn is_subject(state: &LocalState, id: &EndpointId, incarnation: EndpointTag) -> bool {
+    EndpointTag::new(id.as_str(), state.started_ms) == incarnation
 }
 
 impl Gateway {
@@ -76,7 +97,7 @@
         }
         let local = self.local.lock();
         local.get(&candidate.id).is_some_and(|state| {
-            is_subject(state, candidate)
+            is_subject(state, &candidate.id, candidate.incarnation)
                 && state.build_standing == BuildStanding::AsListed
                 && covers_connection(state.build_confirmed_ms, opened_ms)
         })
@@ -89,22 +110,21 @@
     /// Endpoints of services without engines make no reports; their entries count.
     pub(crate) async fn confirm_build(
         &self,
-        candidate: &Candidate,
+        endpoint: &ListedEndpoint,
         service: &PoolName,
     ) -> BuildStanding {
         if !self.has_engines(service) {
             return BuildStanding::AsListed;
         }
-        let Some((asked_ms, started_ms)) = self.ask_for_start(candidate).await else {
+        let Some((asked_ms, started_ms)) = self.ask_for_start(endpoint).await else {
             return BuildStanding::Doubtful;
         };
-        let is_listed =
-            EndpointTag::new(candidate.id.as_str(), started_ms) == candidate.incarnation;
+        let is_listed = EndpointTag::new(endpoint.id.as_str(), started_ms) == endpoint.incarnation;
         let standing = if is_listed { BuildStanding::AsListed } else { BuildStanding::Refuted };
-        let before = self.set_build_standing(candidate, standing, asked_ms);
+        let before = self.set_build_standing(endpoint, standing, asked_ms);
         if !is_listed && before != Some(BuildStanding::Refuted) {
             log::warn!(
-                target: "belief", endpoint:% = candidate.id, listed:% = candidate.incarnation,
+                target: "belief", endpoint:% = endpoint.id, listed:% = endpoint.incarnation,
                 started:% = started_ms;
                 "endpoint is another incarnation than its entry; its build is unknown"
             );
@@ -114,7 +134,7 @@
 
     /// Asks an engine for the time of its start, again if its report is lost or garbled. Returns it after the time of the
     /// question; none if the engine does not say.
-    async fn ask_for_start(&self, candidate: &Candidate) -> Option<(TimeMs, TimeMs)> {
+    async fn ask_for_start(&self, endpoint: &ListedEndpoint) -> Option<(TimeMs, TimeMs)> {
         let first_asked_ms = self.clock.now();
         let mut questions = 0;
         while questions < MAX_START_QUESTIONS {
@@ -123,13 +143,13 @@
                 break;
             }
             questions += 1;
-            let report = self.orders.report(candidate.address, &candidate.id).await;
+            let report = self.orders.report(endpoint.address, &endpoint.id).await;
             if let Some(started_ms) = report.and_then(|report| report.started_ms) {
                 return Some((asked_ms, started_ms));
             }
         }
         log::info!(
-            target: "belief", endpoint:% = candidate.id, incarnation:% = candidate.incarnation,
+            target: "belief", endpoint:% = endpoint.id, incarnation:% = endpoint.incarnation,
             questions = questions, took_ms = self.clock.now().since(first_asked_ms).get();
             "endpoint does not state its incarnation"
         );
@@ -140,13 +160,13 @@
     /// one is listed by now.
     fn set_build_standing(
         &self,
-        candidate: &Candidate,
+        endpoint: &ListedEndpoint,
         standing: BuildStanding,
         asked_ms: TimeMs,
     ) -> Option<BuildStanding> {
         let mut local = self.local.lock();
-        let state = local.get_mut(&candidate.id)?;
-        if !is_subject(state, candidate) {
+        let state = local.get_mut(&endpoint.id)?;
+        if !is_subject(state, &endpoint.id, endpoint.incarnation) {
             return None;
         }
         state.build_confirmed_ms = (standing == BuildStanding::AsListed).then_some(asked_ms);
@@ -174,24 +194,35 @@
         if self.is_build_certain(candidate, service, opened_ms) {
             return report_stream(self, key, origin);
         }
-        let (gateway, candidate, service) = (self.clone(), candidate.clone(), service.clone());
-        self.unconfirmed_streams.lock().insert(key);
+        let unconfirmed = UnconfirmedOrigin { origin, incarnation: candidate.incarnation };
+        report_unconfirmed_stream(self, key, unconfirmed);
+        self.confirm_stream(key, unconfirmed);
+    }
+
+    /// Asks the endpoint that began a stream for its incarnation until it states one, and records the stream if that is the
+    /// one in its entry. The listed incarnation was there before the stream, so that a later word holds for it as well.
+    pub(crate) fn confirm_stream(
+        self: &Arc<Self>,
+        key: StreamKey,
+        unconfirmed: UnconfirmedOrigin<EndpointTag>,
+    ) {
+        if !self.confirming_streams.lock().insert(key) {
+            return;
+        }
+        let gateway = self.clone();
         tokio::spawn(async move {
-            let mut standing = gateway.record_if_confirmed(key, &candidate, &service, origin).await;
-            gateway.unconfirmed_streams.lock().remove(&key);
-            gateway.inquiry_answered.notify_waiters();
-            // The listed incarnation was there before the stream, so that a later word holds for it as well.
-            for _ in 0..MAX_LATER_QUESTIONS {
-                if standing != BuildStanding::Doubtful {
-                    break;
-                }
-                tokio::time::sleep(LATER_QUESTION_PAUSE).await;
-                standing = gateway.record_if_confirmed(key, &candidate, &service, origin).await;
+            let standing = gateway.ask_until_stated(&key, unconfirmed.incarnation).await;
+            match standing {
+                BuildStanding::AsListed => report_stream(&gateway, key, unconfirmed.origin),
+                BuildStanding::Refuted => gateway.unconfirmed_streams.lock().refute(&key),
+                BuildStanding::Doubtful => {}
             }
+            gateway.confirming_streams.lock().remove(&key);
+            gateway.inquiry_answered.notify_waiters();
             if standing != BuildStanding::AsListed {
                 gateway.metrics.record_stream("begun_unconfirmed");
                 log::info!(
-                    target: "belief", stream:% = key, endpoint:% = candidate.id,
+                    target: "belief", stream:% = key, incarnation:% = unconfirmed.incarnation,
                     standing = <&'static str>::from(standing);
                     "stream can't be taken up: the build that began it is not certain"
                 );
@@ -199,18 +230,34 @@
         });
     }
 
-    /// Records a stream if the endpoint that begins it confirms its entry, and returns the standing of its build.
-    async fn record_if_confirmed(
-        &self,
-        key: StreamKey,
-        candidate: &Candidate,
-        service: &PoolName,
-        origin: StreamOrigin,
-    ) -> BuildStanding {
-        let standing = self.confirm_build(candidate, service).await;
-        if standing == BuildStanding::AsListed {
-            report_stream(self, key, origin);
+    /// Asks an incarnation for its start until it states one, another instance has heard it, or the time for that is over.
+    async fn ask_until_stated(&self, key: &StreamKey, incarnation: EndpointTag) -> BuildStanding {
+        let until_ms = self.clock.now().after(CONFIRMATION_MS);
+        let mut pause = QUESTION_PAUSE_STEP;
+        loop {
+            let standing = match self.listed_incarnation(incarnation) {
+                Some((listed, service)) => self.confirm_build(&listed, &service).await,
+                None => BuildStanding::Doubtful,
+            };
+            let now_ms = self.clock.now();
+            let is_known = self.streams.lock().knowledge(key, now_ms) != StreamKnowledge::Unknown;
+            if is_known {
+                return BuildStanding::AsListed;
+            }
+            if standing != BuildStanding::Doubtful || now_ms >= until_ms {
+                return standing;
+            }
+            sleep(pause).await;
+            pause = (pause + QUESTION_PAUSE_STEP).min(MAX_QUESTION_PAUSE);
         }
-        standing
+    }
+
+    /// The endpoint whose entry describes `incarnation`, with its service.
+    fn listed_incarnation(&self, incarnation: EndpointTag) -> Option<(ListedEndpoint, PoolName)> {
+        let endpoints = self.endpoints.lock();
+        let id = endpoints.id_of(incarnation)?;
+        let record = endpoints.get(&id)?;
+        let (address, service) = (record.address, record.service.clone());
+        Some((ListedEndpoint { id, address, incarnation }, service))
     }
 }
--- a/crates/gateway/src/peer_loads.rs
+++ b/crates/gateway/src/peer_loads.rs
@@ -7,7 +7,8 @@
 use std::{collections::HashMap, net::SocketAddr};
 
 use bilberryford_coord::{
-    BlameReports, SharePlace, StreamKey, StreamKnowledge, StreamOrigin, UsageReport,
+    BlameReports, SharePlace, StreamKey, StreamKnowledge, StreamOrigin, UnconfirmedOrigin,
+    UsageReport,
 };
 use bilberryford_types::{PoolName, TimeMs};
 use serde::{Deserialize, Serialize};
@@ -248,6 +249,17 @@
     AskView(ViewQuestion),
     /// The answer to such a question.
     View(ViewAnswer),
+    /// A stream began at an endpoint that has not confirmed its build, or the answer to a question about such a stream.
+    StreamUnconfirmed(UnconfirmedReport),
+}
+
+/// Where a stream began, if its endpoint is the incarnation that its entry describes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct UnconfirmedReport {
+    /// The stream.
+    pub(crate) key: StreamKey,
+    /// The origin that awaits the word of its endpoint.
+    pub(crate) origin: UnconfirmedOrigin<EndpointTag>,
 }
 
 /// The announcement of evictions from a store.
