A stream that goes on is admitted while that is useful to its caller

Cause: a continuation may run at one build only, and was refused where its first token is predicted later than one and a half times the target latency, like a new prompt that has all engines to choose from. Its caller has a part of the response, and a refusal wastes that.

Change: outside contended pools a continuation is admitted while its first token leaves time for the response; in a contended pool it has the limit of a promised return. Only streams that are known to have begun count as continuations.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -52,6 +52,9 @@
     pub timeout_ms: TimeMs,
     /// The target latency of the first token.
     pub target_ms: TimeMs,
+    /// True if the prompt goes on with a stream that its caller has a part of. Only the endpoints of one build can take it,
+    /// so that their queue says little of the pool's, and a refusal costs what the caller has already.
+    pub is_continuation: bool,
 }
 
 /// The admission decision.
@@ -124,9 +127,12 @@
 
 fn admit_uncontended(forecast: &Forecast) -> Admission {
     let max_useful_ms = forecast.max_useful_ms();
-    // A late first token of a retry is better than none.
-    let limit_ms =
-        if forecast.is_retry() { max_useful_ms } else { max_useful_ms.min(forecast.max_late_ms()) };
+    // A late first token of a retry is better than none, and so is a late end of what the caller has a part of.
+    let limit_ms = if forecast.is_retry() || forecast.is_continuation {
+        max_useful_ms
+    } else {
+        max_useful_ms.min(forecast.max_late_ms())
+    };
     forecast.decide(forecast.first_token_ms.get(), limit_ms)
 }
 
@@ -138,7 +144,9 @@
     let target_ms = forecast.target_ms.get();
     let limit_ms = match contention.standing {
         Standing::Under => None,
-        _ if contention.return_state == ReturnState::Due => Some(forecast.max_late_ms()),
+        _ if contention.return_state == ReturnState::Due || forecast.is_continuation => {
+            Some(forecast.max_late_ms())
+        }
         Standing::Within if is_return => Some(forecast.max_late_ms()),
         Standing::Within => Some(target_ms * MAX_NEW_TARGET_PERCENT / 100),
         Standing::Over => Some(target_ms),
--- a/crates/gateway/src/forward/choose.rs
+++ b/crates/gateway/src/forward/choose.rs
@@ -177,6 +177,7 @@
                 left_ms: self.time_left_ms(),
                 timeout_ms: self.route.timeout_ms,
                 target_ms: self.route.target_latency_ms,
+                is_continuation: self.stream.required_build().is_some(),
             };
             self.record.placed = choice.reason.into();
             let usable = candidates.iter().filter(|candidate| candidate.obstacle.is_none());
--- a/crates/gateway/tests/decisions/admission.rs
+++ b/crates/gateway/tests/decisions/admission.rs
@@ -17,6 +17,7 @@
         left_ms: TimeMs(left_ms),
         timeout_ms: TimeMs(TIMEOUT_MS),
         target_ms: TimeMs(TARGET_MS),
+        is_continuation: false,
     }
 }
 
@@ -87,6 +88,69 @@
     );
 }
 
+/// Guards against streams that are refused while new ones begin: those that go on queue at the endpoints of one build.
+#[rstest]
+#[case::later_than_a_new_prompt_may_be(1_500, 3_000, true)]
+#[case::as_late_as_is_useful(2_090, 3_000, true)]
+#[case::too_late_for_its_caller(2_110, 3_000, false)]
+fn a_continuation_is_admitted_while_it_is_useful(
+    #[case] first_token_ms: u64,
+    #[case] left_ms: u64,
+    #[case] is_admitted: bool,
+) {
+    let forecast = Forecast { is_continuation: true, ..forecast(first_token_ms, left_ms, 50_000) };
+    assert_eq!(admit(&forecast, None) == Admission::Admitted, is_admitted);
+}
+
+/// In a contended pool, a continuation has the limit of a promised return, whatever its share has used.
+#[rstest]
+fn a_continuation_in_a_contended_pool_has_the_limit_of_a_return(
+    #[values(Standing::Within, Standing::Over)] standing: Standing,
+) {
+    let contention = Contention { standing, return_state: NEW };
+    for (first_token_ms, is_admitted) in [(640, true), (660, false)] {
+        let forecast =
+            Forecast { is_continuation: true, ..forecast(first_token_ms, TIMEOUT_MS, 50_000) };
+        let admission = admit(&forecast, Some(&contention));
+        assert_eq!(admission == Admission::Admitted, is_admitted, "{first_token_ms} ms");
+    }
+}
+
+/// Replays six seconds at 1.6 times the capacity of the engines of a build, where each twentieth prompt goes on with a stream.
+/// Returns the admitted per thousand of these and of the new ones, and the number of new first tokens that are on time.
+fn replay_continuations(are_marked: bool) -> (u64, u64, u64) {
+    let mut free_at_ms = 0_u64;
+    let mut admitted = [0_u64; 2];
+    let mut of_kind = [0_u64; 2];
+    let mut on_time = 0;
+    for (number, arrived_ms) in (0..6_000).step_by(PREFILL_MS as usize * 10 / 16).enumerate() {
+        let is_continuation = number % 20 == 0;
+        let first_token_ms = free_at_ms.saturating_sub(arrived_ms) + PREFILL_MS;
+        let forecast = Forecast {
+            is_continuation: is_continuation && are_marked,
+            ..forecast(first_token_ms, TIMEOUT_MS, first_token_ms * 50)
+        };
+        of_kind[usize::from(is_continuation)] += 1;
+        if admit(&forecast, None) != Admission::Admitted {
+            continue;
+        }
+        admitted[usize::from(is_continuation)] += 1;
+        free_at_ms = free_at_ms.max(arrived_ms) + PREFILL_MS;
+        on_time += u64::from(!is_continuation && first_token_ms <= TARGET_MS * 3 / 2);
+    }
+    (admitted[1] * 1_000 / of_kind[1], admitted[0] * 1_000 / of_kind[0], on_time)
+}
+
+/// A stream that was taken up must have at least the chance of a new one, at the cost of a few of these.
+#[test]
+fn streams_that_go_on_are_admitted_in_a_burst() {
+    let (unmarked, _, new_before) = replay_continuations(false);
+    let (continuations, new, new_on_time) = replay_continuations(true);
+    assert!(unmarked < 1_000, "{unmarked} per thousand, so that the replay shows nothing");
+    assert_eq!(continuations, 1_000, "of a thousand; of new ones {new}");
+    assert!(new_on_time * 100 >= new_before * 95, "{new_on_time} new ones, {new_before} before");
+}
+
 #[test]
 fn only_tokens_of_the_same_or_a_more_urgent_rank_are_ahead() {
     let mut waiting = RankTokens::default();
--- a/crates/gateway/tests/decisions/fair_shares.rs
+++ b/crates/gateway/tests/decisions/fair_shares.rs
@@ -226,6 +226,7 @@
             left_ms: TimeMs(left_ms),
             timeout_ms: TimeMs(shape.timeout_ms),
             target_ms: TimeMs(shape.target_ms),
+            is_continuation: false,
         };
         let share = ShareKey {
             rank: shape.rank,
