An instance that has just started asks the keepers of a stream in their own order

Cause: keepers that count as live are asked first, and an instance that has just started has had messages from those only that started together with it. They know nothing, and their denials ended the inquiry.

Change: until an instance knows its peers it takes none for dead, in reports and in questions. The order is a function of its own (live_first).

Test: a_newcomer_does_not_take_silent_keepers_for_dead; without the change its first case has the order of the second.

--- a/crates/coord/src/lib.rs
+++ b/crates/coord/src/lib.rs
@@ -76,5 +76,5 @@
 pub use stream::{
     InquiryStep, MAX_STREAMS, OpenInquiry, STREAM_RETENTION_MS, StreamInquiry, StreamKeeper,
     StreamKey, StreamKnowledge, StreamOrigin, StreamRecords, UnconfirmedOrigin, UnconfirmedStreams,
-    covers_connection, displaced_inquiry, ranked_keepers,
+    covers_connection, displaced_inquiry, live_first, ranked_keepers,
 };
--- a/crates/coord/src/stream.rs
+++ b/crates/coord/src/stream.rs
@@ -25,7 +25,7 @@
 
 pub use builds::covers_connection;
 pub use inquiry::{InquiryStep, OpenInquiry, StreamInquiry, displaced_inquiry};
-pub use keepers::{StreamKeeper, ranked_keepers};
+pub use keepers::{StreamKeeper, live_first, ranked_keepers};
 pub use records::{MAX_STREAMS, STREAM_RETENTION_MS, StreamKnowledge, StreamRecords};
 pub use unconfirmed::{UnconfirmedOrigin, UnconfirmedStreams};
 
--- a/crates/coord/src/stream/keepers.rs
+++ b/crates/coord/src/stream/keepers.rs
@@ -30,3 +30,18 @@
     first.extend(rest);
     first
 }
+
+/// Moves the keepers that are not live behind the others; both parts stay in their order.
+///
+/// An instance that `is_newcomer` leaves the order as it is: it has had messages from those only that happened to send
+/// first, such as the ones that started with it and know nothing.
+pub fn live_first(
+    ranked: Vec<usize>,
+    is_newcomer: bool,
+    is_live: impl Fn(usize) -> bool,
+) -> Vec<usize> {
+    let (mut first, rest): (Vec<usize>, Vec<usize>) =
+        ranked.into_iter().partition(|&index| is_newcomer || is_live(index));
+    first.extend(rest);
+    first
+}
--- a/crates/coord/tests/stream.rs
+++ b/crates/coord/tests/stream.rs
@@ -3,7 +3,7 @@
 use bilberryford_coord::{
     InquiryStep, MAX_STREAMS, OpenInquiry, STREAM_RETENTION_MS, StreamInquiry, StreamKeeper,
     StreamKey, StreamKnowledge, StreamOrigin, StreamRecords, UnconfirmedOrigin, UnconfirmedStreams,
-    displaced_inquiry, ranked_keepers,
+    displaced_inquiry, live_first, ranked_keepers,
 };
 use bilberryford_types::TimeMs;
 use rstest::rstest;
@@ -133,6 +133,18 @@
     }
 }
 
+/// Guards against inquiries that ask only instances which have just started, as after a kill of many: they know nothing.
+#[rstest]
+#[case::newcomer(true, &[0, 1, 2, 3, 4, 5])]
+#[case::acquainted(false, &[1, 4, 0, 2, 3, 5])]
+fn a_newcomer_does_not_take_silent_keepers_for_dead(
+    #[case] is_newcomer: bool,
+    #[case] expected: &[usize],
+) {
+    let ordered = live_first((0..6).collect(), is_newcomer, |index| [1, 4].contains(&index));
+    assert_eq!(ordered, expected);
+}
+
 /// An instance that joins takes over one place at most, so that views that differ by it agree on the others.
 #[test]
 fn a_further_instance_changes_the_keepers_of_a_stream_by_one() {
--- a/crates/gateway/src/controllers/streams.rs
+++ b/crates/gateway/src/controllers/streams.rs
@@ -5,7 +5,8 @@
 use std::net::SocketAddr;
 
 use bilberryford_coord::{
-    StreamKeeper, StreamKey, StreamKnowledge, StreamOrigin, UnconfirmedOrigin, ranked_keepers,
+    StreamKeeper, StreamKey, StreamKnowledge, StreamOrigin, UnconfirmedOrigin, live_first,
+    ranked_keepers,
 };
 use tokio::net::UdpSocket;
 
@@ -27,6 +28,7 @@
 fn ranked_peers(gateway: &Gateway, addresses: &PeerAddresses, key: &StreamKey) -> Vec<SocketAddr> {
     let now_ms = gateway.clock.now();
     let local = gateway.settings.instance.as_str();
+    let is_newcomer = gateway.fleet_is_unknown();
     let listed = addresses.lock();
     let members: Vec<_> = listed.iter().collect();
     let keepers: Vec<_> = members
@@ -37,13 +39,12 @@
         })
         .collect();
     let peers = gateway.peers.lock();
-    let ranked = ranked_keepers(&keepers, key).into_iter();
-    let (live, silent): (Vec<usize>, Vec<usize>) = ranked.partition(|&index| {
+    let is_live = |index: usize| {
         let name = keepers[index].name;
         name == local || peers.is_live(name, now_ms)
-    });
-    let ranked = live.into_iter().chain(silent).map(|index| members[index].1.address);
-    ranked.collect()
+    };
+    let ranked = live_first(ranked_keepers(&keepers, key), is_newcomer, is_live);
+    ranked.into_iter().map(|index| members[index].1.address).collect()
 }
 
 /// Records that a stream began at `origin`, or goes on there, and reports it to its keepers.
--- a/crates/gateway/src/gateway/limits.rs
+++ b/crates/gateway/src/gateway/limits.rs
@@ -65,7 +65,7 @@
     }
 
     /// True if this process has just started, and has not had messages from all others.
-    pub(super) fn fleet_is_unknown(&self) -> bool {
+    pub(crate) fn fleet_is_unknown(&self) -> bool {
         let listed_peers = *self.listed_peers.lock();
         !self.knows_peers(listed_peers, self.clock.now())
     }
