The report of a stream is sent to its keepers twice

Cause, suspected: the four datagrams of a report leave together and are lost together, since the queue of the sender's link is full at that moment. No send was refused by the socket, and no keeper logs the stream; that they were dropped in a queue is inferred.

Change: the report is sent once more after 60 ms.

--- a/crates/gateway/src/controllers/streams.rs
+++ b/crates/gateway/src/controllers/streams.rs
@@ -2,13 +2,13 @@
 
 mod inquiries;
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bilberryford_coord::{
     StreamKeeper, StreamKey, StreamKnowledge, StreamOrigin, UnconfirmedOrigin, live_first,
     ranked_keepers,
 };
-use tokio::net::UdpSocket;
+use tokio::{net::UdpSocket, time::sleep};
 
 pub(super) use self::inquiries::apply_answer;
 pub(crate) use self::inquiries::{FoundStream, StreamInquiries, TakeUp, find_stream};
@@ -21,6 +21,8 @@
 /// The instances that keep the record of a stream, beside the one that passes it on: it outlives the loss of a third of a
 /// fleet at once for 98 streams in 100.
 const KEEPERS: usize = 4;
+/// The delay of the second report of a stream.
+const REPEAT_DELAY: Duration = Duration::from_millis(60);
 
 /// The peers in the order in which they keep the record of a stream, those that are live first.
 ///
@@ -50,27 +52,38 @@
 /// Records that a stream began at `origin`, or goes on there, and reports it to its keepers.
 ///
 /// The messages are handed to the socket before this returns, so that no event leaves before the report of its stream.
-pub(crate) fn report_stream(gateway: &Gateway, key: StreamKey, origin: StreamOrigin) {
+pub(crate) fn report_stream(gateway: &Arc<Gateway>, key: StreamKey, origin: StreamOrigin) {
     let now_ms = gateway.clock.now();
     gateway.streams.lock().record(key, origin, now_ms);
     gateway.unconfirmed_streams.lock().remove(&key);
-    tell_keepers(gateway, key, &PeerMessage::StreamBegan(StreamReport { key, origin }));
+    tell_keepers(gateway, key, PeerMessage::StreamBegan(StreamReport { key, origin }));
 }
 
 /// Records that a stream began at an endpoint that has not confirmed its build, and reports it to its keepers.
 ///
 /// Any of them can ask the endpoint later, so that the stream goes on though this instance dies meanwhile.
 pub(crate) fn report_unconfirmed_stream(
-    gateway: &Gateway,
+    gateway: &Arc<Gateway>,
     key: StreamKey,
     origin: UnconfirmedOrigin<EndpointTag>,
 ) {
     let now_ms = gateway.clock.now();
     gateway.unconfirmed_streams.lock().insert(key, origin, now_ms);
-    tell_keepers(gateway, key, &PeerMessage::StreamUnconfirmed(UnconfirmedReport { key, origin }));
+    tell_keepers(gateway, key, PeerMessage::StreamUnconfirmed(UnconfirmedReport { key, origin }));
+}
+
+/// Sends a report to the keepers of a stream, and once more a little later: the queue of a full link loses all messages of a
+/// moment.
+fn tell_keepers(gateway: &Arc<Gateway>, key: StreamKey, message: PeerMessage) {
+    send_to_keepers(gateway, key, &message);
+    let gateway = gateway.clone();
+    tokio::spawn(async move {
+        sleep(REPEAT_DELAY).await;
+        send_to_keepers(&gateway, key, &message);
+    });
 }
 
-fn tell_keepers(gateway: &Gateway, key: StreamKey, message: &PeerMessage) {
+fn send_to_keepers(gateway: &Gateway, key: StreamKey, message: &PeerMessage) {
     let Some(link) = gateway.peer_link.get() else { return };
     let Some(bytes) = encode_message(message) else { return };
     let own_address = gateway.settings.peer_listen;
