The model of streams has resets that fill all links, and answers that take time

Answers now arrive after their round trip, and a further fault resets the connections of nine instances in ten, after which a question and its answer take 100 to 400 ms for a second and half of the moments lose all that is sent.

--- a/crates/coord/tests/stream_model.rs
+++ b/crates/coord/tests/stream_model.rs
@@ -1,6 +1,7 @@
 //! Streams that callers take up over a simulated fleet in the middle of roll-outs: instances lose and delay datagrams, see
-//! different peers, freeze, are cut off, killed a third at once, or all. Endpoints start again under their ids with another
-//! build while their entries are still the old ones, also with a build that nobody lists yet, and tables are filled with other streams.
+//! different peers, freeze, are cut off, killed a third at once, or all, or have their connections reset, which fills the
+//! links. Endpoints start again under their ids with another build while their entries are still the old ones, also with a
+//! build that nobody lists yet, and tables are filled with other streams.
 //!
 //! `cargo test --release -p bilberryford-coord --test stream_model -- --nocapture` prints a line for each case;
 //! `STREAM_MODEL_SEEDS=20` plays more seeds.
@@ -23,6 +24,14 @@
 /// The time after which a killed instance serves again, with nothing in memory.
 const RESTART_MS: u64 = 800;
 const FAULT_MS: u64 = 2_000;
+/// How long links are full after a reset, and how long a question and its answer are under way meanwhile, at least and at
+/// most.
+const CONGESTION_MS: u64 = 1_000;
+const ROUND_TRIP_MS: std::ops::RangeInclusive<u64> = 100..=400;
+/// The share of the moments at which a full link loses what is sent.
+const LOST_MOMENTS: f64 = 0.5;
+/// The delay of the second report of a stream.
+const REPEAT_MS: u64 = 60;
 /// The instances whose tables are filled: filling all of a large fleet would take most of the time of the test.
 const FILLED_TABLES: usize = 3;
 /// The streams that fill a table; hashing them anew for each fault would take most of the time of the test.
@@ -59,6 +68,9 @@
     AllKilled,
     /// The tables of some instances are filled with other streams.
     FullTables,
+    /// The connections of nine instances in ten are reset at once. What all callers and endpoints send anew fills the links for
+    /// a while: answers come late, and the datagrams of one moment are lost together.
+    Resets,
 }
 
 /// The builds that serve, from a time on.
@@ -133,6 +145,7 @@
     streams: Vec<Option<(usize, &'static str, u64)>>,
     random: StdRng,
     queue: BinaryHeap<std::cmp::Reverse<(u64, Action)>>,
+    congested_until_ms: u64,
     totals: Totals,
 }
 
@@ -183,15 +196,29 @@
         if self.method != Method::Keepers {
             return;
         }
-        for to in self.ranked(from, number).into_iter().take(KEEPERS).filter(|to| *to != from) {
-            let is_cut = now_ms < self.instances[from].cut_until_ms;
-            if !self.is_lost() && !is_cut {
-                let delay_ms = self.random.random_range(1..=self.max_delay_ms);
-                self.push(now_ms + delay_ms, Action::Deliver { to, number, reported });
+        for sent_ms in [now_ms, now_ms + REPEAT_MS] {
+            if self.loses_moment(sent_ms) {
+                continue;
+            }
+            for to in self.ranked(from, number).into_iter().take(KEEPERS).filter(|to| *to != from) {
+                let is_cut = sent_ms < self.instances[from].cut_until_ms;
+                if !self.is_lost() && !is_cut {
+                    let delay_ms = self.random.random_range(1..=self.max_delay_ms);
+                    self.push(sent_ms + delay_ms, Action::Deliver { to, number, reported });
+                }
             }
         }
     }
 
+    fn loses_moment(&mut self, now_ms: u64) -> bool {
+        now_ms < self.congested_until_ms && self.random.random_bool(LOST_MOMENTS)
+    }
+
+    /// How long a question and its answer are under way.
+    fn round_trip_ms(&mut self, now_ms: u64) -> u64 {
+        if now_ms < self.congested_until_ms { self.random.random_range(ROUND_TRIP_MS) } else { 0 }
+    }
+
     /// Returns what the instance finds out about a stream.
     fn find(&mut self, at: usize, number: u64, mut now_ms: u64) -> StreamKnowledge {
         let key = key(number);
@@ -203,11 +230,30 @@
         peers.retain(|peer| *peer != at);
         let mut inquiry = StreamInquiry::new(peers);
         let until_ms = TimeMs(now_ms + INQUIRY_MS);
+        // The answers that are under way, with the times of their arrival.
+        let mut answers: Vec<(u64, usize, StreamKnowledge)> = Vec::new();
         loop {
             match inquiry.step(TimeMs(now_ms), until_ms) {
                 InquiryStep::Denied | InquiryStep::Unanswered => return StreamKnowledge::Unknown,
-                InquiryStep::Wait(until_ms) => now_ms = until_ms.get(),
+                InquiryStep::Wait(until_ms) => {
+                    let first = answers.iter().enumerate().min_by_key(|(_, (at_ms, ..))| *at_ms);
+                    let Some((index, &(at_ms, ..))) =
+                        first.filter(|(_, (at_ms, ..))| *at_ms <= until_ms.get())
+                    else {
+                        now_ms = until_ms.get();
+                        continue;
+                    };
+                    now_ms = now_ms.max(at_ms);
+                    let (_, peer, answer) = answers.remove(index);
+                    if answer != StreamKnowledge::Unknown {
+                        return self.instances[at].records.apply(key, answer, TimeMs(now_ms));
+                    }
+                    inquiry.record_denial(peer);
+                }
                 InquiryStep::Ask(peers) => {
+                    if self.loses_moment(now_ms) {
+                        continue;
+                    }
                     for peer in peers {
                         let is_lost = self.is_lost() || self.is_lost();
                         let is_heard = self.instances[at].is_reachable(now_ms)
@@ -215,12 +261,8 @@
                         if is_lost || !is_heard {
                             continue;
                         }
-                        let records = &self.instances[peer].records;
-                        let answer = records.knowledge(&key, TimeMs(now_ms));
-                        inquiry.record_denial(peer);
-                        if answer != StreamKnowledge::Unknown {
-                            return self.instances[at].records.apply(key, answer, TimeMs(now_ms));
-                        }
+                        let answer = self.instances[peer].records.knowledge(&key, TimeMs(now_ms));
+                        answers.push((now_ms + self.round_trip_ms(now_ms), peer, answer));
                     }
                 }
             }
@@ -327,6 +369,14 @@
                 .filter(|at| (*at as u64 + number).is_multiple_of(3))
                 .for_each(|at| self.kill(at, now_ms)),
             Faults::AllKilled => (0..count).for_each(|at| self.kill(at, now_ms)),
+            Faults::Resets => {
+                self.congested_until_ms = now_ms + CONGESTION_MS;
+                for at in 0..count {
+                    if self.random.random_bool(0.9) {
+                        self.break_streams_of(at, now_ms);
+                    }
+                }
+            }
             Faults::FullTables => {
                 for at in 0..count.min(FILLED_TABLES) {
                     let origin = origin("v0");
@@ -412,6 +462,7 @@
         streams: Vec::new(),
         random,
         queue: BinaryHeap::new(),
+        congested_until_ms: 0,
         totals: Totals::default(),
     };
     fleet.play(faults);
@@ -431,7 +482,8 @@
         Faults::ThirdKilled,
         Faults::FrozenAndCut,
         Faults::AllKilled,
-        Faults::FullTables
+        Faults::FullTables,
+        Faults::Resets
     )]
     faults: Faults,
     #[values(0.01, 0.2)] loss: f64,
