--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -144,6 +144,7 @@
     let target_ms = forecast.target_ms.get();
     let limit_ms = match contention.standing {
         Standing::Under => None,
+        Standing::Within if forecast.is_continuation => None,
         _ if contention.return_state == ReturnState::Due || forecast.is_continuation => {
             Some(forecast.max_late_ms())
         }
