A late answer about a stream is measured against the latest inquiry about it

The list of ended inquiries has the latest one first, and was searched from its end, so that a second inquiry about one stream had the delay of the first in the log line. No decision reads it.

--- a/crates/gateway/src/controllers/streams/inquiries.rs
+++ b/crates/gateway/src/controllers/streams/inquiries.rs
@@ -35,7 +35,7 @@
 pub(crate) struct StreamInquiries {
     /// Those that requests wait for.
     open: HashMap<StreamKey, SharedInquiry>,
-    /// The last ones that ended, with the times of their ends.
+    /// The last ones that ended, with the times of their ends, the latest first.
     ended: VecDeque<(StreamKey, TimeMs)>,
 }
 
@@ -114,7 +114,7 @@
     let now_ms = gateway.clock.now();
     let mut inquiries = gateway.inquiries.lock();
     let Some(shared) = inquiries.open.get_mut(&answer.key) else {
-        let ended = inquiries.ended.iter().rev().find(|(key, _)| *key == answer.key);
+        let ended = inquiries.ended.iter().find(|(key, _)| *key == answer.key);
         if let Some((key, ended_ms)) = ended
             && let Some(suppressed) = gateway.request_log.take_stream_question_record(now_ms)
         {
