--- a/crates/gateway/src/controllers/streams/inquiries.rs
+++ b/crates/gateway/src/controllers/streams/inquiries.rs
@@ -241,7 +241,7 @@
         let step = {
             let mut inquiries = gateway.inquiries.lock();
             let shared = inquiries.open.get_mut(&key);
-            // Without an inquiry, it has ended for those of others.
+            // An inquiry that is gone was displaced by one of another stream.
             shared.map_or(InquiryStep::Unanswered, |shared| shared.inquiry.step(now_ms, until_ms))
         };
         let wait_until_ms = match step {
--- a/crates/gateway/src/gateway/streams.rs
+++ b/crates/gateway/src/gateway/streams.rs
@@ -179,8 +179,8 @@
         service.is_some_and(|service| service.engine.is_some())
     }
 
-    /// Records that the candidate begins a stream. A stream of which the build is not certain stays unknown, and is refused
-    /// when it is taken up.
+    /// Records that the candidate begins a stream. One of which the build is not certain is unconfirmed until its endpoint has
+    /// stated its incarnation, and can't be taken up before.
     pub(crate) fn record_stream_beginning(
         self: &Arc<Self>,
         key: StreamKey,
