--- a/crates/coord/src/stream/unconfirmed.rs
+++ b/crates/coord/src/stream/unconfirmed.rs
@@ -9,8 +9,8 @@
 
 /// Where a stream began if its endpoint is the incarnation `I` that its entry describes.
 ///
-/// Whoever hears that incarnation state its start later knows that this is so: an endpoint ends but once, and the incarnation
-/// was listed before the stream.
+/// A later report of that incarnation's start confirms the origin: an endpoint ends only once, and the incarnation was listed
+/// before the stream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UnconfirmedOrigin<I> {
     /// The origin by the entry of the endpoint.
--- a/crates/gateway/src/filters/take_up.rs
+++ b/crates/gateway/src/filters/take_up.rs
@@ -66,17 +66,18 @@
     if route.retry_policy != RetryPolicy::Stream {
         return Ok(StreamPart::None);
     }
-    let key_of = |id: &str| StreamKey::new(team.map_or("", |team| team.name.as_str()), id);
+    let team = team.map_or("", |team| team.name.as_str());
+    let key_of = |id: &str| StreamKey::new(team, id);
     let Some(resumption) = &facts.resumption else {
         let id = facts.request_id.as_deref().filter(|_| route.is_resumable);
         return Ok(id.map_or(StreamPart::None, |id| StreamPart::Beginning(key_of(id))));
     };
-    let refuse = |record: &mut RequestRecord, note: &'static str, retry_after_ms| {
-        record.notes.push(note);
-        gateway.metrics.record_stream(note);
-        let retry_after_ms: Option<TimeMs> = retry_after_ms;
-        Err(ErrorResponse { kind: ErrorKind::StreamEnded, retry_after_ms })
-    };
+    let refuse =
+        |record: &mut RequestRecord, note: &'static str, retry_after_ms: Option<TimeMs>| {
+            record.notes.push(note);
+            gateway.metrics.record_stream(note);
+            Err(ErrorResponse { kind: ErrorKind::StreamEnded, retry_after_ms })
+        };
     let Some(first_request_id) = &resumption.first_request_id else {
         return refuse(record, "stream_unnamed", None);
     };
@@ -85,7 +86,7 @@
     let wanted = TakeUp {
         key,
         request: record.request_id.as_deref().unwrap_or_default(),
-        team: team.map_or("", |team| team.name.as_str()),
+        team,
         until_ms: now_ms.after(TimeMs(deadline_ms.since(now_ms).get() / INQUIRY_DIVISOR)),
     };
     let origin = match find_stream(gateway, wanted).await {
--- a/crates/gateway/src/gateway/streams.rs
+++ b/crates/gateway/src/gateway/streams.rs
@@ -6,7 +6,6 @@
     StreamKey, StreamKnowledge, StreamOrigin, UnconfirmedOrigin, covers_connection,
 };
 use bilberryford_types::{Build, EndpointId, PoolName, TimeMs};
-
 use tokio::time::sleep;
 
 use super::Gateway;
@@ -230,7 +229,8 @@
         });
     }
 
-    /// Asks an incarnation for its start until it states one, another instance has heard it, or the time for that is over.
+    /// Requests the start time of an incarnation until the endpoint reports one, a peer has confirmed the stream, or
+    /// [`CONFIRMATION_MS`] has passed.
     async fn ask_until_stated(&self, key: &StreamKey, incarnation: EndpointTag) -> BuildStanding {
         let until_ms = self.clock.now().after(CONFIRMATION_MS);
         let mut pause = QUESTION_PAUSE_STEP;
