Known and unconfirmed streams share one bounded table

UnconfirmedStreams had a second copy of the queue by time, the retention and the bound of StreamRecords. Both are now views of StreamTable (stream/table.rs). The one difference: places in the queue of entries that are gone no longer count against the number of unconfirmed streams, so that up to MAX_STREAMS are held, with a queue of at most twice that, as for records.

Ruled out: one table for both kinds, since a record never changes and an unconfirmed origin is refuted or removed.

--- a/crates/coord/src/stream.rs
+++ b/crates/coord/src/stream.rs
@@ -17,6 +17,7 @@
 mod inquiry;
 mod keepers;
 mod records;
+mod table;
 mod unconfirmed;
 
 use bilberryford_types::{Build, PoolName};
--- a/crates/coord/src/stream/records.rs
+++ b/crates/coord/src/stream/records.rs
@@ -1,11 +1,9 @@
 //! The table of streams and their origins, bounded in number and time.
 
-use std::collections::{HashMap, VecDeque};
-
 use bilberryford_types::TimeMs;
 use serde::{Deserialize, Serialize};
 
-use super::{StreamKey, StreamOrigin};
+use super::{StreamKey, StreamOrigin, table::StreamTable};
 
 /// The most streams that are remembered. The oldest one is forgotten for a new one, and is then refused.
 pub const MAX_STREAMS: usize = 16_384;
@@ -26,19 +24,10 @@
     Contradictory,
 }
 
-#[derive(Debug, Clone, Copy)]
-struct Record {
-    /// None if two origins were reported.
-    origin: Option<StreamOrigin>,
-    recorded_ms: TimeMs,
-}
-
-/// The streams that an instance knows.
+/// The streams that an instance knows: the origin of each, or none if two were reported.
 #[derive(Debug, Clone, Default)]
 pub struct StreamRecords {
-    records: HashMap<StreamKey, Record>,
-    /// The keys by the time of their records. A record that was renewed has a later entry as well.
-    queue: VecDeque<(StreamKey, TimeMs)>,
+    records: StreamTable<Option<StreamOrigin>>,
 }
 
 impl StreamRecords {
@@ -65,37 +54,31 @@
             StreamKnowledge::Known(origin) => Some(origin),
             StreamKnowledge::Contradictory => None,
         };
-        let known = self.records.get(&key);
+        let known = self.records.get(&key, now_ms).copied();
         let origin = match known {
-            Some(known) => known.origin.filter(|origin| Some(*origin) == reported),
+            Some(known) => known.filter(|origin| Some(*origin) == reported),
             None => reported,
         };
-        let is_recent = |known: &Record| {
-            known.origin == origin && now_ms.since(known.recorded_ms) < MIN_RENEWAL_AGE_MS
-        };
-        if !known.is_some_and(is_recent) {
-            self.records.insert(key, Record { origin, recorded_ms: now_ms });
-            self.queue.push_back((key, now_ms));
-        }
-        while self.records.len() > MAX_STREAMS || self.queue.len() > 2 * MAX_STREAMS {
-            self.forget_oldest();
+        let age_ms = self.records.age_ms(&key, now_ms);
+        let is_recent = age_ms.is_some_and(|age_ms| age_ms < MIN_RENEWAL_AGE_MS);
+        if known != Some(origin) || !is_recent {
+            self.records.insert(key, origin, now_ms);
         }
         self.knowledge(&key, now_ms)
     }
 
     /// Returns what is known of a stream.
     pub fn knowledge(&self, key: &StreamKey, now_ms: TimeMs) -> StreamKnowledge {
-        let record = self.records.get(key);
-        match record.filter(|record| now_ms.since(record.recorded_ms) < STREAM_RETENTION_MS) {
+        match self.records.get(key, now_ms) {
             None => StreamKnowledge::Unknown,
-            Some(Record { origin: Some(origin), .. }) => StreamKnowledge::Known(*origin),
-            Some(Record { origin: None, .. }) => StreamKnowledge::Contradictory,
+            Some(Some(origin)) => StreamKnowledge::Known(*origin),
+            Some(None) => StreamKnowledge::Contradictory,
         }
     }
 
     /// The age of a record; none if there is none.
     pub fn age_ms(&self, key: &StreamKey, now_ms: TimeMs) -> Option<TimeMs> {
-        self.records.get(key).map(|record| now_ms.since(record.recorded_ms))
+        self.records.age_ms(key, now_ms)
     }
 
     /// The number of streams that are remembered.
@@ -105,21 +88,11 @@
 
     /// Returns true if no stream is remembered.
     pub fn is_empty(&self) -> bool {
-        self.records.is_empty()
+        self.len() == 0
     }
 
     /// Forgets the streams whose retention has ended.
     pub fn forget_expired(&mut self, now_ms: TimeMs) {
-        let is_expired = |recorded_ms: TimeMs| now_ms.since(recorded_ms) >= STREAM_RETENTION_MS;
-        while self.queue.front().is_some_and(|(_, recorded_ms)| is_expired(*recorded_ms)) {
-            self.forget_oldest();
-        }
-    }
-
-    fn forget_oldest(&mut self) {
-        let Some((key, recorded_ms)) = self.queue.pop_front() else { return };
-        if self.records.get(&key).is_some_and(|record| record.recorded_ms == recorded_ms) {
-            self.records.remove(&key);
-        }
+        self.records.forget_expired(now_ms);
     }
 }
--- a/crates/coord/tests/stream.rs
+++ b/crates/coord/tests/stream.rs
@@ -257,7 +257,10 @@
     streams.insert(key("a"), unconfirmed("v1", 1), NOW_MS);
     streams.refute(&key("a"));
     streams.insert(key("a"), unconfirmed("v1", 1), NOW_MS);
-    assert_eq!((streams.get(&key("a"), NOW_MS), streams.is_refuted(&key("a"))), (None, true));
+    assert_eq!(
+        (streams.get(&key("a"), NOW_MS), streams.is_refuted(&key("a"), NOW_MS)),
+        (None, true)
+    );
     streams.remove(&key("a"));
     assert!(streams.is_empty());
 }
--- a/crates/gateway/src/controllers/streams.rs
+++ b/crates/gateway/src/controllers/streams.rs
@@ -117,7 +117,7 @@
     }
     let mut streams = gateway.unconfirmed_streams.lock();
     streams.insert(report.key, report.origin, now_ms);
-    let is_refuted = streams.is_refuted(&report.key);
+    let is_refuted = streams.is_refuted(&report.key, now_ms);
     drop(streams);
     if is_refuted {
         gateway.inquiries.lock().record_denial(&report.key, from);
