A stream that a peer has confirmed is not reported again by who was asking as well

Each instance that asked an endpoint about an unconfirmed stream reported it to its keepers when it learned that the stream was known: eight datagrams more for what the keepers had said themselves, and, where two origins are claimed for one name, an origin that nobody had confirmed. It now stops.

--- a/crates/gateway/src/gateway/streams.rs
+++ b/crates/gateway/src/gateway/streams.rs
@@ -212,13 +212,13 @@
         tokio::spawn(async move {
             let standing = gateway.ask_until_stated(&key, unconfirmed.incarnation).await;
             match standing {
-                BuildStanding::AsListed => report_stream(&gateway, key, unconfirmed.origin),
-                BuildStanding::Refuted => gateway.unconfirmed_streams.lock().refute(&key),
-                BuildStanding::Doubtful => {}
+                Some(BuildStanding::AsListed) => report_stream(&gateway, key, unconfirmed.origin),
+                Some(BuildStanding::Refuted) => gateway.unconfirmed_streams.lock().refute(&key),
+                Some(BuildStanding::Doubtful) | None => {}
             }
             gateway.confirming_streams.lock().remove(&key);
             gateway.inquiry_answered.notify_waiters();
-            if standing != BuildStanding::AsListed {
+            if let Some(standing) = standing.filter(|of| *of != BuildStanding::AsListed) {
                 gateway.metrics.record_stream("begun_unconfirmed");
                 log::info!(
                     target: "belief", stream:% = key, incarnation:% = unconfirmed.incarnation,
@@ -229,9 +229,13 @@
         });
     }
 
-    /// Requests the start time of an incarnation until the endpoint reports one, a peer has confirmed the stream, or
-    /// [`CONFIRMATION_MS`] has passed.
-    async fn ask_until_stated(&self, key: &StreamKey, incarnation: EndpointTag) -> BuildStanding {
+    /// Requests the start time of an incarnation until the endpoint reports one or [`CONFIRMATION_MS`] has passed. Returns none
+    /// if a peer has confirmed the stream meanwhile, so that there is nothing to report.
+    async fn ask_until_stated(
+        &self,
+        key: &StreamKey,
+        incarnation: EndpointTag,
+    ) -> Option<BuildStanding> {
         let until_ms = self.clock.now().after(CONFIRMATION_MS);
         let mut pause = QUESTION_PAUSE_STEP;
         loop {
@@ -242,10 +246,10 @@
             let now_ms = self.clock.now();
             let is_known = self.streams.lock().knowledge(key, now_ms) != StreamKnowledge::Unknown;
             if is_known {
-                return BuildStanding::AsListed;
+                return None;
             }
             if standing != BuildStanding::Doubtful || now_ms >= until_ms {
-                return standing;
+                return Some(standing);
             }
             sleep(pause).await;
             pause = (pause + QUESTION_PAUSE_STEP).min(MAX_QUESTION_PAUSE);
